--- /dev/null
+++ b/crates/benchlink/src/host.rs
@@ -0,0 +1,290 @@
+//! Takes batches apart, line by line, and hands each event to its instance.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, Write};
+
+use anyhow::{Context, Result, bail, ensure};
+use rainlug::logic::Dispatcher;
+use rainlug::{Listed, Outcome, Outgoing, State, Time};
+
+use crate::fields::Fields;
+use crate::settings;
+
+/// Answers batches until the input ends.
+pub fn run(mut input: impl BufRead, mut output: impl Write) -> Result<()> {
+    let mut host = Host::default();
+    let (mut line, mut number) = (String::new(), 0usize);
+    loop {
+        line.clear();
+        number += 1;
+        if input
+            .read_line(&mut line)
+            .with_context(|| format!("line {number}: expected UTF-8 text"))?
+            == 0
+        {
+            return Ok(());
+        }
+        let text = line.strip_suffix('\n').unwrap_or(&line);
+        let done = host.line(text.strip_suffix('\r').unwrap_or(text));
+        if done.with_context(|| format!("line {number}"))? {
+            host.reply.push_str("END\n");
+            output.write_all(host.reply.as_bytes())?;
+            output.flush()?;
+            host.reply.clear();
+        }
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    /// The clock of the batch being read; none between batches.
+    now: Option<Time>,
+    instances: HashMap<String, Dispatcher>,
+    lists: HashMap<usize, Vec<Listed>>,
+    /// The list being read and how many of its lines are still to come.
+    open: Option<(usize, usize)>,
+    reply: String,
+}
+
+impl Host {
+    /// Takes one line; true when it closed its batch.
+    fn line(&mut self, line: &str) -> Result<bool> {
+        let mut fields = Fields::of(line);
+        let word = fields.word("a message")?;
+        if let Some((slot, left)) = self.open {
+            ensure!(word == "WORKER", "expected WORKER, found '{word}'");
+            let entry = listed(&mut fields)?;
+            self.lists.entry(slot).or_default().push(entry);
+            self.open = (left > 1).then_some((slot, left - 1));
+            return Ok(false);
+        }
+        let Some(now) = self.now else {
+            ensure!(word == "TICK", "expected TICK, found '{word}'");
+            self.now = Some(fields.time("the clock")?);
+            return Ok(false);
+        };
+        match word {
+            "END" => {
+                self.now = None;
+                return Ok(true);
+            }
+            "INVENTORY" => {
+                let (slot, entries) = (fields.value("a slot")?, fields.value("a number of entries")?);
+                self.lists.insert(slot, Vec::new());
+                self.open = (entries > 0).then_some((slot, entries));
+                return Ok(false);
+            }
+            _ => {}
+        }
+        let name = fields.word("an instance")?;
+        let mut out = Replies {
+            name,
+            reply: &mut self.reply,
+        };
+        if word == "NEW_INSTANCE" {
+            let made = settings::start(now, fields.value("a seed")?, fields.text("settings")?, &mut out)?;
+            self.instances.insert(name.to_owned(), made);
+            return Ok(false);
+        }
+        if word == "STOP" {
+            self.instances.remove(name);
+            return Ok(false);
+        }
+        let to = self
+            .instances
+            .get_mut(name)
+            .with_context(|| format!("expected a running instance, found '{name}'"))?;
+        event(to, word, now, &mut fields, &self.lists, &mut out)?;
+        Ok(false)
+    }
+}
+
+fn event(
+    to: &mut Dispatcher,
+    word: &str,
+    now: Time,
+    fields: &mut Fields,
+    lists: &HashMap<usize, Vec<Listed>>,
+    out: &mut dyn Outgoing,
+) -> Result<()> {
+    match word {
+        "QUERY" => {
+            let id = fields.word("a request id")?;
+            let workload = fields.value("a class")?;
+            let customer = fields.maybe("a tenant")?;
+            let _key: Option<u64> = fields.maybe("a key")?;
+            let budget = fields.time("a time budget")?;
+            let _hint = fields.amount("predicted work")?;
+            let slots = fields.amount("slots")?.unwrap_or(1.0);
+            let memory = fields.amount("memory")?;
+            ensure!(
+                workload < to.workloads(),
+                "expected a class of the settings, found {workload}"
+            );
+            to.task(
+                now,
+                id,
+                workload,
+                customer,
+                budget,
+                slots,
+                memory.unwrap_or(0.0),
+                out,
+            );
+        }
+        "DONE" => {
+            let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
+            fields.word("a worker")?;
+            let outcome = outcome(fields.word("an outcome")?)?;
+            fields.maybe_time("a delay")?;
+            let closed = fields.flag("finished")?;
+            fields.word("a remark")?;
+            to.ended(now, id, assignment, outcome, closed, fields.report()?, out);
+        }
+        "HINT_UPDATE" => {
+            let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
+            fields.word("a worker")?;
+            let what: u32 = fields.value("the kind of note")?;
+            let share = fields.amount("an amount")?.filter(|_| what == 2);
+            to.sign(now, id, assignment, share, out);
+        }
+        // No workload of a jobs service is streamed: the answer's start is one more sign of life.
+        "HEAD_RECEIVED" => to.sign(
+            now,
+            fields.word("a request id")?,
+            fields.value("an attempt")?,
+            None,
+            out,
+        ),
+        "CANCELLED_BY_CLIENT" => to.left(now, fields.word("a request id")?, out),
+        "DUE" => to.due(now, fields.value("a mark")?, out),
+        "PROBED" => {
+            let outcome = outcome(fields.word("an outcome")?)?;
+            fields.maybe_time("a delay")?;
+            let worker = fields.word("a worker")?;
+            to.probed(now, worker, outcome, fields.report()?, out);
+        }
+        "DISCOVERY" => {
+            let scope = fields.word("a scope")?;
+            if scope == "failed" {
+                to.list_failed(now);
+                return Ok(());
+            }
+            ensure!(
+                ["delta", "full", "cached"].contains(&scope),
+                "expected a scope, found '{scope}'"
+            );
+            fields.word("an epoch")?;
+            let slot: usize = fields.value("a slot")?;
+            let entries = lists
+                .get(&slot)
+                .with_context(|| format!("expected the slot of a list, found {slot}"))?;
+            to.list(now, scope != "delta", scope == "cached", entries, out);
+        }
+        "PEER_DATA" => {}
+        _ => bail!("expected an event, found '{word}'"),
+    }
+    Ok(())
+}
+
+fn listed(fields: &mut Fields) -> Result<Listed> {
+    let id = fields.word("a worker")?.to_owned();
+    let (zone, kind, cell) = (
+        fields.value("a zone")?,
+        fields.value("a shape")?,
+        fields.value("a pack")?,
+    );
+    let state = match fields.word("a condition")? {
+        "on" => State::Ready,
+        "fading" => State::Draining,
+        "off" => State::Gone,
+        word => bail!("expected on, fading or off, found '{word}'"),
+    };
+    fields.amount("a weight")?;
+    let started = fields.maybe_time("a start time")?.filter(|&at| at != 0);
+    Ok(Listed {
+        id,
+        zone,
+        kind,
+        cell,
+        state,
+        started,
+    })
+}
+
+fn outcome(word: &str) -> Result<Outcome> {
+    Ok(match word {
+        "Ok" => Outcome::Finished,
+        "Failed" => Outcome::Failed,
+        "QueueFull" => Outcome::Full,
+        "TimedOut" => Outcome::TimedOut,
+        "ConnectError" => Outcome::Unreachable,
+        "ResetByPeer" => Outcome::Reset,
+        "Canceled" => Outcome::Withdrawn,
+        "Ignored" => Outcome::NeverSent,
+        _ => bail!("expected an outcome, found '{word}'"),
+    })
+}
+
+/// Writes one instance's decisions as reply lines.
+struct Replies<'a> {
+    name: &'a str,
+    reply: &'a mut String,
+}
+
+fn put(reply: &mut String, line: std::fmt::Arguments) {
+    reply.write_fmt(line).expect("a string takes every line");
+}
+
+/// Microseconds as the wire's milliseconds.
+struct Millis(Time);
+
+impl std::fmt::Display for Millis {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let sign = if self.0 < 0 { "-" } else { "" };
+        write!(f, "{sign}{}.{:03}", self.0.abs() / 1000, self.0.abs() % 1000)
+    }
+}
+
+impl Outgoing for Replies<'_> {
+    fn assign(&mut self, task: &str, worker: &str) {
+        put(
+            self.reply,
+            format_args!("TRANSMIT {} {task} - {worker}\n", self.name),
+        );
+    }
+
+    fn withdraw(&mut self, task: &str, assignment: usize) {
+        put(
+            self.reply,
+            format_args!("RETRACT {} {task} {assignment}\n", self.name),
+        );
+    }
+
+    fn bounce(&mut self, task: &str, pause: Time) {
+        put(
+            self.reply,
+            format_args!("TURN_AWAY {} {task} {}\n", self.name, Millis(pause)),
+        );
+    }
+
+    fn abandon(&mut self, task: &str) {
+        put(self.reply, format_args!("ABORT {} {task}\n", self.name));
+    }
+
+    fn wake(&mut self, at: Time, mark: u64) {
+        put(
+            self.reply,
+            format_args!("NOTIFY_ME {} {} {mark}\n", self.name, Millis(at)),
+        );
+    }
+
+    fn probe(&mut self, worker: &str) {
+        put(self.reply, format_args!("SOUND_OUT {} {worker}\n", self.name));
+    }
+
+    fn follow(&mut self) {
+        put(self.reply, format_args!("WATCH {} 1\n", self.name));
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,154 @@
+//! rainlug decides which worker each task goes to.
+//!
+//! [`logic::Dispatcher`] takes every decision. This file holds the types it is called with and the
+//! [`Outgoing`] trait through which its decisions leave; it decides nothing.
+
+pub mod logic;
+
+/// A moment or a length of time, in whole microseconds.
+pub type Time = i64;
+
+/// One second.
+pub const SECOND: Time = 1_000_000;
+
+/// What the users allow a task of a workload to do to the world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run again.
+    Idempotent,
+    /// Carries a mark by which the workers of one group drop repeats, for `window` from the first assignment
+    /// that may have run.
+    Fingerprinted { group: Group, window: Time },
+    /// Must never run twice.
+    SideEffecting,
+}
+
+/// Which workers drop one another's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// A kind of task, as the users price and time it.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub effect: Effect,
+    pub due: Time,
+    /// The due time grows by this many times the task's own running time.
+    pub stretch: f64,
+    pub revenue: f64,
+    /// The part of the revenue that an answer between due time and expiry earns.
+    pub overdue: f64,
+    /// The one kind of worker that can run it.
+    pub kind: Option<usize>,
+}
+
+/// A customer of the users: the tasks a second, over all dispatchers, that lie within its share.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    pub quota: f64,
+}
+
+/// Where this dispatcher stands among its like.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub seed: u64,
+    pub group_size: usize,
+    pub zone: usize,
+}
+
+/// What the deployment permits a dispatcher to do.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowed {
+    pub assignments: usize,
+    pub copies: bool,
+    pub withdrawal: bool,
+    pub probes: bool,
+    /// The longest pause that clients follow; 0 where they are told none.
+    pub pause: Time,
+    /// True where the list of workers comes only when asked for.
+    pub must_ask: bool,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Obligations {
+    pub cold_from: f64,
+    pub warm_within: Time,
+    pub overload_factor: f64,
+    pub fall: Time,
+    pub must_ask_in: Time,
+}
+
+/// What workers tell of themselves, and the prices that bear on where a task goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    /// Reports come with probes alone.
+    pub reports_by_probe: bool,
+    pub tells_start: bool,
+    pub progress: Time,
+    pub cross_zone: f64,
+    pub waste: f64,
+}
+
+/// One line of the list of workers.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub id: String,
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: usize,
+    pub state: State,
+    /// When its process last started; `None` is long ago.
+    pub started: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A worker's report on itself; a value that did not come is `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    /// Busy share of the cores, 0 to 1.
+    pub utilisation: Option<f64>,
+    /// Jobs a second, of the whole worker.
+    pub rate: Option<f64>,
+    /// Errors a second.
+    pub errors: Option<f64>,
+    pub free_slots: Option<f64>,
+    pub free_memory: Option<f64>,
+}
+
+/// How an assignment ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Finished,
+    Failed,
+    Full,
+    TimedOut,
+    Unreachable,
+    Reset,
+    Withdrawn,
+    NeverSent,
+}
+
+/// Where decisions go. Each call takes effect at the time of the event being answered.
+pub trait Outgoing {
+    /// Assigns the task to the worker until its expiry. A task's assignments are numbered from 0.
+    fn assign(&mut self, task: &str, worker: &str);
+    fn withdraw(&mut self, task: &str, assignment: usize);
+    /// Final answer: it has not run; it may be asked again after `pause`.
+    fn bounce(&mut self, task: &str, pause: Time);
+    /// Final answer without a promise.
+    fn abandon(&mut self, task: &str);
+    fn wake(&mut self, at: Time, mark: u64);
+    fn probe(&mut self, worker: &str);
+    /// Asks for the list of workers and its changes from now on.
+    fn follow(&mut self);
+}
