--- a/crates/benchlink/src/fields.rs
+++ b/crates/benchlink/src/fields.rs
@@ -33,17 +33,12 @@
     pub fn maybe<T: FromStr>(&mut self, name: &str) -> Result<Option<T>> {
         match self.word(name)? {
             "-" => Ok(None),
-            word => word
-                .parse()
-                .map(Some)
-                .ok()
-                .with_context(|| format!("expected {name}, found '{word}'")),
+            word => word.parse().map(Some).ok().with_context(|| format!("expected {name}, found '{word}'")),
         }
     }
 
     pub fn value<T: FromStr>(&mut self, name: &str) -> Result<T> {
-        self.maybe(name)?
-            .with_context(|| format!("expected {name}, found '-'"))
+        self.maybe(name)?.with_context(|| format!("expected {name}, found '-'"))
     }
 
     /// Milliseconds, possibly absent, as whole microseconds.
@@ -54,17 +49,13 @@
     }
 
     pub fn time(&mut self, name: &str) -> Result<Time> {
-        self.maybe_time(name)?
-            .with_context(|| format!("expected {name}, found '-'"))
+        self.maybe_time(name)?.with_context(|| format!("expected {name}, found '-'"))
     }
 
     /// A finite number of at least 0.
     pub fn amount(&mut self, name: &str) -> Result<Option<f64>> {
         let found = self.maybe::<f64>(name)?;
-        ensure!(
-            found.is_none_or(|n| n.is_finite() && n >= 0.0),
-            "expected {name} of 0 or more"
-        );
+        ensure!(found.is_none_or(|n| n.is_finite() && n >= 0.0), "expected {name} of 0 or more");
         Ok(found)
     }
 
@@ -85,13 +76,9 @@
             return Ok(report);
         }
         for pair in word.split(',') {
-            let (name, value) = pair
-                .split_once(':')
-                .with_context(|| format!("expected name:value in '{pair}'"))?;
-            let number: f64 = value
-                .parse()
-                .ok()
-                .with_context(|| format!("expected a number in '{pair}'"))?;
+            let (name, value) =
+                pair.split_once(':').with_context(|| format!("expected name:value in '{pair}'"))?;
+            let number: f64 = value.parse().ok().with_context(|| format!("expected a number in '{pair}'"))?;
             ensure!(number.is_finite(), "expected a finite number in '{pair}'");
             match name {
                 "load_share" => report.utilisation = Some(number),
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use rainlug::logic::Dispatcher;
-use rainlug::{Listed, Outcome, Outgoing, State, Time};
+use rainlug::{Listed, Moment, Outcome, Outgoing, State, Time};
 
 use crate::fields::Fields;
 use crate::settings;
@@ -18,11 +18,7 @@
     loop {
         line.clear();
         number += 1;
-        if input
-            .read_line(&mut line)
-            .with_context(|| format!("line {number}: expected UTF-8 text"))?
-            == 0
-        {
+        if input.read_line(&mut line).with_context(|| format!("line {number}: expected UTF-8 text"))? == 0 {
             return Ok(());
         }
         let text = line.strip_suffix('\n').unwrap_or(&line);
@@ -78,12 +74,10 @@
             _ => {}
         }
         let name = fields.word("an instance")?;
-        let mut out = Replies {
-            name,
-            reply: &mut self.reply,
-        };
+        let mut out = Replies { name, reply: &mut self.reply };
+        let m = &mut Moment { now, out: &mut out };
         if word == "NEW_INSTANCE" {
-            let made = settings::start(now, fields.value("a seed")?, fields.text("settings")?, &mut out)?;
+            let made = settings::start(m, fields.value("a seed")?, fields.text("settings")?)?;
             self.instances.insert(name.to_owned(), made);
             return Ok(false);
         }
@@ -95,18 +89,17 @@
             .instances
             .get_mut(name)
             .with_context(|| format!("expected a running instance, found '{name}'"))?;
-        event(to, word, now, &mut fields, &self.lists, &mut out)?;
+        event(to, m, word, &mut fields, &self.lists)?;
         Ok(false)
     }
 }
 
 fn event(
     to: &mut Dispatcher,
+    m: &mut Moment,
     word: &str,
-    now: Time,
     fields: &mut Fields,
     lists: &HashMap<usize, Vec<Listed>>,
-    out: &mut dyn Outgoing,
 ) -> Result<()> {
     match word {
         "QUERY" => {
@@ -118,20 +111,8 @@
             let _hint = fields.amount("predicted work")?;
             let slots = fields.amount("slots")?.unwrap_or(1.0);
             let memory = fields.amount("memory")?;
-            ensure!(
-                workload < to.workloads(),
-                "expected a class of the settings, found {workload}"
-            );
-            to.task(
-                now,
-                id,
-                workload,
-                customer,
-                budget,
-                slots,
-                memory.unwrap_or(0.0),
-                out,
-            );
+            ensure!(workload < to.workloads(), "expected a class of the settings, found {workload}");
+            to.task(m, id, workload, customer, budget, slots, memory.unwrap_or(0.0));
         }
         "DONE" => {
             let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
@@ -140,47 +121,37 @@
             fields.maybe_time("a delay")?;
             let closed = fields.flag("finished")?;
             fields.word("a remark")?;
-            to.ended(now, id, assignment, outcome, closed, fields.report()?, out);
+            to.ended(m, id, assignment, (outcome, closed), fields.report()?);
         }
         "HINT_UPDATE" => {
             let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
             fields.word("a worker")?;
             let what: u32 = fields.value("the kind of note")?;
             let share = fields.amount("an amount")?.filter(|_| what == 2);
-            to.sign(now, id, assignment, share, out);
+            to.sign(m, id, assignment, share);
         }
         // No workload of a jobs service is streamed: the answer's start is one more sign of life.
-        "HEAD_RECEIVED" => to.sign(
-            now,
-            fields.word("a request id")?,
-            fields.value("an attempt")?,
-            None,
-            out,
-        ),
-        "CANCELLED_BY_CLIENT" => to.left(now, fields.word("a request id")?, out),
-        "DUE" => to.due(now, fields.value("a mark")?, out),
+        "HEAD_RECEIVED" => to.sign(m, fields.word("a request id")?, fields.value("an attempt")?, None),
+        "CANCELLED_BY_CLIENT" => to.left(m, fields.word("a request id")?),
+        "DUE" => to.due(m, fields.value("a mark")?),
         "PROBED" => {
             let outcome = outcome(fields.word("an outcome")?)?;
             fields.maybe_time("a delay")?;
             let worker = fields.word("a worker")?;
-            to.probed(now, worker, outcome, fields.report()?, out);
+            to.probed(m, worker, outcome, fields.report()?);
         }
         "DISCOVERY" => {
             let scope = fields.word("a scope")?;
             if scope == "failed" {
-                to.list_failed(now);
+                to.list_failed(m.now);
                 return Ok(());
             }
-            ensure!(
-                ["delta", "full", "cached"].contains(&scope),
-                "expected a scope, found '{scope}'"
-            );
+            ensure!(["delta", "full", "cached"].contains(&scope), "expected a scope, found '{scope}'");
             fields.word("an epoch")?;
             let slot: usize = fields.value("a slot")?;
-            let entries = lists
-                .get(&slot)
-                .with_context(|| format!("expected the slot of a list, found {slot}"))?;
-            to.list(now, scope != "delta", scope == "cached", entries, out);
+            let entries =
+                lists.get(&slot).with_context(|| format!("expected the slot of a list, found {slot}"))?;
+            to.list(m, scope != "delta", scope == "cached", entries);
         }
         "PEER_DATA" => {}
         _ => bail!("expected an event, found '{word}'"),
@@ -190,11 +161,7 @@
 
 fn listed(fields: &mut Fields) -> Result<Listed> {
     let id = fields.word("a worker")?.to_owned();
-    let (zone, kind, cell) = (
-        fields.value("a zone")?,
-        fields.value("a shape")?,
-        fields.value("a pack")?,
-    );
+    let (zone, kind, cell) = (fields.value("a zone")?, fields.value("a shape")?, fields.value("a pack")?);
     let state = match fields.word("a condition")? {
         "on" => State::Ready,
         "fading" => State::Draining,
@@ -203,14 +170,7 @@
     };
     fields.amount("a weight")?;
     let started = fields.maybe_time("a start time")?.filter(|&at| at != 0);
-    Ok(Listed {
-        id,
-        zone,
-        kind,
-        cell,
-        state,
-        started,
-    })
+    Ok(Listed { id, zone, kind, cell, state, started })
 }
 
 fn outcome(word: &str) -> Result<Outcome> {
@@ -249,24 +209,15 @@
 
 impl Outgoing for Replies<'_> {
     fn assign(&mut self, task: &str, worker: &str) {
-        put(
-            self.reply,
-            format_args!("TRANSMIT {} {task} - {worker}\n", self.name),
-        );
+        put(self.reply, format_args!("TRANSMIT {} {task} - {worker}\n", self.name));
     }
 
     fn withdraw(&mut self, task: &str, assignment: usize) {
-        put(
-            self.reply,
-            format_args!("RETRACT {} {task} {assignment}\n", self.name),
-        );
+        put(self.reply, format_args!("RETRACT {} {task} {assignment}\n", self.name));
     }
 
     fn bounce(&mut self, task: &str, pause: Time) {
-        put(
-            self.reply,
-            format_args!("TURN_AWAY {} {task} {}\n", self.name, Millis(pause)),
-        );
+        put(self.reply, format_args!("TURN_AWAY {} {task} {}\n", self.name, Millis(pause)));
     }
 
     fn abandon(&mut self, task: &str) {
@@ -274,10 +225,7 @@
     }
 
     fn wake(&mut self, at: Time, mark: u64) {
-        put(
-            self.reply,
-            format_args!("NOTIFY_ME {} {} {mark}\n", self.name, Millis(at)),
-        );
+        put(self.reply, format_args!("NOTIFY_ME {} {} {mark}\n", self.name, Millis(at)));
     }
 
     fn probe(&mut self, worker: &str) {
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -2,12 +2,12 @@
 
 use anyhow::{Context, Result, bail};
 use rainlug::logic::Dispatcher;
-use rainlug::{Allowed, Customer, Effect, Group, Known, Obligations, Outgoing, Place, Time, Workload};
+use rainlug::{Allowed, Customer, Effect, Group, Known, Moment, Obligations, Place, Time, Workload};
 use serde_json::Value;
 
 use crate::fields::micros;
 
-pub fn start(now: Time, seed: u64, text: &str, out: &mut dyn Outgoing) -> Result<Dispatcher> {
+pub fn start(m: &mut Moment, seed: u64, text: &str) -> Result<Dispatcher> {
     let all: Value = serde_json::from_str(text).context("expected settings as a JSON object")?;
     let place = Place {
         seed,
@@ -19,11 +19,7 @@
         copies: flag(&all, "/limits/parallelTries"),
         withdrawal: flag(&all, "/limits/cancel"),
         probes: flag(&all, "/limits/probes"),
-        pause: if flag(&all, "/limits/retryAfter") {
-            time(&all, "/limits/maxRetryAfterMs")?
-        } else {
-            0
-        },
+        pause: if flag(&all, "/limits/retryAfter") { time(&all, "/limits/maxRetryAfterMs")? } else { 0 },
         must_ask: all.pointer("/discovery").and_then(Value::as_str) == Some("subscribe"),
     };
     let obligations = Obligations {
@@ -31,11 +27,7 @@
         warm_within: time(&all, "/obligations/warmWithinMs")?,
         overload_factor: number(&all, "/obligations/overloadFactor")?,
         fall: time(&all, "/obligations/fallMs")?,
-        must_ask_in: if allowed.must_ask {
-            time(&all, "/obligations/mustAskInMs")?
-        } else {
-            0
-        },
+        must_ask_in: if allowed.must_ask { time(&all, "/obligations/mustAskInMs")? } else { 0 },
     };
     let known = Known {
         reports_by_probe: all.pointer("/feedback/how").and_then(Value::as_str) == Some("pull"),
@@ -44,37 +36,16 @@
         cross_zone: number(&all, "/prices/crossZone").unwrap_or(0.0),
         waste: number(&all, "/prices/waste").unwrap_or(0.0),
     };
-    let workloads = list(&all, "/workloads")?
-        .iter()
-        .enumerate()
-        .map(|(i, w)| workload(&all, i, w));
+    let workloads = list(&all, "/workloads")?.iter().enumerate().map(|(i, w)| workload(&all, i, w));
     let customers = list(&all, "/customers").unwrap_or_default().iter();
-    let customers = customers.map(|c| {
-        Ok(Customer {
-            quota: number(c, "/quotaPerS")?,
-        })
-    });
-    let (workloads, customers) = (
-        workloads.collect::<Result<_>>()?,
-        customers.collect::<Result<_>>()?,
-    );
-    Ok(Dispatcher::start(
-        now,
-        place,
-        workloads,
-        customers,
-        allowed,
-        obligations,
-        known,
-        out,
-    ))
+    let customers = customers.map(|c| Ok(Customer { quota: number(c, "/quotaPerS")? }));
+    let (workloads, customers) = (workloads.collect::<Result<_>>()?, customers.collect::<Result<_>>()?);
+    Ok(Dispatcher::start(m, place, workloads, customers, allowed, obligations, known))
 }
 
 fn workload(all: &Value, i: usize, one: &Value) -> Result<Workload> {
     let stretch = number(all, &format!("/specifics/classStretch/{i}")).unwrap_or(0.0);
-    let kind = number(all, &format!("/specifics/classKind/{i}"))
-        .ok()
-        .filter(|k| *k >= 0.0);
+    let kind = number(all, &format!("/specifics/classKind/{i}")).ok().filter(|k| *k >= 0.0);
     Ok(Workload {
         effect: effect(one)?,
         due: time(one, "/dueTimeMs")?,
@@ -93,19 +64,14 @@
     };
     match one.pointer("/idempotency").and_then(Value::as_str) {
         Some("repeatable") => Ok(Effect::Idempotent),
-        Some("by_key") => Ok(Effect::Fingerprinted {
-            group,
-            window: time(one, "/windowMs")?,
-        }),
+        Some("by_key") => Ok(Effect::Fingerprinted { group, window: time(one, "/windowMs")? }),
         Some("once") => Ok(Effect::SideEffecting),
         _ => bail!("expected idempotency as repeatable, by_key or once"),
     }
 }
 
 fn number(from: &Value, path: &str) -> Result<f64> {
-    from.pointer(path)
-        .and_then(Value::as_f64)
-        .with_context(|| format!("settings lack a number at {path}"))
+    from.pointer(path).and_then(Value::as_f64).with_context(|| format!("settings lack a number at {path}"))
 }
 
 fn time(from: &Value, path: &str) -> Result<Time> {
@@ -118,7 +84,5 @@
 
 fn list<'a>(from: &'a Value, path: &str) -> Result<&'a [Value]> {
     let found = from.pointer(path).and_then(Value::as_array);
-    found
-        .map(Vec::as_slice)
-        .with_context(|| format!("settings lack a list at {path}"))
+    found.map(Vec::as_slice).with_context(|| format!("settings lack a list at {path}"))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Outgoing`] trait through which its decisions leave; it decides nothing.
 
 pub mod logic;
+mod state;
 
 /// A moment or a length of time, in whole microseconds.
 pub type Time = i64;
@@ -105,10 +106,11 @@
     pub started: Option<Time>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -138,6 +140,12 @@
     NeverSent,
 }
 
+/// The time of an event and where the decisions on it go.
+pub struct Moment<'a> {
+    pub now: Time,
+    pub out: &'a mut dyn Outgoing,
+}
+
 /// Where decisions go. Each call takes effect at the time of the event being answered.
 pub trait Outgoing {
     /// Assigns the task to the worker until its expiry. A task's assignments are numbered from 0.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,25 +1,23 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
 //!
 //! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes: `list` and
-//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (how an assignment ended),
-//! `left` (the client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes the present
-//! time and an [`Outgoing`] through which decisions leave. The types of this interface are in `lib.rs`.
+//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (how an assignment ended), `left`
+//! (the client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes a [`Moment`]: the time
+//! and an `Outgoing` through which decisions leave. That interface is in `lib.rs`, what is remembered in `state.rs`.
 //!
-//! A task runs down a chain of stages (`STAGES`): `in_time`, `permitted`, `placed`, `waiting`. Each passes it on,
-//! keeps it or ends it; how its assignments end runs up the same chain. Shares are solved by the M/G/1 model
-//! (`shares`), turns are taken by a billiard inside them (`placed`). docs/design.md says where that is from.
+//! A task runs down the chain `STAGES`; each stage passes it on, keeps it or ends it, and how its assignments end
+//! runs up the same chain. Shares are solved by the M/G/1 model (`shares`), turns are taken by a billiard inside
+//! them (`placed`). docs/design.md tells where that is from, and when each exception acts.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::{DefaultHasher, Hash, Hasher};
 
-use crate::{
-    Allowed, Effect, Group, Known, Listed, Obligations, Outcome, Outgoing, Place, Report, State, Time,
-};
-use crate::{Customer, SECOND, Workload};
+use crate::state::{Assignment, Bar, Chance, Cold, Seen, Task, Worker, micros, seconds};
+use crate::{Allowed, Customer, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
+use crate::{SECOND, State, Time, Workload};
 
 /// Between two solves of the shares; every other length of time below is a ratio to it or to a setting.
 const SOLVE: Time = 5 * SECOND;
-/// The dispatcher looks at its probes, its held tasks and its list this often.
+/// The dispatcher looks at its probes, its cold workers and its list this often.
 const BEAT: Time = SOLVE / 20;
 /// Jobs in flight under which no worker is skipped for having twice the mean.
 const SKIP_FLOOR: f64 = 3.0;
@@ -38,48 +36,6 @@
 /// Marks of wakes below this are the dispatcher's own, from here on they are tasks' numbers.
 const FIRST: u64 = 16;
 
-/// Sums over the last few buckets of time; the oldest bucket is used again for the newest.
-#[derive(Clone, Default)]
-struct Ring {
-    width: Time,
-    buckets: [(Time, f64, f64); 8],
-}
-
-impl Ring {
-    fn over(span: Time) -> Self {
-        Ring {
-            width: (span / 8).max(1),
-            buckets: Default::default(),
-        }
-    }
-
-    fn add(&mut self, now: Time, sum: f64, weight: f64) {
-        let turn = now.div_euclid(self.width);
-        let bucket = &mut self.buckets[turn.rem_euclid(8) as usize];
-        if bucket.0 != turn {
-            *bucket = (turn, 0.0, 0.0);
-        }
-        bucket.1 += sum;
-        bucket.2 += weight;
-    }
-
-    fn totals(&self, now: Time) -> (f64, f64) {
-        let turn = now.div_euclid(self.width);
-        let live = self.buckets.iter().filter(|b| b.0 > turn - 8);
-        live.fold((0.0, 0.0), |t, b| (t.0 + b.1, t.1 + b.2))
-    }
-
-    /// The mean, drawn towards `prior` as if that had been seen `weight` times.
-    fn mean(&self, now: Time, prior: f64, weight: f64) -> f64 {
-        let (sum, seen) = self.totals(now);
-        if seen + weight > 0.0 {
-            (sum + prior * weight) / (seen + weight)
-        } else {
-            prior
-        }
-    }
-}
-
 /// A worker as Algorithm 1 sees it. Times are seconds of the whole worker, not of a core (Eq. 16).
 #[derive(Clone, Copy, Debug)]
 pub struct Station {
@@ -133,11 +89,7 @@
     }
     while high - low > 0.001 {
         let z = (low + high) / 2.0;
-        if carried(z, admitted) <= rate {
-            low = z
-        } else {
-            high = z
-        }
+        if carried(z, admitted) <= rate { low = z } else { high = z }
     }
     let mut found = vec![0.0; stations.len()];
     for &j in admitted {
@@ -147,185 +99,87 @@
     (sum > 0.0).then(|| found.iter().map(|r| r / sum).collect())
 }
 
-/// A worker kept from tasks until it has shown, by small trials, that it is well again.
-struct Bar {
-    until: Time,
-    length: Time,
-}
-
-/// What a worker has just started with may be too much for it: what this dispatcher may send by now.
-struct Cold {
-    since: Time,
-    /// Mean tasks that may be sent; grows with time, starts at random so that dispatchers spread out.
-    room: f64,
-    counted: Time,
-}
-
-struct Worker {
-    id: String,
-    zone: usize,
-    cell: usize,
-    kind: usize,
-    state: State,
-    started: Option<Time>,
-    cold: Option<Cold>,
-    bar: Option<Bar>,
-    /// Could not be reached of late: what answers next may be a new, cold process.
-    lost: bool,
-    in_flight: usize,
-    /// Assignments that have not shown to have started: when sent, and of which task.
-    unstarted: BTreeSet<(Time, u64)>,
-    last_sign: Time,
-    gaps: Ring,
-    /// Utilisation over rate: their sums give θ.
-    theta: Ring,
-    utilisation: Ring,
-    /// Waits from assignment to start, seconds.
-    waits: Ring,
-    /// Running times over the workload's mean.
-    slowness: Ring,
-    /// Errors and outcomes, by workload.
-    errors: Vec<Ring>,
-    free: Option<(Time, f64)>,
-    share: f64,
-    fastest: bool,
-    /// Yji, by workload.
-    turns: Vec<f64>,
-}
-
 impl Worker {
-    fn theta(&self, now: Time) -> Option<f64> {
-        let (busy, rate) = self.theta.totals(now);
-        (rate > 0.0 && busy > 0.0).then(|| busy / rate)
-    }
-
-    /// Level of the billiard: (Xj + Yji)/Pji, but for the workload's share, which is the same for all workers.
-    fn level(&self, workload: usize, seen: f64) -> f64 {
-        (f64::from(u8::from(self.fastest)) + self.turns[workload]) / (self.share * seen)
+    /// Level of the billiard, (Xj + Yji)/Pji, where Pji is the share times the workload's part of own tasks.
+    fn level(&self, workload: usize, part: f64) -> f64 {
+        (f64::from(u8::from(self.fastest)) + self.turns[workload]) / (self.share * part)
     }
 
     /// How unusual the present silence is, in mean gaps; none while nothing is out.
     fn silence(&self, now: Time, usual: Time) -> f64 {
-        if self.in_flight == 0 {
-            return 0.0;
-        }
-        (now - self.last_sign) as f64 / self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0)
+        let gap = self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0);
+        if self.in_flight == 0 { 0.0 } else { (now - self.last_sign) as f64 / gap }
     }
 
     fn heard(&mut self, now: Time) {
         self.gaps.add(now, (now - self.last_sign) as f64, 1.0);
         self.last_sign = now;
+        // A process that answers again before the list names its start is as cold as one that it names.
         if std::mem::take(&mut self.lost) {
-            // A process that comes back before the list says so is as cold as one that the list names.
-            self.cold = Some(Cold {
-                since: now,
-                room: 0.0,
-                counted: now,
-            });
+            self.cold = Some(Cold { since: now, room: 0.0, counted: now });
         }
     }
 
     /// Seconds that a task sent now is likely to wait for its start.
     fn wait(&self, now: Time, theta: f64) -> f64 {
-        let oldest = self
-            .unstarted
-            .first()
-            .map_or(0.0, |&(sent, _)| (now - sent) as f64 / SECOND as f64);
-        let full = self
-            .free
-            .is_some_and(|(at, free)| free <= 0.0 && now - at < SOLVE / 5);
+        let oldest = self.unstarted.first().map_or(0.0, |&(sent, _)| seconds(now - sent));
+        let full = self.free.is_some_and(|(at, free)| free <= 0.0 && now - at < SOLVE / 5);
         let told = if full { theta } else { 0.0 };
         self.waits.mean(now, 0.0, 0.5).max(oldest).max(told) + theta * self.unstarted.len() as f64
     }
 
-    fn bar(&mut self, now: Time, at_least: Time) {
-        let length = self
-            .bar
-            .as_ref()
-            .map_or(at_least, |b| (b.length * 2).clamp(at_least, 2 * SOLVE));
+    fn bar(&mut self, now: Time) {
+        let length = self.bar.as_ref().map_or(SOLVE / 5, |b| (2 * b.length).min(2 * SOLVE));
         if self.bar.as_ref().is_none_or(|b| b.until <= now) {
-            self.bar = Some(Bar {
-                until: now + length,
-                length,
-            });
+            self.bar = Some(Bar { until: now + length.max(SOLVE / 5), length });
         }
     }
 }
 
-struct Assignment {
-    worker: usize,
-    sent: Time,
-    started: Option<Time>,
-    outcome: Option<Outcome>,
-}
-
 impl Assignment {
     /// True where it is known that the task did not run here.
     fn never_ran(&self) -> bool {
-        matches!(
-            self.outcome,
-            Some(Outcome::Full | Outcome::Unreachable | Outcome::NeverSent)
-        )
+        matches!(self.outcome, Some(Outcome::Full | Outcome::Unreachable | Outcome::NeverSent))
     }
 }
 
-struct Task {
-    id: String,
-    workload: usize,
-    slots: f64,
-    arrived: Time,
-    expiry: Time,
-    within_share: bool,
-    assignments: Vec<Assignment>,
-    answered: bool,
-    held: bool,
+/// The ledger of effects. Every path that assigns, copies or bounces asks it.
+pub(crate) struct Ledger {
+    effects: Vec<Effect>,
+    assignments: usize,
+    copies: bool,
 }
 
-impl Task {
-    fn out(&self) -> usize {
-        self.assignments.iter().filter(|a| a.outcome.is_none()).count()
-    }
-
-    /// The ledger of effects: whether the task may be assigned to `worker` now. Every path asks it.
-    fn may_assign(
-        &self,
-        now: Time,
-        effect: Effect,
-        allowed: &Allowed,
-        worker: &Worker,
-        all: &[Worker],
-    ) -> bool {
-        let mut may_have_run = self.assignments.iter().filter(|a| !a.never_ran());
-        let fits = self.assignments.len() < allowed.assignments && (allowed.copies || self.out() == 0);
-        let Some(first) = may_have_run.next() else {
-            return fits;
-        };
-        fits && match effect {
+impl Ledger {
+    /// Whether the task may be assigned to `to` now, by what became of its earlier assignments.
+    fn may_assign(&self, now: Time, task: &Task, to: &Worker, workers: &[Worker]) -> bool {
+        if task.assignments.len() >= self.assignments || !(self.copies || task.out() == 0) {
+            return false;
+        }
+        let Some(first) = task.assignments.iter().find(|a| !a.never_ran()) else { return true };
+        match self.effects[task.workload] {
             Effect::Idempotent => true,
             Effect::SideEffecting => false,
             Effect::Fingerprinted { group, window } => {
-                let before = &all[first.worker];
+                let before = &workers[first.worker];
                 let same = match group {
                     Group::All => true,
-                    Group::Zone => before.zone == worker.zone,
-                    Group::Cell => before.cell == worker.cell,
+                    Group::Zone => before.zone == to.zone,
+                    Group::Cell => before.cell == to.cell,
                 };
                 same && ((now - first.sent) as f64) < window as f64 * WINDOW_USE
             }
         }
     }
 
-    /// Whether the ledger allows the promise that asking again is harmless.
-    fn may_bounce(&self, effect: Effect) -> bool {
-        let free = matches!(
-            effect,
-            Effect::Idempotent
-                | Effect::Fingerprinted {
-                    group: Group::All,
-                    ..
-                }
-        );
-        free || self.assignments.iter().all(Assignment::never_ran)
+    /// Whether the promise that asking again is harmless can be given.
+    fn may_bounce(&self, task: &Task) -> bool {
+        let free = match self.effects[task.workload] {
+            Effect::Idempotent => true,
+            Effect::Fingerprinted { group, .. } => group == Group::All,
+            Effect::SideEffecting => false,
+        };
+        free || task.assignments.iter().all(Assignment::never_ran)
     }
 }
 
@@ -335,98 +189,77 @@
     End,
 }
 
-type Down = fn(&mut Dispatcher, Time, u64, &mut dyn Outgoing) -> Step;
+type Down = fn(&mut Dispatcher, &mut Moment, u64) -> Step;
 type Up = fn(&mut Dispatcher, Time, u64, usize, Outcome);
 
 /// The chain: what each stage does with a task on its way down, and with an outcome on its way up.
 const STAGES: [(Down, Up); 4] = [
-    (Dispatcher::in_time, Dispatcher::in_time_up),
-    (Dispatcher::permitted, Dispatcher::permitted_up),
-    (Dispatcher::placed, Dispatcher::placed_up),
-    (Dispatcher::waiting, Dispatcher::waiting_up),
+    (Dispatcher::in_time, |_, _, _, _, _| {}),
+    (Dispatcher::permitted, Dispatcher::entered),
+    (Dispatcher::placed, Dispatcher::judged),
+    (Dispatcher::waiting, |_, _, _, _, _| {}),
 ];
 
 pub struct Dispatcher {
     place: Place,
+    chance: Chance,
     workloads: Vec<Workload>,
     customers: Vec<Customer>,
+    ledger: Ledger,
     allowed: Allowed,
     obligations: Obligations,
     known: Known,
-    drawn: u64,
     workers: Vec<Worker>,
     index: HashMap<String, usize>,
     tasks: BTreeMap<u64, Task>,
     numbers: HashMap<String, u64>,
     next: u64,
     held: BTreeSet<(u64, Time, u64)>,
-    began: Time,
+    seen: Seen,
     beats: u64,
-    /// Own tasks, all and by workload; running times in seconds by workload.
-    arrivals: Ring,
-    arrived: Vec<Ring>,
-    runs: Vec<Ring>,
-    squares: Vec<Ring>,
-    quotas: Vec<Ring>,
+    /// Something changed that the shares rest on.
     stale: bool,
     ask_at: Option<Time>,
     asks_failed: u32,
 }
 
 impl Dispatcher {
-    #[allow(clippy::too_many_arguments)]
     pub fn start(
-        now: Time,
+        m: &mut Moment,
         place: Place,
         workloads: Vec<Workload>,
         customers: Vec<Customer>,
         allowed: Allowed,
         obligations: Obligations,
         known: Known,
-        out: &mut dyn Outgoing,
     ) -> Self {
-        let each = vec![Ring::over(4 * SOLVE); workloads.len()];
-        let quotas = vec![Ring::over(SOLVE); customers.len()];
-        let mut made = Dispatcher {
+        let mut chance = Chance { seed: place.seed, drawn: 0 };
+        let effects = workloads.iter().map(|w| w.effect).collect();
+        let priors = workloads.iter().map(|w| seconds(w.due)).collect();
+        // Dispatchers that start together must neither ask nor beat together.
+        let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
+        m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
+        Dispatcher {
             place,
-            workloads,
-            customers,
+            chance,
+            ledger: Ledger { effects, assignments: allowed.assignments, copies: allowed.copies },
             allowed,
             obligations,
             known,
-            drawn: 0,
             workers: Vec::new(),
             index: HashMap::new(),
             tasks: BTreeMap::new(),
             numbers: HashMap::new(),
             next: FIRST,
             held: BTreeSet::new(),
-            began: now,
+            seen: Seen::since(m.now, SOLVE, priors, customers.len()),
             beats: 0,
-            arrivals: Ring::over(2 * SOLVE),
-            arrived: each.clone(),
-            runs: each.clone(),
-            squares: each,
-            quotas,
             stale: true,
-            ask_at: None,
+            ask_at,
             asks_failed: 0,
-        };
-        // Dispatchers that start together must not ask together.
-        made.ask_at = made
-            .allowed
-            .must_ask
-            .then(|| now + (made.chance() * SOLVE as f64 / 10.0) as Time);
-        out.wake(now + (made.chance() * BEAT as f64) as Time, 0);
-        made
-    }
-
-    /// A number from 0 to 1, by the seed and a counter.
-    fn chance(&mut self) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        self.drawn += 1;
-        (self.place.seed, self.drawn).hash(&mut hasher);
-        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+            workloads,
+            customers,
+        }
     }
 
     /// How many workloads there are.
@@ -436,257 +269,146 @@
 
     // ---- the list of workers ----
 
-    /// What the list says: changes only, or everything there is.
-    pub fn list(
-        &mut self,
-        now: Time,
-        everything: bool,
-        cached: bool,
-        entries: &[Listed],
-        out: &mut dyn Outgoing,
-    ) {
+    /// What the list says: changes only, or everything there is; `cached` is what it said to an earlier process.
+    pub fn list(&mut self, m: &mut Moment, everything: bool, cached: bool, entries: &[Listed]) {
         if !cached {
-            self.asks_failed = 0;
-            self.ask_at = None;
+            (self.asks_failed, self.ask_at) = (0, None);
         }
         if everything {
-            for worker in &mut self.workers {
-                worker.state = State::Gone;
-            }
+            self.workers.iter_mut().for_each(|w| w.state = State::Gone);
         }
         for entry in entries {
-            let at = match self.index.get(&entry.id) {
-                Some(&at) => at,
-                None => self.meet(now, entry),
-            };
-            let cold = entry.started.filter(|&s| now - s < self.obligations.warm_within);
-            let room = -self.chance();
-            let worker = &mut self.workers[at];
+            let known = self.index.get(&entry.id).copied();
+            let j = known.unwrap_or(self.workers.len());
+            if known.is_none() {
+                self.index.insert(entry.id.clone(), j);
+                self.workers.push(Worker { id: entry.id.clone(), ..Worker::default() });
+                self.workers[j].turns = vec![0.0; self.workloads.len()];
+            }
+            let worker = &mut self.workers[j];
             (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
             worker.state = entry.state;
             // A new start time is a new process: cold, and nothing seen before holds for it.
-            if entry.started != worker.started {
+            if known.is_none() || entry.started != worker.started {
                 worker.started = entry.started;
-                worker.forget();
-                worker.cold = cold.map(|since| Cold {
-                    since,
-                    room,
-                    counted: now,
-                });
+                worker.forget(self.workloads.len(), SOLVE);
+                let since = entry.started.filter(|&s| m.now - s < self.obligations.warm_within);
+                let room = -self.chance.draw();
+                worker.cold = since.map(|since| Cold { since, room, counted: m.now });
             }
         }
         self.stale = true;
-        self.move_on(now, out);
-    }
-
-    fn meet(&mut self, now: Time, entry: &Listed) -> usize {
-        let mut worker = Worker {
-            id: entry.id.clone(),
-            zone: entry.zone,
-            cell: entry.cell,
-            kind: entry.kind,
-            state: entry.state,
-            started: None,
-            cold: None,
-            bar: None,
-            lost: false,
-            in_flight: 0,
-            unstarted: BTreeSet::new(),
-            last_sign: now,
-            gaps: Ring::default(),
-            theta: Ring::default(),
-            utilisation: Ring::default(),
-            waits: Ring::default(),
-            slowness: Ring::default(),
-            errors: vec![Ring::default(); self.workloads.len()],
-            free: None,
-            share: 0.0,
-            fastest: false,
-            turns: vec![0.0; self.workloads.len()],
-        };
-        worker.forget();
-        self.index.insert(entry.id.clone(), self.workers.len());
-        self.workers.push(worker);
-        self.workers.len() - 1
+        self.move_on(m);
     }
 
+    /// Asks again, spread out and ever later, but never so late that the list counts as known unread.
     pub fn list_failed(&mut self, now: Time) {
-        // Spread out and ever later, but never so late that the list counts as known unread.
         let longest = self.obligations.must_ask_in.max(SOLVE) / 4;
-        let pause = ((SECOND / 2) << self.asks_failed.min(8)).min(longest);
+        let pause = ((SOLVE / 10) << self.asks_failed.min(8)).min(longest) as f64;
         self.asks_failed += 1;
-        self.ask_at = self
-            .allowed
-            .must_ask
-            .then(|| now + (pause as f64 * (0.5 + self.chance() / 2.0)) as Time);
+        let spread = 0.5 + self.chance.draw() / 2.0;
+        self.ask_at = self.allowed.must_ask.then(|| now + (pause * spread) as Time);
     }
 
     // ---- the model ----
 
     fn solve(&mut self, now: Time) {
         self.stale = false;
-        let ready: Vec<usize> = (0..self.workers.len())
-            .filter(|&j| self.admitted(now, j))
-            .collect();
-        let rate = self.arrivals.totals(now).0 * self.place.group_size as f64
-            / ((now - self.began).clamp(SOLVE / 5, 2 * SOLVE) as f64 / SECOND as f64);
+        let ready: Vec<usize> = (0..self.workers.len()).filter(|&j| self.admitted(now, j)).collect();
+        let rate = self.seen.rate(now) * self.place.group_size as f64;
         let known: Vec<f64> = ready.iter().filter_map(|&j| self.workers[j].theta(now)).collect();
         let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-        let spread = self.spread(now);
-        let stations: Vec<Station> = ready
-            .iter()
-            .map(|&j| {
-                let worker = &self.workers[j];
-                let theta = worker.theta(now).unwrap_or(mean);
-                let own = theta * worker.share * rate;
-                let rho = (worker.utilisation.mean(now, own, 0.001) - own).clamp(0.0, FULL);
-                Station {
-                    theta,
-                    omega: theta * theta * (1.0 + spread),
-                    rho,
-                }
-            })
-            .collect();
+        let spread = self.seen.spread(now);
+        let station = |&j: &usize| {
+            let worker = &self.workers[j];
+            let theta = worker.theta(now).unwrap_or(mean);
+            let own = theta * worker.share * rate;
+            let rho = (worker.utilisation.mean(now, own, 0.001) - own).clamp(0.0, FULL);
+            Station { theta, omega: theta * theta * (1.0 + spread), rho }
+        };
+        let stations: Vec<Station> = ready.iter().map(station).collect();
         // Where more is asked than the fleet can carry the model has no solution; admission lets through what it
         // can carry, so the shares are those of that load.
-        let most: f64 = FULL
-            * stations
-                .iter()
-                .map(|s| (1.0 - s.rho) / s.theta.max(1e-9))
-                .sum::<f64>();
-        let found =
-            shares(&stations, rate.min(most)).unwrap_or(vec![1.0 / ready.len().max(1) as f64; ready.len()]);
+        let most: f64 = stations.iter().map(|s| FULL * (1.0 - s.rho) / s.theta.max(1e-9)).sum();
+        let equal = 1.0 / ready.len().max(1) as f64;
+        let found = shares(&stations, rate.min(most)).unwrap_or(vec![equal; ready.len()]);
         let least = (0..ready.len()).min_by(|&a, &b| stations[a].theta.total_cmp(&stations[b].theta));
-        for worker in &mut self.workers {
-            (worker.share, worker.fastest) = (0.0, false);
-        }
+        self.workers.iter_mut().for_each(|w| (w.share, w.fastest) = (0.0, false));
         for (i, &j) in ready.iter().enumerate() {
-            self.workers[j].share = found[i];
-            self.workers[j].fastest = least == Some(i);
-            for workload in 0..self.workloads.len() {
-                self.workers[j].turns[workload] = self.chance();
-            }
-        }
-    }
-
-    /// Squared coefficient of variation of own running times (Eq. 18).
-    fn spread(&self, now: Time) -> f64 {
-        let sum = |rings: &[Ring]| {
-            rings
-                .iter()
-                .map(|r| r.totals(now))
-                .fold((0.0, 0.0), |t, r| (t.0 + r.0, t.1 + r.1))
-        };
-        let ((runs, n), (squares, _)) = (sum(&self.runs), sum(&self.squares));
-        if runs <= 0.0 {
-            1.0
-        } else {
-            (squares * n / (runs * runs) - 1.0).max(0.0)
+            let worker = &mut self.workers[j];
+            (worker.share, worker.fastest) = (found[i], least == Some(i));
+            worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
     }
 
     /// Who the model may admit: ready, and not barred unless so many are that the cause must be a common one.
     fn admitted(&self, now: Time, j: usize) -> bool {
-        let ready = |w: &&Worker| w.state == State::Ready;
-        let barred = self
-            .workers
-            .iter()
-            .filter(ready)
-            .filter(|w| w.bar.is_some())
-            .count();
-        let common = 2 * barred > self.workers.iter().filter(ready).count();
-        let worker = &self.workers[j];
-        worker.state == State::Ready && (common || worker.bar.as_ref().is_none_or(|b| b.until <= now))
-    }
-
-    /// Mean running time of a workload, seconds.
-    fn run(&self, now: Time, workload: usize) -> f64 {
-        let prior = self.workloads[workload].due as f64 / SECOND as f64;
-        self.runs[workload].mean(now, prior, 0.1)
+        let ready = || self.workers.iter().filter(|w| w.state == State::Ready);
+        let common = 2 * ready().filter(|w| w.bar.is_some()).count() > ready().count();
+        let open = self.workers[j].bar.as_ref().is_none_or(|b| b.until <= now);
+        self.workers[j].state == State::Ready && (common || open)
     }
 
     // ---- a task on its way down ----
 
+    /// A task has come; `budget` is the time its client will wait.
     #[allow(clippy::too_many_arguments)]
     pub fn task(
         &mut self,
-        now: Time,
+        m: &mut Moment,
         id: &str,
         workload: usize,
         customer: Option<usize>,
         budget: Time,
         slots: f64,
-        _memory: f64,
-        out: &mut dyn Outgoing,
+        memory: f64,
     ) {
         let n = self.next;
         self.next += 1;
-        self.arrivals.add(now, 1.0, 1.0);
-        self.arrived[workload].add(now, 1.0, 1.0);
-        let within_share = customer
-            .and_then(|c| Some((c, self.customers.get(c)?.quota)))
-            .is_none_or(|(c, quota)| {
-                self.quotas[c].add(now, 1.0, 1.0);
-                let seen = (now - self.began).clamp(SOLVE / 5, SOLVE) as f64 / SECOND as f64;
-                self.quotas[c].totals(now).0 * self.place.group_size as f64 / seen <= quota
-            });
-        let task = Task {
-            id: id.to_owned(),
-            workload,
-            slots: slots.max(1.0),
-            arrived: now,
-            expiry: now + budget,
-            within_share,
-            assignments: Vec::new(),
-            answered: false,
-            held: false,
-        };
+        self.seen.arrival(m.now, workload, customer);
+        let of_all = |c: usize| self.seen.rate_of(m.now, c) * self.place.group_size as f64;
+        let quota = customer.and_then(|c| Some((c, self.customers.get(c)?.quota)));
+        let within_share = quota.is_none_or(|(c, quota)| of_all(c) <= quota);
+        let (slots, expiry) = (slots.max(1.0), m.now + budget);
+        let (id, arrived, assignments) = (id.to_owned(), m.now, Vec::new());
+        self.numbers.insert(id.clone(), n);
+        m.out.wake(expiry, n);
+        let (answered, held) = (false, false);
+        let task =
+            Task { id, workload, slots, memory, arrived, expiry, within_share, assignments, answered, held };
         self.tasks.insert(n, task);
-        self.numbers.insert(id.to_owned(), n);
-        out.wake(now + budget, n);
-        self.down(now, n, out);
+        self.down(m, n);
     }
 
-    fn down(&mut self, now: Time, n: u64, out: &mut dyn Outgoing) {
+    fn down(&mut self, m: &mut Moment, n: u64) {
         for (stage, _) in STAGES {
-            match stage(self, now, n, out) {
+            match stage(self, m, n) {
                 Step::Pass => {}
                 Step::Keep => return,
-                Step::End => return self.answer(now, n, out),
+                Step::End => return self.answer(m, n),
             }
         }
     }
 
     /// The final answer, at once: a bounce where the ledger allows that promise, else an abandonment.
-    fn answer(&mut self, now: Time, n: u64, out: &mut dyn Outgoing) {
-        let Some(task) = self.tasks.get_mut(&n).filter(|t| !t.answered) else {
-            return;
-        };
-        task.answered = true;
-        if task.may_bounce(self.workloads[task.workload].effect) {
-            out.bounce(&task.id, if now < task.expiry { self.allowed.pause } else { 0 });
+    fn answer(&mut self, m: &mut Moment, n: u64) {
+        let Some(task) = self.tasks.get(&n).filter(|t| !t.answered) else { return };
+        if self.ledger.may_bounce(task) {
+            m.out.bounce(&task.id, self.allowed.pause);
         } else {
-            out.abandon(&task.id);
+            m.out.abandon(&task.id);
         }
-        self.close(n, out);
+        self.close(m, n);
     }
 
     /// An answered task goes nowhere any more: what is still out is withdrawn.
-    fn close(&mut self, n: u64, out: &mut dyn Outgoing) {
-        let Some(task) = self.tasks.get_mut(&n) else {
-            return;
-        };
+    fn close(&mut self, m: &mut Moment, n: u64) {
+        let Some(task) = self.tasks.get_mut(&n) else { return };
         task.answered = true;
         self.held.remove(&rank(task, &self.workloads, n));
+        let out = task.assignments.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
         if self.allowed.withdrawal {
-            for (i, _) in task
-                .assignments
-                .iter()
-                .enumerate()
-                .filter(|(_, a)| a.outcome.is_none())
-            {
-                out.withdraw(&task.id, i);
-            }
+            out.for_each(|(i, _)| m.out.withdraw(&task.id, i));
         }
         if task.out() == 0 {
             self.numbers.remove(&task.id);
@@ -694,20 +416,18 @@
         }
     }
 
-    fn in_time(&mut self, now: Time, n: u64, _: &mut dyn Outgoing) -> Step {
+    fn in_time(&mut self, m: &mut Moment, n: u64) -> Step {
         match self.tasks.get(&n) {
-            Some(task) if task.answered => Step::Keep,
-            Some(task) if now < task.expiry => Step::Pass,
-            Some(_) => Step::End,
-            None => Step::Keep,
+            Some(task) if !task.answered && m.now < task.expiry => Step::Pass,
+            Some(task) if !task.answered => Step::End,
+            _ => Step::Keep,
         }
     }
 
-    fn permitted(&mut self, now: Time, n: u64, _: &mut dyn Outgoing) -> Step {
+    fn permitted(&mut self, m: &mut Moment, n: u64) -> Step {
         let task = &self.tasks[&n];
-        let effect = self.workloads[task.workload].effect;
-        let may = |w: &Worker| task.may_assign(now, effect, &self.allowed, w, &self.workers);
-        match self.workers.iter().any(may) || self.workers.is_empty() {
+        let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, &self.workers);
+        match self.workers.is_empty() || self.workers.iter().any(may) {
             true => Step::Pass,
             false if task.out() > 0 => Step::Keep,
             false => Step::End,
@@ -715,217 +435,150 @@
     }
 
     /// The billiard (Algorithm 2): the least (Xj + Yji)/Pji among the workers that are not skipped.
-    fn placed(&mut self, now: Time, n: u64, out: &mut dyn Outgoing) -> Step {
+    fn placed(&mut self, m: &mut Moment, n: u64) -> Step {
+        let now = m.now;
         if self.stale {
             self.solve(now);
         }
         let task = &self.tasks[&n];
         let (i, load) = (task.workload, &self.workloads[task.workload]);
-        let run = self.run(now, i);
-        let due = (task.arrived - now + load.due) as f64 / SECOND as f64 + load.stretch * run;
-        let seen = (self.arrived[i].totals(now).0 / self.arrivals.totals(now).0.max(1.0)).max(UNSEEN);
-        let ready = self.workers.iter().filter(|w| w.share > 0.0).count();
-        let flying: usize = self
-            .workers
-            .iter()
-            .filter(|w| w.share > 0.0)
-            .map(|w| w.in_flight)
-            .sum();
-        let skip = (2.0 * flying as f64 / ready.max(1) as f64).max(SKIP_FLOOR);
-        let cost = task.slots * run / self.mean_cost(now);
+        let run = self.seen.run(now, i);
+        let due = seconds(task.arrived - now + load.due) + load.stretch * run;
+        let part = self.seen.part(now, i).max(UNSEEN);
+        let open = || self.workers.iter().filter(|w| w.share > 0.0 && w.state == State::Ready);
+        let flying: usize = open().map(|w| w.in_flight).sum();
+        let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
+        let cost = task.slots * run / self.seen.mean_run(now);
+        let usual = self.known.progress.max(SOLVE / 10);
         let mut best: Option<((u8, f64), usize)> = None;
         let mut passed = Vec::new();
         for (j, worker) in self.workers.iter().enumerate() {
-            if worker.share <= 0.0
-                || worker.state != State::Ready
-                || load.kind.is_some_and(|k| k != worker.kind)
-            {
+            let able = load.kind.is_none_or(|k| k == worker.kind);
+            if worker.share <= 0.0 || worker.state != State::Ready || !able {
                 continue;
             }
-            let barred = worker.bar.as_ref().is_some_and(|b| {
-                b.until > now || worker.in_flight > 0 || !matches!(load.effect, Effect::Idempotent)
-            });
-            let level = worker.level(i, seen);
-            let theta = worker.theta(now).unwrap_or(0.1);
-            let wait = worker.wait(now, theta);
-            let finish = wait + run * worker.slowness.mean(now, 1.0, 2.0);
-            let usual = self.known.progress.max(SECOND / 2);
+            let trial = worker.in_flight == 0 && load.effect == Effect::Idempotent;
             let skipped = worker.in_flight as f64 >= skip
-                || barred
+                || worker.bar.as_ref().is_some_and(|b| b.until > now || !trial)
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, usual) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room < cost)
-                || !task.may_assign(now, load.effect, &self.allowed, worker, &self.workers);
-            let far = self.known.cross_zone > 0.0 && worker.zone != self.place.zone;
-            let tier = if finish > due {
-                4
-            } else if wait > theta / 2.0 {
-                2 + u8::from(far)
-            } else {
-                u8::from(far)
-            };
-            if skipped || tier > 0 {
-                passed.push((j, level));
-            }
+                || !self.ledger.may_assign(now, task, worker, &self.workers);
+            let theta = worker.theta(now).unwrap_or(0.1);
+            let wait = worker.wait(now, theta);
+            let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
+            let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
+            let tier = if late { 4 } else { far + 2 * u8::from(wait > theta / 2.0) };
+            let level = worker.level(i, part);
+            passed.push((j, level));
             if !skipped && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
         }
-        let Some(((tier, level), j)) = best else {
-            return Step::Pass;
-        };
+        let Some(((tier, level), j)) = best else { return Step::Pass };
         if tier == 4 && load.overdue <= 0.0 && task.assignments.is_empty() {
             return Step::Pass;
         }
         // A skipped worker's turn is passed, or it would be owed a burst on its return.
-        for (p, behind) in passed {
-            if p != j && behind < level {
-                let worker = &mut self.workers[p];
-                worker.turns[i] += (level - behind) * worker.share * seen;
-            }
+        for (p, behind) in passed.into_iter().filter(|&(p, behind)| p != j && behind < level) {
+            self.workers[p].turns[i] += (level - behind) * self.workers[p].share * part;
         }
+        self.assign(m, n, j, cost);
+        Step::Keep
+    }
+
+    fn assign(&mut self, m: &mut Moment, n: u64, j: usize, cost: f64) {
+        let Some(task) = self.tasks.get_mut(&n) else { return };
         let worker = &mut self.workers[j];
-        worker.turns[i] += 1.0;
+        worker.turns[task.workload] += 1.0;
         if worker.in_flight == 0 {
-            worker.last_sign = now;
+            worker.last_sign = m.now;
         }
         worker.in_flight += 1;
-        worker.unstarted.insert((now, n));
+        worker.unstarted.insert((m.now, n));
         if let Some(cold) = &mut worker.cold {
             cold.room -= cost;
         }
-        let key = rank(&self.tasks[&n], &self.workloads, n);
-        self.held.remove(&key);
-        let task = self.tasks.get_mut(&n).expect("looked up above");
+        self.held.remove(&rank(task, &self.workloads, n));
         task.held = false;
-        task.assignments.push(Assignment {
-            worker: j,
-            sent: now,
-            started: None,
-            outcome: None,
-        });
-        out.assign(&task.id, &self.workers[j].id);
-        Step::Keep
-    }
-
-    /// Mean running time times slots of own tasks.
-    fn mean_cost(&self, now: Time) -> f64 {
-        let mix = self
-            .arrived
-            .iter()
-            .enumerate()
-            .map(|(i, a)| (a.totals(now).0, self.run(now, i)));
-        let (sum, n) = mix.fold((0.0, 0.0), |t, (count, run)| (t.0 + count * run, t.1 + count));
-        if n > 0.0 { sum / n } else { 1.0 }
+        task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
+        m.out.assign(&task.id, &worker.id);
     }
 
     /// A task that no worker can take now waits here, so long as it can still be in time.
-    fn waiting(&mut self, now: Time, n: u64, out: &mut dyn Outgoing) -> Step {
-        let task = &self.tasks[&n];
-        if task.out() > 0 {
-            return Step::Keep;
-        }
+    fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
+        let run = self.seen.run(m.now, self.tasks[&n].workload);
+        let Some(task) = self.tasks.get_mut(&n).filter(|t| t.out() == 0) else { return Step::Keep };
         let load = &self.workloads[task.workload];
-        let run = self.run(now, task.workload);
-        let latest = task.arrived + load.due + ((load.stretch - 1.0).max(0.0) * run * SECOND as f64) as Time;
-        let latest = latest.min(task.expiry);
-        if now >= latest {
+        let slack = load.due + micros((load.stretch - 1.0).max(0.0) * run);
+        let latest = task.expiry.min(task.arrived + slack);
+        if m.now >= latest {
             return Step::End;
         }
         self.held.insert(rank(task, &self.workloads, n));
-        let task = self.tasks.get_mut(&n).expect("looked up above");
         if !std::mem::replace(&mut task.held, true) {
-            out.wake(latest, n);
+            m.out.wake(latest, n);
         }
         Step::Keep
     }
 
     // ---- what comes back ----
 
-    /// A job told that it started or how far it is: a sign of life.
-    pub fn sign(
-        &mut self,
-        now: Time,
-        id: &str,
-        assignment: usize,
-        _done: Option<f64>,
-        out: &mut dyn Outgoing,
-    ) {
+    /// A job told that it started, or which part of it is done: a sign of life.
+    pub fn sign(&mut self, m: &mut Moment, id: &str, assignment: usize, _done: Option<f64>) {
         let Some(&n) = self.numbers.get(id) else { return };
-        let Some(a) = self
-            .tasks
-            .get_mut(&n)
-            .and_then(|t| t.assignments.get_mut(assignment))
-        else {
-            return;
-        };
+        let Some(task) = self.tasks.get_mut(&n) else { return };
+        let Some(a) = task.assignments.get_mut(assignment) else { return };
         let worker = &mut self.workers[a.worker];
-        worker.heard(now);
+        worker.heard(m.now);
         if a.started.is_none() {
-            a.started = Some(now);
+            a.started = Some(m.now);
             worker.unstarted.remove(&(a.sent, n));
-            worker.waits.add(now, (now - a.sent) as f64 / SECOND as f64, 1.0);
-            self.move_on(now, out);
+            worker.waits.add(m.now, seconds(m.now - a.sent), 1.0);
+            self.move_on(m);
         }
     }
 
     /// How an assignment ended; `closed` tells that the client has its answer.
-    #[allow(clippy::too_many_arguments)]
     pub fn ended(
         &mut self,
-        now: Time,
+        m: &mut Moment,
         id: &str,
         assignment: usize,
-        outcome: Outcome,
-        closed: bool,
+        end: (Outcome, bool),
         report: Report,
-        out: &mut dyn Outgoing,
     ) {
         let Some(&n) = self.numbers.get(id) else { return };
-        let Some(task) = self.tasks.get_mut(&n) else {
-            return;
-        };
-        task.answered |= closed;
-        let Some(a) = task
-            .assignments
-            .get_mut(assignment)
-            .filter(|a| a.outcome.is_none())
-        else {
-            return;
-        };
-        a.outcome = Some(outcome);
-        let j = a.worker;
-        self.reported(now, j, report);
+        let Some(task) = self.tasks.get(&n) else { return };
+        let Some(a) = task.assignments.get(assignment).filter(|a| a.outcome.is_none()) else { return };
+        self.reported(m.now, a.worker, report);
         for (_, stage) in STAGES.iter().rev() {
-            stage(self, now, n, assignment, outcome);
+            stage(self, m.now, n, assignment, end.0);
         }
-        if self.tasks[&n].answered {
-            self.close(n, out);
-        } else if self.tasks[&n].out() == 0 {
-            self.down(now, n, out);
+        let (closed, out) = self.tasks.get(&n).map_or((true, 0), |t| (t.answered || end.1, t.out()));
+        if closed {
+            self.close(m, n);
+        } else if out == 0 {
+            self.down(m, n);
         }
-        self.move_on(now, out);
+        self.move_on(m);
     }
 
-    fn waiting_up(&mut self, _: Time, _: u64, _: usize, _: Outcome) {}
-
-    /// What the outcome says of the worker: its load, its speed and its health.
-    fn placed_up(&mut self, now: Time, n: u64, assignment: usize, outcome: Outcome) {
+    /// What an outcome says of its worker: its load, its speed and its health.
+    fn judged(&mut self, now: Time, n: u64, assignment: usize, outcome: Outcome) {
         let task = &self.tasks[&n];
         let (a, i) = (&task.assignments[assignment], task.workload);
-        let run = self.run(now, i);
-        let idempotent = matches!(self.workloads[i].effect, Effect::Idempotent);
-        let ran = a.started.map(|s| (now - s) as f64 / SECOND as f64);
+        let run = self.seen.run(now, i);
         let worker = &mut self.workers[a.worker];
         worker.in_flight -= 1;
         worker.unstarted.remove(&(a.sent, n));
+        let open = worker.bar.is_none();
         match outcome {
             Outcome::Finished => {
                 worker.heard(now);
                 worker.errors[i].add(now, 0.0, 1.0);
-                if let Some(ran) = ran {
-                    self.runs[i].add(now, ran, 1.0);
-                    self.squares[i].add(now, ran * ran, 1.0);
+                if let Some(ran) = a.started.map(|s| seconds(now - s)) {
+                    self.seen.ran(now, i, ran);
                     worker.slowness.add(now, ran / run.max(0.001), 1.0);
                 }
                 // Well again only by and by: a worker that fails half its tasks also finishes half of them.
@@ -933,7 +586,6 @@
                     bar.length /= 2;
                     if bar.length < SOLVE / 10 {
                         worker.bar = None;
-                        self.stale = true;
                     }
                 }
             }
@@ -941,26 +593,27 @@
                 worker.heard(now);
                 worker.errors[i].add(now, 1.0, 1.0);
                 let (errors, all) = worker.errors[i].totals(now);
-                if (errors >= 2.0 && errors / all > ERRONEOUS) || worker.bar.is_some() {
-                    worker.bar(now, SOLVE / 5);
-                    self.stale = true;
+                if (errors >= 2.0 && errors / all > ERRONEOUS) || !open {
+                    worker.bar(now);
                 }
             }
             // An idempotent job may have been killed for a better one: no fault of the worker.
-            Outcome::Reset if idempotent => worker.last_sign = now,
+            Outcome::Reset if self.workloads[i].effect == Effect::Idempotent => worker.last_sign = now,
             Outcome::Reset | Outcome::Unreachable => {
                 worker.lost = true;
-                worker.bar(now, SOLVE / 5);
-                self.stale = true;
+                worker.bar(now);
             }
             Outcome::Full => worker.waits.add(now, run, 1.0),
             Outcome::TimedOut | Outcome::Withdrawn | Outcome::NeverSent => {}
         }
+        self.stale |= open != worker.bar.is_none();
     }
 
-    fn permitted_up(&mut self, _: Time, _: u64, _: usize, _: Outcome) {}
-
-    fn in_time_up(&mut self, _: Time, _: u64, _: usize, _: Outcome) {}
+    fn entered(&mut self, _: Time, n: u64, assignment: usize, outcome: Outcome) {
+        if let Some(task) = self.tasks.get_mut(&n) {
+            task.assignments[assignment].outcome = Some(outcome);
+        }
+    }
 
     fn reported(&mut self, now: Time, j: usize, report: Report) {
         let worker = &mut self.workers[j];
@@ -968,110 +621,79 @@
             worker.theta.add(now, busy, rate);
             worker.utilisation.add(now, busy, 1.0);
         }
-        if let Some(free) = report.free_slots {
-            worker.free = Some((now, free));
-        }
+        worker.free = report.free_slots.map(|free| (now, free)).or(worker.free);
     }
 
-    pub fn probed(
-        &mut self,
-        now: Time,
-        worker: &str,
-        outcome: Outcome,
-        report: Report,
-        out: &mut dyn Outgoing,
-    ) {
+    pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
         let Some(&j) = self.index.get(worker) else { return };
         if outcome == Outcome::Finished {
-            self.reported(now, j, report);
-            self.move_on(now, out);
+            self.reported(m.now, j, report);
+            self.move_on(m);
         }
     }
 
     /// The client is gone: nothing is owed any more.
-    pub fn left(&mut self, _: Time, id: &str, out: &mut dyn Outgoing) {
+    pub fn left(&mut self, m: &mut Moment, id: &str) {
         if let Some(&n) = self.numbers.get(id) {
-            self.close(n, out);
+            self.close(m, n);
         }
     }
 
     /// Room may have appeared: held tasks move on, the best first, until one finds none.
-    fn move_on(&mut self, now: Time, out: &mut dyn Outgoing) {
+    fn move_on(&mut self, m: &mut Moment) {
         while let Some(&(_, _, n)) = self.held.first() {
-            self.down(now, n, out);
-            if self.tasks.get(&n).is_some_and(|t| t.held && !t.answered) {
+            self.down(m, n);
+            if self.held.first().is_some_and(|&(_, _, first)| first == n) {
                 return;
             }
         }
     }
 
-    pub fn due(&mut self, now: Time, mark: u64, out: &mut dyn Outgoing) {
+    /// A wake is due: a task's, or the dispatcher's own beat.
+    pub fn due(&mut self, m: &mut Moment, mark: u64) {
         if mark >= FIRST {
-            return self.down(now, mark, out);
+            return self.down(m, mark);
         }
-        out.wake(now + BEAT, 0);
-        if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = Some(now + self.obligations.must_ask_in / 2);
-            out.follow();
+        m.out.wake(m.now + BEAT, 0);
+        if self.ask_at.is_some_and(|at| at <= m.now) {
+            self.ask_at = Some(m.now + self.obligations.must_ask_in / 2);
+            m.out.follow();
         }
+        let probing = self.allowed.probes && self.known.reports_by_probe && self.beats.is_multiple_of(2);
         for j in 0..self.workers.len() {
-            self.warm(now, j);
-            let worker = &self.workers[j];
-            if self.allowed.probes
-                && self.known.reports_by_probe
-                && worker.state == State::Ready
-                && self.beats % 2 == 0
-            {
-                out.probe(&worker.id);
+            self.warm(m.now, j);
+            if probing && self.workers[j].state == State::Ready {
+                m.out.probe(&self.workers[j].id);
             }
         }
         if self.beats.is_multiple_of((SOLVE / BEAT) as u64) {
-            self.solve(now);
+            self.solve(m.now);
         }
         self.beats += 1;
-        self.move_on(now, out);
+        self.move_on(m);
     }
 
     /// A cold worker's room grows with what it can do by now, a dispatcher's part of it.
     fn warm(&mut self, now: Time, j: usize) {
         let like = |w: &&Worker| w.cold.is_none() && w.kind == self.workers[j].kind;
-        let thetas: Vec<f64> = self
-            .workers
-            .iter()
-            .filter(like)
-            .filter_map(|w| w.theta(now))
-            .collect();
+        let thetas: Vec<f64> = self.workers.iter().filter(like).filter_map(|w| w.theta(now)).collect();
         let theta = thetas.iter().sum::<f64>() / thetas.len() as f64;
         let worker = &mut self.workers[j];
         let Some(cold) = &mut worker.cold else { return };
-        let age = (now - cold.since) as f64 / self.obligations.warm_within.max(1) as f64;
-        if age >= 1.0 {
+        let (from, age) = (self.obligations.cold_from, now - cold.since);
+        if age >= self.obligations.warm_within {
             worker.cold = None;
             return;
         }
-        let can = self.obligations.cold_from + (1.0 - self.obligations.cold_from) * age;
+        let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
         let part = COLD_USE * self.obligations.overload_factor * can / self.place.group_size.max(1) as f64;
         let rate = if theta > 0.0 { part / theta } else { 0.0 };
-        let window = self.obligations.fall as f64 / SECOND as f64;
-        cold.room += rate * (now - cold.counted) as f64 / SECOND as f64;
-        cold.room = cold.room.min((rate * window).max(2.0));
+        cold.room += rate * seconds(now - cold.counted);
+        cold.room = cold.room.min((rate * seconds(self.obligations.fall)).max(2.0));
         cold.counted = now;
     }
 }
 
-impl Worker {
-    /// Drops what was seen of the process before.
-    fn forget(&mut self) {
-        self.gaps = Ring::over(4 * SOLVE);
-        self.theta = Ring::over(SOLVE);
-        self.utilisation = Ring::over(SOLVE);
-        self.waits = Ring::over(SOLVE / 4);
-        self.slowness = Ring::over(2 * SOLVE);
-        self.errors.fill(Ring::over(2 * SOLVE));
-        (self.bar, self.cold, self.free, self.lost) = (None, None, None, false);
-    }
-}
-
 /// The order in which held tasks move on: dearest first, those within their customer's share before others.
 fn rank(task: &Task, workloads: &[Workload], n: u64) -> (u64, Time, u64) {
     let worth = workloads[task.workload].revenue * if task.within_share { 1.0 } else { 0.1 };
