Skip workers where an own task still waits; bounce the tail of a slow queue

A worker where an own assignment has not started yet is now skipped, the task waits in the dispatcher, and the lowest-ranked waiting task is bounced at once when the queue moves too slowly for it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::state::{Assignment, Bar, Chance, Cold, Seen, Task, Worker, micros, seconds};
+use crate::state::{Assignment, Bar, Chance, Cold, Ring, Seen, Task, Worker, micros, seconds};
 use crate::{Allowed, Customer, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
 use crate::{SECOND, State, Time, Workload};
 
@@ -216,6 +216,8 @@
     next: u64,
     held: BTreeSet<(u64, Time, u64)>,
     seen: Seen,
+    /// Own starts.
+    started: Ring,
     beats: u64,
     /// Something changed that the shares rest on.
     stale: bool,
@@ -253,6 +255,7 @@
             next: FIRST,
             held: BTreeSet::new(),
             seen: Seen::since(m.now, SOLVE, priors, customers.len()),
+            started: Ring::over(SOLVE / 5),
             beats: 0,
             stale: true,
             ask_at,
@@ -459,6 +462,7 @@
             }
             let trial = worker.in_flight == 0 && load.effect == Effect::Idempotent;
             let skipped = worker.in_flight as f64 >= skip
+                || (self.known.tells_start && !worker.unstarted.is_empty())
                 || worker.bar.as_ref().is_some_and(|b| b.until > now || !trial)
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, usual) > SILENT
@@ -505,13 +509,10 @@
         m.out.assign(&task.id, &worker.id);
     }
 
-    /// A task that no worker can take now waits here, so long as it can still be in time.
+    /// A task that no worker can take now waits here, so long as it is likely to move on in time.
     fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
-        let run = self.seen.run(m.now, self.tasks[&n].workload);
+        let latest = self.latest(m.now, n);
         let Some(task) = self.tasks.get_mut(&n).filter(|t| t.out() == 0) else { return Step::Keep };
-        let load = &self.workloads[task.workload];
-        let slack = load.due + micros((load.stretch - 1.0).max(0.0) * run);
-        let latest = task.expiry.min(task.arrived + slack);
         if m.now >= latest {
             return Step::End;
         }
@@ -519,9 +520,29 @@
         if !std::mem::replace(&mut task.held, true) {
             m.out.wake(latest, n);
         }
+        // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
+        let pace = self.started.totals(m.now).1 / seconds(SOLVE / 5);
+        while let Some(&(_, _, last)) = self.held.last() {
+            let delay = micros(self.held.len() as f64 / pace.max(1.0));
+            if m.now + delay < self.latest(m.now, last) {
+                break;
+            }
+            if last == n {
+                return Step::End;
+            }
+            self.answer(m, last);
+        }
         Step::Keep
     }
 
+    /// When a task must start at the latest to be in time.
+    fn latest(&self, now: Time, n: u64) -> Time {
+        let Some(task) = self.tasks.get(&n) else { return now };
+        let load = &self.workloads[task.workload];
+        let slack = (load.stretch - 1.0).max(0.0) * self.seen.run(now, task.workload);
+        task.expiry.min(task.arrived + load.due + micros(slack))
+    }
+
     // ---- what comes back ----
 
     /// A job told that it started, or which part of it is done: a sign of life.
@@ -533,6 +554,7 @@
         worker.heard(m.now);
         if a.started.is_none() {
             a.started = Some(m.now);
+            self.started.add(m.now, 1.0, 1.0);
             worker.unstarted.remove(&(a.sent, n));
             worker.waits.add(m.now, seconds(m.now - a.sent), 1.0);
             self.move_on(m);
