--- a/src/logic.rs
+++ b/src/logic.rs
@@ -472,7 +472,7 @@
             let wait = worker.wait(now, theta);
             let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
-            let tier = if late { 4 } else { far + 2 * u8::from(wait > theta / 2.0) };
+            let tier = if late { 4 } else { 2 * far + u8::from(wait > theta / 2.0) };
             let level = worker.level(i, part);
             passed.push((j, level));
             if !skipped && best.is_none_or(|(b, _)| (tier, level) < b) {
