Waiting tasks go by what a second of work is worth as the users weigh it

Cause: order by revenue alone starved the workload served worst, which weighs most after the whole. The order now adds the weight of the workload and the customer served worst of late, per second of work.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Context, Result, bail};
 use rainlug::logic::Dispatcher;
-use rainlug::{Allowed, Customer, Effect, Group, Known, Moment, Obligations, Place, Time, Workload};
+use rainlug::{Allowed, Customer, Effect, Group, Known, Moment, Obligations, Place, Time, Weights, Workload};
 use serde_json::Value;
 
 use crate::fields::micros;
@@ -36,11 +36,18 @@
         cross_zone: number(&all, "/prices/crossZone").unwrap_or(0.0),
         waste: number(&all, "/prices/waste").unwrap_or(0.0),
     };
+    let weights = Weights {
+        whole: number(&all, "/scoreParts/whole").unwrap_or(1.0),
+        worst_workload: number(&all, "/scoreParts/worstClass").unwrap_or(0.0),
+        worst_customer: number(&all, "/scoreParts/worstTenant").unwrap_or(0.0),
+        beyond_share: number(&all, "/overageRevenue").unwrap_or(1.0),
+        by_work: all.pointer("/revenueBasis").and_then(Value::as_str) == Some("work"),
+    };
     let workloads = list(&all, "/workloads")?.iter().enumerate().map(|(i, w)| workload(&all, i, w));
     let customers = list(&all, "/customers").unwrap_or_default().iter();
     let customers = customers.map(|c| Ok(Customer { quota: number(c, "/quotaPerS")? }));
     let (workloads, customers) = (workloads.collect::<Result<_>>()?, customers.collect::<Result<_>>()?);
-    Ok(Dispatcher::start(m, place, workloads, customers, allowed, obligations, known))
+    Ok(Dispatcher::start(m, place, workloads, customers, weights, allowed, obligations, known))
 }
 
 fn workload(all: &Value, i: usize, one: &Value) -> Result<Workload> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,18 @@
     pub quota: f64,
 }
 
+/// How the users weigh what is answered in time, in parts of the whole.
+#[derive(Clone, Copy, Debug)]
+pub struct Weights {
+    pub whole: f64,
+    pub worst_workload: f64,
+    pub worst_customer: f64,
+    /// What a task beyond its customer's share earns, as a part of its revenue.
+    pub beyond_share: f64,
+    /// Revenue counts for each unit of work, not for each task.
+    pub by_work: bool,
+}
+
 /// Where this dispatcher stands among its like.
 #[derive(Clone, Copy, Debug)]
 pub struct Place {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,9 +11,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::state::{Assignment, Bar, Chance, Cold, Ring, Seen, Task, Worker, micros, seconds};
+use crate::state::{Assignment, Bar, Chance, Cold, Ring, Seen, Task, Worker, micros, seconds, worst};
 use crate::{Allowed, Customer, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
-use crate::{SECOND, State, Time, Workload};
+use crate::{SECOND, State, Time, Weights, Workload};
 
 /// Between two solves of the shares; every other length of time below is a ratio to it or to a setting.
 const SOLVE: Time = 5 * SECOND;
@@ -205,6 +205,7 @@
     chance: Chance,
     workloads: Vec<Workload>,
     customers: Vec<Customer>,
+    weights: Weights,
     ledger: Ledger,
     allowed: Allowed,
     obligations: Obligations,
@@ -231,6 +232,7 @@
         place: Place,
         workloads: Vec<Workload>,
         customers: Vec<Customer>,
+        weights: Weights,
         allowed: Allowed,
         obligations: Obligations,
         known: Known,
@@ -262,6 +264,7 @@
             asks_failed: 0,
             workloads,
             customers,
+            weights,
         }
     }
 
@@ -371,14 +374,26 @@
         self.seen.arrival(m.now, workload, customer);
         let of_all = |c: usize| self.seen.rate_of(m.now, c) * self.place.group_size as f64;
         let quota = customer.and_then(|c| Some((c, self.customers.get(c)?.quota)));
+        let customer = customer.filter(|&c| c < self.customers.len());
         let within_share = quota.is_none_or(|(c, quota)| of_all(c) <= quota);
         let (slots, expiry) = (slots.max(1.0), m.now + budget);
         let (id, arrived, assignments) = (id.to_owned(), m.now, Vec::new());
         self.numbers.insert(id.clone(), n);
         m.out.wake(expiry, n);
-        let (answered, held) = (false, false);
-        let task =
-            Task { id, workload, slots, memory, arrived, expiry, within_share, assignments, answered, held };
+        let (answered, held) = (false, None);
+        let task = Task {
+            id,
+            workload,
+            slots,
+            memory,
+            arrived,
+            expiry,
+            customer,
+            within_share,
+            assignments,
+            answered,
+            held,
+        };
         self.tasks.insert(n, task);
         self.down(m, n);
     }
@@ -401,14 +416,32 @@
         } else {
             m.out.abandon(&task.id);
         }
+        self.earn(m.now, n, false);
         self.close(m, n);
     }
 
+    fn earn(&mut self, now: Time, n: u64, finished: bool) {
+        let Some(task) = self.tasks.get(&n) else { return };
+        let load = &self.workloads[task.workload];
+        let due = task.arrived + load.due + micros(load.stretch * self.seen.run(now, task.workload));
+        let part = if !finished {
+            0.0
+        } else if now <= due {
+            1.0
+        } else {
+            load.overdue
+        };
+        self.seen.earned[task.workload].add(now, part, 1.0);
+        if let Some(c) = task.customer.filter(|_| task.within_share) {
+            self.seen.earned_of[c].add(now, part, 1.0);
+        }
+    }
+
     /// An answered task goes nowhere any more: what is still out is withdrawn.
     fn close(&mut self, m: &mut Moment, n: u64) {
         let Some(task) = self.tasks.get_mut(&n) else { return };
         task.answered = true;
-        self.held.remove(&rank(task, &self.workloads, n));
+        task.held.take().map(|key| self.held.remove(&key));
         let out = task.assignments.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
         if self.allowed.withdrawal {
             out.for_each(|(i, _)| m.out.withdraw(&task.id, i));
@@ -503,8 +536,7 @@
         if let Some(cold) = &mut worker.cold {
             cold.room -= cost;
         }
-        self.held.remove(&rank(task, &self.workloads, n));
-        task.held = false;
+        task.held.take().map(|key| self.held.remove(&key));
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
     }
@@ -512,12 +544,17 @@
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
     fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
         let latest = self.latest(m.now, n);
-        let Some(task) = self.tasks.get_mut(&n).filter(|t| t.out() == 0) else { return Step::Keep };
+        if self.tasks[&n].out() > 0 {
+            return Step::Keep;
+        }
         if m.now >= latest {
             return Step::End;
         }
-        self.held.insert(rank(task, &self.workloads, n));
-        if !std::mem::replace(&mut task.held, true) {
+        let worth = self.worth(m.now, &self.tasks[&n]);
+        if let Some(task) = self.tasks.get_mut(&n).filter(|t| t.held.is_none()) {
+            let key = (u64::MAX - (worth * 1e6) as u64, task.expiry, n);
+            task.held = Some(key);
+            self.held.insert(key);
             m.out.wake(latest, n);
         }
         // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
@@ -535,6 +572,25 @@
         Step::Keep
     }
 
+    /// What a second of work on the task is worth, as the users weigh it: its revenue in the whole, and its part
+    /// in the workload and in the customer that are served worst of late.
+    fn worth(&self, now: Time, task: &Task) -> f64 {
+        let (i, w) = (task.workload, self.weights);
+        let revenue = |i: usize| {
+            let run = if w.by_work { self.seen.run(now, i) } else { 1.0 };
+            self.workloads[i].revenue * run
+        };
+        let mut worth = w.whole * revenue(i) / self.seen.mean_revenue(now, revenue).max(1e-6);
+        if worst(&self.seen.earned, now) == Some(i) {
+            worth += w.worst_workload / self.seen.part(now, i).max(UNSEEN);
+        }
+        if let Some(c) = task.customer.filter(|&c| worst(&self.seen.earned_of, now) == Some(c)) {
+            worth += w.worst_customer / self.seen.part_of(now, c).max(UNSEEN);
+        }
+        let within = if task.within_share { 1.0 } else { w.beyond_share };
+        worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
+    }
+
     /// When a task must start at the latest to be in time.
     fn latest(&self, now: Time, n: u64) -> Time {
         let Some(task) = self.tasks.get(&n) else { return now };
@@ -579,6 +635,8 @@
         }
         let (closed, out) = self.tasks.get(&n).map_or((true, 0), |t| (t.answered || end.1, t.out()));
         if closed {
+            let finished = end.0 == Outcome::Finished;
+            self.earn(m.now, n, finished);
             self.close(m, n);
         } else if out == 0 {
             self.down(m, n);
@@ -715,9 +773,3 @@
         cold.counted = now;
     }
 }
-
-/// The order in which held tasks move on: dearest first, those within their customer's share before others.
-fn rank(task: &Task, workloads: &[Workload], n: u64) -> (u64, Time, u64) {
-    let worth = workloads[task.workload].revenue * if task.within_share { 1.0 } else { 0.1 };
-    (u64::MAX - (worth.max(0.0) * 1000.0) as u64, task.expiry, n)
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,11 +142,13 @@
     pub memory: f64,
     pub arrived: Time,
     pub expiry: Time,
+    pub customer: Option<usize>,
     /// Came while its customer was within its share.
     pub within_share: bool,
     pub assignments: Vec<Assignment>,
     pub answered: bool,
-    pub held: bool,
+    /// Its place among the tasks that wait here, least first.
+    pub held: Option<(u64, Time, u64)>,
 }
 
 impl Task {
@@ -156,6 +158,12 @@
     }
 }
 
+/// Which of the rings earns least.
+pub(crate) fn worst(rings: &[Ring], now: Time) -> Option<usize> {
+    let earned = |i: &usize| rings[*i].mean(now, 1.0, 1.0);
+    (0..rings.len()).min_by(|i, j| earned(i).total_cmp(&earned(j)))
+}
+
 pub(crate) fn seconds(time: Time) -> f64 {
     time as f64 / SECOND as f64
 }
@@ -172,6 +180,9 @@
     asked: Vec<Ring>,
     runs: Vec<Ring>,
     squares: Vec<Ring>,
+    /// Part of the revenue earned, by workload and by customer.
+    pub earned: Vec<Ring>,
+    pub earned_of: Vec<Ring>,
     /// A workload's running time until one is seen, seconds.
     priors: Vec<f64>,
 }
@@ -181,7 +192,9 @@
     pub fn since(began: Time, span: Time, priors: Vec<f64>, customers: usize) -> Self {
         let long = vec![Ring::over(4 * span); priors.len()];
         let (arrived, asked) = (vec![Ring::over(2 * span); priors.len()], vec![Ring::over(span); customers]);
-        Seen { began, span, arrived, asked, runs: long.clone(), squares: long, priors }
+        let earned_of = vec![Ring::over(4 * span); customers];
+        let (runs, squares, earned) = (long.clone(), long.clone(), long);
+        Seen { began, span, arrived, asked, runs, squares, earned, earned_of, priors }
     }
 
     pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>) {
@@ -214,6 +227,17 @@
         if count > 0.0 { self.arrived[workload].totals(now).1 / count } else { 0.0 }
     }
 
+    /// A customer's part of own tasks.
+    pub fn part_of(&self, now: Time, customer: usize) -> f64 {
+        let count: f64 = self.asked.iter().map(|r| r.totals(now).1).sum();
+        if count > 0.0 { self.asked[customer].totals(now).1 / count } else { 0.0 }
+    }
+
+    /// Mean revenue of own tasks.
+    pub fn mean_revenue(&self, now: Time, revenue: impl Fn(usize) -> f64) -> f64 {
+        (0..self.arrived.len()).map(|i| revenue(i) * self.part(now, i)).sum()
+    }
+
     /// Mean running time of a workload, seconds.
     pub fn run(&self, now: Time, workload: usize) -> f64 {
         self.runs[workload].mean(now, self.priors[workload], 0.1)
