--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -36,7 +36,8 @@
 struct Host {
     /// The clock of the batch being read; none between batches.
     now: Option<Time>,
-    instances: HashMap<String, Dispatcher>,
+    /// The running instances, and how many workloads each was told of.
+    instances: HashMap<String, (Dispatcher, usize)>,
     lists: HashMap<usize, Vec<Listed>>,
     /// The list being read and how many of its lines are still to come.
     open: Option<(usize, usize)>,
@@ -85,17 +86,18 @@
             self.instances.remove(name);
             return Ok(false);
         }
-        let to = self
+        let (to, workloads) = self
             .instances
             .get_mut(name)
             .with_context(|| format!("expected a running instance, found '{name}'"))?;
-        event(to, m, word, &mut fields, &self.lists)?;
+        event(to, *workloads, m, word, &mut fields, &self.lists)?;
         Ok(false)
     }
 }
 
 fn event(
     to: &mut Dispatcher,
+    workloads: usize,
     m: &mut Moment,
     word: &str,
     fields: &mut Fields,
@@ -110,9 +112,8 @@
             let budget = fields.time("a time budget")?;
             let _hint = fields.amount("predicted work")?;
             let slots = fields.amount("slots")?.unwrap_or(1.0);
-            let memory = fields.amount("memory")?;
-            ensure!(workload < to.workloads(), "expected a class of the settings, found {workload}");
-            to.task(m, id, workload, customer, budget, slots, memory.unwrap_or(0.0));
+            ensure!(workload < workloads, "expected a class of the settings, found {workload}");
+            to.task(m, id, workload, customer, budget, slots);
         }
         "DONE" => {
             let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -7,7 +7,7 @@
 
 use crate::fields::micros;
 
-pub fn start(m: &mut Moment, seed: u64, text: &str) -> Result<Dispatcher> {
+pub fn start(m: &mut Moment, seed: u64, text: &str) -> Result<(Dispatcher, usize)> {
     let all: Value = serde_json::from_str(text).context("expected settings as a JSON object")?;
     let place = Place {
         seed,
@@ -46,8 +46,10 @@
     let workloads = list(&all, "/workloads")?.iter().enumerate().map(|(i, w)| workload(&all, i, w));
     let customers = list(&all, "/customers").unwrap_or_default().iter();
     let customers = customers.map(|c| Ok(Customer { quota: number(c, "/quotaPerS")? }));
-    let (workloads, customers) = (workloads.collect::<Result<_>>()?, customers.collect::<Result<_>>()?);
-    Ok(Dispatcher::start(m, place, workloads, customers, weights, allowed, obligations, known))
+    let (workloads, customers) = (workloads.collect::<Result<Vec<_>>>()?, customers.collect::<Result<_>>()?);
+    let count = workloads.len();
+    let made = Dispatcher::start(m, place, workloads, customers, weights, allowed, obligations, known);
+    Ok((made, count))
 }
 
 fn workload(all: &Value, i: usize, one: &Value) -> Result<Workload> {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,17 +1,17 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
 //!
 //! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes: `list` and
-//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (how an assignment ended), `left`
-//! (the client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes a [`Moment`]: the time
-//! and an `Outgoing` through which decisions leave. That interface is in `lib.rs`, what is remembered in `state.rs`.
+//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (an assignment ended), `left` (the
+//! client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes a [`Moment`]: the time and
+//! an `Outgoing` through which decisions leave. That interface is in `lib.rs`, what is remembered in `state.rs`.
 //!
-//! A task runs down the chain `STAGES`; each stage passes it on, keeps it or ends it, and how its assignments end
-//! runs up the same chain. Shares are solved by the M/G/1 model (`shares`), turns are taken by a billiard inside
-//! them (`placed`). docs/design.md tells where that is from, and when each exception acts.
+//! A task runs down the chain `STAGES`; each stage passes it on, keeps it or ends it, and how its assignments
+//! end runs up the same chain. Shares are solved by the M/G/1 model (`shares`), turns are taken by a billiard
+//! inside them (`placed`). docs/design.md tells where that is from, and when each exception acts.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-
-use crate::state::{Assignment, Bar, Chance, Cold, Ring, Seen, Task, Worker, micros, seconds, worst};
+use crate::state::{
+    Assignment, Bar, Chance, Cold, Desk, Fleet, Ring, Seen, Task, Worker, micros, seconds, worst,
+};
 use crate::{Allowed, Customer, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
 use crate::{SECOND, State, Time, Weights, Workload};
 
@@ -210,12 +210,8 @@
     allowed: Allowed,
     obligations: Obligations,
     known: Known,
-    workers: Vec<Worker>,
-    index: HashMap<String, usize>,
-    tasks: BTreeMap<u64, Task>,
-    numbers: HashMap<String, u64>,
-    next: u64,
-    held: BTreeSet<(u64, Time, u64)>,
+    fleet: Fleet,
+    desk: Desk,
     seen: Seen,
     /// Own starts.
     started: Ring,
@@ -227,6 +223,7 @@
 }
 
 impl Dispatcher {
+    #[allow(clippy::too_many_arguments)]
     pub fn start(
         m: &mut Moment,
         place: Place,
@@ -250,12 +247,8 @@
             allowed,
             obligations,
             known,
-            workers: Vec::new(),
-            index: HashMap::new(),
-            tasks: BTreeMap::new(),
-            numbers: HashMap::new(),
-            next: FIRST,
-            held: BTreeSet::new(),
+            fleet: Fleet::default(),
+            desk: Desk::from(FIRST),
             seen: Seen::since(m.now, SOLVE, priors, customers.len()),
             started: Ring::over(SOLVE / 5),
             beats: 0,
@@ -268,35 +261,21 @@
         }
     }
 
-    /// How many workloads there are.
-    pub fn workloads(&self) -> usize {
-        self.workloads.len()
-    }
-
     // ---- the list of workers ----
 
-    /// What the list says: changes only, or everything there is; `cached` is what it said to an earlier process.
+    /// What the list says: changes, or everything; `cached` is what it said to an earlier process.
     pub fn list(&mut self, m: &mut Moment, everything: bool, cached: bool, entries: &[Listed]) {
         if !cached {
             (self.asks_failed, self.ask_at) = (0, None);
         }
         if everything {
-            self.workers.iter_mut().for_each(|w| w.state = State::Gone);
+            self.fleet.workers.iter_mut().for_each(|w| w.state = State::Gone);
         }
         for entry in entries {
-            let known = self.index.get(&entry.id).copied();
-            let j = known.unwrap_or(self.workers.len());
-            if known.is_none() {
-                self.index.insert(entry.id.clone(), j);
-                self.workers.push(Worker { id: entry.id.clone(), ..Worker::default() });
-                self.workers[j].turns = vec![0.0; self.workloads.len()];
-            }
-            let worker = &mut self.workers[j];
-            (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
-            worker.state = entry.state;
+            let (j, new) = self.fleet.enter(entry);
             // A new start time is a new process: cold, and nothing seen before holds for it.
-            if known.is_none() || entry.started != worker.started {
-                worker.started = entry.started;
+            if new {
+                let worker = &mut self.fleet.workers[j];
                 worker.forget(self.workloads.len(), SOLVE);
                 let since = entry.started.filter(|&s| m.now - s < self.obligations.warm_within);
                 let room = -self.chance.draw();
@@ -320,28 +299,27 @@
 
     fn solve(&mut self, now: Time) {
         self.stale = false;
-        let ready: Vec<usize> = (0..self.workers.len()).filter(|&j| self.admitted(now, j)).collect();
+        let ready: Vec<usize> = (0..self.fleet.workers.len()).filter(|&j| self.admitted(now, j)).collect();
         let rate = self.seen.rate(now) * self.place.group_size as f64;
-        let known: Vec<f64> = ready.iter().filter_map(|&j| self.workers[j].theta(now)).collect();
+        let known: Vec<f64> = ready.iter().filter_map(|&j| self.fleet.workers[j].theta(now)).collect();
         let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
         let spread = self.seen.spread(now);
         let station = |&j: &usize| {
-            let worker = &self.workers[j];
+            let worker = &self.fleet.workers[j];
             let theta = worker.theta(now).unwrap_or(mean);
             let own = theta * worker.share * rate;
             let rho = (worker.utilisation.mean(now, own, 0.001) - own).clamp(0.0, FULL);
             Station { theta, omega: theta * theta * (1.0 + spread), rho }
         };
         let stations: Vec<Station> = ready.iter().map(station).collect();
-        // Where more is asked than the fleet can carry the model has no solution; admission lets through what it
-        // can carry, so the shares are those of that load.
+        // Where more is asked than the fleet can carry the model has no solution: it is given what they can.
         let most: f64 = stations.iter().map(|s| FULL * (1.0 - s.rho) / s.theta.max(1e-9)).sum();
         let equal = 1.0 / ready.len().max(1) as f64;
         let found = shares(&stations, rate.min(most)).unwrap_or(vec![equal; ready.len()]);
         let least = (0..ready.len()).min_by(|&a, &b| stations[a].theta.total_cmp(&stations[b].theta));
-        self.workers.iter_mut().for_each(|w| (w.share, w.fastest) = (0.0, false));
+        self.fleet.workers.iter_mut().for_each(|w| (w.share, w.fastest) = (0.0, false));
         for (i, &j) in ready.iter().enumerate() {
-            let worker = &mut self.workers[j];
+            let worker = &mut self.fleet.workers[j];
             (worker.share, worker.fastest) = (found[i], least == Some(i));
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
@@ -349,10 +327,10 @@
 
     /// Who the model may admit: ready, and not barred unless so many are that the cause must be a common one.
     fn admitted(&self, now: Time, j: usize) -> bool {
-        let ready = || self.workers.iter().filter(|w| w.state == State::Ready);
+        let ready = || self.fleet.workers.iter().filter(|w| w.state == State::Ready);
         let common = 2 * ready().filter(|w| w.bar.is_some()).count() > ready().count();
-        let open = self.workers[j].bar.as_ref().is_none_or(|b| b.until <= now);
-        self.workers[j].state == State::Ready && (common || open)
+        let open = self.fleet.workers[j].bar.as_ref().is_none_or(|b| b.until <= now);
+        self.fleet.workers[j].state == State::Ready && (common || open)
     }
 
     // ---- a task on its way down ----
@@ -367,34 +345,16 @@
         customer: Option<usize>,
         budget: Time,
         slots: f64,
-        memory: f64,
     ) {
-        let n = self.next;
-        self.next += 1;
         self.seen.arrival(m.now, workload, customer);
         let of_all = |c: usize| self.seen.rate_of(m.now, c) * self.place.group_size as f64;
         let quota = customer.and_then(|c| Some((c, self.customers.get(c)?.quota)));
         let customer = customer.filter(|&c| c < self.customers.len());
         let within_share = quota.is_none_or(|(c, quota)| of_all(c) <= quota);
-        let (slots, expiry) = (slots.max(1.0), m.now + budget);
-        let (id, arrived, assignments) = (id.to_owned(), m.now, Vec::new());
-        self.numbers.insert(id.clone(), n);
+        let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
+        let task = Task { id, workload, slots, arrived, expiry, customer, within_share, ..Task::default() };
+        let n = self.desk.take(task);
         m.out.wake(expiry, n);
-        let (answered, held) = (false, None);
-        let task = Task {
-            id,
-            workload,
-            slots,
-            memory,
-            arrived,
-            expiry,
-            customer,
-            within_share,
-            assignments,
-            answered,
-            held,
-        };
-        self.tasks.insert(n, task);
         self.down(m, n);
     }
 
@@ -410,7 +370,7 @@
 
     /// The final answer, at once: a bounce where the ledger allows that promise, else an abandonment.
     fn answer(&mut self, m: &mut Moment, n: u64) {
-        let Some(task) = self.tasks.get(&n).filter(|t| !t.answered) else { return };
+        let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return };
         if self.ledger.may_bounce(task) {
             m.out.bounce(&task.id, self.allowed.pause);
         } else {
@@ -421,39 +381,27 @@
     }
 
     fn earn(&mut self, now: Time, n: u64, finished: bool) {
-        let Some(task) = self.tasks.get(&n) else { return };
-        let load = &self.workloads[task.workload];
-        let due = task.arrived + load.due + micros(load.stretch * self.seen.run(now, task.workload));
-        let part = if !finished {
-            0.0
-        } else if now <= due {
-            1.0
-        } else {
-            load.overdue
-        };
-        self.seen.earned[task.workload].add(now, part, 1.0);
-        if let Some(c) = task.customer.filter(|_| task.within_share) {
-            self.seen.earned_of[c].add(now, part, 1.0);
-        }
+        let Some(task) = self.desk.get(n) else { return };
+        let late = now > self.due_time(now, task, 0.0);
+        let earned = if late { self.workloads[task.workload].overdue } else { 1.0 };
+        let customer = task.customer.filter(|_| task.within_share);
+        self.seen.earn(now, task.workload, customer, if finished { earned } else { 0.0 });
     }
 
     /// An answered task goes nowhere any more: what is still out is withdrawn.
     fn close(&mut self, m: &mut Moment, n: u64) {
-        let Some(task) = self.tasks.get_mut(&n) else { return };
+        let Some(task) = self.desk.get_mut(n) else { return };
         task.answered = true;
-        task.held.take().map(|key| self.held.remove(&key));
         let out = task.assignments.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
         if self.allowed.withdrawal {
             out.for_each(|(i, _)| m.out.withdraw(&task.id, i));
         }
-        if task.out() == 0 {
-            self.numbers.remove(&task.id);
-            self.tasks.remove(&n);
-        }
+        self.desk.release(n);
+        self.desk.clear(n);
     }
 
     fn in_time(&mut self, m: &mut Moment, n: u64) -> Step {
-        match self.tasks.get(&n) {
+        match self.desk.get(n) {
             Some(task) if !task.answered && m.now < task.expiry => Step::Pass,
             Some(task) if !task.answered => Step::End,
             _ => Step::Keep,
@@ -461,9 +409,9 @@
     }
 
     fn permitted(&mut self, m: &mut Moment, n: u64) -> Step {
-        let task = &self.tasks[&n];
-        let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, &self.workers);
-        match self.workers.is_empty() || self.workers.iter().any(may) {
+        let Some(task) = self.desk.get(n) else { return Step::Keep };
+        let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, &self.fleet.workers);
+        match self.fleet.workers.is_empty() || self.fleet.workers.iter().any(may) {
             true => Step::Pass,
             false if task.out() > 0 => Step::Keep,
             false => Step::End,
@@ -476,19 +424,19 @@
         if self.stale {
             self.solve(now);
         }
-        let task = &self.tasks[&n];
+        let Some(task) = self.desk.get(n) else { return Step::Keep };
         let (i, load) = (task.workload, &self.workloads[task.workload]);
         let run = self.seen.run(now, i);
-        let due = seconds(task.arrived - now + load.due) + load.stretch * run;
+        let due = seconds(self.due_time(now, task, 0.0) - now);
         let part = self.seen.part(now, i).max(UNSEEN);
-        let open = || self.workers.iter().filter(|w| w.share > 0.0 && w.state == State::Ready);
+        let open = || self.fleet.workers.iter().filter(|w| w.share > 0.0 && w.state == State::Ready);
         let flying: usize = open().map(|w| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
         let cost = task.slots * run / self.seen.mean_run(now);
         let usual = self.known.progress.max(SOLVE / 10);
         let mut best: Option<((u8, f64), usize)> = None;
         let mut passed = Vec::new();
-        for (j, worker) in self.workers.iter().enumerate() {
+        for (j, worker) in self.fleet.workers.iter().enumerate() {
             let able = load.kind.is_none_or(|k| k == worker.kind);
             if worker.share <= 0.0 || worker.state != State::Ready || !able {
                 continue;
@@ -500,7 +448,7 @@
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, usual) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room < cost)
-                || !self.ledger.may_assign(now, task, worker, &self.workers);
+                || !self.ledger.may_assign(now, task, worker, &self.fleet.workers);
             let theta = worker.theta(now).unwrap_or(0.1);
             let wait = worker.wait(now, theta);
             let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
@@ -518,15 +466,15 @@
         }
         // A skipped worker's turn is passed, or it would be owed a burst on its return.
         for (p, behind) in passed.into_iter().filter(|&(p, behind)| p != j && behind < level) {
-            self.workers[p].turns[i] += (level - behind) * self.workers[p].share * part;
+            self.fleet.workers[p].turns[i] += (level - behind) * self.fleet.workers[p].share * part;
         }
         self.assign(m, n, j, cost);
         Step::Keep
     }
 
     fn assign(&mut self, m: &mut Moment, n: u64, j: usize, cost: f64) {
-        let Some(task) = self.tasks.get_mut(&n) else { return };
-        let worker = &mut self.workers[j];
+        let Some(task) = self.desk.get_mut(n) else { return };
+        let worker = &mut self.fleet.workers[j];
         worker.turns[task.workload] += 1.0;
         if worker.in_flight == 0 {
             worker.last_sign = m.now;
@@ -536,32 +484,31 @@
         if let Some(cold) = &mut worker.cold {
             cold.room -= cost;
         }
-        task.held.take().map(|key| self.held.remove(&key));
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
+        self.desk.release(n);
     }
 
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
     fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
-        let latest = self.latest(m.now, n);
-        if self.tasks[&n].out() > 0 {
-            return Step::Keep;
-        }
+        let Some(task) = self.desk.get(n).filter(|t| t.out() == 0) else { return Step::Keep };
+        let latest = self.due_time(m.now, task, 1.0);
         if m.now >= latest {
             return Step::End;
         }
-        let worth = self.worth(m.now, &self.tasks[&n]);
-        if let Some(task) = self.tasks.get_mut(&n).filter(|t| t.held.is_none()) {
-            let key = (u64::MAX - (worth * 1e6) as u64, task.expiry, n);
-            task.held = Some(key);
-            self.held.insert(key);
+        if task.held.is_none() {
+            let first = u64::MAX - (self.worth(m.now, task) * 1e6) as u64;
+            self.desk.hold(n, first);
             m.out.wake(latest, n);
         }
         // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
-        let pace = self.started.totals(m.now).1 / seconds(SOLVE / 5);
-        while let Some(&(_, _, last)) = self.held.last() {
-            let delay = micros(self.held.len() as f64 / pace.max(1.0));
-            if m.now + delay < self.latest(m.now, last) {
+        let flying: usize = self.fleet.workers.iter().map(|w| w.in_flight).sum();
+        let starts = self.started.totals(m.now).1 / seconds(SOLVE / 5);
+        let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
+        while let Some(last) = self.desk.last_held() {
+            let delay = micros(self.desk.count_held() as f64 / pace.max(0.1));
+            let latest = self.desk.get(last).map_or(m.now, |t| self.due_time(m.now, t, 1.0));
+            if m.now + delay < latest {
                 break;
             }
             if last == n {
@@ -572,8 +519,8 @@
         Step::Keep
     }
 
-    /// What a second of work on the task is worth, as the users weigh it: its revenue in the whole, and its part
-    /// in the workload and in the customer that are served worst of late.
+    /// What a second of work on the task is worth, as the users weigh it: its revenue in the whole, and its
+    /// part in the workload and in the customer that are served worst of late.
     fn worth(&self, now: Time, task: &Task) -> f64 {
         let (i, w) = (task.workload, self.weights);
         let revenue = |i: usize| {
@@ -591,11 +538,10 @@
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
-    /// When a task must start at the latest to be in time.
-    fn latest(&self, now: Time, n: u64) -> Time {
-        let Some(task) = self.tasks.get(&n) else { return now };
+    /// When a task is due that takes the mean time of its workload, or `runs` of those before.
+    fn due_time(&self, now: Time, task: &Task, runs: f64) -> Time {
         let load = &self.workloads[task.workload];
-        let slack = (load.stretch - 1.0).max(0.0) * self.seen.run(now, task.workload);
+        let slack = (load.stretch - runs).max(0.0) * self.seen.run(now, task.workload);
         task.expiry.min(task.arrived + load.due + micros(slack))
     }
 
@@ -603,10 +549,10 @@
 
     /// A job told that it started, or which part of it is done: a sign of life.
     pub fn sign(&mut self, m: &mut Moment, id: &str, assignment: usize, _done: Option<f64>) {
-        let Some(&n) = self.numbers.get(id) else { return };
-        let Some(task) = self.tasks.get_mut(&n) else { return };
+        let Some(n) = self.desk.number(id) else { return };
+        let Some(task) = self.desk.get_mut(n) else { return };
         let Some(a) = task.assignments.get_mut(assignment) else { return };
-        let worker = &mut self.workers[a.worker];
+        let worker = &mut self.fleet.workers[a.worker];
         worker.heard(m.now);
         if a.started.is_none() {
             a.started = Some(m.now);
@@ -626,17 +572,16 @@
         end: (Outcome, bool),
         report: Report,
     ) {
-        let Some(&n) = self.numbers.get(id) else { return };
-        let Some(task) = self.tasks.get(&n) else { return };
+        let Some(n) = self.desk.number(id) else { return };
+        let Some(task) = self.desk.get(n) else { return };
         let Some(a) = task.assignments.get(assignment).filter(|a| a.outcome.is_none()) else { return };
         self.reported(m.now, a.worker, report);
         for (_, stage) in STAGES.iter().rev() {
             stage(self, m.now, n, assignment, end.0);
         }
-        let (closed, out) = self.tasks.get(&n).map_or((true, 0), |t| (t.answered || end.1, t.out()));
+        let (closed, out) = self.desk.get(n).map_or((true, 0), |t| (t.answered || end.1, t.out()));
         if closed {
-            let finished = end.0 == Outcome::Finished;
-            self.earn(m.now, n, finished);
+            self.earn(m.now, n, end.0 == Outcome::Finished);
             self.close(m, n);
         } else if out == 0 {
             self.down(m, n);
@@ -646,10 +591,10 @@
 
     /// What an outcome says of its worker: its load, its speed and its health.
     fn judged(&mut self, now: Time, n: u64, assignment: usize, outcome: Outcome) {
-        let task = &self.tasks[&n];
+        let Some(task) = self.desk.get(n) else { return };
         let (a, i) = (&task.assignments[assignment], task.workload);
         let run = self.seen.run(now, i);
-        let worker = &mut self.workers[a.worker];
+        let worker = &mut self.fleet.workers[a.worker];
         worker.in_flight -= 1;
         worker.unstarted.remove(&(a.sent, n));
         let open = worker.bar.is_none();
@@ -690,13 +635,13 @@
     }
 
     fn entered(&mut self, _: Time, n: u64, assignment: usize, outcome: Outcome) {
-        if let Some(task) = self.tasks.get_mut(&n) {
+        if let Some(task) = self.desk.get_mut(n) {
             task.assignments[assignment].outcome = Some(outcome);
         }
     }
 
     fn reported(&mut self, now: Time, j: usize, report: Report) {
-        let worker = &mut self.workers[j];
+        let worker = &mut self.fleet.workers[j];
         if let (Some(busy), Some(rate)) = (report.utilisation, report.rate) {
             worker.theta.add(now, busy, rate);
             worker.utilisation.add(now, busy, 1.0);
@@ -705,7 +650,7 @@
     }
 
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
-        let Some(&j) = self.index.get(worker) else { return };
+        let Some(j) = self.fleet.named(worker) else { return };
         if outcome == Outcome::Finished {
             self.reported(m.now, j, report);
             self.move_on(m);
@@ -714,16 +659,16 @@
 
     /// The client is gone: nothing is owed any more.
     pub fn left(&mut self, m: &mut Moment, id: &str) {
-        if let Some(&n) = self.numbers.get(id) {
+        if let Some(n) = self.desk.number(id) {
             self.close(m, n);
         }
     }
 
     /// Room may have appeared: held tasks move on, the best first, until one finds none.
     fn move_on(&mut self, m: &mut Moment) {
-        while let Some(&(_, _, n)) = self.held.first() {
+        while let Some(n) = self.desk.first_held() {
             self.down(m, n);
-            if self.held.first().is_some_and(|&(_, _, first)| first == n) {
+            if self.desk.first_held() == Some(n) {
                 return;
             }
         }
@@ -740,10 +685,10 @@
             m.out.follow();
         }
         let probing = self.allowed.probes && self.known.reports_by_probe && self.beats.is_multiple_of(2);
-        for j in 0..self.workers.len() {
+        for j in 0..self.fleet.workers.len() {
             self.warm(m.now, j);
-            if probing && self.workers[j].state == State::Ready {
-                m.out.probe(&self.workers[j].id);
+            if probing && self.fleet.workers[j].state == State::Ready {
+                m.out.probe(&self.fleet.workers[j].id);
             }
         }
         if self.beats.is_multiple_of((SOLVE / BEAT) as u64) {
@@ -755,10 +700,10 @@
 
     /// A cold worker's room grows with what it can do by now, a dispatcher's part of it.
     fn warm(&mut self, now: Time, j: usize) {
-        let like = |w: &&Worker| w.cold.is_none() && w.kind == self.workers[j].kind;
-        let thetas: Vec<f64> = self.workers.iter().filter(like).filter_map(|w| w.theta(now)).collect();
+        let like = |w: &&Worker| w.cold.is_none() && w.kind == self.fleet.workers[j].kind;
+        let thetas: Vec<f64> = self.fleet.workers.iter().filter(like).filter_map(|w| w.theta(now)).collect();
         let theta = thetas.iter().sum::<f64>() / thetas.len() as f64;
-        let worker = &mut self.workers[j];
+        let worker = &mut self.fleet.workers[j];
         let Some(cold) = &mut worker.cold else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         if age >= self.obligations.warm_within {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,9 @@
 //! What a dispatcher remembers of a task and of a worker, and the two things it counts with. No decisions.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use crate::{Outcome, SECOND, State, Time};
+use crate::{Listed, Outcome, SECOND, State, Time};
 
 const BUCKETS: Time = 8;
 
@@ -117,6 +117,7 @@
         self.waits = Ring::over(span / 4);
         self.slowness = Ring::over(2 * span);
         self.errors = vec![Ring::over(2 * span); workloads];
+        self.turns = vec![0.0; workloads];
         (self.bar, self.cold, self.free, self.lost) = (None, None, None, false);
     }
 
@@ -134,12 +135,11 @@
     pub outcome: Option<Outcome>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Task {
     pub id: String,
     pub workload: usize,
     pub slots: f64,
-    pub memory: f64,
     pub arrived: Time,
     pub expiry: Time,
     pub customer: Option<usize>,
@@ -172,6 +172,104 @@
     (seconds * SECOND as f64) as Time
 }
 
+/// The workers that the list has named so far, in the order of their first mention.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    pub workers: Vec<Worker>,
+    index: HashMap<String, usize>,
+}
+
+impl Fleet {
+    pub fn named(&self, id: &str) -> Option<usize> {
+        self.index.get(id).copied()
+    }
+
+    /// Takes over an entry of the list; true where it tells of a process not known so far.
+    pub fn enter(&mut self, entry: &Listed) -> (usize, bool) {
+        let known = self.named(&entry.id);
+        let j = known.unwrap_or(self.workers.len());
+        if known.is_none() {
+            self.index.insert(entry.id.clone(), j);
+            self.workers.push(Worker { id: entry.id.clone(), ..Worker::default() });
+        }
+        let worker = &mut self.workers[j];
+        (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
+        worker.state = entry.state;
+        let before = std::mem::replace(&mut worker.started, entry.started);
+        (j, known.is_none() || before != entry.started)
+    }
+}
+
+/// The tasks that are owed an answer or have assignments out, and which of them wait here.
+pub(crate) struct Desk {
+    tasks: BTreeMap<u64, Task>,
+    numbers: HashMap<String, u64>,
+    held: BTreeSet<(u64, Time, u64)>,
+    next: u64,
+}
+
+impl Desk {
+    /// Numbers its tasks from `first` on.
+    pub fn from(first: u64) -> Self {
+        Desk { tasks: BTreeMap::new(), numbers: HashMap::new(), held: BTreeSet::new(), next: first }
+    }
+
+    pub fn take(&mut self, task: Task) -> u64 {
+        let n = self.next;
+        self.next += 1;
+        self.numbers.insert(task.id.clone(), n);
+        self.tasks.insert(n, task);
+        n
+    }
+
+    pub fn number(&self, id: &str) -> Option<u64> {
+        self.numbers.get(id).copied()
+    }
+
+    pub fn get(&self, n: u64) -> Option<&Task> {
+        self.tasks.get(&n)
+    }
+
+    pub fn get_mut(&mut self, n: u64) -> Option<&mut Task> {
+        self.tasks.get_mut(&n)
+    }
+
+    /// Lets the task wait, at the place that `first` gives it: least first, then by expiry.
+    pub fn hold(&mut self, n: u64, first: u64) {
+        if let Some(task) = self.tasks.get_mut(&n) {
+            let place = (first, task.expiry, n);
+            task.held = Some(place);
+            self.held.insert(place);
+        }
+    }
+
+    pub fn release(&mut self, n: u64) {
+        if let Some(place) = self.tasks.get_mut(&n).and_then(|t| t.held.take()) {
+            self.held.remove(&place);
+        }
+    }
+
+    pub fn first_held(&self) -> Option<u64> {
+        self.held.first().map(|&(_, _, n)| n)
+    }
+
+    pub fn last_held(&self) -> Option<u64> {
+        self.held.last().map(|&(_, _, n)| n)
+    }
+
+    pub fn count_held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Forgets a task that is answered and has nothing out.
+    pub fn clear(&mut self, n: u64) {
+        if let Some(task) = self.tasks.get(&n).filter(|t| t.answered && t.out() == 0) {
+            self.numbers.remove(&task.id);
+            self.tasks.remove(&n);
+        }
+    }
+}
+
 /// What a dispatcher has measured of its own tasks.
 pub(crate) struct Seen {
     began: Time,
@@ -209,6 +307,13 @@
         self.squares[workload].add(now, run * run, 1.0);
     }
 
+    pub fn earn(&mut self, now: Time, workload: usize, customer: Option<usize>, part: f64) {
+        self.earned[workload].add(now, part, 1.0);
+        if let Some(ring) = customer.and_then(|c| self.earned_of.get_mut(c)) {
+            ring.add(now, part, 1.0);
+        }
+    }
+
     /// Own tasks a second.
     pub fn rate(&self, now: Time) -> f64 {
         let count: f64 = self.arrived.iter().map(|r| r.totals(now).1).sum();
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,110 @@
+//! One short test for each failure that was found, of the module alone.
+
+mod common;
+
+use common::{Bench, MS, Sent, listed};
+use rainlug::*;
+
+/// Overloaded days: queues at the workers grew until every answer was late.
+#[test]
+fn a_worker_where_a_task_waits_to_start_gets_no_second_one() {
+    let mut bench = Bench::start(2, false);
+    bench.ready(&["a", "b"]);
+    bench.task("one", 0);
+    bench.task("two", 0);
+    assert_ne!(bench.worker_of("one"), bench.worker_of("two"));
+    bench.task("three", 0);
+    assert_eq!(bench.worker_of("three"), None);
+    bench.start_job("one", 0);
+    assert_eq!(bench.worker_of("three"), bench.worker_of("one"));
+}
+
+/// A jammed fleet: the tail of the queue is told at once, not when its time is up.
+#[test]
+fn the_tail_of_a_queue_that_does_not_move_is_bounced_at_once() {
+    let mut bench = Bench::start(2, false);
+    bench.ready(&["a"]);
+    (0..20).for_each(|i| bench.task(&format!("t{i}"), 0));
+    let bounced = bench.out.sent.iter().filter(|(at, s)| *at == 0 && matches!(s, Sent::Bounce(_)));
+    assert!(bounced.count() >= 15);
+}
+
+/// A side-effecting task that proved not to have run moves on at once; one that may have run never does.
+#[test]
+fn proof_of_not_run_moves_a_task_on() {
+    let mut bench = Bench::start(2, false);
+    bench.ready(&["a", "b"]);
+    bench.task("one", 1);
+    let first = bench.worker_of("one");
+    bench.end("one", 0, Outcome::Unreachable);
+    assert_ne!(bench.worker_of("one"), first);
+    bench.end("one", 1, Outcome::Reset);
+    assert_eq!(bench.out.sent.last().map(|s| &s.1), Some(&Sent::Abandon("one".into())));
+}
+
+/// All dispatchers hear of a cold worker at once; its first task must not come from all of them.
+#[test]
+fn a_cold_worker_gets_little_and_not_at_once() {
+    let mut bench = Bench::start(4, false);
+    bench.ready(&["a", "b"]);
+    bench.list(&[listed("c", 0, State::Ready, Some(0))]);
+    (0..3).for_each(|i| bench.task(&format!("t{i}"), 0));
+    assert!(!bench.out.sent.iter().any(|(_, s)| matches!(s, Sent::Assign(_, w) if w == "c")));
+}
+
+/// A restarted process that answers before the list names it is cold as well.
+#[test]
+fn a_worker_that_was_lost_comes_back_cold() {
+    let mut bench = Bench::start(4, false);
+    bench.ready(&["a"]);
+    bench.task("one", 0);
+    bench.end("one", 0, Outcome::Unreachable);
+    bench.pass(2 * SECOND);
+    bench.task("two", 0);
+    assert_eq!(bench.worker_of("two").as_deref(), Some("a"));
+    bench.start_job("two", 0);
+    bench.task("three", 0);
+    assert_eq!(bench.worker_of("three"), None);
+}
+
+/// Fast errors look like speed: the worker that fails must not draw the others' tasks.
+#[test]
+fn a_worker_that_fails_fast_is_barred() {
+    let mut bench = Bench::start(1, false);
+    bench.ready(&["a", "b", "c"]);
+    let mut to_first = 0;
+    for i in 0..30 {
+        let id = format!("t{i}");
+        bench.task(&id, 0);
+        for n in 0..3 {
+            let Some(worker) = bench.worker_of(&id) else { break };
+            bench.start_job(&id, n);
+            bench.pass(10 * MS);
+            if worker != "a" {
+                bench.end(&id, n, Outcome::Finished);
+                break;
+            }
+            to_first += 1;
+            bench.end(&id, n, Outcome::Failed);
+        }
+    }
+    assert!(to_first <= 4, "{to_first}");
+}
+
+/// Dispatchers that lose the list together must not ask for it together, nor stop asking.
+#[test]
+fn the_list_is_asked_for_again_and_spread_out() {
+    let mut bench = Bench::start(3, true);
+    let mut asked = Vec::new();
+    for _ in 0..4 {
+        let before = bench.out.sent.len();
+        while bench.out.sent.len() == before {
+            bench.pass(10 * MS);
+        }
+        asked.push(bench.out.sent[before].clone());
+        bench.with(|to, m| to.list_failed(m.now));
+    }
+    assert!(asked.iter().all(|(_, s)| *s == Sent::Follow));
+    let gaps: Vec<Time> = asked.windows(2).map(|w| w[1].0 - w[0].0).collect();
+    assert!(gaps.iter().all(|g| *g <= 5 * SECOND) && gaps[2] > gaps[0], "{gaps:?}");
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,189 @@
+//! A slow, plain model of the rules beside the module, on generated days: both must agree on what is allowed.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::{Bench, MS, Sent, effects, listed};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rainlug::*;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Task(usize),
+    Ends(usize, Outcome),
+    Starts(usize),
+    Leaves(usize),
+    List(usize, State, bool),
+    Passes(Time),
+}
+
+/// One assignment as the plain model books it.
+struct Out {
+    task: String,
+    number: usize,
+    worker: String,
+    sent: Time,
+    outcome: Option<Outcome>,
+}
+
+#[derive(Default)]
+struct Model {
+    /// Workload, expiry and whether it has its final answer.
+    tasks: HashMap<String, (usize, Time, bool)>,
+    out: Vec<Out>,
+    states: HashMap<String, State>,
+    read: usize,
+}
+
+fn zone(worker: &str) -> usize {
+    worker.len() % 2
+}
+
+impl Model {
+    /// Whether the effects of the task's assignments so far allow one more, to `to` where it is one.
+    fn allows(&self, task: &str, now: Time, to: Option<&str>) -> bool {
+        let proof = [Outcome::Full, Outcome::Unreachable, Outcome::NeverSent];
+        let unproven = |o: &&Out| o.task == task && !o.outcome.is_some_and(|o| proof.contains(&o));
+        let may_have_run: Vec<&Out> = self.out.iter().filter(unproven).collect();
+        match (effects()[self.tasks[task].0], to) {
+            (Effect::Idempotent, _) => true,
+            _ if may_have_run.is_empty() => true,
+            (Effect::Fingerprinted { window, .. }, Some(to)) => {
+                may_have_run.iter().all(|o| zone(&o.worker) == zone(to))
+                    && now < may_have_run[0].sent + window
+            }
+            _ => false,
+        }
+    }
+
+    /// Reads what the module has sent since, and fails on what the rules forbid.
+    fn check(&mut self, bench: &Bench) {
+        for (now, sent) in &bench.out.sent[self.read..] {
+            match sent {
+                Sent::Assign(task, worker) => {
+                    assert!(!self.tasks[task].2, "{task} sent after its answer");
+                    assert!(*now < self.tasks[task].1, "{task} sent after its expiry");
+                    assert_eq!(self.states.get(worker), Some(&State::Ready), "{worker} is not ready");
+                    assert!(self.allows(task, *now, Some(worker)), "{task} may have run already");
+                    let number = self.out.iter().filter(|o| o.task == *task).count();
+                    assert!(number < 3, "{task} sent too often");
+                    let (task, worker) = (task.clone(), worker.clone());
+                    self.out.push(Out { task, number, worker, sent: *now, outcome: None });
+                }
+                Sent::Bounce(task) | Sent::Abandon(task) => {
+                    let bounced = matches!(sent, Sent::Bounce(_));
+                    assert!(!bounced || self.allows(task, *now, None), "{task} bounced, may have run");
+                    let entry = self.tasks.get_mut(task).expect("a task that was given");
+                    assert!(!entry.2, "{task} answered twice");
+                    assert!(*now <= entry.1, "{task} answered late");
+                    entry.2 = true;
+                }
+                _ => {}
+            }
+        }
+        self.read = bench.out.sent.len();
+    }
+
+    fn apply(&mut self, bench: &mut Bench, event: Event, n: usize) {
+        let open: Vec<usize> = (0..self.out.len()).filter(|&i| self.out[i].outcome.is_none()).collect();
+        match event {
+            Event::Task(workload) => {
+                let id = format!("t{n}");
+                self.tasks.insert(id.clone(), (workload, bench.out.now + 5 * SECOND, false));
+                bench.task(&id, workload);
+            }
+            Event::Ends(i, outcome) if !open.is_empty() => self.end(bench, open[i % open.len()], outcome),
+            Event::Starts(i) if !open.is_empty() => {
+                let a = &self.out[open[i % open.len()]];
+                bench.start_job(&a.task, a.number);
+            }
+            Event::Leaves(i) if !open.is_empty() => {
+                let id = self.out[open[i % open.len()]].task.clone();
+                self.tasks.get_mut(&id).expect("a task that was given").2 = true;
+                bench.with(|to, m| to.left(m, &id));
+            }
+            Event::List(i, state, restarted) => {
+                let id = "w".repeat(1 + i);
+                let started = restarted.then_some(bench.out.now);
+                self.states.insert(id.clone(), state);
+                bench.list(&[listed(&id, zone(&id), state, started)]);
+            }
+            Event::Passes(length) => {
+                let until = bench.out.now + length;
+                // What is out at its task's expiry times out there, and not later.
+                while let Some(i) =
+                    self.out.iter().position(|o| o.outcome.is_none() && self.tasks[&o.task].1 <= until)
+                {
+                    let expiry = self.tasks[&self.out[i].task].1.max(bench.out.now);
+                    bench.pass(expiry - bench.out.now);
+                    self.check(bench);
+                    self.end(bench, i, Outcome::TimedOut);
+                }
+                bench.pass(until - bench.out.now);
+            }
+            _ => {}
+        }
+        self.check(bench);
+    }
+
+    fn end(&mut self, bench: &mut Bench, i: usize, outcome: Outcome) {
+        let a = &mut self.out[i];
+        a.outcome = Some(outcome);
+        if outcome == Outcome::Finished {
+            self.tasks.get_mut(&a.task).expect("a task that was given").2 = true;
+        }
+        let (id, number) = (a.task.clone(), a.number);
+        bench.end(&id, number, outcome);
+        self.check(bench);
+    }
+}
+
+fn outcomes() -> impl Strategy<Value = Outcome> {
+    use Outcome::*;
+    prop::sample::select(vec![
+        Finished,
+        Finished,
+        Failed,
+        Full,
+        TimedOut,
+        Unreachable,
+        Reset,
+        Withdrawn,
+        NeverSent,
+    ])
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    let state = prop::sample::select(vec![State::Ready, State::Ready, State::Draining, State::Gone]);
+    prop_oneof![
+        6 => (0..3usize).prop_map(Event::Task),
+        5 => (any::<usize>(), outcomes()).prop_map(|(i, o)| Event::Ends(i, o)),
+        4 => any::<usize>().prop_map(Event::Starts),
+        1 => any::<usize>().prop_map(Event::Leaves),
+        2 => (0..5usize, state, any::<bool>()).prop_map(|(i, s, r)| Event::List(i, s, r)),
+        4 => (1..900 * MS).prop_map(Event::Passes),
+    ]
+}
+
+#[test]
+fn the_module_does_only_what_the_plain_model_allows_and_answers_all() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(Config { failure_persistence: None, ..Config::default() }, rng);
+    let days = prop::collection::vec(events(), 1..150);
+    runner
+        .run(&days, |events| {
+            let (mut bench, mut model) = (Bench::start(3, false), Model::default());
+            for (i, state) in [State::Ready; 4].into_iter().enumerate() {
+                model.apply(&mut bench, Event::List(i, state, false), 0);
+            }
+            for (n, event) in events.into_iter().enumerate() {
+                model.apply(&mut bench, event, n);
+            }
+            model.apply(&mut bench, Event::Passes(6 * SECOND), 0);
+            prop_assert!(model.tasks.values().all(|t| t.2), "a task was lost");
+            Ok(())
+        })
+        .unwrap();
+}
