--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,8 @@
 const BEAT: Time = SOLVE / 20;
 /// Jobs in flight under which no worker is skipped for having twice the mean.
 const SKIP_FLOOR: f64 = 3.0;
+/// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
+const FEW: f64 = 0.1;
 /// Share of all turns that a workload unseen so far is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
@@ -301,17 +303,20 @@
         self.stale = false;
         let ready: Vec<usize> = (0..self.fleet.workers.len()).filter(|&j| self.admitted(now, j)).collect();
         let rate = self.seen.rate(now) * self.place.group_size as f64;
-        let known: Vec<f64> = ready.iter().filter_map(|&j| self.fleet.workers[j].theta(now)).collect();
-        let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let measured: Vec<(f64, f64)> =
+            ready.iter().map(|&j| self.fleet.workers[j].theta.totals(now)).collect();
+        let (busy, tasks) = measured.iter().fold((0.0, 0.0), |t, m| (t.0 + m.0, t.1 + m.1));
+        let (mean, few) = (busy / tasks.max(1e-9), FEW * tasks / ready.len().max(1) as f64);
         let spread = self.seen.spread(now);
-        let station = |&j: &usize| {
+        let station = |(&j, &(busy, tasks)): (&usize, &(f64, f64))| {
             let worker = &self.fleet.workers[j];
-            let theta = worker.theta(now).unwrap_or(mean);
+            // A worker that reports next to nothing would look fast beyond all others: it is drawn to their mean.
+            let theta = (busy + mean * few) / (tasks + few).max(1e-9);
             let own = theta * worker.share * rate;
             let rho = (worker.utilisation.mean(now, own, 0.001) - own).clamp(0.0, FULL);
             Station { theta, omega: theta * theta * (1.0 + spread), rho }
         };
-        let stations: Vec<Station> = ready.iter().map(station).collect();
+        let stations: Vec<Station> = ready.iter().zip(&measured).map(station).collect();
         // Where more is asked than the fleet can carry the model has no solution: it is given what they can.
         let most: f64 = stations.iter().map(|s| FULL * (1.0 - s.rho) / s.theta.max(1e-9)).sum();
         let equal = 1.0 / ready.len().max(1) as f64;
@@ -321,6 +326,7 @@
         for (i, &j) in ready.iter().enumerate() {
             let worker = &mut self.fleet.workers[j];
             (worker.share, worker.fastest) = (found[i], least == Some(i));
+            worker.model_theta = stations[i].theta;
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
     }
@@ -438,7 +444,7 @@
         let mut passed = Vec::new();
         for (j, worker) in self.fleet.workers.iter().enumerate() {
             let able = load.kind.is_none_or(|k| k == worker.kind);
-            if worker.share <= 0.0 || worker.state != State::Ready || !able {
+            if worker.state != State::Ready || !able {
                 continue;
             }
             let trial = worker.in_flight == 0 && load.effect == Effect::Idempotent;
@@ -449,19 +455,25 @@
                 || worker.silence(now, usual) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room < cost)
                 || !self.ledger.may_assign(now, task, worker, &self.fleet.workers);
-            let theta = worker.theta(now).unwrap_or(0.1);
+            let theta = worker.model_theta;
             let wait = worker.wait(now, theta);
             let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
-            let tier = if late { 4 } else { 2 * far + u8::from(wait > theta / 2.0) };
-            let level = worker.level(i, part);
+            // Outside the shares only where every worker inside them is skipped.
+            let inside = worker.share > 0.0;
+            let tier = match late {
+                true => 5,
+                false if inside => 2 * far + u8::from(wait > theta / 2.0),
+                false => 4,
+            };
+            let level = if inside { worker.level(i, part) } else { theta };
             passed.push((j, level));
             if !skipped && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
         }
         let Some(((tier, level), j)) = best else { return Step::Pass };
-        if tier == 4 && load.overdue <= 0.0 && task.assignments.is_empty() {
+        if tier == 5 && load.overdue <= 0.0 && task.assignments.is_empty() {
             return Step::Pass;
         }
         // A skipped worker's turn is passed, or it would be owed a burst on its return.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -108,3 +108,19 @@
     let gaps: Vec<Time> = asked.windows(2).map(|w| w[1].0 - w[0].0).collect();
     assert!(gaps.iter().all(|g| *g <= 5 * SECOND) && gaps[2] > gaps[0], "{gaps:?}");
 }
+
+/// A worker that reports next to nothing looked faster than all others together and got every share.
+#[test]
+fn a_worker_that_reports_next_to_nothing_is_not_favoured() {
+    let mut bench = Bench::start(1, false);
+    bench.ready(&["a", "b", "c", "d"]);
+    let report = |busy, rate| Report { utilisation: Some(busy), rate: Some(rate), ..Report::default() };
+    for worker in ["a", "b", "c"] {
+        bench.with(|to, m| to.probed(m, worker, Outcome::Finished, report(0.5, 5.0)));
+    }
+    bench.with(|to, m| to.probed(m, "d", Outcome::Finished, report(1e-6, 0.01)));
+    bench.pass(5 * SECOND);
+    (0..3).for_each(|i| bench.task(&format!("t{i}"), 0));
+    let used = (0..3).filter(|i| bench.worker_of(&format!("t{i}")).is_some_and(|w| w != "d")).count();
+    assert!(used >= 2, "{:?}", bench.out.sent);
+}
