Take due times from running times over a long time

Cause: where everything slows, running times grow and with them the due times that admission reckons with, so tasks that could not be in time were sent.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -553,7 +553,7 @@
     /// When a task is due that takes the mean time of its workload, or `runs` of those before.
     fn due_time(&self, now: Time, task: &Task, runs: f64) -> Time {
         let load = &self.workloads[task.workload];
-        let slack = (load.stretch - runs).max(0.0) * self.seen.run(now, task.workload);
+        let slack = (load.stretch - runs).max(0.0) * self.seen.usual(now, task.workload);
         task.expiry.min(task.arrived + load.due + micros(slack))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -279,6 +279,8 @@
     arrived: Vec<Ring>,
     asked: Vec<Ring>,
     runs: Vec<Ring>,
+    /// The same over a long time: what the tasks take when all is well.
+    usual: Vec<Ring>,
     squares: Vec<Ring>,
     /// Part of the revenue earned, by workload and by customer.
     pub earned: Vec<Ring>,
@@ -293,8 +295,9 @@
         let long = vec![Ring::over(4 * span); priors.len()];
         let (arrived, asked) = (vec![Ring::over(2 * span); priors.len()], vec![Ring::over(span); customers]);
         let earned_of = vec![Ring::over(4 * span); customers];
+        let usual = vec![Ring::over(32 * span); priors.len()];
         let (runs, squares, earned) = (long.clone(), long.clone(), long);
-        Seen { began, span, arrived, asked, runs, squares, earned, earned_of, priors }
+        Seen { began, span, arrived, asked, runs, usual, squares, earned, earned_of, priors }
     }
 
     pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>) {
@@ -306,6 +309,7 @@
 
     pub fn ran(&mut self, now: Time, workload: usize, run: f64) {
         self.runs[workload].add(now, run, 1.0);
+        self.usual[workload].add(now, run, 1.0);
         self.squares[workload].add(now, run * run, 1.0);
     }
 
@@ -350,6 +354,11 @@
         self.runs[workload].mean(now, self.priors[workload], 0.1)
     }
 
+    /// Mean running time of a workload over a long time, seconds.
+    pub fn usual(&self, now: Time, workload: usize) -> f64 {
+        self.usual[workload].mean(now, self.priors[workload], 0.1)
+    }
+
     /// Mean running time of own tasks, seconds.
     pub fn mean_run(&self, now: Time) -> f64 {
         let counted = self.arrived.iter().enumerate().map(|(i, a)| (a.totals(now).1, self.run(now, i)));
