--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -39,7 +39,6 @@
     let weights = Weights {
         whole: number(&all, "/scoreParts/whole").unwrap_or(1.0),
         worst_workload: number(&all, "/scoreParts/worstClass").unwrap_or(0.0),
-        worst_customer: number(&all, "/scoreParts/worstTenant").unwrap_or(0.0),
         beyond_share: number(&all, "/overageRevenue").unwrap_or(1.0),
         by_work: all.pointer("/revenueBasis").and_then(Value::as_str) == Some("work"),
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,7 +57,6 @@
 pub struct Weights {
     pub whole: f64,
     pub worst_workload: f64,
-    pub worst_customer: f64,
     /// What a task beyond its customer's share earns, as a part of its revenue.
     pub beyond_share: f64,
     /// Revenue counts for each unit of work, not for each task.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 /// The dispatcher looks at its probes, its cold workers and its list this often.
 const BEAT: Time = SOLVE / 20;
 /// Jobs in flight under which no worker is skipped for having twice the mean.
-const SKIP_FLOOR: f64 = 3.0;
+const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
 /// Share of all turns that a workload unseen so far is given.
@@ -355,10 +355,9 @@
         self.seen.arrival(m.now, workload, customer);
         let of_all = |c: usize| self.seen.rate_of(m.now, c) * self.place.group_size as f64;
         let quota = customer.and_then(|c| Some((c, self.customers.get(c)?.quota)));
-        let customer = customer.filter(|&c| c < self.customers.len());
         let within_share = quota.is_none_or(|(c, quota)| of_all(c) <= quota);
         let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
-        let task = Task { id, workload, slots, arrived, expiry, customer, within_share, ..Task::default() };
+        let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
         m.out.wake(expiry, n);
         self.down(m, n);
@@ -390,8 +389,7 @@
         let Some(task) = self.desk.get(n) else { return };
         let late = now > self.due_time(now, task, 0.0);
         let earned = if late { self.workloads[task.workload].overdue } else { 1.0 };
-        let customer = task.customer.filter(|_| task.within_share);
-        self.seen.earn(now, task.workload, customer, if finished { earned } else { 0.0 });
+        self.seen.earned[task.workload].add(now, if finished { earned } else { 0.0 }, 1.0);
     }
 
     /// An answered task goes nowhere any more: what is still out is withdrawn.
@@ -441,7 +439,6 @@
         let cost = task.slots * run / self.seen.mean_run(now);
         let usual = self.known.progress.max(SOLVE / 10);
         let mut best: Option<((u8, f64), usize)> = None;
-        let mut passed = Vec::new();
         for (j, worker) in self.fleet.workers.iter().enumerate() {
             let able = load.kind.is_none_or(|k| k == worker.kind);
             if worker.state != State::Ready || !able {
@@ -467,19 +464,14 @@
                 false => 4,
             };
             let level = if inside { worker.level(i, part) } else { theta };
-            passed.push((j, level));
             if !skipped && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
         }
-        let Some(((tier, level), j)) = best else { return Step::Pass };
+        let Some(((tier, _), j)) = best else { return Step::Pass };
         if tier == 5 && load.overdue <= 0.0 && task.assignments.is_empty() {
             return Step::Pass;
         }
-        // A skipped worker's turn is passed, or it would be owed a burst on its return.
-        for (p, behind) in passed.into_iter().filter(|&(p, behind)| p != j && behind < level) {
-            self.fleet.workers[p].turns[i] += (level - behind) * self.fleet.workers[p].share * part;
-        }
         self.assign(m, n, j, cost);
         Step::Keep
     }
@@ -532,7 +524,7 @@
     }
 
     /// What a second of work on the task is worth, as the users weigh it: its revenue in the whole, and its
-    /// part in the workload and in the customer that are served worst of late.
+    /// part in the workload that is served worst of late.
     fn worth(&self, now: Time, task: &Task) -> f64 {
         let (i, w) = (task.workload, self.weights);
         let revenue = |i: usize| {
@@ -543,9 +535,6 @@
         if worst(&self.seen.earned, now) == Some(i) {
             worth += w.worst_workload / self.seen.part(now, i).max(UNSEEN);
         }
-        if let Some(c) = task.customer.filter(|&c| worst(&self.seen.earned_of, now) == Some(c)) {
-            worth += w.worst_customer / self.seen.part_of(now, c).max(UNSEEN);
-        }
         let within = if task.within_share { 1.0 } else { w.beyond_share };
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,7 +144,6 @@
     pub slots: f64,
     pub arrived: Time,
     pub expiry: Time,
-    pub customer: Option<usize>,
     /// Came while its customer was within its share.
     pub within_share: bool,
     pub assignments: Vec<Assignment>,
@@ -282,9 +281,8 @@
     /// The same over a long time: what the tasks take when all is well.
     usual: Vec<Ring>,
     squares: Vec<Ring>,
-    /// Part of the revenue earned, by workload and by customer.
+    /// Part of the revenue earned, by workload.
     pub earned: Vec<Ring>,
-    pub earned_of: Vec<Ring>,
     /// A workload's running time until one is seen, seconds.
     priors: Vec<f64>,
 }
@@ -294,10 +292,9 @@
     pub fn since(began: Time, span: Time, priors: Vec<f64>, customers: usize) -> Self {
         let long = vec![Ring::over(4 * span); priors.len()];
         let (arrived, asked) = (vec![Ring::over(2 * span); priors.len()], vec![Ring::over(span); customers]);
-        let earned_of = vec![Ring::over(4 * span); customers];
         let usual = vec![Ring::over(32 * span); priors.len()];
         let (runs, squares, earned) = (long.clone(), long.clone(), long);
-        Seen { began, span, arrived, asked, runs, usual, squares, earned, earned_of, priors }
+        Seen { began, span, arrived, asked, runs, usual, squares, earned, priors }
     }
 
     pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>) {
@@ -313,13 +310,6 @@
         self.squares[workload].add(now, run * run, 1.0);
     }
 
-    pub fn earn(&mut self, now: Time, workload: usize, customer: Option<usize>, part: f64) {
-        self.earned[workload].add(now, part, 1.0);
-        if let Some(ring) = customer.and_then(|c| self.earned_of.get_mut(c)) {
-            ring.add(now, part, 1.0);
-        }
-    }
-
     /// Own tasks a second.
     pub fn rate(&self, now: Time) -> f64 {
         let count: f64 = self.arrived.iter().map(|r| r.totals(now).1).sum();
@@ -338,12 +328,6 @@
         if count > 0.0 { self.arrived[workload].totals(now).1 / count } else { 0.0 }
     }
 
-    /// A customer's part of own tasks.
-    pub fn part_of(&self, now: Time, customer: usize) -> f64 {
-        let count: f64 = self.asked.iter().map(|r| r.totals(now).1).sum();
-        if count > 0.0 { self.asked[customer].totals(now).1 / count } else { 0.0 }
-    }
-
     /// Mean revenue of own tasks.
     pub fn mean_revenue(&self, now: Time, revenue: impl Fn(usize) -> f64) -> f64 {
         (0..self.arrived.len()).map(|i| revenue(i) * self.part(now, i)).sum()
