Weigh tasks by the part of their customer's traffic that lies within its share

Cause: a customer over its quota had all its tasks marked as beyond it, though most were not; the served share of a workload was counted twice for tasks whose withdrawn assignments ended later. A cold worker of a kind without a warm one is budgeted by its own θ. A task shows waiting at a worker from a quarter of θ on (was half).

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -113,7 +113,7 @@
             let _hint = fields.amount("predicted work")?;
             let slots = fields.amount("slots")?.unwrap_or(1.0);
             ensure!(workload < workloads, "expected a class of the settings, found {workload}");
-            to.task(m, id, workload, customer, budget, slots);
+            to.task(m, id, (workload, customer), budget, slots);
         }
         "DONE" => {
             let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Context, Result, bail};
 use rainlug::logic::Dispatcher;
-use rainlug::{Allowed, Customer, Effect, Group, Known, Moment, Obligations, Place, Time, Weights, Workload};
+use rainlug::{Allowed, Effect, Group, Known, Moment, Obligations, Place, Time, Weights, Workload};
 use serde_json::Value;
 
 use crate::fields::micros;
@@ -43,11 +43,11 @@
         by_work: all.pointer("/revenueBasis").and_then(Value::as_str) == Some("work"),
     };
     let workloads = list(&all, "/workloads")?.iter().enumerate().map(|(i, w)| workload(&all, i, w));
-    let customers = list(&all, "/customers").unwrap_or_default().iter();
-    let customers = customers.map(|c| Ok(Customer { quota: number(c, "/quotaPerS")? }));
-    let (workloads, customers) = (workloads.collect::<Result<Vec<_>>>()?, customers.collect::<Result<_>>()?);
+    let quotas = list(&all, "/customers").unwrap_or_default().iter();
+    let quotas = quotas.map(|c| number(c, "/quotaPerS"));
+    let (workloads, quotas) = (workloads.collect::<Result<Vec<_>>>()?, quotas.collect::<Result<_>>()?);
     let count = workloads.len();
-    let made = Dispatcher::start(m, place, workloads, customers, weights, allowed, obligations, known);
+    let made = Dispatcher::start(m, place, workloads, quotas, weights, allowed, obligations, known);
     Ok((made, count))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,12 +46,6 @@
     pub kind: Option<usize>,
 }
 
-/// A customer of the users: the tasks a second, over all dispatchers, that lie within its share.
-#[derive(Clone, Debug)]
-pub struct Customer {
-    pub quota: f64,
-}
-
 /// How the users weigh what is answered in time, in parts of the whole.
 #[derive(Clone, Copy, Debug)]
 pub struct Weights {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,10 +9,8 @@
 //! end runs up the same chain. Shares are solved by the M/G/1 model (`shares`), turns are taken by a billiard
 //! inside them (`placed`). docs/design.md tells where that is from, and when each exception acts.
 
-use crate::state::{
-    Assignment, Bar, Chance, Cold, Desk, Fleet, Ring, Seen, Task, Worker, micros, seconds, worst,
-};
-use crate::{Allowed, Customer, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
+use crate::state::{Assignment, Bar, Chance, Cold, Desk, Fleet, Seen, Task, Worker, micros, seconds, worst};
+use crate::{Allowed, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
 use crate::{SECOND, State, Time, Weights, Workload};
 
 /// Between two solves of the shares; every other length of time below is a ratio to it or to a setting.
@@ -23,7 +21,7 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
-/// Share of all turns that a workload unseen so far is given.
+/// Part of all turns that an unseen workload is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
 const SILENT: f64 = 6.0;
@@ -206,7 +204,6 @@
     place: Place,
     chance: Chance,
     workloads: Vec<Workload>,
-    customers: Vec<Customer>,
     weights: Weights,
     ledger: Ledger,
     allowed: Allowed,
@@ -215,8 +212,6 @@
     fleet: Fleet,
     desk: Desk,
     seen: Seen,
-    /// Own starts.
-    started: Ring,
     beats: u64,
     /// Something changed that the shares rest on.
     stale: bool,
@@ -230,7 +225,7 @@
         m: &mut Moment,
         place: Place,
         workloads: Vec<Workload>,
-        customers: Vec<Customer>,
+        quotas: Vec<f64>,
         weights: Weights,
         allowed: Allowed,
         obligations: Obligations,
@@ -251,14 +246,12 @@
             known,
             fleet: Fleet::default(),
             desk: Desk::from(FIRST),
-            seen: Seen::since(m.now, SOLVE, priors, customers.len()),
-            started: Ring::over(SOLVE / 5),
+            seen: Seen::since(m.now, SOLVE, priors, quotas),
             beats: 0,
             stale: true,
             ask_at,
             asks_failed: 0,
             workloads,
-            customers,
             weights,
         }
     }
@@ -341,21 +334,12 @@
 
     // ---- a task on its way down ----
 
-    /// A task has come; `budget` is the time its client will wait.
-    #[allow(clippy::too_many_arguments)]
-    pub fn task(
-        &mut self,
-        m: &mut Moment,
-        id: &str,
-        workload: usize,
-        customer: Option<usize>,
-        budget: Time,
-        slots: f64,
-    ) {
+    /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
+    pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
+        let (workload, customer) = of;
         self.seen.arrival(m.now, workload, customer);
-        let of_all = |c: usize| self.seen.rate_of(m.now, c) * self.place.group_size as f64;
-        let quota = customer.and_then(|c| Some((c, self.customers.get(c)?.quota)));
-        let within_share = quota.is_none_or(|(c, quota)| of_all(c) <= quota);
+        let all = self.place.group_size as f64;
+        let within_share = customer.map_or(1.0, |c| self.seen.within_share(m.now, c, all));
         let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
         let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
@@ -386,7 +370,7 @@
     }
 
     fn earn(&mut self, now: Time, n: u64, finished: bool) {
-        let Some(task) = self.desk.get(n) else { return };
+        let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return };
         let late = now > self.due_time(now, task, 0.0);
         let earned = if late { self.workloads[task.workload].overdue } else { 1.0 };
         self.seen.earned[task.workload].add(now, if finished { earned } else { 0.0 }, 1.0);
@@ -460,7 +444,7 @@
             let inside = worker.share > 0.0;
             let tier = match late {
                 true => 5,
-                false if inside => 2 * far + u8::from(wait > theta / 2.0),
+                false if inside => 2 * far + u8::from(wait > theta / 4.0),
                 false => 4,
             };
             let level = if inside { worker.level(i, part) } else { theta };
@@ -480,11 +464,7 @@
         let Some(task) = self.desk.get_mut(n) else { return };
         let worker = &mut self.fleet.workers[j];
         worker.turns[task.workload] += 1.0;
-        if worker.in_flight == 0 {
-            worker.last_sign = m.now;
-        }
-        worker.in_flight += 1;
-        worker.unstarted.insert((m.now, n));
+        worker.book(m.now, n);
         if let Some(cold) = &mut worker.cold {
             cold.room -= cost;
         }
@@ -507,7 +487,7 @@
         }
         // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
         let flying: usize = self.fleet.workers.iter().map(|w| w.in_flight).sum();
-        let starts = self.started.totals(m.now).1 / seconds(SOLVE / 5);
+        let starts = self.seen.started.totals(m.now).1 / seconds(SOLVE / 5);
         let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
         while let Some(last) = self.desk.last_held() {
             let delay = micros(self.desk.count_held() as f64 / pace.max(0.1));
@@ -515,9 +495,6 @@
             if m.now + delay < latest {
                 break;
             }
-            if last == n {
-                return Step::End;
-            }
             self.answer(m, last);
         }
         Step::Keep
@@ -535,7 +512,7 @@
         if worst(&self.seen.earned, now) == Some(i) {
             worth += w.worst_workload / self.seen.part(now, i).max(UNSEEN);
         }
-        let within = if task.within_share { 1.0 } else { w.beyond_share };
+        let within = task.within_share + (1.0 - task.within_share) * w.beyond_share;
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
@@ -557,7 +534,7 @@
         worker.heard(m.now);
         if a.started.is_none() {
             a.started = Some(m.now);
-            self.started.add(m.now, 1.0, 1.0);
+            self.seen.started.add(m.now, 1.0, 1.0);
             worker.unstarted.remove(&(a.sent, n));
             worker.waits.add(m.now, seconds(m.now - a.sent), 1.0);
             self.move_on(m);
@@ -565,28 +542,21 @@
     }
 
     /// How an assignment ended; `closed` tells that the client has its answer.
-    pub fn ended(
-        &mut self,
-        m: &mut Moment,
-        id: &str,
-        assignment: usize,
-        end: (Outcome, bool),
-        report: Report,
-    ) {
+    pub fn ended(&mut self, m: &mut Moment, id: &str, nth: usize, end: (Outcome, bool), report: Report) {
         let Some(n) = self.desk.number(id) else { return };
         let Some(task) = self.desk.get(n) else { return };
-        let Some(a) = task.assignments.get(assignment).filter(|a| a.outcome.is_none()) else { return };
+        let Some(a) = task.assignments.get(nth).filter(|a| a.outcome.is_none()) else { return };
         self.reported(m.now, a.worker, report);
         for (_, stage) in STAGES.iter().rev() {
-            stage(self, m.now, n, assignment, end.0);
+            stage(self, m.now, n, nth, end.0);
         }
-        let (closed, out) = self.desk.get(n).map_or((true, 0), |t| (t.answered || end.1, t.out()));
-        if closed {
+        if end.1 {
             self.earn(m.now, n, end.0 == Outcome::Finished);
             self.close(m, n);
-        } else if out == 0 {
+        } else if self.desk.get(n).is_some_and(|t| t.out() == 0) {
             self.down(m, n);
         }
+        self.desk.clear(n);
         self.move_on(m);
     }
 
@@ -596,8 +566,7 @@
         let (a, i) = (&task.assignments[assignment], task.workload);
         let run = self.seen.run(now, i);
         let worker = &mut self.fleet.workers[a.worker];
-        worker.in_flight -= 1;
-        worker.unstarted.remove(&(a.sent, n));
+        worker.strike(a.sent, n);
         let open = worker.bar.is_none();
         match outcome {
             Outcome::Finished => {
@@ -651,8 +620,7 @@
     }
 
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
-        let Some(j) = self.fleet.named(worker) else { return };
-        if outcome == Outcome::Finished {
+        if let Some(j) = self.fleet.named(worker).filter(|_| outcome == Outcome::Finished) {
             self.reported(m.now, j, report);
             self.move_on(m);
         }
@@ -701,10 +669,11 @@
 
     /// A cold worker's room grows with what it can do by now, a dispatcher's part of it.
     fn warm(&mut self, now: Time, j: usize) {
-        let like = |w: &&Worker| w.cold.is_none() && w.kind == self.fleet.workers[j].kind;
-        let thetas: Vec<f64> = self.fleet.workers.iter().filter(like).filter_map(|w| w.theta(now)).collect();
-        let theta = thetas.iter().sum::<f64>() / thetas.len() as f64;
+        let kind = self.fleet.workers[j].kind;
+        let like = self.fleet.workers.iter().filter(|w| w.cold.is_none() && w.kind == kind);
+        let (sum, n) = like.fold((0.0, 0.0), |t, w| (t.0 + w.model_theta, t.1 + 1.0));
         let worker = &mut self.fleet.workers[j];
+        let theta = if sum > 0.0 { sum / n } else { worker.model_theta };
         let Some(cold) = &mut worker.cold else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         if age >= self.obligations.warm_within {
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,9 +123,19 @@
         (self.bar, self.cold, self.free, self.lost) = (None, None, None, false);
     }
 
-    pub fn theta(&self, now: Time) -> Option<f64> {
-        let (busy, rate) = self.theta.totals(now);
-        (rate > 0.0 && busy > 0.0).then(|| busy / rate)
+    /// An assignment goes out; silence counts from here if nothing was out before.
+    pub fn book(&mut self, now: Time, task: u64) {
+        if self.in_flight == 0 {
+            self.last_sign = now;
+        }
+        self.in_flight += 1;
+        self.unstarted.insert((now, task));
+    }
+
+    /// An assignment that went out at `sent` has ended.
+    pub fn strike(&mut self, sent: Time, task: u64) {
+        self.in_flight -= 1;
+        self.unstarted.remove(&(sent, task));
     }
 }
 
@@ -145,7 +155,7 @@
     pub arrived: Time,
     pub expiry: Time,
     /// Came while its customer was within its share.
-    pub within_share: bool,
+    pub within_share: f64,
     pub assignments: Vec<Assignment>,
     pub answered: bool,
     /// Its place among the tasks that wait here, least first.
@@ -285,16 +295,33 @@
     pub earned: Vec<Ring>,
     /// A workload's running time until one is seen, seconds.
     priors: Vec<f64>,
+    /// Tasks a second, over all dispatchers, that lie within each customer's share.
+    quotas: Vec<f64>,
+    /// Own starts, over a fifth of the span.
+    pub started: Ring,
 }
 
 impl Seen {
     /// Counts over `span`, and over four times that what is rarer: running times.
-    pub fn since(began: Time, span: Time, priors: Vec<f64>, customers: usize) -> Self {
+    pub fn since(began: Time, span: Time, priors: Vec<f64>, quotas: Vec<f64>) -> Self {
         let long = vec![Ring::over(4 * span); priors.len()];
-        let (arrived, asked) = (vec![Ring::over(2 * span); priors.len()], vec![Ring::over(span); customers]);
+        let (arrived, asked) =
+            (vec![Ring::over(2 * span); priors.len()], vec![Ring::over(span); quotas.len()]);
         let usual = vec![Ring::over(32 * span); priors.len()];
         let (runs, squares, earned) = (long.clone(), long.clone(), long);
-        Seen { began, span, arrived, asked, runs, usual, squares, earned, priors }
+        Seen {
+            began,
+            span,
+            arrived,
+            asked,
+            runs,
+            usual,
+            squares,
+            earned,
+            priors,
+            quotas,
+            started: Ring::over(span / 5),
+        }
     }
 
     pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>) {
@@ -316,10 +343,11 @@
         count / seconds((now - self.began).clamp(self.span / 5, 2 * self.span))
     }
 
-    /// Own tasks a second of one customer.
-    pub fn rate_of(&self, now: Time, customer: usize) -> f64 {
-        let count = self.asked.get(customer).map_or(0.0, |r| r.totals(now).1);
-        count / seconds((now - self.began).clamp(self.span / 5, self.span))
+    /// The part of a customer's tasks that lies within its quota, if `all` dispatchers see as many as this one.
+    pub fn within_share(&self, now: Time, customer: usize, all: f64) -> f64 {
+        let Some((ring, quota)) = self.asked.get(customer).zip(self.quotas.get(customer)) else { return 1.0 };
+        let rate = all * ring.totals(now).1 / seconds((now - self.began).clamp(self.span / 5, self.span));
+        if rate > 0.0 { (quota / rate).min(1.0) } else { 1.0 }
     }
 
     /// A workload's part of own tasks.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,7 +107,7 @@
     }
 
     pub fn task(&mut self, id: &str, workload: usize) {
-        self.with(|to, m| to.task(m, id, workload, None, 5 * SECOND, 1.0));
+        self.with(|to, m| to.task(m, id, (workload, None), 5 * SECOND, 1.0));
     }
 
     pub fn start_job(&mut self, id: &str, assignment: usize) {
