--- a/src/logic.rs
+++ b/src/logic.rs
@@ -422,6 +422,8 @@
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
         let cost = task.slots * run / self.seen.mean_run(now);
         let usual = self.known.progress.max(SOLVE / 10);
+        let earns = self.worth(now, task) * load.overdue >= self.weights.whole / self.seen.mean_run(now);
+        let last = earns && now >= self.due_time(now, task, 1.0);
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in self.fleet.workers.iter().enumerate() {
             let able = load.kind.is_none_or(|k| k == worker.kind);
@@ -448,14 +450,12 @@
                 false => 4,
             };
             let level = if inside { worker.level(i, part) } else { theta };
-            if !skipped && best.is_none_or(|(b, _)| (tier, level) < b) {
+            let queued = late && wait > theta / 4.0 && !last;
+            if !skipped && !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
         }
-        let Some(((tier, _), j)) = best else { return Step::Pass };
-        if tier == 5 && load.overdue <= 0.0 && task.assignments.is_empty() {
-            return Step::Pass;
-        }
+        let Some((_, j)) = best else { return Step::Pass };
         self.assign(m, n, j, cost);
         Step::Keep
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -124,3 +124,23 @@
     let used = (0..3).filter(|i| bench.worker_of(&format!("t{i}")).is_some_and(|w| w != "d")).count();
     assert!(used >= 2, "{:?}", bench.out.sent);
 }
+
+/// Near full load many dispatchers' waiting tasks add up: a task that would be late for waiting is held.
+#[test]
+fn a_task_that_would_be_late_for_waiting_is_held() {
+    let mut bench = Bench::start(8, false);
+    bench.ready(&["a"]);
+    for i in 0..3 {
+        let id = format!("slow{i}");
+        bench.task(&id, 1);
+        bench.pass(3 * SECOND);
+        bench.start_job(&id, 0);
+        bench.pass(10 * MS);
+        bench.end(&id, 0, Outcome::Finished);
+    }
+    bench.task("one", 1);
+    assert_eq!(bench.worker_of("one"), None);
+    bench.pass(6 * SECOND);
+    bench.task("two", 1);
+    assert_eq!(bench.worker_of("two").as_deref(), Some("a"));
+}
