--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,9 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
 //!
 //! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes: `list` and
-//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (an assignment ended), `left` (the
-//! client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes a [`Moment`]: the time and
-//! an `Outgoing` through which decisions leave. That interface is in `lib.rs`, what is remembered in `state.rs`.
+//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (an assignment ended), `left`
+//! (the client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes a [`Moment`]: the
+//! time and an `Outgoing` for decisions. That interface is in `lib.rs`, what is remembered in `state.rs`.
 //!
 //! A task runs down the chain `STAGES`; each stage passes it on, keeps it or ends it, and how its assignments
 //! end runs up the same chain. Shares are solved by the M/G/1 model (`shares`), turns are taken by a billiard
@@ -100,12 +100,7 @@
 }
 
 impl Worker {
-    /// Level of the billiard, (Xj + Yji)/Pji, where Pji is the share times the workload's part of own tasks.
-    fn level(&self, workload: usize, part: f64) -> f64 {
-        (f64::from(u8::from(self.fastest)) + self.turns[workload]) / (self.share * part)
-    }
-
-    /// How unusual the present silence is, in mean gaps; none while nothing is out.
+    /// The present silence, in mean gaps; none while nothing is out.
     fn silence(&self, now: Time, usual: Time) -> f64 {
         let gap = self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0);
         if self.in_flight == 0 { 0.0 } else { (now - self.last_sign) as f64 / gap }
@@ -174,11 +169,8 @@
 
     /// Whether the promise that asking again is harmless can be given.
     fn may_bounce(&self, task: &Task) -> bool {
-        let free = match self.effects[task.workload] {
-            Effect::Idempotent => true,
-            Effect::Fingerprinted { group, .. } => group == Group::All,
-            Effect::SideEffecting => false,
-        };
+        let effect = self.effects[task.workload];
+        let free = matches!(effect, Effect::Idempotent | Effect::Fingerprinted { group: Group::All, .. });
         free || task.assignments.iter().all(Assignment::never_ran)
     }
 }
@@ -215,6 +207,8 @@
     beats: u64,
     /// Something changed that the shares rest on.
     stale: bool,
+    /// So many workers are barred that the cause must be a common one.
+    common: bool,
     ask_at: Option<Time>,
     asks_failed: u32,
 }
@@ -249,6 +243,7 @@
             seen: Seen::since(m.now, SOLVE, priors, quotas),
             beats: 0,
             stale: true,
+            common: false,
             ask_at,
             asks_failed: 0,
             workloads,
@@ -294,7 +289,10 @@
 
     fn solve(&mut self, now: Time) {
         self.stale = false;
-        let ready: Vec<usize> = (0..self.fleet.workers.len()).filter(|&j| self.admitted(now, j)).collect();
+        let on = || (0..self.fleet.workers.len()).filter(|&j| self.fleet.workers[j].state == State::Ready);
+        let barred = |j: &usize| self.fleet.workers[*j].bar.as_ref().is_some_and(|b| b.until > now);
+        self.common = 2 * on().filter(|&j| self.fleet.workers[j].bar.is_some()).count() > on().count();
+        let ready: Vec<usize> = on().filter(|j| self.common || !barred(j)).collect();
         let rate = self.seen.rate(now) * self.place.group_size as f64;
         let measured: Vec<(f64, f64)> =
             ready.iter().map(|&j| self.fleet.workers[j].theta.totals(now)).collect();
@@ -303,7 +301,7 @@
         let spread = self.seen.spread(now);
         let station = |(&j, &(busy, tasks)): (&usize, &(f64, f64))| {
             let worker = &self.fleet.workers[j];
-            // A worker that reports next to nothing would look fast beyond all others: it is drawn to their mean.
+            // A worker that reports next to nothing would look fast beyond all others: drawn to the mean.
             let theta = (busy + mean * few) / (tasks + few).max(1e-9);
             let own = theta * worker.share * rate;
             let rho = (worker.utilisation.mean(now, own, 0.001) - own).clamp(0.0, FULL);
@@ -312,8 +310,7 @@
         let stations: Vec<Station> = ready.iter().zip(&measured).map(station).collect();
         // Where more is asked than the fleet can carry the model has no solution: it is given what they can.
         let most: f64 = stations.iter().map(|s| FULL * (1.0 - s.rho) / s.theta.max(1e-9)).sum();
-        let equal = 1.0 / ready.len().max(1) as f64;
-        let found = shares(&stations, rate.min(most)).unwrap_or(vec![equal; ready.len()]);
+        let found = shares(&stations, rate.min(most)).unwrap_or(vec![1.0 / ready.len() as f64; ready.len()]);
         let least = (0..ready.len()).min_by(|&a, &b| stations[a].theta.total_cmp(&stations[b].theta));
         self.fleet.workers.iter_mut().for_each(|w| (w.share, w.fastest) = (0.0, false));
         for (i, &j) in ready.iter().enumerate() {
@@ -324,14 +321,6 @@
         }
     }
 
-    /// Who the model may admit: ready, and not barred unless so many are that the cause must be a common one.
-    fn admitted(&self, now: Time, j: usize) -> bool {
-        let ready = || self.fleet.workers.iter().filter(|w| w.state == State::Ready);
-        let common = 2 * ready().filter(|w| w.bar.is_some()).count() > ready().count();
-        let open = self.fleet.workers[j].bar.as_ref().is_none_or(|b| b.until <= now);
-        self.fleet.workers[j].state == State::Ready && (common || open)
-    }
-
     // ---- a task on its way down ----
 
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
@@ -433,7 +422,7 @@
             let trial = worker.in_flight == 0 && load.effect == Effect::Idempotent;
             let skipped = worker.in_flight as f64 >= skip
                 || (self.known.tells_start && !worker.unstarted.is_empty())
-                || worker.bar.as_ref().is_some_and(|b| b.until > now || !trial)
+                || (!self.common && worker.bar.as_ref().is_some_and(|b| b.until > now || !trial))
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, usual) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room < cost)
@@ -444,12 +433,10 @@
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
             // Outside the shares only where every worker inside them is skipped.
             let inside = worker.share > 0.0;
-            let tier = match late {
-                true => 5,
-                false if inside => 2 * far + u8::from(wait > theta / 4.0),
-                false => 4,
-            };
-            let level = if inside { worker.level(i, part) } else { theta };
+            let near = if inside { 2 * far + u8::from(wait > theta / 4.0) } else { 4 };
+            let tier = if late { 5 } else { near };
+            let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
+            let level = if inside { turns / (worker.share * part) } else { theta };
             let queued = late && wait > theta / 4.0 && !last;
             if !skipped && !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
@@ -504,10 +491,8 @@
     /// part in the workload that is served worst of late.
     fn worth(&self, now: Time, task: &Task) -> f64 {
         let (i, w) = (task.workload, self.weights);
-        let revenue = |i: usize| {
-            let run = if w.by_work { self.seen.run(now, i) } else { 1.0 };
-            self.workloads[i].revenue * run
-        };
+        let size = |i: usize| if w.by_work { self.seen.run(now, i) } else { 1.0 };
+        let revenue = |i: usize| self.workloads[i].revenue * size(i);
         let mut worth = w.whole * revenue(i) / self.seen.mean_revenue(now, revenue).max(1e-6);
         if worst(&self.seen.earned, now) == Some(i) {
             worth += w.worst_workload / self.seen.part(now, i).max(UNSEEN);
--- a/src/state.rs
+++ b/src/state.rs
@@ -343,7 +343,7 @@
         count / seconds((now - self.began).clamp(self.span / 5, 2 * self.span))
     }
 
-    /// The part of a customer's tasks that lies within its quota, if `all` dispatchers see as many as this one.
+    /// The part of a customer's tasks within its quota, if `all` dispatchers see as many as this one.
     pub fn within_share(&self, now: Time, customer: usize, all: f64) -> f64 {
         let Some((ring, quota)) = self.asked.get(customer).zip(self.quotas.get(customer)) else { return 1.0 };
         let rate = all * ring.totals(now).1 / seconds((now - self.began).clamp(self.span / 5, self.span));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -144,3 +144,17 @@
     bench.task("two", 1);
     assert_eq!(bench.worker_of("two").as_deref(), Some("a"));
 }
+
+/// All workers look bad at once: the cause is a common one, and the fleet must not be emptied.
+#[test]
+fn bars_on_most_of_the_fleet_are_ignored() {
+    let mut bench = Bench::start(1, false);
+    bench.ready(&["a", "b", "c"]);
+    for i in 0..3 {
+        let id = format!("t{i}");
+        bench.task(&id, 1);
+        bench.end(&id, 0, Outcome::Reset);
+    }
+    bench.task("one", 1);
+    assert!(bench.worker_of("one").is_some());
+}
