--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -16,7 +16,6 @@
     };
     let allowed = Allowed {
         assignments: number(&all, "/limits/mostAssignments")? as usize,
-        copies: flag(&all, "/limits/parallelTries"),
         withdrawal: flag(&all, "/limits/cancel"),
         probes: flag(&all, "/limits/probes"),
         pause: if flag(&all, "/limits/retryAfter") { time(&all, "/limits/maxRetryAfterMs")? } else { 0 },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,7 +69,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Allowed {
     pub assignments: usize,
-    pub copies: bool,
     pub withdrawal: bool,
     pub probes: bool,
     /// The longest pause that clients follow; 0 where they are told none.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -138,17 +138,16 @@
     }
 }
 
-/// The ledger of effects. Every path that assigns, copies or bounces asks it.
+/// The ledger of effects. Every path that assigns or bounces asks it; it allows no second copy.
 pub(crate) struct Ledger {
     effects: Vec<Effect>,
     assignments: usize,
-    copies: bool,
 }
 
 impl Ledger {
     /// Whether the task may be assigned to `to` now, by what became of its earlier assignments.
     fn may_assign(&self, now: Time, task: &Task, to: &Worker, workers: &[Worker]) -> bool {
-        if task.assignments.len() >= self.assignments || !(self.copies || task.out() == 0) {
+        if task.assignments.len() >= self.assignments || task.out() > 0 {
             return false;
         }
         let Some(first) = task.assignments.iter().find(|a| !a.never_ran()) else { return true };
@@ -234,7 +233,7 @@
         Dispatcher {
             place,
             chance,
-            ledger: Ledger { effects, assignments: allowed.assignments, copies: allowed.copies },
+            ledger: Ledger { effects, assignments: allowed.assignments },
             allowed,
             obligations,
             known,
