--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,8 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
+/// Mean service times that crossing is worth if it costs all of a mean revenue.
+const CROSSING: f64 = 40.0;
 /// Part of all turns that an unseen workload is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
@@ -316,6 +318,9 @@
             let worker = &mut self.fleet.workers[j];
             (worker.share, worker.fastest) = (found[i], least == Some(i));
             worker.model_theta = stations[i].theta;
+            // A near worker outside the shares is worth a crossing if it is slower by no more than the price.
+            let bearable = stations[i].theta <= CROSSING * self.known.cross_zone * mean;
+            worker.stands_in = bearable && worker.zone == self.place.zone;
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
     }
@@ -326,8 +331,8 @@
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
         self.seen.arrival(m.now, workload, customer);
-        let all = self.place.group_size as f64;
-        let within_share = customer.map_or(1.0, |c| self.seen.within_share(m.now, c, all));
+        let within = |c| self.seen.within_share(m.now, c, self.place.group_size as f64);
+        let within_share = customer.map_or(1.0, within);
         let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
         let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
@@ -377,21 +382,18 @@
     }
 
     fn in_time(&mut self, m: &mut Moment, n: u64) -> Step {
-        match self.desk.get(n) {
-            Some(task) if !task.answered && m.now < task.expiry => Step::Pass,
-            Some(task) if !task.answered => Step::End,
-            _ => Step::Keep,
+        match self.desk.get(n).filter(|t| !t.answered).map(|t| m.now < t.expiry) {
+            Some(true) => Step::Pass,
+            Some(false) => Step::End,
+            None => Step::Keep,
         }
     }
 
     fn permitted(&mut self, m: &mut Moment, n: u64) -> Step {
-        let Some(task) = self.desk.get(n) else { return Step::Keep };
-        let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, &self.fleet.workers);
-        match self.fleet.workers.is_empty() || self.fleet.workers.iter().any(may) {
-            true => Step::Pass,
-            false if task.out() > 0 => Step::Keep,
-            false => Step::End,
-        }
+        let Some(task) = self.desk.get(n).filter(|t| t.out() == 0) else { return Step::Keep };
+        let workers = &self.fleet.workers;
+        let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, workers);
+        if workers.is_empty() || workers.iter().any(may) { Step::Pass } else { Step::End }
     }
 
     /// The billiard (Algorithm 2): the least (Xj + Yji)/Pji among the workers that are not skipped.
@@ -432,7 +434,9 @@
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
             // Outside the shares only where every worker inside them is skipped.
             let inside = worker.share > 0.0;
-            let near = if inside { 2 * far + u8::from(wait > theta / 4.0) } else { 4 };
+            let queue = u8::from(wait > theta / 4.0);
+            let outside = if worker.stands_in && queue == 0 { 1 } else { 4 };
+            let near = if inside { 2 * far + queue } else { outside };
             let tier = if late { 5 } else { near };
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
             let level = if inside { turns / (worker.share * part) } else { theta };
@@ -461,7 +465,7 @@
 
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
     fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
-        let Some(task) = self.desk.get(n).filter(|t| t.out() == 0) else { return Step::Keep };
+        let Some(task) = self.desk.get(n) else { return Step::Keep };
         let latest = self.due_time(m.now, task, 1.0);
         if m.now >= latest {
             return Step::End;
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,6 +104,8 @@
     /// Free slots as last reported, and when.
     pub free: Option<(Time, f64)>,
     pub share: f64,
+    /// Worth a crossing though it is outside the shares.
+    pub stands_in: bool,
     /// θ as the model was last given it.
     pub model_theta: f64,
     pub fastest: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -64,6 +64,11 @@
 
 impl Bench {
     pub fn start(group_size: usize, must_ask: bool) -> Self {
+        Self::start_where(group_size, must_ask, 0.0)
+    }
+
+    /// In zone 0, where an assignment to another zone costs this part of a task's revenue.
+    pub fn start_where(group_size: usize, must_ask: bool, cross_zone: f64) -> Self {
         let place = Place { seed: 7, group_size, zone: 0 };
         let one =
             |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue: 0.5, kind: None };
@@ -76,13 +81,8 @@
             fall: 2 * SECOND,
             must_ask_in: 10 * SECOND,
         };
-        let known = Known {
-            reports_by_probe: false,
-            tells_start: true,
-            progress: SECOND,
-            cross_zone: 0.0,
-            waste: 0.0,
-        };
+        let known =
+            Known { reports_by_probe: false, tells_start: true, progress: SECOND, cross_zone, waste: 0.0 };
         let mut out = Record::default();
         let m = &mut Moment { now: 0, out: &mut out };
         let workloads = effects().map(one).to_vec();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -158,3 +158,16 @@
     bench.task("one", 1);
     assert!(bench.worker_of("one").is_some());
 }
+
+/// Where crossing has a price, the model's fast workers elsewhere drew tasks from free ones nearby.
+#[test]
+fn a_free_near_worker_outside_the_shares_is_worth_a_crossing() {
+    let mut bench = Bench::start_where(1, false, 0.1);
+    bench.list(&[listed("near", 0, State::Ready, None), listed("far", 1, State::Ready, None)]);
+    let report = |busy, rate| Report { utilisation: Some(busy), rate: Some(rate), ..Report::default() };
+    bench.with(|to, m| to.probed(m, "near", Outcome::Finished, report(0.5, 2.0)));
+    bench.with(|to, m| to.probed(m, "far", Outcome::Finished, report(0.1, 2.0)));
+    bench.pass(5 * SECOND);
+    bench.task("one", 0);
+    assert_eq!(bench.worker_of("one").as_deref(), Some("near"));
+}
