--- a/src/logic.rs
+++ b/src/logic.rs
@@ -93,19 +93,17 @@
         let z = (low + high) / 2.0;
         if carried(z, admitted) <= rate { low = z } else { high = z }
     }
-    let mut found = vec![0.0; stations.len()];
-    for &j in admitted {
-        found[j] = stations[j].rate(high);
-    }
+    let rate_of = |j| if admitted.contains(&j) { stations[j].rate(high) } else { 0.0 };
+    let found: Vec<f64> = (0..stations.len()).map(rate_of).collect();
     let sum: f64 = found.iter().sum();
     (sum > 0.0).then(|| found.iter().map(|r| r / sum).collect())
 }
 
 impl Worker {
-    /// The present silence, in mean gaps; none while nothing is out.
+    /// The present silence, in mean gaps.
     fn silence(&self, now: Time, usual: Time) -> f64 {
-        let gap = self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0);
-        if self.in_flight == 0 { 0.0 } else { (now - self.last_sign) as f64 / gap }
+        let since = if self.in_flight == 0 { now } else { self.last_sign };
+        (now - since) as f64 / self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0)
     }
 
     fn heard(&mut self, now: Time) {
@@ -118,11 +116,13 @@
     }
 
     /// Seconds that a task sent now is likely to wait for its start.
-    fn wait(&self, now: Time, theta: f64) -> f64 {
+    fn wait(&self, now: Time, theta: f64, elsewhere: f64) -> f64 {
         let oldest = self.unstarted.first().map_or(0.0, |&(sent, _)| seconds(now - sent));
-        let full = self.free.is_some_and(|(at, free)| free <= 0.0 && now - at < SOLVE / 5);
-        let told = if full { theta } else { 0.0 };
-        self.waits.mean(now, 0.0, 0.5).max(oldest).max(told) + theta * self.unstarted.len() as f64
+        let room = self.free.filter(|&(at, _)| now - at < SOLVE / 5).map(|(_, free)| free > 0.0);
+        // Who sees few starts goes by what waits are like elsewhere, unless the worker has told of room.
+        let told = if room == Some(false) { theta } else { 0.0 };
+        let prior = if room == Some(true) { 0.0 } else { elsewhere.max(told) };
+        self.waits.mean(now, prior, 0.25).max(oldest)
     }
 
     fn bar(&mut self, now: Time) {
@@ -229,7 +229,7 @@
         let mut chance = Chance { seed: place.seed, drawn: 0 };
         let effects = workloads.iter().map(|w| w.effect).collect();
         let priors = workloads.iter().map(|w| seconds(w.due)).collect();
-        // Dispatchers that start together must neither ask nor beat together.
+        // Dispatchers that start together must not ask together.
         let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
         Dispatcher {
@@ -414,10 +414,10 @@
         let usual = self.known.progress.max(SOLVE / 10);
         let earns = self.worth(now, task) * load.overdue >= self.weights.whole / self.seen.mean_run(now);
         let last = earns && now >= self.due_time(now, task, 1.0);
+        let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in self.fleet.workers.iter().enumerate() {
-            let able = load.kind.is_none_or(|k| k == worker.kind);
-            if worker.state != State::Ready || !able {
+            if worker.state != State::Ready || load.kind.is_some_and(|k| k != worker.kind) {
                 continue;
             }
             let trial = worker.in_flight == 0 && load.effect == Effect::Idempotent;
@@ -429,7 +429,7 @@
                 || worker.cold.as_ref().is_some_and(|c| c.room < cost)
                 || !self.ledger.may_assign(now, task, worker, &self.fleet.workers);
             let theta = worker.model_theta;
-            let wait = worker.wait(now, theta);
+            let wait = worker.wait(now, theta, elsewhere);
             let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
             // Outside the shares only where every worker inside them is skipped.
@@ -522,9 +522,9 @@
         worker.heard(m.now);
         if a.started.is_none() {
             a.started = Some(m.now);
-            self.seen.started.add(m.now, 1.0, 1.0);
             worker.unstarted.remove(&(a.sent, n));
             worker.waits.add(m.now, seconds(m.now - a.sent), 1.0);
+            self.seen.start(m.now, seconds(m.now - a.sent));
             self.move_on(m);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -301,6 +301,8 @@
     quotas: Vec<f64>,
     /// Own starts, over a fifth of the span.
     pub started: Ring,
+    /// Seconds from assignment to start, at all workers.
+    pub waits: Ring,
 }
 
 impl Seen {
@@ -323,6 +325,7 @@
             priors,
             quotas,
             started: Ring::over(span / 5),
+            waits: Ring::over(span / 2),
         }
     }
 
@@ -339,6 +342,12 @@
         self.squares[workload].add(now, run * run, 1.0);
     }
 
+    /// A job started, so long after it was assigned.
+    pub fn start(&mut self, now: Time, waited: f64) {
+        self.started.add(now, 1.0, 1.0);
+        self.waits.add(now, waited, 1.0);
+    }
+
     /// Own tasks a second.
     pub fn rate(&self, now: Time) -> f64 {
         let count: f64 = self.arrived.iter().map(|r| r.totals(now).1).sum();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -171,3 +171,23 @@
     bench.task("one", 0);
     assert_eq!(bench.worker_of("one").as_deref(), Some("near"));
 }
+
+/// Among many dispatchers one sees few starts: no wait seen at a worker is not taken for no wait there.
+#[test]
+fn waits_seen_elsewhere_hold_for_a_worker_not_heard_from() {
+    let mut bench = Bench::start(15, false);
+    bench.ready(&["a", "b"]);
+    bench.task("slow", 1);
+    bench.task("slower", 1);
+    bench.pass(2500 * MS);
+    for id in ["slow", "slower"] {
+        bench.start_job(id, 0);
+        bench.end(id, 0, Outcome::Finished);
+    }
+    bench.list(&[listed("c", 0, State::Ready, None)]);
+    bench.task("one", 1);
+    assert_eq!(bench.worker_of("one"), None);
+    let report = Report { free_slots: Some(2.0), ..Report::default() };
+    bench.with(|to, m| to.probed(m, "c", Outcome::Finished, report));
+    assert_eq!(bench.worker_of("one").as_deref(), Some("c"));
+}
