--- a/crates/benchlink/src/fields.rs
+++ b/crates/benchlink/src/fields.rs
@@ -67,8 +67,7 @@
         }
     }
 
-    /// `name:value` pairs set apart by commas; names that are not known are skipped. `x0` and `x1` are free slots
-    /// and free memory.
+    /// `name:value` pairs set apart by commas; names that decide nothing are skipped. `x0` is free slots.
     pub fn report(&mut self) -> Result<Report> {
         let mut report = Report::default();
         let word = self.word("load report")?;
@@ -83,9 +82,7 @@
             match name {
                 "load_share" => report.utilisation = Some(number),
                 "tps" => report.rate = Some(number),
-                "err_ps" => report.errors = Some(number),
                 "x0" => report.free_slots = Some(number),
-                "x1" => report.free_memory = Some(number),
                 _ => {}
             }
         }
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -127,12 +127,11 @@
         "HINT_UPDATE" => {
             let (id, assignment) = (fields.word("a request id")?, fields.value("an attempt")?);
             fields.word("a worker")?;
-            let what: u32 = fields.value("the kind of note")?;
-            let share = fields.amount("an amount")?.filter(|_| what == 2);
-            to.sign(m, id, assignment, share);
+            fields.value::<u32>("the kind of note")?;
+            to.sign(m, id, assignment);
         }
         // No workload of a jobs service is streamed: the answer's start is one more sign of life.
-        "HEAD_RECEIVED" => to.sign(m, fields.word("a request id")?, fields.value("an attempt")?, None),
+        "HEAD_RECEIVED" => to.sign(m, fields.word("a request id")?, fields.value("an attempt")?),
         "CANCELLED_BY_CLIENT" => to.left(m, fields.word("a request id")?),
         "DUE" => to.due(m, fields.value("a mark")?),
         "PROBED" => {
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -33,7 +33,6 @@
         tells_start: flag(&all, "/specifics/tellsStart"),
         progress: time(&all, "/specifics/progressMs").unwrap_or(0),
         cross_zone: number(&all, "/prices/crossZone").unwrap_or(0.0),
-        waste: number(&all, "/prices/waste").unwrap_or(0.0),
     };
     let weights = Weights {
         whole: number(&all, "/scoreParts/whole").unwrap_or(1.0),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,7 +95,6 @@
     pub tells_start: bool,
     pub progress: Time,
     pub cross_zone: f64,
-    pub waste: f64,
 }
 
 /// One line of the list of workers.
@@ -125,10 +124,7 @@
     pub utilisation: Option<f64>,
     /// Jobs a second, of the whole worker.
     pub rate: Option<f64>,
-    /// Errors a second.
-    pub errors: Option<f64>,
     pub free_slots: Option<f64>,
-    pub free_memory: Option<f64>,
 }
 
 /// How an assignment ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -294,12 +294,11 @@
         let barred = |j: &usize| self.fleet.workers[*j].bar.as_ref().is_some_and(|b| b.until > now);
         self.common = 2 * on().filter(|&j| self.fleet.workers[j].bar.is_some()).count() > on().count();
         let ready: Vec<usize> = on().filter(|j| self.common || !barred(j)).collect();
-        let rate = self.seen.rate(now) * self.place.group_size as f64;
+        let (rate, spread) = (self.seen.rate(now) * self.place.group_size as f64, self.seen.spread(now));
         let measured: Vec<(f64, f64)> =
             ready.iter().map(|&j| self.fleet.workers[j].theta.totals(now)).collect();
         let (busy, tasks) = measured.iter().fold((0.0, 0.0), |t, m| (t.0 + m.0, t.1 + m.1));
         let (mean, few) = (busy / tasks.max(1e-9), FEW * tasks / ready.len().max(1) as f64);
-        let spread = self.seen.spread(now);
         let station = |(&j, &(busy, tasks)): (&usize, &(f64, f64))| {
             let worker = &self.fleet.workers[j];
             // A worker that reports next to nothing would look fast beyond all others: drawn to the mean.
@@ -318,7 +317,7 @@
             let worker = &mut self.fleet.workers[j];
             (worker.share, worker.fastest) = (found[i], least == Some(i));
             worker.model_theta = stations[i].theta;
-            // A near worker outside the shares is worth a crossing if it is slower by no more than the price.
+            // The model knows no crossing: a free near worker outside the shares may be worth one.
             let bearable = stations[i].theta <= CROSSING * self.known.cross_zone * mean;
             worker.stands_in = bearable && worker.zone == self.place.zone;
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
@@ -330,6 +329,7 @@
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
+        let Some(_) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer);
         let within = |c| self.seen.within_share(m.now, c, self.place.group_size as f64);
         let within_share = customer.map_or(1.0, within);
@@ -513,8 +513,8 @@
 
     // ---- what comes back ----
 
-    /// A job told that it started, or which part of it is done: a sign of life.
-    pub fn sign(&mut self, m: &mut Moment, id: &str, assignment: usize, _done: Option<f64>) {
+    /// A job told that it started, or how far it is: a sign of life.
+    pub fn sign(&mut self, m: &mut Moment, id: &str, assignment: usize) {
         let Some(n) = self.desk.number(id) else { return };
         let Some(task) = self.desk.get_mut(n) else { return };
         let Some(a) = task.assignments.get_mut(assignment) else { return };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -81,8 +81,7 @@
             fall: 2 * SECOND,
             must_ask_in: 10 * SECOND,
         };
-        let known =
-            Known { reports_by_probe: false, tells_start: true, progress: SECOND, cross_zone, waste: 0.0 };
+        let known = Known { reports_by_probe: false, tells_start: true, progress: SECOND, cross_zone };
         let mut out = Record::default();
         let m = &mut Moment { now: 0, out: &mut out };
         let workloads = effects().map(one).to_vec();
@@ -110,7 +109,7 @@
     }
 
     pub fn start_job(&mut self, id: &str, assignment: usize) {
-        self.with(|to, m| to.sign(m, id, assignment, None));
+        self.with(|to, m| to.sign(m, id, assignment));
     }
 
     pub fn end(&mut self, id: &str, assignment: usize, outcome: Outcome) {
