--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,7 +312,11 @@
         let most: f64 = stations.iter().map(|s| FULL * (1.0 - s.rho) / s.theta.max(1e-9)).sum();
         let found = shares(&stations, rate.min(most)).unwrap_or(vec![1.0 / ready.len() as f64; ready.len()]);
         let least = (0..ready.len()).min_by(|&a, &b| stations[a].theta.total_cmp(&stations[b].theta));
-        self.fleet.workers.iter_mut().for_each(|w| (w.share, w.fastest) = (0.0, false));
+        // Workers that were lost all together have not restarted: a common cause cut them off.
+        for worker in &mut self.fleet.workers {
+            worker.lost &= !self.common;
+            (worker.share, worker.fastest) = (0.0, false);
+        }
         for (i, &j) in ready.iter().enumerate() {
             let worker = &mut self.fleet.workers[j];
             (worker.share, worker.fastest) = (found[i], least == Some(i));
@@ -567,10 +571,8 @@
                 // Well again only by and by: a worker that fails half its tasks also finishes half of them.
                 if let Some(bar) = worker.bar.as_mut().filter(|b| b.until <= now) {
                     bar.length /= 2;
-                    if bar.length < SOLVE / 10 {
-                        worker.bar = None;
-                    }
                 }
+                worker.bar.take_if(|b| b.length < SOLVE / 10);
             }
             Outcome::Failed => {
                 worker.heard(now);
@@ -662,12 +664,9 @@
         let (sum, n) = like.fold((0.0, 0.0), |t, w| (t.0 + w.model_theta, t.1 + 1.0));
         let worker = &mut self.fleet.workers[j];
         let theta = if sum > 0.0 { sum / n } else { worker.model_theta };
+        worker.cold.take_if(|c| now - c.since >= self.obligations.warm_within);
         let Some(cold) = &mut worker.cold else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
-        if age >= self.obligations.warm_within {
-            worker.cold = None;
-            return;
-        }
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
         let part = COLD_USE * self.obligations.overload_factor * can / self.place.group_size.max(1) as f64;
         let rate = if theta > 0.0 { part / theta } else { 0.0 };
