--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,7 +27,7 @@
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
 const SILENT: f64 = 6.0;
-/// Errors in this part of a worker's tasks bar it.
+/// Errors in this part of a workload's tasks at a worker keep the workload away.
 const ERRONEOUS: f64 = 0.25;
 /// Part of the cold budget that is used, the rest being room for chance and heavy tasks.
 const COLD_USE: f64 = 0.4;
@@ -125,6 +125,12 @@
         self.waits.mean(now, prior, 0.25).max(oldest)
     }
 
+    /// Fast errors look like speed; and one workload may fail where the others do well.
+    fn fails(&self, now: Time, workload: usize) -> bool {
+        let (errors, all) = self.errors[workload].totals(now);
+        errors >= 2.0 && errors > ERRONEOUS * all
+    }
+
     fn bar(&mut self, now: Time) {
         let length = self.bar.as_ref().map_or(SOLVE / 5, |b| (2 * b.length).min(2 * SOLVE));
         if self.bar.as_ref().is_none_or(|b| b.until <= now) {
@@ -292,7 +298,8 @@
         self.stale = false;
         let on = || (0..self.fleet.workers.len()).filter(|&j| self.fleet.workers[j].state == State::Ready);
         let barred = |j: &usize| self.fleet.workers[*j].bar.as_ref().is_some_and(|b| b.until > now);
-        self.common = 2 * on().filter(|&j| self.fleet.workers[j].bar.is_some()).count() > on().count();
+        let ill = |w: &Worker| w.bar.is_some() || (0..self.workloads.len()).any(|i| w.fails(now, i));
+        self.common = 2 * on().filter(|&j| ill(&self.fleet.workers[j])).count() > on().count();
         let ready: Vec<usize> = on().filter(|j| self.common || !barred(j)).collect();
         let (rate, spread) = (self.seen.rate(now) * self.place.group_size as f64, self.seen.spread(now));
         let measured: Vec<(f64, f64)> =
@@ -424,10 +431,12 @@
             if worker.state != State::Ready || load.kind.is_some_and(|k| k != worker.kind) {
                 continue;
             }
-            let trial = worker.in_flight == 0 && load.effect == Effect::Idempotent;
+            let idle = worker.in_flight == 0 && now - worker.last_sign >= SOLVE / 5;
+            let trial = idle && load.effect == Effect::Idempotent;
             let skipped = worker.in_flight as f64 >= skip
                 || (self.known.tells_start && !worker.unstarted.is_empty())
                 || (!self.common && worker.bar.as_ref().is_some_and(|b| b.until > now || !trial))
+                || (!self.common && !trial && worker.fails(now, i))
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, usual) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room < cost)
@@ -568,19 +577,12 @@
                     self.seen.ran(now, i, ran);
                     worker.slowness.add(now, ran / run.max(0.001), 1.0);
                 }
-                // Well again only by and by: a worker that fails half its tasks also finishes half of them.
-                if let Some(bar) = worker.bar.as_mut().filter(|b| b.until <= now) {
-                    bar.length /= 2;
-                }
-                worker.bar.take_if(|b| b.length < SOLVE / 10);
+                worker.bar = None;
             }
             Outcome::Failed => {
                 worker.heard(now);
                 worker.errors[i].add(now, 1.0, 1.0);
-                let (errors, all) = worker.errors[i].totals(now);
-                if (errors >= 2.0 && errors / all > ERRONEOUS) || !open {
-                    worker.bar(now);
-                }
+                self.stale |= worker.fails(now, i);
             }
             // An idempotent job may have been killed for a better one: no fault of the worker.
             Outcome::Reset if self.workloads[i].effect == Effect::Idempotent => worker.last_sign = now,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -72,7 +72,7 @@
 
 /// Fast errors look like speed: the worker that fails must not draw the others' tasks.
 #[test]
-fn a_worker_that_fails_fast_is_barred() {
+fn a_worker_that_fails_fast_is_kept_from() {
     let mut bench = Bench::start(1, false);
     bench.ready(&["a", "b", "c"]);
     let mut to_first = 0;
@@ -153,11 +153,8 @@
 fn bars_on_most_of_the_fleet_are_ignored() {
     let mut bench = Bench::start(1, false);
     bench.ready(&["a", "b", "c"]);
-    for i in 0..3 {
-        let id = format!("t{i}");
-        bench.task(&id, 1);
-        bench.end(&id, 0, Outcome::Reset);
-    }
+    (0..3).for_each(|i| bench.task(&format!("t{i}"), 1));
+    (0..3).for_each(|i| bench.end(&format!("t{i}"), 0, Outcome::Reset));
     bench.task("one", 1);
     assert!(bench.worker_of("one").is_some());
     // Nor is a worker cold that was cut off together with all others.
@@ -199,3 +196,22 @@
     bench.with(|to, m| to.probed(m, "c", Outcome::Finished, report));
     assert_eq!(bench.worker_of("one").as_deref(), Some("c"));
 }
+
+/// One workload fails at one worker: only that workload stays away, and only while its errors are fresh.
+#[test]
+fn a_workload_that_fails_at_a_worker_leaves_the_others_there() {
+    let mut bench = Bench::start(1, false);
+    bench.ready(&["a", "b", "c"]);
+    for i in 0..12 {
+        let id = format!("t{i}");
+        bench.task(&id, 1);
+        bench.start_job(&id, 0);
+        bench.pass(10 * MS);
+        let failed = bench.worker_of(&id).as_deref() == Some("a");
+        bench.end(&id, 0, if failed { Outcome::Failed } else { Outcome::Finished });
+    }
+    let to_a = (0..12).filter(|i| bench.worker_of(&format!("t{i}")).as_deref() == Some("a"));
+    assert_eq!(to_a.count(), 2);
+    (0..3).for_each(|i| bench.task(&format!("u{i}"), 2));
+    assert!((0..3).any(|i| bench.worker_of(&format!("u{i}")).as_deref() == Some("a")));
+}
