Read-through: values computed once for a task, one count of own tasks, stale comments mended

No change of behaviour: worth, mean running time and the sign of a queue were worked out twice in one placement, a bar's length had a bound it could not reach, own tasks were counted by two copies of one line. The pairs that look alike in the tests (a list of outcomes, the frame of short tests) are not the same logic and stay.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -131,7 +131,7 @@
     fn bar(&mut self, now: Time) {
         let length = self.bar.as_ref().map_or(SOLVE / 5, |b| (2 * b.length).min(2 * SOLVE));
         if self.bar.as_ref().is_none_or(|b| b.until <= now) {
-            self.bar = Some(Bar { until: now + length.max(SOLVE / 5), length });
+            self.bar = Some(Bar { until: now + length, length });
         }
     }
 }
@@ -211,7 +211,7 @@
     beats: u64,
     /// Something changed that the shares rest on.
     stale: bool,
-    /// So many workers are barred that the cause must be a common one.
+    /// So many workers are barred or fail that the cause must be a common one.
     common: bool,
     ask_at: Option<Time>,
     asks_failed: u32,
@@ -412,18 +412,19 @@
         let Some(task) = self.desk.get(n) else { return Step::Keep };
         let (i, load) = (task.workload, &self.workloads[task.workload]);
         // A new task does not pass dearer ones that wait: it would take the room they wait for.
-        let dearer = |f| self.desk.get(f).is_some_and(|f| self.worth(now, f) > self.worth(now, task));
+        let worth = self.worth(now, task);
+        let dearer = |f| self.desk.get(f).is_some_and(|f| self.worth(now, f) > worth);
         if task.held.is_none() && self.desk.first_held().is_some_and(dearer) {
             return Step::Pass;
         }
-        let run = self.seen.run(now, i);
+        let (run, mean_run) = (self.seen.run(now, i), self.seen.mean_run(now));
         let due = seconds(self.due_time(now, task, 0.0) - now);
         let part = self.seen.part(now, i).max(UNSEEN);
         let open = || self.fleet.workers.iter().filter(|w| w.share > 0.0 && w.state == State::Ready);
         let flying: usize = open().map(|w| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
-        let cost = task.slots * run / self.seen.mean_run(now);
-        let earns = self.worth(now, task) * load.overdue >= self.weights.whole / self.seen.mean_run(now);
+        let cost = task.slots * run / mean_run;
+        let earns = worth * load.overdue >= self.weights.whole / mean_run;
         let last = earns && now >= self.due_time(now, task, 1.0);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         let mut best: Option<((u8, f64), usize)> = None;
@@ -445,15 +446,15 @@
             let wait = worker.wait(now, theta, elsewhere);
             let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
-            // Outside the shares only where every worker inside them is skipped.
+            // Outside the shares only where all inside them are skipped, or in place of a crossing.
             let inside = worker.share > 0.0;
-            let queue = u8::from(wait > theta / 4.0);
-            let outside = if worker.stands_in && queue == 0 { 1 } else { 4 };
-            let near = if inside { 2 * far + queue } else { outside };
+            let queue = wait > theta / 4.0;
+            let outside = if worker.stands_in && !queue { 1 } else { 4 };
+            let near = if inside { 2 * far + u8::from(queue) } else { outside };
             let tier = if late { 5 } else { near };
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
             let level = if inside { turns / (worker.share * part) } else { theta };
-            let queued = late && wait > theta / 4.0 && !last;
+            let queued = late && queue && !last;
             if !skipped && !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What a dispatcher remembers of a task and of a worker, and the two things it counts with. No decisions.
+//! What a dispatcher remembers of tasks and workers, and what it measures and draws with. No decisions.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -156,7 +156,7 @@
     pub slots: f64,
     pub arrived: Time,
     pub expiry: Time,
-    /// Came while its customer was within its share.
+    /// The part of its customer's tasks that lay within the customer's share when it came.
     pub within_share: f64,
     pub assignments: Vec<Assignment>,
     pub answered: bool,
@@ -348,10 +348,14 @@
         self.waits.add(now, waited, 1.0);
     }
 
+    /// Own tasks counted at present.
+    fn count(&self, now: Time) -> f64 {
+        self.arrived.iter().map(|r| r.totals(now).1).sum()
+    }
+
     /// Own tasks a second.
     pub fn rate(&self, now: Time) -> f64 {
-        let count: f64 = self.arrived.iter().map(|r| r.totals(now).1).sum();
-        count / seconds((now - self.began).clamp(self.span / 5, 2 * self.span))
+        self.count(now) / seconds((now - self.began).clamp(self.span / 5, 2 * self.span))
     }
 
     /// The part of a customer's tasks within its quota, if `all` dispatchers see as many as this one.
@@ -363,7 +367,7 @@
 
     /// A workload's part of own tasks.
     pub fn part(&self, now: Time, workload: usize) -> f64 {
-        let count: f64 = self.arrived.iter().map(|r| r.totals(now).1).sum();
+        let count = self.count(now);
         if count > 0.0 { self.arrived[workload].totals(now).1 / count } else { 0.0 }
     }
 
