--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -168,9 +168,9 @@
         "off" => State::Gone,
         word => bail!("expected on, fading or off, found '{word}'"),
     };
-    fields.amount("a weight")?;
+    let weight = fields.amount("a weight")?.unwrap_or(1.0);
     let started = fields.maybe_time("a start time")?.filter(|&at| at != 0);
-    Ok(Listed { id, zone, kind, cell, state, started })
+    Ok(Listed { id, zone, kind, cell, state, weight, started })
 }
 
 fn outcome(word: &str) -> Result<Outcome> {
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -12,11 +12,13 @@
     let place = Place {
         seed,
         group_size: number(&all, "/groupSize")? as usize,
+        index: number(&all, "/index")? as usize,
         zone: number(&all, "/zone")? as usize,
     };
     let allowed = Allowed {
         assignments: number(&all, "/limits/mostAssignments")? as usize,
         withdrawal: flag(&all, "/limits/cancel"),
+        copies: flag(&all, "/limits/parallelTries"),
         probes: flag(&all, "/limits/probes"),
         pause: if flag(&all, "/limits/retryAfter") { time(&all, "/limits/maxRetryAfterMs")? } else { 0 },
         must_ask: all.pointer("/discovery").and_then(Value::as_str) == Some("subscribe"),
@@ -30,6 +32,7 @@
     };
     let known = Known {
         reports_by_probe: all.pointer("/feedback/how").and_then(Value::as_str) == Some("pull"),
+        live_weights: all.pointer("/weightSource").and_then(Value::as_str) == Some("live"),
         tells_start: flag(&all, "/specifics/tellsStart"),
         progress: time(&all, "/specifics/progressMs").unwrap_or(0),
         cross_zone: number(&all, "/prices/crossZone").unwrap_or(0.0),
--- a/crates/benchlink/tests/transcripts.rs
+++ b/crates/benchlink/tests/transcripts.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-const SETTINGS: &str = r#"{"groupSize": 2, "zone": 0, "discovery": "automatic", "unheardOf": [1],
+const SETTINGS: &str = r#"{"index":0,"groupSize": 2, "zone": 0, "discovery": "automatic", "unheardOf": [1],
  "limits": {"mostAssignments": 3, "parallelTries": true, "cancel": true, "probes": true, "retryAfter": true,
  "maxRetryAfterMs": 2000.0}, "obligations": {"coldFrom": 0.3, "warmWithinMs": 9000.0, "overloadFactor": 3.0,
  "fallMs": 3000.0}, "feedback": {"how": "piggyback"}, "specifics": {"classStretch": [2.5], "progressMs": 2000.0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Place {
     pub seed: u64,
+    /// Its number in the group, from 0.
+    pub index: usize,
     pub group_size: usize,
     pub zone: usize,
 }
@@ -70,6 +72,8 @@
 pub struct Allowed {
     pub assignments: usize,
     pub withdrawal: bool,
+    /// Two assignments of a task may be out together.
+    pub copies: bool,
     pub probes: bool,
     /// The longest pause that clients follow; 0 where they are told none.
     pub pause: Time,
@@ -93,6 +97,8 @@
     /// Reports come with probes alone.
     pub reports_by_probe: bool,
     pub tells_start: bool,
+    /// The list's weights fall as a worker holds more: its size over one more than its tasks for each core.
+    pub live_weights: bool,
     pub progress: Time,
     pub cross_zone: f64,
 }
@@ -105,6 +111,8 @@
     pub kind: usize,
     pub cell: usize,
     pub state: State,
+    /// The list's figure for what it can do, to be compared with other workers'.
+    pub weight: f64,
     /// When its process last started; `None` is long ago.
     pub started: Option<Time>,
 }
@@ -140,6 +148,13 @@
     NeverSent,
 }
 
+impl Outcome {
+    /// True where it is known that the task did not run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NeverSent)
+    }
+}
+
 /// The time of an event and where the decisions on it go.
 pub struct Moment<'a> {
     pub now: Time,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,15 +1,13 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
+//! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes, with a [`Moment`]:
+//! the time and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in `state.rs`.
 //!
-//! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes: `list` and
-//! `list_failed`, `task`, `sign` (a job started or told its progress), `ended` (an assignment ended), `left`
-//! (the client is gone), `probed`, and `due` for each `wake` it asked for. Each call takes a [`Moment`]: the
-//! time and an `Outgoing` for decisions. That interface is in `lib.rs`, what is remembered in `state.rs`.
-//!
-//! A task runs down the chain `STAGES`; each stage passes it on, keeps it or ends it, and how its assignments
-//! end runs up the same chain. Shares are solved by the M/G/1 model (`shares`), turns are taken by a billiard
-//! inside them (`placed`). docs/design.md tells where that is from, and when each exception acts.
+//! A task runs down the chain `STAGES`, and how its assignments end runs up it. Shares are solved by the M/G/1
+//! model (`shares`), turns taken by a billiard inside them (`placed`): docs/design.md tells where that is from.
 
-use crate::state::{Assignment, Bar, Chance, Cold, Desk, Fleet, Seen, Task, Worker, micros, seconds, worst};
+use crate::state::{
+    Assignment, Census, Chance, Cold, Desk, Fleet, Pulse, Seen, Task, Worker, micros, seconds, worst,
+};
 use crate::{Allowed, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
 use crate::{SECOND, State, Time, Weights, Workload};
 
@@ -23,6 +21,8 @@
 const FEW: f64 = 0.1;
 /// Mean service times that crossing is worth if it costs all of a mean revenue.
 const CROSSING: f64 = 40.0;
+/// Part of a task's revenue over which a crossing is worse than a queue.
+const DEAR: f64 = 0.2;
 /// Part of all turns that an unseen workload is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
@@ -35,8 +35,12 @@
 const WINDOW_USE: f64 = 0.9;
 /// Utilisation is taken as no higher, and the fleet is asked to carry no more, than this.
 const FULL: f64 = 0.95;
-/// Marks of wakes below this are the dispatcher's own, from here on they are tasks' numbers.
-const FIRST: u64 = 16;
+/// Dispatchers that feed one worker, where there are more than that: each keeps to its part of the fleet.
+const FEEDERS: usize = 24;
+/// Probes for each own task, at most.
+const PROBES: f64 = 4.0;
+/// Part of a workload's running time after which a task that has not started is sent a second way.
+const PATIENCE: f64 = 1.0 / 16.0;
 
 /// A worker as Algorithm 1 sees it. Times are seconds of the whole worker, not of a core (Eq. 16).
 #[derive(Clone, Copy, Debug)]
@@ -47,19 +51,21 @@
     pub omega: f64,
     /// Utilisation by others, ρ.
     pub rho: f64,
+    /// What it costs to reach it, in seconds of response time.
+    pub crossing: f64,
 }
 
 impl Station {
     /// ψ: the marginal response time of the first task sent here (Eq. 14).
     fn psi(&self) -> f64 {
         let a = 1.0 - self.rho;
-        self.rho / self.theta * self.omega / (2.0 * a * a) + self.theta / a
+        self.rho / self.theta * self.omega / (2.0 * a * a) + self.theta / a + self.crossing
     }
 
     /// Tasks a second at which the marginal response time is z (Eq. 7).
     fn rate(&self, z: f64) -> f64 {
         let (a, w) = (1.0 - self.rho, self.omega);
-        let below = 2.0 * self.theta * a * z + (w - 2.0 * self.theta * self.theta);
+        let below = 2.0 * self.theta * a * (z - self.crossing) + (w - 2.0 * self.theta * self.theta);
         let kept = if below > 0.0 { (a * (w * a + self.rho * w) / below).sqrt() } else { a };
         ((a - kept) / self.theta).max(0.0)
     }
@@ -68,7 +74,8 @@
 /// Algorithm 1 (PAP): shares of `rate` tasks a second, or nothing where it has no solution.
 pub fn shares(stations: &[Station], rate: f64) -> Option<Vec<f64>> {
     let sound = |s: &Station| s.theta > 0.0 && s.omega > 0.0 && (0.0..1.0).contains(&s.rho);
-    if stations.is_empty() || !stations.iter().all(sound) || rate.is_nan() || rate <= 0.0 {
+    let most: f64 = stations.iter().map(|s| (1.0 - s.rho) / s.theta).sum();
+    if !stations.iter().all(sound) || rate.is_nan() || rate <= 0.0 || rate >= most {
         return None;
     }
     let carried = |z: f64, among: &[usize]| among.iter().map(|&j| stations[j].rate(z)).sum::<f64>();
@@ -82,80 +89,41 @@
     let mut high = 2.0 * low;
     while carried(high, admitted) < rate {
         high *= 2.0;
-        if high > 1e9 {
-            return None; // more than the workers can carry at any z
-        }
     }
     while high - low > 0.001 {
         let z = (low + high) / 2.0;
         if carried(z, admitted) <= rate { low = z } else { high = z }
     }
-    let rate_of = |j| if admitted.contains(&j) { stations[j].rate(high) } else { 0.0 };
-    let found: Vec<f64> = (0..stations.len()).map(rate_of).collect();
+    let mut found = vec![0.0; stations.len()];
+    admitted.iter().for_each(|&j| found[j] = stations[j].rate(high));
     let sum: f64 = found.iter().sum();
     (sum > 0.0).then(|| found.iter().map(|r| r / sum).collect())
 }
 
 impl Worker {
-    /// The present silence, in mean gaps.
-    fn silence(&self, now: Time, usual: Time) -> f64 {
-        let since = if self.in_flight == 0 { now } else { self.last_sign };
-        (now - since) as f64 / self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0)
-    }
-
-    fn heard(&mut self, now: Time) {
-        self.gaps.add(now, (now - self.last_sign) as f64, 1.0);
-        self.last_sign = now;
-        // A process that answers again before the list names its start is as cold as one that it names.
-        if std::mem::take(&mut self.lost) {
-            self.cold = Some(Cold { since: now, room: 0.0, counted: now });
-        }
-    }
-
-    /// Seconds that a task sent now is likely to wait for its start.
-    fn wait(&self, now: Time, theta: f64, elsewhere: f64) -> f64 {
-        let oldest = self.unstarted.first().map_or(0.0, |&(sent, _)| seconds(now - sent));
-        let room = self.free.filter(|&(at, _)| now - at < SOLVE / 5).map(|(_, free)| free > 0.0);
-        // Who sees few starts goes by what waits are like elsewhere, unless the worker has told of room.
-        let told = if room == Some(false) { theta } else { 0.0 };
-        let prior = if room == Some(true) { 0.0 } else { elsewhere.max(told) };
-        self.waits.mean(now, prior, 0.25).max(oldest)
-    }
-
     /// Fast errors look like speed; and one workload may fail where the others do well.
     fn fails(&self, now: Time, workload: usize) -> bool {
         let (errors, all) = self.errors[workload].totals(now);
         errors >= 2.0 && errors > ERRONEOUS * all
     }
-
-    fn bar(&mut self, now: Time) {
-        let length = self.bar.as_ref().map_or(SOLVE / 5, |b| (2 * b.length).min(2 * SOLVE));
-        if self.bar.as_ref().is_none_or(|b| b.until <= now) {
-            self.bar = Some(Bar { until: now + length, length });
-        }
-    }
 }
 
-impl Assignment {
-    /// True where it is known that the task did not run here.
-    fn never_ran(&self) -> bool {
-        matches!(self.outcome, Some(Outcome::Full | Outcome::Unreachable | Outcome::NeverSent))
-    }
-}
-
-/// The ledger of effects. Every path that assigns or bounces asks it; it allows no second copy.
+/// The ledger of effects. Every path that assigns or bounces asks it.
 pub(crate) struct Ledger {
     effects: Vec<Effect>,
     assignments: usize,
+    copies: bool,
 }
 
 impl Ledger {
     /// Whether the task may be assigned to `to` now, by what became of its earlier assignments.
     fn may_assign(&self, now: Time, task: &Task, to: &Worker, workers: &[Worker]) -> bool {
-        if task.assignments.len() >= self.assignments || task.out() > 0 {
+        if task.assignments.len() >= self.assignments || (task.out() > 0 && !self.may_copy(task)) {
             return false;
         }
-        let Some(first) = task.assignments.iter().find(|a| !a.never_ran()) else { return true };
+        let Some(first) = task.assignments.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran)) else {
+            return true;
+        };
         match self.effects[task.workload] {
             Effect::Idempotent => true,
             Effect::SideEffecting => false,
@@ -171,11 +139,21 @@
         }
     }
 
+    /// Whether one more may go out while others are out: none has started, and one try stays in reserve.
+    fn may_copy(&self, task: &Task) -> bool {
+        let waits = |a: &Assignment| a.outcome.is_some() || a.started.is_none();
+        let effect = self.effects[task.workload];
+        // An idempotent job may be killed for a better one, and keeps a try in reserve.
+        let spare = effect != Effect::Idempotent || task.assignments.len() + 1 < self.assignments;
+        let harmless = effect != Effect::SideEffecting;
+        self.copies && spare && harmless && task.assignments.iter().all(waits)
+    }
+
     /// Whether the promise that asking again is harmless can be given.
     fn may_bounce(&self, task: &Task) -> bool {
         let effect = self.effects[task.workload];
         let free = matches!(effect, Effect::Idempotent | Effect::Fingerprinted { group: Group::All, .. });
-        free || task.assignments.iter().all(Assignment::never_ran)
+        free || task.assignments.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
     }
 }
 
@@ -191,7 +169,7 @@
 /// The chain: what each stage does with a task on its way down, and with an outcome on its way up.
 const STAGES: [(Down, Up); 4] = [
     (Dispatcher::in_time, |_, _, _, _, _| {}),
-    (Dispatcher::permitted, Dispatcher::entered),
+    (Dispatcher::permitted, |to, _, n, nth, end| to.desk.enter(n, nth, end)),
     (Dispatcher::placed, Dispatcher::judged),
     (Dispatcher::waiting, |_, _, _, _, _| {}),
 ];
@@ -206,15 +184,18 @@
     obligations: Obligations,
     known: Known,
     fleet: Fleet,
+    parts: usize,
+    /// The workers of its part of the fleet, as last solved for.
+    part: Vec<usize>,
+    /// What they reported by then.
+    census: Census,
     desk: Desk,
     seen: Seen,
-    beats: u64,
+    pulse: Pulse,
     /// Something changed that the shares rest on.
     stale: bool,
     /// So many workers are barred or fail that the cause must be a common one.
     common: bool,
-    ask_at: Option<Time>,
-    asks_failed: u32,
 }
 
 impl Dispatcher {
@@ -232,86 +213,109 @@
         let mut chance = Chance { seed: place.seed, drawn: 0 };
         let effects = workloads.iter().map(|w| w.effect).collect();
         let priors = workloads.iter().map(|w| seconds(w.due)).collect();
-        // Dispatchers that start together must not ask together.
+        // Dispatchers that start together must neither ask nor solve together.
         let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
+        // Where load is told late, and many dispatchers each see little, copies find out where there is room.
+        let copies = allowed.copies && allowed.withdrawal && known.tells_start;
+        // A round of dispatchers divides the fleet into so many parts.
+        let parts = (place.group_size / FEEDERS).max(1);
+        let copies = copies && !known.reports_by_probe && parts > 1;
+        let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
+        let fleet = Fleet::of(place.index / parts);
         Dispatcher {
             place,
             chance,
-            ledger: Ledger { effects, assignments: allowed.assignments },
+            ledger: Ledger { effects, assignments: allowed.assignments, copies },
             allowed,
             obligations,
             known,
-            fleet: Fleet::default(),
-            desk: Desk::from(FIRST),
+            fleet,
+            parts,
+            part: Vec::new(),
+            census: Census::default(),
+            desk: Desk::default(),
             seen: Seen::since(m.now, SOLVE, priors, quotas),
-            beats: 0,
+            pulse: Pulse { beats, ask_at, ..Pulse::default() },
             stale: true,
             common: false,
-            ask_at,
-            asks_failed: 0,
             workloads,
             weights,
         }
     }
 
-    // ---- the list of workers ----
-
     /// What the list says: changes, or everything; `cached` is what it said to an earlier process.
     pub fn list(&mut self, m: &mut Moment, everything: bool, cached: bool, entries: &[Listed]) {
         if !cached {
-            (self.asks_failed, self.ask_at) = (0, None);
+            (self.pulse.asks_failed, self.pulse.ask_at) = (0, None);
         }
         if everything {
+            self.stale = true;
             self.fleet.workers.iter_mut().for_each(|w| w.state = State::Gone);
         }
         for entry in entries {
-            let (j, new) = self.fleet.enter(entry);
+            let (j, new, changed) = self.fleet.enter(entry);
+            self.stale |= (new || changed) && (self.parts == 1 || self.part.contains(&j));
+            let worker = &mut self.fleet.workers[j];
+            if self.known.live_weights && !cached {
+                worker.weighed(m.now, entry.weight);
+            }
             // A new start time is a new process: cold, and nothing seen before holds for it.
             if new {
-                let worker = &mut self.fleet.workers[j];
-                worker.forget(self.workloads.len(), SOLVE);
+                worker.forget(self.workloads.len(), SOLVE * self.parts.min(4) as Time);
                 let since = entry.started.filter(|&s| m.now - s < self.obligations.warm_within);
                 let room = -self.chance.draw();
                 worker.cold = since.map(|since| Cold { since, room, counted: m.now });
             }
         }
-        self.stale = true;
         self.move_on(m);
     }
 
     /// Asks again, spread out and ever later, but never so late that the list counts as known unread.
     pub fn list_failed(&mut self, now: Time) {
         let longest = self.obligations.must_ask_in.max(SOLVE) / 4;
-        let pause = ((SOLVE / 10) << self.asks_failed.min(8)).min(longest) as f64;
-        self.asks_failed += 1;
+        let pause = ((SOLVE / 10) << self.pulse.asks_failed.min(8)).min(longest) as f64;
         let spread = 0.5 + self.chance.draw() / 2.0;
-        self.ask_at = self.allowed.must_ask.then(|| now + (pause * spread) as Time);
+        self.pulse.asks_failed += 1;
+        self.pulse.ask_at = self.allowed.must_ask.then(|| now + (pause * spread) as Time);
     }
 
-    // ---- the model ----
+    /// The part of the fleet that this dispatcher keeps to: the next workers on the ring from its own point,
+    /// so many that each worker has its feeders; as many near ones as far ones, where crossing costs.
+    fn choose(&mut self, now: Time) {
+        let workers = &self.fleet.workers;
+        let from = (self.place.index % self.parts) as u64 * (u64::MAX / self.parts as u64);
+        let ready = self.fleet.around(from).filter(|&j| workers[j].state == State::Ready);
+        let near = |j: &usize| self.known.cross_zone == 0.0 || workers[*j].zone == self.place.zone;
+        let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
+        let size = (close.len() + far.len()).div_ceil(self.parts);
+        self.part = close.iter().take(size).chain(far.iter().take(size)).copied().collect();
+        let ill = |w: &Worker| w.bar.is_some() || (0..self.workloads.len()).any(|i| w.fails(now, i));
+        self.common = 2 * self.part.iter().filter(|j| ill(&workers[**j])).count() > self.part.len();
+    }
 
     fn solve(&mut self, now: Time) {
         self.stale = false;
-        let on = || (0..self.fleet.workers.len()).filter(|&j| self.fleet.workers[j].state == State::Ready);
-        let barred = |j: &usize| self.fleet.workers[*j].bar.as_ref().is_some_and(|b| b.until > now);
-        let ill = |w: &Worker| w.bar.is_some() || (0..self.workloads.len()).any(|i| w.fails(now, i));
-        self.common = 2 * on().filter(|&j| ill(&self.fleet.workers[j])).count() > on().count();
-        let ready: Vec<usize> = on().filter(|j| self.common || !barred(j)).collect();
-        let (rate, spread) = (self.seen.rate(now) * self.place.group_size as f64, self.seen.spread(now));
-        let measured: Vec<(f64, f64)> =
-            ready.iter().map(|&j| self.fleet.workers[j].theta.totals(now)).collect();
-        let (busy, tasks) = measured.iter().fold((0.0, 0.0), |t, m| (t.0 + m.0, t.1 + m.1));
-        let (mean, few) = (busy / tasks.max(1e-9), FEW * tasks / ready.len().max(1) as f64);
-        let station = |(&j, &(busy, tasks)): (&usize, &(f64, f64))| {
-            let worker = &self.fleet.workers[j];
-            // A worker that reports next to nothing would look fast beyond all others: drawn to the mean.
-            let theta = (busy + mean * few) / (tasks + few).max(1e-9);
+        self.choose(now);
+        let workers = &self.fleet.workers;
+        let usable = |j: &usize| self.common || !workers[*j].barred(now);
+        let ready: Vec<usize> = self.part.iter().copied().filter(usable).collect();
+        let census = self.fleet.census(now, &ready, FEW);
+        // Where each has a part of the fleet, own traffic says little of the whole: workers tell their rates.
+        let own = self.seen.rate(now) * self.place.group_size as f64 / self.parts as f64;
+        let told = self.parts > 1 && census.rate > 0.0;
+        let rate = if told { census.rate * ready.len() as f64 } else { own };
+        let spread = 1.0 + self.seen.spread(now);
+        let station = |&j: &usize| {
+            let (worker, theta) = (&workers[j], census.theta_of(now, &workers[j]));
             let own = theta * worker.share * rate;
-            let rho = (worker.utilisation.mean(now, own, 0.001) - own).clamp(0.0, FULL);
-            Station { theta, omega: theta * theta * (1.0 + spread), rho }
+            let like = census.utilisation.unwrap_or(own);
+            let rho = (worker.utilisation.mean(now, like, 0.001) - own).clamp(0.0, FULL);
+            // The model knows no crossing: its price is turned into time.
+            let far = if worker.zone == self.place.zone { 0.0 } else { self.known.cross_zone };
+            Station { theta, omega: theta * theta * spread, rho, crossing: far * CROSSING * census.theta }
         };
-        let stations: Vec<Station> = ready.iter().zip(&measured).map(station).collect();
+        let stations: Vec<Station> = ready.iter().map(station).collect();
         // Where more is asked than the fleet can carry the model has no solution: it is given what they can.
         let most: f64 = stations.iter().map(|s| FULL * (1.0 - s.rho) / s.theta.max(1e-9)).sum();
         let found = shares(&stations, rate.min(most)).unwrap_or(vec![1.0 / ready.len() as f64; ready.len()]);
@@ -325,22 +329,17 @@
             let worker = &mut self.fleet.workers[j];
             (worker.share, worker.fastest) = (found[i], least == Some(i));
             worker.model_theta = stations[i].theta;
-            // The model knows no crossing: a free near worker outside the shares may be worth one.
-            let bearable = stations[i].theta <= CROSSING * self.known.cross_zone * mean;
-            worker.stands_in = bearable && worker.zone == self.place.zone;
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
+        self.census = census;
     }
 
-    // ---- a task on its way down ----
-
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
         let Some(_) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer);
-        let within = |c| self.seen.within_share(m.now, c, self.place.group_size as f64);
-        let within_share = customer.map_or(1.0, within);
+        let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
         let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
         let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
@@ -380,24 +379,25 @@
     fn close(&mut self, m: &mut Moment, n: u64) {
         let Some(task) = self.desk.get_mut(n) else { return };
         task.answered = true;
-        let out = task.assignments.iter().enumerate().filter(|(_, a)| a.outcome.is_none());
         if self.allowed.withdrawal {
-            out.for_each(|(i, _)| m.out.withdraw(&task.id, i));
+            task.open().for_each(|i| m.out.withdraw(&task.id, i));
         }
         self.desk.release(n);
         self.desk.clear(n);
     }
 
     fn in_time(&mut self, m: &mut Moment, n: u64) -> Step {
-        match self.desk.get(n).filter(|t| !t.answered).map(|t| m.now < t.expiry) {
-            Some(true) => Step::Pass,
-            Some(false) => Step::End,
-            None => Step::Keep,
-        }
+        let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return Step::Keep };
+        if m.now < task.expiry { Step::Pass } else { Step::End }
     }
 
     fn permitted(&mut self, m: &mut Moment, n: u64) -> Step {
-        let Some(task) = self.desk.get(n).filter(|t| t.out() == 0) else { return Step::Keep };
+        let Some(task) = self.desk.get(n) else { return Step::Keep };
+        let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
+        let early = |a: &Assignment| a.outcome.is_none() && m.now - a.sent < patience;
+        if task.out() > 0 && (!self.ledger.may_copy(task) || task.assignments.iter().any(early)) {
+            return Step::Keep;
+        }
         let workers = &self.fleet.workers;
         let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, workers);
         if workers.is_empty() || workers.iter().any(may) { Step::Pass } else { Step::End }
@@ -419,16 +419,20 @@
         }
         let (run, mean_run) = (self.seen.run(now, i), self.seen.mean_run(now));
         let due = seconds(self.due_time(now, task, 0.0) - now);
-        let part = self.seen.part(now, i).max(UNSEEN);
-        let open = || self.fleet.workers.iter().filter(|w| w.share > 0.0 && w.state == State::Ready);
+        let mine = self.seen.part(now, i).max(UNSEEN);
+        let part = || self.part.iter().map(|&j| (j, &self.fleet.workers[j]));
+        let open = || part().map(|(_, w)| w).filter(|w| w.share > 0.0 && w.state == State::Ready);
         let flying: usize = open().map(|w| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
         let cost = task.slots * run / mean_run;
         let earns = worth * load.overdue >= self.weights.whole / mean_run;
-        let last = earns && now >= self.due_time(now, task, 1.0);
+        let (last, copying) = (earns && now >= self.due_time(now, task, 1.0), task.out() > 0);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
+        // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
+        let dear = if self.parts == 1 { DEAR / 5.0 } else { DEAR };
+        let dear = dear * self.revenue(now, i) < self.known.cross_zone;
         let mut best: Option<((u8, f64), usize)> = None;
-        for (j, worker) in self.fleet.workers.iter().enumerate() {
+        for (j, worker) in part() {
             if worker.state != State::Ready || load.kind.is_some_and(|k| k != worker.kind) {
                 continue;
             }
@@ -436,25 +440,23 @@
             let trial = idle && load.effect == Effect::Idempotent;
             let skipped = worker.in_flight as f64 >= skip
                 || (self.known.tells_start && !worker.unstarted.is_empty())
-                || (!self.common && worker.bar.as_ref().is_some_and(|b| b.until > now || !trial))
+                || (!self.common && worker.bar.is_some() && (!trial || worker.barred(now)))
                 || (!self.common && !trial && worker.fails(now, i))
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, self.known.progress.max(SOLVE / 10)) > SILENT
-                || worker.cold.as_ref().is_some_and(|c| c.room < cost)
+                || worker.cold.as_ref().is_some_and(|c| c.room <= 0.0)
                 || !self.ledger.may_assign(now, task, worker, &self.fleet.workers);
-            let theta = worker.model_theta;
-            let wait = worker.wait(now, theta, elsewhere);
-            let far = u8::from(self.known.cross_zone > 0.0 && worker.zone != self.place.zone);
+            let (theta, inside) = (worker.model_theta, worker.share > 0.0);
+            let wait = worker.wait(now, SOLVE / 5, theta, elsewhere);
             let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
             // Outside the shares only where all inside them are skipped, or in place of a crossing.
-            let inside = worker.share > 0.0;
             let queue = wait > theta / 4.0;
-            let outside = if worker.stands_in && !queue { 1 } else { 4 };
-            let near = if inside { 2 * far + u8::from(queue) } else { outside };
-            let tier = if late { 5 } else { near };
+            let far = u8::from(dear && worker.zone != self.place.zone);
+            let place = if inside { 2 * far + u8::from(queue) } else { 4 };
+            let tier = if late { 5 } else { place };
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
-            let level = if inside { turns / (worker.share * part) } else { theta };
-            let queued = late && queue && !last;
+            let level = if inside { turns / (worker.share * mine) } else { theta };
+            let queued = queue && (copying || late && !last);
             if !skipped && !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
@@ -474,12 +476,15 @@
         }
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
+        if self.ledger.may_copy(task) {
+            m.out.wake(m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1, n);
+        }
         self.desk.release(n);
     }
 
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
     fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
-        let Some(task) = self.desk.get(n) else { return Step::Keep };
+        let Some(task) = self.desk.get(n).filter(|t| t.out() == 0) else { return Step::Keep };
         let latest = self.due_time(m.now, task, 1.0);
         if m.now >= latest {
             return Step::End;
@@ -490,7 +495,7 @@
             m.out.wake(latest, n);
         }
         // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
-        let flying: usize = self.fleet.workers.iter().map(|w| w.in_flight).sum();
+        let flying: usize = self.part.iter().map(|&j| self.fleet.workers[j].in_flight).sum();
         let starts = self.seen.started.totals(m.now).1 / seconds(SOLVE / 5);
         let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
         while let Some(last) = self.desk.last_held() {
@@ -504,12 +509,17 @@
         Step::Keep
     }
 
+    /// What a mean task of the workload earns in time, by what a mean task of all earns.
+    fn revenue(&self, now: Time, i: usize) -> f64 {
+        let size = |i| if self.weights.by_work { self.seen.run(now, i) } else { 1.0 };
+        let revenue = |i: usize| self.workloads[i].revenue * size(i);
+        revenue(i) / self.seen.mean_revenue(now, revenue).max(1e-6)
+    }
+
     /// What a second of work on it is worth to the users: in the whole, and in the workload served worst.
     fn worth(&self, now: Time, task: &Task) -> f64 {
         let (i, w) = (task.workload, self.weights);
-        let size = |i: usize| if w.by_work { self.seen.run(now, i) } else { 1.0 };
-        let revenue = |i: usize| self.workloads[i].revenue * size(i);
-        let mut worth = w.whole * revenue(i) / self.seen.mean_revenue(now, revenue).max(1e-6);
+        let mut worth = w.whole * self.revenue(now, i);
         if worst(&self.seen.earned, now) == Some(i) {
             worth += w.worst_workload / self.seen.part(now, i).max(UNSEEN);
         }
@@ -524,12 +534,9 @@
         task.expiry.min(task.arrived + load.due + micros(slack))
     }
 
-    // ---- what comes back ----
-
     /// A job told that it started, or how far it is: a sign of life.
     pub fn sign(&mut self, m: &mut Moment, id: &str, assignment: usize) {
-        let Some(n) = self.desk.number(id) else { return };
-        let Some(task) = self.desk.get_mut(n) else { return };
+        let Some((n, task)) = self.desk.named(id) else { return };
         let Some(a) = task.assignments.get_mut(assignment) else { return };
         let worker = &mut self.fleet.workers[a.worker];
         worker.heard(m.now);
@@ -538,16 +545,20 @@
             worker.unstarted.remove(&(a.sent, n));
             worker.waits.add(m.now, seconds(m.now - a.sent), 1.0);
             self.seen.start(m.now, seconds(m.now - a.sent));
+            // The first copy to start is the one that stays.
+            let others: Vec<usize> = task.open().filter(|i| *i != assignment).collect();
+            if others.iter().all(|i| task.assignments[*i].started.is_none()) {
+                others.iter().for_each(|i| m.out.withdraw(&task.id, *i));
+            }
             self.move_on(m);
         }
     }
 
     /// How an assignment ended; `closed` tells that the client has its answer.
     pub fn ended(&mut self, m: &mut Moment, id: &str, nth: usize, end: (Outcome, bool), report: Report) {
-        let Some(n) = self.desk.number(id) else { return };
-        let Some(task) = self.desk.get(n) else { return };
+        let Some((n, task)) = self.desk.named(id) else { return };
         let Some(a) = task.assignments.get(nth).filter(|a| a.outcome.is_none()) else { return };
-        self.reported(m.now, a.worker, report);
+        self.fleet.workers[a.worker].report(m.now, report);
         for (_, stage) in STAGES.iter().rev() {
             stage(self, m.now, n, nth, end.0);
         }
@@ -565,7 +576,6 @@
     fn judged(&mut self, now: Time, n: u64, assignment: usize, outcome: Outcome) {
         let Some(task) = self.desk.get(n) else { return };
         let (a, i) = (&task.assignments[assignment], task.workload);
-        let run = self.seen.run(now, i);
         let worker = &mut self.fleet.workers[a.worker];
         worker.strike(a.sent, n);
         let open = worker.bar.is_none();
@@ -573,54 +583,35 @@
             Outcome::Finished => {
                 worker.heard(now);
                 worker.errors[i].add(now, 0.0, 1.0);
+                worker.bar = None;
                 if let Some(ran) = a.started.map(|s| seconds(now - s)) {
+                    worker.slowness.add(now, ran / self.seen.run(now, i).max(0.001), 1.0);
                     self.seen.ran(now, i, ran);
-                    worker.slowness.add(now, ran / run.max(0.001), 1.0);
                 }
-                worker.bar = None;
             }
             Outcome::Failed => {
                 worker.heard(now);
                 worker.errors[i].add(now, 1.0, 1.0);
-                self.stale |= worker.fails(now, i);
             }
             // An idempotent job may have been killed for a better one: no fault of the worker.
             Outcome::Reset if self.workloads[i].effect == Effect::Idempotent => worker.last_sign = now,
-            Outcome::Reset | Outcome::Unreachable => {
-                worker.lost = true;
-                worker.bar(now);
-            }
-            Outcome::Full => worker.waits.add(now, run, 1.0),
+            Outcome::Reset | Outcome::Unreachable => worker.bar(now, SOLVE / 5, 2 * SOLVE),
+            Outcome::Full => worker.waits.add(now, self.seen.run(now, i), 1.0),
             Outcome::TimedOut | Outcome::Withdrawn | Outcome::NeverSent => {}
         }
         self.stale |= open != worker.bar.is_none();
     }
 
-    fn entered(&mut self, _: Time, n: u64, assignment: usize, outcome: Outcome) {
-        if let Some(task) = self.desk.get_mut(n) {
-            task.assignments[assignment].outcome = Some(outcome);
-        }
-    }
-
-    fn reported(&mut self, now: Time, j: usize, report: Report) {
-        let worker = &mut self.fleet.workers[j];
-        if let (Some(busy), Some(rate)) = (report.utilisation, report.rate) {
-            worker.theta.add(now, busy, rate);
-            worker.utilisation.add(now, busy, 1.0);
-        }
-        worker.free = report.free_slots.map(|free| (now, free)).or(worker.free);
-    }
-
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
         if let Some(j) = self.fleet.named(worker).filter(|_| outcome == Outcome::Finished) {
-            self.reported(m.now, j, report);
+            self.fleet.workers[j].report(m.now, report);
             self.move_on(m);
         }
     }
 
     /// The client is gone: nothing is owed any more.
     pub fn left(&mut self, m: &mut Moment, id: &str) {
-        if let Some(n) = self.desk.number(id) {
+        if let Some((n, _)) = self.desk.named(id) {
             self.close(m, n);
         }
     }
@@ -635,45 +626,44 @@
         }
     }
 
-    /// A wake is due: a task's, or the dispatcher's own beat.
+    /// A wake is due: a task's by its number, or the dispatcher's own beat.
     pub fn due(&mut self, m: &mut Moment, mark: u64) {
-        if mark >= FIRST {
+        if mark > 0 {
             return self.down(m, mark);
         }
         m.out.wake(m.now + BEAT, 0);
-        if self.ask_at.is_some_and(|at| at <= m.now) {
-            self.ask_at = Some(m.now + self.obligations.must_ask_in / 2);
+        if self.pulse.ask_at.is_some_and(|at| at <= m.now) {
+            self.pulse.ask_at = Some(m.now + self.obligations.must_ask_in / 2);
             m.out.follow();
         }
-        let probing = self.allowed.probes && self.known.reports_by_probe && self.beats.is_multiple_of(2);
-        for j in 0..self.fleet.workers.len() {
-            self.warm(m.now, j);
-            if probing && self.fleet.workers[j].state == State::Ready {
-                m.out.probe(&self.fleet.workers[j].id);
+        // What probes may cost grows with own tasks: hundreds of dispatchers probing all would sink the fleet.
+        if self.allowed.probes && self.known.reports_by_probe {
+            let earned = PROBES * self.seen.rate(m.now) * seconds(BEAT);
+            for nth in self.pulse.probes(earned, self.part.len() / 2) {
+                let worker = &self.fleet.workers[self.part[nth % self.part.len()]];
+                m.out.probe(&worker.id);
             }
         }
-        if self.beats.is_multiple_of((SOLVE / BEAT) as u64) {
+        for i in 0..self.part.len() {
+            self.warm(m.now, self.part[i]);
+        }
+        if self.pulse.beats.is_multiple_of((SOLVE / BEAT) as u64) {
             self.solve(m.now);
         }
-        self.beats += 1;
+        self.pulse.beats += 1;
         self.move_on(m);
     }
 
     /// A cold worker's room grows with what it can do by now, a dispatcher's part of it.
     fn warm(&mut self, now: Time, j: usize) {
-        let kind = self.fleet.workers[j].kind;
-        let like = self.fleet.workers.iter().filter(|w| w.cold.is_none() && w.kind == kind);
-        let (sum, n) = like.fold((0.0, 0.0), |t, w| (t.0 + w.model_theta, t.1 + 1.0));
         let worker = &mut self.fleet.workers[j];
-        let theta = if sum > 0.0 { sum / n } else { worker.model_theta };
         worker.cold.take_if(|c| now - c.since >= self.obligations.warm_within);
-        let Some(cold) = &mut worker.cold else { return };
+        let Some(cold) = worker.cold.as_mut().filter(|_| self.census.effort > 0.0) else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
-        let part = COLD_USE * self.obligations.overload_factor * can / self.place.group_size.max(1) as f64;
-        let rate = if theta > 0.0 { part / theta } else { 0.0 };
-        cold.room += rate * seconds(now - cold.counted);
-        cold.room = cold.room.min((rate * seconds(self.obligations.fall)).max(2.0));
-        cold.counted = now;
+        let feeders = self.place.group_size.clamp(1, 3 * FEEDERS);
+        let part = COLD_USE * self.obligations.overload_factor * can / feeders as f64;
+        let rate = part * worker.size / self.census.effort;
+        cold.grow(now, rate, rate * seconds(self.obligations.fall));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use crate::{Listed, Outcome, SECOND, State, Time};
+use crate::{Listed, Outcome, Report, SECOND, State, Time};
 
 const BUCKETS: Time = 8;
 
@@ -11,16 +11,18 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ring {
     width: Time,
-    buckets: [(Time, f64, f64); BUCKETS as usize],
+    /// Empty until something is seen: most of a large fleet never is.
+    buckets: Vec<(Time, f64, f64)>,
 }
 
 impl Ring {
     pub fn over(span: Time) -> Self {
-        Ring { width: (span / BUCKETS).max(1), buckets: [(Time::MIN, 0.0, 0.0); BUCKETS as usize] }
+        Ring { width: (span / BUCKETS).max(1), buckets: Vec::new() }
     }
 
     pub fn add(&mut self, now: Time, sum: f64, weight: f64) {
         let turn = now.div_euclid(self.width);
+        self.buckets.resize(BUCKETS as usize, (Time::MIN, 0.0, 0.0));
         let bucket = &mut self.buckets[turn.rem_euclid(BUCKETS) as usize];
         if bucket.0 != turn {
             *bucket = (turn, 0.0, 0.0);
@@ -74,6 +76,14 @@
     pub counted: Time,
 }
 
+impl Cold {
+    /// Room grows by `rate` a second, up to `most`.
+    pub fn grow(&mut self, now: Time, rate: f64, most: f64) {
+        self.room = (self.room + rate * seconds(now - self.counted)).min(most);
+        self.counted = now;
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Worker {
     pub id: String,
@@ -82,6 +92,8 @@
     pub kind: usize,
     pub state: State,
     pub started: Option<Time>,
+    /// What it can do at best, by the list's weights.
+    pub size: f64,
     pub cold: Option<Cold>,
     pub bar: Option<Bar>,
     /// Could not be reached of late: what answers next may be a new, cold process.
@@ -95,6 +107,8 @@
     /// Utilisation, weighed by rate: its mean is θ, seconds of the whole worker for a task.
     pub theta: Ring,
     pub utilisation: Ring,
+    /// Rates as reported.
+    pub reports: Ring,
     /// Seconds from assignment to start.
     pub waits: Ring,
     /// Running times over their workload's mean.
@@ -104,8 +118,6 @@
     /// Free slots as last reported, and when.
     pub free: Option<(Time, f64)>,
     pub share: f64,
-    /// Worth a crossing though it is outside the shares.
-    pub stands_in: bool,
     /// θ as the model was last given it.
     pub model_theta: f64,
     pub fastest: bool,
@@ -113,11 +125,111 @@
     pub turns: Vec<f64>,
 }
 
+/// Where the dispatcher is in its own rounds of probes and calls for the list.
+#[derive(Default)]
+pub(crate) struct Pulse {
+    pub beats: u64,
+    /// Probes that own tasks have earned, and how many have gone out.
+    pub credit: f64,
+    pub probed: usize,
+    pub ask_at: Option<Time>,
+    pub asks_failed: u32,
+}
+
+impl Pulse {
+    /// The numbers of the probes that may go out now, where `earned` more have been, and `most` at once.
+    pub fn probes(&mut self, earned: f64, most: usize) -> std::ops::Range<usize> {
+        self.credit = (self.credit + earned).min(most as f64);
+        let first = self.probed;
+        self.probed += self.credit as usize;
+        self.credit = self.credit.fract();
+        first..self.probed
+    }
+}
+
+/// What the reports of some workers say of them together.
+#[derive(Debug, Default)]
+pub(crate) struct Census {
+    /// Tasks a second of a mean worker; 0 where none has reported.
+    pub rate: f64,
+    /// Mean utilisation, where it is known of any.
+    pub utilisation: Option<f64>,
+    /// Mean θ, and that of a worker of size 1.
+    pub theta: f64,
+    pub effort: f64,
+    few: f64,
+    kinds: BTreeMap<usize, (f64, f64)>,
+}
+
+impl Census {
+    /// A worker's θ, drawn to its kind's by `few` tasks: one that reports little would look fast beyond all others.
+    pub fn theta_of(&self, now: Time, worker: &Worker) -> f64 {
+        let ((busy, tasks), kind) = (worker.theta.totals(now), self.kinds[&worker.kind]);
+        (busy + kind.0 / kind.1.max(1e-9) * self.few) / (tasks + self.few).max(1e-9)
+    }
+}
+
 impl Worker {
+    /// The present silence, in mean gaps; `usual` is the gap to go by until some are seen.
+    pub fn silence(&self, now: Time, usual: Time) -> f64 {
+        let since = if self.in_flight == 0 { now } else { self.last_sign };
+        (now - since) as f64 / self.gaps.mean(now, usual as f64, 2.0).max(usual as f64 / 2.0)
+    }
+
+    /// Takes what it reports of itself.
+    pub fn report(&mut self, now: Time, report: Report) {
+        if let (Some(busy), Some(rate)) = (report.utilisation, report.rate) {
+            self.theta.add(now, busy, rate);
+            self.reports.add(now, rate, 1.0);
+            self.utilisation.add(now, busy, 1.0);
+        }
+        self.free = report.free_slots.map(|free| (now, free)).or(self.free);
+    }
+
+    /// Takes a live weight: its size over one more than the tasks that it holds for each core.
+    pub fn weighed(&mut self, now: Time, weight: f64) {
+        let held = self.size / weight.max(1e-3) - 1.0;
+        self.utilisation.add(now, held.min(1.0), 1.0);
+        self.free = Some((now, 1.0 - held));
+    }
+
+    pub fn barred(&self, now: Time) -> bool {
+        self.bar.as_ref().is_some_and(|b| b.until > now)
+    }
+
+    /// Bars it, as one that was lost: for the `first` length, and each time for twice as long, up to `longest`.
+    pub fn bar(&mut self, now: Time, first: Time, longest: Time) {
+        self.lost = true;
+        let length = self.bar.as_ref().map_or(first, |b| (2 * b.length).min(longest));
+        if !self.barred(now) {
+            self.bar = Some(Bar { until: now + length, length });
+        }
+    }
+
+    /// Takes a sign of life.
+    pub fn heard(&mut self, now: Time) {
+        self.gaps.add(now, (now - self.last_sign) as f64, 1.0);
+        self.last_sign = now;
+        // A process that answers again before the list names its start is as cold as one that it names.
+        if std::mem::take(&mut self.lost) {
+            self.cold = Some(Cold { since: now, room: -1.0, counted: now });
+        }
+    }
+
+    /// Seconds that a task sent now is likely to wait for its start; what it told is `fresh` for so long.
+    pub fn wait(&self, now: Time, fresh: Time, theta: f64, elsewhere: f64) -> f64 {
+        let oldest = self.unstarted.first().map_or(0.0, |&(sent, _)| seconds(now - sent));
+        let room = self.free.filter(|&(at, _)| now - at < fresh).map(|(_, free)| free > 0.0);
+        // Who sees few starts goes by what waits are like elsewhere, unless the worker has told of room.
+        let told = if room == Some(false) { theta } else { 0.0 };
+        let prior = if room == Some(true) { 0.0 } else { elsewhere.max(told) };
+        self.waits.mean(now, prior, 0.25).max(oldest)
+    }
+
     /// Drops what was seen of a process that is no more; `span` is the time between two solves.
     pub fn forget(&mut self, workloads: usize, span: Time) {
         self.gaps = Ring::over(4 * span);
-        (self.theta, self.utilisation) = (Ring::over(span), Ring::over(span));
+        (self.theta, self.utilisation, self.reports) = (Ring::over(span), Ring::over(span), Ring::over(span));
         self.waits = Ring::over(span / 4);
         self.slowness = Ring::over(2 * span);
         self.errors = vec![Ring::over(2 * span); workloads];
@@ -165,9 +277,14 @@
 }
 
 impl Task {
-    /// Assignments still out.
+    /// The numbers of the assignments still out.
+    pub fn open(&self) -> impl Iterator<Item = usize> {
+        let open = |(i, a): (usize, &Assignment)| a.outcome.is_none().then_some(i);
+        self.assignments.iter().enumerate().filter_map(open)
+    }
+
     pub fn out(&self) -> usize {
-        self.assignments.iter().filter(|a| a.outcome.is_none()).count()
+        self.open().count()
     }
 }
 
@@ -190,53 +307,86 @@
 pub(crate) struct Fleet {
     pub workers: Vec<Worker>,
     index: HashMap<String, usize>,
+    /// The workers in an order by chance that stays the same whatever the list adds or drops.
+    ring: BTreeMap<u64, usize>,
+    /// Dispatchers of one round have one order.
+    round: usize,
 }
 
 impl Fleet {
+    pub fn of(round: usize) -> Self {
+        Fleet { round, ..Fleet::default() }
+    }
+
     pub fn named(&self, id: &str) -> Option<usize> {
         self.index.get(id).copied()
     }
 
-    /// Takes over an entry of the list; true where it tells of a process not known so far.
-    pub fn enter(&mut self, entry: &Listed) -> (usize, bool) {
+    /// Counts what `among` have reported; `few` is the part of a mean worker's tasks that a θ must rest on.
+    pub fn census(&self, now: Time, among: &[usize], few: f64) -> Census {
+        let workers = || among.iter().map(|&j| (&self.workers[j], self.workers[j].theta.totals(now)));
+        let add = |t: (f64, f64), u: (f64, f64)| (t.0 + u.0, t.1 + u.1);
+        let (rates, reports) = workers().map(|(w, _)| w.reports.totals(now)).fold((0.0, 0.0), add);
+        let (used, told) = workers().map(|(w, _)| w.utilisation.totals(now)).fold((0.0, 0.0), add);
+        let (busy, tasks) = workers().map(|(_, m)| m).fold((0.0, 0.0), add);
+        let (few, any) = (few * tasks / among.len().max(1) as f64, tasks.max(1e-9));
+        let effort = workers().map(|(w, m)| m.0 * w.size).sum::<f64>() / any;
+        let mut kinds = BTreeMap::new();
+        for (worker, m) in workers() {
+            let kind = kinds.entry(worker.kind).or_insert((effort / worker.size * few, few));
+            *kind = add(*kind, m);
+        }
+        let rate = if reports > 0.0 { rates / reports } else { 0.0 };
+        let utilisation = (told > 0.0).then(|| used / told);
+        Census { rate, utilisation, theta: busy / any, effort, few, kinds }
+    }
+
+    /// All workers, in the ring's order from a point on.
+    pub fn around(&self, from: u64) -> impl Iterator<Item = usize> {
+        self.ring.range(from..).chain(self.ring.range(..from)).map(|(_, &j)| j)
+    }
+
+    /// Takes over an entry of the list; tells whether its process is a new one, and whether its state has changed.
+    pub fn enter(&mut self, entry: &Listed) -> (usize, bool, bool) {
         let known = self.named(&entry.id);
         let j = known.unwrap_or(self.workers.len());
         if known.is_none() {
             self.index.insert(entry.id.clone(), j);
+            let mut hasher = DefaultHasher::new();
+            (self.round, &entry.id).hash(&mut hasher);
+            self.ring.insert(hasher.finish(), j);
             self.workers.push(Worker { id: entry.id.clone(), ..Worker::default() });
         }
         let worker = &mut self.workers[j];
         (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
-        worker.state = entry.state;
+        let changed = std::mem::replace(&mut worker.state, entry.state) != entry.state;
+        worker.size = worker.size.max(entry.weight).max(1e-6);
         let before = std::mem::replace(&mut worker.started, entry.started);
-        (j, known.is_none() || before != entry.started)
+        (j, known.is_none() || before != entry.started, changed)
     }
 }
 
-/// The tasks that are owed an answer or have assignments out, and which of them wait here.
+/// The tasks that are owed an answer or have assignments out, numbered from 1, and which of them wait here.
+#[derive(Default)]
 pub(crate) struct Desk {
     tasks: BTreeMap<u64, Task>,
     numbers: HashMap<String, u64>,
     held: BTreeSet<(u64, Time, u64)>,
-    next: u64,
+    last: u64,
 }
 
 impl Desk {
-    /// Numbers its tasks from `first` on.
-    pub fn from(first: u64) -> Self {
-        Desk { tasks: BTreeMap::new(), numbers: HashMap::new(), held: BTreeSet::new(), next: first }
-    }
-
     pub fn take(&mut self, task: Task) -> u64 {
-        let n = self.next;
-        self.next += 1;
+        self.last += 1;
+        let n = self.last;
         self.numbers.insert(task.id.clone(), n);
         self.tasks.insert(n, task);
         n
     }
 
-    pub fn number(&self, id: &str) -> Option<u64> {
-        self.numbers.get(id).copied()
+    pub fn named(&mut self, id: &str) -> Option<(u64, &mut Task)> {
+        let n = self.numbers.get(id).copied()?;
+        self.tasks.get_mut(&n).map(|task| (n, task))
     }
 
     pub fn get(&self, n: u64) -> Option<&Task> {
@@ -247,6 +397,12 @@
         self.tasks.get_mut(&n)
     }
 
+    pub fn enter(&mut self, n: u64, assignment: usize, outcome: Outcome) {
+        if let Some(task) = self.tasks.get_mut(&n) {
+            task.assignments[assignment].outcome = Some(outcome);
+        }
+    }
+
     /// Lets the task wait, at the place that `first` gives it: least first, then by expiry.
     pub fn hold(&mut self, n: u64, first: u64) {
         if let Some(task) = self.tasks.get_mut(&n) {
@@ -359,8 +515,9 @@
     }
 
     /// The part of a customer's tasks within its quota, if `all` dispatchers see as many as this one.
-    pub fn within_share(&self, now: Time, customer: usize, all: f64) -> f64 {
-        let Some((ring, quota)) = self.asked.get(customer).zip(self.quotas.get(customer)) else { return 1.0 };
+    pub fn within_share(&self, now: Time, customer: Option<usize>, all: f64) -> f64 {
+        let known = customer.and_then(|c| self.asked.get(c).zip(self.quotas.get(c)));
+        let Some((ring, quota)) = known else { return 1.0 };
         let rate = all * ring.totals(now).1 / seconds((now - self.began).clamp(self.span / 5, self.span));
         if rate > 0.0 { (quota / rate).min(1.0) } else { 1.0 }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,7 @@
 }
 
 pub fn listed(id: &str, zone: usize, state: State, started: Option<Time>) -> Listed {
-    Listed { id: id.into(), zone, kind: 0, cell: zone, state, started }
+    Listed { id: id.into(), zone, kind: 0, cell: zone, state, weight: 1.0, started }
 }
 
 impl Bench {
@@ -63,11 +63,12 @@
 
     /// In zone 0, where an assignment to another zone costs this part of a task's revenue.
     pub fn start_where(group_size: usize, must_ask: bool, cross_zone: f64) -> Self {
-        let place = Place { seed: 7, group_size, zone: 0 };
+        let place = Place { seed: 7, index: 0, group_size, zone: 0 };
         let one =
             |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue: 0.5, kind: None };
         let weights = Weights { whole: 1.0, worst_workload: 0.2, beyond_share: 0.1, by_work: false };
-        let allowed = Allowed { assignments: 3, withdrawal: true, probes: true, pause: 0, must_ask };
+        let allowed =
+            Allowed { assignments: 3, withdrawal: true, copies: true, probes: true, pause: 0, must_ask };
         let obligations = Obligations {
             cold_from: 0.25,
             warm_within: 10 * SECOND,
@@ -75,7 +76,13 @@
             fall: 2 * SECOND,
             must_ask_in: 10 * SECOND,
         };
-        let known = Known { reports_by_probe: false, tells_start: true, progress: SECOND, cross_zone };
+        let known = Known {
+            reports_by_probe: false,
+            tells_start: true,
+            live_weights: false,
+            progress: SECOND,
+            cross_zone,
+        };
         let mut out = Record::default();
         let m = &mut Moment { now: 0, out: &mut out };
         let workloads = effects().map(one).to_vec();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -173,8 +173,8 @@
     let mut runner = TestRunner::new_with_rng(Config { failure_persistence: None, ..Config::default() }, rng);
     let days = prop::collection::vec(events(), 1..150);
     runner
-        .run(&days, |events| {
-            let (mut bench, mut model) = (Bench::start(3, false), Model::default());
+        .run(&(days, 0..3usize), |(events, size)| {
+            let (mut bench, mut model) = (Bench::start([3, 60, 2000][size], false), Model::default());
             for (i, state) in [State::Ready; 4].into_iter().enumerate() {
                 model.apply(&mut bench, Event::List(i, state, false), 0);
             }
