--- a/src/logic.rs
+++ b/src/logic.rs
@@ -257,9 +257,6 @@
             let (j, new, changed) = self.fleet.enter(entry);
             self.stale |= (new || changed) && (self.parts == 1 || self.part.contains(&j));
             let worker = &mut self.fleet.workers[j];
-            if self.known.live_weights && !cached {
-                worker.weighed(m.now, entry.weight);
-            }
             // A new start time is a new process: cold, and nothing seen before holds for it.
             if new {
                 worker.forget(self.workloads.len(), SOLVE * self.parts.min(4) as Time);
@@ -267,6 +264,9 @@
                 let room = -self.chance.draw();
                 worker.cold = since.map(|since| Cold { since, room, counted: m.now });
             }
+            if self.known.live_weights && !cached {
+                worker.weighed(m.now, entry.weight);
+            }
         }
         self.move_on(m);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,13 +18,17 @@
     pub now: Time,
     pub sent: Vec<(Time, Sent)>,
     pub wakes: Vec<(Time, u64)>,
+    pub withdrawn: Vec<(String, usize)>,
+    pub probes: usize,
 }
 
 impl Outgoing for Record {
     fn assign(&mut self, task: &str, worker: &str) {
         self.sent.push((self.now, Sent::Assign(task.into(), worker.into())));
     }
-    fn withdraw(&mut self, _: &str, _: usize) {}
+    fn withdraw(&mut self, task: &str, assignment: usize) {
+        self.withdrawn.push((task.into(), assignment));
+    }
     fn bounce(&mut self, task: &str, _: Time) {
         self.sent.push((self.now, Sent::Bounce(task.into())));
     }
@@ -34,7 +38,9 @@
     fn wake(&mut self, at: Time, mark: u64) {
         self.wakes.push((at, mark));
     }
-    fn probe(&mut self, _: &str) {}
+    fn probe(&mut self, _: &str) {
+        self.probes += 1;
+    }
     fn follow(&mut self) {
         self.sent.push((self.now, Sent::Follow));
     }
@@ -63,7 +69,17 @@
 
     /// In zone 0, where an assignment to another zone costs this part of a task's revenue.
     pub fn start_where(group_size: usize, must_ask: bool, cross_zone: f64) -> Self {
-        let place = Place { seed: 7, index: 0, group_size, zone: 0 };
+        let known = Known {
+            reports_by_probe: false,
+            tells_start: true,
+            live_weights: false,
+            progress: SECOND,
+            cross_zone,
+        };
+        Self::start_known(Place { seed: 7, index: 0, group_size, zone: 0 }, must_ask, known)
+    }
+
+    pub fn start_known(place: Place, must_ask: bool, known: Known) -> Self {
         let one =
             |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue: 0.5, kind: None };
         let weights = Weights { whole: 1.0, worst_workload: 0.2, beyond_share: 0.1, by_work: false };
@@ -76,13 +92,6 @@
             fall: 2 * SECOND,
             must_ask_in: 10 * SECOND,
         };
-        let known = Known {
-            reports_by_probe: false,
-            tells_start: true,
-            live_weights: false,
-            progress: SECOND,
-            cross_zone,
-        };
         let mut out = Record::default();
         let m = &mut Moment { now: 0, out: &mut out };
         let workloads = effects().map(one).to_vec();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -220,3 +220,74 @@
     bench.with(|to, m| to.task(m, "cheap", (0, None), 5 * SECOND, 4.0));
     assert_eq!(bench.worker_of("cheap"), None);
 }
+
+fn in_group(index: usize, group_size: usize, reports_by_probe: bool, live_weights: bool) -> Bench {
+    let place = Place { seed: index as u64, index, group_size, zone: 0 };
+    let (tells_start, progress, cross_zone) = (true, SECOND, 0.0);
+    Bench::start_known(
+        place,
+        false,
+        Known { reports_by_probe, tells_start, live_weights, progress, cross_zone },
+    )
+}
+
+fn fleet(size: usize, started: Option<Time>) -> Vec<Listed> {
+    (0..size).map(|i| listed(&format!("w{i}"), 0, State::Ready, started)).collect()
+}
+
+/// A worker that joined a running fleet whose weights are live ended the process.
+#[test]
+fn a_worker_joins_a_fleet_with_live_weights() {
+    let mut bench = in_group(0, 4, false, true);
+    bench.list(&[listed("a", 0, State::Ready, Some(0)), listed("b", 0, State::Ready, None)]);
+    bench.list(&[Listed { weight: 0.0, ..listed("c", 0, State::Ready, None) }]);
+    bench.task("one", 0);
+    assert!(bench.worker_of("one").is_some());
+}
+
+/// Hundreds of dispatchers: every worker is fed by some of them, none by all, and a change moves few.
+#[test]
+fn many_dispatchers_cover_the_fleet_evenly_each_with_its_part() {
+    let mut feeders = std::collections::HashMap::new();
+    for index in 0..480 {
+        let mut bench = in_group(index, 480, false, false);
+        bench.list(&fleet(96, None));
+        let used = |bench: &mut Bench, name: &str| -> std::collections::BTreeSet<String> {
+            (0..8).for_each(|i| bench.task(&format!("{name}{i}"), 1));
+            (0..8).filter_map(|i| bench.worker_of(&format!("{name}{i}"))).collect()
+        };
+        let part = used(&mut bench, "t");
+        assert!((4..=6).contains(&part.len()), "{part:?}");
+        part.iter().for_each(|w| *feeders.entry(w.clone()).or_insert(0) += 1);
+    }
+    assert_eq!(feeders.len(), 96);
+    assert!(feeders.values().all(|n| (8..=56).contains(n)), "{feeders:?}");
+}
+
+/// Where a task does not start, nothing is known of the queue: it is tried elsewhere, and runs once.
+#[test]
+fn a_task_that_does_not_start_is_sent_a_second_way() {
+    let mut bench = in_group(0, 480, false, false);
+    bench.list(&fleet(96, None));
+    bench.task("one", 0);
+    bench.task("never twice", 1);
+    let first = bench.worker_of("one");
+    bench.pass(100 * MS);
+    assert_ne!(bench.worker_of("one"), first);
+    bench.start_job("one", 1);
+    assert_eq!(bench.out.withdrawn, vec![("one".to_string(), 0)]);
+    let twice = Sent::Assign("never twice".into(), bench.worker_of("never twice").unwrap());
+    assert_eq!(bench.out.sent.iter().filter(|(_, s)| *s == twice).count(), 1);
+}
+
+/// Every dispatcher probing every worker sank the fleet: probes are earned by own tasks.
+#[test]
+fn probes_grow_with_own_tasks_alone() {
+    let mut bench = in_group(0, 480, true, false);
+    bench.list(&fleet(192, None));
+    bench.pass(10 * SECOND);
+    assert_eq!(bench.out.probes, 0);
+    (0..5).for_each(|i| bench.task(&format!("t{i}"), 0));
+    bench.pass(20 * SECOND);
+    assert!((5..=25).contains(&bench.out.probes), "{}", bench.out.probes);
+}
