--- a/src/logic.rs
+++ b/src/logic.rs
@@ -185,6 +185,8 @@
     known: Known,
     fleet: Fleet,
     parts: usize,
+    /// Withdrawing is taken to stop work that has not started.
+    trusting: bool,
     /// The workers of its part of the fleet, as last solved for.
     part: Vec<usize>,
     /// What they reported by then.
@@ -217,21 +219,21 @@
         let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
         // Where load is told late, and many dispatchers each see little, copies find out where there is room.
-        let copies = allowed.copies && allowed.withdrawal && known.tells_start;
         // A round of dispatchers divides the fleet into so many parts.
         let parts = (place.group_size / FEEDERS).max(1);
-        let copies = copies && !known.reports_by_probe && parts > 1;
+        let trusting = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
         let fleet = Fleet::of(place.index / parts);
         Dispatcher {
             place,
             chance,
-            ledger: Ledger { effects, assignments: allowed.assignments, copies },
+            ledger: Ledger { effects, assignments: allowed.assignments, copies: trusting && allowed.copies },
             allowed,
             obligations,
             known,
             fleet,
             parts,
+            trusting,
             part: Vec::new(),
             census: Census::default(),
             desk: Desk::default(),
@@ -395,8 +397,14 @@
         let Some(task) = self.desk.get(n) else { return Step::Keep };
         let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
         let early = |a: &Assignment| a.outcome.is_none() && m.now - a.sent < patience;
-        if task.out() > 0 && (!self.ledger.may_copy(task) || task.assignments.iter().any(early)) {
-            return Step::Keep;
+        if task.out() > 0 {
+            let waits = self.trusting && task.open().all(|i| task.assignments[i].started.is_none());
+            if waits && !task.assignments.iter().any(early) && self.past_hope(m.now, task) {
+                return Step::End; // it would only keep others waiting at its worker
+            }
+            if !self.ledger.may_copy(task) || task.assignments.iter().any(early) {
+                return Step::Keep;
+            }
         }
         let workers = &self.fleet.workers;
         let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, workers);
@@ -425,8 +433,8 @@
         let flying: usize = open().map(|w| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
         let cost = task.slots * run / mean_run;
-        let earns = worth * load.overdue >= self.weights.whole / mean_run;
-        let (last, copying) = (earns && now >= self.due_time(now, task, 1.0), task.out() > 0);
+        let due_last = self.due_time(now, task, 1.0);
+        let (last, copying) = (now >= due_last && !self.past_hope(now, task), task.out() > 0);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
         let dear = if self.parts == 1 { DEAR / 5.0 } else { DEAR };
@@ -476,9 +484,12 @@
         }
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
+        let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
         if self.ledger.may_copy(task) {
-            m.out.wake(m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1, n);
+            m.out.wake(patient, n);
         }
+        let Some(task) = self.desk.get(n) else { return };
+        m.out.wake(self.due_time(m.now, task, 1.0).max(patient), n);
         self.desk.release(n);
     }
 
@@ -527,6 +538,12 @@
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
+    /// Too late to be in time, and another task earns more with the time that it would take.
+    fn past_hope(&self, now: Time, task: &Task) -> bool {
+        let late = self.worth(now, task) * self.workloads[task.workload].overdue;
+        now >= self.due_time(now, task, 1.5) && late < self.weights.whole / self.seen.mean_run(now)
+    }
+
     /// When a task is due that takes the mean time of its workload, or `runs` of those before.
     fn due_time(&self, now: Time, task: &Task, runs: f64) -> Time {
         let load = &self.workloads[task.workload];
