--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,8 @@
 const FEEDERS: usize = 24;
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
+/// Running times before its due time at which a task must have started.
+const HOPE: f64 = 1.5;
 /// Part of a workload's running time after which a task that has not started is sent a second way.
 const PATIENCE: f64 = 1.0 / 16.0;
 
@@ -100,14 +102,6 @@
     (sum > 0.0).then(|| found.iter().map(|r| r / sum).collect())
 }
 
-impl Worker {
-    /// Fast errors look like speed; and one workload may fail where the others do well.
-    fn fails(&self, now: Time, workload: usize) -> bool {
-        let (errors, all) = self.errors[workload].totals(now);
-        errors >= 2.0 && errors > ERRONEOUS * all
-    }
-}
-
 /// The ledger of effects. Every path that assigns or bounces asks it.
 pub(crate) struct Ledger {
     effects: Vec<Effect>,
@@ -141,12 +135,11 @@
 
     /// Whether one more may go out while others are out: none has started, and one try stays in reserve.
     fn may_copy(&self, task: &Task) -> bool {
-        let waits = |a: &Assignment| a.outcome.is_some() || a.started.is_none();
         let effect = self.effects[task.workload];
         // An idempotent job may be killed for a better one, and keeps a try in reserve.
         let spare = effect != Effect::Idempotent || task.assignments.len() + 1 < self.assignments;
         let harmless = effect != Effect::SideEffecting;
-        self.copies && spare && harmless && task.assignments.iter().all(waits)
+        self.copies && spare && harmless && task.waits()
     }
 
     /// Whether the promise that asking again is harmless can be given.
@@ -194,8 +187,6 @@
     desk: Desk,
     seen: Seen,
     pulse: Pulse,
-    /// Something changed that the shares rest on.
-    stale: bool,
     /// So many workers are barred or fail that the cause must be a common one.
     common: bool,
 }
@@ -239,7 +230,6 @@
             desk: Desk::default(),
             seen: Seen::since(m.now, SOLVE, priors, quotas),
             pulse: Pulse { beats, ask_at, ..Pulse::default() },
-            stale: true,
             common: false,
             workloads,
             weights,
@@ -251,13 +241,13 @@
         if !cached {
             (self.pulse.asks_failed, self.pulse.ask_at) = (0, None);
         }
+        let mut changed = everything || self.part.is_empty();
         if everything {
-            self.stale = true;
             self.fleet.workers.iter_mut().for_each(|w| w.state = State::Gone);
         }
         for entry in entries {
-            let (j, new, changed) = self.fleet.enter(entry);
-            self.stale |= (new || changed) && (self.parts == 1 || self.part.contains(&j));
+            let (j, new, moved) = self.fleet.enter(entry);
+            changed |= (new || moved) && (self.parts == 1 || self.part.contains(&j));
             let worker = &mut self.fleet.workers[j];
             // A new start time is a new process: cold, and nothing seen before holds for it.
             if new {
@@ -270,6 +260,9 @@
                 worker.weighed(m.now, entry.weight);
             }
         }
+        if changed {
+            self.solve(m.now);
+        }
         self.move_on(m);
     }
 
@@ -282,9 +275,9 @@
         self.pulse.ask_at = self.allowed.must_ask.then(|| now + (pause * spread) as Time);
     }
 
-    /// The part of the fleet that this dispatcher keeps to: the next workers on the ring from its own point,
-    /// so many that each worker has its feeders; as many near ones as far ones, where crossing costs.
-    fn choose(&mut self, now: Time) {
+    /// Solves for the part of the fleet that this dispatcher keeps to: the next workers on the ring from its own
+    /// point, so many that each worker has its feeders; as many near ones as far ones, where crossing costs.
+    fn solve(&mut self, now: Time) {
         let workers = &self.fleet.workers;
         let from = (self.place.index % self.parts) as u64 * (u64::MAX / self.parts as u64);
         let ready = self.fleet.around(from).filter(|&j| workers[j].state == State::Ready);
@@ -292,14 +285,9 @@
         let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
         let size = (close.len() + far.len()).div_ceil(self.parts);
         self.part = close.iter().take(size).chain(far.iter().take(size)).copied().collect();
-        let ill = |w: &Worker| w.bar.is_some() || (0..self.workloads.len()).any(|i| w.fails(now, i));
+        let ill =
+            |w: &Worker| w.bar.is_some() || (0..self.workloads.len()).any(|i| w.fails(now, i, ERRONEOUS));
         self.common = 2 * self.part.iter().filter(|j| ill(&workers[**j])).count() > self.part.len();
-    }
-
-    fn solve(&mut self, now: Time) {
-        self.stale = false;
-        self.choose(now);
-        let workers = &self.fleet.workers;
         let usable = |j: &usize| self.common || !workers[*j].barred(now);
         let ready: Vec<usize> = self.part.iter().copied().filter(usable).collect();
         let census = self.fleet.census(now, &ready, FEW);
@@ -396,13 +384,12 @@
     fn permitted(&mut self, m: &mut Moment, n: u64) -> Step {
         let Some(task) = self.desk.get(n) else { return Step::Keep };
         let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
-        let early = |a: &Assignment| a.outcome.is_none() && m.now - a.sent < patience;
         if task.out() > 0 {
-            let waits = self.trusting && task.open().all(|i| task.assignments[i].started.is_none());
-            if waits && !task.assignments.iter().any(early) && self.past_hope(m.now, task) {
+            let early = task.open().any(|i| m.now - task.assignments[i].sent < patience);
+            if self.trusting && !early && task.waits() && self.past_hope(m.now, task) {
                 return Step::End; // it would only keep others waiting at its worker
             }
-            if !self.ledger.may_copy(task) || task.assignments.iter().any(early) {
+            if early || !self.ledger.may_copy(task) {
                 return Step::Keep;
             }
         }
@@ -414,9 +401,6 @@
     /// The billiard (Algorithm 2): the least (Xj + Yji)/Pji among the workers that are not skipped.
     fn placed(&mut self, m: &mut Moment, n: u64) -> Step {
         let now = m.now;
-        if self.stale {
-            self.solve(now);
-        }
         let Some(task) = self.desk.get(n) else { return Step::Keep };
         let (i, load) = (task.workload, &self.workloads[task.workload]);
         // A new task does not pass dearer ones that wait: it would take the room they wait for.
@@ -449,7 +433,7 @@
             let skipped = worker.in_flight as f64 >= skip
                 || (self.known.tells_start && !worker.unstarted.is_empty())
                 || (!self.common && worker.bar.is_some() && (!trial || worker.barred(now)))
-                || (!self.common && !trial && worker.fails(now, i))
+                || (!self.common && !trial && worker.fails(now, i, ERRONEOUS))
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, self.known.progress.max(SOLVE / 10)) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room <= 0.0)
@@ -475,21 +459,15 @@
     }
 
     fn assign(&mut self, m: &mut Moment, n: u64, j: usize, cost: f64) {
+        let hope = self.desk.get(n).map_or(m.now, |t| self.hope(m.now, t));
         let Some(task) = self.desk.get_mut(n) else { return };
         let worker = &mut self.fleet.workers[j];
         worker.turns[task.workload] += 1.0;
-        worker.book(m.now, n);
-        if let Some(cold) = &mut worker.cold {
-            cold.room -= cost;
-        }
+        worker.book(m.now, n, cost);
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
         let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
-        if self.ledger.may_copy(task) {
-            m.out.wake(patient, n);
-        }
-        let Some(task) = self.desk.get(n) else { return };
-        m.out.wake(self.due_time(m.now, task, 1.0).max(patient), n);
+        [patient, hope.max(patient)].into_iter().for_each(|at| m.out.wake(at, n));
         self.desk.release(n);
     }
 
@@ -538,10 +516,16 @@
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
+    /// Until when a task may still start in time; who cannot be sent again may be a short one, and waits on.
+    fn hope(&self, now: Time, task: &Task) -> Time {
+        let once = self.workloads[task.workload].effect == Effect::SideEffecting;
+        self.due_time(now, task, if once { 0.0 } else { HOPE })
+    }
+
     /// Too late to be in time, and another task earns more with the time that it would take.
     fn past_hope(&self, now: Time, task: &Task) -> bool {
         let late = self.worth(now, task) * self.workloads[task.workload].overdue;
-        now >= self.due_time(now, task, 1.5) && late < self.weights.whole / self.seen.mean_run(now)
+        now >= self.hope(now, task) && late < self.weights.whole / self.seen.mean_run(now)
     }
 
     /// When a task is due that takes the mean time of its workload, or `runs` of those before.
@@ -595,7 +579,6 @@
         let (a, i) = (&task.assignments[assignment], task.workload);
         let worker = &mut self.fleet.workers[a.worker];
         worker.strike(a.sent, n);
-        let open = worker.bar.is_none();
         match outcome {
             Outcome::Finished => {
                 worker.heard(now);
@@ -612,11 +595,13 @@
             }
             // An idempotent job may have been killed for a better one: no fault of the worker.
             Outcome::Reset if self.workloads[i].effect == Effect::Idempotent => worker.last_sign = now,
-            Outcome::Reset | Outcome::Unreachable => worker.bar(now, SOLVE / 5, 2 * SOLVE),
+            Outcome::Reset | Outcome::Unreachable => {
+                worker.bar(now, SOLVE / 5, 2 * SOLVE);
+                self.solve(now);
+            }
             Outcome::Full => worker.waits.add(now, self.seen.run(now, i), 1.0),
             Outcome::TimedOut | Outcome::Withdrawn | Outcome::NeverSent => {}
         }
-        self.stale |= open != worker.bar.is_none();
     }
 
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -193,6 +193,12 @@
         self.free = Some((now, 1.0 - held));
     }
 
+    /// Whether errors are more than `part` of a workload's outcomes; that alone, as others may do well here.
+    pub fn fails(&self, now: Time, workload: usize, part: f64) -> bool {
+        let (errors, all) = self.errors[workload].totals(now);
+        errors >= 2.0 && errors > part * all
+    }
+
     pub fn barred(&self, now: Time) -> bool {
         self.bar.as_ref().is_some_and(|b| b.until > now)
     }
@@ -238,11 +244,12 @@
     }
 
     /// An assignment goes out; silence counts from here if nothing was out before.
-    pub fn book(&mut self, now: Time, task: u64) {
+    pub fn book(&mut self, now: Time, task: u64, cost: f64) {
         if self.in_flight == 0 {
             self.last_sign = now;
         }
         self.in_flight += 1;
+        self.cold.iter_mut().for_each(|c| c.room -= cost);
         self.unstarted.insert((now, task));
     }
 
@@ -283,6 +290,11 @@
         self.assignments.iter().enumerate().filter_map(open)
     }
 
+    /// None of those still out has started.
+    pub fn waits(&self) -> bool {
+        self.open().all(|i| self.assignments[i].started.is_none())
+    }
+
     pub fn out(&self) -> usize {
         self.open().count()
     }
