--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, Write};
 
 use anyhow::{Context, Result, bail, ensure};
+use base64::prelude::{BASE64_STANDARD, Engine as _};
 use rainlug::logic::Dispatcher;
 use rainlug::{Listed, Moment, Outcome, Outgoing, State, Time};
 
@@ -153,7 +154,12 @@
                 lists.get(&slot).with_context(|| format!("expected the slot of a list, found {slot}"))?;
             to.list(m, scope != "delta", scope == "cached", entries);
         }
-        "PEER_DATA" => {}
+        "PEER_DATA" => {
+            let from = fields.value("a sender")?;
+            let news = fields.maybe::<String>("a message's bytes")?.unwrap_or_default();
+            let news = BASE64_STANDARD.decode(news).context("expected bytes in base64")?;
+            to.told(m.now, from, &news);
+        }
         _ => bail!("expected an event, found '{word}'"),
     }
     Ok(())
@@ -232,6 +238,10 @@
         put(self.reply, format_args!("SOUND_OUT {} {worker}\n", self.name));
     }
 
+    fn tell(&mut self, to: usize, news: &[u8]) {
+        put(self.reply, format_args!("MEMO_TO {} {to} {}\n", self.name, BASE64_STANDARD.encode(news)));
+    }
+
     fn follow(&mut self) {
         put(self.reply, format_args!("WATCH {} 1\n", self.name));
     }
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -19,6 +19,7 @@
         assignments: number(&all, "/limits/mostAssignments")? as usize,
         withdrawal: flag(&all, "/limits/cancel"),
         copies: flag(&all, "/limits/parallelTries"),
+        peers: flag(&all, "/limits/peers"),
         probes: flag(&all, "/limits/probes"),
         pause: if flag(&all, "/limits/retryAfter") { time(&all, "/limits/maxRetryAfterMs")? } else { 0 },
         must_ask: all.pointer("/discovery").and_then(Value::as_str) == Some("subscribe"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,8 @@
     /// Two assignments of a task may be out together.
     pub copies: bool,
     pub probes: bool,
+    /// Dispatchers may tell one another something.
+    pub peers: bool,
     /// The longest pause that clients follow; 0 where they are told none.
     pub pause: Time,
     /// True where the list of workers comes only when asked for.
@@ -172,6 +174,8 @@
     fn abandon(&mut self, task: &str);
     fn wake(&mut self, at: Time, mark: u64);
     fn probe(&mut self, worker: &str);
+    /// Tells the dispatcher of that number something.
+    fn tell(&mut self, to: usize, news: &[u8]);
     /// Asks for the list of workers and its changes from now on.
     fn follow(&mut self);
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,12 +1,11 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
 //! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes, with a [`Moment`]:
 //! the time and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in `state.rs`.
-//!
 //! A task runs down the chain `STAGES`, and how its assignments end runs up it. Shares are solved by the M/G/1
 //! model (`shares`), turns taken by a billiard inside them (`placed`): docs/design.md tells where that is from.
 
 use crate::state::{
-    Assignment, Census, Chance, Cold, Desk, Fleet, Pulse, Seen, Task, Worker, micros, seconds, worst,
+    Assignment, Chance, Cold, Desk, Fleet, Part, Pulse, Seen, Task, Worker, micros, seconds, worst,
 };
 use crate::{Allowed, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
 use crate::{SECOND, State, Time, Weights, Workload};
@@ -19,8 +18,6 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
-/// Mean service times that crossing is worth if it costs all of a mean revenue.
-const CROSSING: f64 = 40.0;
 /// Part of a task's revenue over which a crossing is worse than a queue.
 const DEAR: f64 = 0.2;
 /// Part of all turns that an unseen workload is given.
@@ -53,21 +50,19 @@
     pub omega: f64,
     /// Utilisation by others, ρ.
     pub rho: f64,
-    /// What it costs to reach it, in seconds of response time.
-    pub crossing: f64,
 }
 
 impl Station {
     /// ψ: the marginal response time of the first task sent here (Eq. 14).
     fn psi(&self) -> f64 {
         let a = 1.0 - self.rho;
-        self.rho / self.theta * self.omega / (2.0 * a * a) + self.theta / a + self.crossing
+        self.rho / self.theta * self.omega / (2.0 * a * a) + self.theta / a
     }
 
     /// Tasks a second at which the marginal response time is z (Eq. 7).
     fn rate(&self, z: f64) -> f64 {
         let (a, w) = (1.0 - self.rho, self.omega);
-        let below = 2.0 * self.theta * a * (z - self.crossing) + (w - 2.0 * self.theta * self.theta);
+        let below = 2.0 * self.theta * a * z + (w - 2.0 * self.theta * self.theta);
         let kept = if below > 0.0 { (a * (w * a + self.rho * w) / below).sqrt() } else { a };
         ((a - kept) / self.theta).max(0.0)
     }
@@ -178,17 +173,10 @@
     known: Known,
     fleet: Fleet,
     parts: usize,
-    /// Withdrawing is taken to stop work that has not started.
-    trusting: bool,
-    /// The workers of its part of the fleet, as last solved for.
-    part: Vec<usize>,
-    /// What they reported by then.
-    census: Census,
+    part: Part,
     desk: Desk,
     seen: Seen,
     pulse: Pulse,
-    /// So many workers are barred or fail that the cause must be a common one.
-    common: bool,
 }
 
 impl Dispatcher {
@@ -212,25 +200,24 @@
         // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         // A round of dispatchers divides the fleet into so many parts.
         let parts = (place.group_size / FEEDERS).max(1);
-        let trusting = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
+        // Where load cannot be asked of workers, those who feed the same part tell one another.
+        let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
+        let copies = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
-        let fleet = Fleet::of(place.index / parts);
+        let fleet = Fleet::of(if allowed.peers { 0 } else { place.index / parts });
         Dispatcher {
             place,
             chance,
-            ledger: Ledger { effects, assignments: allowed.assignments, copies: trusting && allowed.copies },
+            ledger: Ledger { effects, assignments: allowed.assignments, copies: copies && allowed.copies },
             allowed,
             obligations,
             known,
             fleet,
             parts,
-            trusting,
-            part: Vec::new(),
-            census: Census::default(),
+            part: Part::default(),
             desk: Desk::default(),
             seen: Seen::since(m.now, SOLVE, priors, quotas),
             pulse: Pulse { beats, ask_at, ..Pulse::default() },
-            common: false,
             workloads,
             weights,
         }
@@ -241,13 +228,13 @@
         if !cached {
             (self.pulse.asks_failed, self.pulse.ask_at) = (0, None);
         }
-        let mut changed = everything || self.part.is_empty();
+        let mut changed = everything || self.part.workers.is_empty();
         if everything {
             self.fleet.workers.iter_mut().for_each(|w| w.state = State::Gone);
         }
         for entry in entries {
             let (j, new, moved) = self.fleet.enter(entry);
-            changed |= (new || moved) && (self.parts == 1 || self.part.contains(&j));
+            changed |= (new || moved) && (self.parts == 1 || self.part.workers.contains(&j));
             let worker = &mut self.fleet.workers[j];
             // A new start time is a new process: cold, and nothing seen before holds for it.
             if new {
@@ -276,34 +263,34 @@
     }
 
     /// Solves for the part of the fleet that this dispatcher keeps to: the next workers on the ring from its own
-    /// point, so many that each worker has its feeders; as many near ones as far ones, where crossing costs.
+    /// point, so many that each worker has its feeders; as many near ones as far ones.
     fn solve(&mut self, now: Time) {
         let workers = &self.fleet.workers;
-        let from = (self.place.index % self.parts) as u64 * (u64::MAX / self.parts as u64);
-        let ready = self.fleet.around(from).filter(|&j| workers[j].state == State::Ready);
-        let near = |j: &usize| self.known.cross_zone == 0.0 || workers[*j].zone == self.place.zone;
+        let ready = self.fleet.ring().filter(|&j| workers[j].state == State::Ready);
+        let near = |j: &usize| self.allowed.peers || workers[*j].zone == self.place.zone;
         let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
         let size = (close.len() + far.len()).div_ceil(self.parts);
-        self.part = close.iter().take(size).chain(far.iter().take(size)).copied().collect();
-        let ill =
-            |w: &Worker| w.bar.is_some() || (0..self.workloads.len()).any(|i| w.fails(now, i, ERRONEOUS));
-        self.common = 2 * self.part.iter().filter(|j| ill(&workers[**j])).count() > self.part.len();
-        let usable = |j: &usize| self.common || !workers[*j].barred(now);
-        let ready: Vec<usize> = self.part.iter().copied().filter(usable).collect();
+        let mut part = Vec::new();
+        for among in [close, far] {
+            let from = self.place.index % self.parts * among.len() / self.parts;
+            part.extend(among.iter().cycle().skip(from).take(size.min(among.len())));
+        }
+        let fails = |w: &Worker| (0..self.workloads.len()).any(|i| w.fails(now, i, ERRONEOUS));
+        let ill = part.iter().map(|&j| &workers[j]).filter(|w: &&Worker| w.bar.is_some() || fails(w));
+        let common = 2 * ill.count() > part.len();
+        let usable = |j: &usize| common || !workers[*j].barred(now);
+        let ready: Vec<usize> = part.iter().copied().filter(usable).collect();
         let census = self.fleet.census(now, &ready, FEW);
         // Where each has a part of the fleet, own traffic says little of the whole: workers tell their rates.
         let own = self.seen.rate(now) * self.place.group_size as f64 / self.parts as f64;
-        let told = self.parts > 1 && census.rate > 0.0;
-        let rate = if told { census.rate * ready.len() as f64 } else { own };
+        let rate = if self.parts > 1 && census.rate > 0.0 { census.rate * ready.len() as f64 } else { own };
         let spread = 1.0 + self.seen.spread(now);
         let station = |&j: &usize| {
             let (worker, theta) = (&workers[j], census.theta_of(now, &workers[j]));
             let own = theta * worker.share * rate;
             let like = census.utilisation.unwrap_or(own);
             let rho = (worker.utilisation.mean(now, like, 0.001) - own).clamp(0.0, FULL);
-            // The model knows no crossing: its price is turned into time.
-            let far = if worker.zone == self.place.zone { 0.0 } else { self.known.cross_zone };
-            Station { theta, omega: theta * theta * spread, rho, crossing: far * CROSSING * census.theta }
+            Station { theta, omega: theta * theta * spread, rho }
         };
         let stations: Vec<Station> = ready.iter().map(station).collect();
         // Where more is asked than the fleet can carry the model has no solution: it is given what they can.
@@ -312,7 +299,7 @@
         let least = (0..ready.len()).min_by(|&a, &b| stations[a].theta.total_cmp(&stations[b].theta));
         // Workers that were lost all together have not restarted: a common cause cut them off.
         for worker in &mut self.fleet.workers {
-            worker.lost &= !self.common;
+            worker.lost &= !common;
             (worker.share, worker.fastest) = (0.0, false);
         }
         for (i, &j) in ready.iter().enumerate() {
@@ -321,17 +308,20 @@
             worker.model_theta = stations[i].theta;
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
-        self.census = census;
+        self.part = Part { workers: part, census, common };
     }
 
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
-        let Some(_) = self.workloads.get(workload) else { return m.out.abandon(id) };
+        let Some(load) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer);
         let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
         let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
-        let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
+        // Messages cost: among many, only of what cannot be tried elsewhere.
+        let once = self.parts == 1 || load.effect == Effect::SideEffecting;
+        let told = if self.allowed.peers && once { slots } else { 0.0 };
+        let task = Task { id, workload, slots, told, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
         m.out.wake(expiry, n);
         self.down(m, n);
@@ -367,13 +357,10 @@
 
     /// An answered task goes nowhere any more: what is still out is withdrawn.
     fn close(&mut self, m: &mut Moment, n: u64) {
-        let Some(task) = self.desk.get_mut(n) else { return };
-        task.answered = true;
+        let Some((id, open)) = self.desk.close(n) else { return };
         if self.allowed.withdrawal {
-            task.open().for_each(|i| m.out.withdraw(&task.id, i));
+            open.into_iter().for_each(|i| m.out.withdraw(&id, i));
         }
-        self.desk.release(n);
-        self.desk.clear(n);
     }
 
     fn in_time(&mut self, m: &mut Moment, n: u64) -> Step {
@@ -386,7 +373,7 @@
         let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
         if task.out() > 0 {
             let early = task.open().any(|i| m.now - task.assignments[i].sent < patience);
-            if self.trusting && !early && task.waits() && self.past_hope(m.now, task) {
+            if self.ledger.copies && !early && task.waits() && self.past_hope(m.now, task) {
                 return Step::End; // it would only keep others waiting at its worker
             }
             if early || !self.ledger.may_copy(task) {
@@ -409,20 +396,19 @@
         if task.held.is_none() && self.desk.first_held().is_some_and(dearer) {
             return Step::Pass;
         }
-        let (run, mean_run) = (self.seen.run(now, i), self.seen.mean_run(now));
+        let run = self.seen.run(now, i);
         let due = seconds(self.due_time(now, task, 0.0) - now);
         let mine = self.seen.part(now, i).max(UNSEEN);
-        let part = || self.part.iter().map(|&j| (j, &self.fleet.workers[j]));
+        let part = || self.part.workers.iter().map(|&j| (j, &self.fleet.workers[j]));
         let open = || part().map(|(_, w)| w).filter(|w| w.share > 0.0 && w.state == State::Ready);
         let flying: usize = open().map(|w| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
-        let cost = task.slots * run / mean_run;
-        let due_last = self.due_time(now, task, 1.0);
-        let (last, copying) = (now >= due_last && !self.past_hope(now, task), task.out() > 0);
+        let cost = task.slots * run / self.seen.mean_run(now);
+        let last = now >= self.due_time(now, task, 1.0) && !self.past_hope(now, task);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
-        let dear = if self.parts == 1 { DEAR / 5.0 } else { DEAR };
-        let dear = dear * self.revenue(now, i) < self.known.cross_zone;
+        let bound = if self.parts == 1 { DEAR / 5.0 } else { DEAR };
+        let dear = bound * self.revenue(now, i) < self.known.cross_zone;
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in part() {
             if worker.state != State::Ready || load.kind.is_some_and(|k| k != worker.kind) {
@@ -432,23 +418,26 @@
             let trial = idle && load.effect == Effect::Idempotent;
             let skipped = worker.in_flight as f64 >= skip
                 || (self.known.tells_start && !worker.unstarted.is_empty())
-                || (!self.common && worker.bar.is_some() && (!trial || worker.barred(now)))
-                || (!self.common && !trial && worker.fails(now, i, ERRONEOUS))
+                || (!self.part.common && worker.bar.is_some() && (!trial || worker.barred(now)))
+                || (!self.part.common && !trial && worker.fails(now, i, ERRONEOUS))
                 || task.assignments.iter().any(|a| a.worker == j)
                 || worker.silence(now, self.known.progress.max(SOLVE / 10)) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room <= 0.0)
                 || !self.ledger.may_assign(now, task, worker, &self.fleet.workers);
             let (theta, inside) = (worker.model_theta, worker.share > 0.0);
-            let wait = worker.wait(now, SOLVE / 5, theta, elsewhere);
-            let late = wait + run * worker.slowness.mean(now, 1.0, 2.0) > due;
-            // Outside the shares only where all inside them are skipped, or in place of a crossing.
+            // Where all tell one another all, what they told stands in for waits seen.
+            let slots = worker.load(now - 2 * SOLVE) + task.slots - self.part.census.slots;
+            let told = if self.allowed.peers { (theta * slots).max(0.0) } else { 0.0 };
+            let seen = worker.wait(now, SOLVE / 5, theta, elsewhere);
+            let wait = if self.allowed.peers && self.parts == 1 { told } else { seen.max(told) };
+            let late = wait + run > due;
             let queue = wait > theta / 4.0;
             let far = u8::from(dear && worker.zone != self.place.zone);
             let place = if inside { 2 * far + u8::from(queue) } else { 4 };
             let tier = if late { 5 } else { place };
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
             let level = if inside { turns / (worker.share * mine) } else { theta };
-            let queued = queue && (copying || late && !last);
+            let queued = queue && (task.out() > 0 || late && !last);
             if !skipped && !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
@@ -463,12 +452,14 @@
         let Some(task) = self.desk.get_mut(n) else { return };
         let worker = &mut self.fleet.workers[j];
         worker.turns[task.workload] += 1.0;
-        worker.book(m.now, n, cost);
+        worker.book(m.now, n, cost, task.told);
+        let told = task.told;
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
         let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
         [patient, hope.max(patient)].into_iter().for_each(|at| m.out.wake(at, n));
         self.desk.release(n);
+        self.tell(m, j, told);
     }
 
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
@@ -484,7 +475,7 @@
             m.out.wake(latest, n);
         }
         // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
-        let flying: usize = self.part.iter().map(|&j| self.fleet.workers[j].in_flight).sum();
+        let flying: usize = self.part.workers.iter().map(|&j| self.fleet.workers[j].in_flight).sum();
         let starts = self.seen.started.totals(m.now).1 / seconds(SOLVE / 5);
         let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
         while let Some(last) = self.desk.last_held() {
@@ -543,8 +534,7 @@
         worker.heard(m.now);
         if a.started.is_none() {
             a.started = Some(m.now);
-            worker.unstarted.remove(&(a.sent, n));
-            worker.waits.add(m.now, seconds(m.now - a.sent), 1.0);
+            worker.starts(m.now, a.sent, n);
             self.seen.start(m.now, seconds(m.now - a.sent));
             // The first copy to start is the one that stays.
             let others: Vec<usize> = task.open().filter(|i| *i != assignment).collect();
@@ -559,10 +549,12 @@
     pub fn ended(&mut self, m: &mut Moment, id: &str, nth: usize, end: (Outcome, bool), report: Report) {
         let Some((n, task)) = self.desk.named(id) else { return };
         let Some(a) = task.assignments.get(nth).filter(|a| a.outcome.is_none()) else { return };
-        self.fleet.workers[a.worker].report(m.now, report);
+        let (j, told) = (a.worker, task.told);
+        self.fleet.workers[j].report(m.now, report);
         for (_, stage) in STAGES.iter().rev() {
             stage(self, m.now, n, nth, end.0);
         }
+        self.tell(m, j, told);
         if end.1 {
             self.earn(m.now, n, end.0 == Outcome::Finished);
             self.close(m, n);
@@ -578,16 +570,13 @@
         let Some(task) = self.desk.get(n) else { return };
         let (a, i) = (&task.assignments[assignment], task.workload);
         let worker = &mut self.fleet.workers[a.worker];
-        worker.strike(a.sent, n);
+        worker.strike(a.sent, n, task.told);
         match outcome {
             Outcome::Finished => {
                 worker.heard(now);
                 worker.errors[i].add(now, 0.0, 1.0);
                 worker.bar = None;
-                if let Some(ran) = a.started.map(|s| seconds(now - s)) {
-                    worker.slowness.add(now, ran / self.seen.run(now, i).max(0.001), 1.0);
-                    self.seen.ran(now, i, ran);
-                }
+                a.started.iter().for_each(|s| self.seen.ran(now, i, seconds(now - s)));
             }
             Outcome::Failed => {
                 worker.heard(now);
@@ -604,6 +593,20 @@
         }
     }
 
+    /// Tells those who feed the same part how many slots this dispatcher has taken at a worker.
+    fn tell(&self, m: &mut Moment, j: usize, slots: f64) {
+        let (worker, own) = (&self.fleet.workers[j], self.place.index);
+        let like = (own % self.parts..self.place.group_size).step_by(self.parts);
+        for to in like.filter(|to| slots > 0.0 && *to != own) {
+            m.out.tell(to, &[worker.mark[0], worker.mark[1], worker.held as u8]);
+        }
+    }
+
+    /// Another dispatcher tells how many slots it has taken at a worker.
+    pub fn told(&mut self, now: Time, from: usize, news: &[u8]) {
+        self.fleet.told(&self.part, now, from, news);
+    }
+
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
         if let Some(j) = self.fleet.named(worker).filter(|_| outcome == Outcome::Finished) {
             self.fleet.workers[j].report(m.now, report);
@@ -611,7 +614,6 @@
         }
     }
 
-    /// The client is gone: nothing is owed any more.
     pub fn left(&mut self, m: &mut Moment, id: &str) {
         if let Some((n, _)) = self.desk.named(id) {
             self.close(m, n);
@@ -641,13 +643,13 @@
         // What probes may cost grows with own tasks: hundreds of dispatchers probing all would sink the fleet.
         if self.allowed.probes && self.known.reports_by_probe {
             let earned = PROBES * self.seen.rate(m.now) * seconds(BEAT);
-            for nth in self.pulse.probes(earned, self.part.len() / 2) {
-                let worker = &self.fleet.workers[self.part[nth % self.part.len()]];
+            for nth in self.pulse.probes(earned, self.part.workers.len() / 2) {
+                let worker = &self.fleet.workers[self.part.workers[nth % self.part.workers.len()]];
                 m.out.probe(&worker.id);
             }
         }
-        for i in 0..self.part.len() {
-            self.warm(m.now, self.part[i]);
+        for i in 0..self.part.workers.len() {
+            self.warm(m.now, self.part.workers[i]);
         }
         if self.pulse.beats.is_multiple_of((SOLVE / BEAT) as u64) {
             self.solve(m.now);
@@ -660,12 +662,12 @@
     fn warm(&mut self, now: Time, j: usize) {
         let worker = &mut self.fleet.workers[j];
         worker.cold.take_if(|c| now - c.since >= self.obligations.warm_within);
-        let Some(cold) = worker.cold.as_mut().filter(|_| self.census.effort > 0.0) else { return };
+        let Some(cold) = worker.cold.as_mut().filter(|_| self.part.census.effort > 0.0) else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
         let feeders = self.place.group_size.clamp(1, 3 * FEEDERS);
         let part = COLD_USE * self.obligations.overload_factor * can / feeders as f64;
-        let rate = part * worker.size / self.census.effort;
+        let rate = part * worker.size / self.part.census.effort;
         cold.grow(now, rate, rate * seconds(self.obligations.fall));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,13 @@
     /// Could not be reached of late: what answers next may be a new, cold process.
     pub lost: bool,
     pub in_flight: usize,
+    /// Slots that own tasks have taken here, and those that others told of, with the time.
+    pub held: f64,
+    pub others: BTreeMap<usize, (Time, f64)>,
+    /// By which dispatchers name it to one another.
+    pub mark: [u8; 2],
+    /// The most free slots it ever told of.
+    pub slots: f64,
     /// Assignments not known to have started: when sent, and of which task.
     pub unstarted: BTreeSet<(Time, u64)>,
     pub last_sign: Time,
@@ -111,8 +118,6 @@
     pub reports: Ring,
     /// Seconds from assignment to start.
     pub waits: Ring,
-    /// Running times over their workload's mean.
-    pub slowness: Ring,
     /// Errors among outcomes, by workload.
     pub errors: Vec<Ring>,
     /// Free slots as last reported, and when.
@@ -154,13 +159,24 @@
     pub rate: f64,
     /// Mean utilisation, where it is known of any.
     pub utilisation: Option<f64>,
-    /// Mean θ, and that of a worker of size 1.
-    pub theta: f64,
+    /// Mean θ of a worker of size 1.
     pub effort: f64,
+    /// The most free slots that any told of.
+    pub slots: f64,
     few: f64,
     kinds: BTreeMap<usize, (f64, f64)>,
 }
 
+/// The part of the fleet that a dispatcher keeps to, as last solved for.
+#[derive(Default)]
+pub(crate) struct Part {
+    pub workers: Vec<usize>,
+    /// What they had reported by then.
+    pub census: Census,
+    /// So many are barred or fail that the cause must be a common one.
+    pub common: bool,
+}
+
 impl Census {
     /// A worker's θ, drawn to its kind's by `few` tasks: one that reports little would look fast beyond all others.
     pub fn theta_of(&self, now: Time, worker: &Worker) -> f64 {
@@ -183,6 +199,7 @@
             self.reports.add(now, rate, 1.0);
             self.utilisation.add(now, busy, 1.0);
         }
+        self.slots = self.slots.max(report.free_slots.unwrap_or(0.0));
         self.free = report.free_slots.map(|free| (now, free)).or(self.free);
     }
 
@@ -199,6 +216,11 @@
         errors >= 2.0 && errors > part * all
     }
 
+    /// Slots taken here, by all that is known; what was told before `since` is too old.
+    pub fn load(&self, since: Time) -> f64 {
+        self.held + self.others.values().filter(|o| o.0 >= since).map(|o| o.1).sum::<f64>()
+    }
+
     pub fn barred(&self, now: Time) -> bool {
         self.bar.as_ref().is_some_and(|b| b.until > now)
     }
@@ -237,25 +259,32 @@
         self.gaps = Ring::over(4 * span);
         (self.theta, self.utilisation, self.reports) = (Ring::over(span), Ring::over(span), Ring::over(span));
         self.waits = Ring::over(span / 4);
-        self.slowness = Ring::over(2 * span);
         self.errors = vec![Ring::over(2 * span); workloads];
         self.turns = vec![0.0; workloads];
         (self.bar, self.cold, self.free, self.lost) = (None, None, None, false);
     }
 
     /// An assignment goes out; silence counts from here if nothing was out before.
-    pub fn book(&mut self, now: Time, task: u64, cost: f64) {
+    pub fn book(&mut self, now: Time, task: u64, cost: f64, slots: f64) {
         if self.in_flight == 0 {
             self.last_sign = now;
         }
         self.in_flight += 1;
+        self.held += slots;
         self.cold.iter_mut().for_each(|c| c.room -= cost);
         self.unstarted.insert((now, task));
     }
 
+    /// The job of an assignment that went out at `sent` has started.
+    pub fn starts(&mut self, now: Time, sent: Time, task: u64) {
+        self.unstarted.remove(&(sent, task));
+        self.waits.add(now, seconds(now - sent), 1.0);
+    }
+
     /// An assignment that went out at `sent` has ended.
-    pub fn strike(&mut self, sent: Time, task: u64) {
+    pub fn strike(&mut self, sent: Time, task: u64, slots: f64) {
         self.in_flight -= 1;
+        self.held -= slots;
         self.unstarted.remove(&(sent, task));
     }
 }
@@ -273,6 +302,8 @@
     pub id: String,
     pub workload: usize,
     pub slots: f64,
+    /// Slots that other dispatchers are told of.
+    pub told: f64,
     pub arrived: Time,
     pub expiry: Time,
     /// The part of its customer's tasks that lay within the customer's share when it came.
@@ -340,7 +371,7 @@
         let add = |t: (f64, f64), u: (f64, f64)| (t.0 + u.0, t.1 + u.1);
         let (rates, reports) = workers().map(|(w, _)| w.reports.totals(now)).fold((0.0, 0.0), add);
         let (used, told) = workers().map(|(w, _)| w.utilisation.totals(now)).fold((0.0, 0.0), add);
-        let (busy, tasks) = workers().map(|(_, m)| m).fold((0.0, 0.0), add);
+        let (_, tasks) = workers().map(|(_, m)| m).fold((0.0, 0.0), add);
         let (few, any) = (few * tasks / among.len().max(1) as f64, tasks.max(1e-9));
         let effort = workers().map(|(w, m)| m.0 * w.size).sum::<f64>() / any;
         let mut kinds = BTreeMap::new();
@@ -350,12 +381,21 @@
         }
         let rate = if reports > 0.0 { rates / reports } else { 0.0 };
         let utilisation = (told > 0.0).then(|| used / told);
-        Census { rate, utilisation, theta: busy / any, effort, few, kinds }
+        let slots = workers().map(|(w, _)| w.slots).fold(0.0, f64::max);
+        Census { slots, rate, utilisation, effort, few, kinds }
     }
 
-    /// All workers, in the ring's order from a point on.
-    pub fn around(&self, from: u64) -> impl Iterator<Item = usize> {
-        self.ring.range(from..).chain(self.ring.range(..from)).map(|(_, &j)| j)
+    /// Another dispatcher told how many slots it has taken at a worker of this part.
+    pub fn told(&mut self, part: &Part, now: Time, from: usize, news: &[u8]) {
+        let &[a, b, held] = news else { return };
+        if let Some(&j) = part.workers.iter().find(|j| self.workers[**j].mark == [a, b]) {
+            self.workers[j].others.insert(from, (now, f64::from(held)));
+        }
+    }
+
+    /// All workers, in the ring's order.
+    pub fn ring(&self) -> impl Iterator<Item = usize> {
+        self.ring.values().copied()
     }
 
     /// Takes over an entry of the list; tells whether its process is a new one, and whether its state has changed.
@@ -366,8 +406,10 @@
             self.index.insert(entry.id.clone(), j);
             let mut hasher = DefaultHasher::new();
             (self.round, &entry.id).hash(&mut hasher);
-            self.ring.insert(hasher.finish(), j);
-            self.workers.push(Worker { id: entry.id.clone(), ..Worker::default() });
+            let key = hasher.finish();
+            self.ring.insert(key, j);
+            let mark = [key as u8, (key >> 8) as u8];
+            self.workers.push(Worker { id: entry.id.clone(), mark, ..Worker::default() });
         }
         let worker = &mut self.workers[j];
         (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
@@ -442,6 +484,16 @@
         self.held.len()
     }
 
+    /// Takes a task for answered; gives its id and the numbers of the assignments still out.
+    pub fn close(&mut self, n: u64) -> Option<(String, Vec<usize>)> {
+        self.release(n);
+        let task = self.tasks.get_mut(&n)?;
+        task.answered = true;
+        let closed = (task.id.clone(), task.open().collect());
+        self.clear(n);
+        Some(closed)
+    }
+
     /// Forgets a task that is answered and has nothing out.
     pub fn clear(&mut self, n: u64) {
         if let Some(task) = self.tasks.get(&n).filter(|t| t.answered && t.out() == 0) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
     fn probe(&mut self, _: &str) {
         self.probes += 1;
     }
+    fn tell(&mut self, _: usize, _: &[u8]) {}
     fn follow(&mut self) {
         self.sent.push((self.now, Sent::Follow));
     }
@@ -83,8 +84,15 @@
         let one =
             |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue: 0.5, kind: None };
         let weights = Weights { whole: 1.0, worst_workload: 0.2, beyond_share: 0.1, by_work: false };
-        let allowed =
-            Allowed { assignments: 3, withdrawal: true, copies: true, probes: true, pause: 0, must_ask };
+        let allowed = Allowed {
+            assignments: 3,
+            withdrawal: true,
+            copies: true,
+            probes: true,
+            peers: false,
+            pause: 0,
+            must_ask,
+        };
         let obligations = Obligations {
             cold_from: 0.25,
             warm_within: 10 * SECOND,
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -4,7 +4,7 @@
 use rainlug::logic::{Station, shares};
 
 fn station(theta: f64, spread: f64, rho: f64) -> Station {
-    Station { theta, omega: theta * theta * (1.0 + spread), rho, crossing: 0.0 }
+    Station { theta, omega: theta * theta * (1.0 + spread), rho }
 }
 
 proptest! {
