--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 const FEEDERS: usize = 24;
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
-/// Running times before its due time at which a task must have started.
+/// Running times before its due time at which a task must have started, if it is worth as much as the mean.
 const HOPE: f64 = 1.5;
 /// Part of a workload's running time after which a task that has not started is sent a second way.
 const PATIENCE: f64 = 1.0 / 16.0;
@@ -358,9 +358,7 @@
     /// An answered task goes nowhere any more: what is still out is withdrawn.
     fn close(&mut self, m: &mut Moment, n: u64) {
         let Some((id, open)) = self.desk.close(n) else { return };
-        if self.allowed.withdrawal {
-            open.into_iter().for_each(|i| m.out.withdraw(&id, i));
-        }
+        open.iter().filter(|_| self.allowed.withdrawal).for_each(|i| m.out.withdraw(&id, *i));
     }
 
     fn in_time(&mut self, m: &mut Moment, n: u64) -> Step {
@@ -370,8 +368,8 @@
 
     fn permitted(&mut self, m: &mut Moment, n: u64) -> Step {
         let Some(task) = self.desk.get(n) else { return Step::Keep };
-        let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
         if task.out() > 0 {
+            let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
             let early = task.open().any(|i| m.now - task.assignments[i].sent < patience);
             if self.ledger.copies && !early && task.waits() && self.past_hope(m.now, task) {
                 return Step::End; // it would only keep others waiting at its worker
@@ -391,8 +389,7 @@
         let Some(task) = self.desk.get(n) else { return Step::Keep };
         let (i, load) = (task.workload, &self.workloads[task.workload]);
         // A new task does not pass dearer ones that wait: it would take the room they wait for.
-        let worth = self.worth(now, task);
-        let dearer = |f| self.desk.get(f).is_some_and(|f| self.worth(now, f) > worth);
+        let dearer = |f| self.desk.get(f).is_some_and(|f| self.worth(now, f) > self.worth(now, task));
         if task.held.is_none() && self.desk.first_held().is_some_and(dearer) {
             return Step::Pass;
         }
@@ -400,8 +397,8 @@
         let due = seconds(self.due_time(now, task, 0.0) - now);
         let mine = self.seen.part(now, i).max(UNSEEN);
         let part = || self.part.workers.iter().map(|&j| (j, &self.fleet.workers[j]));
-        let open = || part().map(|(_, w)| w).filter(|w| w.share > 0.0 && w.state == State::Ready);
-        let flying: usize = open().map(|w| w.in_flight).sum();
+        let open = || part().filter(|(_, w)| w.share > 0.0);
+        let flying: usize = open().map(|(_, w)| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
         let cost = task.slots * run / self.seen.mean_run(now);
         let last = now >= self.due_time(now, task, 1.0) && !self.past_hope(now, task);
@@ -411,19 +408,21 @@
         let dear = bound * self.revenue(now, i) < self.known.cross_zone;
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in part() {
-            if worker.state != State::Ready || load.kind.is_some_and(|k| k != worker.kind) {
-                continue;
-            }
             let idle = worker.in_flight == 0 && now - worker.last_sign >= SOLVE / 5;
             let trial = idle && load.effect == Effect::Idempotent;
-            let skipped = worker.in_flight as f64 >= skip
+            let skipped = worker.state != State::Ready
+                || load.kind.is_some_and(|k| k != worker.kind)
+                || worker.in_flight as f64 >= skip
                 || (self.known.tells_start && !worker.unstarted.is_empty())
                 || (!self.part.common && worker.bar.is_some() && (!trial || worker.barred(now)))
-                || (!self.part.common && !trial && worker.fails(now, i, ERRONEOUS))
                 || task.assignments.iter().any(|a| a.worker == j)
-                || worker.silence(now, self.known.progress.max(SOLVE / 10)) > SILENT
                 || worker.cold.as_ref().is_some_and(|c| c.room <= 0.0)
-                || !self.ledger.may_assign(now, task, worker, &self.fleet.workers);
+                || !self.ledger.may_assign(now, task, worker, &self.fleet.workers)
+                || worker.silence(now, self.known.progress.max(SOLVE / 10)) > SILENT
+                || (!self.part.common && !trial && worker.fails(now, i, ERRONEOUS));
+            if skipped {
+                continue;
+            }
             let (theta, inside) = (worker.model_theta, worker.share > 0.0);
             // Where all tell one another all, what they told stands in for waits seen.
             let slots = worker.load(now - 2 * SOLVE) + task.slots - self.part.census.slots;
@@ -438,7 +437,7 @@
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
             let level = if inside { turns / (worker.share * mine) } else { theta };
             let queued = queue && (task.out() > 0 || late && !last);
-            if !skipped && !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
+            if !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
             }
         }
@@ -457,7 +456,7 @@
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
         let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
-        [patient, hope.max(patient)].into_iter().for_each(|at| m.out.wake(at, n));
+        [patient, hope.max(patient)].iter().filter(|_| self.ledger.copies).for_each(|at| m.out.wake(*at, n));
         self.desk.release(n);
         self.tell(m, j, told);
     }
@@ -507,10 +506,11 @@
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
-    /// Until when a task may still start in time; who cannot be sent again may be a short one, and waits on.
+    /// Until when a task may wait at a worker: the longer the dearer it is, or may be for its unknown size.
     fn hope(&self, now: Time, task: &Task) -> Time {
         let once = self.workloads[task.workload].effect == Effect::SideEffecting;
-        self.due_time(now, task, if once { 0.0 } else { HOPE })
+        let dear = self.worth(now, task) * self.seen.mean_run(now) / self.weights.whole;
+        self.due_time(now, task, if once && self.weights.by_work { 0.0 } else { HOPE / dear.max(0.1) })
     }
 
     /// Too late to be in time, and another task earns more with the time that it would take.
@@ -651,10 +651,9 @@
         for i in 0..self.part.workers.len() {
             self.warm(m.now, self.part.workers[i]);
         }
-        if self.pulse.beats.is_multiple_of((SOLVE / BEAT) as u64) {
+        if self.pulse.beat((SOLVE / BEAT) as u64) {
             self.solve(m.now);
         }
-        self.pulse.beats += 1;
         self.move_on(m);
     }
 
@@ -665,9 +664,9 @@
         let Some(cold) = worker.cold.as_mut().filter(|_| self.part.census.effort > 0.0) else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
-        let feeders = self.place.group_size.clamp(1, 3 * FEEDERS);
-        let part = COLD_USE * self.obligations.overload_factor * can / feeders as f64;
-        let rate = part * worker.size / self.part.census.effort;
+        let feeders = self.place.group_size.clamp(1, 3 * FEEDERS) as f64;
+        let full = self.obligations.overload_factor * worker.size / self.part.census.effort;
+        let rate = COLD_USE * full * can / feeders;
         cold.grow(now, rate, rate * seconds(self.obligations.fall));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,12 @@
 }
 
 impl Pulse {
+    /// Counts a beat; true at every `turn`th.
+    pub fn beat(&mut self, turn: u64) -> bool {
+        self.beats += 1;
+        self.beats.is_multiple_of(turn)
+    }
+
     /// The numbers of the probes that may go out now, where `earned` more have been, and `most` at once.
     pub fn probes(&mut self, earned: f64, most: usize) -> std::ops::Range<usize> {
         self.credit = (self.credit + earned).min(most as f64);
