--- a/src/logic.rs
+++ b/src/logic.rs
@@ -664,7 +664,8 @@
         let Some(cold) = worker.cold.as_mut().filter(|_| self.part.census.effort > 0.0) else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
-        let feeders = self.place.group_size.clamp(1, 3 * FEEDERS) as f64;
+        let (all, sides) = (self.place.group_size.max(1), 1 + usize::from(self.known.cross_zone > 0.0));
+        let feeders = (sides * all / self.parts).min(all) as f64;
         let full = self.obligations.overload_factor * worker.size / self.part.census.effort;
         let rate = COLD_USE * full * can / feeders;
         cold.grow(now, rate, rate * seconds(self.obligations.fall));
