--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,8 +18,8 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
-/// Part of a task's revenue over which a crossing is worse than a queue.
-const DEAR: f64 = 0.2;
+/// Part of a task's revenue over which a crossing is worse than a queue, for each part of the fleet up to five.
+const DEAR: f64 = 0.04;
 /// Part of all turns that an unseen workload is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
@@ -270,14 +270,12 @@
         let near = |j: &usize| self.allowed.peers || workers[*j].zone == self.place.zone;
         let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
         let size = (close.len() + far.len()).div_ceil(self.parts);
-        let mut part = Vec::new();
+        let mut part: Vec<usize> = Vec::new();
         for among in [close, far] {
             let from = self.place.index % self.parts * among.len() / self.parts;
             part.extend(among.iter().cycle().skip(from).take(size.min(among.len())));
         }
-        let fails = |w: &Worker| (0..self.workloads.len()).any(|i| w.fails(now, i, ERRONEOUS));
-        let ill = part.iter().map(|&j| &workers[j]).filter(|w: &&Worker| w.bar.is_some() || fails(w));
-        let common = 2 * ill.count() > part.len();
+        let common = 2 * part.iter().filter(|j| workers[**j].ill(now, ERRONEOUS)).count() > part.len();
         let usable = |j: &usize| common || !workers[*j].barred(now);
         let ready: Vec<usize> = part.iter().copied().filter(usable).collect();
         let census = self.fleet.census(now, &ready, FEW);
@@ -394,18 +392,19 @@
             return Step::Pass;
         }
         let run = self.seen.run(now, i);
-        let due = seconds(self.due_time(now, task, 0.0) - now);
+        let due = || self.due_time(now, task, 0.0) - micros(run);
+        let start = if self.ledger.copies { self.hope(now, task) } else { due() };
         let mine = self.seen.part(now, i).max(UNSEEN);
         let part = || self.part.workers.iter().map(|&j| (j, &self.fleet.workers[j]));
         let open = || part().filter(|(_, w)| w.share > 0.0);
         let flying: usize = open().map(|(_, w)| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
-        let cost = task.slots * run / self.seen.mean_run(now);
+        let mean = self.seen.mean_run(now);
+        let cost = task.slots * run / mean;
         let last = now >= self.due_time(now, task, 1.0) && !self.past_hope(now, task);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
-        let bound = if self.parts == 1 { DEAR / 5.0 } else { DEAR };
-        let dear = bound * self.revenue(now, i) < self.known.cross_zone;
+        let dear = DEAR * self.parts.min(5) as f64 * self.revenue(now, i) < self.known.cross_zone;
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in part() {
             let idle = worker.in_flight == 0 && now - worker.last_sign >= SOLVE / 5;
@@ -427,9 +426,9 @@
             // Where all tell one another all, what they told stands in for waits seen.
             let slots = worker.load(now - 2 * SOLVE) + task.slots - self.part.census.slots;
             let told = if self.allowed.peers { (theta * slots).max(0.0) } else { 0.0 };
-            let seen = worker.wait(now, SOLVE / 5, theta, elsewhere);
+            let seen = worker.wait(now, SOLVE / 5, (theta, mean), elsewhere);
             let wait = if self.allowed.peers && self.parts == 1 { told } else { seen.max(told) };
-            let late = wait + run > due;
+            let late = now + micros(wait) > start;
             let queue = wait > theta / 4.0;
             let far = u8::from(dear && worker.zone != self.place.zone);
             let place = if inside { 2 * far + u8::from(queue) } else { 4 };
@@ -508,9 +507,11 @@
 
     /// Until when a task may wait at a worker: the longer the dearer it is, or may be for its unknown size.
     fn hope(&self, now: Time, task: &Task) -> Time {
-        let once = self.workloads[task.workload].effect == Effect::SideEffecting;
-        let dear = self.worth(now, task) * self.seen.mean_run(now) / self.weights.whole;
-        self.due_time(now, task, if once && self.weights.by_work { 0.0 } else { HOPE / dear.max(0.1) })
+        let large = self.weights.by_work && self.workloads[task.workload].effect == Effect::SideEffecting;
+        let worth = if large { f64::MAX } else { self.worth(now, task) };
+        let dear = worth * self.seen.mean_run(now) / self.weights.whole;
+        let all = self.due_time(now, task, HOPE / dear.max(0.1)) - task.arrived;
+        task.arrived + (all as f64 * dear.min(1.0).powi(2)) as Time
     }
 
     /// Too late to be in time, and another task earns more with the time that it would take.
@@ -644,8 +645,7 @@
         if self.allowed.probes && self.known.reports_by_probe {
             let earned = PROBES * self.seen.rate(m.now) * seconds(BEAT);
             for nth in self.pulse.probes(earned, self.part.workers.len() / 2) {
-                let worker = &self.fleet.workers[self.part.workers[nth % self.part.workers.len()]];
-                m.out.probe(&worker.id);
+                m.out.probe(&self.fleet.workers[self.part.workers[nth % self.part.workers.len()]].id);
             }
         }
         for i in 0..self.part.workers.len() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,6 +227,10 @@
         self.held + self.others.values().filter(|o| o.0 >= since).map(|o| o.1).sum::<f64>()
     }
 
+    pub fn ill(&self, now: Time, part: f64) -> bool {
+        self.bar.is_some() || (0..self.errors.len()).any(|i| self.fails(now, i, part))
+    }
+
     pub fn barred(&self, now: Time) -> bool {
         self.bar.as_ref().is_some_and(|b| b.until > now)
     }
@@ -251,11 +255,12 @@
     }
 
     /// Seconds that a task sent now is likely to wait for its start; what it told is `fresh` for so long.
-    pub fn wait(&self, now: Time, fresh: Time, theta: f64, elsewhere: f64) -> f64 {
+    pub fn wait(&self, now: Time, fresh: Time, (theta, run): (f64, f64), elsewhere: f64) -> f64 {
         let oldest = self.unstarted.first().map_or(0.0, |&(sent, _)| seconds(now - sent));
         let room = self.free.filter(|&(at, _)| now - at < fresh).map(|(_, free)| free > 0.0);
         // Who sees few starts goes by what waits are like elsewhere, unless the worker has told of room.
-        let told = if room == Some(false) { theta } else { 0.0 };
+        let behind = self.free.map_or(0.0, |(_, free)| run * (-free).max(0.0));
+        let told = if room == Some(false) { theta.max(behind) } else { 0.0 };
         let prior = if room == Some(true) { 0.0 } else { elsewhere.max(told) };
         self.waits.mean(now, prior, 0.25).max(oldest)
     }
