--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,6 +82,12 @@
         Self::start_as(place, Allowed { must_ask, ..allowed() }, known())
     }
 
+    pub fn with_workers(group_size: usize, ids: &[&str]) -> Self {
+        let mut bench = Self::start(group_size, false);
+        bench.ready(ids);
+        bench
+    }
+
     pub fn start_as(place: Place, allowed: Allowed, known: Known) -> Self {
         let one =
             |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue: 0.5, kind: None };
@@ -119,6 +125,13 @@
         self.with(|to, m| to.task(m, id, (workload, None), 5 * SECOND, 1.0));
     }
 
+    /// So many tasks, and where those went that were assigned.
+    pub fn tasks(&mut self, name: &str, n: usize, workload: usize) -> Vec<String> {
+        let ids: Vec<String> = (0..n).map(|i| format!("{name}{i}")).collect();
+        ids.iter().for_each(|id| self.task(id, workload));
+        ids.iter().filter_map(|id| self.worker_of(id)).collect()
+    }
+
     pub fn start_job(&mut self, id: &str, assignment: usize) {
         self.with(|to, m| to.sign(m, id, assignment));
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -10,8 +10,7 @@
 /// Overloaded days: queues at the workers grew until every answer was late.
 #[test]
 fn a_worker_where_a_task_waits_to_start_gets_no_second_one() {
-    let mut bench = Bench::start(2, false);
-    bench.ready(&["a", "b"]);
+    let mut bench = Bench::with_workers(2, &["a", "b"]);
     bench.task("one", 0);
     bench.task("two", 0);
     assert_ne!(bench.worker_of("one"), bench.worker_of("two"));
@@ -24,17 +23,15 @@
 /// A jammed fleet: the tail of the queue is told at once, not when its time is up.
 #[test]
 fn the_tail_of_a_queue_that_does_not_move_is_bounced_at_once() {
-    let mut bench = Bench::start(2, false);
-    bench.ready(&["a"]);
-    (0..20).for_each(|i| bench.task(&format!("t{i}"), 0));
+    let mut bench = Bench::with_workers(2, &["a"]);
+    bench.tasks("t", 20, 0);
     assert!(bench.out.sent.iter().filter(|s| matches!(s, (0, Sent::Bounce(_)))).count() >= 15);
 }
 
 /// A side-effecting task that proved not to have run moves on at once; one that may have run never does.
 #[test]
 fn proof_of_not_run_moves_a_task_on() {
-    let mut bench = Bench::start(2, false);
-    bench.ready(&["a", "b"]);
+    let mut bench = Bench::with_workers(2, &["a", "b"]);
     bench.task("one", 1);
     let first = bench.worker_of("one");
     bench.end("one", 0, Outcome::Unreachable);
@@ -46,14 +43,13 @@
 /// A restarted process that answers before the list names it is cold as well.
 #[test]
 fn a_worker_that_was_lost_comes_back_cold() {
-    let mut bench = Bench::start(4, false);
-    bench.ready(&["a", "b", "c"]);
+    let mut bench = Bench::with_workers(4, &["a", "b", "c"]);
     bench.task("one", 0);
     let lost = bench.worker_of("one");
     bench.end("one", 0, Outcome::Unreachable);
     bench.run("one", 1);
     bench.pass(2 * SECOND);
-    (0..3).for_each(|i| bench.task(&format!("t{i}"), 0));
+    bench.tasks("t", 3, 0);
     let trial = (0..3).map(|i| format!("t{i}")).find(|id| bench.worker_of(id) == lost);
     bench.start_job(&trial.expect("a trial with an idempotent task"), 0);
     bench.task("two", 0);
@@ -81,21 +77,18 @@
 /// A worker that reports next to nothing looked faster than all others together and got every share.
 #[test]
 fn a_worker_that_reports_next_to_nothing_is_not_favoured() {
-    let mut bench = Bench::start(1, false);
-    bench.ready(&["a", "b", "c", "d"]);
+    let mut bench = Bench::with_workers(1, &["a", "b", "c", "d"]);
     ["a", "b", "c"].iter().for_each(|w| bench.report(w, report(0.5, 5.0)));
     bench.report("d", report(1e-6, 0.01));
     bench.pass(5 * SECOND);
-    (0..3).for_each(|i| bench.task(&format!("t{i}"), 0));
-    let used = (0..3).filter(|i| bench.worker_of(&format!("t{i}")).is_some_and(|w| w != "d")).count();
-    assert!(used >= 2, "{:?}", bench.out.sent);
+    let went = bench.tasks("t", 3, 0);
+    assert!(went.iter().filter(|w| *w != "d").count() >= 2, "{went:?}");
 }
 
 /// Near full load many dispatchers' waiting tasks add up: a task that would be late for waiting is held.
 #[test]
 fn a_task_that_would_be_late_for_waiting_is_held() {
-    let mut bench = Bench::start(8, false);
-    bench.ready(&["a"]);
+    let mut bench = Bench::with_workers(8, &["a"]);
     for i in 0..3 {
         let id = format!("slow{i}");
         bench.task(&id, 1);
@@ -114,23 +107,20 @@
 /// All workers look bad at once: the cause is a common one, and the fleet must not be emptied.
 #[test]
 fn bars_on_most_of_the_fleet_are_ignored() {
-    let mut bench = Bench::start(1, false);
-    bench.ready(&["a", "b", "c"]);
+    let mut bench = Bench::with_workers(1, &["a", "b", "c"]);
     (0..3).for_each(|i| bench.task(&format!("t{i}"), 1));
     (0..3).for_each(|i| bench.end(&format!("t{i}"), 0, Outcome::Reset));
     bench.task("one", 1);
     assert!(bench.worker_of("one").is_some());
     // Nor is a worker cold that was cut off together with all others.
     bench.run("one", 0);
-    (0..3).for_each(|i| bench.task(&format!("u{i}"), 1));
-    assert!((0..3).all(|i| bench.worker_of(&format!("u{i}")).is_some()));
+    assert_eq!(bench.tasks("u", 3, 1).len(), 3);
 }
 
 /// Where crossing has a price, the model's fast workers elsewhere drew tasks from free ones nearby.
 #[test]
 fn a_free_near_worker_outside_the_shares_is_worth_a_crossing() {
-    let known = Known { cross_zone: 0.1, ..known() };
-    let mut bench = in_group(0, 1, allowed(), known);
+    let mut bench = in_group(0, 1, allowed(), Known { cross_zone: 0.1, ..known() });
     bench.list(&[listed("near", 0, State::Ready, None), listed("far", 1, State::Ready, None)]);
     bench.report("near", report(0.5, 2.0));
     bench.report("far", report(0.1, 2.0));
@@ -142,27 +132,22 @@
 /// Among many dispatchers one sees few starts: no wait seen at a worker is not taken for no wait there.
 #[test]
 fn waits_seen_elsewhere_hold_for_a_worker_not_heard_from() {
-    let mut bench = Bench::start(15, false);
-    bench.ready(&["a", "b"]);
+    let mut bench = Bench::with_workers(15, &["a", "b"]);
     bench.task("slow", 1);
     bench.task("slower", 1);
     bench.pass(2500 * MS);
-    for id in ["slow", "slower"] {
-        bench.run(id, 0);
-    }
+    ["slow", "slower"].iter().for_each(|id| bench.run(id, 0));
     bench.list(&[listed("c", 0, State::Ready, None)]);
     bench.task("one", 1);
     assert_eq!(bench.worker_of("one"), None);
-    let report = Report { free_slots: Some(2.0), ..Report::default() };
-    bench.report("c", report);
+    bench.report("c", Report { free_slots: Some(2.0), ..Report::default() });
     assert_eq!(bench.worker_of("one").as_deref(), Some("c"));
 }
 
 /// Fast errors look like speed: the workload that fails at a worker stays away, and it alone.
 #[test]
 fn a_workload_that_fails_at_a_worker_leaves_the_others_there() {
-    let mut bench = Bench::start(1, false);
-    bench.ready(&["a", "b", "c"]);
+    let mut bench = Bench::with_workers(1, &["a", "b", "c"]);
     for i in 0..12 {
         let id = format!("t{i}");
         bench.task(&id, 1);
@@ -173,15 +158,13 @@
     }
     let to_a = (0..12).filter(|i| bench.worker_of(&format!("t{i}")).as_deref() == Some("a"));
     assert_eq!(to_a.count(), 2);
-    (0..3).for_each(|i| bench.task(&format!("u{i}"), 2));
-    assert!((0..3).any(|i| bench.worker_of(&format!("u{i}")).as_deref() == Some("a")));
+    assert!(bench.tasks("u", 3, 2).contains(&"a".to_string()));
 }
 
 /// A worker that told of its jobs every second and then falls silent has hung.
 #[test]
 fn a_silence_unusual_for_the_worker_keeps_tasks_away() {
-    let mut bench = Bench::start(1, false);
-    bench.ready(&["a"]);
+    let mut bench = Bench::with_workers(1, &["a"]);
     bench.with(|to, m| to.task(m, "long", (1, None), 60 * SECOND, 1.0));
     for _ in 0..10 {
         bench.start_job("long", 0);
@@ -195,8 +178,7 @@
 /// Where the whole fleet is slow, new tasks took the room that dearer ones were waiting for.
 #[test]
 fn a_new_task_does_not_pass_dearer_ones_that_wait() {
-    let mut bench = Bench::start(1, false);
-    bench.ready(&["a"]);
+    let mut bench = Bench::with_workers(1, &["a"]);
     bench.task("slow", 0);
     bench.pass(400 * MS);
     bench.task("dear", 0);
@@ -236,8 +218,7 @@
     for index in 0..480 {
         let mut bench = in_group(index, 480, allowed(), known());
         bench.list(&fleet(96, None));
-        (0..8).for_each(|i| bench.task(&format!("t{i}"), 1));
-        let part: BTreeSet<_> = (0..8).filter_map(|i| bench.worker_of(&format!("t{i}"))).collect();
+        let part = BTreeSet::from_iter(bench.tasks("t", 8, 1));
         assert!((4..=6).contains(&part.len()), "{part:?}");
         part.iter().for_each(|w| *feeders.entry(w.clone()).or_insert(0) += 1);
     }
@@ -319,7 +300,7 @@
     bench.list(&fleet(192, None));
     bench.pass(10 * SECOND);
     assert_eq!(bench.out.probes, 0);
-    (0..5).for_each(|i| bench.task(&format!("t{i}"), 0));
+    bench.tasks("t", 5, 0);
     bench.pass(20 * SECOND);
     assert!((5..=25).contains(&bench.out.probes), "{}", bench.out.probes);
 }
