--- a/src/logic.rs
+++ b/src/logic.rs
@@ -391,15 +391,13 @@
             return Step::Pass;
         }
         let run = self.seen.run(now, i);
-        let due = || self.due_time(now, task, 0.0) - micros(run);
-        let start = if self.ledger.copies { self.hope(now, task) } else { due() };
+        let hope = self.hope(now, task);
         let mine = self.seen.part(now, i).max(UNSEEN);
         let part = || self.part.workers.iter().map(|&j| (j, &self.fleet.workers[j]));
         let open = || part().filter(|(_, w)| w.share > 0.0);
         let flying: usize = open().map(|(_, w)| w.in_flight).sum();
         let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
         let mean = self.seen.mean_run(now);
-        let cost = task.slots * run / mean;
         let last = now >= self.due_time(now, task, 1.0) && !self.past_hope(now, task);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
@@ -427,7 +425,7 @@
             let told = if self.allowed.peers { (theta * slots).max(0.0) } else { 0.0 };
             let seen = worker.wait(now, SOLVE / 5, (theta, mean), elsewhere);
             let wait = if self.allowed.peers && self.parts == 1 { told } else { seen.max(told) };
-            let late = now + micros(wait) > start;
+            let late = now + micros(wait) > hope;
             let queue = wait > theta / 4.0;
             let far = u8::from(dear && worker.zone != self.place.zone);
             let place = if inside { 2 * far + u8::from(queue) } else { 4 };
@@ -440,7 +438,7 @@
             }
         }
         let Some((_, j)) = best else { return Step::Pass };
-        self.assign(m, n, j, cost);
+        self.assign(m, n, j, task.slots * run / mean);
         Step::Keep
     }
 
@@ -462,7 +460,7 @@
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
     fn waiting(&mut self, m: &mut Moment, n: u64) -> Step {
         let Some(task) = self.desk.get(n).filter(|t| t.out() == 0) else { return Step::Keep };
-        let latest = self.due_time(m.now, task, 1.0);
+        let latest = self.hope(m.now, task);
         if m.now >= latest {
             return Step::End;
         }
@@ -477,7 +475,7 @@
         let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
         while let Some(last) = self.desk.last_held() {
             let delay = micros(self.desk.count_held() as f64 / pace.max(0.1));
-            let latest = self.desk.get(last).map_or(m.now, |t| self.due_time(m.now, t, 1.0));
+            let latest = self.desk.get(last).map_or(m.now, |t| self.hope(m.now, t));
             if m.now + delay < latest {
                 break;
             }
@@ -504,8 +502,11 @@
         worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
-    /// Until when a task may wait at a worker: the longer the dearer it is, or may be for its unknown size.
+    /// Until when a task may wait for its start; in parts the longer, the dearer it is or may be by its size.
     fn hope(&self, now: Time, task: &Task) -> Time {
+        if !self.ledger.copies {
+            return self.due_time(now, task, 1.0);
+        }
         let large = self.weights.by_work && self.workloads[task.workload].effect == Effect::SideEffecting;
         let worth = if large { f64::MAX } else { self.worth(now, task) };
         let dear = worth * self.seen.mean_run(now) / self.weights.whole;
