--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,7 @@
 const WINDOW_USE: f64 = 0.9;
 /// Utilisation is taken as no higher, and the fleet is asked to carry no more, than this.
 const FULL: f64 = 0.95;
-/// Dispatchers that feed one worker, where there are more than that: each keeps to its part of the fleet.
+/// Dispatchers that feed one worker, where there are twice as many or more: each keeps to its part of the fleet.
 const FEEDERS: usize = 12;
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
@@ -196,10 +196,10 @@
         // Dispatchers that start together must neither ask nor solve together.
         let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
-        // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         // Where load cannot be asked of workers, those who feed the same part tell one another, and can be more.
         let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
         let parts = (place.group_size / FEEDERS / (1 + usize::from(allowed.peers))).max(1);
+        // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         let copies = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
         let fleet = Fleet::of(if allowed.peers { 0 } else { place.index / parts });
