--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,7 +12,6 @@
     Follow,
 }
 
-/// What was sent that the rules speak of, with its time, and the wakes that are still to come.
 #[derive(Default)]
 pub struct Record {
     pub now: Time,
@@ -106,7 +105,6 @@
         Bench { out, to }
     }
 
-    /// Hands the dispatcher an event at the present time.
     pub fn with<R>(&mut self, event: impl FnOnce(&mut Dispatcher, &mut Moment) -> R) -> R {
         let now = self.out.now;
         event(&mut self.to, &mut Moment { now, out: &mut self.out })
@@ -125,7 +123,6 @@
         self.with(|to, m| to.task(m, id, (workload, None), 5 * SECOND, 1.0));
     }
 
-    /// So many tasks, and where those went that were assigned.
     pub fn tasks(&mut self, name: &str, n: usize, workload: usize) -> Vec<String> {
         let ids: Vec<String> = (0..n).map(|i| format!("{name}{i}")).collect();
         ids.iter().for_each(|id| self.task(id, workload));
@@ -141,7 +138,6 @@
         self.with(|to, m| to.ended(m, id, assignment, end, Report::default()));
     }
 
-    /// The job starts and finishes at once.
     pub fn run(&mut self, id: &str, assignment: usize) {
         self.start_job(id, assignment);
         self.end(id, assignment, Outcome::Finished);
@@ -151,7 +147,6 @@
         self.with(|to, m| to.probed(m, worker, Outcome::Finished, report));
     }
 
-    /// Lets time pass, with every wake on the way.
     pub fn pass(&mut self, length: Time) {
         let until = self.out.now + length;
         while let Some(i) = (0..self.out.wakes.len()).min_by_key(|&i| (self.out.wakes[i], i)) {
@@ -166,7 +161,6 @@
         self.out.now = until;
     }
 
-    /// Where the task's last assignment went.
     pub fn worker_of(&self, id: &str) -> Option<String> {
         self.out.sent.iter().rev().find_map(|(_, s)| match s {
             Sent::Assign(task, worker) if task == id => Some(worker.clone()),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -17,9 +17,9 @@
     Leaves(usize),
     List(usize, State, bool),
     Passes(Time),
+    Reports(usize, f64, f64),
 }
 
-/// One assignment as the plain model books it.
 struct Out {
     task: String,
     number: usize,
@@ -110,6 +110,12 @@
                 self.states.insert(id.clone(), state);
                 bench.list(&[listed(&id, zone(&id), state, started)]);
             }
+            Event::Reports(i, busy, rate) => {
+                let (utilisation, rate) = (Some(busy), Some(rate));
+                let free_slots = Some(busy * 4.0);
+                bench.report(&"w".repeat(1 + i), Report { utilisation, rate, free_slots });
+                bench.with(|to, m| to.told(m.now, i, &[i as u8, 0, 3]));
+            }
             Event::Passes(length) => {
                 let until = bench.out.now + length;
                 // What is out at its task's expiry times out there, and not later.
@@ -156,6 +162,7 @@
         1 => any::<usize>().prop_map(Event::Leaves),
         2 => (0..5usize, state, any::<bool>()).prop_map(|(i, s, r)| Event::List(i, s, r)),
         4 => (1..900 * MS).prop_map(Event::Passes),
+        2 => (0..5usize, 0.0..1.0f64, prop_oneof![Just(0.0), 0.01..9.0f64]).prop_map(|(i, b, r)| Event::Reports(i, b, r)),
     ]
 }
 
@@ -165,8 +172,8 @@
     let mut runner = TestRunner::new_with_rng(Config { failure_persistence: None, ..Config::default() }, rng);
     let days = prop::collection::vec(events(), 1..150);
     runner
-        .run(&(days, 0..3usize), |(events, size)| {
-            let (mut bench, mut model) = (Bench::start([3, 60, 2000][size], false), Model::default());
+        .run(&(days, 0..4usize), |(events, size)| {
+            let (mut bench, mut model) = (Bench::start([1, 3, 60, 2000][size], false), Model::default());
             for (i, state) in [State::Ready; 4].into_iter().enumerate() {
                 model.apply(&mut bench, Event::List(i, state, false), 0);
             }
