--- a/src/logic.rs
+++ b/src/logic.rs
@@ -84,10 +84,11 @@
     let admitted = &order[..k];
     let mut low = stations[admitted[k - 1]].psi();
     let mut high = 2.0 * low;
-    while carried(high, admitted) < rate {
+    while carried(high, admitted) < rate && high.is_finite() {
         high *= 2.0;
     }
-    while high - low > 0.001 {
+    // Relative as well: reports of next to no rate make z so large that its halves are no finer than 0.001.
+    while high - low > (1e-9 * high).max(0.001) {
         let z = (low + high) / 2.0;
         if carried(z, admitted) <= rate { low = z } else { high = z }
     }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -45,5 +45,7 @@
     assert_eq!(shares(&[station(0.1, 0.0, 0.0)], 0.0), None);
     assert_eq!(shares(&[station(0.0, 0.0, 0.0)], 1.0), None);
     assert_eq!(shares(&[station(0.5, 1.0, 0.5)], 1.5), None);
+    // Reports of next to no rate: z is too large to be halved to 0.001.
+    assert!(shares(&[station(1e9, 1.0, 0.95), station(4e9, 1.0, 0.9)], 1e-11).is_some());
     assert_eq!(shares(&[station(0.5, 0.0, 0.95)], 0.05), Some(vec![1.0]));
 }
