--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -18,6 +18,7 @@
     List(usize, State, bool),
     Passes(Time),
     Reports(usize, f64, f64),
+    All(State),
 }
 
 struct Out {
@@ -116,6 +117,12 @@
                 bench.report(&"w".repeat(1 + i), Report { utilisation, rate, free_slots });
                 bench.with(|to, m| to.told(m.now, i, &[i as u8, 0, 3]));
             }
+            Event::All(state) => {
+                let ids: Vec<String> = (0..5).map(|i| "w".repeat(1 + i)).collect();
+                self.states.extend(ids.iter().map(|id| (id.clone(), state)));
+                let entries: Vec<Listed> = ids.iter().map(|id| listed(id, zone(id), state, None)).collect();
+                bench.list(&entries);
+            }
             Event::Passes(length) => {
                 let until = bench.out.now + length;
                 // What is out at its task's expiry times out there, and not later.
@@ -160,6 +167,7 @@
         5 => (any::<usize>(), outcomes()).prop_map(|(i, o)| Event::Ends(i, o)),
         4 => any::<usize>().prop_map(Event::Starts),
         1 => any::<usize>().prop_map(Event::Leaves),
+        1 => prop::sample::select(vec![State::Ready, State::Gone]).prop_map(Event::All),
         2 => (0..5usize, state, any::<bool>()).prop_map(|(i, s, r)| Event::List(i, s, r)),
         4 => (1..900 * MS).prop_map(Event::Passes),
         2 => (0..5usize, 0.0..1.0f64, prop_oneof![Just(0.0), 0.01..9.0f64]).prop_map(|(i, b, r)| Event::Reports(i, b, r)),
@@ -174,7 +182,7 @@
     runner
         .run(&(days, 0..4usize), |(events, size)| {
             let (mut bench, mut model) = (Bench::start([1, 3, 60, 2000][size], false), Model::default());
-            for (i, state) in [State::Ready; 4].into_iter().enumerate() {
+            for (i, state) in [State::Ready; 4].into_iter().enumerate().skip(4 * (size % 2)) {
                 model.apply(&mut bench, Event::List(i, state, false), 0);
             }
             for (n, event) in events.into_iter().enumerate() {
