--- a/src/logic.rs
+++ b/src/logic.rs
@@ -111,9 +111,7 @@
         if task.assignments.len() >= self.assignments || (task.out() > 0 && !self.may_copy(task)) {
             return false;
         }
-        let Some(first) = task.assignments.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran)) else {
-            return true;
-        };
+        let Some(first) = task.assignments.iter().find(|a| !a.never_ran()) else { return true };
         match self.effects[task.workload] {
             Effect::Idempotent => true,
             Effect::SideEffecting => false,
@@ -129,7 +127,7 @@
         }
     }
 
-    /// Whether one more may go out while others are out: none has started, and one try stays in reserve.
+    /// Whether one more may go out while others are out and none of them has started.
     fn may_copy(&self, task: &Task) -> bool {
         let effect = self.effects[task.workload];
         // An idempotent job may be killed for a better one, and keeps a try in reserve.
@@ -142,7 +140,7 @@
     fn may_bounce(&self, task: &Task) -> bool {
         let effect = self.effects[task.workload];
         let free = matches!(effect, Effect::Idempotent | Effect::Fingerprinted { group: Group::All, .. });
-        free || task.assignments.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+        free || task.assignments.iter().all(Assignment::never_ran)
     }
 }
 
@@ -437,12 +435,11 @@
             }
         }
         let Some((_, j)) = best else { return Step::Pass };
-        self.assign(m, n, j, task.slots * run / mean);
+        self.assign(m, n, j, task.slots * run / mean, hope);
         Step::Keep
     }
 
-    fn assign(&mut self, m: &mut Moment, n: u64, j: usize, cost: f64) {
-        let hope = self.desk.get(n).map_or(m.now, |t| self.hope(m.now, t));
+    fn assign(&mut self, m: &mut Moment, n: u64, j: usize, cost: f64, hope: Time) {
         let Some(task) = self.desk.get_mut(n) else { return };
         let worker = &mut self.fleet.workers[j];
         worker.turns[task.workload] += 1.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -314,6 +314,12 @@
     pub outcome: Option<Outcome>,
 }
 
+impl Assignment {
+    pub fn never_ran(&self) -> bool {
+        self.outcome.is_some_and(Outcome::never_ran)
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Task {
     pub id: String,
@@ -384,21 +390,22 @@
 
     /// Counts what `among` have reported; `few` is the part of a mean worker's tasks that a θ must rest on.
     pub fn census(&self, now: Time, among: &[usize], few: f64) -> Census {
-        let workers = || among.iter().map(|&j| (&self.workers[j], self.workers[j].theta.totals(now)));
+        let workers = || among.iter().map(|&j| &self.workers[j]);
         let add = |t: (f64, f64), u: (f64, f64)| (t.0 + u.0, t.1 + u.1);
-        let (rates, reports) = workers().map(|(w, _)| w.reports.totals(now)).fold((0.0, 0.0), add);
-        let (used, told) = workers().map(|(w, _)| w.utilisation.totals(now)).fold((0.0, 0.0), add);
-        let (_, tasks) = workers().map(|(_, m)| m).fold((0.0, 0.0), add);
+        let sum = |of: fn(&Worker) -> &Ring| workers().map(|w| of(w).totals(now)).fold((0.0, 0.0), add);
+        let (rates, reports) = sum(|w| &w.reports);
+        let (used, told) = sum(|w| &w.utilisation);
+        let (_, tasks) = sum(|w| &w.theta);
         let (few, any) = (few * tasks / among.len().max(1) as f64, tasks.max(1e-9));
-        let effort = workers().map(|(w, m)| m.0 * w.size).sum::<f64>() / any;
+        let effort = workers().map(|w| w.theta.totals(now).0 * w.size).sum::<f64>() / any;
         let mut kinds = BTreeMap::new();
-        for (worker, m) in workers() {
+        for worker in workers() {
             let kind = kinds.entry(worker.kind).or_insert((effort / worker.size * few, few));
-            *kind = add(*kind, m);
+            *kind = add(*kind, worker.theta.totals(now));
         }
         let rate = if reports > 0.0 { rates / reports } else { 0.0 };
         let utilisation = (told > 0.0).then(|| used / told);
-        let slots = workers().map(|(w, _)| w.slots).fold(0.0, f64::max);
+        let slots = workers().map(|w| w.slots).fold(0.0, f64::max);
         Census { slots, rate, utilisation, effort, few, kinds }
     }
 
