--- a/crates/benchlink/src/fields.rs
+++ b/crates/benchlink/src/fields.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use rainlug::{Report, Time};
+use rainlug_setup::{micros, set_report};
 
 pub struct Fields<'a> {
     rest: Option<&'a str>,
@@ -67,7 +68,7 @@
         }
     }
 
-    /// `name:value` pairs set apart by commas; names that decide nothing are skipped. `x0` is free slots.
+    /// `name:value` pairs set apart by commas; names that decide nothing are skipped.
     pub fn report(&mut self) -> Result<Report> {
         let mut report = Report::default();
         let word = self.word("load report")?;
@@ -79,18 +80,8 @@
                 pair.split_once(':').with_context(|| format!("expected name:value in '{pair}'"))?;
             let number: f64 = value.parse().ok().with_context(|| format!("expected a number in '{pair}'"))?;
             ensure!(number.is_finite(), "expected a finite number in '{pair}'");
-            match name {
-                "load_share" => report.utilisation = Some(number),
-                "tps" => report.rate = Some(number),
-                "x0" => report.free_slots = Some(number),
-                _ => {}
-            }
+            set_report(&mut report, name, number);
         }
         Ok(report)
     }
 }
-
-/// Milliseconds as whole microseconds, or nothing where the number makes no moment.
-pub fn micros(ms: f64) -> Option<Time> {
-    (ms.is_finite() && ms.abs() < 1e15).then(|| (ms * 1000.0).round() as Time)
-}
--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -10,7 +10,6 @@
 use rainlug::{Listed, Moment, Outcome, Outgoing, State, Time};
 
 use crate::fields::Fields;
-use crate::settings;
 
 /// Answers batches until the input ends.
 pub fn run(mut input: impl BufRead, mut output: impl Write) -> Result<()> {
@@ -79,7 +78,10 @@
         let mut out = Replies { name, reply: &mut self.reply };
         let m = &mut Moment { now, out: &mut out };
         if word == "NEW_INSTANCE" {
-            let made = settings::start(m, fields.value("a seed")?, fields.text("settings")?)?;
+            let seed = fields.value("a seed")?;
+            let settings = fields.text("settings")?;
+            let settings = serde_json::from_str(settings).context("expected settings as a JSON object")?;
+            let made = rainlug_setup::dispatcher(m, seed, &settings)?;
             self.instances.insert(name.to_owned(), made);
             return Ok(false);
         }
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -3,7 +3,6 @@
 
 mod fields;
 mod host;
-mod settings;
 
 use std::io::{self, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/rainlugd/src/program/log.rs
@@ -0,0 +1,54 @@
+//! The log: lines on standard error, so many a second from each place in the code.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Lines that one place may write in a second.
+const MOST: u32 = 5;
+
+/// Counts the lines of one place in the code.
+pub struct Gate(Mutex<Option<(Instant, u32)>>);
+
+impl Gate {
+    pub const fn new() -> Self {
+        Gate(Mutex::new(None))
+    }
+
+    /// Whether a line may go out now, and then how many before it could not.
+    pub fn pass(&self) -> Option<u32> {
+        let mut second = self.0.lock().ok()?;
+        let (began, lines) = second.get_or_insert_with(|| (Instant::now(), 0));
+        *lines += 1;
+        if began.elapsed() >= Duration::from_secs(1) {
+            let missed = (*lines - 1).saturating_sub(MOST);
+            (*began, *lines) = (Instant::now(), 1);
+            return Some(missed);
+        }
+        (*lines <= MOST).then_some(0)
+    }
+}
+
+/// Writes a line to standard error, unless this place has written too many of late.
+macro_rules! log {
+    ($($words:tt)*) => {{
+        static GATE: $crate::program::log::Gate = $crate::program::log::Gate::new();
+        match GATE.pass() {
+            Some(0) => eprintln!($($words)*),
+            Some(missed) => eprintln!("{} ({missed} more like it)", format_args!($($words)*)),
+            None => {}
+        }
+    }};
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_flood_is_cut_and_counted() {
+        let gate = Gate::new();
+        assert_eq!((0..100).filter(|_| gate.pass().is_some()).count(), MOST as usize);
+        gate.0.lock().unwrap().as_mut().unwrap().0 -= Duration::from_secs(1);
+        assert_eq!(gate.pass(), Some(100 - MOST));
+    }
+}
--- /dev/null
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -0,0 +1,75 @@
+//! Actors with mailboxes: one for each client connection, one for each worker with its connections, one for the list
+//! and one for the module. They carry what is decided and told; nothing is decided here.
+
+pub mod client;
+pub mod list;
+pub mod module;
+mod outcome;
+mod worker;
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use rainlug::{Report, Time};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::protocol::words::Entry;
+use crate::transport::End;
+pub use worker::Reach;
+
+/// Letters that a mailbox holds; who sends waits then, but for the module, which is told that there is no room.
+pub const MAILBOX: usize = 1024;
+
+/// The module's mailbox.
+pub type ToModule = mpsc::Sender<Mail>;
+
+/// What of a task goes on to workers unchanged.
+pub struct Parcel {
+    pub id: String,
+    pub head: String,
+    pub body: Bytes,
+}
+
+/// What the module's actor is told.
+pub enum Mail {
+    /// A task of a workload and a customer, whole at `at`; its client waits for `budget` from then.
+    Task {
+        parcel: Rc<Parcel>,
+        of: (usize, Option<usize>),
+        at: Time,
+        budget: Time,
+        slots: f64,
+        client: oneshot::Sender<Answer>,
+    },
+    /// The client of the task has gone.
+    Left(Rc<Parcel>),
+    /// A worker gave a sign of life on an assignment.
+    Sign(Rc<Parcel>, usize),
+    /// An assignment has ended; with a result where its worker made one.
+    Ended {
+        parcel: Rc<Parcel>,
+        nth: usize,
+        end: End,
+        report: Report,
+        result: Bytes,
+    },
+    Probed {
+        worker: String,
+        end: End,
+        report: Report,
+    },
+    List {
+        everything: bool,
+        entries: Vec<Entry>,
+    },
+    ListFailed,
+    /// The process ends: every task must have its answer by then.
+    Closing(Time),
+}
+
+/// The final answer to a client.
+pub enum Answer {
+    Finished(Bytes),
+    Bounced(Time),
+    Abandoned,
+}
--- /dev/null
+++ b/crates/rainlugd/src/routing/module.rs
@@ -0,0 +1,272 @@
+//! The module's actor: it alone owns the dispatcher, hands it each event and carries out what it decides. It never
+//! waits for another actor.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+use bytes::Bytes;
+use rainlug::logic::Dispatcher;
+use rainlug::{Listed, Moment, Outcome, Outgoing, Report, State, Time};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::sleep_until;
+
+use super::outcome::outcome;
+use super::worker::{self, Order, Reach, Standing};
+use super::{Answer, Mail, Parcel};
+use crate::protocol::words::Entry;
+use crate::transport::End;
+
+/// A task that is owed an answer or has assignments out.
+struct Held {
+    parcel: Rc<Parcel>,
+    client: Option<oneshot::Sender<Answer>>,
+    expiry: Time,
+    assignments: Vec<Way>,
+}
+
+/// How far an assignment is.
+enum Way {
+    /// Dropping this gives it up.
+    Out {
+        _hold: oneshot::Sender<()>,
+    },
+    GivenUp,
+    Ended,
+}
+
+/// A worker's mailbox and what its actor is told of its standing.
+struct Actor {
+    mailbox: mpsc::Sender<Order>,
+    standing: watch::Sender<Standing>,
+}
+
+/// Where the dispatcher's decisions go.
+pub struct Desk {
+    reach: Rc<Reach>,
+    held: HashMap<String, Held>,
+    workers: HashMap<String, Actor>,
+    wakes: BinaryHeap<Reverse<(Time, u64, u64)>>,
+    count: u64,
+    /// Ends of assignments and probes that found their worker's mailbox full.
+    unsent: VecDeque<(Rc<Parcel>, usize)>,
+    unprobed: VecDeque<String>,
+    asked: Option<Rc<Notify>>,
+}
+
+impl Desk {
+    pub fn new(reach: Rc<Reach>, asked: Option<Rc<Notify>>) -> Self {
+        Desk {
+            reach,
+            held: HashMap::new(),
+            workers: HashMap::new(),
+            wakes: BinaryHeap::new(),
+            count: 0,
+            unsent: VecDeque::new(),
+            unprobed: VecDeque::new(),
+            asked,
+        }
+    }
+
+    /// Tells the workers' actors what the list says, before the module hears of it.
+    pub fn listed(&mut self, everything: bool, entries: Vec<Entry>) -> Vec<Listed> {
+        if everything {
+            let named: HashSet<&str> = entries.iter().map(|(e, _)| e.id.as_str()).collect();
+            for (_, actor) in self.workers.iter().filter(|(id, _)| !named.contains(id.as_str())) {
+                actor.standing.send_if_modified(|s| std::mem::replace(&mut s.1, State::Gone) != State::Gone);
+            }
+        }
+        for (entry, at) in &entries {
+            let told = (*at, entry.state, entry.started);
+            if let Some(actor) = self.workers.get(&entry.id) {
+                // A drain alone leaves the connections as they are.
+                actor.standing.send_if_modified(|s| {
+                    let before = std::mem::replace(s, told);
+                    (before.0, before.2) != (told.0, told.2) || told.1 == State::Gone
+                });
+            } else {
+                let (standing, follows) = watch::channel(told);
+                let mailbox = worker::start(entry.id.clone(), follows, self.reach.clone());
+                self.workers.insert(entry.id.clone(), Actor { mailbox, standing });
+            }
+        }
+        entries.into_iter().map(|(entry, _)| entry).collect()
+    }
+
+    fn now(&self) -> Time {
+        self.reach.clock.now()
+    }
+
+    fn answer(&mut self, task: &str, answer: Answer) {
+        if let Some(client) = self.held.get_mut(task).and_then(|h| h.client.take()) {
+            // A client that has gone says so itself.
+            let _ = client.send(answer);
+        }
+        self.forget(task);
+    }
+
+    /// Forgets a task that is owed nothing and has nothing out.
+    fn forget(&mut self, task: &str) {
+        let over = |h: &Held| h.client.is_none() && h.assignments.iter().all(|a| matches!(a, Way::Ended));
+        if self.held.get(task).is_some_and(over) {
+            self.held.remove(task);
+        }
+    }
+
+    /// The task, if it is still the one that the parcel is of.
+    fn of(&mut self, parcel: &Rc<Parcel>) -> Option<&mut Held> {
+        self.held.get_mut(&parcel.id).filter(|h| Rc::ptr_eq(&h.parcel, parcel))
+    }
+}
+
+impl Outgoing for Desk {
+    fn assign(&mut self, task: &str, worker: &str) {
+        let Some(held) = self.held.get_mut(task) else { return };
+        let (nth, parcel) = (held.assignments.len(), held.parcel.clone());
+        let (hold, given_up) = oneshot::channel();
+        held.assignments.push(Way::Out { _hold: hold });
+        let order = Order::Assign { parcel: parcel.clone(), nth, expiry: held.expiry, given_up };
+        if self.workers.get(worker).is_none_or(|w| w.mailbox.try_send(order).is_err()) {
+            self.unsent.push_back((parcel, nth));
+        }
+    }
+
+    fn withdraw(&mut self, task: &str, assignment: usize) {
+        let way = self.held.get_mut(task).and_then(|h| h.assignments.get_mut(assignment));
+        if let Some(way) = way.filter(|w| matches!(w, Way::Out { .. })) {
+            *way = Way::GivenUp;
+        }
+    }
+
+    fn bounce(&mut self, task: &str, pause: Time) {
+        self.answer(task, Answer::Bounced(pause));
+    }
+
+    fn abandon(&mut self, task: &str) {
+        self.answer(task, Answer::Abandoned);
+    }
+
+    fn wake(&mut self, at: Time, mark: u64) {
+        self.count += 1;
+        self.wakes.push(Reverse((at, self.count, mark)));
+    }
+
+    fn probe(&mut self, worker: &str) {
+        if self.workers.get(worker).is_none_or(|w| w.mailbox.try_send(Order::Probe).is_err()) {
+            self.unprobed.push_back(worker.to_owned());
+        }
+    }
+
+    /// The protocol has no message between dispatchers, and the module is started as one that may send none.
+    fn tell(&mut self, _to: usize, _news: &[u8]) {}
+
+    fn follow(&mut self) {
+        if let Some(asked) = &self.asked {
+            asked.notify_one();
+        }
+    }
+}
+
+/// Hands the dispatcher what comes, until all who send have gone.
+pub async fn run(mut logic: Dispatcher, mut desk: Desk, mut mailbox: mpsc::Receiver<Mail>) {
+    loop {
+        let next = desk.wakes.peek().map_or(Time::MAX, |Reverse((at, ..))| *at);
+        let mail = tokio::select! {
+            biased;
+            mail = mailbox.recv() => match mail {
+                Some(mail) => Some(mail),
+                None => return,
+            },
+            () = sleep_until(desk.reach.clock.instant(next)) => None,
+        };
+        wake(&mut logic, &mut desk);
+        if let Some(mail) = mail {
+            take(&mut logic, &mut desk, mail);
+        }
+        turn_back(&mut logic, &mut desk);
+    }
+}
+
+fn wake(logic: &mut Dispatcher, desk: &mut Desk) {
+    while let Some(Reverse((at, _, mark))) = desk.wakes.peek().copied() {
+        let now = desk.now();
+        if at > now {
+            return;
+        }
+        desk.wakes.pop();
+        logic.due(&mut Moment { now, out: desk }, mark);
+    }
+}
+
+/// What could not be sent ends in the event that decided it, as one of its own.
+fn turn_back(logic: &mut Dispatcher, desk: &mut Desk) {
+    while let Some((parcel, nth)) = desk.unsent.pop_front() {
+        ended(logic, desk, &parcel, nth, End::NoRoom, Report::default(), Bytes::new());
+    }
+    while let Some(worker) = desk.unprobed.pop_front() {
+        let now = desk.now();
+        logic.probed(&mut Moment { now, out: desk }, &worker, outcome(End::NoRoom), Report::default());
+    }
+}
+
+fn take(logic: &mut Dispatcher, desk: &mut Desk, mail: Mail) {
+    let now = desk.now();
+    match mail {
+        Mail::Task { parcel, of, at, budget, slots, client } => {
+            // A second task of an id that is still held must not disturb the first: its client is told by the drop.
+            if desk.held.contains_key(&parcel.id) {
+                return;
+            }
+            let expiry = at + budget;
+            let held = Held { parcel: parcel.clone(), client: Some(client), expiry, assignments: Vec::new() };
+            desk.held.insert(parcel.id.clone(), held);
+            logic.task(&mut Moment { now, out: desk }, &parcel.id, of, expiry - now, slots);
+        }
+        Mail::Left(parcel) => {
+            let Some(held) = desk.of(&parcel) else { return };
+            if held.client.take().is_some() {
+                logic.left(&mut Moment { now, out: desk }, &parcel.id);
+                desk.forget(&parcel.id);
+            }
+        }
+        Mail::Sign(parcel, nth) => {
+            if desk.of(&parcel).is_some() {
+                logic.sign(&mut Moment { now, out: desk }, &parcel.id, nth);
+            }
+        }
+        Mail::Ended { parcel, nth, end, report, result } => {
+            ended(logic, desk, &parcel, nth, end, report, result);
+        }
+        Mail::Probed { worker, end, report } => {
+            logic.probed(&mut Moment { now, out: desk }, &worker, outcome(end), report);
+        }
+        Mail::List { everything, entries } => {
+            let entries = desk.listed(everything, entries);
+            logic.list(&mut Moment { now, out: desk }, everything, false, &entries);
+        }
+        Mail::ListFailed => logic.list_failed(now),
+        Mail::Closing(by) => logic.closing(&mut Moment { now, out: desk }, by),
+    }
+}
+
+/// An assignment has ended: the first that is finished answers the client.
+fn ended(
+    logic: &mut Dispatcher,
+    desk: &mut Desk,
+    parcel: &Rc<Parcel>,
+    nth: usize,
+    end: End,
+    report: Report,
+    result: Bytes,
+) {
+    let Some(held) = desk.of(parcel) else { return };
+    held.assignments[nth] = Way::Ended;
+    let outcome = outcome(end);
+    if let Some(client) = held.client.take_if(|_| outcome == Outcome::Finished) {
+        let _ = client.send(Answer::Finished(result));
+    }
+    let closed = held.client.is_none();
+    let now = desk.now();
+    logic.ended(&mut Moment { now, out: desk }, &parcel.id, nth, (outcome, closed), report);
+    desk.forget(&parcel.id);
+}
--- /dev/null
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -0,0 +1,253 @@
+//! A worker's actor: it keeps the worker's idle connections and starts an exchange for each assignment and probe.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rainlug::{Report, State, Time};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+
+use super::{MAILBOX, Mail, Parcel, ToModule};
+use crate::program::Clock;
+use crate::protocol::lines::Lines;
+use crate::protocol::{head, report, words};
+use crate::transport::{End, Link, MOST_BODY, Piece, Pool, Room};
+
+/// After an answer's last line, the end of its framing comes in this part of the time that a connection may take.
+const TAIL: u32 = 4;
+
+/// What every worker's actor needs to reach its worker.
+pub struct Reach {
+    pub clock: Clock,
+    pub pool: Pool,
+    pub room: Room,
+    pub module: ToModule,
+    /// A connection must be up in this time; a probe must be answered in it.
+    pub dial: Duration,
+    /// An idle connection is closed after this time.
+    pub idle: Duration,
+}
+
+/// What a worker's actor is told.
+pub enum Order {
+    /// To be tried until the expiry, or until `given_up` ends.
+    Assign {
+        parcel: Rc<Parcel>,
+        nth: usize,
+        expiry: Time,
+        given_up: oneshot::Receiver<()>,
+    },
+    Probe,
+}
+
+/// What the list says of the worker; a change means that its idle connections are of no use.
+pub type Standing = (SocketAddr, State, Option<Time>);
+
+/// Starts a worker's actor; gives its mailbox.
+pub fn start(id: String, standing: watch::Receiver<Standing>, reach: Rc<Reach>) -> mpsc::Sender<Order> {
+    let (mailbox, orders) = mpsc::channel(MAILBOX);
+    spawn_local(run(id, orders, standing, reach));
+    mailbox
+}
+
+async fn run(
+    id: String,
+    mut orders: mpsc::Receiver<Order>,
+    mut standing: watch::Receiver<Standing>,
+    reach: Rc<Reach>,
+) {
+    let id: Rc<str> = id.into();
+    // The longest idle first; the last is used first.
+    let mut idle: Vec<(Link, Instant)> = Vec::new();
+    let (back, mut returned) = mpsc::channel::<(Link, SocketAddr)>(MAILBOX);
+    loop {
+        let oldest = idle.first().map_or_else(Instant::now, |(_, since)| *since) + reach.idle;
+        tokio::select! {
+            biased;
+            changed = standing.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                idle.clear();
+            }
+            order = orders.recv() => {
+                let Some(order) = order else { return };
+                let mut fresh = std::iter::from_fn(|| idle.pop()).map(|(link, _)| link);
+                let link = fresh.find_map(|mut link| (!link.spoiled()).then_some(link));
+                let (at, ..) = *standing.borrow();
+                let (reach, back) = (reach.clone(), back.clone());
+                match order {
+                    Order::Assign { parcel, nth, expiry, given_up } => {
+                        spawn_local(exchange(reach, link, at, parcel, nth, expiry, given_up, back));
+                    }
+                    Order::Probe => {
+                        spawn_local(probe(reach, link, at, id.clone(), back));
+                    }
+                }
+            }
+            Some((link, at)) = returned.recv() => {
+                let (now_at, state, _) = *standing.borrow();
+                if at == now_at && state != State::Gone {
+                    idle.push((link, Instant::now()));
+                }
+            }
+            () = sleep_until(oldest), if !idle.is_empty() => {
+                idle.remove(0);
+            }
+            () = reach.room.wanted(), if !idle.is_empty() => {
+                idle.remove(0);
+            }
+        }
+    }
+}
+
+/// One assignment, from its connection to its end, of which the module is told once.
+#[allow(clippy::too_many_arguments)]
+async fn exchange(
+    reach: Rc<Reach>,
+    link: Option<Link>,
+    at: SocketAddr,
+    parcel: Rc<Parcel>,
+    nth: usize,
+    expiry: Time,
+    given_up: oneshot::Receiver<()>,
+    back: mpsc::Sender<(Link, SocketAddr)>,
+) {
+    let written = Cell::new(false);
+    let mut kept = None;
+    let (end, report, result) = tokio::select! {
+        biased;
+        told = assign(&reach, link, at, (&parcel, nth), expiry, &written, &mut kept) => {
+            told.unwrap_or_else(|end| (end, Report::default(), Bytes::new()))
+        }
+        _ = given_up => (if written.get() { End::GivenUp } else { End::Unsent }, Report::default(), Bytes::new()),
+        () = sleep_until(reach.clock.instant(expiry)) => {
+            (if written.get() { End::TimedOut } else { End::Unwritten }, Report::default(), Bytes::new())
+        }
+    };
+    if !matches!(end, End::Done | End::GivenUp | End::Unsent | End::Returned) {
+        log!("assignment {nth} of {} at {at}: {end:?}", parcel.id);
+    }
+    let _ = reach.module.send(Mail::Ended { parcel, nth, end, report, result }).await;
+    if let Some(link) = kept {
+        keep(&reach, link, at, back).await;
+    }
+}
+
+/// Waits for the end of an answer's framing, and gives the connection back to its worker's actor.
+async fn keep(reach: &Reach, mut link: Link, at: SocketAddr, back: mpsc::Sender<(Link, SocketAddr)>) {
+    let whole = async {
+        while link.next().await? != Piece::Last {}
+        Ok::<(), End>(())
+    };
+    if let Ok(Ok(())) = timeout(reach.dial / TAIL, whole).await {
+        link.rest();
+        let _ = back.try_send((link, at));
+    }
+}
+
+/// The link that was idle, or a new one.
+async fn open(reach: &Reach, link: Option<Link>, at: SocketAddr) -> Result<Link, End> {
+    if let Some(link) = link {
+        return Ok(link);
+    }
+    let until = Instant::now() + reach.dial;
+    let seat = timeout_at(until, reach.room.wait()).await.ok().flatten().ok_or(End::NoRoom)?;
+    Link::connect(at, until, head::answer_body, &reach.pool, seat).await
+}
+
+type Told = (End, Report, Bytes);
+
+async fn assign(
+    reach: &Reach,
+    link: Option<Link>,
+    at: SocketAddr,
+    (parcel, nth): (&Rc<Parcel>, usize),
+    expiry: Time,
+    written: &Cell<bool>,
+    kept: &mut Option<Link>,
+) -> Result<Told, End> {
+    let mut link = open(reach, link, at).await?;
+    let opening = head::assignment(&parcel.head, at, expiry - reach.clock.now());
+    link.send(opening.as_bytes(), &parcel.body, written).await?;
+    let (status, close, turned_away, load) = heard(&mut link).await?;
+    let told = match status {
+        200 => words(reach, &mut link, parcel, nth).await?,
+        503 | 504 if turned_away => (End::Returned, load, Bytes::new()),
+        _ => (End::Failed, load, Bytes::new()),
+    };
+    *kept = Some(link).filter(|_| !close);
+    Ok(told)
+}
+
+/// The head of an answer: its status, whether its connection ends with it, whether the task was turned away, and a
+/// report.
+async fn heard(link: &mut Link) -> Result<(u16, bool, bool, Report), End> {
+    loop {
+        let Piece::Head(text) = link.next().await? else { return Err(End::Malformed) };
+        let found = head::answer(&text, |status, fields| {
+            let load = report::text(fields.get("X-Load-Report"));
+            (status, fields.says("Connection", "close"), fields.get("X-Rejected") == Some("1"), load)
+        })?;
+        if found.0 >= 200 {
+            return Ok(found);
+        }
+        link.next().await?; // an interim answer has no body
+    }
+}
+
+/// Follows a worker's words on a task up to the last one.
+async fn words(reach: &Reach, link: &mut Link, parcel: &Rc<Parcel>, nth: usize) -> Result<Told, End> {
+    let mut lines = Lines::within(2 * MOST_BODY);
+    loop {
+        let Piece::Body(piece) = link.next().await? else { return Err(End::Broken) };
+        lines.push(&piece);
+        while let Some(line) = lines.next()? {
+            if line.is_empty() {
+                continue;
+            }
+            if let Some(told) = words::of_worker(&line, &parcel.id)? {
+                return Ok(told);
+            }
+            let _ = reach.module.send(Mail::Sign(parcel.clone(), nth)).await;
+        }
+    }
+}
+
+/// Asks a worker for its load.
+async fn probe(
+    reach: Rc<Reach>,
+    link: Option<Link>,
+    at: SocketAddr,
+    worker: Rc<str>,
+    back: mpsc::Sender<(Link, SocketAddr)>,
+) {
+    let asked = async {
+        let mut link = open(&reach, link, at).await?;
+        link.send(head::get("/status/load", at).as_bytes(), &[], &Cell::new(false)).await?;
+        let (status, close, _, mut report) = heard(&mut link).await?;
+        let mut body = Vec::new();
+        loop {
+            match link.next().await? {
+                Piece::Body(piece) if body.len() + piece.len() <= MOST_BODY => body.extend_from_slice(&piece),
+                Piece::Last => break,
+                _ => return Err(End::Malformed),
+            }
+        }
+        link.rest();
+        if !close {
+            let _ = back.try_send((link, at));
+        }
+        if let Ok(load) = serde_json::from_slice(&body) {
+            report = report::object(Some(&load));
+        }
+        Ok((if status == 200 { End::Done } else { End::Failed }, report))
+    };
+    let told = timeout(reach.dial, asked).await.unwrap_or(Err(End::TimedOut));
+    let (end, report) = told.unwrap_or_else(|end| (end, Report::default()));
+    let _ = reach.module.send(Mail::Probed { worker: worker.to_string(), end, report }).await;
+}
--- /dev/null
+++ b/crates/rainlugd/src/transport/link.rs
@@ -0,0 +1,132 @@
+//! A connection that carries one message at a time in each direction. While it is idle it holds no buffer.
+
+use std::cell::Cell;
+use std::future::pending;
+use std::net::SocketAddr;
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+use tokio_util::codec::Framed;
+
+use super::codec::{Body, Messages, Piece};
+use super::end::End;
+use super::limits::Seat;
+use super::pool::Pool;
+
+pub struct Link {
+    framed: Framed<TcpStream, Messages>,
+    pool: Pool,
+    _seat: Seat,
+}
+
+impl Link {
+    pub fn over(stream: TcpStream, body_of: fn(&[u8]) -> Result<Body, End>, pool: &Pool, seat: Seat) -> Self {
+        // Small messages that wait for an answer gain nothing from waiting for more.
+        let _ = stream.set_nodelay(true);
+        let mut framed = Framed::new(stream, Messages::new(body_of));
+        *framed.read_buffer_mut() = Default::default();
+        *framed.write_buffer_mut() = Default::default();
+        framed.set_backpressure_boundary(usize::MAX);
+        Link { framed, pool: pool.clone(), _seat: seat }
+    }
+
+    pub async fn connect(
+        to: SocketAddr,
+        until: Instant,
+        body_of: fn(&[u8]) -> Result<Body, End>,
+        pool: &Pool,
+        seat: Seat,
+    ) -> Result<Self, End> {
+        match timeout_at(until, TcpStream::connect(to)).await {
+            Ok(Ok(stream)) => Ok(Link::over(stream, body_of, pool, seat)),
+            // EMFILE, ENFILE: this side's own lack, which says nothing of the peer.
+            Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24)) => Err(End::NoRoom),
+            Ok(Err(_)) => Err(End::Refused),
+            Err(_) => Err(End::NeverUp),
+        }
+    }
+
+    /// Ends when there is something to read, be it the connection's end. It takes no buffer until then.
+    pub async fn idle(&mut self) {
+        if self.framed.read_buffer().is_empty() {
+            let _ = self.framed.get_ref().readable().await;
+        }
+    }
+
+    /// The next piece of a message; `Closed` where the peer ended the connection between two messages.
+    pub async fn next(&mut self) -> Result<Piece, End> {
+        if self.framed.read_buffer().capacity() == 0 {
+            self.idle().await;
+            *self.framed.read_buffer_mut() = self.pool.take();
+        }
+        self.framed.next().await.unwrap_or(Err(End::Closed))
+    }
+
+    /// Writes a message in one go; tells through `written` when the last byte has been handed over.
+    pub async fn send(&mut self, head: &[u8], body: &[u8], written: &Cell<bool>) -> Result<(), End> {
+        *self.framed.write_buffer_mut() = self.pool.take();
+        let sent = self.framed.send((head, body)).await;
+        written.set(self.framed.write_buffer().is_empty());
+        self.pool.put(std::mem::take(self.framed.write_buffer_mut()));
+        sent.map_err(|_| End::Unwritten)
+    }
+
+    /// Ends this side's sending and waits for the peer's end: what it still sends must not destroy the last answer.
+    pub async fn finish(&mut self) {
+        let _ = self.framed.close().await;
+        self.framed.read_buffer_mut().clear();
+        let mut rest = [0; 1024];
+        while self.framed.get_ref().readable().await.is_ok() {
+            match self.framed.get_ref().try_read(&mut rest) {
+                Ok(0) => return,
+                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    }
+
+    /// Gives its buffer back, unless more has come already.
+    pub fn rest(&mut self) {
+        if self.framed.read_buffer().is_empty() {
+            self.pool.put(std::mem::take(self.framed.read_buffer_mut()));
+        }
+    }
+
+    /// Ends when the peer has gone. What it sends until then is kept, as far as it fits.
+    pub async fn departed(&mut self) {
+        loop {
+            let Ok(ready) = self.framed.get_ref().ready(Interest::READABLE).await else { return };
+            let mut buffer = std::mem::take(self.framed.read_buffer_mut());
+            if buffer.capacity() == 0 {
+                buffer = self.pool.take();
+            }
+            let full = buffer.len() == buffer.capacity();
+            let read = if full { Ok(1) } else { self.framed.get_ref().try_read_buf(&mut buffer) };
+            *self.framed.read_buffer_mut() = buffer;
+            match read {
+                Ok(0) => return,
+                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                _ if ready.is_read_closed() => return,
+                _ if full => pending().await,
+                _ => {}
+            }
+        }
+    }
+
+    /// True where the peer has ended an idle connection, or has sent what nobody asked for.
+    pub fn spoiled(&mut self) -> bool {
+        let mut byte = [0];
+        let quiet = self.framed.read_buffer().is_empty() && self.framed.codec().between();
+        let read = self.framed.get_ref().try_read(&mut byte);
+        !quiet || !matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.pool.put(std::mem::take(self.framed.read_buffer_mut()));
+        self.pool.put(std::mem::take(self.framed.write_buffer_mut()));
+    }
+}
--- /dev/null
+++ b/crates/setup/src/lib.rs
@@ -0,0 +1,177 @@
+//! Reads a dispatcher's settings from JSON into the module's types. Every key that either program reads is read and
+//! checked here, and every default stands here; what is wrong is said with the key's path. Unknown keys are skipped.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result, ensure};
+use rainlug::logic::Dispatcher;
+use rainlug::{Allowed, Effect, Group, Known, Moment, Obligations, Place, Report, Time, Weights, Workload};
+use serde_json::Value;
+
+/// Makes a dispatcher by its settings; gives it with the number of its workloads.
+pub fn dispatcher(m: &mut Moment, seed: u64, all: &Value) -> Result<(Dispatcher, usize)> {
+    let place = Place {
+        seed,
+        group_size: count(all, "/groupSize")?,
+        index: count(all, "/index")?,
+        zone: count(all, "/zone")?,
+    };
+    let allowed = Allowed {
+        assignments: count(all, "/limits/mostAssignments")?,
+        withdrawal: flag(all, "/limits/cancel")?,
+        copies: flag(all, "/limits/parallelTries")?,
+        peers: flag(all, "/limits/peers")?,
+        probes: flag(all, "/limits/probes")?,
+        pause: if flag(all, "/limits/retryAfter")? { time(all, "/limits/maxRetryAfterMs")? } else { 0 },
+        must_ask: must_ask(all)?,
+    };
+    let obligations = Obligations {
+        cold_from: number(all, "/obligations/coldFrom")?,
+        warm_within: time(all, "/obligations/warmWithinMs")?,
+        overload_factor: number(all, "/obligations/overloadFactor")?,
+        fall: time(all, "/obligations/fallMs")?,
+        must_ask_in: if allowed.must_ask { time(all, "/obligations/mustAskInMs")? } else { 0 },
+    };
+    let known = Known {
+        reports_by_probe: word(all, "/feedback/how")? == Some("pull"),
+        live_weights: word(all, "/weightSource")? == Some("live"),
+        tells_start: flag(all, "/specifics/tellsStart")?,
+        progress: time_or(all, "/specifics/progressMs", 0)?,
+        cross_zone: number_or(all, "/prices/crossZone", 0.0)?,
+    };
+    let weights = Weights {
+        whole: number_or(all, "/scoreParts/whole", 1.0)?,
+        worst_workload: number_or(all, "/scoreParts/worstClass", 0.0)?,
+        beyond_share: number_or(all, "/overageRevenue", 1.0)?,
+        by_work: word(all, "/revenueBasis")? == Some("work"),
+    };
+    let quotas =
+        (0..names(all, "/customers")?.len()).map(|i| number(all, &format!("/customers/{i}/quotaPerS")));
+    let quotas = quotas.collect::<Result<_>>()?;
+    let workloads = workloads(all)?;
+    let count = workloads.len();
+    Ok((Dispatcher::start(m, place, workloads, quotas, weights, allowed, obligations, known), count))
+}
+
+fn workloads(all: &Value) -> Result<Vec<Workload>> {
+    let found = all.pointer("/workloads").and_then(Value::as_array).map(Vec::len);
+    (0..found.with_context(|| lack("a list", "/workloads"))?).map(|i| workload(all, i)).collect()
+}
+
+fn workload(all: &Value, i: usize) -> Result<Workload> {
+    let at = |key: &str| format!("/workloads/{i}/{key}");
+    let kind_at = format!("/specifics/classKind/{i}");
+    // -1 is any kind.
+    let kind = all.pointer(&kind_at).map(|k| k.as_i64().with_context(|| lack("a whole number", &kind_at)));
+    Ok(Workload {
+        effect: effect(all, i)?,
+        due: time(all, &at("dueTimeMs"))?,
+        stretch: number_or(all, &format!("/specifics/classStretch/{i}"), 0.0)?
+            + number_or(all, &at("aimStretch"), 0.0)?,
+        revenue: number(all, &at("revenue"))?,
+        overdue: number_or(all, &at("overdueRevenue"), 0.0)?,
+        kind: kind.transpose()?.and_then(|k| usize::try_from(k).ok()),
+    })
+}
+
+fn effect(all: &Value, i: usize) -> Result<Effect> {
+    let at = |key: &str| format!("/workloads/{i}/{key}");
+    let group = match word(all, &at("keyScope"))? {
+        Some("zone") => Group::Zone,
+        Some("cell") => Group::Cell,
+        _ => Group::All,
+    };
+    match word(all, &at("idempotency"))? {
+        Some("repeatable") => Ok(Effect::Idempotent),
+        Some("by_key") => Ok(Effect::Fingerprinted { group, window: time(all, &at("windowMs"))? }),
+        Some("once") => Ok(Effect::SideEffecting),
+        _ => anyhow::bail!("{} is not repeatable, by_key or once", at("idempotency")),
+    }
+}
+
+/// Takes over a field of a load report, by the settings' names (`/feedback/fields`); others decide nothing. `x0` is
+/// free slots.
+pub fn set_report(report: &mut Report, name: &str, value: f64) {
+    let value = Some(value).filter(|v| v.is_finite());
+    match name {
+        "load_share" => report.utilisation = value,
+        "tps" => report.rate = value,
+        "x0" => report.free_slots = value,
+        _ => {}
+    }
+}
+
+/// The longest that clients wait for a task of each workload, in the order of the settings.
+pub fn expiries(all: &Value) -> Result<Vec<Time>> {
+    (0..names(all, "/workloads")?.len()).map(|i| time(all, &format!("/workloads/{i}/expiryMs"))).collect()
+}
+
+/// True where the list of workers comes only when asked for.
+pub fn must_ask(all: &Value) -> Result<bool> {
+    Ok(word(all, "/discovery")? == Some("subscribe"))
+}
+
+/// The names in a list of names or of objects with names; none where there is no list.
+pub fn names(all: &Value, path: &str) -> Result<Vec<String>> {
+    let Some(found) = all.pointer(path) else { return Ok(Vec::new()) };
+    let name = |v: &Value| v.as_str().or_else(|| v.pointer("/name")?.as_str()).map(str::to_owned);
+    let list = found.as_array().and_then(|l| l.iter().map(name).collect());
+    list.with_context(|| lack("a list of names", path))
+}
+
+/// An address and port.
+pub fn address(all: &Value, path: &str) -> Result<SocketAddr> {
+    let found = word(all, path)?.and_then(|a| a.parse().ok());
+    found.with_context(|| lack("an address and port", path))
+}
+
+/// A seed in hexadecimal digits.
+pub fn seed(all: &Value, path: &str) -> Result<u64> {
+    let found = word(all, path)?.and_then(|s| u64::from_str_radix(s, 16).ok());
+    found.with_context(|| lack("a number in hexadecimal digits", path))
+}
+
+/// A finite number of 0 or more.
+fn number(from: &Value, path: &str) -> Result<f64> {
+    let found = from.pointer(path).and_then(Value::as_f64).with_context(|| lack("a number", path))?;
+    ensure!(found >= 0.0, "{path} is negative");
+    Ok(found)
+}
+
+fn number_or(from: &Value, path: &str, default: f64) -> Result<f64> {
+    if from.pointer(path).is_some() { number(from, path) } else { Ok(default) }
+}
+
+/// A whole number of 0 or more.
+pub fn count(from: &Value, path: &str) -> Result<usize> {
+    let found = number(from, path)?;
+    ensure!(found.fract() == 0.0 && found < 1e15, "{path} is not a whole number");
+    Ok(found as usize)
+}
+
+/// Milliseconds.
+pub fn time(from: &Value, path: &str) -> Result<Time> {
+    micros(number(from, path)?).with_context(|| format!("{path} is no time"))
+}
+
+fn time_or(from: &Value, path: &str, default: Time) -> Result<Time> {
+    if from.pointer(path).is_some() { time(from, path) } else { Ok(default) }
+}
+
+/// False where there is none.
+fn flag(from: &Value, path: &str) -> Result<bool> {
+    from.pointer(path).map_or(Ok(false), |v| v.as_bool().with_context(|| lack("true or false", path)))
+}
+
+fn word<'a>(from: &'a Value, path: &str) -> Result<Option<&'a str>> {
+    from.pointer(path).map(|v| v.as_str().with_context(|| lack("a text", path))).transpose()
+}
+
+fn lack(what: &str, path: &str) -> String {
+    format!("settings lack {what} at {path}")
+}
+
+/// Milliseconds as whole microseconds, or nothing where the number makes no moment.
+pub fn micros(ms: f64) -> Option<Time> {
+    (ms.is_finite() && ms.abs() < 1e15).then(|| (ms * 1000.0).round() as Time)
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,7 +312,8 @@
         let Some(load) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer);
         let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
-        let (id, slots, arrived, expiry) = (id.to_owned(), slots.max(1.0), m.now, m.now + budget);
+        let expiry = self.desk.last_call(m.now + budget);
+        let (id, slots, arrived) = (id.to_owned(), slots.max(1.0), m.now);
         // Messages cost: among many, only of what cannot be tried elsewhere.
         let once = self.parts == 1 || load.effect == Effect::SideEffecting;
         let told = if self.allowed.peers && once { slots } else { 0.0 };
@@ -607,6 +608,11 @@
         }
     }
 
+    /// The process ends: every task must have its answer by then, also those that still come.
+    pub fn closing(&mut self, m: &mut Moment, by: Time) {
+        self.desk.call_by(by).iter().for_each(|n| m.out.wake(by, *n));
+    }
+
     pub fn left(&mut self, m: &mut Moment, id: &str) {
         if let Some((n, _)) = self.desk.named(id) {
             self.close(m, n);
--- a/src/state.rs
+++ b/src/state.rs
@@ -451,6 +451,8 @@
     numbers: HashMap<String, u64>,
     held: BTreeSet<(u64, Time, u64)>,
     last: u64,
+    /// When the process ends.
+    closes: Option<Time>,
 }
 
 impl Desk {
@@ -462,6 +464,18 @@
         n
     }
 
+    /// The expiry, or the end of the process where that comes first.
+    pub fn last_call(&self, expiry: Time) -> Time {
+        self.closes.map_or(expiry, |by| by.min(expiry))
+    }
+
+    /// The process ends by then: no expiry is later. Gives the numbers of the tasks that are owed an answer.
+    pub fn call_by(&mut self, by: Time) -> Vec<u64> {
+        self.closes = Some(by);
+        self.tasks.values_mut().for_each(|t| t.expiry = t.expiry.min(by));
+        self.tasks.iter().filter(|(_, t)| !t.answered).map(|(n, _)| *n).collect()
+    }
+
     pub fn named(&mut self, id: &str) -> Option<(u64, &mut Task)> {
         let n = self.numbers.get(id).copied()?;
         self.tasks.get_mut(&n).map(|task| (n, task))
