A connection that has carried nothing is idle too: found by peeking, closed late after SIGTERM

Seen: with a client connected and silent, SIGTERM did not end the process until the longest expiry (a probe: the connection still open after 2 s). Checked: the stop reached every actor; the actor of a new connection was not in its idle wait any more, since tokio's readable() answers for a new connection that has carried nothing (link.rs, idle). It held a buffer and could not make room either. Now it peeks. And a connection accepted after SIGTERM was to be closed before its client could write, which would turn the same client away again and again (client.rs, serve): it has half a second.

Tests: one client that connects after the word and takes its time, and one that never writes; the first fails without the half second (checked), the second without the peek.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -85,6 +85,7 @@
         workloads: told.names.into_iter().zip(told.expiries.iter().copied()).collect(),
         customers: told.customers,
         patience: told.patience,
+        newcomers: LAST_CLIENTS,
     });
     let source = Source { at: told.discovery, zones: told.zones, kinds: told.kinds, most: told.memory / 16 };
     spawn_local(list::follow(source, rev, mailbox.clone(), asked, pool.clone(), bounds.list.clone()));
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use rainlug::Time;
 use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{Answer, Mail, Parcel, ToModule};
 use crate::program::Clock;
@@ -27,6 +27,8 @@
     pub customers: Vec<String>,
     /// The longest that a request may take to come whole, and an answer to be taken.
     pub patience: Duration,
+    /// After the word to stop, how long a new connection may wait for its first request.
+    pub newcomers: Duration,
 }
 
 /// What a request asks for.
@@ -45,13 +47,15 @@
 /// Serves a connection until it ends; `stopping` turns true when the process is to end. Where there is no seat for
 /// the connection, it is turned away once it has told what it wants.
 pub async fn serve(mut link: Link, door: Rc<Door>, mut stopping: watch::Receiver<bool>, turned_away: bool) {
+    let mut newcomer = true;
     loop {
         tokio::select! {
             biased;
             () = link.idle() => {}
-            _ = stopping.wait_for(|s| *s) => return,
+            () = stop(&mut stopping, newcomer.then_some(door.newcomers)) => return,
             () = door.room.wanted() => return,
         }
+        newcomer = false;
         let read = timeout(door.patience, request(&mut link, &door)).await.unwrap_or(Err(End::TimedOut));
         let (asked, at, mut close) = match read {
             Ok((asked, close)) => (asked, door.clock.now(), close || turned_away),
@@ -100,6 +104,13 @@
     }
 }
 
+/// Ends at the word to stop; so much later for a connection that has carried nothing yet: its client is about to
+/// write, and to close it then would turn the same client away again and again.
+async fn stop(stopping: &mut watch::Receiver<bool>, later: Option<Duration>) {
+    let _ = stopping.wait_for(|s| *s).await;
+    sleep(later.unwrap_or_default()).await;
+}
+
 /// Reads a request; tells too whether the connection ends with it.
 async fn request(link: &mut Link, door: &Door) -> Result<(Asked, bool), End> {
     let Piece::Head(text) = link.next().await? else { return Err(End::Malformed) };
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -51,7 +51,8 @@
     /// Ends when there is something to read, be it the connection's end. It takes no buffer until then.
     pub async fn idle(&mut self) {
         if self.framed.read_buffer().is_empty() {
-            let _ = self.framed.get_ref().readable().await;
+            // Not `readable`, which may say so of a new connection that has carried nothing yet.
+            let _ = self.framed.get_ref().peek(&mut [0]).await;
         }
     }
 
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -193,10 +193,13 @@
     for (client, path) in clients.iter_mut().zip(["/search", "/bid", "/register"]) {
         client.hand_in(path, &path[1..], "5000m");
     }
+    let mut silent = Client::of(&program);
     let begun = Instant::now();
     program.terminate();
     assert!(idle.hear().is_none(), "an idle connection is closed");
-    let mut late = Client::of(&program);
+    // A client that connects now is served, also when it takes its time: the later one has been seen by then.
+    let (mut late, mut later) = (Client::of(&program), Client::of(&program));
+    assert_eq!(later.ready(), 503);
     assert_eq!(late.ready(), 503);
     [&worker, &other].iter().for_each(|w| w.word.send(()).unwrap());
     let (status, head, body) = clients[2].hear().unwrap();
@@ -205,7 +208,9 @@
     assert_eq!(clients[0].hear().unwrap().0, 503);
     assert_eq!(clients[1].hear().unwrap().0, 500);
     assert!(begun.elapsed().as_millis() < 3700);
-    drop((clients, late));
+    drop((clients, late, later));
+    // One that never wrote anything does not keep the process.
+    assert!(silent.hear().is_none());
     assert!(program.ended().success());
 }
 
