Each part is made of its own few keys; a process out of descriptors goes on, tested

Told held every setting in one record: told.rs now makes each part (room, reach, door, source, module) from its own keys. A process with 40 descriptors and 60 clients says so, goes on and serves when there are some again (integration test).

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -81,7 +81,7 @@
             let seed = fields.value("a seed")?;
             let settings = fields.text("settings")?;
             let settings = serde_json::from_str(settings).context("expected settings as a JSON object")?;
-            let made = rainlug_setup::dispatcher(m, seed, &settings)?;
+            let made = rainlug_setup::dispatcher(m, seed, &settings, true)?;
             self.instances.insert(name.to_owned(), made);
             return Ok(false);
         }
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -11,6 +11,7 @@
 
 use anyhow::{Context, Result};
 use rainlug::{Moment, Time};
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
@@ -18,18 +19,14 @@
 use tokio::time::{Instant, sleep};
 
 pub use clock::Clock;
-use told::Told;
 
-use crate::protocol::{head, words};
+use crate::protocol::head;
 use crate::routing::client::{self, Door};
-use crate::routing::list::{self, Source};
+use crate::routing::list;
 use crate::routing::module::{self, Desk};
-use crate::routing::{MAILBOX, Mail, Reach, ToModule};
+use crate::routing::{MAILBOX, Mail, ToModule};
 use crate::transport::{Bounds, Link, Pool, Room};
 
-/// Idle connections are closed after this part of the time after which workers close them: a task written to one
-/// that its worker is closing may have run, for all that can be known.
-const IDLE_USE: f64 = 0.6;
 /// New connections still come for so long after the word to stop.
 const LAST_CLIENTS: Duration = Duration::from_millis(500);
 /// How often it is looked whether the last client has gone.
@@ -38,9 +35,9 @@
 const BREATH: Duration = Duration::from_millis(10);
 
 pub fn main() -> ExitCode {
-    let done = told::read().and_then(|told| {
+    let done = told::read().and_then(|(path, all)| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, run(told))
+        LocalSet::new().block_on(&runtime, run(&all)).context(path)
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -51,50 +48,33 @@
     }
 }
 
-async fn run(told: Told) -> Result<()> {
+/// Makes every part of what is told, and opens the port only then.
+async fn run(all: &Value) -> Result<()> {
     let clock = Clock::start();
     let mut stop = signal(SignalKind::terminate())?;
-    let pool = Pool::within(told.memory);
-    let bounds = Bounds::within(told.descriptors, told.memory);
     let (mailbox, letters) = mpsc::channel(MAILBOX);
-    let reach = Rc::new(Reach {
-        clock,
-        pool: pool.clone(),
-        room: bounds.workers.clone(),
-        module: mailbox.clone(),
-        dial: told.dial,
-        idle: told.idle.mul_f64(IDLE_USE),
-    });
-    let asked = told.must_ask.then(Rc::<Notify>::default);
+    let (bounds, pool) = told::room(all)?;
+    let reach = Rc::new(told::reach(all, clock, &bounds, &pool, &mailbox)?);
+    let door = Rc::new(told::door(all, clock, &bounds, &mailbox, LAST_CLIENTS)?);
+    let source = told::source(all)?;
+    let (rev, known) = told::known(all, &source)?;
+    let asked = told::must_ask(all)?.then(Rc::<Notify>::default);
+    let closing = told::closing(all)?;
     let mut desk = Desk::new(reach, asked.clone());
-    let m = &mut Moment { now: clock.now(), out: &mut desk };
-    let made = rainlug_setup::dispatcher(m, told.seed, &told.settings);
-    let (mut logic, _) = made.with_context(|| told.path.clone())?;
-    let (rev, _, entries) = words::of_list(&told.known, &told.zones, &told.kinds)
-        .with_context(|| format!("{}: expected a list with rev, all and targets at /known", told.path))?;
-    let entries = desk.listed(true, entries);
-    logic.list(&mut Moment { now: clock.now(), out: &mut desk }, true, true, &entries);
-    let listener =
-        TcpListener::bind(told.listen).await.with_context(|| format!("cannot listen on {}", told.listen))?;
+    let mut logic = told::dispatcher(&mut Moment { now: clock.now(), out: &mut desk }, all)?;
+    let known = desk.listed(true, known);
+    logic.list(&mut Moment { now: clock.now(), out: &mut desk }, true, true, &known);
+    let listen = rainlug_setup::address(all, "/listen")?;
+    let listener = TcpListener::bind(listen).await.with_context(|| format!("cannot listen on {listen}"))?;
     log!("listening on {}", listener.local_addr()?);
     let (stopping, stops) = watch::channel(false);
-    let door = Rc::new(Door {
-        clock,
-        module: mailbox.clone(),
-        room: bounds.clients.clone(),
-        workloads: told.names.into_iter().zip(told.expiries.iter().copied()).collect(),
-        customers: told.customers,
-        patience: told.patience,
-        newcomers: LAST_CLIENTS,
-    });
-    let source = Source { at: told.discovery, zones: told.zones, kinds: told.kinds, most: told.memory / 16 };
     spawn_local(list::follow(source, rev, mailbox.clone(), asked, pool.clone(), bounds.list.clone()));
     spawn_local(accept(listener, door, stops, bounds.clone(), pool));
     let module = spawn_local(module::run(logic, desk, letters));
     tokio::select! {
         // Tasks without an owner must not outlive the module.
         over = module => over.context("the module's actor ended"),
-        () = wind_up(&mut stop, &stopping, clock, mailbox, told.closing, bounds.clients) => Ok(()),
+        () = wind_up(&mut stop, &stopping, clock, mailbox, closing, bounds.clients) => Ok(()),
     }
 }
 
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -1,82 +1,125 @@
-//! What the program is told at its start: the file that `RELAY_CONFIG` names.
+//! What the program is told: the file that `RELAY_CONFIG` names. Each part is made of its own few keys.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::{env, fs};
 
 use anyhow::{Context, Result};
-use rainlug::{SECOND, Time};
+use rainlug::logic::Dispatcher;
+use rainlug::{Moment, SECOND, Time};
 use rainlug_setup as setup;
 use serde_json::Value;
 
+use super::Clock;
+use crate::protocol::words::{self, Entry};
+use crate::routing::client::Door;
+use crate::routing::list::Source;
+use crate::routing::{Reach, ToModule};
+use crate::transport::{Bounds, Pool};
+
+/// Idle connections are closed after this part of the time after which workers close them: a task written to one
+/// that its worker is closing may have run, for all that can be known.
+const IDLE_USE: f64 = 0.6;
+/// A line of the list may take one part of so many of the memory.
+const LIST_PART: usize = 16;
 /// The process may be killed no sooner than the longest expiry after the word to stop, at most this, and
 /// `LAST_KILL` more.
 const SHORTEST_KILL: Time = 3 * SECOND;
 const LAST_KILL: Time = 7 * SECOND / 10;
 
-/// Everything is checked before the first socket is opened.
-pub struct Told {
-    /// The file.
-    pub path: String,
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub seed: u64,
-    pub descriptors: usize,
-    pub memory: usize,
-    pub known: Value,
-    /// The module's own part, and what of it the program uses too.
-    pub settings: Value,
-    pub names: Vec<String>,
-    pub expiries: Vec<Time>,
-    pub customers: Vec<String>,
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-    pub must_ask: bool,
-    pub dial: Duration,
-    pub idle: Duration,
-    pub patience: Duration,
-    /// After the word to stop, every task is answered within this time.
-    pub closing: Time,
-}
-
-pub fn read() -> Result<Told> {
+/// The file's path and what it holds.
+pub fn read() -> Result<(String, Value)> {
     let path = env::var("RELAY_CONFIG").context("RELAY_CONFIG names no configuration file")?;
     let text = fs::read_to_string(&path).with_context(|| format!("cannot read {path}"))?;
     let all = serde_json::from_str(&text).with_context(|| format!("{path} is not JSON"))?;
-    told(path.clone(), all).context(path)
+    Ok((path, all))
+}
+
+fn settings(all: &Value) -> Result<&Value> {
+    all.get("settings").context("settings lack an object at /settings")
+}
+
+pub fn room(all: &Value) -> Result<(Bounds, Pool)> {
+    let descriptors = setup::count(all, "/limits/sockets")?;
+    let memory = memory(all)?;
+    Ok((Bounds::within(descriptors, memory), Pool::within(memory)))
 }
 
-fn told(path: String, mut all: Value) -> Result<Told> {
-    let mut settings =
-        all.get_mut("settings").map(Value::take).context("settings lack an object at /settings")?;
-    // The protocol has no message between dispatchers.
-    if let Some(peers) = settings.pointer_mut("/limits/peers") {
-        *peers = Value::Bool(false);
-    }
-    let of = &settings;
-    let expiries = setup::expiries(of)?;
-    let longest = expiries.iter().copied().max().unwrap_or(0);
-    let lasting = |time: Time| Duration::from_micros(time as u64);
+fn memory(all: &Value) -> Result<usize> {
+    Ok(setup::count(all, "/limits/memory_mb")? << 20)
+}
+
+pub fn reach(all: &Value, clock: Clock, bounds: &Bounds, pool: &Pool, module: &ToModule) -> Result<Reach> {
+    let settings = settings(all)?;
     // A send that waits for its connection must be out before the grace of a drain is over.
-    let grace = setup::time(of, "/obligations/drainGraceMs")?;
-    Ok(Told {
-        path,
-        listen: setup::address(&all, "/listen")?,
-        discovery: setup::address(&all, "/discovery")?,
-        seed: setup::seed(&all, "/seed")?,
-        descriptors: setup::count(&all, "/limits/sockets")?,
-        memory: setup::count(&all, "/limits/memory_mb")? << 20,
-        known: all.get_mut("known").map(Value::take).unwrap_or_default(),
-        names: setup::names(of, "/workloads")?,
-        customers: setup::names(of, "/customers")?,
-        zones: setup::names(of, "/zones")?,
-        kinds: setup::names(of, "/hostTypes")?,
-        must_ask: setup::must_ask(of)?,
-        dial: lasting(setup::time(of, "/limits/dialTimeoutMs")?.min(grace / 2)),
-        idle: lasting(setup::time(of, "/limits/connIdleMs")?),
-        patience: lasting(longest),
-        closing: longest.min(SHORTEST_KILL) + LAST_KILL / 2,
-        expiries,
-        settings,
+    let grace = setup::time(settings, "/obligations/drainGraceMs")?;
+    let dial = setup::time(settings, "/limits/dialTimeoutMs")?.min(grace / 2);
+    Ok(Reach {
+        clock,
+        pool: pool.clone(),
+        room: bounds.workers.clone(),
+        module: module.clone(),
+        dial: lasting(dial),
+        idle: lasting(setup::time(settings, "/limits/connIdleMs")?).mul_f64(IDLE_USE),
     })
 }
+
+pub fn door(
+    all: &Value,
+    clock: Clock,
+    bounds: &Bounds,
+    module: &ToModule,
+    newcomers: Duration,
+) -> Result<Door> {
+    let settings = settings(all)?;
+    let names = setup::names(settings, "/workloads")?.into_iter();
+    Ok(Door {
+        clock,
+        module: module.clone(),
+        room: bounds.clients.clone(),
+        workloads: names.zip(setup::expiries(settings)?).collect(),
+        customers: setup::names(settings, "/customers")?,
+        patience: lasting(longest(settings)?),
+        newcomers,
+    })
+}
+
+pub fn source(all: &Value) -> Result<Source> {
+    let settings = settings(all)?;
+    Ok(Source {
+        at: setup::address(all, "/discovery")?,
+        zones: setup::names(settings, "/zones")?,
+        kinds: setup::names(settings, "/hostTypes")?,
+        most: memory(all)? / LIST_PART,
+    })
+}
+
+/// The list as it was last had, and its version.
+pub fn known(all: &Value, from: &Source) -> Result<(u64, Vec<Entry>)> {
+    let read = words::of_list(&all["known"], &from.zones, &from.kinds);
+    let (rev, _, entries) = read.context("expected a list with rev, all and targets at /known")?;
+    Ok((rev, entries))
+}
+
+/// Makes the module; the protocol has no messages between dispatchers.
+pub fn dispatcher(m: &mut Moment, all: &Value) -> Result<Dispatcher> {
+    let (made, _) = setup::dispatcher(m, setup::seed(all, "/seed")?, settings(all)?, false)?;
+    Ok(made)
+}
+
+/// True where the list comes only when it is asked for.
+pub fn must_ask(all: &Value) -> Result<bool> {
+    setup::must_ask(settings(all)?)
+}
+
+/// After the word to stop, every task is answered within this time.
+pub fn closing(all: &Value) -> Result<Time> {
+    Ok(longest(settings(all)?)?.min(SHORTEST_KILL) + LAST_KILL / 2)
+}
+
+fn longest(settings: &Value) -> Result<Time> {
+    Ok(setup::expiries(settings)?.into_iter().max().unwrap_or(0))
+}
+
+fn lasting(time: Time) -> Duration {
+    Duration::from_micros(time as u64)
+}
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -18,7 +18,7 @@
 
 fn start_with(workers: &[(&str, SocketAddr)], change: impl FnOnce(String) -> String) -> (Program, List) {
     let list = List::start();
-    let program = Program::start(PROGRAM, &change(configuration(&list, workers)));
+    let program = Program::start(Command::new(PROGRAM), &change(configuration(&list, workers)));
     assert_eq!(list.asked.recv_timeout(LONG).unwrap(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
     (program, list)
 }
@@ -250,6 +250,20 @@
     assert!(clients.iter_mut().take(20).any(|c| c.hear().is_none()));
 }
 
+#[test]
+fn a_process_out_of_descriptors_goes_on_when_there_are_some() {
+    let worker = Worker::start(|_| Act::Finish);
+    let list = List::start();
+    let mut shell = Command::new("sh");
+    shell.args(["-c", "ulimit -n 40; exec \"$0\"", PROGRAM]);
+    let known = configuration(&list, &[("w1", worker.at)]);
+    let program = Program::start(shell, &known.replace("\"sockets\":256", "\"sockets\":1024"));
+    let many: Vec<Client> = (0..60).map(|_| Client::of(&program)).collect();
+    program.logged("cannot accept a client");
+    drop(many);
+    assert_eq!(Client::of(&program).ask("/bid", "b1", "4000m").0, 200);
+}
+
 #[test]
 fn odd_requests_are_refused_without_harm() {
     let worker = Worker::start(|_| Act::Finish);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -397,9 +397,8 @@
     }
 
     impl Program {
-        pub fn start(binary: &str, configuration: &str) -> Self {
+        pub fn start(mut command: Command, configuration: &str) -> Self {
             let path = written(configuration);
-            let mut command = Command::new(binary);
             let mut child = command.env("RELAY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
             let errors = BufReader::new(child.stderr.take().unwrap());
             let (line, log) = channel();
