--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -27,7 +27,7 @@
     pub customers: Vec<String>,
     /// The longest that a request may take to come whole, and an answer to be taken.
     pub patience: Duration,
-    /// After the word to stop, how long a new connection may wait for its first request.
+    /// How long a new connection may wait for its first request, whatever happens.
     pub newcomers: Duration,
 }
 
@@ -52,8 +52,7 @@
         tokio::select! {
             biased;
             () = link.idle() => {}
-            () = stop(&mut stopping, newcomer.then_some(door.newcomers)) => return,
-            () = door.room.wanted() => return,
+            () = unwanted(&door, &mut stopping, newcomer) => return,
         }
         newcomer = false;
         let read = timeout(door.patience, request(&mut link, &door)).await.unwrap_or(Err(End::TimedOut));
@@ -104,11 +103,16 @@
     }
 }
 
-/// Ends at the word to stop; so much later for a connection that has carried nothing yet: its client is about to
-/// write, and to close it then would turn the same client away again and again.
-async fn stop(stopping: &mut watch::Receiver<bool>, later: Option<Duration>) {
-    let _ = stopping.wait_for(|s| *s).await;
-    sleep(later.unwrap_or_default()).await;
+/// Ends when an idle connection is to be closed: at the word to stop, or when somebody wants its seat. One that has
+/// carried nothing yet has a while before: its client is about to write, and would be turned away again and again.
+async fn unwanted(door: &Door, stopping: &mut watch::Receiver<bool>, newcomer: bool) {
+    if newcomer {
+        sleep(door.newcomers).await;
+    }
+    tokio::select! {
+        _ = stopping.wait_for(|s| *s) => {}
+        () = door.room.wanted() => {}
+    }
 }
 
 /// Reads a request; tells too whether the connection ends with it.
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -225,10 +225,13 @@
         .enumerate()
         .for_each(|(n, client)| client.hand_in("/register", &format!("r{n}"), "5000m"));
     worker.next();
-    let mut more = Client::of(&program);
-    let (status, head, _) = more.ask("/register", "one too many", "5000m");
-    assert_eq!((status, field(&head, "Connection")), (503, Some("close")));
-    assert!(more.hear().is_none());
+    // All of them are there before the first one speaks, and none makes room for another.
+    let mut more: Vec<Client> = (0..4).map(|_| Client::of(&program)).collect();
+    for client in &mut more {
+        let (status, head, _) = client.ask("/register", "one too many", "5000m");
+        assert_eq!((status, field(&head, "Connection")), (503, Some("close")));
+        assert!(client.hear().is_none());
+    }
     (0..10).for_each(|_| worker.word.send(()).unwrap());
     let answers = busy.iter_mut().filter_map(Client::hear).filter(|a| [200, 503].contains(&a.0)).count();
     assert_eq!(answers, 10);
