--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -41,8 +41,8 @@
     ) -> Result<Self, End> {
         match timeout_at(until, TcpStream::connect(to)).await {
             Ok(Ok(stream)) => Ok(Link::over(stream, body_of, pool, seat)),
-            // EMFILE, ENFILE: this side's own lack, which says nothing of the peer.
-            Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24)) => Err(End::NoRoom),
+            // ENFILE, EMFILE, EADDRNOTAVAIL: this side's own lack, which says nothing of the peer.
+            Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24 | 99)) => Err(End::NoRoom),
             Ok(Err(_)) => Err(End::Refused),
             Err(_) => Err(End::NeverUp),
         }
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -182,6 +182,33 @@
     assert_eq!(list.asked.recv_timeout(LONG).unwrap(), "GET /v1/endpoints?watch=1&from=3 HTTP/1.1");
 }
 
+#[test]
+fn where_the_list_must_be_asked_for_the_module_asks_again() {
+    let worker = Worker::start(|_| Act::Finish);
+    let (program, list) = start_with(&[("w1", worker.at)], |t| {
+        t.replace("\"automatic\"", "\"subscribe\"")
+            .replace("\"fallMs\"", "\"mustAskInMs\":10000.0,\"fallMs\"")
+    });
+    for _ in 0..2 {
+        list.tell.send(None).unwrap();
+        assert!(list.asked.recv_timeout(LONG).is_ok());
+    }
+    assert_eq!(Client::of(&program).ask("/bid", "b1", "4000m").0, 200);
+}
+
+#[test]
+fn where_load_comes_by_probe_workers_are_asked_for_it() {
+    let worker = Worker::start(|_| Act::Finish);
+    let (program, _list) = start_with(&[("w1", worker.at), ("w2", worker.at)], |t| {
+        t.replace("\"piggyback\"", "\"pull\"").replace("\"retryAfter\"", "\"probes\":true,\"retryAfter\"")
+    });
+    let mut client = Client::of(&program);
+    (0..8).for_each(|n| assert_eq!(client.ask("/search", &format!("s{n}"), "4000m").0, 200));
+    let mut heads = std::iter::from_fn(|| Some(worker.tasks.recv_timeout(LONG).expect("a probe").0));
+    assert!(heads.any(|h| h.starts_with("GET /status/load HTTP/1.1")));
+    assert_eq!(client.ask("/bid", "b1", "4000m").0, 200);
+}
+
 #[test]
 fn after_the_word_to_stop_all_is_answered_and_the_program_ends() {
     let worker = Worker::start(|path| if path == "/register" { Act::OnWord } else { Act::Stall });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -264,6 +264,13 @@
     ) -> Option<()> {
         let mut from = BufReader::new(to.try_clone().unwrap());
         while let Some((head, body)) = message(&mut from) {
+            if head.starts_with("GET /status/load ") {
+                let load = r#"{"tps":3.0,"load_share":0.2,"x0":2.0}"#;
+                let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{load}", load.len());
+                to.write_all(answer.as_bytes()).ok()?;
+                let _ = task.send((head, body));
+                continue;
+            }
             let id = field(&head, "X-Call-Id").unwrap().to_owned();
             let path = head.split(' ').nth(1).unwrap().to_owned();
             let act = act(&path);
