--- a/src/state.rs
+++ b/src/state.rs
@@ -471,7 +471,7 @@
 
     /// The process ends by then: no expiry is later. Gives the numbers of the tasks that are owed an answer.
     pub fn call_by(&mut self, by: Time) -> Vec<u64> {
-        self.closes = Some(by);
+        self.closes = Some(self.last_call(by));
         self.tasks.values_mut().for_each(|t| t.expiry = t.expiry.min(by));
         self.tasks.iter().filter(|(_, t)| !t.answered).map(|(n, _)| *n).collect()
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -261,6 +261,21 @@
     assert!(times.len() > 20, "new capacity comes into use: {}", times.len());
 }
 
+/// A process that was told to stop was killed with tasks out: all are answered by the time that it has.
+#[test]
+fn a_process_that_ends_answers_all_in_time() {
+    let mut bench = Bench::with_workers(1, &["a", "b", "c", "d"]);
+    (0..2).for_each(|workload| bench.task(&format!("out{workload}"), workload));
+    let by = bench.out.now + SECOND;
+    bench.with(|to, m| to.closing(m, by));
+    bench.task("late", 0);
+    bench.pass(SECOND);
+    let answers: Vec<_> = bench.out.sent.iter().filter(|(_, s)| !matches!(s, Sent::Assign(..))).collect();
+    let bounced = |id: &str| answers.contains(&&(by, Sent::Bounce(id.into())));
+    assert!(bounced("out0") && bounced("late"), "{answers:?}");
+    assert!(answers.contains(&&(by, Sent::Abandon("out1".into()))) && answers.len() == 3, "{answers:?}");
+}
+
 /// Bids that cannot be tried twice met in the same queues: slots that another dispatcher told of are taken.
 #[test]
 fn slots_told_by_others_are_taken() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -19,6 +19,7 @@
     Passes(Time),
     Reports(usize, f64, f64),
     All(State),
+    Closing(Time),
 }
 
 struct Out {
@@ -35,6 +36,8 @@
     tasks: HashMap<String, (usize, Time, bool)>,
     out: Vec<Out>,
     states: HashMap<String, State>,
+    /// When the process ends.
+    closes: Option<Time>,
     read: usize,
 }
 
@@ -92,7 +95,9 @@
         match event {
             Event::Task(workload) => {
                 let id = format!("t{n}");
-                self.tasks.insert(id.clone(), (workload, bench.out.now + 5 * SECOND, false));
+                let expiry = bench.out.now + 5 * SECOND;
+                let expiry = self.closes.map_or(expiry, |by| by.max(bench.out.now).min(expiry));
+                self.tasks.insert(id.clone(), (workload, expiry, false));
                 bench.task(&id, workload);
             }
             Event::Ends(i, outcome) if !open.is_empty() => self.end(bench, open[i % open.len()], outcome),
@@ -123,6 +128,12 @@
                 let entries: Vec<Listed> = ids.iter().map(|id| listed(id, zone(id), state, None)).collect();
                 bench.list(&entries);
             }
+            Event::Closing(within) => {
+                let by = (bench.out.now + within).min(self.closes.unwrap_or(Time::MAX));
+                self.closes = Some(by);
+                self.tasks.values_mut().for_each(|t| t.1 = t.1.min(by));
+                bench.with(|to, m| to.closing(m, by));
+            }
             Event::Passes(length) => {
                 let until = bench.out.now + length;
                 // What is out at its task's expiry times out there, and not later.
@@ -180,12 +191,16 @@
     let mut runner = TestRunner::new_with_rng(Config { failure_persistence: None, ..Config::default() }, rng);
     let days = prop::collection::vec(events(), 1..150);
     runner
-        .run(&(days, 0..4usize), |(events, size)| {
+        .run(&(days, 0..4usize, 0..300usize), |(events, size, closing)| {
             let (mut bench, mut model) = (Bench::start([1, 3, 60, 2000][size], false), Model::default());
             for (i, state) in [State::Ready; 4].into_iter().enumerate().skip(4 * (size % 2)) {
                 model.apply(&mut bench, Event::List(i, state, false), 0);
             }
             for (n, event) in events.into_iter().enumerate() {
+                // On some days the process is told to stop.
+                if n == closing {
+                    model.apply(&mut bench, Event::Closing(2 * SECOND), n);
+                }
                 model.apply(&mut bench, event, n);
             }
             model.apply(&mut bench, Event::Passes(6 * SECOND), 0);
