Links alone: unwritten before the last byte, reset after it, idle only when nothing came

Three tests of a link over a real connection; the idle one fails with readable() in place of the peek (checked: tokio answers for an accepted connection at once, not for one that connected).

--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -131,3 +131,57 @@
         self.pool.put(std::mem::take(self.framed.write_buffer_mut()));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use tokio::net::TcpListener;
+    use tokio::time::timeout;
+
+    use super::super::limits::Bounds;
+    use super::*;
+
+    /// The two ends of a new connection: the one that connected, and the one that was accepted.
+    async fn ends() -> (Link, Link) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (room, pool) = (Bounds::within(1024, 64 << 20).workers, Pool::within(64 << 20));
+        let (to, until) = (listener.local_addr().unwrap(), Instant::now() + Duration::from_secs(20));
+        let whole = |_: &[u8]| Ok(Body::Length(0));
+        let link = Link::connect(to, until, whole, &pool, room.seat().unwrap()).await.unwrap();
+        let accepted = listener.accept().await.unwrap().0;
+        (link, Link::over(accepted, whole, &pool, room.seat().unwrap()))
+    }
+
+    #[tokio::test]
+    async fn what_breaks_before_its_last_byte_is_unwritten() {
+        let (mut link, mut peer) = ends().await;
+        let (written, body) = (Cell::new(false), vec![b'b'; 64 << 20]);
+        let leaves = async {
+            peer.idle().await;
+            drop(peer);
+        };
+        let (sent, ()) = tokio::join!(link.send(b"head", &body, &written), leaves);
+        assert_eq!((sent, written.get()), (Err(End::Unwritten), false));
+    }
+
+    #[tokio::test]
+    async fn what_breaks_after_its_last_byte_was_written() {
+        let (mut link, peer) = ends().await;
+        let written = Cell::new(false);
+        assert_eq!(link.send(b"head", b"body", &written).await, Ok(()));
+        drop(peer);
+        assert!(written.get() && matches!(link.next().await, Err(End::Closed | End::Broken)));
+        assert!(link.spoiled());
+    }
+
+    #[tokio::test]
+    async fn idle_is_who_has_been_sent_nothing_and_holds_no_buffer() {
+        let (mut peer, mut link) = ends().await;
+        assert!(timeout(Duration::from_millis(20), link.idle()).await.is_err(), "a new connection is idle");
+        assert!(link.framed.read_buffer().capacity() == 0 && !link.spoiled());
+        peer.send(b"stray", b"", &Cell::new(false)).await.unwrap();
+        link.idle().await;
+        assert!(link.spoiled());
+    }
+}
