--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -279,10 +279,13 @@
                 to.write_all(b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n").ok()?;
                 continue;
             }
-            to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
             let line =
                 |id: &str, rest: &str| format!("{{\"id\":\"{id}\",\"from\":\"w\",\"state\":{rest}}}\n");
-            to.write_all(chunk(&line(&id, "\"started\"")).as_bytes()).ok()?;
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            if to.write_all((head.to_owned() + &chunk(&line(&id, "\"started\""))).as_bytes()).is_err() {
+                let _ = gone.send(id);
+                return None;
+            }
             let last = match act {
                 Act::Finish => line(&id, &format!("\"done\",\"result\":\"result of {id}\"")),
                 Act::OnWord => {
