--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -329,6 +329,17 @@
     assert_eq!(worker.tasks.recv_timeout(LONG).unwrap().1, "body");
 }
 
+#[test]
+fn a_request_that_never_comes_whole_is_ended() {
+    let (program, _list) = start_with(&[], |t| t.replace("\"expiryMs\":5000.0", "\"expiryMs\":300.0"));
+    for text in ["POST /sea", "POST /search HTTP/1.1\r\nX-Call-Id: a\r\nContent-Length: 4\r\n\r\nbod"] {
+        let mut client = Client::of(&program);
+        client.write(text);
+        assert_eq!(client.hear().expect(text).0, 408);
+        assert!(client.hear().is_none());
+    }
+}
+
 #[test]
 fn a_faulty_configuration_is_one_line_that_names_the_key() {
     let list = List::start();
