A log that nobody reads ends nothing: eprintln panicked where standard error is broken

Seen in a test: with the reader of standard error gone, the first line from an exchange ended it, and its task was answered at its expiry alone, 5 s instead of at once; in accept it would have ended the taking in of clients. At fault: eprintln, which panics there (program/log.rs). Kept behind the one macro, now caught. The test fails without that (checked).

--- a/crates/rainlugd/src/program/log.rs
+++ b/crates/rainlugd/src/program/log.rs
@@ -1,5 +1,7 @@
 //! The log: lines on standard error, so many a second from each place in the code.
 
+use std::fmt;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -28,13 +30,21 @@
     }
 }
 
+/// Writes a line to standard error. A log that nobody reads any more must not end whoever writes to it, as `eprintln`
+/// does where standard error is broken.
+pub fn line(words: fmt::Arguments) {
+    let _ = catch_unwind(AssertUnwindSafe(|| eprintln!("{words}")));
+}
+
 /// Writes a line to standard error, unless this place has written too many of late.
 macro_rules! log {
     ($($words:tt)*) => {{
         static GATE: $crate::program::log::Gate = $crate::program::log::Gate::new();
         match GATE.pass() {
-            Some(0) => eprintln!($($words)*),
-            Some(missed) => eprintln!("{} ({missed} more like it)", format_args!($($words)*)),
+            Some(0) => $crate::program::log::line(format_args!($($words)*)),
+            Some(missed) => {
+                $crate::program::log::line(format_args!("{} ({missed} more like it)", format_args!($($words)*)))
+            }
             None => {}
         }
     }};
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -115,6 +115,21 @@
     assert_eq!(worker.given_up.recv_timeout(LONG).unwrap(), "b1");
 }
 
+#[test]
+fn a_log_that_nobody_reads_ends_nothing() {
+    let workers: Vec<Worker> = (0..4).map(|_| Worker::start(|_| Act::Fail)).collect();
+    let listed: Vec<_> = ["w1", "w2", "w3", "w4"].into_iter().zip(workers.iter().map(|w| w.at)).collect();
+    let (mut program, _list) = start(&listed);
+    // The next line finds its reader gone; each failure writes one.
+    program.log = std::sync::mpsc::channel().1;
+    let mut client = Client::of(&program);
+    for n in 0..5 {
+        let begun = Instant::now();
+        assert_eq!(client.ask("/bid", &format!("b{n}"), "5000m").0, 500);
+        assert!(begun.elapsed().as_millis() < 3000, "b{n} was answered at its expiry alone");
+    }
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_task_along() {
     let worker = Worker::start(|_| Act::Stall);
