--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -5,11 +5,15 @@
 pub mod log;
 mod told;
 
+use std::convert::Infallible;
+use std::future::pending;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use rainlug::logic::Dispatcher;
 use rainlug::{Moment, Time};
 use serde_json::Value;
 use tokio::net::TcpListener;
@@ -21,8 +25,9 @@
 pub use clock::Clock;
 
 use crate::protocol::head;
+use crate::protocol::words::Entry;
 use crate::routing::client::{self, Door};
-use crate::routing::list;
+use crate::routing::list::{self, Source};
 use crate::routing::module::{self, Desk};
 use crate::routing::{MAILBOX, Mail, ToModule};
 use crate::transport::{Bounds, Link, Pool, Room};
@@ -37,7 +42,7 @@
 pub fn main() -> ExitCode {
     let done = told::read().and_then(|(path, all)| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, run(&all)).context(path)
+        LocalSet::new().block_on(&runtime, run(&path, &all)).context(path)
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -48,33 +53,97 @@
     }
 }
 
-/// Makes every part of what is told, and opens the port only then.
-async fn run(all: &Value) -> Result<()> {
-    let clock = Clock::start();
-    let mut stop = signal(SignalKind::terminate())?;
-    let (mailbox, letters) = mpsc::channel(MAILBOX);
+/// What the process is made of.
+struct Parts {
+    bounds: Bounds,
+    pool: Pool,
+    door: Door,
+    source: Source,
+    rev: u64,
+    known: Vec<Entry>,
+    asked: Option<Rc<Notify>>,
+    closing: Time,
+    desk: Desk,
+    logic: Dispatcher,
+    listen: SocketAddr,
+}
+
+/// Makes every part of what is told. Nothing moves yet: at a reload this is how a file is checked.
+fn parts(all: &Value, clock: Clock, mailbox: &ToModule) -> Result<Parts> {
     let (bounds, pool) = told::room(all)?;
-    let reach = Rc::new(told::reach(all, clock, &bounds, &pool, &mailbox)?);
-    let door = Rc::new(told::door(all, clock, &bounds, &mailbox, LAST_CLIENTS)?);
+    let reach = Rc::new(told::reach(all, clock, &bounds, &pool, mailbox)?);
     let source = told::source(all)?;
     let (rev, known) = told::known(all, &source)?;
     let asked = told::must_ask(all)?.then(Rc::<Notify>::default);
-    let closing = told::closing(all)?;
     let mut desk = Desk::new(reach, asked.clone());
-    let mut logic = told::dispatcher(&mut Moment { now: clock.now(), out: &mut desk }, all)?;
+    Ok(Parts {
+        door: told::door(all, clock, &bounds, mailbox, LAST_CLIENTS)?,
+        logic: told::dispatcher(&mut Moment { now: clock.now(), out: &mut desk }, all)?,
+        closing: told::closing(all)?,
+        listen: rainlug_setup::address(all, "/listen")?,
+        bounds,
+        pool,
+        source,
+        rev,
+        known,
+        asked,
+        desk,
+    })
+}
+
+/// Makes every part of what is told, and opens the port only then.
+async fn run(path: &str, all: &Value) -> Result<()> {
+    let clock = Clock::start();
+    // Before the port is open: a signal that finds nobody waiting for it ends the process.
+    let (mut stop, again) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let (mailbox, letters) = mpsc::channel(MAILBOX);
+    let Parts { bounds, pool, door, source, rev, known, asked, closing, mut desk, mut logic, listen } =
+        parts(all, clock, &mailbox)?;
     let known = desk.listed(true, known);
     logic.list(&mut Moment { now: clock.now(), out: &mut desk }, true, true, &known);
-    let listen = rainlug_setup::address(all, "/listen")?;
     let listener = TcpListener::bind(listen).await.with_context(|| format!("cannot listen on {listen}"))?;
     log!("listening on {}", listener.local_addr()?);
     let (stopping, stops) = watch::channel(false);
-    spawn_local(list::follow(source, rev, mailbox.clone(), asked, pool.clone(), bounds.list.clone()));
-    spawn_local(accept(listener, door, stops, bounds.clone(), pool));
+    let (moves, sources) = watch::channel(Rc::new(source));
+    spawn_local(list::follow(sources, rev, mailbox.clone(), asked, pool.clone(), bounds.list.clone()));
+    spawn_local(accept(listener, Rc::new(door), stops, bounds.clone(), pool));
     let module = spawn_local(module::run(logic, desk, letters));
     tokio::select! {
         // Tasks without an owner must not outlive the module.
         over = module => over.context("the module's actor ended"),
-        () = wind_up(&mut stop, &stopping, clock, mailbox, closing, bounds.clients) => Ok(()),
+        never = reload(again, path, all, clock, &mailbox, moves) => match never {},
+        () = wind_up(&mut stop, &stopping, clock, mailbox.clone(), closing, bounds.clients) => Ok(()),
+    }
+}
+
+/// At each SIGHUP reads the file again and moves to the list's source that it names now. A file that cannot be used
+/// changes nothing.
+async fn reload(
+    mut again: Signal,
+    path: &str,
+    all: &Value,
+    clock: Clock,
+    mailbox: &ToModule,
+    moves: watch::Sender<Rc<Source>>,
+) -> Infallible {
+    loop {
+        let Some(()) = again.recv().await else { pending().await };
+        let read = told::from(path).and_then(|new| {
+            let made = parts(&new, clock, mailbox).with_context(|| path.to_owned())?;
+            Ok((made.source, new))
+        });
+        match read {
+            Ok((source, new)) => {
+                let later: Vec<&str> = told::LATER.into_iter().filter(|k| all.get(k) != new.get(k)).collect();
+                let later = match later.is_empty() {
+                    true => String::new(),
+                    false => format!("; only after a restart: {}", later.join(", ")),
+                };
+                log!("reloaded: the list is at {}{later}", source.at);
+                moves.send_if_modified(|s| (**s != source).then(|| *s = Rc::new(source)).is_some());
+            }
+            Err(error) => log!("not reloaded, all stays as it was: {error:#}"),
+        }
     }
 }
 
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -26,14 +26,21 @@
 const SHORTEST_KILL: Time = 3 * SECOND;
 const LAST_KILL: Time = 7 * SECOND / 10;
 
+/// Keys that are read at the start alone, where a change of them would matter.
+pub const LATER: [&str; 4] = ["name", "listen", "limits", "settings"];
+
 /// The file's path and what it holds.
 pub fn read() -> Result<(String, Value)> {
     let path = env::var("RELAY_CONFIG").context("RELAY_CONFIG names no configuration file")?;
-    let text = fs::read_to_string(&path).with_context(|| format!("cannot read {path}"))?;
-    let all = serde_json::from_str(&text).with_context(|| format!("{path} is not JSON"))?;
+    let all = from(&path)?;
     Ok((path, all))
 }
 
+pub fn from(path: &str) -> Result<Value> {
+    let text = fs::read_to_string(path).with_context(|| format!("cannot read {path}"))?;
+    serde_json::from_str(&text).with_context(|| format!("{path} is not JSON"))
+}
+
 fn settings(all: &Value) -> Result<&Value> {
     all.get("settings").context("settings lack an object at /settings")
 }
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/rainlugd/src/transport/limits.rs
@@ -32,7 +32,8 @@
             clients: Room::of(each),
             workers: Room::of(each),
             turned_away: Room::of(reserve / 2),
-            list: Room::of(1),
+            // The old source is read until a new one speaks.
+            list: Room::of(2),
         }
     }
 }
