--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::{Instant, sleep};
 
 pub use clock::Clock;
@@ -77,7 +77,7 @@
     let asked = told::must_ask(all)?.then(Rc::<Notify>::default);
     let mut desk = Desk::new(reach, asked.clone());
     Ok(Parts {
-        door: told::door(all, clock, &bounds, mailbox, LAST_CLIENTS)?,
+        door: told::door(all, clock, &bounds, mailbox)?,
         logic: told::dispatcher(&mut Moment { now: clock.now(), out: &mut desk }, all)?,
         closing: told::closing(all)?,
         listen: rainlug_setup::address(all, "/listen")?,
@@ -185,14 +185,18 @@
         };
         let (seat, turned_away) = match bounds.clients.seat() {
             Some(seat) => (seat, false),
-            None => {
-                // What has been accepted is owed an answer: one that there is no room, from the reserve.
-                bounds.clients.ask();
-                let Some(seat) = bounds.turned_away.wait().await else { return };
-                (seat, true)
-            }
+            // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
+            // goes; whoever comes next must not have to wait until it has.
+            None => tokio::select! {
+                biased;
+                Some(seat) = bounds.clients.wait() => (seat, false),
+                Some(seat) = bounds.turned_away.wait() => (seat, true),
+                else => return,
+            },
         };
         let link = Link::over(stream, head::request_body, &pool, seat);
         spawn_local(client::serve(link, door.clone(), stops.clone(), turned_away));
+        // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
+        yield_now().await;
     }
 }
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -29,6 +29,11 @@
 /// Keys that are read at the start alone, where a change of them would matter.
 pub const LATER: [&str; 4] = ["name", "listen", "limits", "settings"];
 
+/// Within this time of connecting a client that sends nothing that can be used is owed an error or a close.
+const OWED: Time = 3 * SECOND;
+/// Part of it in which a request must have come whole.
+const HASTE: f64 = 0.6;
+
 /// The file's path and what it holds.
 pub fn read() -> Result<(String, Value)> {
     let path = env::var("RELAY_CONFIG").context("RELAY_CONFIG names no configuration file")?;
@@ -70,23 +75,18 @@
     })
 }
 
-pub fn door(
-    all: &Value,
-    clock: Clock,
-    bounds: &Bounds,
-    module: &ToModule,
-    newcomers: Duration,
-) -> Result<Door> {
+pub fn door(all: &Value, clock: Clock, bounds: &Bounds, module: &ToModule) -> Result<Door> {
     let settings = settings(all)?;
     let names = setup::names(settings, "/workloads")?.into_iter();
     Ok(Door {
         clock,
         module: module.clone(),
         room: bounds.clients.clone(),
+        spare: bounds.turned_away.clone(),
         workloads: names.zip(setup::expiries(settings)?).collect(),
         customers: setup::names(settings, "/customers")?,
         patience: lasting(longest(settings)?),
-        newcomers,
+        haste: lasting(OWED).mul_f64(HASTE),
     })
 }
 
--- a/crates/rainlugd/src/protocol/head.rs
+++ b/crates/rainlugd/src/protocol/head.rs
@@ -129,10 +129,14 @@
     format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n")
 }
 
-/// What of a task's head goes to every worker; `send` completes it.
-pub fn passed_on(path: &str, id: &str, fingerprint: Option<&str>, length: usize) -> String {
+/// What of a task's head goes to every worker, up to its length.
+pub fn passed_on(path: &str, id: &str, fingerprint: Option<&str>) -> String {
     let fingerprint = fingerprint.map(|f| format!("Idempotency-Key: {f}\r\n")).unwrap_or_default();
-    format!("POST {path} HTTP/1.1\r\nX-Call-Id: {id}\r\n{fingerprint}Content-Length: {length}\r\n")
+    format!("POST {path} HTTP/1.1\r\nX-Call-Id: {id}\r\n{fingerprint}")
+}
+
+pub fn with_length(passed_on: &str, length: usize) -> String {
+    format!("{passed_on}Content-Length: {length}\r\n")
 }
 
 /// The head of an assignment, which tells how long its answer is waited for.
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -1,34 +1,42 @@
 //! A client connection's actor: it reads one request at a time, hands a task to the module and writes its answer.
 
 use std::cell::Cell;
+use std::ptr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use rainlug::Time;
 use tokio::sync::{oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::{Answer, Mail, Parcel, ToModule};
 use crate::program::Clock;
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
 
-/// Part of its patience for which a connection that has had its last answer waits for the client to end it.
-const FAREWELL: u32 = 16;
+/// Part of its time for a request for which a connection that has had its last answer waits for the client to end it.
+const FAREWELL: u32 = 4;
+/// Who is to go first where there are no seats left: those to whom nothing is owed any more, those who have never
+/// handed in a task, those who have.
+const LEAVING: u8 = 0;
+const UNPROVEN: u8 = 1;
+const KEPT: u8 = 2;
 
 /// What every client's actor needs to read a task.
 pub struct Door {
     pub clock: Clock,
     pub module: ToModule,
     pub room: Room,
+    /// For those who found no seat.
+    pub spare: Room,
     /// The names of the workloads, and the longest that a client waits for each.
     pub workloads: Vec<(String, Time)>,
     pub customers: Vec<String>,
-    /// The longest that a request may take to come whole, and an answer to be taken.
+    /// The longest that an answer may take to be taken.
     pub patience: Duration,
-    /// How long a new connection may wait for its first request, whatever happens.
-    pub newcomers: Duration,
+    /// The longest that a request may take to come whole; the first counts from connecting.
+    pub haste: Duration,
 }
 
 /// What a request asks for.
@@ -45,24 +53,34 @@
 }
 
 /// Serves a connection until it ends; `stopping` turns true when the process is to end. Where there is no seat for
-/// the connection, it is turned away once it has told what it wants.
-pub async fn serve(mut link: Link, door: Rc<Door>, mut stopping: watch::Receiver<bool>, turned_away: bool) {
-    let mut newcomer = true;
+/// the connection, it is turned away once it has told what it wants, unless there is one by then.
+pub async fn serve(mut link: Link, door: Rc<Door>, mut stopping: watch::Receiver<bool>, spare: bool) {
+    let mut room = if spare { &door.spare } else { &door.room };
+    let come = Instant::now();
+    let (mut newcomer, mut rank) = (true, UNPROVEN);
     loop {
         tokio::select! {
             biased;
             () = link.idle() => {}
-            () = unwanted(&door, &mut stopping, newcomer) => return,
+            () = unwanted(&door, room, &mut stopping, newcomer, rank) => return,
         }
+        // A client that connects and never says what it wants holds a seat that others need.
+        let from = if newcomer { come } else { Instant::now() };
         newcomer = false;
-        let read = timeout(door.patience, request(&mut link, &door)).await.unwrap_or(Err(End::TimedOut));
-        let (asked, at, mut close) = match read {
-            Ok((asked, close)) => (asked, door.clock.now(), close || turned_away),
+        let read = timeout_at(from + door.haste, request(&mut link, &door)).await;
+        let (asked, at, mut close) = match read.unwrap_or(Err(End::TimedOut)) {
+            Ok((asked, close)) => (asked, door.clock.now(), close),
             Err(End::Malformed) => (Asked::Nothing(400), 0, true),
             Err(End::TooLarge) => (Asked::Nothing(413), 0, true),
             Err(End::TimedOut) => (Asked::Nothing(408), 0, true),
             Err(_) => return,
         };
+        if let Some(seat) = ptr::eq(room, &door.spare).then(|| door.room.seat()).flatten() {
+            link.reseat(seat);
+            room = &door.room;
+        }
+        let turned_away = ptr::eq(room, &door.spare);
+        close |= turned_away;
         let (status, pause, body) = match asked {
             Asked::Nothing(status) => (status, 0, Bytes::new()),
             Asked::Ready => (if *stopping.borrow() { 503 } else { 200 }, 0, Bytes::new()),
@@ -74,6 +92,7 @@
                 if door.module.send(task).await.is_err() {
                     return;
                 }
+                rank = KEPT;
                 tokio::select! {
                     biased;
                     answer = answer => match answer {
@@ -90,11 +109,15 @@
                 }
             }
         };
-        close |= *stopping.borrow();
+        // Who asks for what there is not would ask on, as fast as it is told.
+        close |= *stopping.borrow() || (400..500).contains(&status);
         let reply = head::reply(status, pause, close, body.len());
         let written = timeout(door.patience, link.send(reply.as_bytes(), &body, &Cell::new(false))).await;
         if close {
-            let _ = timeout(door.patience / FAREWELL, link.finish()).await;
+            tokio::select! {
+                _ = timeout(door.haste / FAREWELL, link.finish()) => {}
+                () = room.wanted(LEAVING) => {}
+            }
         }
         if close || !matches!(written, Ok(Ok(()))) {
             return;
@@ -103,28 +126,35 @@
     }
 }
 
-/// Ends when an idle connection is to be closed: at the word to stop, or when somebody wants its seat. One that has
-/// carried nothing yet has a while before: its client is about to write, and would be turned away again and again.
-async fn unwanted(door: &Door, stopping: &mut watch::Receiver<bool>, newcomer: bool) {
-    if newcomer {
-        sleep(door.newcomers).await;
-    }
+/// Ends when an idle connection is to be closed: at the word to stop, when somebody wants its seat, or when it has said
+/// nothing at all for too long.
+async fn unwanted(door: &Door, room: &Room, stopping: &mut watch::Receiver<bool>, newcomer: bool, rank: u8) {
     tokio::select! {
-        _ = stopping.wait_for(|s| *s) => {}
-        () = door.room.wanted() => {}
+        _ = stopping.wait_for(|s| *s), if !newcomer => {}
+        () = sleep(door.haste), if newcomer => {}
+        () = room.wanted(rank) => {}
     }
 }
 
-/// Reads a request; tells too whether the connection ends with it.
+/// Reads a request; tells too whether the connection ends with it. What its head alone condemns is told before its
+/// body is waited for.
 async fn request(link: &mut Link, door: &Door) -> Result<(Asked, bool), End> {
     let Piece::Head(text) = link.next().await? else { return Err(End::Malformed) };
+    let (mut asked, close) = head::request(&text, |method, path, fields| {
+        (asked(door, method, path, fields), fields.says("Connection", "close"))
+    })?;
+    if matches!(asked, Asked::Nothing(_)) {
+        return Ok((asked, true));
+    }
     let body = link.body().await?;
-    head::request(&text, |method, path, fields| {
-        (asked(door, method, path, fields, body), fields.says("Connection", "close"))
-    })
+    if let Asked::Task { parcel, .. } = &mut asked {
+        parcel.head = head::with_length(&parcel.head, body.len());
+        parcel.body = body;
+    }
+    Ok((asked, close))
 }
 
-fn asked(door: &Door, method: &str, path: &str, fields: &head::Fields, body: Bytes) -> Asked {
+fn asked(door: &Door, method: &str, path: &str, fields: &head::Fields) -> Asked {
     if path == "/ready" {
         return if method == "GET" { Asked::Ready } else { Asked::Nothing(405) };
     }
@@ -142,11 +172,8 @@
     else {
         return Asked::Nothing(400);
     };
-    let parcel = Parcel {
-        id: id.to_owned(),
-        head: head::passed_on(path, id, fields.get("Idempotency-Key"), body.len()),
-        body,
-    };
+    let head = head::passed_on(path, id, fields.get("Idempotency-Key"));
+    let parcel = Parcel { id: id.to_owned(), head, body: Bytes::new() };
     let slots = fields.get("X-Call-Info").and_then(|info| head::figure(info, "slots")).unwrap_or(1.0);
     Asked::Task { parcel, of: (workload, customer.flatten()), budget, slots }
 }
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -98,7 +98,7 @@
             () = sleep_until(oldest), if !idle.is_empty() => {
                 idle.remove(0);
             }
-            () = reach.room.wanted(), if !idle.is_empty() => {
+            () = reach.room.wanted(0), if !idle.is_empty() => {
                 idle.remove(0);
             }
         }
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/rainlugd/src/transport/limits.rs
@@ -1,9 +1,11 @@
 //! How many connections the process holds, by the descriptors and the memory it is given.
 
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 
 use super::pool::Pool;
 
@@ -43,7 +45,16 @@
 pub struct Room {
     most: usize,
     free: Arc<Semaphore>,
-    wanted: Rc<Notify>,
+    idle: Rc<Idle>,
+}
+
+/// Those who hold a seat idly, in the order in which they are to go: by rank, and the longest idle first.
+#[derive(Default)]
+struct Idle {
+    count: Cell<u64>,
+    /// Who waits for a seat that nobody has been told to give up.
+    waiting: Cell<usize>,
+    go: RefCell<BTreeMap<(u8, u64), oneshot::Sender<()>>>,
 }
 
 /// A connection's place in its room, until it is dropped.
@@ -53,35 +64,60 @@
 
 impl Room {
     fn of(most: usize) -> Self {
-        Room { most, free: Arc::new(Semaphore::new(most)), wanted: Rc::default() }
+        Room { most, free: Arc::new(Semaphore::new(most)), idle: Rc::default() }
     }
 
     pub fn seat(&self) -> Option<Seat> {
         Some(Seat { _permit: self.free.clone().try_acquire_owned().ok()? })
     }
 
-    /// Waits for a seat, and asks those who hold one idly for theirs.
+    /// Waits for a seat, and asks one of those who hold one idly for theirs.
     pub async fn wait(&self) -> Option<Seat> {
         if let Some(seat) = self.seat() {
             return Some(seat);
         }
-        self.ask();
+        let _waiting = (!self.ask()).then(|| {
+            self.idle.waiting.update(|n| n + 1);
+            defer(|| self.idle.waiting.update(|n| n - 1))
+        });
         Some(Seat { _permit: self.free.clone().acquire_owned().await.ok()? })
     }
 
-    /// Asks those who hold a seat idly for one.
-    pub fn ask(&self) {
-        self.wanted.notify_one();
+    /// Tells one of those who hold a seat idly to go; false where there is none. Each call tells another one: a word to
+    /// all at once would be kept by one of them alone.
+    fn ask(&self) -> bool {
+        let first = self.idle.go.borrow_mut().pop_first();
+        first.is_some_and(|(_, go)| go.send(()).is_ok())
     }
 
     pub fn empty(&self) -> bool {
         self.free.available_permits() == self.most
     }
 
-    /// Ends when somebody wants a seat and there is none: one idle connection is to go.
-    pub async fn wanted(&self) {
-        self.wanted.notified().await;
+    /// For who holds a seat idly: ends when it is to go, as somebody wants a seat and there is none. The lowest ranks
+    /// go first.
+    pub async fn wanted(&self, rank: u8) {
+        if self.idle.waiting.get() > 0 {
+            return;
+        }
+        self.idle.count.update(|n| n + 1);
+        let place = (rank, self.idle.count.get());
+        let (go, told) = oneshot::channel();
+        self.idle.go.borrow_mut().insert(place, go);
+        let _leaves = defer(|| self.idle.go.borrow_mut().remove(&place));
+        let _ = told.await;
+    }
+}
+
+/// Does something when what it gives is dropped.
+fn defer<T>(done: impl FnMut() -> T) -> impl Drop {
+    struct Deferred<F: FnMut() -> T, T>(F);
+    impl<F: FnMut() -> T, T> Drop for Deferred<F, T> {
+        fn drop(&mut self) {
+            (self.0)();
+        }
     }
+    Deferred(done)
 }
 
 #[cfg(test)]
@@ -106,10 +142,32 @@
         let seat = room.seat().unwrap();
         assert!(room.seat().is_none());
         let holder = async {
-            room.wanted().await;
+            room.wanted(0).await;
             drop(seat);
         };
         let (waited, ()) = tokio::join!(room.wait(), holder);
         assert!(waited.is_some());
     }
+
+    #[tokio::test]
+    async fn each_who_finds_no_seat_sends_another_away_those_of_the_lowest_rank_first() {
+        let room = Room::of(3);
+        let gone = RefCell::new(Vec::new());
+        let holder = |name: &'static str, rank| {
+            let (room, seat, gone) = (&room, room.seat().unwrap(), &gone);
+            async move {
+                room.wanted(rank).await;
+                gone.borrow_mut().push(name);
+                drop(seat);
+            }
+        };
+        let (kept, old, new) = (holder("kept", 1), holder("old", 0), holder("new", 0));
+        let two = async { (room.wait().await.unwrap(), room.wait().await.unwrap()) };
+        tokio::select! {
+            biased;
+            _ = async { tokio::join!(kept, old, new) } => unreachable!("all three went"),
+            seats = two => drop(seats),
+        }
+        assert_eq!(*gone.borrow(), ["old", "new"]);
+    }
 }
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
-use tokio::io::Interest;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::Framed;
@@ -19,7 +19,7 @@
 pub struct Link {
     framed: Framed<TcpStream, Messages>,
     pool: Pool,
-    _seat: Seat,
+    seat: Seat,
 }
 
 impl Link {
@@ -30,7 +30,7 @@
         *framed.read_buffer_mut() = Default::default();
         *framed.write_buffer_mut() = Default::default();
         framed.set_backpressure_boundary(usize::MAX);
-        Link { framed, pool: pool.clone(), _seat: seat }
+        Link { framed, pool: pool.clone(), seat }
     }
 
     pub async fn connect(
@@ -70,17 +70,21 @@
 
     /// What is left of a message whose head has been read: its body, whole.
     pub async fn body(&mut self) -> Result<Bytes, End> {
-        let mut body = Bytes::new();
+        let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
         loop {
             match self.next().await? {
-                Piece::Body(piece) if body.is_empty() => body = piece,
-                Piece::Body(piece) if body.len() + piece.len() > MOST_BODY => return Err(End::TooLarge),
+                Piece::Body(piece) if first.is_empty() => first = piece,
+                Piece::Body(piece) if first.len().max(whole.len()) + piece.len() > MOST_BODY => {
+                    return Err(End::TooLarge);
+                }
                 Piece::Body(piece) => {
-                    let mut whole = BytesMut::from(body);
+                    // Put together once: a body may come in thousands of pieces.
+                    if whole.is_empty() {
+                        whole.extend_from_slice(&first);
+                    }
                     whole.extend_from_slice(&piece);
-                    body = whole.freeze();
                 }
-                Piece::Last => return Ok(body),
+                Piece::Last => return Ok(if whole.is_empty() { first } else { whole.freeze() }),
                 Piece::Head(_) => return Err(End::Malformed),
             }
         }
@@ -98,15 +102,22 @@
     /// Ends this side's sending and waits for the peer's end: what it still sends must not destroy the last answer.
     pub async fn finish(&mut self) {
         let _ = self.framed.close().await;
-        self.framed.read_buffer_mut().clear();
-        let mut rest = [0; 1024];
-        while self.framed.get_ref().readable().await.is_ok() {
-            match self.framed.get_ref().try_read(&mut rest) {
-                Ok(0) => return,
-                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
-                _ => {}
+        let mut rest = std::mem::take(self.framed.read_buffer_mut());
+        loop {
+            rest.clear();
+            if rest.capacity() < MOST_BODY {
+                rest = self.pool.take();
+            }
+            if !matches!(self.framed.get_mut().read_buf(&mut rest).await, Ok(1..)) {
+                break;
             }
         }
+        self.pool.put(rest);
+    }
+
+    /// Takes another seat for its own.
+    pub fn reseat(&mut self, seat: Seat) {
+        self.seat = seat;
     }
 
     /// Gives its buffer back, unless more has come already.
