--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -14,7 +14,7 @@
 use crate::routing::client::Door;
 use crate::routing::list::Source;
 use crate::routing::{Reach, ToModule};
-use crate::transport::{Bounds, Pool};
+use crate::transport::{Bounds, Pool, Trust};
 
 /// Idle connections are closed after this part of the time after which workers close them: a task written to one
 /// that its worker is closing may have run, for all that can be known.
@@ -65,13 +65,14 @@
     // A send that waits for its connection must be out before the grace of a drain is over.
     let grace = setup::time(settings, "/obligations/drainGraceMs")?;
     let dial = setup::time(settings, "/limits/dialTimeoutMs")?.min(grace / 2);
+    let idle = lasting(setup::time(settings, "/limits/connIdleMs")?);
     Ok(Reach {
         clock,
         pool: pool.clone(),
         room: bounds.workers.clone(),
         module: module.clone(),
         dial: lasting(dial),
-        idle: lasting(setup::time(settings, "/limits/connIdleMs")?).mul_f64(IDLE_USE),
+        trust: Trust::up_to(idle.mul_f64(IDLE_USE)),
     })
 }
 
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -15,7 +15,7 @@
 use crate::program::Clock;
 use crate::protocol::lines::Lines;
 use crate::protocol::{head, report, words};
-use crate::transport::{End, Link, MOST_BODY, Piece, Pool, Room};
+use crate::transport::{End, Link, MOST_BODY, Piece, Pool, Room, Trust};
 
 /// After an answer's last line, the end of its framing comes in this part of the time that a connection may take.
 const TAIL: u32 = 4;
@@ -28,8 +28,8 @@
     pub module: ToModule,
     /// A connection must be up in this time; a probe must be answered in it.
     pub dial: Duration,
-    /// An idle connection is closed after this time.
-    pub idle: Duration,
+    /// An idle connection is closed after its time.
+    pub trust: Trust,
 }
 
 /// What a worker's actor is told.
@@ -65,7 +65,7 @@
     let mut idle: Vec<(Link, Instant)> = Vec::new();
     let (back, mut returned) = mpsc::channel::<(Link, SocketAddr)>(MAILBOX);
     loop {
-        let oldest = idle.first().map_or_else(Instant::now, |(_, since)| *since) + reach.idle;
+        let oldest = idle.first().map_or_else(Instant::now, |(_, since)| *since) + reach.trust.time();
         tokio::select! {
             biased;
             changed = standing.changed() => {
@@ -76,8 +76,10 @@
             }
             order = orders.recv() => {
                 let Some(order) = order else { return };
-                let mut fresh = std::iter::from_fn(|| idle.pop()).map(|(link, _)| link);
-                let link = fresh.find_map(|mut link| (!link.spoiled()).then_some(link));
+                let (trusted, mut last) = (reach.trust.time(), std::iter::from_fn(|| idle.pop()));
+                let link = last.find_map(|(mut link, since)| {
+                    (since.elapsed() < trusted && !link.spoiled()).then_some((link, since))
+                });
                 let (at, ..) = *standing.borrow();
                 let (reach, back) = (reach.clone(), back.clone());
                 match order {
@@ -109,7 +111,7 @@
 #[allow(clippy::too_many_arguments)]
 async fn exchange(
     reach: Rc<Reach>,
-    link: Option<Link>,
+    link: Option<(Link, Instant)>,
     at: SocketAddr,
     parcel: Rc<Parcel>,
     nth: usize,
@@ -155,8 +157,8 @@
 }
 
 /// The link that was idle, or a new one.
-async fn open(reach: &Reach, link: Option<Link>, at: SocketAddr) -> Result<Link, End> {
-    if let Some(link) = link {
+async fn open(reach: &Reach, link: Option<(Link, Instant)>, at: SocketAddr) -> Result<Link, End> {
+    if let Some((link, _)) = link {
         return Ok(link);
     }
     let until = Instant::now() + reach.dial;
@@ -168,17 +170,25 @@
 
 async fn assign(
     reach: &Reach,
-    link: Option<Link>,
+    link: Option<(Link, Instant)>,
     at: SocketAddr,
     (parcel, nth): (&Rc<Parcel>, usize),
     expiry: Time,
     written: &Cell<bool>,
     kept: &mut Option<Link>,
 ) -> Result<Told, End> {
+    let rested = link.as_ref().map(|(_, since)| since.elapsed());
     let mut link = open(reach, link, at).await?;
     let opening = head::assignment(&parcel.head, at, expiry - reach.clock.now());
-    link.send(opening.as_bytes(), &parcel.body, written).await?;
-    let (status, close, turned_away, load) = heard(&mut link).await?;
+    let begun = async {
+        link.send(opening.as_bytes(), &parcel.body, written).await?;
+        heard(&mut link).await
+    };
+    let begun = begun.await;
+    // Written to a connection that only looked sound, a task that must not run twice is lost to its client.
+    let broke = matches!(begun, Err(End::Unwritten | End::Closed | End::Broken));
+    rested.iter().for_each(|idle| reach.trust.used(*idle, broke));
+    let (status, close, turned_away, load) = begun?;
     let told = match status {
         200 => words(reach, &mut link, parcel, nth).await?,
         503 | 504 if turned_away => (End::Returned, load, Bytes::new()),
@@ -225,7 +235,7 @@
 /// Asks a worker for its load.
 async fn probe(
     reach: Rc<Reach>,
-    link: Option<Link>,
+    link: Option<(Link, Instant)>,
     at: SocketAddr,
     worker: Rc<str>,
     back: mpsc::Sender<(Link, SocketAddr)>,
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -102,6 +102,20 @@
     }
 }
 
+#[test]
+fn connections_that_break_when_used_again_are_no_longer_used_again() {
+    let workers: Vec<Worker> = (0..3).map(|_| Worker::start(|_| Act::FinishOnce)).collect();
+    let listed: Vec<_> = ["w1", "w2", "w3"].into_iter().zip(workers.iter().map(|w| w.at)).collect();
+    let (program, _list) = start(&listed);
+    let mut client = Client::of(&program);
+    let mut well = 0;
+    until(|n| {
+        let finished = client.ask("/bid", &format!("b{n}"), "5000m").0 == 200;
+        well = if finished { well + 1 } else { 0 };
+        well == 8
+    });
+}
+
 #[test]
 fn a_task_that_no_worker_takes_is_bounced_with_a_pause() {
     let busy = Worker::start(|_| Act::Return);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -210,6 +210,8 @@
     #[derive(Clone, Copy, PartialEq)]
     pub enum Act {
         Finish,
+        /// Finishes, and ends the connection when the next task has come on it.
+        FinishOnce,
         /// Finishes when the test says so.
         OnWord,
         Fail,
@@ -287,7 +289,9 @@
                 return None;
             }
             let last = match act {
-                Act::Finish => line(&id, &format!("\"done\",\"result\":\"result of {id}\"")),
+                Act::Finish | Act::FinishOnce => {
+                    line(&id, &format!("\"done\",\"result\":\"result of {id}\""))
+                }
                 Act::OnWord => {
                     words.lock().unwrap().recv().ok()?;
                     line(&id, &format!("\"done\",\"result\":\"result of {id}\""))
@@ -309,6 +313,10 @@
                 (chunk(&line(&id, "\"running\",\"share\":0.5")) + &chunk(&last) + "0\r\n\r\n").as_bytes(),
             )
             .ok()?;
+            if act == Act::FinishOnce {
+                message(&mut from)?;
+                return None;
+            }
         }
         None
     }
