--- a/src/logic.rs
+++ b/src/logic.rs
@@ -576,9 +576,9 @@
                 a.started.iter().for_each(|s| self.seen.ran(now, i, seconds(now - s)));
             }
             Outcome::Failed => worker.answered(now, i, 1.0),
-            // An idempotent job may have been killed for a better one: no fault of the worker.
-            Outcome::Reset if self.workloads[i].effect == Effect::Idempotent => worker.last_sign = now,
-            Outcome::Reset | Outcome::Unreachable => {
+            // One job may be killed, or one connection break, at a sound worker: a dead one refuses the next.
+            Outcome::Reset => worker.last_sign = now,
+            Outcome::Unreachable => {
                 worker.bar(now, SOLVE / 5, 2 * SOLVE);
                 self.solve(now);
             }
