--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -75,16 +75,22 @@
             Err(End::TimedOut) => (Asked::Nothing(408), 0, true),
             Err(_) => return,
         };
-        if let Some(seat) = ptr::eq(room, &door.spare).then(|| door.room.seat()).flatten() {
-            link.reseat(seat);
-            room = &door.room;
+        if ptr::eq(room, &door.spare) && matches!(asked, Asked::Task { .. }) {
+            // While others hold seats idly, who has something to ask is not turned away for lack of one.
+            if let Some(seat) = door.room.claim().await {
+                link.reseat(seat);
+                room = &door.room;
+            }
         }
         let turned_away = ptr::eq(room, &door.spare);
         close |= turned_away;
         let (status, pause, body) = match asked {
             Asked::Nothing(status) => (status, 0, Bytes::new()),
             Asked::Ready => (if *stopping.borrow() { 503 } else { 200 }, 0, Bytes::new()),
-            Asked::Task { .. } if turned_away => (503, 0, Bytes::new()),
+            Asked::Task { .. } if turned_away => {
+                log!("a task is turned away: all seats for clients are taken");
+                (503, 0, Bytes::new())
+            }
             Asked::Task { parcel, of, budget, slots } => {
                 let (client, answer) = oneshot::channel();
                 let parcel = Rc::new(parcel);
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/rainlugd/src/transport/limits.rs
@@ -83,6 +83,16 @@
         Some(Seat { _permit: self.free.clone().acquire_owned().await.ok()? })
     }
 
+    /// A seat that is free, or that somebody holds idly; nothing where all are in use.
+    pub async fn claim(&self) -> Option<Seat> {
+        if let Some(seat) = self.seat() {
+            return Some(seat);
+        }
+        let asked = self.ask();
+        let permit = async { self.free.clone().acquire_owned().await.ok() };
+        Some(Seat { _permit: if asked { permit.await } else { None }? })
+    }
+
     /// Tells one of those who hold a seat idly to go; false where there is none. Each call tells another one: a word to
     /// all at once would be kept by one of them alone.
     fn ask(&self) -> bool {
@@ -170,4 +180,17 @@
         }
         assert_eq!(*gone.borrow(), ["old", "new"]);
     }
+
+    #[tokio::test]
+    async fn a_seat_is_claimed_from_the_idle_alone() {
+        let room = Room::of(1);
+        let seat = room.seat().unwrap();
+        assert!(room.claim().await.is_none());
+        let holder = async {
+            room.wanted(0).await;
+            drop(seat);
+        };
+        let ((), claimed) = tokio::join!(holder, room.claim());
+        assert!(claimed.is_some());
+    }
 }
