--- a/src/logic.rs
+++ b/src/logic.rs
@@ -191,7 +191,6 @@
     ) -> Self {
         let mut chance = Chance { seed: place.seed, drawn: 0 };
         let effects = workloads.iter().map(|w| w.effect).collect();
-        let priors = workloads.iter().map(|w| seconds(w.due)).collect();
         // Dispatchers that start together must neither ask nor solve together.
         let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
@@ -201,7 +200,6 @@
         // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         let copies = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
-        let fleet = Fleet::of(if allowed.peers { 0 } else { place.index / parts });
         Dispatcher {
             place,
             chance,
@@ -209,11 +207,11 @@
             allowed,
             obligations,
             known,
-            fleet,
+            fleet: Fleet::of(if allowed.peers { 0 } else { place.index / parts }),
             parts,
             part: Part::default(),
             desk: Desk::default(),
-            seen: Seen::since(m.now, SOLVE, priors, quotas),
+            seen: Seen::since(m.now, SOLVE, workloads.iter().map(|w| seconds(w.due)).collect(), quotas),
             pulse: Pulse { beats, ask_at, ..Pulse::default() },
             workloads,
             weights,
@@ -226,9 +224,7 @@
             (self.pulse.asks_failed, self.pulse.ask_at) = (0, None);
         }
         let mut changed = everything || self.part.workers.is_empty();
-        if everything {
-            self.fleet.workers.iter_mut().for_each(|w| w.state = State::Gone);
-        }
+        self.fleet.workers.iter_mut().filter(|_| everything).for_each(|w| w.state = State::Gone);
         for entry in entries {
             let (j, new, moved) = self.fleet.enter(entry);
             changed |= (new || moved) && (self.parts == 1 || self.part.workers.contains(&j));
@@ -315,8 +311,8 @@
         let expiry = self.desk.last_call(m.now + budget);
         let (id, slots, arrived) = (id.to_owned(), slots.max(1.0), m.now);
         // Messages cost: among many, only of what cannot be tried elsewhere.
-        let once = self.parts == 1 || load.effect == Effect::SideEffecting;
-        let told = if self.allowed.peers && once { slots } else { 0.0 };
+        let tells = self.allowed.peers && (self.parts == 1 || load.effect == Effect::SideEffecting);
+        let told = if tells { slots } else { 0.0 };
         let task = Task { id, workload, slots, told, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
         m.out.wake(expiry, n);
@@ -346,8 +342,8 @@
 
     fn earn(&mut self, now: Time, n: u64, finished: bool) {
         let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return };
-        let late = now > self.due_time(now, task, 0.0);
-        let earned = if late { self.workloads[task.workload].overdue } else { 1.0 };
+        let overdue = self.workloads[task.workload].overdue;
+        let earned = if now > self.due_time(now, task, 0.0) { overdue } else { 1.0 };
         self.seen.earned[task.workload].add(now, if finished { earned } else { 0.0 }, 1.0);
     }
 
@@ -363,6 +359,17 @@
         if m.now >= task.expiry {
             return Step::End;
         }
+        // What waits at a worker that tells of room is not heard there: an error; it goes elsewhere if it may.
+        let quiet = self.seen.quiet(m.now, SILENT, SOLVE / 10);
+        let once = self.workloads[task.workload].effect == Effect::SideEffecting;
+        let told = self.known.tells_start && !self.allowed.peers;
+        for a in task.open().filter(|a| told && task.assignments[*a].started.is_none()) {
+            if !self.fleet.workers[task.assignments[a].worker].passes_over(m.now, (n, task, a), quiet) {
+                m.out.wake(m.now + quiet, n);
+            } else if self.allowed.withdrawal && !once && task.assignments.len() < self.allowed.assignments {
+                m.out.withdraw(&task.id, a);
+            }
+        }
         if task.out() > 0 {
             let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
             let early = task.open().any(|i| m.now - task.assignments[i].sent < patience);
@@ -448,6 +455,7 @@
         let told = task.told;
         task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
         m.out.assign(&task.id, &worker.id);
+        m.out.wake(m.now + self.seen.quiet(m.now, SILENT, SOLVE / 10), n);
         let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
         [patient, hope.max(patient)].iter().filter(|_| self.ledger.copies).for_each(|at| m.out.wake(*at, n));
         self.desk.release(n);
@@ -507,8 +515,8 @@
         let large = self.weights.by_work && self.workloads[task.workload].effect == Effect::SideEffecting;
         let worth = if large { f64::MAX } else { self.worth(now, task) };
         let dear = worth * self.seen.mean_run(now) / self.weights.whole;
-        let all = self.due_time(now, task, HOPE / dear.max(0.1)) - task.arrived;
-        task.arrived + (all as f64 * dear.min(1.0).powi(2)) as Time
+        let all = (self.due_time(now, task, HOPE / dear.max(0.1)) - task.arrived) as f64;
+        task.arrived + (all * dear.min(1.0).powi(2)) as Time
     }
 
     /// Too late to be in time, and another task earns more with the time that it would take.
@@ -536,9 +544,8 @@
             self.seen.start(m.now, seconds(m.now - a.sent));
             // The first copy to start is the one that stays.
             let others: Vec<usize> = task.open().filter(|i| *i != assignment).collect();
-            if others.iter().all(|i| task.assignments[*i].started.is_none()) {
-                others.iter().for_each(|i| m.out.withdraw(&task.id, *i));
-            }
+            let first = others.iter().all(|i| task.assignments[*i].started.is_none());
+            others.iter().filter(|_| first).for_each(|i| m.out.withdraw(&task.id, *i));
             self.move_on(m);
         }
     }
@@ -591,9 +598,8 @@
     fn tell(&self, m: &mut Moment, j: usize, slots: f64) {
         let (worker, own) = (&self.fleet.workers[j], self.place.index);
         let like = (own % self.parts..self.place.group_size).step_by(self.parts);
-        for to in like.filter(|to| slots > 0.0 && *to != own) {
-            m.out.tell(to, &[worker.mark[0], worker.mark[1], worker.held as u8]);
-        }
+        let news = [worker.mark[0], worker.mark[1], worker.held as u8];
+        like.filter(|to| slots > 0.0 && *to != own).for_each(|to| m.out.tell(to, &news));
     }
 
     /// Another dispatcher tells how many slots it has taken at a worker.
@@ -602,10 +608,9 @@
     }
 
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
-        if let Some(j) = self.fleet.named(worker).filter(|_| outcome == Outcome::Finished) {
-            self.fleet.workers[j].report(m.now, report);
-            self.move_on(m);
-        }
+        let Some(j) = self.fleet.named(worker).filter(|_| outcome == Outcome::Finished) else { return };
+        self.fleet.workers[j].report(m.now, report);
+        self.move_on(m);
     }
 
     /// The process ends: every task must have its answer by then, also those that still come.
@@ -614,9 +619,8 @@
     }
 
     pub fn left(&mut self, m: &mut Moment, id: &str) {
-        if let Some((n, _)) = self.desk.named(id) {
-            self.close(m, n);
-        }
+        let Some((n, _)) = self.desk.named(id) else { return };
+        self.close(m, n);
     }
 
     /// Room may have appeared: held tasks move on, the best first, until one finds none.
@@ -646,9 +650,7 @@
                 m.out.probe(&self.fleet.workers[self.part.workers[nth % self.part.workers.len()]].id);
             }
         }
-        for i in 0..self.part.workers.len() {
-            self.warm(m.now, self.part.workers[i]);
-        }
+        (0..self.part.workers.len()).for_each(|i| self.warm(m.now, self.part.workers[i]));
         if self.pulse.beat((SOLVE / BEAT) as u64) {
             self.solve(m.now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -298,6 +298,18 @@
         self.waits.add(now, seconds(now - sent), 1.0);
     }
 
+    /// Whether an assignment has waited `quiet` and more for its start while the worker told of room for it: that is an
+    /// error of its workload here, and true once.
+    pub fn passes_over(&mut self, now: Time, (n, task, a): (u64, &Task, usize), quiet: Time) -> bool {
+        let sent = task.assignments[a].sent;
+        let room = self.free.is_some_and(|(at, free)| free > task.slots - 1.0 && at - sent >= quiet);
+        let over = room && now - sent >= quiet && self.unstarted.remove(&(sent, n));
+        if over {
+            self.errors[task.workload].add(now, 1.0, 1.0);
+        }
+        over
+    }
+
     /// An assignment that went out at `sent` has ended.
     pub fn strike(&mut self, sent: Time, task: u64, slots: f64) {
         self.in_flight -= 1;
@@ -606,6 +618,11 @@
         self.waits.add(now, waited, 1.0);
     }
 
+    /// How long a start may take: so many times the mean wait, and no less than `least`.
+    pub fn quiet(&self, now: Time, times: f64, least: Time) -> Time {
+        micros(times * self.waits.mean(now, 0.0, 1.0)).max(least)
+    }
+
     /// Own tasks counted at present.
     fn count(&self, now: Time) -> f64 {
         self.arrived.iter().map(|r| r.totals(now).1).sum()
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -115,6 +115,28 @@
     assert!(went.contains(&bench.worker_of("one").unwrap()), "{went:?}");
 }
 
+/// One workload hung at some workers, or one connection fell silent: tasks sat there until their expiry.
+#[test]
+fn what_waits_at_a_worker_that_tells_of_room_goes_elsewhere() {
+    for (free, workload, moves) in [(2.0, 0, true), (2.0, 2, true), (2.0, 1, false), (0.0, 0, false)] {
+        let mut bench = Bench::with_workers(4, &["a", "b"]);
+        bench.task("one", workload);
+        let first = bench.worker_of("one").unwrap();
+        bench.pass(600 * MS);
+        bench.report(&first, Report { free_slots: Some(free), ..Report::default() });
+        bench.pass(600 * MS);
+        assert_eq!(bench.out.withdrawn, vec![("one".to_owned(), 0); usize::from(moves)], "{free} {workload}");
+        if moves {
+            bench.end("one", 0, Outcome::Withdrawn);
+            assert_ne!(bench.worker_of("one").unwrap(), first);
+        }
+        // Where a bid must stay, the worker serves others all the same.
+        bench.tasks("t", 3, 0);
+        let used = (0..3).any(|i| bench.worker_of(&format!("t{i}")).as_ref() == Some(&first));
+        assert_eq!(used, free > 0.0);
+    }
+}
+
 /// All workers look bad at once: the cause is a common one, and the fleet must not be emptied.
 #[test]
 fn bars_on_most_of_the_fleet_are_ignored() {
