--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -432,6 +432,30 @@
     assert!(worker.tasks.try_recv().is_err());
 }
 
+#[test]
+fn a_huge_body_is_answered_while_it_comes() {
+    let (program, _list) = start(&[]);
+    let mut client = Client::of(&program);
+    client.write("POST /search HTTP/1.1\r\nX-Call-Id: a\r\nContent-Length: 60000000\r\n\r\n");
+    let part = "x".repeat(1 << 16);
+    (0..64).for_each(|_| client.write(&part));
+    // Closed with all that unread, the connection would be reset and the answer lost.
+    assert_eq!(client.hear().unwrap().0, 413);
+}
+
+#[test]
+fn with_little_memory_clients_take_turns() {
+    let worker = Worker::start(|_| Act::Finish);
+    let (program, _list) =
+        start_with(&[("w1", worker.at)], |t| t.replace("\"memory_mb\":64", "\"memory_mb\":1"));
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::of(&program)).collect();
+    for (n, client) in clients.iter_mut().rev().take(3).enumerate() {
+        assert_eq!(client.ask("/search", &format!("s{n}"), "4000m").0, 200);
+    }
+    drop(clients);
+    assert_eq!(Client::of(&program).ask("/search", "one more", "4000m").0, 200);
+}
+
 #[test]
 fn at_the_word_to_reload_the_list_is_followed_where_the_file_says() {
     let (old, new) = (Worker::start(|_| Act::Finish), Worker::start(|_| Act::Finish));
