--- a/src/state.rs
+++ b/src/state.rs
@@ -298,14 +298,15 @@
         self.waits.add(now, seconds(now - sent), 1.0);
     }
 
-    /// Whether an assignment has waited `quiet` and more for its start while the worker told of room for it: that is an
-    /// error of its workload here, and true once.
+    /// Whether an assignment has waited `quiet` and more for its start while the worker told of room for it: that is as
+    /// good as two errors of its workload here, and true once.
     pub fn passes_over(&mut self, now: Time, (n, task, a): (u64, &Task, usize), quiet: Time) -> bool {
         let sent = task.assignments[a].sent;
         let room = self.free.is_some_and(|(at, free)| free > task.slots - 1.0 && at - sent >= quiet);
         let over = room && now - sent >= quiet && self.unstarted.remove(&(sent, n));
+        // Dearer to learn than an error that comes at once: one is enough to keep the workload away for a while.
         if over {
-            self.errors[task.workload].add(now, 1.0, 1.0);
+            self.errors[task.workload].add(now, 2.0, 2.0);
         }
         over
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -130,6 +130,10 @@
             bench.end("one", 0, Outcome::Withdrawn);
             assert_ne!(bench.worker_of("one").unwrap(), first);
         }
+        if workload == 2 {
+            bench.task("next", 2);
+            assert_ne!(bench.worker_of("next"), Some(first.clone()), "one is enough to learn from");
+        }
         // Where a bid must stay, the worker serves others all the same.
         bench.tasks("t", 3, 0);
         let used = (0..3).any(|i| bench.worker_of(&format!("t{i}")).as_ref() == Some(&first));
