Read-through: one seat grant, one length, a flag for pointers compared, one test preamble

Behaviour as it was; tests keep their assertions. The task's length is written where its head is completed (with_length formatted it twice); whether a client sits on the reserve is a flag, not a comparison of addresses; Room::granted serves wait and claim; a reload compares sources plainly; two tests share start_alike; unheard assignments are looked at only where some are out, not at each try to place a held task.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -135,12 +135,11 @@
         match read {
             Ok((source, new)) => {
                 let later: Vec<&str> = told::LATER.into_iter().filter(|k| all.get(k) != new.get(k)).collect();
-                let later = match later.is_empty() {
-                    true => String::new(),
-                    false => format!("; only after a restart: {}", later.join(", ")),
-                };
-                log!("reloaded: the list is at {}{later}", source.at);
-                moves.send_if_modified(|s| (**s != source).then(|| *s = Rc::new(source)).is_some());
+                let restart = if later.is_empty() { "" } else { "; only after a restart: " };
+                log!("reloaded: the list is at {}{restart}{}", source.at, later.join(", "));
+                if **moves.borrow() != source {
+                    moves.send_replace(Rc::new(source));
+                }
             }
             Err(error) => log!("not reloaded, all stays as it was: {error:#}"),
         }
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -41,6 +41,7 @@
     Ok((path, all))
 }
 
+/// What the file there holds.
 pub fn from(path: &str) -> Result<Value> {
     let text = fs::read_to_string(path).with_context(|| format!("cannot read {path}"))?;
     serde_json::from_str(&text).with_context(|| format!("{path} is not JSON"))
--- a/crates/rainlugd/src/protocol/head.rs
+++ b/crates/rainlugd/src/protocol/head.rs
@@ -129,19 +129,15 @@
     format!("GET {path} HTTP/1.1\r\nHost: {to}\r\n\r\n")
 }
 
-/// What of a task's head goes to every worker, up to its length.
+/// What of a task's head goes to every worker; `assignment` completes it.
 pub fn passed_on(path: &str, id: &str, fingerprint: Option<&str>) -> String {
     let fingerprint = fingerprint.map(|f| format!("Idempotency-Key: {f}\r\n")).unwrap_or_default();
     format!("POST {path} HTTP/1.1\r\nX-Call-Id: {id}\r\n{fingerprint}")
 }
 
-pub fn with_length(passed_on: &str, length: usize) -> String {
-    format!("{passed_on}Content-Length: {length}\r\n")
-}
-
 /// The head of an assignment, which tells how long its answer is waited for.
-pub fn assignment(passed_on: &str, to: SocketAddr, wait: Time) -> String {
-    format!("{passed_on}Host: {to}\r\nX-Budget: {}u\r\n\r\n", wait.max(0))
+pub fn assignment(passed_on: &str, length: usize, to: SocketAddr, wait: Time) -> String {
+    format!("{passed_on}Content-Length: {length}\r\nHost: {to}\r\nX-Budget: {}u\r\n\r\n", wait.max(0))
 }
 
 #[cfg(test)]
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -1,7 +1,6 @@
 //! A client connection's actor: it reads one request at a time, hands a task to the module and writes its answer.
 
 use std::cell::Cell;
-use std::ptr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,6 +38,12 @@
     pub haste: Duration,
 }
 
+impl Door {
+    fn room_of(&self, spare: bool) -> &Room {
+        if spare { &self.spare } else { &self.room }
+    }
+}
+
 /// What a request asks for.
 enum Asked {
     Ready,
@@ -54,11 +59,11 @@
 
 /// Serves a connection until it ends; `stopping` turns true when the process is to end. Where there is no seat for
 /// the connection, it is turned away once it has told what it wants, unless there is one by then.
-pub async fn serve(mut link: Link, door: Rc<Door>, mut stopping: watch::Receiver<bool>, spare: bool) {
-    let mut room = if spare { &door.spare } else { &door.room };
+pub async fn serve(mut link: Link, door: Rc<Door>, mut stopping: watch::Receiver<bool>, mut spare: bool) {
     let come = Instant::now();
     let (mut newcomer, mut rank) = (true, UNPROVEN);
     loop {
+        let room = door.room_of(spare);
         tokio::select! {
             biased;
             () = link.idle() => {}
@@ -75,19 +80,18 @@
             Err(End::TimedOut) => (Asked::Nothing(408), 0, true),
             Err(_) => return,
         };
-        if ptr::eq(room, &door.spare) && matches!(asked, Asked::Task { .. }) {
+        if spare && matches!(asked, Asked::Task { .. }) {
             // While others hold seats idly, who has something to ask is not turned away for lack of one.
             if let Some(seat) = door.room.claim().await {
                 link.reseat(seat);
-                room = &door.room;
+                spare = false;
             }
         }
-        let turned_away = ptr::eq(room, &door.spare);
-        close |= turned_away;
+        close |= spare;
         let (status, pause, body) = match asked {
             Asked::Nothing(status) => (status, 0, Bytes::new()),
             Asked::Ready => (if *stopping.borrow() { 503 } else { 200 }, 0, Bytes::new()),
-            Asked::Task { .. } if turned_away => {
+            Asked::Task { .. } if spare => {
                 log!("a task is turned away: all seats for clients are taken");
                 (503, 0, Bytes::new())
             }
@@ -122,7 +126,7 @@
         if close {
             tokio::select! {
                 _ = timeout(door.haste / FAREWELL, link.finish()) => {}
-                () = room.wanted(LEAVING) => {}
+                () = door.room_of(spare).wanted(LEAVING) => {}
             }
         }
         if close || !matches!(written, Ok(Ok(()))) {
@@ -154,7 +158,6 @@
     }
     let body = link.body().await?;
     if let Asked::Task { parcel, .. } = &mut asked {
-        parcel.head = head::with_length(&parcel.head, body.len());
         parcel.body = body;
     }
     Ok((asked, close))
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -179,12 +179,12 @@
 ) -> Result<Told, End> {
     let rested = link.as_ref().map(|(_, since)| since.elapsed());
     let mut link = open(reach, link, at).await?;
-    let opening = head::assignment(&parcel.head, at, expiry - reach.clock.now());
+    let opening = head::assignment(&parcel.head, parcel.body.len(), at, expiry - reach.clock.now());
     let begun = async {
         link.send(opening.as_bytes(), &parcel.body, written).await?;
         heard(&mut link).await
-    };
-    let begun = begun.await;
+    }
+    .await;
     // Written to a connection that only looked sound, a task that must not run twice is lost to its client.
     let broke = matches!(begun, Err(End::Unwritten | End::Closed | End::Broken));
     rested.iter().for_each(|idle| reach.trust.used(*idle, broke));
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/rainlugd/src/transport/limits.rs
@@ -80,7 +80,7 @@
             self.idle.waiting.update(|n| n + 1);
             defer(|| self.idle.waiting.update(|n| n - 1))
         });
-        Some(Seat { _permit: self.free.clone().acquire_owned().await.ok()? })
+        self.granted().await
     }
 
     /// A seat that is free, or that somebody holds idly; nothing where all are in use.
@@ -88,9 +88,11 @@
         if let Some(seat) = self.seat() {
             return Some(seat);
         }
-        let asked = self.ask();
-        let permit = async { self.free.clone().acquire_owned().await.ok() };
-        Some(Seat { _permit: if asked { permit.await } else { None }? })
+        if self.ask() { self.granted().await } else { None }
+    }
+
+    async fn granted(&self) -> Option<Seat> {
+        Some(Seat { _permit: self.free.clone().acquire_owned().await.ok()? })
     }
 
     /// Tells one of those who hold a seat idly to go; false where there is none. Each call tells another one: a word to
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -23,6 +23,14 @@
     (program, list)
 }
 
+/// A dispatcher with up to four workers that all do the same.
+fn start_alike(count: usize, act: Act) -> (Vec<Worker>, Program, List) {
+    let workers: Vec<Worker> = (0..count).map(|_| Worker::start(move |_| act)).collect();
+    let listed: Vec<_> = ["w1", "w2", "w3", "w4"].into_iter().zip(workers.iter().map(|w| w.at)).collect();
+    let (program, list) = start(&listed);
+    (workers, program, list)
+}
+
 /// Does the numbered thing until it tells that it is done.
 fn until(mut done: impl FnMut(usize) -> bool) {
     let begun = Instant::now();
@@ -104,9 +112,7 @@
 
 #[test]
 fn connections_that_break_when_used_again_are_no_longer_used_again() {
-    let workers: Vec<Worker> = (0..3).map(|_| Worker::start(|_| Act::FinishOnce)).collect();
-    let listed: Vec<_> = ["w1", "w2", "w3"].into_iter().zip(workers.iter().map(|w| w.at)).collect();
-    let (program, _list) = start(&listed);
+    let (_workers, program, _list) = start_alike(3, Act::FinishOnce);
     let mut client = Client::of(&program);
     let mut well = 0;
     until(|n| {
@@ -138,9 +144,7 @@
 
 #[test]
 fn a_log_that_nobody_reads_ends_nothing() {
-    let workers: Vec<Worker> = (0..4).map(|_| Worker::start(|_| Act::Fail)).collect();
-    let listed: Vec<_> = ["w1", "w2", "w3", "w4"].into_iter().zip(workers.iter().map(|w| w.at)).collect();
-    let (mut program, _list) = start(&listed);
+    let (_workers, mut program, _list) = start_alike(4, Act::Fail);
     // The next line finds its reader gone; each failure writes one.
     program.log = std::sync::mpsc::channel().1;
     let mut client = Client::of(&program);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -359,18 +359,18 @@
         if m.now >= task.expiry {
             return Step::End;
         }
-        // What waits at a worker that tells of room is not heard there: an error; it goes elsewhere if it may.
-        let quiet = self.seen.quiet(m.now, SILENT, SOLVE / 10);
-        let once = self.workloads[task.workload].effect == Effect::SideEffecting;
-        let told = self.known.tells_start && !self.allowed.peers;
-        for a in task.open().filter(|a| told && task.assignments[*a].started.is_none()) {
-            if !self.fleet.workers[task.assignments[a].worker].passes_over(m.now, (n, task, a), quiet) {
-                m.out.wake(m.now + quiet, n);
-            } else if self.allowed.withdrawal && !once && task.assignments.len() < self.allowed.assignments {
-                m.out.withdraw(&task.id, a);
-            }
-        }
         if task.out() > 0 {
+            // What waits at a worker that tells of room is not heard there: an error; it goes elsewhere if it may.
+            let (quiet, load) = (self.seen.quiet(m.now, SILENT, SOLVE / 10), &self.workloads[task.workload]);
+            let stays = !self.allowed.withdrawal || load.effect == Effect::SideEffecting;
+            let told = self.known.tells_start && !self.allowed.peers;
+            for a in task.open().filter(|a| told && task.assignments[*a].started.is_none()) {
+                if !self.fleet.workers[task.assignments[a].worker].passes_over(m.now, (n, task, a), quiet) {
+                    m.out.wake(m.now + quiet, n);
+                } else if !stays && task.assignments.len() < self.allowed.assignments {
+                    m.out.withdraw(&task.id, a);
+                }
+            }
             let patience = micros(self.seen.run(m.now, task.workload) * PATIENCE);
             let early = task.open().any(|i| m.now - task.assignments[i].sent < patience);
             if self.ledger.copies && !early && task.waits() && self.past_hope(m.now, task) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -373,7 +373,7 @@
     pub struct Program {
         child: Child,
         /// Where its configuration is.
-        pub path: String,
+        path: String,
         pub at: SocketAddr,
         pub log: Receiver<String>,
     }
