--- a/crates/rainlugd/src/program/log.rs
+++ b/crates/rainlugd/src/program/log.rs
@@ -1,10 +1,13 @@
-//! The log: lines on standard error, so many a second from each place in the code.
+//! The log: lines on standard error, so many a second from each place in the code. And the trace, which is off unless
+//! asked for: a line for each event, not cut, for counting what many dispatchers did together (docs/on-call.md).
 
 use std::fmt;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use rainlug::Time;
+
 /// Lines that one place may write in a second.
 const MOST: u32 = 5;
 
@@ -50,6 +53,26 @@
     }};
 }
 
+/// Whether every event is written: where `RAINLUG_TRACE` is set.
+pub fn traced() -> bool {
+    static ON: OnceLock<bool> = OnceLock::new();
+    *ON.get_or_init(|| std::env::var_os("RAINLUG_TRACE").is_some())
+}
+
+/// Writes an event with its time.
+pub fn event(now: Time, words: fmt::Arguments) {
+    line(format_args!("@{now} {words}"));
+}
+
+/// Writes an event at a time, if events are to be written.
+macro_rules! trace {
+    ($now:expr, $($words:tt)*) => {
+        if $crate::program::log::traced() {
+            $crate::program::log::event($now, format_args!($($words)*));
+        }
+    };
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/rainlugd/src/routing/list.rs
+++ b/crates/rainlugd/src/routing/list.rs
@@ -115,6 +115,7 @@
 /// Opens a watch.
 async fn open(from: &Source, rev: u64, pool: &Pool, room: &Room) -> Result<Watch, End> {
     let seat = room.seat().ok_or(End::NoRoom)?;
+    log!("list: watch at {} from {rev} opens", from.at);
     let mut link = Link::connect(from.at, Instant::now() + BEAT, head::answer_body, pool, seat).await?;
     let ask = head::get(&format!("/v1/endpoints?watch=1&from={rev}"), from.at);
     link.send(ask.as_bytes(), &[], &Cell::new(false)).await?;
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -73,3 +73,14 @@
     Bounced(Time),
     Abandoned,
 }
+
+impl Answer {
+    /// As the trace names it.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Finished(_) => "finished",
+            Answer::Bounced(_) => "bounced",
+            Answer::Abandoned => "abandoned",
+        }
+    }
+}
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -14,6 +14,7 @@
 use super::outcome::outcome;
 use super::worker::{self, Order, Reach, Standing};
 use super::{Answer, Mail, Parcel};
+use crate::program::log::{event, traced};
 use crate::protocol::words::Entry;
 use crate::transport::End;
 
@@ -99,6 +100,7 @@
 
     fn answer(&mut self, task: &str, answer: Answer) {
         if let Some(client) = self.held.get_mut(task).and_then(|h| h.client.take()) {
+            trace!(self.now(), "answer {task} {}", answer.word());
             // A client that has gone says so itself.
             let _ = client.send(answer);
         }
@@ -123,6 +125,7 @@
     fn assign(&mut self, task: &str, worker: &str) {
         let Some(held) = self.held.get_mut(task) else { return };
         let (nth, parcel) = (held.assignments.len(), held.parcel.clone());
+        trace!(self.reach.clock.now(), "assign {task} {nth} {worker}");
         let (hold, given_up) = oneshot::channel();
         held.assignments.push(Way::Out { _hold: hold });
         let order = Order::Assign { parcel: parcel.clone(), nth, expiry: held.expiry, given_up };
@@ -135,6 +138,7 @@
         let way = self.held.get_mut(task).and_then(|h| h.assignments.get_mut(assignment));
         if let Some(way) = way.filter(|w| matches!(w, Way::Out { .. })) {
             *way = Way::GivenUp;
+            trace!(self.now(), "withdraw {task} {assignment}");
         }
     }
 
@@ -152,6 +156,7 @@
     }
 
     fn probe(&mut self, worker: &str) {
+        trace!(self.now(), "probe {worker}");
         if self.workers.get(worker).is_none_or(|w| w.mailbox.try_send(Order::Probe).is_err()) {
             self.unprobed.push_back(worker.to_owned());
         }
@@ -195,6 +200,9 @@
         }
         desk.wakes.pop();
         logic.due(&mut Moment { now, out: desk }, mark);
+        if mark == 0 && traced() {
+            event(now, format_args!("standing {}", logic.standing(now)));
+        }
     }
 }
 
@@ -217,6 +225,7 @@
             if desk.held.contains_key(&parcel.id) {
                 return;
             }
+            trace!(now, "task {} {} {budget}", parcel.id, of.0);
             let expiry = at + budget;
             let held = Held { parcel: parcel.clone(), client: Some(client), expiry, assignments: Vec::new() };
             desk.held.insert(parcel.id.clone(), held);
@@ -231,6 +240,7 @@
         }
         Mail::Sign(parcel, nth) => {
             if desk.of(&parcel).is_some() {
+                trace!(now, "sign {} {nth}", parcel.id);
                 logic.sign(&mut Moment { now, out: desk }, &parcel.id, nth);
             }
         }
@@ -241,6 +251,7 @@
             logic.probed(&mut Moment { now, out: desk }, &worker, outcome(end), report);
         }
         Mail::List { everything, entries } => {
+            trace!(now, "list {} {}", if everything { "whole" } else { "changes" }, entries.len());
             let entries = desk.listed(everything, entries);
             logic.list(&mut Moment { now, out: desk }, everything, false, &entries);
         }
@@ -259,14 +270,16 @@
     report: Report,
     result: Bytes,
 ) {
+    let now = desk.now();
     let Some(held) = desk.of(parcel) else { return };
     held.assignments[nth] = Way::Ended;
     let outcome = outcome(end);
+    trace!(now, "end {} {nth} {end:?}", parcel.id);
     if let Some(client) = held.client.take_if(|_| outcome == Outcome::Finished) {
+        trace!(now, "answer {} finished", parcel.id);
         let _ = client.send(Answer::Finished(result));
     }
     let closed = held.client.is_none();
-    let now = desk.now();
     logic.ended(&mut Moment { now, out: desk }, &parcel.id, nth, (outcome, closed), report);
     desk.forget(&parcel.id);
 }
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -163,7 +163,9 @@
     }
     let until = Instant::now() + reach.dial;
     let seat = timeout_at(until, reach.room.wait()).await.ok().flatten().ok_or(End::NoRoom)?;
-    Link::connect(at, until, head::answer_body, &reach.pool, seat).await
+    trace!(reach.clock.now(), "dial {at}");
+    let made = Link::connect(at, until, head::answer_body, &reach.pool, seat).await;
+    made.inspect_err(|end| trace!(reach.clock.now(), "undialled {at} {end:?}"))
 }
 
 type Told = (End, Report, Bytes);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -657,6 +657,11 @@
         self.move_on(m);
     }
 
+    /// How the workers of its part stand with it, in a line for the trace.
+    pub fn standing(&self, now: Time) -> String {
+        self.fleet.standing(&self.part, now, ERRONEOUS)
+    }
+
     /// A cold worker's room grows with what it can do by now, a dispatcher's part of it.
     fn warm(&mut self, now: Time, j: usize) {
         let worker = &mut self.fleet.workers[j];
--- a/src/state.rs
+++ b/src/state.rs
@@ -430,6 +430,19 @@
         }
     }
 
+    /// The workers of a part: all, and the ids of those barred, cold, ill and silent.
+    pub fn standing(&self, part: &Part, now: Time, errors: f64) -> String {
+        let of = |is: &dyn Fn(&Worker) -> bool| {
+            let found = part.workers.iter().map(|&j| &self.workers[j]).filter(|w| is(w));
+            found.map(|w| w.id.as_str()).collect::<Vec<_>>().join(",")
+        };
+        let gone = of(&|w| w.state != State::Ready);
+        let (barred, cold) = (of(&|w| w.barred(now)), of(&|w| w.cold.is_some()));
+        let (ill, idle) = (of(&|w| w.ill(now, errors)), of(&|w| w.share <= 0.0));
+        let all = part.workers.len();
+        format!("part={all} gone={gone} barred={barred} cold={cold} ill={ill} unshared={idle}")
+    }
+
     /// All workers, in the ring's order.
     pub fn ring(&self) -> impl Iterator<Item = usize> {
         self.ring.values().copied()
