--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -97,6 +97,7 @@
     match name {
         "load_share" => report.utilisation = value,
         "tps" => report.rate = value,
+        "err_ps" => report.errors = value,
         "x0" => report.free_slots = value,
         _ => {}
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -134,6 +134,8 @@
     pub utilisation: Option<f64>,
     /// Jobs a second, of the whole worker.
     pub rate: Option<f64>,
+    /// Errors a second, of the whole worker.
+    pub errors: Option<f64>,
     pub free_slots: Option<f64>,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -382,7 +382,12 @@
         }
         let workers = &self.fleet.workers;
         let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, workers);
-        if workers.is_empty() || workers.iter().any(may) { Step::Pass } else { Step::End }
+        match workers.is_empty() || workers.iter().any(may) {
+            true => Step::Pass,
+            // Whoever waits at as many workers as it may be sent to is not lost yet: one of them may start it.
+            false if task.out() > 0 => Step::Keep,
+            false => Step::End,
+        }
     }
 
     /// The billiard (Algorithm 2): the least (Xj + Yji)/Pji among the workers that are not skipped.
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,6 +118,8 @@
     pub reports: Ring,
     /// Seconds from assignment to start.
     pub waits: Ring,
+    /// Part of its tasks that were errors, by its last report of any.
+    pub erring: f64,
     /// Errors among outcomes, by workload.
     pub errors: Vec<Ring>,
     /// Free slots as last reported, and when.
@@ -211,6 +213,11 @@
             self.reports.add(now, rate, 1.0);
             self.utilisation.add(now, busy, 1.0);
         }
+        // Who gets no tasks makes no errors: that says nothing of whether it would.
+        let (errors, rate) = (report.errors.unwrap_or(0.0).max(0.0), report.rate.unwrap_or(0.0).max(0.0));
+        if errors + rate > 0.0 {
+            self.erring = errors / (errors + rate);
+        }
         self.slots = self.slots.max(report.free_slots.unwrap_or(0.0));
         self.free = report.free_slots.map(|free| (now, free)).or(self.free);
     }
@@ -225,7 +232,7 @@
     /// Whether errors are more than `part` of a workload's outcomes; that alone, as others may do well here.
     pub fn fails(&self, now: Time, workload: usize, part: f64) -> bool {
         let (errors, all) = self.errors[workload].totals(now);
-        errors >= 2.0 && errors > part * all
+        self.erring > part || errors >= 2.0 && errors > part * all
     }
 
     /// Slots taken here, by all that is known; what was told before `since` is too old.
@@ -278,7 +285,7 @@
         self.waits = Ring::over(span / 4);
         self.errors = vec![Ring::over(2 * span); workloads];
         self.turns = vec![0.0; workloads];
-        (self.bar, self.cold, self.free, self.lost) = (None, None, None, false);
+        (self.bar, self.cold, self.free, self.lost, self.erring) = (None, None, None, false, 0.0);
     }
 
     /// An assignment goes out; silence counts from here if nothing was out before.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,69 @@
+//! What many dispatchers do together, each an instance of the module that hears of its own tasks alone.
+
+mod common;
+
+use common::{Bench, MS, Sent, allowed, known, listed};
+use rainlug::*;
+
+/// One of a hundred dispatchers that feed sixty workers.
+fn one_of_many(index: usize) -> Bench {
+    let place = Place { seed: 1 + index as u64, index, group_size: 100, zone: 0 };
+    let mut bench = Bench::start_as(place, allowed(), known());
+    let entries: Vec<Listed> = (0..60).map(|i| listed(&format!("w{i}"), 0, State::Ready, None)).collect();
+    bench.list(&entries);
+    bench
+}
+
+fn report(errors: f64, rate: f64) -> Report {
+    Report { rate: Some(rate), errors: Some(errors), ..Report::default() }
+}
+
+/// Three copies of a task waited at busy workers, and for lack of a fourth it was abandoned 11 ms after it had come.
+#[test]
+fn a_task_that_waits_at_as_many_workers_as_it_may_stays_there() {
+    let mut bench = one_of_many(0);
+    bench.task("one", 2);
+    bench.pass(200 * MS);
+    let sent = |bench: &Bench| bench.out.sent.iter().map(|(_, s)| s.clone()).collect::<Vec<_>>();
+    assert_eq!(sent(&bench).len(), 3, "{:?}", sent(&bench));
+    assert!(sent(&bench).iter().all(|s| matches!(s, Sent::Assign(..))));
+    bench.start_job("one", 2);
+    assert_eq!(bench.out.withdrawn, [("one".to_owned(), 0), ("one".to_owned(), 1)]);
+    [0, 1].iter().for_each(|i| bench.end("one", *i, Outcome::Withdrawn));
+    bench.run("one", 2);
+    assert_eq!(sent(&bench).len(), 3);
+}
+
+/// Each dispatcher found each failing worker by two errors of each workload: 500 errors told the fleet of six workers.
+/// A worker's own report of errors, which comes with the first, tells of all workloads.
+#[test]
+fn one_report_of_errors_keeps_side_effects_away_until_one_without() {
+    let (mut failed, mut dispatchers) = (0, 0);
+    for index in 0..100 {
+        let mut bench = one_of_many(index);
+        for i in 0..40 {
+            let id = format!("t{i}");
+            bench.task(&id, 1 + i % 2);
+            let fails = bench.worker_of(&id).as_deref() == Some("w0");
+            let (end, told) = match fails {
+                true => (Outcome::Failed, report(2.0, 1.0)),
+                false => (Outcome::Finished, report(0.0, 3.0)),
+            };
+            bench.start_job(&id, 0);
+            bench.with(|to, m| to.ended(m, &id, 0, (end, true), told));
+            failed += usize::from(fails);
+            bench.pass(200 * MS);
+        }
+        let went = (0..40).any(|i| bench.worker_of(&format!("t{i}")).as_deref() == Some("w0"));
+        if went {
+            dispatchers += 1;
+            // Who gets no tasks makes no errors: that does not make it well.
+            bench.report("w0", report(0.0, 0.0));
+            assert!(!bench.tasks("idle", 12, 1).contains(&"w0".to_owned()));
+            (0..12).for_each(|i| bench.run(&format!("idle{i}"), 0));
+            bench.report("w0", report(0.0, 3.0));
+            assert!(bench.tasks("well", 12, 1).contains(&"w0".to_owned()));
+        }
+    }
+    assert!(dispatchers > 5 && failed == dispatchers, "{failed} errors at {dispatchers} dispatchers");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -119,7 +119,8 @@
             Event::Reports(i, busy, rate) => {
                 let (utilisation, rate) = (Some(busy), Some(rate));
                 let free_slots = Some(busy * 4.0);
-                bench.report(&"w".repeat(1 + i), Report { utilisation, rate, free_slots });
+                let errors = rate.map(|r| r * (busy - 0.5));
+                bench.report(&"w".repeat(1 + i), Report { utilisation, rate, errors, free_slots });
                 bench.with(|to, m| to.told(m.now, i, &[i as u8, 0, 3]));
             }
             Event::All(state) => {
