--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -99,6 +99,7 @@
         zones: setup::names(settings, "/zones")?,
         kinds: setup::names(settings, "/hostTypes")?,
         most: memory(all)? / LIST_PART,
+        brief: setup::must_ask(settings)? && setup::live_weights(settings)?,
     })
 }
 
--- a/crates/rainlugd/src/routing/list.rs
+++ b/crates/rainlugd/src/routing/list.rs
@@ -32,6 +32,9 @@
     pub kinds: Vec<String>,
     /// The longest line.
     pub most: usize,
+    /// A watch is ended once it has told something, until it is asked for again: where the list comes only when asked for
+    /// and its weights change all the time, the watches of some took all that it can send, and nobody else got through.
+    pub brief: bool,
 }
 
 /// An open watch, and what of its next line has come.
@@ -81,6 +84,10 @@
         };
         // What was learnt of the old source's failures says nothing of a new one.
         moved = end.is_none();
+        if end == Some(End::Done) {
+            pause = PAUSE;
+            continue;
+        }
         let Some(end) = end else {
             log!("list: moved from {} at {rev}", from.at);
             pause = PAUSE;
@@ -148,6 +155,9 @@
                 return End::GivenUp;
             }
             *rev = version;
+            if from.brief {
+                return End::Done;
+            }
         }
         match timeout(SILENT, watch.link.next()).await {
             Ok(Ok(Piece::Body(piece))) => watch.lines.push(&piece),
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -236,6 +236,21 @@
     assert_eq!(Client::of(&program).ask("/bid", "b1", "4000m").0, 200);
 }
 
+/// Watches held open for weights that change all the time took all that an overbooked list can send.
+#[test]
+fn a_watch_for_live_weights_is_ended_by_its_first_news_and_opened_again_later() {
+    let worker = Worker::start(|_| Act::Finish);
+    let (_program, list) = start_with(&[("w1", worker.at)], |t| {
+        t.replace("\"automatic\"", "\"subscribe\",\"weightSource\":\"live\"")
+            .replace("\"fallMs\"", "\"mustAskInMs\":1000.0,\"fallMs\"")
+    });
+    for rev in [7, 8] {
+        list.tell.send(Some(line(rev, false, &[("w1", worker.at, "a", "in_service")]))).unwrap();
+        let asked = list.asked.recv_timeout(LONG).unwrap();
+        assert_eq!(asked, format!("GET /v1/endpoints?watch=1&from={rev} HTTP/1.1"));
+    }
+}
+
 #[test]
 fn where_load_comes_by_probe_workers_are_asked_for_it() {
     let worker = Worker::start(|_| Act::Finish);
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -35,7 +35,7 @@
     };
     let known = Known {
         reports_by_probe: word(all, "/feedback/how")? == Some("pull"),
-        live_weights: word(all, "/weightSource")? == Some("live"),
+        live_weights: live_weights(all)?,
         tells_start: flag(all, "/specifics/tellsStart")?,
         progress: time_or(all, "/specifics/progressMs", 0)?,
         cross_zone: number_or(all, "/prices/crossZone", 0.0)?,
@@ -115,6 +115,11 @@
     Ok(word(all, "/discovery")? == Some("subscribe"))
 }
 
+/// True where the list's weights fall as workers hold more.
+pub fn live_weights(all: &Value) -> Result<bool> {
+    Ok(word(all, "/weightSource")? == Some("live"))
+}
+
 /// The names in a list of names or of objects with names; none where there is no list.
 pub fn names(all: &Value, path: &str) -> Result<Vec<String>> {
     let Some(found) = all.pointer(path) else { return Ok(Vec::new()) };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -192,11 +192,12 @@
         let mut chance = Chance { seed: place.seed, drawn: 0 };
         let effects = workloads.iter().map(|w| w.effect).collect();
         // Dispatchers that start together must neither ask nor solve together.
-        let ask_at = allowed.must_ask.then(|| m.now + micros(chance.draw() / 2.0));
+        let parts = (place.group_size / FEEDERS / (1 + usize::from(allowed.peers && !allowed.probes))).max(1);
+        let spread = (SOLVE / 10 * parts as Time).min(obligations.must_ask_in.max(SOLVE) / 2);
+        let ask_at = allowed.must_ask.then(|| m.now + (chance.draw() * spread as f64) as Time);
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
         // Where load cannot be asked of workers, those who feed the same part tell one another, and can be more.
         let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
-        let parts = (place.group_size / FEEDERS / (1 + usize::from(allowed.peers))).max(1);
         // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         let copies = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
@@ -221,7 +222,10 @@
     /// What the list says: changes, or everything; `cached` is what it said to an earlier process.
     pub fn list(&mut self, m: &mut Moment, everything: bool, cached: bool, entries: &[Listed]) {
         if !cached {
-            (self.pulse.asks_failed, self.pulse.ask_at) = (0, None);
+            // Live weights change all of the list all the time: who held a watch for them would leave no room to others.
+            let again = self.obligations.must_ask_in as f64 * (0.8 + 0.15 * self.chance.draw());
+            let brief = self.allowed.must_ask && self.known.live_weights;
+            (self.pulse.asks_failed, self.pulse.ask_at) = (0, brief.then(|| m.now + again as Time));
         }
         let mut changed = everything || self.part.workers.is_empty();
         self.fleet.workers.iter_mut().filter(|_| everything).for_each(|w| w.state = State::Gone);
@@ -248,9 +252,10 @@
 
     /// Asks again, spread out and ever later, but never so late that the list counts as known unread.
     pub fn list_failed(&mut self, now: Time) {
-        let longest = self.obligations.must_ask_in.max(SOLVE) / 4;
-        let pause = ((SOLVE / 10) << self.pulse.asks_failed.min(8)).min(longest) as f64;
-        let pause = (pause * (0.5 + self.chance.draw() / 2.0)) as Time;
+        let longest = self.obligations.must_ask_in.max(SOLVE);
+        let first = SOLVE / 10 * self.parts as Time;
+        let pause = (first << self.pulse.asks_failed.min(8)).min(longest) as f64;
+        let pause = (pause * (0.5 + self.chance.draw())) as Time;
         self.pulse.asks_failed += 1;
         self.pulse.ask_at = self.allowed.must_ask.then(|| now + pause);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -343,7 +343,7 @@
                     let _ = call.send(head.lines().next().unwrap().to_owned());
                     let _ = to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     loop {
-                        let line = match told.recv_timeout(Duration::from_secs(1)) {
+                        let line = match told.recv_timeout(Duration::from_millis(20)) {
                             Ok(Some(line)) => line + "\n",
                             Err(RecvTimeoutError::Timeout) => "\n".to_owned(),
                             Ok(None) => break,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -67,3 +67,64 @@
     }
     assert!(dispatchers > 5 && failed == dispatchers, "{failed} errors at {dispatchers} dispatchers");
 }
+
+/// A list that answers calls in turn, so many a second, and whose callers give up after 2 s: an answer to one that has
+/// gone costs it as much.
+struct Source {
+    free_at: Time,
+    cost: Time,
+    answers: Vec<(Time, usize, bool)>,
+}
+
+impl Source {
+    fn call(&mut self, now: Time, who: usize) {
+        let done = self.free_at.max(now) + self.cost;
+        if done - now > 4 * SECOND {
+            self.answers.push((now, who, false));
+            return;
+        }
+        self.free_at = done;
+        let late = done - now > 2 * SECOND;
+        self.answers.push((done.min(now + 2 * SECOND), who, !late));
+    }
+}
+
+/// Seventy of a hundred dispatchers restarted; their calls for the list came again so soon that each was answered too
+/// late to be heard, and nobody had a list for the rest of the day.
+#[test]
+fn dispatchers_that_restart_together_all_get_the_list() {
+    let mut source = Source { free_at: 0, cost: SECOND / 13, answers: Vec::new() };
+    let follows = Allowed { must_ask: true, ..allowed() };
+    let mut benches: Vec<Bench> = (0..100)
+        .map(|index| {
+            let place = Place { seed: 77 + index as u64, index, group_size: 100, zone: 0 };
+            Bench::start_as(place, follows, Known { live_weights: true, ..known() })
+        })
+        .collect();
+    let entries = [listed("a", 0, State::Ready, None)];
+    let (mut last, mut longest) = (vec![0; 100], 0);
+    for now in (0..60 * SECOND).step_by(20_000) {
+        for (who, bench) in benches.iter_mut().enumerate() {
+            let asked = |b: &Bench| b.out.sent.iter().filter(|(_, s)| *s == Sent::Follow).count();
+            let before = asked(bench);
+            bench.pass(20 * MS);
+            (before..asked(bench)).for_each(|_| source.call(now, who));
+        }
+        let (due, later): (Vec<_>, Vec<_>) = source.answers.drain(..).partition(|a| a.0 <= now);
+        source.answers = later;
+        for (_, who, heard) in due {
+            if heard {
+                longest = longest.max(now - last[who]);
+                last[who] = now;
+                benches[who].list(&entries);
+            } else {
+                benches[who].with(|to, m| to.list_failed(m.now));
+            }
+        }
+    }
+    // After 40 s from a call that failed, the list counts as read.
+    assert!(longest <= 40 * SECOND, "{longest}");
+    assert!(last.iter().all(|at| 60 * SECOND - at <= 40 * SECOND), "{last:?}");
+    let mean = last.iter().map(|at| 60 * SECOND - at).sum::<Time>() / 100;
+    assert!(mean <= 10 * SECOND, "{mean}");
+}
