--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,6 +20,8 @@
 const FEW: f64 = 0.1;
 /// Part of a task's revenue over which a crossing is worse than a queue, for each part of the fleet up to five.
 const DEAR: f64 = 0.04;
+/// How far turns lean to near workers for each part of their time that far ones are busier.
+const LEAN: f64 = 4.0;
 /// Part of all turns that an unseen workload is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
@@ -304,7 +306,24 @@
             worker.model_theta = stations[i].theta;
             worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
         }
-        self.part = Part { workers: part, census, common };
+        self.part = Part { workers: part, census, common, lean: 1.0 };
+        self.lean(now);
+    }
+
+    /// Where a crossing has a price, turns lean to near workers, the more so the busier far ones are: zones with little
+    /// traffic keep theirs, and the others cross with what their own workers cannot carry.
+    fn lean(&mut self, now: Time) {
+        let busy = |near: bool| {
+            let part = self.part.workers.iter().map(|&j| &self.fleet.workers[j]);
+            let among = part.filter(|w| w.state == State::Ready && (w.zone == self.place.zone) == near);
+            let told =
+                among.map(|w| w.utilisation.totals(now)).filter(|t| t.1 > 0.0).map(|(u, n)| (u / n, 1.0));
+            told.fold((0.0, 0.0), |t, u| (t.0 + u.0, t.1 + u.1))
+        };
+        let ((near, some), (far, others)) = (busy(true), busy(false));
+        if self.known.cross_zone > 0.0 && self.parts > 1 && some > 0.0 && others > 0.0 {
+            self.part.lean = (0.5 + LEAN * (near / some - far / others)).clamp(0.05, 1.0);
+        }
     }
 
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
@@ -446,7 +465,8 @@
             let place = if inside { 2 * far + u8::from(queue) } else { 4 };
             let tier = if late { 5 } else { place };
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
-            let level = if inside { turns / (worker.share * mine) } else { theta };
+            let lean = if worker.zone == self.place.zone { 1.0 } else { self.part.lean };
+            let level = if inside { turns / (worker.share * mine * lean) } else { theta };
             let queued = queue && (task.out() > 0 || late && !last);
             if !queued && best.is_none_or(|(b, _)| (tier, level) < b) {
                 best = Some(((tier, level), j));
@@ -660,6 +680,7 @@
                 m.out.probe(&self.fleet.workers[self.part.workers[nth % self.part.workers.len()]].id);
             }
         }
+        self.lean(m.now);
         (0..self.part.workers.len()).for_each(|i| self.warm(m.now, self.part.workers[i]));
         if self.pulse.beat((SOLVE / BEAT) as u64) {
             self.solve(m.now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -183,6 +183,8 @@
     pub census: Census,
     /// So many are barred or fail that the cause must be a common one.
     pub common: bool,
+    /// What a far worker's share counts, by a near one's.
+    pub lean: f64,
 }
 
 impl Census {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -128,3 +128,34 @@
     let mean = last.iter().map(|at| 60 * SECOND - at).sum::<Time>() / 100;
     assert!(mean <= 10 * SECOND, "{mean}");
 }
+
+/// Half of all assignments crossed zones, though two zones had room for all of their own traffic. Turns lean to near
+/// workers by how busy near and far ones are, and a zone that is busier than the others still crosses.
+#[test]
+fn turns_stay_near_while_far_workers_are_no_less_busy() {
+    let crossed = |near_busy: f64, far_busy: f64| {
+        let far = |w: &str| w[1..].parse::<usize>().unwrap() % 2 == 1;
+        let mut crossed = 0;
+        for index in 0..40 {
+            let place = Place { seed: 9 + index as u64, index, group_size: 100, zone: 0 };
+            let mut bench = Bench::start_as(place, allowed(), Known { cross_zone: 0.1, ..known() });
+            let entry = |i: usize| listed(&format!("w{i}"), i % 2, State::Ready, None);
+            bench.list(&(0..60).map(entry).collect::<Vec<_>>());
+            for i in 0..60 {
+                let busy = Some(if i % 2 == 1 { far_busy } else { near_busy });
+                let told = Report { utilisation: busy, rate: Some(4.0), ..Report::default() };
+                bench.report(&format!("w{i}"), told);
+            }
+            bench.pass(500 * MS);
+            for i in 0..10 {
+                let id = format!("t{i}");
+                bench.task(&id, 1);
+                crossed += usize::from(bench.worker_of(&id).is_some_and(|w| far(&w)));
+                bench.run(&id, 0);
+            }
+        }
+        crossed
+    };
+    let (quiet, alike, busy) = (crossed(0.4, 0.8), crossed(0.7, 0.7), crossed(0.8, 0.4));
+    assert!(quiet < 40 && quiet < alike && alike < 180 && busy > 180, "{quiet} {alike} {busy} of 400");
+}
