--- a/src/logic.rs
+++ b/src/logic.rs
@@ -321,7 +321,8 @@
             told.fold((0.0, 0.0), |t, u| (t.0 + u.0, t.1 + u.1))
         };
         let ((near, some), (far, others)) = (busy(true), busy(false));
-        if self.known.cross_zone > 0.0 && self.parts > 1 && some > 0.0 && others > 0.0 {
+        if self.known.cross_zone > 0.0 && self.parts > 1 && !self.allowed.peers && some > 0.0 && others > 0.0
+        {
             self.part.lean = (0.5 + LEAN * (near / some - far / others)).clamp(0.05, 1.0);
         }
     }
