Room for cold workers before anyone has reported: a fleet started anew with its dispatchers works

Before anyone has, a worker is taken to have one core and tasks to run as long as is known. With it at least 40 of 100 send within 5 s, and what one worker gets from all stays inside the rule's budget for one core (the test sums it). With it a test of odd lists and reports: empty, doubled, halved, replaced, absurd, for groups of 1 to 5,000: no panic, one answer each. It passes on the code before as well.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -698,13 +698,16 @@
     fn warm(&mut self, now: Time, j: usize) {
         let worker = &mut self.fleet.workers[j];
         worker.cold.take_if(|c| now - c.since >= self.obligations.warm_within);
-        let Some(cold) = worker.cold.as_mut().filter(|_| self.part.census.effort > 0.0) else { return };
+        let Some(cold) = worker.cold.as_mut() else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
         let (all, sides) = (self.place.group_size.max(1), 1 + usize::from(self.known.cross_zone > 0.0));
         let feeders = (sides * all / self.parts).min(all) as f64;
-        let full = self.obligations.overload_factor * worker.size / self.part.census.effort;
-        let rate = COLD_USE * full * can / feeders;
+        // Before anyone has reported, all that is known of a worker is that it has a core: with no room at all, a fleet
+        // and dispatchers that restarted together would wait for each other.
+        let effort = self.part.census.effort / worker.size;
+        let work = if effort > 0.0 { effort } else { self.seen.mean_run(now) };
+        let rate = COLD_USE * self.obligations.overload_factor / work * can / feeders;
         cold.grow(now, rate, rate * seconds(self.obligations.fall));
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -159,3 +159,71 @@
     let (quiet, alike, busy) = (crossed(0.4, 0.8), crossed(0.7, 0.7), crossed(0.8, 0.4));
     assert!(quiet < 40 && quiet < alike && alike < 180 && busy > 180, "{quiet} {alike} {busy} of 400");
 }
+
+/// Workers and dispatchers that all start anew: nobody has reported, so nobody had room for a cold worker, and nobody
+/// could report, until all were warm. Together they must still not push one over.
+#[test]
+fn a_fleet_that_starts_anew_with_its_dispatchers_comes_to_work() {
+    let born = SECOND;
+    let (mut first, mut to_one) = (Vec::new(), Vec::new());
+    for index in 0..100 {
+        let place = Place { seed: 5 + index as u64, index, group_size: 100, zone: 0 };
+        let mut bench = Bench::start_as(place, allowed(), known());
+        bench.pass(born);
+        bench.list(&(0..60).map(|i| listed(&format!("w{i}"), 0, State::Ready, Some(0))).collect::<Vec<_>>());
+        for i in 0..20 {
+            bench.task(&format!("t{i}"), i % 2);
+            bench.pass(400 * MS);
+        }
+        let assigned = bench.out.sent.iter().filter_map(|(at, s)| match s {
+            Sent::Assign(_, worker) => Some((*at, worker.clone())),
+            _ => None,
+        });
+        let assigned: Vec<_> = assigned.collect();
+        first.extend(assigned.first().map(|(at, _)| *at));
+        to_one.extend(assigned.into_iter().filter(|(_, w)| w == "w0").map(|(at, _)| at));
+    }
+    let early = first.iter().filter(|at| **at < 5 * SECOND).count();
+    assert!(early >= 40, "{early} of 100 sent something while all were cold");
+    // One core, tasks of half a second: two a second when warm, a quarter at first, three times as many for two seconds.
+    for from in (0..7 * SECOND).step_by(250_000) {
+        let sent = to_one.iter().filter(|t| (from..from + 2 * SECOND).contains(*t)).count();
+        assert!(sent as f64 <= 12.0 * (0.25 + 0.075 * from as f64 / 1e6) + 1.0, "{sent} from {from}");
+    }
+}
+
+/// Lists and reports that are odd but may come: no panic, no task without its one answer, whatever the group's size.
+#[test]
+fn odd_lists_and_reports_leave_every_task_its_answer() {
+    let absurd = [0.0, -1.0, 1e300, f64::MIN_POSITIVE, f64::NAN, f64::INFINITY];
+    for group_size in [1, 2, 100, 5000] {
+        let place = Place { seed: 3, index: group_size - 1, group_size, zone: 0 };
+        let known = Known { live_weights: true, cross_zone: 0.1, ..known() };
+        let mut bench = Bench::start_as(place, allowed(), known);
+        let entries = |from: usize, to: usize| -> Vec<Listed> {
+            let entry = |i: usize| {
+                let weight = absurd[i % absurd.len()];
+                Listed { weight, ..listed(&format!("w{i}"), i % 4, State::Ready, None) }
+            };
+            (from..to).map(entry).collect()
+        };
+        let sizes = [(0, 0), (0, 30), (0, 60), (0, 30), (60, 90), (0, 0), (0, 1), (5, 400), (0, 0)];
+        for (turn, (from, to)) in sizes.into_iter().enumerate() {
+            bench.with(|to_, m| to_.list(m, true, false, &entries(from, to)));
+            for (i, odd) in absurd.iter().cycle().take(to - from).enumerate() {
+                let some =
+                    |n: usize| Some(absurd[(i + n) % absurd.len()]).filter(|_| !(i + n).is_multiple_of(3));
+                let told =
+                    Report { utilisation: Some(*odd), rate: some(1), errors: some(2), free_slots: some(3) };
+                bench.report(&format!("w{}", from + i), told);
+            }
+            (0..9).for_each(|i| bench.task(&format!("t{turn}.{i}"), i % 3));
+            bench.pass(6 * SECOND);
+        }
+        for task in (0..sizes.len()).flat_map(|t| (0..9).map(move |i| format!("t{t}.{i}"))) {
+            let ends = |s: &Sent| matches!(s, Sent::Bounce(t) | Sent::Abandon(t) if *t == task);
+            let answers = bench.out.sent.iter().filter(|(_, s)| ends(s)).count();
+            assert_eq!(answers, 1, "{task} among {group_size}");
+        }
+    }
+}
