rainlug-load: open-loop load with latencies from the intended time of sending

Needed by the growth issue on simulation and load: the noon rush measured without slowing down with the dispatcher.

--- /dev/null
+++ b/crates/load/src/driver.rs
@@ -0,0 +1,106 @@
+//! Sends a schedule to a dispatcher. No answer holds a later task back.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::Bytes;
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::plan::{Plan, Workload};
+use crate::record::{End, Recorder};
+use crate::schedule::Due;
+
+type Sender = Client<HttpConnector, Full<Bytes>>;
+
+/// Waits longer than a task's budget by this for its answer.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Sends all that is due, and ends when the last task has ended.
+pub async fn run(plan: &Plan, schedule: Vec<Due>) -> Recorder {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    let client: Sender = Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(plan.connections)
+        .build(connector);
+    let seen = Rc::new(RefCell::new(Recorder::of(plan.workloads.len())));
+    let (tasks, began) = (LocalSet::new(), Instant::now());
+    let mut ids = ChaCha8Rng::seed_from_u64(!plan.seed);
+    let open = Rc::new(());
+    let all = async {
+        for (due, workload) in schedule {
+            sleep_until(began + Duration::from_micros(due)).await;
+            let sent = began.elapsed().as_micros() as u64;
+            if Rc::strong_count(&open) > plan.connections {
+                seen.borrow_mut().ended(workload, (due, sent, sent), End::NotSent, 0);
+                continue;
+            }
+            let (load, seed, held) = (plan.workloads[workload].clone(), ids.random(), open.clone());
+            let (client, seen, target) = (client.clone(), seen.clone(), plan.target);
+            tokio::task::spawn_local(async move {
+                let (end, again) =
+                    task(&client, &format!("http://{target}/{}", load.name), &load, seed).await;
+                let done = began.elapsed().as_micros() as u64;
+                seen.borrow_mut().ended(workload, (due, sent, done), end, again);
+                drop(held);
+            });
+        }
+    };
+    tasks.run_until(all).await;
+    tasks.await;
+    drop(client);
+    Rc::into_inner(seen).map_or_else(|| Recorder::of(plan.workloads.len()), RefCell::into_inner)
+}
+
+/// One task with its further tries, up to its budget; how it ended and how often it was asked again.
+async fn task(client: &Sender, to: &str, load: &Workload, seed: u64) -> (End, u32) {
+    let (mut again, mut chance) = (0, ChaCha8Rng::seed_from_u64(seed));
+    let until = Instant::now() + Duration::from_millis(load.budget_ms);
+    let fingerprint = format!("{:032x}", chance.random::<u128>());
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let mut request = Request::post(to)
+            .header("X-Call-Id", format!("{:016x}", chance.random::<u64>()))
+            .header("X-Budget", format!("{}m", left.as_millis().max(1)));
+        if load.fingerprint {
+            request = request.header("Idempotency-Key", &fingerprint);
+        }
+        let Ok(request) = request.body(Full::from(vec![b'x'; load.body_bytes])) else {
+            return (End::Odd, again);
+        };
+        let end = timeout(left + GRACE, answer(client, request)).await.unwrap_or(End::TimedOut);
+        let wait = Duration::from_millis(load.backoff_ms).mul_f64(0.5 + chance.random::<f64>());
+        if end != End::Bounced || again >= load.retries || Instant::now() + wait >= until {
+            return (end, again);
+        }
+        again += 1;
+        sleep(wait).await;
+    }
+}
+
+async fn answer(client: &Sender, request: Request<Full<Bytes>>) -> End {
+    match client.request(request).await {
+        Ok(answer) => {
+            let status = answer.status();
+            if answer.into_body().collect().await.is_err() {
+                return End::Broken;
+            }
+            match status {
+                StatusCode::OK => End::Finished,
+                StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => End::Bounced,
+                s if s.is_server_error() => End::Abandoned,
+                _ => End::Odd,
+            }
+        }
+        Err(error) if error.is_connect() => End::Refused,
+        Err(_) => End::Broken,
+    }
+}
