--- a/crates/load/tests/runs.rs
+++ b/crates/load/tests/runs.rs
@@ -15,11 +15,12 @@
 fn server(answer: &'static str, holds: fn(Duration) -> Option<Duration>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
+    let first = Arc::new(OnceLock::<Instant>::new());
     spawn(move || {
-        static FIRST: OnceLock<Instant> = OnceLock::new();
         for stream in listener.incoming() {
+            let first = first.clone();
             spawn(move || {
-                serve(stream.unwrap(), answer, || holds(FIRST.get_or_init(Instant::now).elapsed()))
+                serve(stream.unwrap(), answer, || holds(first.get_or_init(Instant::now).elapsed()))
             });
         }
     });
