--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,6 +2,7 @@
 //! which the task was meant to be sent.
 
 mod driver;
+mod experiment;
 mod plan;
 mod record;
 mod report;
@@ -36,6 +37,22 @@
         #[arg(long)]
         any_target: bool,
     },
+    /// Plays a plan with several values of one key, again and again in turn, since machines are noisy.
+    Experiment {
+        plan: PathBuf,
+        /// The key that changes, such as `arrivals.rate`.
+        #[arg(long)]
+        vary: String,
+        /// Its values, with commas between them.
+        #[arg(long, value_delimiter = ',', required = true)]
+        values: Vec<String>,
+        #[arg(long, default_value_t = 3)]
+        repeats: u32,
+        #[arg(long, default_value = "load-experiment")]
+        out: PathBuf,
+        #[arg(long)]
+        any_target: bool,
+    },
     /// A stand-in worker and list for a dispatcher to be tried with.
     Stub {
         #[arg(long, default_value = "127.0.0.1:9000")]
@@ -68,8 +85,7 @@
     match what {
         Does::Run { plan, out, any_target } => {
             let plan = Plan::read(&plan)?;
-            let local = plan.target.ip().is_loopback() || any_target;
-            ensure!(local, "target {} is no loopback address; --any-target allows it", plan.target);
+            allowed(&plan, any_target)?;
             let schedule = schedule::of(&plan)?;
             info!(tasks = schedule.len(), target = %plan.target, "running for {} s", plan.seconds);
             let result = runtime.block_on(driver::run(&plan, schedule)).result(&plan);
@@ -80,6 +96,22 @@
             }
             print!("{}", report::markdown(&result)?);
         }
+        Does::Experiment { plan, vary, values, repeats, out, any_target } => {
+            let plans = experiment::plans(&plan, &vary, &values)?;
+            plans.iter().try_for_each(|p| allowed(p, any_target))?;
+            let mut found: Vec<Vec<record::Result>> = vec![Vec::new(); plans.len()];
+            for nth in 0..repeats {
+                for (plan, (value, results)) in plans.iter().zip(values.iter().zip(&mut found)) {
+                    // Each repeat has arrivals of its own, the same for all values.
+                    let plan = Plan { seed: plan.seed.wrapping_add(u64::from(nth)), ..plan.clone() };
+                    info!("{vary} {value}, {} of {repeats}", nth + 1);
+                    results.push(runtime.block_on(driver::run(&plan, schedule::of(&plan)?)).result(&plan));
+                }
+            }
+            let table = experiment::table(&vary, &values, &found)?;
+            report::keep_experiment(&out, &vary, &values, &found, &table)?;
+            print!("{table}");
+        }
         Does::Stub { worker, list, work_ms } => {
             runtime.block_on(stub::run(&worker, &list, Duration::from_millis(work_ms)))?;
         }
@@ -90,3 +122,9 @@
     }
     Ok(())
 }
+
+fn allowed(plan: &Plan, any_target: bool) -> Result<()> {
+    let local = plan.target.ip().is_loopback() || any_target;
+    ensure!(local, "target {} is no loopback address; --any-target allows it", plan.target);
+    Ok(())
+}
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -51,6 +51,36 @@
     chart(&folder.join("throughput.svg"), "finished tasks a second", &lines(|s| s.2 as f64))
 }
 
+/// Writes `experiment.md`, a chart of p99 against the value where the values are numbers, and every result.
+pub fn keep_experiment(
+    folder: &Path,
+    key: &str,
+    values: &[String],
+    found: &[Vec<record::Result>],
+    table: &str,
+) -> Result<()> {
+    for (value, results) in values.iter().zip(found) {
+        for (nth, result) in results.iter().enumerate() {
+            let name: String = value.chars().map(|c| if c.is_alphanumeric() { c } else { '-' }).collect();
+            keep(&folder.join(format!("{name}-{nth}")), result)?;
+        }
+    }
+    let path = folder.join("experiment.md");
+    fs::write(&path, table).with_context(|| format!("cannot write {}", path.display()))?;
+    let numbers: Vec<f64> = values.iter().filter_map(|v| v.parse().ok()).collect();
+    let repeats = found.iter().map(Vec::len).min().unwrap_or(0);
+    if numbers.len() < values.len() || repeats == 0 {
+        return Ok(());
+    }
+    let line = |nth: usize| {
+        let p99 = |r: &record::Result| r.workloads.iter().map(|w| w.percentiles[4].1).fold(0.0, f64::max);
+        let points = numbers.iter().zip(found).map(|(x, results)| (*x, p99(&results[nth])));
+        (format!("repeat {}", nth + 1), points.collect())
+    };
+    let lines: Vec<_> = (0..repeats).map(line).collect();
+    chart(&folder.join("experiment.svg"), &format!("99th percentile, ms, by {key}"), &lines)
+}
+
 fn word(end: record::End) -> String {
     serde_json::to_value(end).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
 }
@@ -117,7 +147,7 @@
             .x_label_area_size(30)
             .y_label_area_size(60)
             .build_cartesian_2d(0.0..far, 0.0..1.1 * high)?;
-        chart.configure_mesh().x_desc("s").draw()?;
+        chart.configure_mesh().draw()?;
         for (n, (name, line)) in lines.iter().enumerate() {
             let color = Palette99::pick(n).to_rgba();
             let mark = move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color);
