--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,9 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
-//! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes, with a [`Moment`]:
-//! the time and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in `state.rs`.
-//! A task runs down the chain `STAGES`, and how its assignments end runs up it. Shares are solved by the M/G/1
-//! model (`shares`), turns taken by a billiard inside them (`placed`): docs/design.md tells where that is from.
+//! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes, with a
+//! [`Moment`]: the time and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in
+//! `state.rs`. A task runs down the chain `STAGES`, and how its assignments end runs up it. Shares are solved
+//! by the M/G/1 model (`shares`), turns taken by a billiard inside them (`placed`): docs/design.md tells
+//! where that is from.
 
 use crate::state::{
     Assignment, Chance, Cold, Desk, Fleet, Part, Pulse, Seen, Task, Worker, micros, seconds, worst,
@@ -18,7 +19,8 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
-/// Part of a task's revenue over which a crossing is worse than a queue, for each part of the fleet up to five.
+/// Part of a task's revenue over which a crossing is worse than a queue, for each part of the fleet up to
+/// five.
 const DEAR: f64 = 0.04;
 /// How far turns lean to near workers for each part of their time that far ones are busier.
 const LEAN: f64 = 4.0;
@@ -34,7 +36,8 @@
 const WINDOW_USE: f64 = 0.9;
 /// Utilisation is taken as no higher, and the fleet is asked to carry no more, than this.
 const FULL: f64 = 0.95;
-/// Dispatchers that feed one worker, where there are twice as many or more: each keeps to its part of the fleet.
+/// Dispatchers that feed one worker, where there are twice as many or more: each keeps to its part of the
+/// fleet.
 const FEEDERS: usize = 12;
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
@@ -198,7 +201,8 @@
         let spread = (SOLVE / 10 * parts as Time).min(obligations.must_ask_in.max(SOLVE) / 2);
         let ask_at = allowed.must_ask.then(|| m.now + (chance.draw() * spread as f64) as Time);
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
-        // Where load cannot be asked of workers, those who feed the same part tell one another, and can be more.
+        // Where load cannot be asked of workers, those who feed the same part tell one another, and can be
+        // more.
         let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
         // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         let copies = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
@@ -224,7 +228,8 @@
     /// What the list says: changes, or everything; `cached` is what it said to an earlier process.
     pub fn list(&mut self, m: &mut Moment, everything: bool, cached: bool, entries: &[Listed]) {
         if !cached {
-            // Live weights change all of the list all the time: who held a watch for them would leave no room to others.
+            // Live weights change all of the list all the time: who held a watch for them would leave no room
+            // to others.
             let again = self.obligations.must_ask_in as f64 * (0.8 + 0.15 * self.chance.draw());
             let brief = self.allowed.must_ask && self.known.live_weights;
             (self.pulse.asks_failed, self.pulse.ask_at) = (0, brief.then(|| m.now + again as Time));
@@ -262,8 +267,8 @@
         self.pulse.ask_at = self.allowed.must_ask.then(|| now + pause);
     }
 
-    /// Solves for the part of the fleet that this dispatcher keeps to: the next workers on the ring from its own
-    /// point, so many that each worker has its feeders; as many near ones as far ones.
+    /// Solves for the part of the fleet that this dispatcher keeps to: the next workers on the ring from its
+    /// own point, so many that each worker has its feeders; as many near ones as far ones.
     fn solve(&mut self, now: Time) {
         let workers = &self.fleet.workers;
         let ready = self.fleet.ring().filter(|&j| workers[j].state == State::Ready);
@@ -310,8 +315,8 @@
         self.lean(now);
     }
 
-    /// Where a crossing has a price, turns lean to near workers, the more so the busier far ones are: zones with little
-    /// traffic keep theirs, and the others cross with what their own workers cannot carry.
+    /// Where a crossing has a price, turns lean to near workers, the more so the busier far ones are: zones
+    /// with little traffic keep theirs, and the others cross with what their own workers cannot carry.
     fn lean(&mut self, now: Time) {
         let busy = |near: bool| {
             let part = self.part.workers.iter().map(|&j| &self.fleet.workers[j]);
@@ -385,7 +390,8 @@
             return Step::End;
         }
         if task.out() > 0 {
-            // What waits at a worker that tells of room is not heard there: an error; it goes elsewhere if it may.
+            // What waits at a worker that tells of room is not heard there: an error; it goes elsewhere if it
+            // may.
             let (quiet, load) = (self.seen.quiet(m.now, SILENT, SOLVE / 10), &self.workloads[task.workload]);
             let stays = !self.allowed.withdrawal || load.effect == Effect::SideEffecting;
             let told = self.known.tells_start && !self.allowed.peers;
@@ -409,7 +415,8 @@
         let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, workers);
         match workers.is_empty() || workers.iter().any(may) {
             true => Step::Pass,
-            // Whoever waits at as many workers as it may be sent to is not lost yet: one of them may start it.
+            // Whoever waits at as many workers as it may be sent to is not lost yet: one of them may start
+            // it.
             false if task.out() > 0 => Step::Keep,
             false => Step::End,
         }
@@ -674,7 +681,8 @@
             self.pulse.ask_at = Some(m.now + self.obligations.must_ask_in / 2);
             m.out.follow();
         }
-        // What probes may cost grows with own tasks: hundreds of dispatchers probing all would sink the fleet.
+        // What probes may cost grows with own tasks: hundreds of dispatchers probing all would sink the
+        // fleet.
         if self.allowed.probes && self.known.reports_by_probe {
             let earned = PROBES * self.seen.rate(m.now) * seconds(BEAT);
             for nth in self.pulse.probes(earned, self.part.workers.len() / 2) {
@@ -703,8 +711,8 @@
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
         let (all, sides) = (self.place.group_size.max(1), 1 + usize::from(self.known.cross_zone > 0.0));
         let feeders = (sides * all / self.parts).min(all) as f64;
-        // Before anyone has reported, all that is known of a worker is that it has a core: with no room at all, a fleet
-        // and dispatchers that restarted together would wait for each other.
+        // Before anyone has reported, all that is known of a worker is that it has a core: with no room at
+        // all, a fleet and dispatchers that restarted together would wait for each other.
         let effort = self.part.census.effort / worker.size;
         let work = if effort > 0.0 { effort } else { self.seen.mean_run(now) };
         let rate = COLD_USE * self.obligations.overload_factor / work * can / feeders;
