Read-through: one account of peers, lean taken once a beat, one group and one fleet in tests

Dispatcher::start told the peers' rule twice; lean scanned the part before it asked whether crossings have a price, and was taken twice on a beat that solves. The list's actor has one match on how a watch ended, the trace's standing goes through trace!, the counting script keeps nothing it does not print. tests/fleet.rs wrote in_group and fleet of tests/failures.rs again: both use the common ones now; two socket tests share the settings of a list that must be asked.

--- a/crates/rainlugd/src/routing/list.rs
+++ b/crates/rainlugd/src/routing/list.rs
@@ -84,14 +84,14 @@
         };
         // What was learnt of the old source's failures says nothing of a new one.
         moved = end.is_none();
-        if end == Some(End::Done) {
-            pause = PAUSE;
-            continue;
-        }
-        let Some(end) = end else {
-            log!("list: moved from {} at {rev}", from.at);
-            pause = PAUSE;
-            continue;
+        let end = match end {
+            None => {
+                log!("list: moved from {} at {rev}", from.at);
+                pause = PAUSE;
+                continue;
+            }
+            Some(End::Done) => continue,
+            Some(end) => end,
         };
         log!("list: watch at {} from {before} ended at {rev}: {end:?}", from.at);
         if module.send(Mail::ListFailed).await.is_err() {
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -14,7 +14,6 @@
 use super::outcome::outcome;
 use super::worker::{self, Order, Reach, Standing};
 use super::{Answer, Mail, Parcel};
-use crate::program::log::{event, traced};
 use crate::protocol::words::Entry;
 use crate::transport::End;
 
@@ -200,8 +199,8 @@
         }
         desk.wakes.pop();
         logic.due(&mut Moment { now, out: desk }, mark);
-        if mark == 0 && traced() {
-            event(now, format_args!("standing {}", logic.standing(now)));
+        if mark == 0 {
+            trace!(now, "standing {}", logic.standing(now));
         }
     }
 }
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -23,6 +23,12 @@
     (program, list)
 }
 
+/// A configuration under which the list comes only when it is asked for, at least every so many milliseconds.
+fn must_ask(configuration: String, within_ms: u32) -> String {
+    let within = format!("\"mustAskInMs\":{within_ms}.0,\"fallMs\"");
+    configuration.replace("\"automatic\"", "\"subscribe\"").replace("\"fallMs\"", &within)
+}
+
 /// A dispatcher with up to four workers that all do the same.
 fn start_alike(count: usize, act: Act) -> (Vec<Worker>, Program, List) {
     let workers: Vec<Worker> = (0..count).map(|_| Worker::start(move |_| act)).collect();
@@ -225,10 +231,7 @@
 #[test]
 fn where_the_list_must_be_asked_for_the_module_asks_again() {
     let worker = Worker::start(|_| Act::Finish);
-    let (program, list) = start_with(&[("w1", worker.at)], |t| {
-        t.replace("\"automatic\"", "\"subscribe\"")
-            .replace("\"fallMs\"", "\"mustAskInMs\":10000.0,\"fallMs\"")
-    });
+    let (program, list) = start_with(&[("w1", worker.at)], |t| must_ask(t, 10_000));
     for _ in 0..2 {
         list.tell.send(None).unwrap();
         assert!(list.asked.recv_timeout(LONG).is_ok());
@@ -241,8 +244,7 @@
 fn a_watch_for_live_weights_is_ended_by_its_first_news_and_opened_again_later() {
     let worker = Worker::start(|_| Act::Finish);
     let (_program, list) = start_with(&[("w1", worker.at)], |t| {
-        t.replace("\"automatic\"", "\"subscribe\",\"weightSource\":\"live\"")
-            .replace("\"fallMs\"", "\"mustAskInMs\":1000.0,\"fallMs\"")
+        must_ask(t, 1000).replace("\"subscribe\"", "\"subscribe\",\"weightSource\":\"live\"")
     });
     for rev in [7, 8] {
         list.tell.send(Some(line(rev, false, &[("w1", worker.at, "a", "in_service")]))).unwrap();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -196,14 +196,14 @@
     ) -> Self {
         let mut chance = Chance { seed: place.seed, drawn: 0 };
         let effects = workloads.iter().map(|w| w.effect).collect();
+        // Where load cannot be asked of workers, those who feed the same part tell one another, and can be
+        // more.
+        let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
+        let parts = (place.group_size / FEEDERS / (1 + usize::from(allowed.peers))).max(1);
         // Dispatchers that start together must neither ask nor solve together.
-        let parts = (place.group_size / FEEDERS / (1 + usize::from(allowed.peers && !allowed.probes))).max(1);
         let spread = (SOLVE / 10 * parts as Time).min(obligations.must_ask_in.max(SOLVE) / 2);
         let ask_at = allowed.must_ask.then(|| m.now + (chance.draw() * spread as f64) as Time);
         m.out.wake(m.now + (chance.draw() * BEAT as f64) as Time, 0);
-        // Where load cannot be asked of workers, those who feed the same part tell one another, and can be
-        // more.
-        let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
         // Where load is told late, and many dispatchers each see little, copies find out where there is room.
         let copies = parts > 1 && allowed.withdrawal && known.tells_start && !known.reports_by_probe;
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
@@ -318,6 +318,9 @@
     /// Where a crossing has a price, turns lean to near workers, the more so the busier far ones are: zones
     /// with little traffic keep theirs, and the others cross with what their own workers cannot carry.
     fn lean(&mut self, now: Time) {
+        if self.known.cross_zone <= 0.0 || self.parts == 1 || self.allowed.peers {
+            return;
+        }
         let busy = |near: bool| {
             let part = self.part.workers.iter().map(|&j| &self.fleet.workers[j]);
             let among = part.filter(|w| w.state == State::Ready && (w.zone == self.place.zone) == near);
@@ -326,8 +329,7 @@
             told.fold((0.0, 0.0), |t, u| (t.0 + u.0, t.1 + u.1))
         };
         let ((near, some), (far, others)) = (busy(true), busy(false));
-        if self.known.cross_zone > 0.0 && self.parts > 1 && !self.allowed.peers && some > 0.0 && others > 0.0
-        {
+        if some > 0.0 && others > 0.0 {
             self.part.lean = (0.5 + LEAN * (near / some - far / others)).clamp(0.05, 1.0);
         }
     }
@@ -689,10 +691,11 @@
                 m.out.probe(&self.fleet.workers[self.part.workers[nth % self.part.workers.len()]].id);
             }
         }
-        self.lean(m.now);
         (0..self.part.workers.len()).for_each(|i| self.warm(m.now, self.part.workers[i]));
         if self.pulse.beat((SOLVE / BEAT) as u64) {
-            self.solve(m.now);
+            self.solve(m.now)
+        } else {
+            self.lean(m.now)
         }
         self.move_on(m);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -439,7 +439,7 @@
         }
     }
 
-    /// The workers of a part: all, and the ids of those barred, cold, ill and silent.
+    /// The workers of a part: how many, and the ids of those gone, barred, cold, ill and without a share.
     pub fn standing(&self, part: &Part, now: Time, errors: f64) -> String {
         let of = |is: &dyn Fn(&Worker) -> bool| {
             let found = part.workers.iter().map(|&j| &self.workers[j]).filter(|w| is(w));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -75,6 +75,16 @@
     Listed { id: id.into(), zone, kind: 0, cell: zone, state, weight: 1.0, started }
 }
 
+/// One dispatcher of a group.
+pub fn in_group(index: usize, group_size: usize, allowed: Allowed, known: Known) -> Bench {
+    Bench::start_as(Place { seed: index as u64, index, group_size, zone: 0 }, allowed, known)
+}
+
+/// Workers of one zone, all ready.
+pub fn fleet(size: usize, started: Option<Time>) -> Vec<Listed> {
+    (0..size).map(|i| listed(&format!("w{i}"), 0, State::Ready, started)).collect()
+}
+
 impl Bench {
     pub fn start(group_size: usize, must_ask: bool) -> Self {
         let place = Place { seed: 7, index: 0, group_size, zone: 0 };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use common::{Bench, MS, Sent, allowed, known, listed};
+use common::{Bench, MS, Sent, allowed, fleet, in_group, known, listed};
 use rainlug::*;
 
 /// Overloaded days: queues at the workers grew until every answer was late.
@@ -217,18 +217,10 @@
     assert_eq!(bench.worker_of("cheap"), None);
 }
 
-fn in_group(index: usize, group_size: usize, allowed: Allowed, known: Known) -> Bench {
-    Bench::start_as(Place { seed: index as u64, index, group_size, zone: 0 }, allowed, known)
-}
-
 fn report(busy: f64, rate: f64) -> Report {
     Report { utilisation: Some(busy), rate: Some(rate), ..Report::default() }
 }
 
-fn fleet(size: usize, started: Option<Time>) -> Vec<Listed> {
-    (0..size).map(|i| listed(&format!("w{i}"), 0, State::Ready, started)).collect()
-}
-
 /// A worker that joined a running fleet whose weights are live ended the process.
 #[test]
 fn a_worker_joins_a_fleet_with_live_weights() {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,15 +2,13 @@
 
 mod common;
 
-use common::{Bench, MS, Sent, allowed, known, listed};
+use common::{Bench, MS, Sent, allowed, fleet, in_group, known, listed};
 use rainlug::*;
 
 /// One of a hundred dispatchers that feed sixty workers.
 fn one_of_many(index: usize) -> Bench {
-    let place = Place { seed: 1 + index as u64, index, group_size: 100, zone: 0 };
-    let mut bench = Bench::start_as(place, allowed(), known());
-    let entries: Vec<Listed> = (0..60).map(|i| listed(&format!("w{i}"), 0, State::Ready, None)).collect();
-    bench.list(&entries);
+    let mut bench = in_group(index, 100, allowed(), known());
+    bench.list(&fleet(60, None));
     bench
 }
 
@@ -96,10 +94,7 @@
     let mut source = Source { free_at: 0, cost: SECOND / 13, answers: Vec::new() };
     let follows = Allowed { must_ask: true, ..allowed() };
     let mut benches: Vec<Bench> = (0..100)
-        .map(|index| {
-            let place = Place { seed: 77 + index as u64, index, group_size: 100, zone: 0 };
-            Bench::start_as(place, follows, Known { live_weights: true, ..known() })
-        })
+        .map(|index| in_group(index, 100, follows, Known { live_weights: true, ..known() }))
         .collect();
     let entries = [listed("a", 0, State::Ready, None)];
     let (mut last, mut longest) = (vec![0; 100], 0);
@@ -137,8 +132,7 @@
         let far = |w: &str| w[1..].parse::<usize>().unwrap() % 2 == 1;
         let mut crossed = 0;
         for index in 0..40 {
-            let place = Place { seed: 9 + index as u64, index, group_size: 100, zone: 0 };
-            let mut bench = Bench::start_as(place, allowed(), Known { cross_zone: 0.1, ..known() });
+            let mut bench = in_group(index, 100, allowed(), Known { cross_zone: 0.1, ..known() });
             let entry = |i: usize| listed(&format!("w{i}"), i % 2, State::Ready, None);
             bench.list(&(0..60).map(entry).collect::<Vec<_>>());
             for i in 0..60 {
@@ -167,10 +161,9 @@
     let born = SECOND;
     let (mut first, mut to_one) = (Vec::new(), Vec::new());
     for index in 0..100 {
-        let place = Place { seed: 5 + index as u64, index, group_size: 100, zone: 0 };
-        let mut bench = Bench::start_as(place, allowed(), known());
+        let mut bench = in_group(index, 100, allowed(), known());
         bench.pass(born);
-        bench.list(&(0..60).map(|i| listed(&format!("w{i}"), 0, State::Ready, Some(0))).collect::<Vec<_>>());
+        bench.list(&fleet(60, Some(0)));
         for i in 0..20 {
             bench.task(&format!("t{i}"), i % 2);
             bench.pass(400 * MS);
@@ -197,9 +190,8 @@
 fn odd_lists_and_reports_leave_every_task_its_answer() {
     let absurd = [0.0, -1.0, 1e300, f64::MIN_POSITIVE, f64::NAN, f64::INFINITY];
     for group_size in [1, 2, 100, 5000] {
-        let place = Place { seed: 3, index: group_size - 1, group_size, zone: 0 };
         let known = Known { live_weights: true, cross_zone: 0.1, ..known() };
-        let mut bench = Bench::start_as(place, allowed(), known);
+        let mut bench = in_group(group_size - 1, group_size, allowed(), known);
         let entries = |from: usize, to: usize| -> Vec<Listed> {
             let entry = |i: usize| {
                 let weight = absurd[i % absurd.len()];
--- a/tools/fleet_count.py
+++ b/tools/fleet_count.py
@@ -41,7 +41,7 @@
     tasks, at_worker = {}, collections.defaultdict(collections.Counter)
     stretches = collections.defaultdict(collections.Counter)
     held = {}
-    reached = {}
+    reached = set()
     for time, who, words in all_events:
         second = (time - began) / 1e6
         counts = stretches[int(second * 1000) // args.every]
@@ -54,7 +54,7 @@
             ways = tasks[key]["ways"]
             out = sum(1 for w in ways.values() if w["end"] is None)
             role = "first" if not ways else "copies" if out else "again"
-            ways[rest[1]] = {"worker": rest[2], "end": None, "at": second, "role": role}
+            ways[rest[1]] = {"worker": rest[2], "end": None}
             counts[role] += 1
             at_worker[rest[2]][role] += 1
         elif kind == "end" and key in tasks and rest[1] in tasks[key]["ways"]:
@@ -62,7 +62,7 @@
             way["end"] = rest[2]
             counts["end " + rest[2]] += 1
             at_worker[way["worker"]]["end " + rest[2]] += 1
-            reached.setdefault((who, way["worker"]), second)
+            reached.add((who, way["worker"]))
         elif kind == "answer" and key in tasks:
             tasks[key].update(answer=rest[1], done=second)
             counts[rest[1]] += 1
