Load read-through: plans settled in one place, figures read by name, one way to write files

An experiment settled its plans by a second, shorter way than a run: a trace was looked for in the working folder and not in the plan's. Both call Plan::at now, with a test; this is the one change of behaviour. Finished tasks and percentiles are read through Figures (one place had a bare index), report files are written by one function, the stand-in has one opening and one chunk. The driver no longer has a path that would have given an empty record for a result.

--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -56,8 +56,7 @@
     };
     tasks.run_until(all).await;
     tasks.await;
-    drop(client);
-    Rc::into_inner(seen).map_or_else(|| Recorder::of(plan.workloads.len()), RefCell::into_inner)
+    seen.replace(Recorder::of(0))
 }
 
 /// One task with its further tries, up to its budget; how it ended and how often it was asked again.
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -34,8 +34,7 @@
         }
         .with_context(|| format!("{value} is not of the kind of {key}"))?;
         let plan: Plan = all.try_into().with_context(|| format!("{name} with {key} = {value}"))?;
-        plan.check().with_context(|| format!("{name} with {key} = {value}"))?;
-        Ok(plan)
+        plan.at(path).with_context(|| format!("{name} with {key} = {value}"))
     };
     values.iter().map(with).collect()
 }
@@ -53,15 +52,11 @@
     text += &format!("|{}\n", " --- |".repeat(6));
     for (n, load) in first.workloads.iter().enumerate() {
         let percentile = |results: &[record::Result], percent: f64| {
-            let of =
-                |r: &record::Result| r.workloads[n].percentiles.iter().find(|p| p.0 == percent).map(|p| p.1);
-            spread(results.iter().filter_map(of).collect())
+            spread(results.iter().filter_map(|r| r.workloads[n].percentile(percent)).collect())
         };
         let base = percentile(&found[0], 99.0).map_or(0.0, |s| s.0);
         for (value, results) in values.iter().zip(found) {
-            let done = |r: &record::Result| {
-                r.workloads[n].ends.get(&record::End::Finished).copied().unwrap_or(0) as f64 / r.plan.seconds
-            };
+            let done = |r: &record::Result| r.workloads[n].finished() as f64 / r.plan.seconds;
             let rate = spread(results.iter().map(done).collect());
             let (rate, half, most) = (rate, percentile(results, 50.0), percentile(results, 99.0));
             ensure!(rate.is_some() && half.is_some() && most.is_some(), "nothing was played");
@@ -100,6 +95,11 @@
         assert!(said("arrivals.rate", &["fast"]).unwrap_err().contains("fast is not of the kind"));
         assert!(said("arrivals.rate", &["-1"]).unwrap_err().contains("not a positive number"));
         assert!(said("workloads", &["1"]).unwrap_err().contains("no number and no text"));
+        // A trace is named from the plan's folder here too.
+        let recorded = plan(Arrivals::Trace { file: "t.csv".into() }, 2.0);
+        fs::write(&path, toml::to_string(&recorded).unwrap()).unwrap();
+        let made = said("seed", &["4"]).unwrap().remove(0);
+        assert!(matches!(made.arrivals, Arrivals::Trace { file } if file == folder.path().join("t.csv")));
     }
 
     #[test]
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -81,15 +81,20 @@
 impl Plan {
     pub fn read(path: &Path) -> Result<Plan> {
         let text = fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-        let mut plan: Plan = toml::from_str(&text).with_context(|| path.display().to_string())?;
-        if let Arrivals::Trace { file } = &mut plan.arrivals {
+        let plan: Plan = toml::from_str(&text).with_context(|| path.display().to_string())?;
+        plan.at(path).with_context(|| path.display().to_string())
+    }
+
+    /// The plan as it stands in a file there, checked: a trace is named from the file's folder.
+    pub fn at(mut self, path: &Path) -> Result<Plan> {
+        if let Arrivals::Trace { file } = &mut self.arrivals {
             *file = path.parent().unwrap_or(Path::new("")).join(&file);
         }
-        plan.check().with_context(|| path.display().to_string())?;
-        Ok(plan)
+        self.check()?;
+        Ok(self)
     }
 
-    pub fn check(&self) -> Result<()> {
+    fn check(&self) -> Result<()> {
         let positive = |key: &str, value: f64| {
             ensure!(value.is_finite() && value > 0.0, "{key} is not a positive number");
             Ok(value)
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -71,6 +71,17 @@
     pub seconds: Vec<(u64, u64, u64, f64, f64)>,
 }
 
+impl Figures {
+    pub fn finished(&self) -> u64 {
+        self.ends.get(&End::Finished).copied().unwrap_or(0)
+    }
+
+    /// Milliseconds at one of `PERCENTILES`.
+    pub fn percentile(&self, percent: f64) -> Option<f64> {
+        self.percentiles.iter().find(|p| p.0 == percent).map(|p| p.1)
+    }
+}
+
 pub const PERCENTILES: [f64; 6] = [50.0, 75.0, 90.0, 95.0, 99.0, 99.9];
 
 impl Recorder {
@@ -149,11 +160,11 @@
         let found = open.result(&plan).workloads.remove(0);
         // Half of the tasks come while it stands still, evenly: 2 s for the first of them, nothing for the last.
         for (percent, truth) in [(75.0, 1000.0), (90.0, 1600.0), (95.0, 1800.0), (99.0, 1960.0)] {
-            let (_, seen) = found.percentiles.iter().find(|p| p.0 == percent).unwrap();
+            let seen = found.percentile(percent).unwrap();
             assert!((seen / truth - 1.0).abs() < 0.01, "{percent}: {seen} for {truth}");
         }
         let missed = closed.result(&plan).workloads.remove(0);
-        assert!(missed.percentiles.iter().find(|p| p.0 == 99.0).unwrap().1 < 1.0);
+        assert!(missed.percentile(99.0).unwrap() < 1.0);
     }
 
     #[test]
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -17,18 +17,17 @@
 
 pub fn keep(folder: &Path, result: &record::Result) -> Result<()> {
     fs::create_dir_all(folder).with_context(|| format!("cannot make {}", folder.display()))?;
-    let path = folder.join("result.json");
-    let text = serde_json::to_string_pretty(result)?;
+    put(folder, "result.json", &serde_json::to_string_pretty(result)?)
+}
+
+fn put(folder: &Path, name: &str, text: &str) -> Result<()> {
+    let path = folder.join(name);
     fs::write(&path, text).with_context(|| format!("cannot write {}", path.display()))
 }
 
 /// Writes `report.md`, `workloads.csv`, `seconds.csv` and two charts beside the result.
 pub fn write(folder: &Path, result: &record::Result) -> Result<()> {
-    let put = |name: &str, text: &str| {
-        let path = folder.join(name);
-        fs::write(&path, text).with_context(|| format!("cannot write {}", path.display()))
-    };
-    put("report.md", &markdown(result)?)?;
+    put(folder, "report.md", &markdown(result)?)?;
     let (mut loads, mut seconds) = (
         String::from("workload,tasks,end,count\n"),
         String::from("workload,second,tasks,finished,p50_ms,p99_ms\n"),
@@ -41,8 +40,8 @@
             writeln!(seconds, "{},{second},{tasks},{finished},{p50:.3},{p99:.3}", load.name)?;
         }
     }
-    put("workloads.csv", &loads)?;
-    put("seconds.csv", &seconds)?;
+    put(folder, "workloads.csv", &loads)?;
+    put(folder, "seconds.csv", &seconds)?;
     let lines = |of: fn(&(u64, u64, u64, f64, f64)) -> f64| -> Vec<(String, Vec<(f64, f64)>)> {
         let points = |w: &record::Figures| w.seconds.iter().map(|s| (s.0 as f64, of(s))).collect();
         result.workloads.iter().map(|w| (w.name.clone(), points(w))).collect()
@@ -65,15 +64,15 @@
             keep(&folder.join(format!("{name}-{nth}")), result)?;
         }
     }
-    let path = folder.join("experiment.md");
-    fs::write(&path, table).with_context(|| format!("cannot write {}", path.display()))?;
+    put(folder, "experiment.md", table)?;
     let numbers: Vec<f64> = values.iter().filter_map(|v| v.parse().ok()).collect();
     let repeats = found.iter().map(Vec::len).min().unwrap_or(0);
     if numbers.len() < values.len() || repeats == 0 {
         return Ok(());
     }
     let line = |nth: usize| {
-        let p99 = |r: &record::Result| r.workloads.iter().map(|w| w.percentiles[4].1).fold(0.0, f64::max);
+        let p99 =
+            |r: &record::Result| r.workloads.iter().filter_map(|w| w.percentile(99.0)).fold(0.0, f64::max);
         let points = numbers.iter().zip(found).map(|(x, results)| (*x, p99(&results[nth])));
         (format!("repeat {}", nth + 1), points.collect())
     };
@@ -118,9 +117,7 @@
     for x in &a.workloads {
         let Some(y) = b.workloads.iter().find(|y| y.name == x.name) else { continue };
         met += 1;
-        let part = |w: &record::Figures| {
-            w.ends.get(&record::End::Finished).copied().unwrap_or(0) as f64 / w.tasks.max(1) as f64
-        };
+        let part = |w: &record::Figures| w.finished() as f64 / w.tasks.max(1) as f64;
         row(&x.name, "part finished", part(x), part(y))?;
         for ((percent, p), (_, q)) in x.percentiles.iter().zip(&y.percentiles) {
             row(&x.name, &format!("p{percent} ms"), *p, *q)?;
--- a/crates/load/src/stub.rs
+++ b/crates/load/src/stub.rs
@@ -49,6 +49,13 @@
     Some(head)
 }
 
+/// The head of an answer that goes on in chunks.
+const OPENING: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 async fn while_open(stream: TcpStream, work: Duration) -> Option<()> {
     let mut stream = BufReader::new(stream);
     loop {
@@ -56,12 +63,8 @@
         let id = head
             .lines()
             .find_map(|l| l.to_ascii_lowercase().strip_prefix("x-call-id:").map(|i| i.trim().to_owned()))?;
-        let line = |state: &str| {
-            let text = format!("{{\"id\":\"{id}\",\"from\":\"stub\",{state}}}\n");
-            format!("{:x}\r\n{text}\r\n", text.len())
-        };
-        let opening = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        stream.write_all(format!("{opening}{}", line("\"state\":\"started\"")).as_bytes()).await.ok()?;
+        let line = |state: &str| chunk(&format!("{{\"id\":\"{id}\",\"from\":\"stub\",{state}}}\n"));
+        stream.write_all(format!("{OPENING}{}", line("\"state\":\"started\"")).as_bytes()).await.ok()?;
         sleep(work).await;
         let at = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_millis();
         let last = line(&format!("\"state\":\"done\",\"result\":\"at {at}\""));
@@ -72,9 +75,7 @@
 async fn watched(stream: TcpStream, line: String) -> Option<()> {
     let mut stream = BufReader::new(stream);
     request(&mut stream).await?;
-    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    let opening = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    stream.write_all(format!("{opening}{}", chunk(&format!("{line}\n"))).as_bytes()).await.ok()?;
+    stream.write_all(format!("{OPENING}{}", chunk(&format!("{line}\n"))).as_bytes()).await.ok()?;
     loop {
         sleep(Duration::from_secs(2)).await;
         stream.write_all(chunk("\n").as_bytes()).await.ok()?;
