Module: a word by hand takes a worker out or gives it back, apart from the list

Need: maintenance of workers at the second address; the list must not lift it, two words out need one back. Change: Dispatcher::hand keeps ids out whatever the list says, solves at once, and gives back a cold worker without a past; Dispatcher::listed counts workers listed and avoided. The plain model knows words by hand; four tests. Ruled out: entering it as the list's drain, which the next whole list would lift.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -239,16 +239,12 @@
         for entry in entries {
             let (j, new, moved) = self.fleet.enter(entry);
             changed |= (new || moved) && (self.parts == 1 || self.part.workers.contains(&j));
-            let worker = &mut self.fleet.workers[j];
-            // A new start time is a new process: cold, and nothing seen before holds for it.
+            // A new start time is a new process.
             if new {
-                worker.forget(self.workloads.len(), SOLVE * self.parts.min(4) as Time);
-                let since = entry.started.filter(|&s| m.now - s < self.obligations.warm_within);
-                let room = -self.chance.draw();
-                worker.cold = since.map(|since| Cold { since, room, counted: m.now });
+                self.renew(m.now, j, entry.started);
             }
             if self.known.live_weights && !cached {
-                worker.weighed(m.now, entry.weight);
+                self.fleet.workers[j].weighed(m.now, entry.weight);
             }
         }
         if changed {
@@ -257,6 +253,35 @@
         self.move_on(m);
     }
 
+    /// A new process at a worker: cold, and nothing seen before holds for it.
+    fn renew(&mut self, now: Time, j: usize, started: Option<Time>) {
+        let worker = &mut self.fleet.workers[j];
+        worker.forget(self.workloads.len(), SOLVE * self.parts.min(4) as Time);
+        // Whoever was given back by hand is no warmer than that, whatever the list says of its start.
+        let since = started.max(worker.back).filter(|&s| now - s < self.obligations.warm_within);
+        let room = -self.chance.draw();
+        worker.cold = since.map(|since| Cold { since, room, counted: now });
+    }
+
+    /// Staff take a worker out or give it back, under its id: the list changes nothing in that. Given back, it
+    /// counts as a new process that starts now.
+    pub fn hand(&mut self, m: &mut Moment, id: &str, out: bool) {
+        let Some(j) = self.fleet.hand(id, out) else { return };
+        if !out {
+            self.fleet.workers[j].give_back(m.now);
+            self.renew(m.now, j, None);
+        }
+        self.solve(m.now);
+        self.move_on(m);
+    }
+
+    /// How many workers are in the list, and how many of these are avoided now, by hand or by choice.
+    pub fn listed(&self, now: Time) -> (usize, usize) {
+        let listed = || self.fleet.workers.iter().filter(|w| w.state != State::Gone);
+        let avoided = |w: &&Worker| w.out || w.barred(now) || w.ill(now, ERRONEOUS);
+        (listed().count(), listed().filter(avoided).count())
+    }
+
     /// Asks again, spread out and ever later, but never so late that the list counts as known unread.
     pub fn list_failed(&mut self, now: Time) {
         let longest = self.obligations.must_ask_in.max(SOLVE);
@@ -271,7 +296,7 @@
     /// own point, so many that each worker has its feeders; as many near ones as far ones.
     fn solve(&mut self, now: Time) {
         let workers = &self.fleet.workers;
-        let ready = self.fleet.ring().filter(|&j| workers[j].state == State::Ready);
+        let ready = self.fleet.ring().filter(|&j| workers[j].state == State::Ready && !workers[j].out);
         let near = |j: &usize| self.allowed.peers || workers[*j].zone == self.place.zone;
         let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
         let size = (close.len() + far.len()).div_ceil(self.parts);
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,6 +92,9 @@
     pub kind: usize,
     pub state: State,
     pub started: Option<Time>,
+    /// Taken out by hand, and when it was last given back.
+    pub out: bool,
+    pub back: Option<Time>,
     /// What it can do at best, by the list's weights.
     pub size: f64,
     pub cold: Option<Cold>,
@@ -290,6 +293,12 @@
         (self.bar, self.cold, self.free, self.lost, self.erring) = (None, None, None, false, 0.0);
     }
 
+    /// Given back by hand: what is still out was sent to a process that is no more, and says nothing of this one.
+    pub fn give_back(&mut self, now: Time) {
+        (self.back, self.last_sign) = (Some(now), now);
+        self.unstarted.clear();
+    }
+
     /// An assignment goes out; silence counts from here if nothing was out before.
     pub fn book(&mut self, now: Time, task: u64, cost: f64, slots: f64) {
         if self.in_flight == 0 {
@@ -395,6 +404,8 @@
 pub(crate) struct Fleet {
     pub workers: Vec<Worker>,
     index: HashMap<String, usize>,
+    /// The ids that staff have taken out, whether the list names them now or not.
+    out: BTreeSet<String>,
     /// The workers in an order by chance that stays the same whatever the list adds or drops.
     ring: BTreeMap<u64, usize>,
     /// Dispatchers of one round have one order.
@@ -410,6 +421,14 @@
         self.index.get(id).copied()
     }
 
+    /// Staff take an id out, or give it back; gives the worker where that changes what holds for it.
+    pub fn hand(&mut self, id: &str, out: bool) -> Option<usize> {
+        let changed = if out { self.out.insert(id.to_owned()) } else { self.out.remove(id) };
+        let j = self.named(id).filter(|_| changed)?;
+        self.workers[j].out = out;
+        Some(j)
+    }
+
     /// Counts what `among` have reported; `few` is the part of a mean worker's tasks that a θ must rest on.
     pub fn census(&self, now: Time, among: &[usize], few: f64) -> Census {
         let workers = || among.iter().map(|&j| &self.workers[j]);
@@ -468,7 +487,8 @@
             let key = hasher.finish();
             self.ring.insert(key, j);
             let mark = [key as u8, (key >> 8) as u8];
-            self.workers.push(Worker { id: entry.id.clone(), mark, ..Worker::default() });
+            let out = self.out.contains(&entry.id);
+            self.workers.push(Worker { id: entry.id.clone(), mark, out, ..Worker::default() });
         }
         let worker = &mut self.workers[j];
         (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -339,3 +339,78 @@
     bench.pass(20 * SECOND);
     assert!((5..=25).contains(&bench.out.probes), "{}", bench.out.probes);
 }
+
+/// Words by hand are kept apart from the list's: no list, whole list or new start lifts one, two need one back.
+#[test]
+fn a_worker_out_by_hand_gets_nothing_until_it_is_given_back() {
+    let mut bench = Bench::with_workers(1, &["a", "b"]);
+    bench.with(|to, m| to.hand(m, "a", true));
+    bench.with(|to, m| to.hand(m, "a", true));
+    bench.ready(&["a", "b"]);
+    bench.list(&[listed("a", 0, State::Gone, None)]);
+    bench.list(&[listed("a", 0, State::Ready, Some(MS))]);
+    let whole = [listed("a", 0, State::Ready, None), listed("b", 0, State::Ready, None)];
+    bench.with(|to, m| to.list(m, true, false, &whole));
+    assert_eq!(bench.with(|to, m| to.listed(m.now)), (2, 1));
+    for n in 0..20 {
+        let id = format!("t{n}");
+        bench.task(&id, n % 3);
+        assert_eq!(bench.worker_of(&id).as_deref(), Some("b"));
+        bench.run(&id, 0);
+        bench.pass(SECOND / 2);
+    }
+    bench.with(|to, m| to.hand(m, "a", false));
+    assert_eq!(bench.with(|to, m| to.listed(m.now)), (2, 0));
+    let used = (0..20).any(|n| {
+        let id = format!("u{n}");
+        bench.task(&id, 0);
+        let used = bench.worker_of(&id).as_deref() == Some("a");
+        bench.run(&id, 0);
+        bench.pass(SECOND / 10);
+        used
+    });
+    assert!(used, "in use again within two seconds");
+}
+
+/// An id that was out before this process started is out as soon as the list names it.
+#[test]
+fn a_worker_that_was_out_before_the_list_named_it_stays_out() {
+    let mut bench = Bench::start(1, false);
+    bench.with(|to, m| to.hand(m, "a", true));
+    bench.ready(&["a", "b"]);
+    bench.tasks("t", 4, 0);
+    assert!((0..4).all(|n| bench.worker_of(&format!("t{n}")).as_deref() != Some("a")));
+}
+
+/// Staff restart a worker that is out, and the list may say that it started long ago: it is cold from the word back,
+/// and what its old process left out there does not count against it.
+#[test]
+fn a_worker_given_back_by_hand_is_cold_and_has_no_past() {
+    let mut bench = Bench::with_workers(4, &["a"]);
+    bench.task("old", 0);
+    bench.with(|to, m| to.hand(m, "a", true));
+    bench.pass(2 * SECOND);
+    bench.with(|to, m| to.hand(m, "a", false));
+    // The list names a start from before the word back: the later of the two holds.
+    let now = bench.out.now;
+    bench.list(&[listed("a", 0, State::Ready, Some(now - 9 * SECOND))]);
+    bench.task("one", 0);
+    assert_eq!(bench.worker_of("one"), None, "no room yet, though nine of ten seconds are over by the list");
+    bench.pass(2 * SECOND);
+    assert_eq!(
+        bench.worker_of("one").as_deref(),
+        Some("a"),
+        "room has grown, and the old task counts for nothing"
+    );
+}
+
+/// With all workers out, tasks wait or bounce as with an empty list.
+#[test]
+fn with_all_workers_out_a_task_waits_and_is_bounced() {
+    let mut bench = Bench::with_workers(1, &["a", "b"]);
+    ["a", "b"].iter().for_each(|id| bench.with(|to, m| to.hand(m, id, true)));
+    bench.task("bid", 1);
+    bench.pass(6 * SECOND);
+    assert_eq!(bench.out.sent.last().map(|s| &s.1), Some(&Sent::Bounce("bid".into())));
+    assert_eq!(bench.worker_of("bid"), None);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use common::{Bench, MS, Sent, effects, listed};
 use proptest::prelude::*;
@@ -20,6 +20,7 @@
     Reports(usize, f64, f64),
     All(State),
     Closing(Time),
+    Hand(usize, bool),
 }
 
 struct Out {
@@ -36,6 +37,8 @@
     tasks: HashMap<String, (usize, Time, bool)>,
     out: Vec<Out>,
     states: HashMap<String, State>,
+    /// Taken out by hand, whatever the list says.
+    by_hand: HashSet<String>,
     /// When the process ends.
     closes: Option<Time>,
     read: usize,
@@ -70,6 +73,7 @@
                     assert!(!self.tasks[task].2, "{task} sent after its answer");
                     assert!(*now < self.tasks[task].1, "{task} sent after its expiry");
                     assert_eq!(self.states.get(worker), Some(&State::Ready), "{worker} is not ready");
+                    assert!(!self.by_hand.contains(worker), "{worker} is out by hand");
                     assert!(self.allows(task, *now, Some(worker)), "{task} may have run already");
                     let number = self.out.iter().filter(|o| o.task == *task).count();
                     assert!(number < 3, "{task} sent too often");
@@ -135,6 +139,15 @@
                 self.tasks.values_mut().for_each(|t| t.1 = t.1.min(by));
                 bench.with(|to, m| to.closing(m, by));
             }
+            Event::Hand(i, out) => {
+                let id = "w".repeat(1 + i);
+                if out {
+                    self.by_hand.insert(id.clone())
+                } else {
+                    self.by_hand.remove(&id)
+                };
+                bench.with(|to, m| to.hand(m, &id, out));
+            }
             Event::Passes(length) => {
                 let until = bench.out.now + length;
                 // What is out at its task's expiry times out there, and not later.
@@ -181,6 +194,7 @@
         1 => any::<usize>().prop_map(Event::Leaves),
         1 => prop::sample::select(vec![State::Ready, State::Gone]).prop_map(Event::All),
         2 => (0..5usize, state, any::<bool>()).prop_map(|(i, s, r)| Event::List(i, s, r)),
+        1 => (0..5usize, any::<bool>()).prop_map(|(i, out)| Event::Hand(i, out)),
         4 => (1..900 * MS).prop_map(Event::Passes),
         2 => (0..5usize, 0.0..1.0f64, prop_oneof![Just(0.0), 0.01..9.0f64]).prop_map(|(i, b, r)| Event::Reports(i, b, r)),
     ]
