Tests of the second address over sockets; no worker counts as avoided where all look ill

Seen by the first of them: targets_disabled 1 for a fleet of one whose errors are taken for a common cause and ignored; it counts as the choice does now.

--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -521,6 +521,9 @@
         (&good.replace("\"groupSize\":1,", ""), "/groupSize"),
         (&good.replace("\"once\"", "\"sometimes\""), "/workloads/1/idempotency"),
         (&good.replace("\"cancel\":true", "\"cancel\":1"), "/limits/cancel"),
+        (&good.replace("\"listen\":", "\"management\":7,\"listen\":"), "/management"),
+        (&good.replace("127.0.0.1:0\"", "127.0.0.1:9\",\"management\":\"127.0.0.1:9\""), "/management"),
+        (&good.replace("\"listen\":", &format!("\"management\":\"{}\",\"listen\":", list.at)), "/management"),
     ];
     for (text, key) in cases {
         let path = written(text);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -278,7 +278,8 @@
     /// How many workers are in the list, and how many of these are avoided now, by hand or by choice.
     pub fn listed(&self, now: Time) -> (usize, usize) {
         let listed = || self.fleet.workers.iter().filter(|w| w.state != State::Gone);
-        let avoided = |w: &&Worker| w.out || w.barred(now) || w.ill(now, ERRONEOUS);
+        let chosen = |w: &&Worker| w.barred(now) || w.ill(now, ERRONEOUS);
+        let avoided = |w: &&Worker| w.out || (!self.part.common && chosen(w));
         (listed().count(), listed().filter(avoided).count())
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -385,6 +385,8 @@
         /// Where its configuration is.
         path: String,
         pub at: SocketAddr,
+        /// Its second address, where it has one.
+        pub management: Option<SocketAddr>,
         pub log: Receiver<String>,
     }
 
@@ -433,9 +435,26 @@
             let errors = BufReader::new(child.stderr.take().unwrap());
             let (line, log) = channel();
             spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| line.send(l)));
-            let mut program = Program { child, path, at: "0.0.0.0:0".parse().unwrap(), log };
-            program.at = program.logged("listening on ").parse().unwrap();
-            program
+            let mut program =
+                Program { child, path, at: "0.0.0.0:0".parse().unwrap(), management: None, log };
+            loop {
+                let line = program.log.recv_timeout(LONG).expect("a start");
+                if let Some(at) = line.strip_prefix("managed on ") {
+                    program.management = Some(at.parse().unwrap());
+                }
+                if let Some(at) = line.strip_prefix("listening on ") {
+                    program.at = at.parse().unwrap();
+                    return program;
+                }
+            }
+        }
+
+        /// A call at the second address: status and text.
+        pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+            let mut client = Client::at(self.management.expect("a second address"));
+            client.write(&format!("{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n"));
+            let (status, _, text) = client.hear().expect("an answer");
+            (status, text)
         }
 
         /// What the log says behind these words, when it does.
@@ -482,7 +501,11 @@
 
     impl Client {
         pub fn of(program: &Program) -> Self {
-            let to = TcpStream::connect(program.at).unwrap();
+            Self::at(program.at)
+        }
+
+        pub fn at(address: SocketAddr) -> Self {
+            let to = TcpStream::connect(address).unwrap();
             to.set_read_timeout(Some(LONG)).unwrap();
             let from = BufReader::new(to.try_clone().unwrap());
             Client { to, from }
