--- /dev/null
+++ b/crates/handover/src/place.rs
@@ -0,0 +1,266 @@
+//! The place of a process among those of its dispatcher: files in a directory that all of them have.
+
+use std::cell::{Cell, RefCell};
+use std::fs::{self, File, TryLockError};
+use std::io;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result, bail};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use rainlug::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::words::Words;
+
+/// More processes of one dispatcher than this do not run beside each other.
+const PLACES: usize = 4;
+
+/// What the others are to know of a process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    pub started: Time,
+    /// Takes clients.
+    pub serves: bool,
+    /// The version of the words that it has applied.
+    pub applied: u64,
+}
+
+pub struct Place {
+    name: String,
+    base: PathBuf,
+    number: usize,
+    status: RefCell<Status>,
+    /// The words as last read, by what the file was then.
+    words: RefCell<Words>,
+    file: Cell<Option<Mark>>,
+    /// Held as long as the process lives.
+    _lock: File,
+}
+
+/// Which file it is: a file that was replaced is another one.
+type Mark = (u64, i64, i64, u64);
+
+fn mark(of: &fs::Metadata) -> Mark {
+    use std::os::unix::fs::MetadataExt;
+    (of.ino(), of.mtime(), of.mtime_nsec(), of.len())
+}
+
+impl Place {
+    /// Takes the first place that nobody holds, and reads the words said so far. A file of words that cannot be used is
+    /// told with the reason, and counts as none.
+    pub fn take(dir: &Path, name: &str, started: Time) -> Result<(Self, Option<anyhow::Error>)> {
+        let base = dir.join(format!("rainlug-{}", utf8_percent_encode(name, NON_ALPHANUMERIC)));
+        for number in 0..PLACES {
+            let path = lock_path(&base, number);
+            let opened = File::options().create(true).write(true).truncate(false).open(&path);
+            let lock = opened.with_context(|| format!("cannot open {}", path.display()))?;
+            match lock.try_lock() {
+                Ok(()) => {}
+                Err(TryLockError::WouldBlock) => continue,
+                Err(TryLockError::Error(error)) => {
+                    return Err(error).with_context(|| format!("cannot lock {}", path.display()));
+                }
+            }
+            let place = Place {
+                name: name.to_owned(),
+                base,
+                number,
+                status: RefCell::new(Status { started, serves: false, applied: 0 }),
+                words: RefCell::default(),
+                file: Cell::default(),
+                _lock: lock,
+            };
+            place.publish()?;
+            let odd = place.news().err();
+            return Ok((place, odd));
+        }
+        bail!("{PLACES} processes of {name} run already")
+    }
+
+    /// The words as this process holds them.
+    pub fn words(&self) -> Words {
+        self.words.borrow().clone()
+    }
+
+    /// The status of each other process that lives.
+    pub fn others(&self) -> Vec<Status> {
+        let others = (0..PLACES).filter(|n| *n != self.number && self.held(*n));
+        let read = |n| serde_json::from_str(&fs::read_to_string(status_path(&self.base, n)).ok()?).ok();
+        // One that has no status yet has only just begun.
+        let begun = Status { started: Time::MAX, serves: false, applied: 0 };
+        others.map(|n| read(n).unwrap_or_else(|| begun.clone())).collect()
+    }
+
+    /// Whether somebody holds that place. Only who holds a lock keeps others from sharing it.
+    fn held(&self, number: usize) -> bool {
+        let lock = File::open(lock_path(&self.base, number));
+        lock.is_ok_and(|l| matches!(l.try_lock_shared(), Err(TryLockError::WouldBlock)))
+    }
+
+    pub fn started(&self) -> Time {
+        self.status.borrow().started
+    }
+
+    pub fn serves(&self) -> io::Result<()> {
+        self.status.borrow_mut().serves = true;
+        self.publish()
+    }
+
+    fn publish(&self) -> io::Result<()> {
+        let text = serde_json::to_string(&*self.status.borrow())?;
+        replace(&status_path(&self.base, self.number), &text)
+    }
+
+    /// The words before, where others have said some since.
+    pub fn news(&self) -> Result<Option<Words>> {
+        let path = self.words_path();
+        let found = match fs::metadata(&path) {
+            Ok(found) => Some(mark(&found)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => None,
+            Err(error) => return Err(error).with_context(|| format!("cannot read {}", path.display())),
+        };
+        if found.is_none() || found == self.file.get() {
+            return Ok(None);
+        }
+        self.file.set(found);
+        let text = fs::read_to_string(&path);
+        let read = text.map_err(Into::into).and_then(|t| Words::read(&t, &self.name));
+        let read = read.with_context(|| format!("{} is not used", path.display()))?;
+        self.applied(read).map(Some)
+    }
+
+    /// Takes these words for applied; gives those before.
+    fn applied(&self, words: Words) -> Result<Words> {
+        self.status.borrow_mut().applied = words.version;
+        let before = self.words.replace(words);
+        self.publish()?;
+        Ok(before)
+    }
+
+    /// Adds to the words of all, and gives those that this process held before; nothing where another process is just
+    /// adding to them.
+    pub fn say(&self, change: impl FnOnce(&mut Words)) -> Result<Option<Words>> {
+        let path = self.base.with_added_extension("lock");
+        let lock = File::options().create(true).write(true).truncate(false).open(&path);
+        let lock = lock.with_context(|| format!("cannot open {}", path.display()))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Ok(None),
+            Err(TryLockError::Error(error)) => return Err(error.into()),
+        }
+        let before = self.words();
+        // What cannot be used is written anew, by what this process holds.
+        let _ = self.news();
+        let mut words = self.words();
+        change(&mut words);
+        words.version += 1;
+        replace(&self.words_path(), &words.text(&self.name))?;
+        self.file.set(fs::metadata(self.words_path()).ok().as_ref().map(mark));
+        self.applied(words)?;
+        Ok(Some(before))
+    }
+
+    /// Whether every other process that lives has applied the words of this one.
+    pub fn agreed(&self) -> bool {
+        let version = self.words.borrow().version;
+        self.others().iter().all(|o| o.applied >= version)
+    }
+
+    fn words_path(&self) -> PathBuf {
+        self.base.with_added_extension("words")
+    }
+}
+
+fn lock_path(base: &Path, number: usize) -> PathBuf {
+    base.with_added_extension(format!("{number}.lock"))
+}
+
+fn status_path(base: &Path, number: usize) -> PathBuf {
+    base.with_added_extension(format!("{number}.status"))
+}
+
+/// Replaces a file as a whole: whoever reads it finds the old text or the new one.
+fn replace(path: &Path, text: &str) -> io::Result<()> {
+    let new = path.with_added_extension("new");
+    fs::write(&new, text)?;
+    fs::rename(&new, path)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn take(dir: &Path, started: Time) -> Place {
+        let (place, odd) = Place::take(dir, "n/0", started).unwrap();
+        assert!(odd.is_none(), "{odd:?}");
+        place
+    }
+
+    #[test]
+    fn each_sees_the_others_as_long_as_they_live() {
+        let dir = tempfile::tempdir().unwrap();
+        let old = take(dir.path(), 1);
+        assert!(old.others().is_empty());
+        let new = take(dir.path(), 2);
+        new.serves().unwrap();
+        assert_eq!(old.others(), [Status { started: 2, serves: true, applied: 0 }]);
+        assert_eq!(new.others(), [Status { started: 1, serves: false, applied: 0 }]);
+        drop(old);
+        assert!(new.others().is_empty());
+        // A place that is free is taken again, whatever status was left there.
+        let next = take(dir.path(), 3);
+        assert_eq!(new.others(), [Status { started: 3, serves: false, applied: 0 }]);
+        drop(next);
+    }
+
+    #[test]
+    fn no_more_than_there_are_places() {
+        let dir = tempfile::tempdir().unwrap();
+        let all: Vec<Place> = (0..PLACES).map(|n| take(dir.path(), n as Time)).collect();
+        assert!(Place::take(dir.path(), "n/0", 9).is_err());
+        // Another dispatcher has places of its own.
+        assert!(Place::take(dir.path(), "n0", 9).is_ok());
+        drop(all);
+    }
+
+    #[test]
+    fn words_said_at_either_reach_both_and_outlive_them() {
+        let dir = tempfile::tempdir().unwrap();
+        let (old, new) = (take(dir.path(), 1), take(dir.path(), 2));
+        assert!(old.say(|w| w.hand("a", true)).unwrap().is_some());
+        assert!(!old.agreed());
+        assert_eq!(new.news().unwrap(), Some(Words::default()));
+        assert!(old.agreed() && new.words().out.contains("a"));
+        assert_eq!(new.news().unwrap(), None, "it is read once");
+        // Said at the one before it has read what the other said: both hold.
+        old.say(|w| w.hand("b", true)).unwrap();
+        let before = new.say(|w| w.emptied = true).unwrap().unwrap();
+        assert_eq!(before.changes(&new.words()).collect::<Vec<_>>(), [("b", true)]);
+        assert!(!new.agreed());
+        old.news().unwrap().unwrap();
+        assert!(new.agreed() && old.words() == new.words() && old.words().emptied);
+        drop((old, new));
+        assert_eq!(take(dir.path(), 3).words().out.len(), 2);
+    }
+
+    #[test]
+    fn files_that_are_torn_or_foreign_are_not_read_and_written_anew() {
+        for odd in ["", "{\"form\":1,\"name\":\"n", "\0", &Words::default().text("another")] {
+            let dir = tempfile::tempdir().unwrap();
+            fs::write(dir.path().join("rainlug-n%2F0.words"), odd).unwrap();
+            fs::write(dir.path().join("rainlug-n%2F0.1.status"), odd).unwrap();
+            let (place, told) = Place::take(dir.path(), "n/0", 1).unwrap();
+            assert!(told.unwrap().to_string().contains("rainlug-n%2F0.words is not used"));
+            assert_eq!(place.words(), Words::default());
+            place.say(|w| w.hand("a", true)).unwrap();
+            drop(place);
+            assert!(take(dir.path(), 2).words().out.contains("a"));
+        }
+    }
+
+    #[test]
+    fn a_directory_that_is_not_there_is_one_message() {
+        let told = Place::take(Path::new("/nowhere/at all"), "n0", 1).err().unwrap();
+        assert!(told.to_string().contains("/nowhere/at all"), "{told:#}");
+    }
+}
--- /dev/null
+++ b/crates/rainlugd/src/program/beside.rs
@@ -0,0 +1,144 @@
+//! The other processes of this dispatcher, in an upgrade: who lives, who follows, and the words that all hold.
+
+use std::cell::Cell;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rainlug_handover::{Place, Words};
+use tokio::time::{Instant, sleep};
+
+use super::{Clock, Stances};
+use crate::routing::{Mail, ToModule};
+use crate::transport::Bounds;
+
+/// How often it is looked who else lives, alone and where somebody does.
+const LOOK_ALONE: Duration = Duration::from_millis(100);
+const LOOK_BESIDE: Duration = Duration::from_millis(25);
+/// Yes is said to a word by then, whether or not all others have said that they hold it: it is due in a second.
+const AGREED_BY: Duration = Duration::from_millis(500);
+/// Between two tries to add to the words while another process does.
+const BUSY: Duration = Duration::from_millis(5);
+
+pub struct Beside {
+    /// Nothing where there is no directory that all processes have.
+    place: Option<Place>,
+    module: ToModule,
+    stances: Rc<Stances>,
+    bounds: Bounds,
+    others: Cell<usize>,
+}
+
+impl Beside {
+    /// Takes a place among the processes of the dispatcher of that name, which tell one another in `dir`. Where there is
+    /// none, this one serves as if it were alone.
+    pub fn of(
+        dir: Option<&Path>,
+        name: &str,
+        clock: Clock,
+        module: ToModule,
+        stances: Rc<Stances>,
+        bounds: Bounds,
+    ) -> Self {
+        let taken = dir.map(|dir| Place::take(dir, name, clock.now()));
+        let place = match taken {
+            Some(Ok((place, odd))) => {
+                odd.iter().for_each(|odd| log!("words said before are lost: {odd:#}"));
+                Some(place)
+            }
+            Some(Err(error)) => {
+                log!("no upgrade beside this process, words do not outlive it: {error:#}");
+                None
+            }
+            None => {
+                log!("no upgrade beside this process, words do not outlive it: TMPDIR names no directory");
+                None
+            }
+        };
+        Beside { place, module, stances, bounds, others: Cell::new(0) }
+    }
+
+    /// Workers that are out by words said before. That clients are sent away holds on only where a process lives that
+    /// sends them.
+    pub async fn begin(&self) -> Vec<String> {
+        let Some(place) = &self.place else { return Vec::new() };
+        let alone = place.others().is_empty();
+        if alone && place.words().emptied {
+            self.say(|words| words.emptied = false).await;
+        }
+        if place.words().emptied {
+            self.stances.emptied(true);
+        }
+        self.counted(place.others().len());
+        place.words().out.into_iter().collect()
+    }
+
+    /// How many other processes live.
+    pub fn count(&self) -> usize {
+        self.others.get()
+    }
+
+    pub fn alone(&self) -> bool {
+        self.count() == 0
+    }
+
+    /// This process takes clients now.
+    pub fn serves(&self) {
+        let told = self.place.as_ref().map_or(Ok(()), Place::serves);
+        told.unwrap_or_else(|error| log!("others cannot be told that this process serves: {error}"));
+    }
+
+    /// Looks at the others for good.
+    pub async fn look(&self) {
+        let Some(place) = &self.place else { return };
+        loop {
+            sleep(if self.alone() { LOOK_ALONE } else { LOOK_BESIDE }).await;
+            let others = place.others();
+            self.stances.followed(others.iter().any(|o| o.serves && o.started > place.started()));
+            if others.len() != self.others.get() {
+                log!("{} other processes of this dispatcher", others.len());
+                let _ = self.module.send(Mail::Beside(others.len())).await;
+            }
+            self.counted(others.len());
+            match place.news() {
+                Ok(Some(before)) => self.apply(&before, &place.words()).await,
+                Ok(None) => {}
+                Err(error) => log!("words of another process cannot be read: {error:#}"),
+            }
+        }
+    }
+
+    /// Limits hold for all processes together.
+    fn counted(&self, others: usize) {
+        self.others.set(others);
+        self.bounds.shared_by(1 + others);
+    }
+
+    /// Adds to the words of all; ends when all hold it, or soon after.
+    pub async fn say(&self, change: impl Fn(&mut Words)) {
+        let Some(place) = &self.place else { return };
+        let begun = Instant::now();
+        let before = loop {
+            match place.say(&change) {
+                Ok(Some(before)) => break before,
+                Ok(None) if begun.elapsed() < AGREED_BY => sleep(BUSY).await,
+                Ok(None) => return log!("a word is not kept: another process holds the file"),
+                Err(error) => return log!("a word is not kept: {error:#}"),
+            }
+        };
+        self.apply(&before, &place.words()).await;
+        while !place.agreed() && begun.elapsed() < AGREED_BY {
+            sleep(BUSY).await;
+        }
+    }
+
+    /// Takes over what was said at another process.
+    async fn apply(&self, before: &Words, now: &Words) {
+        for (worker, out) in before.changes(now) {
+            let _ = self.module.send(Mail::Hand { worker: worker.to_owned(), out, known: None }).await;
+        }
+        if before.emptied != now.emptied {
+            self.stances.emptied(now.emptied);
+        }
+    }
+}
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -1,13 +1,17 @@
 //! The program: what it is told, its start, its signals, its clock and its log.
 
-mod clock;
 #[macro_use]
 pub mod log;
+
+mod beside;
+mod clock;
 mod stances;
 mod told;
 
 use std::convert::Infallible;
 use std::future::pending;
+use std::io::{self, ErrorKind};
+use std::iter;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -18,12 +22,13 @@
 use rainlug::{Moment, Time};
 use rainlug_handover::Stance;
 use serde_json::Value;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local, yield_now};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
+pub use beside::Beside;
 pub use clock::Clock;
 pub use stances::Stances;
 
@@ -43,6 +48,14 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// The pause after a failure to accept that would come again at once.
 const BREATH: Duration = Duration::from_millis(10);
+/// Where another process of this dispatcher serves, the list's first word is waited for so long: a new process that takes
+/// clients is due in 6 s.
+const FIRST_NEWS: Duration = Duration::from_secs(1);
+/// An address that is in use is tried again so often, for so long.
+const AGAIN: Duration = Duration::from_millis(50);
+const TAKEN: Duration = Duration::from_secs(4);
+/// Connections that may stand in a listener's queue.
+const BACKLOG: u32 = 1024;
 
 pub fn main() -> ExitCode {
     let done = told::read().and_then(|(path, all)| {
@@ -73,6 +86,7 @@
     listen: SocketAddr,
     management: Option<SocketAddr>,
     figures: Rc<Figures>,
+    heard: Rc<Notify>,
 }
 
 /// Makes every part of what is told. Nothing moves yet: at a reload this is how a file is checked.
@@ -83,7 +97,8 @@
     let source = told::source(all)?;
     let (rev, known) = told::known(all, &source)?;
     let asked = told::must_ask(all)?.then(Rc::<Notify>::default);
-    let mut desk = Desk::new(reach, asked.clone());
+    let heard = Rc::<Notify>::default();
+    let mut desk = Desk::new(reach, asked.clone(), heard.clone());
     Ok(Parts {
         door: told::door(all, clock, &bounds, mailbox, &figures)?,
         logic: told::dispatcher(&mut Moment { now: clock.now(), out: &mut desk }, all)?,
@@ -98,6 +113,7 @@
         desk,
         management: told::management(all)?,
         figures,
+        heard,
     })
 }
 
@@ -110,37 +126,92 @@
     let (words, staff) = mpsc::channel(MAILBOX);
     let made = parts(all, clock, &mailbox)?;
     let Parts { bounds, pool, door, source, rev, known, asked, closing, mut desk, mut logic, .. } = made;
-    let (listen, management, figures) = (made.listen, made.management, made.figures);
-    let known = desk.listed(true, known);
-    logic.list(&mut Moment { now: clock.now(), out: &mut desk }, true, true, &known);
-    figures.listed(logic.listed(clock.now()));
     let stances = Rc::new(Stances::new(clock));
-    if let Some(at) = management {
-        let listener =
-            TcpListener::bind(at).await.with_context(|| format!("cannot listen on {at}, /management"))?;
+    let mut beside = None;
+    if let Some(at) = made.management {
+        let cannot = || format!("cannot listen on {at}, /management");
+        let listener = TcpListener::bind(at).await.with_context(cannot)?;
+        let (name, dir) = (told::name(all)?, told::common());
+        let (module, stances) = (words.clone(), stances.clone());
+        let others =
+            Beside::of(dir.as_deref(), &name, clock, module.clone(), stances.clone(), bounds.clone());
+        let others = Rc::new(others);
+        for worker in others.begin().await {
+            logic.hand(&mut Moment { now: clock.now(), out: &mut desk }, &worker, true);
+        }
+        logic.beside(others.count());
         log!("managed on {}", listener.local_addr()?);
-        let office = Office {
-            module: words.clone(),
-            figures,
-            stances: stances.clone(),
-            room: bounds.management.clone(),
-        };
+        let (figures, room, beside_it) = (made.figures.clone(), bounds.management.clone(), others.clone());
+        let office = Office { module, figures, stances, beside: beside_it, room };
         spawn_local(manage(listener, Rc::new(office), Pool::within(0)));
+        beside = Some(others);
     }
-    let listener = TcpListener::bind(listen).await.with_context(|| format!("cannot listen on {listen}"))?;
-    log!("listening on {}", listener.local_addr()?);
+    let known = desk.listed(true, known);
+    logic.list(&mut Moment { now: clock.now(), out: &mut desk }, true, true, &known);
+    made.figures.listed(logic.listed(clock.now()));
     let (moves, sources) = watch::channel(Rc::new(source));
     spawn_local(list::follow(sources, rev, mailbox.clone(), asked, pool.clone(), bounds.list.clone()));
-    spawn_local(accept(listener, Rc::new(door), stances.watch(), bounds.clone(), pool));
     let module = spawn_local(module::run(logic, desk, staff, letters));
+    if let Some(others) = beside.clone() {
+        spawn_local(async move { others.look().await });
+    }
+    let served = async {
+        let opened = tokio::select! {
+            biased;
+            _ = stop.recv() => None,
+            listener = open(made.listen, beside.as_deref(), &made.heard) => Some(listener?),
+        };
+        if let Some(listener) = opened {
+            log!("listening on {}", listener.local_addr()?);
+            spawn_local(accept(listener, Rc::new(door), stances.watch(), bounds.clone(), pool));
+            stances.opened();
+            beside.iter().for_each(|others| others.serves());
+            stop.recv().await;
+        }
+        wind_up(&stances, clock, mailbox.clone(), closing, bounds.clients).await;
+        Ok(())
+    };
     tokio::select! {
         // Tasks without an owner must not outlive the module.
         over = module => over.context("the module's actor ended"),
         never = reload(again, path, all, clock, &mailbox, moves) => match never {},
-        () = wind_up(&mut stop, &stances, clock, mailbox.clone(), closing, bounds.clients) => Ok(()),
+        served = served => served,
+    }
+}
+
+/// Opens the clients' address. Where another process of this dispatcher serves there, not before the list has been heard,
+/// or that has been waited for; and beside that one's listener.
+async fn open(at: SocketAddr, beside: Option<&Beside>, heard: &Notify) -> Result<TcpListener> {
+    let begun = Instant::now();
+    if beside.is_some_and(|others| !others.alone()) {
+        let _ = timeout(FIRST_NEWS, heard.notified()).await;
+    }
+    loop {
+        match listener(at, beside.is_some()) {
+            Ok(listener) => return Ok(listener),
+            // One that shares the address with nobody may be on its way out.
+            Err(error)
+                if error.kind() == ErrorKind::AddrInUse && beside.is_some() && begun.elapsed() < TAKEN =>
+            {
+                log!("{at} is taken; tried again until it is free");
+                sleep(AGAIN).await;
+            }
+            Err(error) => return Err(error).with_context(|| format!("cannot listen on {at}")),
+        }
     }
 }
 
+/// A listener, alone at its address or beside others of this dispatcher.
+fn listener(at: SocketAddr, beside: bool) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    if beside {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// At each SIGHUP reads the file again and moves to the list's source that it names now. A file that cannot be used
 /// changes nothing.
 async fn reload(
@@ -171,21 +242,14 @@
     }
 }
 
-/// After the word to stop: ends when every task has its answer and no client is left.
-async fn wind_up(
-    stop: &mut Signal,
-    stances: &Stances,
-    clock: Clock,
-    module: ToModule,
-    within: Time,
-    clients: Room,
-) {
-    stop.recv().await;
+/// After the word to stop: ends when every task has its answer and no client is left. Where another process takes the
+/// clients, none comes here any more.
+async fn wind_up(stances: &Stances, clock: Clock, module: ToModule, within: Time, clients: Room) {
     let begun = Instant::now();
     log!("stopping: all answers within {within} us");
     stances.stop();
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
-    while begun.elapsed() < LAST_CLIENTS || !clients.empty() {
+    while stances.comes(begun.elapsed() < LAST_CLIENTS) || !clients.empty() {
         sleep(LOOK).await;
     }
 }
@@ -213,7 +277,23 @@
     }
 }
 
-/// Takes in clients. A failure to accept ends neither this nor the process, and does not spin.
+/// Closes a listener; gives the connections that stood in its queue, which would be lost with it.
+fn waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else { return Vec::new() };
+    let next = || {
+        listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        })
+    };
+    let left: Vec<TcpStream> = iter::from_fn(|| next().ok()).collect();
+    drop(listener);
+    log!("clients come to another process now; {} waited here", left.len());
+    left
+}
+
+/// Takes in clients, until another process takes them. A failure to accept ends neither this nor the process, and does not
+/// spin.
 async fn accept(
     listener: TcpListener,
     door: Rc<Door>,
@@ -221,22 +301,43 @@
     bounds: Bounds,
     pool: Pool,
 ) {
+    let mut watched = stance.clone();
     loop {
-        let Some(stream) = accepted(&listener).await else { continue };
-        let (seat, turned_away) = match bounds.clients.seat() {
-            Some(seat) => (seat, false),
-            // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
-            // goes; whoever comes next must not have to wait until it has.
-            None => tokio::select! {
-                biased;
-                Some(seat) = bounds.clients.wait() => (seat, false),
-                Some(seat) = bounds.turned_away.wait() => (seat, true),
-                else => return,
-            },
+        let stream = tokio::select! {
+            biased;
+            _ = watched.wait_for(|s| !s.listens) => break,
+            stream = accepted(&listener) => stream,
         };
-        let link = Link::over(stream, head::request_body, &pool, seat);
-        spawn_local(client::serve(link, door.clone(), stance.clone(), turned_away));
-        // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
-        yield_now().await;
+        if let Some(stream) = stream {
+            take_in(stream, &door, &stance, &bounds, &pool).await;
+        }
     }
+    for stream in waiting(listener) {
+        take_in(stream, &door, &stance, &bounds, &pool).await;
+    }
+}
+
+/// Gives a client a seat, or has it turned away.
+async fn take_in(
+    stream: TcpStream,
+    door: &Rc<Door>,
+    stance: &watch::Receiver<Stance>,
+    bounds: &Bounds,
+    pool: &Pool,
+) {
+    let (seat, turned_away) = match bounds.clients.seat() {
+        Some(seat) => (seat, false),
+        // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
+        // goes; whoever comes next must not have to wait until it has.
+        None => tokio::select! {
+            biased;
+            Some(seat) = bounds.clients.wait() => (seat, false),
+            Some(seat) = bounds.turned_away.wait() => (seat, true),
+            else => return,
+        },
+    };
+    let link = Link::over(stream, head::request_body, pool, seat);
+    spawn_local(client::serve(link, door.clone(), stance.clone(), turned_away));
+    // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
+    yield_now().await;
 }
--- a/crates/rainlugd/src/program/stances.rs
+++ b/crates/rainlugd/src/program/stances.rs
@@ -1,6 +1,6 @@
 //! The phase of the process, and who is told what holds by it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use rainlug::Time;
 use rainlug_handover::{Phase, Stance};
@@ -12,13 +12,14 @@
     clock: Clock,
     phase: RefCell<Phase>,
     to: watch::Sender<Stance>,
+    serves: Cell<bool>,
 }
 
 impl Stances {
     pub fn new(clock: Clock) -> Self {
         let phase = Phase::default();
         let (to, _) = watch::channel(phase.stance());
-        Stances { clock, phase: RefCell::new(phase), to }
+        Stances { clock, phase: RefCell::new(phase), to, serves: Cell::new(false) }
     }
 
     pub fn watch(&self) -> watch::Receiver<Stance> {
@@ -28,15 +29,35 @@
     fn change(&self, say: impl FnOnce(&mut Phase, Time)) {
         let mut phase = self.phase.borrow_mut();
         say(&mut phase, self.clock.now());
-        self.to.send_replace(phase.stance());
+        let stance = phase.stance();
+        self.to.send_if_modified(|s| std::mem::replace(s, stance) != stance);
+    }
+
+    /// Whether this process takes clients.
+    pub fn serves(&self) -> bool {
+        self.serves.get()
+    }
+
+    /// Whether clients still come, where they do for a while: not where another process takes them.
+    pub fn comes(&self, for_now: bool) -> bool {
+        for_now && self.to.borrow().listens && self.serves()
+    }
+
+    /// The clients' address is open.
+    pub fn opened(&self) {
+        self.serves.set(true);
+    }
+
+    /// Whether a newer process of this dispatcher takes clients.
+    pub fn followed(&self, followed: bool) {
+        self.change(|phase, _| phase.followed(followed));
     }
 
     /// Staff empty the dispatcher, or let clients in again.
     pub fn emptied(&self, emptied: bool) {
-        log!(
-            "{}",
-            if emptied { "emptied by hand: clients are sent away" } else { "clients are taken again" }
-        );
+        if self.phase.borrow().emptied() != emptied {
+            log!("{}", if emptied { "emptied: clients are sent away" } else { "clients are taken again" });
+        }
         self.change(|phase, now| if emptied { phase.empty(now) } else { phase.fill() });
     }
 
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -1,6 +1,7 @@
 //! What the program is told: the file that `RELAY_CONFIG` names. Each part is made of its own few keys.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use std::{env, fs};
@@ -69,6 +70,15 @@
     Ok(found)
 }
 
+/// The directory in which the processes of this dispatcher tell one another.
+pub fn common() -> Option<PathBuf> {
+    env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from)
+}
+
+pub fn name(all: &Value) -> Result<String> {
+    setup::name(all, "/name")
+}
+
 pub fn figures(all: &Value) -> Result<Figures> {
     Ok(Figures::of(setup::names(settings(all)?, "/workloads")?))
 }
--- a/crates/rainlugd/src/routing/management.rs
+++ b/crates/rainlugd/src/routing/management.rs
@@ -10,7 +10,7 @@
 
 use super::figures::Figures;
 use super::{Mail, ToModule};
-use crate::program::Stances;
+use crate::program::{Beside, Stances};
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
 
@@ -25,6 +25,8 @@
     pub module: ToModule,
     pub figures: Rc<Figures>,
     pub stances: Rc<Stances>,
+    /// The other processes of this dispatcher, which are told of each word.
+    pub beside: Rc<Beside>,
     pub room: Room,
 }
 
@@ -76,23 +78,28 @@
     match parts[..] {
         ["stats"] => return (200, office.figures.text()),
         ["workers", id, word] => return (hand(office, id, word == "maint").await, String::new()),
-        ["healthcheck", word] => office.stances.emptied(word == "fail"),
+        ["healthcheck", word] => {
+            office.stances.emptied(word == "fail");
+            office.beside.say(|words| words.emptied = word == "fail").await;
+        }
+        _ if !office.stances.serves() => return (503, String::new()),
         _ => {}
     }
     (200, String::new())
 }
 
-/// Takes a worker out, or gives it back. Yes once the module has it: from then on it binds.
+/// Takes a worker out, or gives it back. Yes once this module has it, and all others have: from then on it binds.
 async fn hand(office: &Office, id: &str, out: bool) -> u16 {
     let Ok(worker) = percent_decode_str(id).decode_utf8() else { return 400 };
     let (known, named) = oneshot::channel();
-    let word = Mail::Hand { worker: worker.to_string(), out, known };
+    let word = Mail::Hand { worker: worker.to_string(), out, known: Some(known) };
     if office.module.send(word).await.is_err() {
         return 503;
     }
     match named.await {
         Ok(true) => {
             log!("worker {worker} is {} by hand", if out { "out" } else { "given back" });
+            office.beside.say(|words| words.hand(&worker, out)).await;
             200
         }
         Ok(false) => 404,
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -65,12 +65,15 @@
         entries: Vec<Entry>,
     },
     ListFailed,
-    /// Staff take a worker out or give it back; told whether the list ever named it.
+    /// Staff take a worker out or give it back. Who asks is told whether the list ever named it, and nothing comes of it
+    /// where it did not; what was said to another process holds in any case.
     Hand {
         worker: String,
         out: bool,
-        known: oneshot::Sender<bool>,
+        known: Option<oneshot::Sender<bool>>,
     },
+    /// So many other processes of this dispatcher live.
+    Beside(usize),
     /// The process ends: every task must have its answer by then.
     Closing(Time),
 }
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -52,10 +52,12 @@
     unsent: VecDeque<(Rc<Parcel>, usize)>,
     unprobed: VecDeque<String>,
     asked: Option<Rc<Notify>>,
+    /// Told when the list has said something.
+    heard: Rc<Notify>,
 }
 
 impl Desk {
-    pub fn new(reach: Rc<Reach>, asked: Option<Rc<Notify>>) -> Self {
+    pub fn new(reach: Rc<Reach>, asked: Option<Rc<Notify>>, heard: Rc<Notify>) -> Self {
         Desk {
             reach,
             held: HashMap::new(),
@@ -65,6 +67,7 @@
             unsent: VecDeque::new(),
             unprobed: VecDeque::new(),
             asked,
+            heard,
         }
     }
 
@@ -261,6 +264,7 @@
             trace!(now, "list {} {}", if everything { "whole" } else { "changes" }, entries.len());
             let entries = desk.listed(everything, entries);
             logic.list(&mut Moment { now, out: desk }, everything, false, &entries);
+            desk.heard.notify_one();
             desk.reach.figures.listed(logic.listed(now));
         }
         Mail::Hand { worker, out, known } => {
@@ -269,13 +273,17 @@
                 // Its process is about to be restarted, or was: idle connections are of no use.
                 actor.standing.send_modify(|_| ());
             }
-            let _ = known.send(actor.is_some());
-            if actor.is_some() {
+            let binds = known.is_none() || actor.is_some();
+            if let Some(known) = known {
+                let _ = known.send(binds);
+            }
+            if binds {
                 trace!(now, "hand {worker} {out}");
                 logic.hand(&mut Moment { now, out: desk }, &worker, out);
                 desk.reach.figures.listed(logic.listed(now));
             }
         }
+        Mail::Beside(others) => logic.beside(others),
         Mail::ListFailed => logic.list_failed(now),
         Mail::Closing(by) => logic.closing(&mut Moment { now, out: desk }, by),
     }
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/rainlugd/src/transport/limits.rs
@@ -46,12 +46,21 @@
     }
 }
 
+impl Bounds {
+    /// What one process may hold is for so many.
+    pub fn shared_by(&self, processes: usize) {
+        [&self.clients, &self.workers, &self.turned_away].iter().for_each(|room| room.shared_by(processes));
+    }
+}
+
 /// Room for so many connections.
 #[derive(Clone)]
 pub struct Room {
     most: usize,
     free: Arc<Semaphore>,
     idle: Rc<Idle>,
+    /// Seats that are another process's.
+    lent: Rc<RefCell<Vec<OwnedSemaphorePermit>>>,
 }
 
 /// Those who hold a seat idly, in the order in which they are to go: by rank, and the longest idle first.
@@ -70,7 +79,19 @@
 
 impl Room {
     fn of(most: usize) -> Self {
-        Room { most, free: Arc::new(Semaphore::new(most)), idle: Rc::default() }
+        Room { most, free: Arc::new(Semaphore::new(most)), idle: Rc::default(), lent: Rc::default() }
+    }
+
+    /// So many processes have the room between them. What is in use beyond this one's part is lent as it becomes free: idle
+    /// ones go for it, and the next call goes on.
+    fn shared_by(&self, processes: usize) {
+        let (mut lent, due) = (self.lent.borrow_mut(), self.most - (self.most / processes).max(1));
+        lent.truncate(due);
+        while lent.len() < due {
+            let Ok(seat) = self.free.clone().try_acquire_owned() else { break };
+            lent.push(seat);
+        }
+        (lent.len()..due).take_while(|_| self.ask()).for_each(drop);
     }
 
     pub fn seat(&self) -> Option<Seat> {
@@ -109,7 +130,7 @@
     }
 
     pub fn empty(&self) -> bool {
-        self.free.available_permits() == self.most
+        self.free.available_permits() + self.lent.borrow().len() == self.most
     }
 
     /// For who holds a seat idly: ends when it is to go, as somebody wants a seat and there is none. The lowest ranks
@@ -156,6 +177,32 @@
         }
     }
 
+    #[tokio::test]
+    async fn seats_are_lent_as_they_become_free_and_come_back() {
+        let room = Room::of(4);
+        let mut taken: Vec<Seat> = (0..3).map(|_| room.seat().unwrap()).collect();
+        room.shared_by(2);
+        assert!(room.seat().is_none() && !room.empty());
+        taken.pop();
+        room.shared_by(2);
+        assert!(room.seat().is_none(), "this one's part is in use");
+        taken.pop();
+        assert!(room.seat().is_some());
+        taken.clear();
+        assert!(room.empty());
+        room.shared_by(1);
+        taken.extend((0..4).map(|_| room.seat().unwrap()));
+        // One who idles beyond this process's part goes for the other's.
+        let idles = async {
+            room.wanted(0).await;
+            drop(taken.pop());
+        };
+        let lends = async { room.shared_by(4) };
+        tokio::join!(idles, lends);
+        room.shared_by(4);
+        assert_eq!(room.lent.borrow().len(), 1);
+    }
+
     #[tokio::test]
     async fn who_finds_no_seat_asks_for_one() {
         let room = Room::of(1);
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -134,6 +134,11 @@
     all.pointer(path).map(count).transpose()
 }
 
+/// A text.
+pub fn name(all: &Value, path: &str) -> Result<String> {
+    word(all, path)?.map(str::to_owned).with_context(|| lack("a text", path))
+}
+
 /// An address and port.
 pub fn address(all: &Value, path: &str) -> Result<SocketAddr> {
     let found = word(all, path)?.and_then(|a| a.parse().ok());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -167,6 +167,8 @@
 
 pub struct Dispatcher {
     place: Place,
+    /// Processes of this dispatcher that live: more than one while it is upgraded.
+    processes: usize,
     chance: Chance,
     workloads: Vec<Workload>,
     weights: Weights,
@@ -209,6 +211,7 @@
         let beats = (chance.draw() * SOLVE as f64) as u64 / BEAT as u64;
         Dispatcher {
             place,
+            processes: 1,
             chance,
             ledger: Ledger { effects, assignments: allowed.assignments, copies: copies && allowed.copies },
             allowed,
@@ -275,6 +278,11 @@
         self.move_on(m);
     }
 
+    /// So many other processes of this dispatcher live: its room at cold workers is for all of them.
+    pub fn beside(&mut self, others: usize) {
+        self.processes = 1 + others;
+    }
+
     /// How many workers are in the list, and how many of these are avoided now, by hand or by choice.
     pub fn listed(&self, now: Time) -> (usize, usize) {
         let listed = || self.fleet.workers.iter().filter(|w| w.state != State::Gone);
@@ -739,7 +747,7 @@
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
         let (all, sides) = (self.place.group_size.max(1), 1 + usize::from(self.known.cross_zone > 0.0));
-        let feeders = (sides * all / self.parts).min(all) as f64;
+        let feeders = ((sides * all / self.parts).min(all) * self.processes) as f64;
         // Before anyone has reported, all that is known of a worker is that it has a core: with no room at
         // all, a fleet and dispatchers that restarted together would wait for each other.
         let effort = self.part.census.effort / worker.size;
