--- a/crates/handover/src/phase.rs
+++ b/crates/handover/src/phase.rs
@@ -117,4 +117,35 @@
         phase.followed(false);
         assert_eq!(phase.stance(), Phase::default().stance());
     }
+
+    /// All orders of up to seven words, against a plain reading of them.
+    #[test]
+    fn every_order_of_words_ends_where_a_plain_reading_does() {
+        type Say = fn(&mut Phase, Time);
+        let words: [Say; 5] = [
+            |p, at| p.empty(at),
+            |p, _| p.fill(),
+            |p, at| p.stop(at),
+            |p, _| p.followed(true),
+            |p, _| p.followed(false),
+        ];
+        for order in 0..5_usize.pow(7) {
+            let said: Vec<usize> = (0..7).map(|n| order / 5_usize.pow(n) % 5).collect();
+            let mut phase = Phase::default();
+            said.iter().enumerate().for_each(|(at, w)| words[*w](&mut phase, at as Time * SECOND));
+            let stopped = said.iter().position(|w| *w == 2);
+            let emptied = said.iter().rposition(|w| *w == 1).map_or(0, |at| at + 1);
+            let emptied = said[emptied..].iter().position(|w| *w == 0).map(|at| emptied + at);
+            let followed = said.iter().rev().find(|w| **w > 2) == Some(&3);
+            let stance = phase.stance();
+            assert_eq!(stance.ready, stopped.is_none() && emptied.is_none(), "{said:?}");
+            assert_eq!(stance.keeps, stance.ready && !followed, "{said:?}");
+            assert_eq!(stance.listens, stopped.is_none() || !followed, "{said:?}");
+            let by = stopped.or(emptied).map(|at| at as Time * SECOND);
+            assert_eq!(stance.idle.is_some(), by.is_some(), "{said:?}");
+            assert!(
+                stance.idle.is_none_or(|(_, end)| by.is_some_and(|by| (by..by + 2 * SECOND).contains(&end)))
+            );
+        }
+    }
 }
--- a/crates/rainlugd/tests/service.rs
+++ b/crates/rainlugd/tests/service.rs
@@ -4,7 +4,10 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::sockets::*;
@@ -19,6 +22,29 @@
     (Program::start(Command::new(PROGRAM), &text), list)
 }
 
+/// A process of the dispatcher whose processes tell one another in `dir`; the first of them finds a port, the next ones have
+/// its address.
+fn command(dir: &Path) -> Command {
+    let mut command = Command::new(PROGRAM);
+    command.env("TMPDIR", dir);
+    command
+}
+
+/// Its configuration.
+fn next(list: &List, workers: &[(&str, SocketAddr)], listen: &str) -> String {
+    let listens = format!("\"management\":\"127.0.0.1:0\",\"listen\":\"{listen}\"");
+    configuration(list, workers).replace("\"listen\":\"127.0.0.1:0\"", &listens)
+}
+
+/// Waits until something is so.
+fn until(what: &str, mut so: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !so() {
+        assert!(begun.elapsed() < LONG, "waited too long: {what}");
+        thread::yield_now();
+    }
+}
+
 /// One figure.
 fn figure(program: &Program, name: &str) -> usize {
     let (status, text) = program.call("GET", "/stats");
@@ -29,10 +55,7 @@
 
 /// Waits until a figure has a value.
 fn settles(program: &Program, name: &str, value: usize) {
-    let begun = Instant::now();
-    while figure(program, name) != value {
-        assert!(begun.elapsed() < LONG, "{name} is {}, not {value}", figure(program, name));
-    }
+    until(&format!("{name} is {value}"), || figure(program, name) == value);
 }
 
 #[test]
@@ -211,3 +234,117 @@
     drop((clients, kept));
     assert!(program.ended().success());
 }
+
+#[test]
+fn the_next_process_takes_over_under_load_and_nobody_is_turned_away() {
+    let dir = tempfile::tempdir().unwrap();
+    let worker = Worker::start(|path| if path == "/register" { Act::OnWord } else { Act::Finish });
+    let (list, workers) = (List::start(), [("w1", worker.at)]);
+    let mut old = Program::start(command(dir.path()), &next(&list, &workers, "127.0.0.1:0"));
+    let (at, over) = (old.at, AtomicBool::new(false));
+    let mut long = Client::at(at);
+    long.hand_in("/register", "long", "5000m");
+    worker.next();
+    thread::scope(|scope| {
+        // Some keep their connections until told otherwise, some open one for each task.
+        let clients: Vec<_> = (0..4)
+            .map(|c| {
+                let over = &over;
+                scope.spawn(move || {
+                    let (mut client, mut asked) = (Client::at(at), 0);
+                    while !over.load(Ordering::Relaxed) {
+                        let (status, head, _) = client.ask("/search", &format!("c{c}-{asked}"), "4000m");
+                        assert_eq!(status, 200);
+                        asked += 1;
+                        if c % 2 == 0 || field(&head, "Connection") == Some("close") {
+                            client = Client::at(at);
+                        }
+                    }
+                    asked
+                })
+            })
+            .collect();
+        let mut new = Program::begin(command(dir.path()), &next(&list, &workers, &at.to_string()));
+        new.opens();
+        until("yes", || new.call("GET", "/healthcheck").0 == 200);
+        old.terminate();
+        old.logged("clients come to another process now");
+        assert_eq!(old.call("GET", "/healthcheck").0, 200, "it still answers there");
+        // What it holds it finishes.
+        worker.word.send(()).unwrap();
+        let (status, head, _) = long.hear().unwrap();
+        assert_eq!((status, field(&head, "Connection")), (200, Some("close")));
+        drop(long);
+        assert!(old.ended().success());
+        let before = figure(&new, "relay.replies.search.success");
+        until("tasks at the new one", || figure(&new, "relay.replies.search.success") > before + 20);
+        over.store(true, Ordering::Relaxed);
+        clients.into_iter().for_each(|client| assert!(client.join().unwrap() > 0));
+    });
+}
+
+#[test]
+fn words_said_to_either_process_bind_both_and_outlive_them() {
+    let dir = tempfile::tempdir().unwrap();
+    let worker = Worker::start(|_| Act::Finish);
+    let (list, workers) = (List::start(), [("w1", worker.at), ("w2", worker.at)]);
+    let old = Program::start(command(dir.path()), &next(&list, &workers, "127.0.0.1:0"));
+    let at = old.at.to_string();
+    assert_eq!(old.call("POST", "/workers/w1/maint").0, 200);
+    let new = Program::start(command(dir.path()), &next(&list, &workers, &at));
+    assert_eq!(figure(&new, "relay.targets_disabled"), 1, "what was said before it began");
+    // Yes at the one binds the other by then.
+    assert_eq!(new.call("POST", "/workers/w2/maint").0, 200);
+    assert_eq!(figure(&old, "relay.targets_disabled"), 2);
+    assert_eq!(old.call("POST", "/workers/w1/ready").0, 200);
+    assert_eq!(figure(&new, "relay.targets_disabled"), 1);
+    assert_eq!(new.call("POST", "/healthcheck/fail").0, 200);
+    assert_eq!(Client::of(&old).ready(), 503);
+    // A third begins emptied beside them; one that begins from nothing takes clients.
+    let third = Program::start(command(dir.path()), &next(&list, &workers, &at));
+    assert_eq!(Client::of(&third).ready(), 503);
+    drop((old, new, third));
+    let last = Program::start(command(dir.path()), &next(&list, &workers, &at));
+    assert_eq!(Client::of(&last).ready(), 200);
+    assert_eq!(figure(&last, "relay.targets_disabled"), 1);
+}
+
+#[test]
+fn a_next_process_that_dies_changes_nothing() {
+    let dir = tempfile::tempdir().unwrap();
+    let worker = Worker::start(|_| Act::Finish);
+    let (list, workers) = (List::start(), [("w1", worker.at)]);
+    let mut old = Program::start(command(dir.path()), &next(&list, &workers, "127.0.0.1:0"));
+    let text = next(&list, &workers, &old.at.to_string());
+    // One that is told to end before it serves does so at once.
+    let mut first = Program::begin(command(dir.path()), &text);
+    first.logged("managed on ");
+    first.terminate();
+    assert!(first.ended().success());
+    // One that serves is followed, until it is killed.
+    let keeps = |old: &Program| {
+        let (status, head, _) = Client::of(old).ask("/search", "s1", "4000m");
+        assert_eq!(status, 200);
+        field(&head, "Connection").is_none()
+    };
+    assert!(keeps(&old));
+    let new = Program::start(command(dir.path()), &text);
+    until("the old one sends its clients away", || !keeps(&old));
+    drop(new);
+    until("the old one keeps them again", || (0..8).all(|_| keeps(&old)));
+    old.terminate();
+    assert!(old.ended().success());
+}
+
+#[test]
+fn without_a_directory_to_share_a_process_serves_alone_and_says_so() {
+    let worker = Worker::start(|_| Act::Finish);
+    let (list, workers) = (List::start(), [("w1", worker.at)]);
+    let text = next(&list, &workers, "127.0.0.1:0");
+    let mut program = Program::begin(command(Path::new("/nowhere/at all")), &text);
+    program.logged("no upgrade beside this process, words do not outlive it: cannot open /nowhere/at all");
+    program.opens();
+    assert_eq!(program.call("POST", "/workers/w1/maint").0, 200);
+    assert_eq!(program.call("POST", "/workers/w1/ready").0, 200);
+    until("a task served", || Client::of(&program).ask("/search", "s1", "4000m").0 == 200);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -429,22 +429,31 @@
     }
 
     impl Program {
-        pub fn start(mut command: Command, configuration: &str) -> Self {
+        pub fn start(command: Command, configuration: &str) -> Self {
+            let mut program = Self::begin(command, configuration);
+            program.opens();
+            program
+        }
+
+        /// Starts it, and does not wait until it serves.
+        pub fn begin(mut command: Command, configuration: &str) -> Self {
             let path = written(configuration);
             let mut child = command.env("RELAY_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
             let errors = BufReader::new(child.stderr.take().unwrap());
             let (line, log) = channel();
             spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| line.send(l)));
-            let mut program =
-                Program { child, path, at: "0.0.0.0:0".parse().unwrap(), management: None, log };
-            loop {
-                let line = program.log.recv_timeout(LONG).expect("a start");
+            Program { child, path, at: "0.0.0.0:0".parse().unwrap(), management: None, log }
+        }
+
+        /// Waits until it serves.
+        pub fn opens(&mut self) {
+            while self.at.port() == 0 {
+                let line = self.log.recv_timeout(LONG).expect("a start");
                 if let Some(at) = line.strip_prefix("managed on ") {
-                    program.management = Some(at.parse().unwrap());
+                    self.management = Some(at.parse().unwrap());
                 }
                 if let Some(at) = line.strip_prefix("listening on ") {
-                    program.at = at.parse().unwrap();
-                    return program;
+                    self.at = at.parse().unwrap();
                 }
             }
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -415,3 +415,25 @@
     assert_eq!(bench.out.sent.last().map(|s| &s.1), Some(&Sent::Bounce("bid".into())));
     assert_eq!(bench.worker_of("bid"), None);
 }
+
+/// While a dispatcher is upgraded two of its processes live: a cold worker gets from both what it got from one.
+#[test]
+fn processes_beside_each_other_share_the_room_of_a_cold_worker() {
+    let sent = |others| {
+        let mut bench = Bench::start(1, false);
+        bench.with(|to, _| to.beside(others));
+        bench.list(&[listed("a", 0, State::Ready, Some(0))]);
+        (0..60).for_each(|n| {
+            let id = format!("t{n}");
+            bench.task(&id, 0);
+            // They take long: the room is what binds.
+            if bench.worker_of(&id).is_some() {
+                bench.start_job(&id, 0);
+            }
+            bench.pass(SECOND / 10);
+        });
+        (0..60).filter(|n| bench.worker_of(&format!("t{n}")).is_some()).count()
+    };
+    let (alone, beside) = (sent(0), sent(1));
+    assert!(beside > 0 && 2 * beside <= alone + 2, "{beside} of {alone}");
+}
