Upgrades: the next process learns the list and what the one before knows of workers and tasks

Need: each new process found failing workers anew and began with equal shares; and its configured list may be old. Change: Lessons (the rings themselves, which know their age) leave the module and enter the next process's before its first task, through a file; a worker with a newer process is passed over, none is made warmer. Tests: module (what is learnt holds, and is forgotten), place, and over sockets with a list that nobody serves.

--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result, bail};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use rainlug::Time;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::words::Words;
@@ -25,6 +26,14 @@
     pub applied: u64,
 }
 
+/// What one process has learnt, for the next.
+#[derive(Serialize, Deserialize)]
+struct Learnt<T> {
+    name: String,
+    at: Time,
+    what: T,
+}
+
 pub struct Place {
     name: String,
     base: PathBuf,
@@ -166,6 +175,25 @@
         self.others().iter().all(|o| o.applied >= version)
     }
 
+    /// Leaves what this process has learnt by now for those that begin.
+    pub fn teach(&self, at: Time, what: impl Serialize) -> Result<()> {
+        let text = serde_json::to_string(&Learnt { name: self.name.clone(), at, what })?;
+        Ok(replace(&self.learnt_path(), &text)?)
+    }
+
+    /// What was left since this process began; nothing yet, or an error where it cannot be used.
+    pub fn taught<T: DeserializeOwned>(&self) -> Result<Option<T>> {
+        let path = self.learnt_path();
+        let Ok(text) = fs::read_to_string(&path) else { return Ok(None) };
+        let read = serde_json::from_str::<Learnt<T>>(&text);
+        let learnt = read.with_context(|| format!("{} is not used", path.display()))?;
+        Ok(Some(learnt).filter(|l| l.name == self.name && l.at >= self.started()).map(|l| l.what))
+    }
+
+    fn learnt_path(&self) -> PathBuf {
+        self.base.with_added_extension("learnt")
+    }
+
     fn words_path(&self) -> PathBuf {
         self.base.with_added_extension("words")
     }
@@ -258,6 +286,21 @@
         }
     }
 
+    #[test]
+    fn what_was_learnt_reaches_who_begins_after_and_is_not_read_later() {
+        let dir = tempfile::tempdir().unwrap();
+        let (old, new) = (take(dir.path(), 10), take(dir.path(), 20));
+        assert_eq!(new.taught::<Vec<u32>>().unwrap(), None);
+        old.teach(19, [1, 2]).unwrap();
+        assert_eq!(new.taught::<Vec<u32>>().unwrap(), None, "left for another one before");
+        old.teach(21, [1, 2, 3]).unwrap();
+        assert_eq!(new.taught::<Vec<u32>>().unwrap(), Some(vec![1, 2, 3]));
+        // Of another form, or torn.
+        assert!(new.taught::<Vec<String>>().is_err());
+        fs::write(new.learnt_path(), "{\"name\":\"n/0\",\"at\":2").unwrap();
+        assert!(new.taught::<Vec<u32>>().unwrap_err().to_string().contains("is not used"));
+    }
+
     #[test]
     fn a_directory_that_is_not_there_is_one_message() {
         let told = Place::take(Path::new("/nowhere/at all"), "n0", 1).err().unwrap();
--- a/crates/rainlugd/src/program/beside.rs
+++ b/crates/rainlugd/src/program/beside.rs
@@ -5,10 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rainlug::Lessons;
 use rainlug_handover::{Place, Words};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 use super::{Clock, Stances};
+use crate::protocol::words::Entry;
 use crate::routing::{Mail, ToModule};
 use crate::transport::Bounds;
 
@@ -19,10 +22,13 @@
 const AGREED_BY: Duration = Duration::from_millis(500);
 /// Between two tries to add to the words while another process does.
 const BUSY: Duration = Duration::from_millis(5);
+/// What the process before has learnt is waited for so long.
+const TAUGHT_BY: Duration = Duration::from_millis(500);
 
 pub struct Beside {
     /// Nothing where there is no directory that all processes have.
     place: Option<Place>,
+    clock: Clock,
     module: ToModule,
     stances: Rc<Stances>,
     bounds: Bounds,
@@ -55,7 +61,7 @@
                 None
             }
         };
-        Beside { place, module, stances, bounds, others: Cell::new(0) }
+        Beside { place, clock, module, stances, bounds, others: Cell::new(0) }
     }
 
     /// Workers that are out by words said before. That clients are sent away holds on only where a process lives that
@@ -95,6 +101,9 @@
             sleep(if self.alone() { LOOK_ALONE } else { LOOK_BESIDE }).await;
             let others = place.others();
             self.stances.followed(others.iter().any(|o| o.serves && o.started > place.started()));
+            if others.len() > self.others.get() && self.stances.serves() {
+                self.teach(place).await;
+            }
             if others.len() != self.others.get() {
                 log!("{} other processes of this dispatcher", others.len());
                 let _ = self.module.send(Mail::Beside(others.len())).await;
@@ -108,6 +117,33 @@
         }
     }
 
+    /// Leaves what this process knows to the one that begins.
+    async fn teach(&self, place: &Place) {
+        let (to, known) = oneshot::channel();
+        let _ = self.module.send(Mail::Teach(to)).await;
+        if let Ok(known) = known.await {
+            let left = place.teach(self.clock.now(), known);
+            left.unwrap_or_else(|error| log!("the next process learns nothing from this one: {error:#}"));
+        }
+    }
+
+    /// Takes over what the process that serves now has learnt, if it leaves that in time.
+    pub async fn learn(&self) {
+        let Some(place) = &self.place else { return };
+        let begun = Instant::now();
+        while begun.elapsed() < TAUGHT_BY {
+            match place.taught::<(Vec<Entry>, Box<Lessons>)>() {
+                Ok(Some((entries, lessons))) => {
+                    log!("{} workers as the process before knows them", entries.len());
+                    let _ = self.module.send(Mail::Learn(entries, lessons)).await;
+                    return;
+                }
+                Ok(None) => sleep(LOOK_BESIDE).await,
+                Err(error) => return log!("nothing is learnt from the process before: {error:#}"),
+            }
+        }
+    }
+
     /// Limits hold for all processes together.
     fn counted(&self, others: usize) {
         self.others.set(others);
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -183,7 +183,8 @@
 /// or that has been waited for; and beside that one's listener.
 async fn open(at: SocketAddr, beside: Option<&Beside>, heard: &Notify) -> Result<TcpListener> {
     let begun = Instant::now();
-    if beside.is_some_and(|others| !others.alone()) {
+    if let Some(others) = beside.filter(|others| !others.alone()) {
+        others.learn().await;
         let _ = timeout(FIRST_NEWS, heard.notified()).await;
     }
     loop {
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use rainlug::{Report, Time};
+use rainlug::{Lessons, Report, Time};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::protocol::words::Entry;
@@ -74,6 +74,10 @@
     },
     /// So many other processes of this dispatcher live.
     Beside(usize),
+    /// What the list says and what has been learnt is asked for, for the next process.
+    Teach(oneshot::Sender<(Vec<Entry>, Lessons)>),
+    /// What the process before left for this one.
+    Learn(Vec<Entry>, Box<Lessons>),
     /// The process ends: every task must have its answer by then.
     Closing(Time),
 }
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -2,7 +2,7 @@
 //! waits for another actor.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -46,6 +46,9 @@
     reach: Rc<Reach>,
     held: HashMap<String, Held>,
     workers: HashMap<String, Actor>,
+    /// The list as last told, and whether its source has said any of it to this process.
+    listed: BTreeMap<String, Entry>,
+    told: bool,
     wakes: BinaryHeap<Reverse<(Time, u64, u64)>>,
     count: u64,
     /// Ends of assignments and probes that found their worker's mailbox full.
@@ -62,6 +65,8 @@
             reach,
             held: HashMap::new(),
             workers: HashMap::new(),
+            listed: BTreeMap::new(),
+            told: false,
             wakes: BinaryHeap::new(),
             count: 0,
             unsent: VecDeque::new(),
@@ -74,12 +79,14 @@
     /// Tells the workers' actors what the list says, before the module hears of it.
     pub fn listed(&mut self, everything: bool, entries: Vec<Entry>) -> Vec<Listed> {
         if everything {
+            self.listed.clear();
             let named: HashSet<&str> = entries.iter().map(|(e, _)| e.id.as_str()).collect();
             for (_, actor) in self.workers.iter().filter(|(id, _)| !named.contains(id.as_str())) {
                 actor.standing.send_if_modified(|s| std::mem::replace(&mut s.1, State::Gone) != State::Gone);
             }
         }
         for (entry, at) in &entries {
+            self.listed.insert(entry.id.clone(), (entry.clone(), *at));
             let told = (*at, entry.state, entry.started);
             if let Some(actor) = self.workers.get(&entry.id) {
                 // A drain alone leaves the connections as they are.
@@ -93,6 +100,7 @@
                 self.workers.insert(entry.id.clone(), Actor { mailbox, standing });
             }
         }
+        self.listed.retain(|_, (entry, _)| entry.state != State::Gone);
         entries.into_iter().map(|(entry, _)| entry).collect()
     }
 
@@ -264,6 +272,7 @@
             trace!(now, "list {} {}", if everything { "whole" } else { "changes" }, entries.len());
             let entries = desk.listed(everything, entries);
             logic.list(&mut Moment { now, out: desk }, everything, false, &entries);
+            desk.told = true;
             desk.heard.notify_one();
             desk.reach.figures.listed(logic.listed(now));
         }
@@ -283,6 +292,19 @@
                 desk.reach.figures.listed(logic.listed(now));
             }
         }
+        Mail::Teach(to) => {
+            let _ = to.send((desk.listed.values().cloned().collect(), logic.lessons()));
+        }
+        Mail::Learn(entries, lessons) => {
+            trace!(now, "learnt {}", entries.len());
+            // The source's own word is newer.
+            if !desk.told {
+                let entries = desk.listed(true, entries);
+                logic.list(&mut Moment { now, out: desk }, true, true, &entries);
+            }
+            logic.recall(&mut Moment { now, out: desk }, *lessons);
+            desk.reach.figures.listed(logic.listed(now));
+        }
         Mail::Beside(others) => logic.beside(others),
         Mail::ListFailed => logic.list_failed(now),
         Mail::Closing(by) => logic.closing(&mut Moment { now, out: desk }, by),
--- a/crates/rainlugd/tests/service.rs
+++ b/crates/rainlugd/tests/service.rs
@@ -348,3 +348,25 @@
     assert_eq!(program.call("POST", "/workers/w1/ready").0, 200);
     until("a task served", || Client::of(&program).ask("/search", "s1", "4000m").0 == 200);
 }
+
+#[test]
+fn the_next_process_knows_what_the_one_before_has_learnt() {
+    let dir = tempfile::tempdir().unwrap();
+    let (bad, good) = (Worker::start(|_| Act::Fail), Worker::start(|_| Act::Finish));
+    let (list, workers) = (List::start(), [("w1", bad.at), ("w2", good.at), ("w3", good.at)]);
+    let old = Program::start(command(dir.path()), &next(&list, &workers, "127.0.0.1:0"));
+    let mut tasks = 0;
+    until("errors known", || {
+        tasks += 1;
+        Client::of(&old).ask("/search", &format!("s{tasks}"), "4000m");
+        figure(&old, "relay.targets_disabled") == 1
+    });
+    // The list names one more; the next process is told of an older list, and of a source where nobody is.
+    list.tell.send(Some(line(2, false, &[("w4", good.at, "a", "in_service")]))).unwrap();
+    settles(&old, "relay.targets", 4);
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let text = next(&list, &workers, &old.at.to_string()).replace(&list.at.to_string(), &nobody.to_string());
+    let mut new = Program::begin(command(dir.path()), &text);
+    new.opens();
+    assert_eq!((figure(&new, "relay.targets"), figure(&new, "relay.targets_disabled")), (4, 1));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod logic;
 mod state;
 
+use serde::{Deserialize, Serialize};
+pub use state::Lessons;
+
 /// A moment or a length of time, in whole microseconds.
 pub type Time = i64;
 
@@ -106,7 +109,7 @@
 }
 
 /// One line of the list of workers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
     pub id: String,
     pub zone: usize,
@@ -119,7 +122,7 @@
     pub started: Option<Time>,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     Ready,
     Draining,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 use crate::state::{
     Assignment, Chance, Cold, Desk, Fleet, Part, Pulse, Seen, Task, Worker, micros, seconds, worst,
 };
-use crate::{Allowed, Effect, Group, Known, Listed, Moment, Obligations, Outcome, Place, Report};
+use crate::{Allowed, Effect, Group, Known, Lessons, Listed, Moment, Obligations, Outcome, Place, Report};
 use crate::{SECOND, State, Time, Weights, Workload};
 
 /// Between two solves of the shares; every other length of time below is a ratio to it or to a setting.
@@ -283,6 +283,19 @@
         self.processes = 1 + others;
     }
 
+    /// What it has learnt, for the process that follows.
+    pub fn lessons(&self) -> Lessons {
+        Lessons::of(&self.seen, &self.fleet)
+    }
+
+    /// Takes over what the process before has learnt, before any task; how old it is, it says itself. Nothing of it
+    /// makes a worker warmer.
+    pub fn recall(&mut self, m: &mut Moment, lessons: Lessons) {
+        lessons.teach(&mut self.seen, &mut self.fleet, -self.chance.draw());
+        self.solve(m.now);
+        self.move_on(m);
+    }
+
     /// How many workers are in the list, and how many of these are avoided now, by hand or by choice.
     pub fn listed(&self, now: Time) -> (usize, usize) {
         let listed = || self.fleet.workers.iter().filter(|w| w.state != State::Gone);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Listed, Outcome, Report, SECOND, State, Time};
 
 const BUCKETS: Time = 8;
 
 /// Sums over the last few buckets of time; the oldest bucket is used again for the newest.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Ring {
     width: Time,
     /// Empty until something is seen: most of a large fleet never is.
@@ -31,6 +33,13 @@
         bucket.2 += weight;
     }
 
+    /// Whether this is the same measure as another ring's, in numbers that it can hold.
+    fn like(&self, other: &Ring) -> bool {
+        let sound = |b: &(Time, f64, f64)| [b.1, b.2].iter().all(|n| n.is_finite() && *n >= 0.0);
+        let whole = [0, BUCKETS as usize].contains(&self.buckets.len());
+        self.width == other.width && whole && self.buckets.iter().all(sound)
+    }
+
     pub fn totals(&self, now: Time) -> (f64, f64) {
         let oldest = now.div_euclid(self.width) - BUCKETS;
         let live = self.buckets.iter().filter(|b| b.0 > oldest);
@@ -61,14 +70,14 @@
 }
 
 /// A worker kept from tasks until it has shown, by small trials, that it is well again.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Bar {
     pub until: Time,
     pub length: Time,
 }
 
 /// A worker that has just started.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Cold {
     pub since: Time,
     /// Mean tasks that this dispatcher may send by now; grows with time.
@@ -84,7 +93,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Worker {
     pub id: String,
     pub zone: usize,
@@ -101,16 +110,21 @@
     pub bar: Option<Bar>,
     /// Could not be reached of late: what answers next may be a new, cold process.
     pub lost: bool,
+    #[serde(skip)]
     pub in_flight: usize,
     /// Slots that own tasks have taken here, and those that others told of, with the time.
+    #[serde(skip)]
     pub held: f64,
+    #[serde(skip)]
     pub others: BTreeMap<usize, (Time, f64)>,
     /// By which dispatchers name it to one another.
     pub mark: [u8; 2],
     /// The most free slots it ever told of.
     pub slots: f64,
     /// Assignments not known to have started: when sent, and of which task.
+    #[serde(skip)]
     pub unstarted: BTreeSet<(Time, u64)>,
+    #[serde(skip)]
     pub last_sign: Time,
     /// Microseconds between signs of life.
     pub gaps: Ring,
@@ -127,11 +141,13 @@
     pub errors: Vec<Ring>,
     /// Free slots as last reported, and when.
     pub free: Option<(Time, f64)>,
+    #[serde(skip)]
     pub share: f64,
     /// θ as the model was last given it.
     pub model_theta: f64,
     pub fastest: bool,
     /// Yji, by workload.
+    #[serde(skip)]
     pub turns: Vec<f64>,
 }
 
@@ -199,6 +215,17 @@
 }
 
 impl Worker {
+    /// Whether the same is measured of it as of another.
+    fn like(&self, other: &Worker) -> bool {
+        let (mine, others) = (self.rings(), other.rings());
+        mine.len() == others.len() && mine.iter().zip(&others).all(|(a, b)| a.like(b))
+    }
+
+    fn rings(&self) -> Vec<&Ring> {
+        let single = [&self.gaps, &self.theta, &self.utilisation, &self.reports, &self.waits];
+        single.into_iter().chain(&self.errors).collect()
+    }
+
     /// The present silence, in mean gaps; `usual` is the gap to go by until some are seen.
     pub fn silence(&self, now: Time, usual: Time) -> f64 {
         let since = if self.in_flight == 0 { now } else { self.last_sign };
@@ -596,7 +623,46 @@
     }
 }
 
+/// What one process of a dispatcher teaches the next. The rings know how old each of their sums is.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Lessons {
+    seen: Seen,
+    workers: Vec<Worker>,
+}
+
+impl Lessons {
+    pub(crate) fn of(seen: &Seen, fleet: &Fleet) -> Self {
+        let listed = fleet.workers.iter().filter(|w| w.state != State::Gone);
+        Lessons { seen: seen.clone(), workers: listed.cloned().collect() }
+    }
+
+    /// Whatever is of another shape, or of a process that a worker no longer has, is passed over. A cold worker gets no
+    /// more than `room` for what was learnt.
+    pub(crate) fn teach(self, seen: &mut Seen, fleet: &mut Fleet, room: f64) {
+        if self.seen.like(seen) {
+            *seen = self.seen;
+        }
+        for old in self.workers {
+            let Some(new) = fleet.named(&old.id).map(|j| &mut fleet.workers[j]) else { continue };
+            if old.started == new.started && old.like(new) {
+                let since = old.cold.iter().chain(&new.cold).map(|c| c.since).max();
+                let least = old.cold.iter().chain(&new.cold).map(|c| c.room).fold(room, f64::min);
+                new.cold = since.zip(new.cold.as_ref().or(old.cold.as_ref())).map(|(since, c)| Cold {
+                    since,
+                    room: least,
+                    counted: c.counted,
+                });
+                (new.bar, new.lost, new.back) = (old.bar, old.lost, old.back.max(new.back));
+                (new.gaps, new.theta, new.utilisation) = (old.gaps, old.theta, old.utilisation);
+                (new.reports, new.waits, new.errors) = (old.reports, old.waits, old.errors);
+                (new.erring, new.slots, new.free) = (old.erring, old.slots, old.free);
+            }
+        }
+    }
+}
+
 /// What a dispatcher has measured of its own tasks.
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Seen {
     began: Time,
     span: Time,
@@ -642,6 +708,18 @@
         }
     }
 
+    /// Whether this measures the same as another.
+    fn like(&self, other: &Seen) -> bool {
+        let (mine, others) = (self.rings(), other.rings());
+        let alike = mine.len() == others.len() && mine.iter().zip(&others).all(|(a, b)| a.like(b));
+        alike && self.span == other.span && (&self.priors, &self.quotas) == (&other.priors, &other.quotas)
+    }
+
+    fn rings(&self) -> Vec<&Ring> {
+        let many = [&self.arrived, &self.asked, &self.runs, &self.usual, &self.squares, &self.earned];
+        many.into_iter().flatten().chain([&self.started, &self.waits]).collect()
+    }
+
     pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>) {
         self.arrived[workload].add(now, 1.0, 1.0);
         if let Some(ring) = customer.and_then(|c| self.asked.get_mut(c)) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -437,3 +437,42 @@
     let (alone, beside) = (sent(0), sent(1));
     assert!(beside > 0 && 2 * beside <= alone + 2, "{beside} of {alone}");
 }
+
+/// Each next process of an upgrade found failing workers anew, by two errors of each workload at each.
+#[test]
+fn what_a_process_has_learnt_holds_for_the_next_one_and_warms_nobody() {
+    let mut old = Bench::with_workers(1, &["a", "b", "c"]);
+    old.list(&[listed("cold", 0, State::Ready, Some(0))]);
+    for n in 0..20 {
+        let id = format!("t{n}");
+        old.task(&id, 1);
+        let bad = old.worker_of(&id).as_deref() == Some("a");
+        old.end(&id, 0, if bad { Outcome::Failed } else { Outcome::Finished });
+        old.pass(SECOND / 10);
+    }
+    assert_eq!(old.with(|to, m| to.listed(m.now)), (4, 1));
+    let begin = |out: Time| {
+        let mut new = Bench::start(1, false);
+        new.pass(out);
+        new.ready(&["a", "b", "c"]);
+        new.list(&[listed("cold", 0, State::Ready, Some(0))]);
+        new
+    };
+    let lessons = old.with(|to, _| to.lessons());
+    let mut new = begin(old.out.now);
+    new.with(|to, m| to.recall(m, lessons.clone()));
+    for n in 0..30 {
+        let id = format!("u{n}");
+        new.task(&id, 1);
+        assert!(!matches!(new.worker_of(&id).as_deref(), Some("a" | "cold")), "{:?}", new.worker_of(&id));
+        new.run(&id, 0);
+    }
+    // A worker that has a new process since is not judged by the old one, and what is old counts for nothing.
+    let mut later = begin(old.out.now);
+    later.list(&[listed("a", 0, State::Ready, Some(SECOND))]);
+    later.with(|to, m| to.recall(m, lessons.clone()));
+    assert_eq!(later.with(|to, m| to.listed(m.now)), (4, 0));
+    let mut much_later = begin(old.out.now + 60 * SECOND);
+    much_later.with(|to, m| to.recall(m, lessons));
+    assert_eq!(much_later.with(|to, m| to.listed(m.now)), (4, 0));
+}
