--- a/src/logic.rs
+++ b/src/logic.rs
@@ -273,6 +273,8 @@
         if !out {
             self.fleet.workers[j].give_back(m.now);
             self.renew(m.now, j, None);
+            // Who is told this is told alone, or with the few of its group: the spread may be less wide.
+            self.fleet.workers[j].cold.iter_mut().for_each(|c| c.room /= 2.0);
         }
         self.solve(m.now);
         self.move_on(m);
@@ -510,6 +512,11 @@
             if skipped {
                 continue;
             }
+            // Nothing is known of a worker that was given back, and the shares may leave it out for long.
+            if worker.untried && load.effect == Effect::Idempotent {
+                best = Some(((0, f64::MIN), j));
+                continue;
+            }
             let (theta, inside) = (worker.model_theta, worker.share > 0.0);
             // Where all tell one another all, what they told stands in for waits seen.
             let slots = worker.load(now - 2 * SOLVE) + task.slots - self.part.census.slots;
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,6 +104,8 @@
     /// Taken out by hand, and when it was last given back.
     pub out: bool,
     pub back: Option<Time>,
+    /// Given back, and not used since.
+    pub untried: bool,
     /// What it can do at best, by the list's weights.
     pub size: f64,
     pub cold: Option<Cold>,
@@ -322,7 +324,7 @@
 
     /// Given back by hand: what is still out was sent to a process that is no more, and says nothing of this one.
     pub fn give_back(&mut self, now: Time) {
-        (self.back, self.last_sign) = (Some(now), now);
+        (self.back, self.last_sign, self.untried) = (Some(now), now, true);
         self.unstarted.clear();
     }
 
@@ -332,6 +334,7 @@
             self.last_sign = now;
         }
         self.in_flight += 1;
+        self.untried = false;
         self.held += slots;
         self.cold.iter_mut().for_each(|c| c.room -= cost);
         self.unstarted.insert((now, task));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -476,3 +476,35 @@
     much_later.with(|to, m| to.recall(m, lessons));
     assert_eq!(much_later.with(|to, m| to.listed(m.now)), (4, 0));
 }
+
+/// A hand day: a worker that was given back had no share, as others were faster, and was unused for seven seconds.
+#[test]
+fn a_worker_given_back_is_tried_first_though_the_shares_leave_it_out() {
+    let mut bench = Bench::with_workers(1, &["fast", "slow"]);
+    let report = |utilisation, rate| Report {
+        utilisation: Some(utilisation),
+        rate: Some(rate),
+        errors: None,
+        free_slots: Some(1.0),
+    };
+    for n in 0..60 {
+        bench.task(&format!("t{n}"), 0);
+        bench.run(&format!("t{n}"), 0);
+        bench.report("fast", report(0.01, 10.0));
+        bench.report("slow", report(0.5, 0.1));
+        bench.pass(SECOND / 10);
+    }
+    bench.with(|to, m| to.hand(m, "slow", true));
+    bench.pass(SECOND);
+    bench.with(|to, m| to.hand(m, "slow", false));
+    let used = (0..40).any(|n| {
+        let id = format!("u{n}");
+        bench.task(&id, 0);
+        let used = bench.worker_of(&id).as_deref() == Some("slow");
+        bench.run(&id, 0);
+        bench.report("fast", report(0.01, 10.0));
+        bench.pass(SECOND / 10);
+        used
+    });
+    assert!(used, "within four seconds");
+}
