A started task without the progress that is due goes elsewhere if it may; any cut of bytes reads the same

Side-effecting ones stay, as ever. Also: a property test that any bytes, sound or not, read the same however they are cut.

--- a/crates/rainlugd/src/transport/codec.rs
+++ b/crates/rainlugd/src/transport/codec.rs
@@ -182,6 +182,8 @@
 
 #[cfg(test)]
 mod tests {
+    use proptest::prelude::*;
+
     use super::*;
 
     fn by_first_byte(head: &[u8]) -> Result<Body, End> {
@@ -189,19 +191,24 @@
             b'c' => Ok(Body::Chunked),
             b'u' => Ok(Body::UntilEnd),
             b'x' => Err(End::Malformed),
-            n => Ok(Body::Length(usize::from(n - b'0') * MOST_BODY / 4)),
+            n => Ok(Body::Length(usize::from(n.saturating_sub(b'0')) * MOST_BODY / 4)),
         }
     }
 
     /// All pieces of `bytes`, handed over `step` at a time, the body's joined; and how it ended.
     fn pieces(bytes: &[u8], step: usize) -> (Vec<Piece>, Result<(), End>) {
+        parts(bytes.chunks(step))
+    }
+
+    /// The same, handed over in these parts.
+    fn parts<'a>(bytes: impl Iterator<Item = &'a [u8]>) -> (Vec<Piece>, Result<(), End>) {
         let (mut codec, mut buffer, mut found) =
             (Messages::new(by_first_byte), BytesMut::new(), Vec::<Piece>::new());
         let mut take = |piece| match (found.last_mut(), piece) {
             (Some(Piece::Body(had)), Piece::Body(more)) => *had = [&had[..], &more[..]].concat().into(),
             (_, piece) => found.push(piece),
         };
-        for part in bytes.chunks(step) {
+        for part in bytes {
             buffer.extend_from_slice(part);
             loop {
                 match codec.decode(&mut buffer) {
@@ -249,6 +256,29 @@
         }
     }
 
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
+
+        /// Sound and unsound streams alike: what is read does not hang on where the bytes are cut.
+        #[test]
+        fn any_cut_of_any_bytes_reads_the_same(
+            messages in prop::collection::vec(prop::sample::select(vec![
+                "0 head\r\n\r\n", "\r\n", "c\r\n\r\n", "5;x=y\r\nhello\r\n", "0\r\n\r\n", "A\r\n, you two.\r\n",
+                "c\r\n\r\n3\r\nabc\r\n0\r\nt: u\r\n\r\n", "zz\r\n", "x\r\n\r\n", "\r", "u\r\n\r\n", "rest",
+            ]), 1..12),
+            cuts in prop::collection::btree_set(1..200usize, 0..12),
+        ) {
+            let bytes = messages.concat().into_bytes();
+            let ends: Vec<usize> = cuts.into_iter().filter(|c| *c < bytes.len()).chain([bytes.len()]).collect();
+            let begins = [0].into_iter().chain(ends.iter().copied());
+            let cut = begins.zip(&ends).map(|(from, to)| &bytes[from..*to]);
+            let whole = pieces(&bytes, bytes.len().max(1));
+            prop_assert_eq!(&parts(cut), &whole);
+            prop_assert_eq!(&pieces(&bytes, 1), &whole);
+        }
+    }
+
     #[test]
     fn what_cannot_be_trusted_ends_the_connection() {
         let cases: [(&[u8], End); 9] = [
--- a/crates/rainlugd/tests/service.rs
+++ b/crates/rainlugd/tests/service.rs
@@ -370,3 +370,18 @@
     new.opens();
     assert_eq!((figure(&new, "relay.targets"), figure(&new, "relay.targets_disabled")), (4, 1));
 }
+
+#[test]
+fn a_connection_that_tells_no_progress_is_left_and_the_task_finished_elsewhere() {
+    let (silent, good) = (Worker::start(|_| Act::Stall), Worker::start(|_| Act::Finish));
+    let (program, _list) = start(&[("w1", silent.at), ("w2", good.at)]);
+    let mut n = 0;
+    until("a task that started where nothing comes back", || {
+        n += 1;
+        let (begun, mut client) = (Instant::now(), Client::of(&program));
+        assert_eq!(client.ask("/search", &format!("s{n}"), "5000m").0, 200);
+        // Progress is due every 2 s by the settings.
+        silent.tasks.try_recv().is_ok() && begun.elapsed() > Duration::from_secs(2)
+    });
+    assert_eq!(silent.given_up.recv_timeout(LONG).unwrap(), format!("s{n}"));
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,6 +28,8 @@
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
 const SILENT: f64 = 6.0;
+/// Progress that is told of a job this many times as long ago as it is due has been lost.
+const OVERDUE: f64 = 1.25;
 /// Errors in this part of a workload's tasks at a worker keep the workload away.
 const ERRONEOUS: f64 = 0.25;
 /// Part of the cold budget that is used, the rest being room for chance and heavy tasks.
@@ -271,10 +273,8 @@
     pub fn hand(&mut self, m: &mut Moment, id: &str, out: bool) {
         let Some(j) = self.fleet.hand(id, out) else { return };
         if !out {
+            self.renew(m.now, j, Some(m.now));
             self.fleet.workers[j].give_back(m.now);
-            self.renew(m.now, j, None);
-            // Who is told this is told alone, or with the few of its group: the spread may be less wide.
-            self.fleet.workers[j].cold.iter_mut().for_each(|c| c.room /= 2.0);
         }
         self.solve(m.now);
         self.move_on(m);
@@ -300,10 +300,7 @@
 
     /// How many workers are in the list, and how many of these are avoided now, by hand or by choice.
     pub fn listed(&self, now: Time) -> (usize, usize) {
-        let listed = || self.fleet.workers.iter().filter(|w| w.state != State::Gone);
-        let chosen = |w: &&Worker| w.barred(now) || w.ill(now, ERRONEOUS);
-        let avoided = |w: &&Worker| w.out || (!self.part.common && chosen(w));
-        (listed().count(), listed().filter(avoided).count())
+        self.fleet.listed(now, ERRONEOUS, !self.part.common)
     }
 
     /// Asks again, spread out and ever later, but never so late that the list counts as known unread.
@@ -441,13 +438,16 @@
             return Step::End;
         }
         if task.out() > 0 {
-            // What waits at a worker that tells of room is not heard there: an error; it goes elsewhere if it
-            // may.
+            // What waits at a worker that tells of room is not heard there: an error. The connection of what runs
+            // without the progress that is due is dead. Both go elsewhere if they may.
+            let due = (self.known.progress as f64 * OVERDUE) as Time;
             let (quiet, load) = (self.seen.quiet(m.now, SILENT, SOLVE / 10), &self.workloads[task.workload]);
             let stays = !self.allowed.withdrawal || load.effect == Effect::SideEffecting;
             let told = self.known.tells_start && !self.allowed.peers;
-            for a in task.open().filter(|a| told && task.assignments[*a].started.is_none()) {
-                if !self.fleet.workers[task.assignments[a].worker].passes_over(m.now, (n, task, a), quiet) {
+            for a in task.watched(due).filter(|_| told) {
+                let worker = &mut self.fleet.workers[task.assignments[a].worker];
+                let dead = task.assignments[a].overdue(m.now, due);
+                if !dead && !worker.passes_over(m.now, (n, task, a), quiet) {
                     m.out.wake(m.now + quiet, n);
                 } else if !stays && task.assignments.len() < self.allowed.assignments {
                     m.out.withdraw(&task.id, a);
@@ -547,7 +547,7 @@
         worker.turns[task.workload] += 1.0;
         worker.book(m.now, n, cost, task.told);
         let told = task.told;
-        task.assignments.push(Assignment { worker: j, sent: m.now, started: None, outcome: None });
+        task.assignments.push(Assignment::sent(j, m.now));
         m.out.assign(&task.id, &worker.id);
         m.out.wake(m.now + self.seen.quiet(m.now, SILENT, SOLVE / 10), n);
         let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
@@ -632,6 +632,7 @@
         let Some(a) = task.assignments.get_mut(assignment) else { return };
         let worker = &mut self.fleet.workers[a.worker];
         worker.heard(m.now);
+        a.heard = m.now;
         if a.started.is_none() {
             a.started = Some(m.now);
             worker.starts(m.now, a.sent, n);
--- a/src/state.rs
+++ b/src/state.rs
@@ -326,6 +326,8 @@
     pub fn give_back(&mut self, now: Time) {
         (self.back, self.last_sign, self.untried) = (Some(now), now, true);
         self.unstarted.clear();
+        // Who is told of it is told alone, or with the few of its group: the spread may be less wide.
+        self.cold.iter_mut().for_each(|c| c.room /= 2.0);
     }
 
     /// An assignment goes out; silence counts from here if nothing was out before.
@@ -372,10 +374,21 @@
     pub worker: usize,
     pub sent: Time,
     pub started: Option<Time>,
+    /// When its worker last told that it runs.
+    pub heard: Time,
     pub outcome: Option<Outcome>,
 }
 
 impl Assignment {
+    pub fn sent(worker: usize, now: Time) -> Self {
+        Assignment { worker, sent: now, started: None, heard: now, outcome: None }
+    }
+
+    /// Whether it runs and has told nothing for as long as `due`.
+    pub fn overdue(&self, now: Time, due: Time) -> bool {
+        due > 0 && self.started.is_some() && now - self.heard >= due
+    }
+
     pub fn never_ran(&self) -> bool {
         self.outcome.is_some_and(Outcome::never_ran)
     }
@@ -405,6 +418,11 @@
         self.assignments.iter().enumerate().filter_map(open)
     }
 
+    /// Those of which word is awaited: of their start, or where some is due, of their progress.
+    pub fn watched(&self, due: Time) -> impl Iterator<Item = usize> {
+        self.open().filter(move |a| due > 0 || self.assignments[*a].started.is_none())
+    }
+
     /// None of those still out has started.
     pub fn waits(&self) -> bool {
         self.open().all(|i| self.assignments[i].started.is_none())
@@ -459,6 +477,14 @@
         Some(j)
     }
 
+    /// How many workers are in the list, and how many of these are avoided: by hand, or, where errors and bars count, for
+    /// those.
+    pub fn listed(&self, now: Time, errors: f64, count: bool) -> (usize, usize) {
+        let listed = || self.workers.iter().filter(|w| w.state != State::Gone);
+        let avoided = |w: &&Worker| w.out || count && (w.barred(now) || w.ill(now, errors));
+        (listed().count(), listed().filter(avoided).count())
+    }
+
     /// Counts what `among` have reported; `few` is the part of a mean worker's tasks that a θ must rest on.
     pub fn census(&self, now: Time, among: &[usize], few: f64) -> Census {
         let workers = || among.iter().map(|&j| &self.workers[j]);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -508,3 +508,23 @@
     });
     assert!(used, "within four seconds");
 }
+
+/// Days of silent connections: a task that had started was kept to its expiry by a connection that told no more.
+#[test]
+fn what_runs_without_the_progress_that_is_due_goes_elsewhere_if_it_may() {
+    for (workload, moves) in [(0, true), (1, false), (2, true)] {
+        let mut bench = Bench::with_workers(1, &["a", "b"]);
+        bench.task("one", workload);
+        let first = bench.worker_of("one");
+        bench.start_job("one", 0);
+        // It is due each second, and no more is told.
+        bench.pass(SECOND + 100 * MS);
+        assert!(bench.out.withdrawn.is_empty(), "a little late is not lost");
+        bench.pass(SECOND);
+        assert_eq!(bench.out.withdrawn.contains(&("one".into(), 0)), moves);
+        if moves {
+            bench.end("one", 0, Outcome::Withdrawn);
+            assert_ne!(bench.worker_of("one"), first);
+        }
+    }
+}
