--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -30,7 +30,6 @@
 #[derive(Serialize, Deserialize)]
 struct Learnt<T> {
     name: String,
-    at: Time,
     what: T,
 }
 
@@ -42,6 +41,8 @@
     /// The words as last read, by what the file was then.
     words: RefCell<Words>,
     file: Cell<Option<Mark>>,
+    /// What was left for others before this process began.
+    left: Option<Mark>,
     /// Held as long as the process lives.
     _lock: File,
 }
@@ -70,6 +71,7 @@
                     return Err(error).with_context(|| format!("cannot lock {}", path.display()));
                 }
             }
+            let left = fs::metadata(learnt_path(&base)).ok().as_ref().map(mark);
             let place = Place {
                 name: name.to_owned(),
                 base,
@@ -77,6 +79,7 @@
                 status: RefCell::new(Status { started, serves: false, applied: 0 }),
                 words: RefCell::default(),
                 file: Cell::default(),
+                left,
                 _lock: lock,
             };
             place.publish()?;
@@ -176,22 +179,22 @@
     }
 
     /// Leaves what this process has learnt by now for those that begin.
-    pub fn teach(&self, at: Time, what: impl Serialize) -> Result<()> {
-        let text = serde_json::to_string(&Learnt { name: self.name.clone(), at, what })?;
-        Ok(replace(&self.learnt_path(), &text)?)
+    pub fn teach(&self, what: impl Serialize) -> Result<()> {
+        let text = serde_json::to_string(&Learnt { name: self.name.clone(), what })?;
+        Ok(replace(&learnt_path(&self.base), &text)?)
     }
 
     /// What was left since this process began; nothing yet, or an error where it cannot be used.
     pub fn taught<T: DeserializeOwned>(&self) -> Result<Option<T>> {
-        let path = self.learnt_path();
-        let Ok(text) = fs::read_to_string(&path) else { return Ok(None) };
+        let path = learnt_path(&self.base);
+        let Ok(found) = fs::metadata(&path) else { return Ok(None) };
+        if Some(mark(&found)) == self.left {
+            return Ok(None);
+        }
+        let text = fs::read_to_string(&path).with_context(|| format!("cannot read {}", path.display()))?;
         let read = serde_json::from_str::<Learnt<T>>(&text);
         let learnt = read.with_context(|| format!("{} is not used", path.display()))?;
-        Ok(Some(learnt).filter(|l| l.name == self.name && l.at >= self.started()).map(|l| l.what))
-    }
-
-    fn learnt_path(&self) -> PathBuf {
-        self.base.with_added_extension("learnt")
+        Ok(Some(learnt).filter(|l| l.name == self.name).map(|l| l.what))
     }
 
     fn words_path(&self) -> PathBuf {
@@ -207,6 +210,10 @@
     base.with_added_extension(format!("{number}.status"))
 }
 
+fn learnt_path(base: &Path) -> PathBuf {
+    base.with_added_extension("learnt")
+}
+
 /// Replaces a file as a whole: whoever reads it finds the old text or the new one.
 fn replace(path: &Path, text: &str) -> io::Result<()> {
     let new = path.with_added_extension("new");
@@ -289,15 +296,15 @@
     #[test]
     fn what_was_learnt_reaches_who_begins_after_and_is_not_read_later() {
         let dir = tempfile::tempdir().unwrap();
-        let (old, new) = (take(dir.path(), 10), take(dir.path(), 20));
-        assert_eq!(new.taught::<Vec<u32>>().unwrap(), None);
-        old.teach(19, [1, 2]).unwrap();
+        let old = take(dir.path(), 10);
+        old.teach([1, 2]).unwrap();
+        let new = take(dir.path(), 20);
         assert_eq!(new.taught::<Vec<u32>>().unwrap(), None, "left for another one before");
-        old.teach(21, [1, 2, 3]).unwrap();
+        old.teach([1, 2, 3]).unwrap();
         assert_eq!(new.taught::<Vec<u32>>().unwrap(), Some(vec![1, 2, 3]));
         // Of another form, or torn.
         assert!(new.taught::<Vec<String>>().is_err());
-        fs::write(new.learnt_path(), "{\"name\":\"n/0\",\"at\":2").unwrap();
+        fs::write(learnt_path(&new.base), "{\"name\":\"n/0\",\"wh").unwrap();
         assert!(new.taught::<Vec<u32>>().unwrap_err().to_string().contains("is not used"));
     }
 
--- a/crates/rainlugd/src/program/beside.rs
+++ b/crates/rainlugd/src/program/beside.rs
@@ -28,7 +28,6 @@
 pub struct Beside {
     /// Nothing where there is no directory that all processes have.
     place: Option<Place>,
-    clock: Clock,
     module: ToModule,
     stances: Rc<Stances>,
     bounds: Bounds,
@@ -61,7 +60,7 @@
                 None
             }
         };
-        Beside { place, clock, module, stances, bounds, others: Cell::new(0) }
+        Beside { place, module, stances, bounds, others: Cell::new(0) }
     }
 
     /// Workers that are out by words said before. That clients are sent away holds on only where a process lives that
@@ -122,7 +121,7 @@
         let (to, known) = oneshot::channel();
         let _ = self.module.send(Mail::Teach(to)).await;
         if let Ok(known) = known.await {
-            let left = place.teach(self.clock.now(), known);
+            let left = place.teach(known);
             left.unwrap_or_else(|error| log!("the next process learns nothing from this one: {error:#}"));
         }
     }
@@ -139,7 +138,11 @@
                     return;
                 }
                 Ok(None) => sleep(LOOK_BESIDE).await,
-                Err(error) => return log!("nothing is learnt from the process before: {error:#}"),
+                // It may be about to be replaced.
+                Err(error) => {
+                    log!("nothing is learnt yet from the process before: {error:#}");
+                    sleep(LOOK_BESIDE).await;
+                }
             }
         }
     }
