--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -22,6 +22,8 @@
     pub started: Time,
     /// Takes clients.
     pub serves: bool,
+    /// Is to end, and answers what it holds.
+    pub stops: bool,
     /// The version of the words that it has applied.
     pub applied: u64,
 }
@@ -76,7 +78,7 @@
                 name: name.to_owned(),
                 base,
                 number,
-                status: RefCell::new(Status { started, serves: false, applied: 0 }),
+                status: RefCell::new(Status { started, serves: false, stops: false, applied: 0 }),
                 words: RefCell::default(),
                 file: Cell::default(),
                 left,
@@ -99,7 +101,7 @@
         let others = (0..PLACES).filter(|n| *n != self.number && self.held(*n));
         let read = |n| serde_json::from_str(&fs::read_to_string(status_path(&self.base, n)).ok()?).ok();
         // One that has no status yet has only just begun.
-        let begun = Status { started: Time::MAX, serves: false, applied: 0 };
+        let begun = Status { started: Time::MAX, serves: false, stops: false, applied: 0 };
         others.map(|n| read(n).unwrap_or_else(|| begun.clone())).collect()
     }
 
@@ -118,6 +120,16 @@
         self.publish()
     }
 
+    pub fn stops(&self) -> io::Result<()> {
+        self.status.borrow_mut().stops = true;
+        self.publish()
+    }
+
+    /// Whether an older process that is to end still lives.
+    pub fn outlived(&self) -> bool {
+        !self.others().iter().any(|o| o.stops && o.started < self.started())
+    }
+
     fn publish(&self) -> io::Result<()> {
         let text = serde_json::to_string(&*self.status.borrow())?;
         replace(&status_path(&self.base, self.number), &text)
@@ -238,13 +250,16 @@
         assert!(old.others().is_empty());
         let new = take(dir.path(), 2);
         new.serves().unwrap();
-        assert_eq!(old.others(), [Status { started: 2, serves: true, applied: 0 }]);
-        assert_eq!(new.others(), [Status { started: 1, serves: false, applied: 0 }]);
+        assert_eq!(old.others(), [Status { started: 2, serves: true, stops: false, applied: 0 }]);
+        assert_eq!(new.others(), [Status { started: 1, serves: false, stops: false, applied: 0 }]);
+        assert!(new.outlived(), "one that serves on is not waited for");
+        old.stops().unwrap();
+        assert!(!new.outlived() && old.outlived());
         drop(old);
-        assert!(new.others().is_empty());
+        assert!(new.others().is_empty() && new.outlived());
         // A place that is free is taken again, whatever status was left there.
         let next = take(dir.path(), 3);
-        assert_eq!(new.others(), [Status { started: 3, serves: false, applied: 0 }]);
+        assert_eq!(new.others(), [Status { started: 3, serves: false, stops: false, applied: 0 }]);
         drop(next);
     }
 
--- a/crates/rainlugd/src/program/beside.rs
+++ b/crates/rainlugd/src/program/beside.rs
@@ -93,6 +93,17 @@
         told.unwrap_or_else(|error| log!("others cannot be told that this process serves: {error}"));
     }
 
+    /// This process is to end.
+    pub fn stops(&self) {
+        let told = self.place.as_ref().map_or(Ok(()), Place::stops);
+        told.unwrap_or_else(|error| log!("others cannot be told that this process ends: {error}"));
+    }
+
+    /// Whether no older process is left that answers what it holds before it ends.
+    pub fn outlived(&self) -> bool {
+        self.place.as_ref().is_none_or(Place::outlived)
+    }
+
     /// Looks at the others for good.
     pub async fn look(&self) {
         let Some(place) = &self.place else { return };
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -168,7 +168,7 @@
             beside.iter().for_each(|others| others.serves());
             stop.recv().await;
         }
-        wind_up(&stances, clock, mailbox.clone(), closing, bounds.clients).await;
+        wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, bounds.clients).await;
         Ok(())
     };
     tokio::select! {
@@ -245,14 +245,32 @@
 
 /// After the word to stop: ends when every task has its answer and no client is left. Where another process takes the
 /// clients, none comes here any more.
-async fn wind_up(stances: &Stances, clock: Clock, module: ToModule, within: Time, clients: Room) {
+async fn wind_up(
+    stances: &Stances,
+    beside: Option<&Beside>,
+    clock: Clock,
+    module: ToModule,
+    within: Time,
+    clients: Room,
+) {
     let begun = Instant::now();
     log!("stopping: all answers within {within} us");
     stances.stop();
+    beside.iter().for_each(|others| others.stops());
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
     while stances.comes(begun.elapsed() < LAST_CLIENTS) || !clients.empty() {
         sleep(LOOK).await;
     }
+    // An upgrade that is stopped in the middle: for whoever started both this one is the dispatcher, and with its end
+    // the older one would be ended too, before it has answered what it holds.
+    let by = begun + Duration::from_micros(within as u64);
+    let outlived = || beside.is_none_or(|others| others.outlived());
+    if !outlived() {
+        log!("waiting for an older process that still answers");
+    }
+    while !outlived() && Instant::now() < by {
+        sleep(LOOK).await;
+    }
 }
 
 /// Takes in calls at the second address. Who comes when all seats are taken waits until the oldest silent one has gone.
--- a/crates/rainlugd/tests/service.rs
+++ b/crates/rainlugd/tests/service.rs
@@ -385,3 +385,24 @@
     });
     assert_eq!(silent.given_up.recv_timeout(LONG).unwrap(), format!("s{n}"));
 }
+
+/// Upgrade and planned restart at once: with the end of the newer process the older one was ended too, with its tasks.
+#[test]
+fn a_process_that_is_stopped_waits_for_the_older_one_that_still_answers() {
+    let dir = tempfile::tempdir().unwrap();
+    let worker = Worker::start(|_| Act::OnWord);
+    let (list, workers) = (List::start(), [("w1", worker.at)]);
+    let mut old = Program::start(command(dir.path()), &next(&list, &workers, "127.0.0.1:0"));
+    let mut client = Client::of(&old);
+    client.hand_in("/bid", "b1", "5000m");
+    worker.next();
+    let mut new = Program::start(command(dir.path()), &next(&list, &workers, &old.at.to_string()));
+    old.terminate();
+    old.logged("clients come to another process now");
+    new.terminate();
+    new.logged("waiting for an older process that still answers");
+    worker.word.send(()).unwrap();
+    assert_eq!(client.hear().unwrap().0, 200);
+    drop(client);
+    assert!(old.ended().success() && new.ended().success());
+}
