--- a/crates/rainlugd/tests/service.rs
+++ b/crates/rainlugd/tests/service.rs
@@ -406,3 +406,37 @@
     drop(client);
     assert!(old.ended().success() && new.ended().success());
 }
+
+#[test]
+fn calls_are_answered_in_time_while_tasks_pour_in() {
+    let worker = Worker::start(|_| Act::Finish);
+    let (program, _list) = start(&[("w1", worker.at), ("w2", worker.at)]);
+    let (at, over) = (program.at, AtomicBool::new(false));
+    thread::scope(|scope| {
+        for c in 0..8 {
+            let over = &over;
+            scope.spawn(move || {
+                let mut client = Client::at(at);
+                // Many at once on each connection: the next is read as soon as the one before is answered.
+                for n in (0..).step_by(50).take_while(|_| !over.load(Ordering::Relaxed)) {
+                    (n..n + 50).for_each(|n| client.hand_in("/search", &format!("c{c}-{n}"), "4000m"));
+                    (n..n + 50).for_each(|_| assert!(client.hear().is_some()));
+                }
+            });
+        }
+        settles_over(&program, "relay.replies.search.success", 100);
+        for n in 0..30 {
+            let begun = Instant::now();
+            let word = ["maint", "ready"][n % 2];
+            assert_eq!(program.call("POST", &format!("/workers/w2/{word}")).0, 200);
+            assert_eq!(program.call("GET", "/stats").0, 200);
+            assert!(begun.elapsed() < Duration::from_secs(2), "two calls, each due in a second");
+        }
+        over.store(true, Ordering::Relaxed);
+    });
+}
+
+/// Waits until a figure has at least a value.
+fn settles_over(program: &Program, name: &str, value: usize) {
+    until(&format!("{name} is {value} or more"), || figure(program, name) >= value);
+}
