--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 const FULL: f64 = 0.95;
 /// Dispatchers that feed one worker, where there are twice as many or more: each keeps to its part of the
 /// fleet.
-const FEEDERS: usize = 12;
+const FEEDERS: usize = 6;
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
 /// Running times before its due time at which a task must have started, if it is worth as much as the mean.
@@ -604,7 +604,8 @@
     /// Until when a task may wait for its start; in parts the longer, the dearer it is or may be by its size.
     fn hope(&self, now: Time, task: &Task) -> Time {
         if !self.ledger.copies {
-            return self.due_time(now, task, 1.0);
+            let runs = if self.weights.by_work || self.weights.worst_workload > 0.0 { 1.0 } else { f64::MAX };
+            return self.due_time(now, task, runs);
         }
         let large = self.weights.by_work && self.workloads[task.workload].effect == Effect::SideEffecting;
         let worth = if large { f64::MAX } else { self.worth(now, task) };
