--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -99,6 +99,7 @@
         "tps" => report.rate = value,
         "err_ps" => report.errors = value,
         "x0" => report.free_slots = value,
+        "depth" => report.queue = value,
         _ => {}
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -140,6 +140,8 @@
     /// Errors a second, of the whole worker.
     pub errors: Option<f64>,
     pub free_slots: Option<f64>,
+    /// Tasks that wait there.
+    pub queue: Option<f64>,
 }
 
 /// How an assignment ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,8 +39,8 @@
 /// Utilisation is taken as no higher, and the fleet is asked to carry no more, than this.
 const FULL: f64 = 0.95;
 /// Dispatchers that feed one worker, where there are twice as many or more: each keeps to its part of the
-/// fleet.
-const FEEDERS: usize = 6;
+/// fleet. With no second copy to find room, the fewer that each sees much of what its workers do.
+const FEEDERS: [usize; 2] = [4, 12];
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
 /// Running times before its due time at which a task must have started, if it is worth as much as the mean.
@@ -203,7 +203,8 @@
         // Where load cannot be asked of workers, those who feed the same part tell one another, and can be
         // more.
         let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
-        let parts = (place.group_size / FEEDERS / (1 + usize::from(allowed.peers))).max(1);
+        let feeders = FEEDERS[usize::from(allowed.copies)] * (1 + usize::from(allowed.peers));
+        let parts = (place.group_size / feeders).max(1);
         // Dispatchers that start together must neither ask nor solve together.
         let spread = (SOLVE / 10 * parts as Time).min(obligations.must_ask_in.max(SOLVE) / 2);
         let ask_at = allowed.must_ask.then(|| m.now + (chance.draw() * spread as f64) as Time);
--- a/src/state.rs
+++ b/src/state.rs
@@ -253,7 +253,9 @@
             self.erring = errors / (errors + rate);
         }
         self.slots = self.slots.max(report.free_slots.unwrap_or(0.0));
-        self.free = report.free_slots.map(|free| (now, free)).or(self.free);
+        // What waits there counts as slots less than none, a mean running time each for all slots together.
+        let queue = report.queue.unwrap_or(0.0).clamp(0.0, 1e6) / self.slots.max(1.0);
+        self.free = report.free_slots.map(|free| (now, free - queue)).or(self.free);
     }
 
     /// Takes a live weight: its size over one more than the tasks that it holds for each core.
