--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result, bail, ensure};
 use rainlug::logic::Dispatcher;
 use rainlug::{Allowed, Effect, Group, Known, Moment, Obligations, Place, Report, Time, Weights, Workload};
 use serde_json::Value;
@@ -43,6 +43,7 @@
     let weights = Weights {
         whole: number_or(all, "/scoreParts/whole", 1.0)?,
         worst_workload: number_or(all, "/scoreParts/worstClass", 0.0)?,
+        slow_end: slow_end(all)?,
         beyond_share: number_or(all, "/overageRevenue", 1.0)?,
         by_work: word(all, "/revenueBasis")? == Some("work"),
     };
@@ -54,6 +55,19 @@
     Ok((Dispatcher::start(m, place, workloads, quotas, weights, allowed, obligations, known), count))
 }
 
+/// The weight of the slow end. It and the share of misses that is accepted come together or not at all.
+fn slow_end(all: &Value) -> Result<f64> {
+    let [weight, allowed] = ["/scoreParts/slowEnd", "/scoreParts/missAllowed"];
+    match (all.pointer(weight), all.pointer(allowed)) {
+        (None, None) => return Ok(0.0),
+        (Some(_), None) => bail!(lack("a number (as slowEnd is set)", allowed)),
+        (None, Some(_)) => bail!(lack("a number (as missAllowed is set)", weight)),
+        (Some(_), Some(_)) => {}
+    }
+    ensure!(number(all, allowed)? <= 1.0, "{allowed} is over 1");
+    number(all, weight)
+}
+
 fn workloads(all: &Value) -> Result<Vec<Workload>> {
     let found = length(all, "/workloads")?.with_context(|| lack("a list", "/workloads"))?;
     (0..found).map(|i| workload(all, i)).collect()
@@ -86,7 +100,7 @@
         Some("repeatable") => Ok(Effect::Idempotent),
         Some("by_key") => Ok(Effect::Fingerprinted { group, window: time(all, &at("windowMs"))? }),
         Some("once") => Ok(Effect::SideEffecting),
-        _ => anyhow::bail!("{} is not repeatable, by_key or once", at("idempotency")),
+        _ => bail!("{} is not repeatable, by_key or once", at("idempotency")),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,8 @@
 pub struct Weights {
     pub whole: f64,
     pub worst_workload: f64,
+    /// By how evenly each few seconds are served: missed due times weigh more there than early bounces.
+    pub slow_end: f64,
     /// What a task beyond its customer's share earns, as a part of its revenue.
     pub beyond_share: f64,
     /// Revenue counts for each unit of work, not for each task.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -605,7 +605,7 @@
     /// Until when a task may wait for its start; in parts the longer, the dearer it is or may be by its size.
     fn hope(&self, now: Time, task: &Task) -> Time {
         if !self.ledger.copies {
-            let runs = if self.weights.by_work || self.weights.worst_workload > 0.0 { 1.0 } else { f64::MAX };
+            let runs = if self.weights.slow_end > 0.0 { f64::MAX } else { 1.0 };
             return self.due_time(now, task, runs);
         }
         let large = self.weights.by_work && self.workloads[task.workload].effect == Effect::SideEffecting;
