--- a/src/logic.rs
+++ b/src/logic.rs
@@ -377,7 +377,7 @@
         };
         let ((near, some), (far, others)) = (busy(true), busy(false));
         if some > 0.0 && others > 0.0 {
-            self.part.lean = (0.5 + LEAN * (near / some - far / others)).clamp(0.05, 1.0);
+            self.part.lean = (0.2 + LEAN * (near / some - far / others)).clamp(0.05, 1.0);
         }
     }
 
