A retry's due time counts from its first try, short pauses; near first; three feeders; slots told go

A task's due time now counts from its client's first try, by the budget that it has used (who comes with less than a whole due time is taken for impatient, not for a retry), and a bounce asks to come back after a quarter of the due time.

Near workers without a queue come before far ones while the lean is under a quarter, that is while near ones are no more than a 16th busier; the lean begins at 0. A crossing is dear by the revenue alone where no copies go out. Where near workers of a part are barred or gone, far ones take their place, and a part has two workers of each side at least.

--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -152,7 +152,7 @@
 
 /// Makes the module; the protocol has no messages between dispatchers.
 pub fn dispatcher(m: &mut Moment, all: &Value) -> Result<Dispatcher> {
-    let (made, _) = setup::dispatcher(m, setup::seed(all, "/seed")?, settings(all)?, false)?;
+    let (made, _) = setup::dispatcher(m, setup::seed(all, "/seed")?, settings(all)?)?;
     Ok(made)
 }
 
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -172,9 +172,6 @@
         }
     }
 
-    /// The protocol has no message between dispatchers, and the module is started as one that may send none.
-    fn tell(&mut self, _to: usize, _news: &[u8]) {}
-
     fn follow(&mut self) {
         if let Some(asked) = &self.asked {
             asked.notify_one();
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -8,9 +8,8 @@
 use rainlug::{Allowed, Effect, Group, Known, Moment, Obligations, Place, Report, Time, Weights, Workload};
 use serde_json::Value;
 
-/// Makes a dispatcher by its settings; gives it with the number of its workloads. `messages` tells whether the program
-/// can carry any between dispatchers.
-pub fn dispatcher(m: &mut Moment, seed: u64, all: &Value, messages: bool) -> Result<(Dispatcher, usize)> {
+/// Makes a dispatcher by its settings; gives it with the number of its workloads.
+pub fn dispatcher(m: &mut Moment, seed: u64, all: &Value) -> Result<(Dispatcher, usize)> {
     let place = Place {
         seed,
         group_size: count(all, "/groupSize")?,
@@ -21,7 +20,6 @@
         assignments: count(all, "/limits/mostAssignments")?,
         withdrawal: flag(all, "/limits/cancel")?,
         copies: flag(all, "/limits/parallelTries")?,
-        peers: flag(all, "/limits/peers")? && messages,
         probes: flag(all, "/limits/probes")?,
         pause: if flag(all, "/limits/retryAfter")? { time(all, "/limits/maxRetryAfterMs")? } else { 0 },
         must_ask: must_ask(all)?,
@@ -81,6 +79,7 @@
     Ok(Workload {
         effect: effect(all, i)?,
         due: time(all, &at("dueTimeMs"))?,
+        expiry: time(all, &at("expiryMs"))?,
         stretch: number_or(all, &format!("/specifics/classStretch/{i}"), 0.0)?
             + number_or(all, &at("aimStretch"), 0.0)?,
         revenue: number(all, &at("revenue"))?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,8 @@
 pub struct Workload {
     pub effect: Effect,
     pub due: Time,
+    /// How long a client waits, over all its tries.
+    pub expiry: Time,
     /// The due time grows by this many times the task's own running time.
     pub stretch: f64,
     pub revenue: f64,
@@ -80,8 +82,6 @@
     /// Two assignments of a task may be out together.
     pub copies: bool,
     pub probes: bool,
-    /// Dispatchers may tell one another something.
-    pub peers: bool,
     /// The longest pause that clients follow; 0 where they are told none.
     pub pause: Time,
     /// True where the list of workers comes only when asked for.
@@ -183,8 +183,6 @@
     fn abandon(&mut self, task: &str);
     fn wake(&mut self, at: Time, mark: u64);
     fn probe(&mut self, worker: &str);
-    /// Tells the dispatcher of that number something.
-    fn tell(&mut self, to: usize, news: &[u8]);
     /// Asks for the list of workers and its changes from now on.
     fn follow(&mut self);
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,8 @@
 const DEAR: f64 = 0.04;
 /// How far turns lean to near workers for each part of their time that far ones are busier.
 const LEAN: f64 = 4.0;
+/// A lean under this sends no task to a far worker while a near one has no queue.
+const NEAR: f64 = 0.25;
 /// Part of all turns that an unseen workload is given.
 const UNSEEN: f64 = 0.01;
 /// A silence this many times the mean gap is suspect: it has odds of e^-6 among the gaps seen before.
@@ -40,9 +42,13 @@
 const FULL: f64 = 0.95;
 /// Dispatchers that feed one worker, where there are twice as many or more: each keeps to its part of the
 /// fleet. With no second copy to find room, the fewer that each sees much of what its workers do.
-const FEEDERS: [usize; 2] = [4, 12];
+const FEEDERS: [usize; 2] = [3, 12];
+/// Workers of either side in a part, at least: one may be lost.
+const LEAST: usize = 2;
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
+/// Parts of its due time after which a bounced task may come back, perhaps to another dispatcher.
+const BACK: Time = 4;
 /// Running times before its due time at which a task must have started, if it is worth as much as the mean.
 const HOPE: f64 = 1.5;
 /// Part of a workload's running time after which a task that has not started is sent a second way.
@@ -200,11 +206,7 @@
     ) -> Self {
         let mut chance = Chance { seed: place.seed, drawn: 0 };
         let effects = workloads.iter().map(|w| w.effect).collect();
-        // Where load cannot be asked of workers, those who feed the same part tell one another, and can be
-        // more.
-        let allowed = Allowed { peers: allowed.peers && !allowed.probes, ..allowed };
-        let feeders = FEEDERS[usize::from(allowed.copies)] * (1 + usize::from(allowed.peers));
-        let parts = (place.group_size / feeders).max(1);
+        let parts = (place.group_size / FEEDERS[usize::from(allowed.copies)]).max(1);
         // Dispatchers that start together must neither ask nor solve together.
         let spread = (SOLVE / 10 * parts as Time).min(obligations.must_ask_in.max(SOLVE) / 2);
         let ask_at = allowed.must_ask.then(|| m.now + (chance.draw() * spread as f64) as Time);
@@ -220,7 +222,7 @@
             allowed,
             obligations,
             known,
-            fleet: Fleet::of(if allowed.peers { 0 } else { place.index / parts }),
+            fleet: Fleet::of(place.index / parts),
             parts,
             part: Part::default(),
             desk: Desk::default(),
@@ -319,13 +321,14 @@
     fn solve(&mut self, now: Time) {
         let workers = &self.fleet.workers;
         let ready = self.fleet.ring().filter(|&j| workers[j].state == State::Ready && !workers[j].out);
-        let near = |j: &usize| self.allowed.peers || workers[*j].zone == self.place.zone;
+        let near = |j: &usize| workers[*j].zone == self.place.zone;
         let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
-        let size = (close.len() + far.len()).div_ceil(self.parts);
+        let size = (close.len() + far.len()).div_ceil(self.parts).max(LEAST);
         let mut part: Vec<usize> = Vec::new();
-        for among in [close, far] {
+        for (times, among) in [(1, close), (2, far)] {
+            let sound = part.iter().filter(|j| !workers[**j].barred(now)).count();
             let from = self.place.index % self.parts * among.len() / self.parts;
-            part.extend(among.iter().cycle().skip(from).take(size.min(among.len())));
+            part.extend(among.iter().cycle().skip(from).take((times * size - sound).min(among.len())));
         }
         let common = 2 * part.iter().filter(|j| workers[**j].ill(now, ERRONEOUS)).count() > part.len();
         let usable = |j: &usize| common || !workers[*j].barred(now);
@@ -365,7 +368,7 @@
     /// Where a crossing has a price, turns lean to near workers, the more so the busier far ones are: zones
     /// with little traffic keep theirs, and the others cross with what their own workers cannot carry.
     fn lean(&mut self, now: Time) {
-        if self.known.cross_zone <= 0.0 || self.parts == 1 || self.allowed.peers {
+        if self.known.cross_zone <= 0.0 || self.parts == 1 {
             return;
         }
         let busy = |near: bool| {
@@ -377,27 +380,34 @@
         };
         let ((near, some), (far, others)) = (busy(true), busy(false));
         if some > 0.0 && others > 0.0 {
-            self.part.lean = (0.2 + LEAN * (near / some - far / others)).clamp(0.05, 1.0);
+            self.part.lean = (LEAN * (near / some - far / others)).clamp(0.05, 1.0);
         }
     }
 
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
-        let Some(load) = self.workloads.get(workload) else { return m.out.abandon(id) };
+        if workload >= self.workloads.len() {
+            return m.out.abandon(id);
+        }
         self.seen.arrival(m.now, workload, customer);
         let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
         let expiry = self.desk.last_call(m.now + budget);
-        let (id, slots, arrived) = (id.to_owned(), slots.max(1.0), m.now);
-        // Messages cost: among many, only of what cannot be tried elsewhere.
-        let tells = self.allowed.peers && (self.parts == 1 || load.effect == Effect::SideEffecting);
-        let told = if tells { slots } else { 0.0 };
-        let task = Task { id, workload, slots, told, arrived, expiry, within_share, ..Task::default() };
+        let (id, slots, arrived) =
+            (id.to_owned(), slots.max(1.0), m.now - self.waited(m.now, workload, budget));
+        let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
         m.out.wake(expiry, n);
         self.down(m, n);
     }
 
+    /// How long its client has waited in earlier tries, unless it comes with too little time for even one.
+    fn waited(&self, now: Time, i: usize, budget: Time) -> Time {
+        let load = &self.workloads[i];
+        let due = load.due + micros(load.stretch * self.seen.usual(now, i));
+        if budget > due { (load.expiry - budget).max(0) } else { 0 }
+    }
+
     fn down(&mut self, m: &mut Moment, n: u64) {
         for (stage, _) in STAGES {
             match stage(self, m, n) {
@@ -412,7 +422,10 @@
     fn answer(&mut self, m: &mut Moment, n: u64) {
         let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return };
         match self.ledger.may_bounce(task) {
-            true => m.out.bounce(&task.id, self.allowed.pause),
+            // Who came back after its due time would come in vain.
+            true => {
+                m.out.bounce(&task.id, (self.workloads[task.workload].due / BACK).min(self.allowed.pause))
+            }
             false => m.out.abandon(&task.id),
         }
         self.earn(m.now, n, false);
@@ -444,8 +457,7 @@
             let due = (self.known.progress as f64 * OVERDUE) as Time;
             let (quiet, load) = (self.seen.quiet(m.now, SILENT, SOLVE / 10), &self.workloads[task.workload]);
             let stays = !self.allowed.withdrawal || load.effect == Effect::SideEffecting;
-            let told = self.known.tells_start && !self.allowed.peers;
-            for a in task.watched(due).filter(|_| told) {
+            for a in task.watched(due).filter(|_| self.known.tells_start) {
                 let worker = &mut self.fleet.workers[task.assignments[a].worker];
                 let dead = task.assignments[a].overdue(m.now, due);
                 if !dead && !worker.passes_over(m.now, (n, task, a), quiet) {
@@ -495,7 +507,10 @@
         let last = now >= self.due_time(now, task, 1.0) && !self.past_hope(now, task);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
         // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
-        let dear = DEAR * self.parts.min(5) as f64 * self.revenue(now, i) < self.known.cross_zone;
+        let crossing = if self.ledger.copies { DEAR * self.parts.min(5) as f64 } else { DEAR };
+        let dear = crossing * self.revenue(now, i) < self.known.cross_zone;
+        // Where near workers are no busier, an idle far one is no reason to cross.
+        let near = self.part.lean < NEAR;
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in part() {
             let idle = worker.in_flight == 0 && now - worker.last_sign >= SOLVE / 5;
@@ -519,15 +534,12 @@
                 continue;
             }
             let (theta, inside) = (worker.model_theta, worker.share > 0.0);
-            // Where all tell one another all, what they told stands in for waits seen.
-            let slots = worker.load(now - 2 * SOLVE) + task.slots - self.part.census.slots;
-            let told = if self.allowed.peers { (theta * slots).max(0.0) } else { 0.0 };
-            let seen = worker.wait(now, SOLVE / 5, (theta, mean), elsewhere);
-            let wait = if self.allowed.peers && self.parts == 1 { told } else { seen.max(told) };
+            let wait = worker.wait(now, SOLVE / 5, (theta, mean), elsewhere);
             let late = now + micros(wait) > hope;
             let queue = wait > theta / 4.0;
-            let far = u8::from(dear && worker.zone != self.place.zone);
-            let place = if inside { 2 * far + u8::from(queue) } else { 4 };
+            let far = u8::from((dear || near) && worker.zone != self.place.zone);
+            let place = if dear { 2 * far + u8::from(queue) } else { far + 2 * u8::from(queue) };
+            let place = if inside { place } else { 4 };
             let tier = if late { 5 } else { place };
             let turns = f64::from(u8::from(worker.fastest)) + worker.turns[i];
             let lean = if worker.zone == self.place.zone { 1.0 } else { self.part.lean };
@@ -546,15 +558,13 @@
         let Some(task) = self.desk.get_mut(n) else { return };
         let worker = &mut self.fleet.workers[j];
         worker.turns[task.workload] += 1.0;
-        worker.book(m.now, n, cost, task.told);
-        let told = task.told;
+        worker.book(m.now, n, cost);
         task.assignments.push(Assignment::sent(j, m.now));
         m.out.assign(&task.id, &worker.id);
         m.out.wake(m.now + self.seen.quiet(m.now, SILENT, SOLVE / 10), n);
         let patient = m.now + micros(self.seen.run(m.now, task.workload) * PATIENCE) + 1;
         [patient, hope.max(patient)].iter().filter(|_| self.ledger.copies).for_each(|at| m.out.wake(*at, n));
         self.desk.release(n);
-        self.tell(m, j, told);
     }
 
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
@@ -651,12 +661,10 @@
     pub fn ended(&mut self, m: &mut Moment, id: &str, nth: usize, end: (Outcome, bool), report: Report) {
         let Some((n, task)) = self.desk.named(id) else { return };
         let Some(a) = task.assignments.get(nth).filter(|a| a.outcome.is_none()) else { return };
-        let (j, told) = (a.worker, task.told);
-        self.fleet.workers[j].report(m.now, report);
+        self.fleet.workers[a.worker].report(m.now, report);
         for (_, stage) in STAGES.iter().rev() {
             stage(self, m.now, n, nth, end.0);
         }
-        self.tell(m, j, told);
         if end.1 {
             self.earn(m.now, n, end.0 == Outcome::Finished);
             self.close(m, n);
@@ -672,7 +680,7 @@
         let Some(task) = self.desk.get(n) else { return };
         let (a, i) = (&task.assignments[assignment], task.workload);
         let worker = &mut self.fleet.workers[a.worker];
-        worker.strike(a.sent, n, task.told);
+        worker.strike(a.sent, n);
         match outcome {
             Outcome::Finished => {
                 worker.answered(now, i, 0.0);
@@ -691,19 +699,6 @@
         }
     }
 
-    /// Tells those who feed the same part how many slots this dispatcher has taken at a worker.
-    fn tell(&self, m: &mut Moment, j: usize, slots: f64) {
-        let (worker, own) = (&self.fleet.workers[j], self.place.index);
-        let like = (own % self.parts..self.place.group_size).step_by(self.parts);
-        let news = [worker.mark[0], worker.mark[1], worker.held as u8];
-        like.filter(|to| slots > 0.0 && *to != own).for_each(|to| m.out.tell(to, &news));
-    }
-
-    /// Another dispatcher tells how many slots it has taken at a worker.
-    pub fn told(&mut self, now: Time, from: usize, news: &[u8]) {
-        self.fleet.told(&self.part, now, from, news);
-    }
-
     pub fn probed(&mut self, m: &mut Moment, worker: &str, outcome: Outcome, report: Report) {
         let Some(j) = self.fleet.named(worker).filter(|_| outcome == Outcome::Finished) else { return };
         self.fleet.workers[j].report(m.now, report);
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,13 +114,6 @@
     pub lost: bool,
     #[serde(skip)]
     pub in_flight: usize,
-    /// Slots that own tasks have taken here, and those that others told of, with the time.
-    #[serde(skip)]
-    pub held: f64,
-    #[serde(skip)]
-    pub others: BTreeMap<usize, (Time, f64)>,
-    /// By which dispatchers name it to one another.
-    pub mark: [u8; 2],
     /// The most free slots it ever told of.
     pub slots: f64,
     /// Assignments not known to have started: when sent, and of which task.
@@ -190,8 +183,6 @@
     pub utilisation: Option<f64>,
     /// Mean θ of a worker of size 1.
     pub effort: f64,
-    /// The most free slots that any told of.
-    pub slots: f64,
     few: f64,
     kinds: BTreeMap<usize, (f64, f64)>,
 }
@@ -271,11 +262,6 @@
         self.erring > part || errors >= 2.0 && errors > part * all
     }
 
-    /// Slots taken here, by all that is known; what was told before `since` is too old.
-    pub fn load(&self, since: Time) -> f64 {
-        self.held + self.others.values().filter(|o| o.0 >= since).map(|o| o.1).sum::<f64>()
-    }
-
     pub fn ill(&self, now: Time, part: f64) -> bool {
         self.bar.is_some() || (0..self.errors.len()).any(|i| self.fails(now, i, part))
     }
@@ -333,13 +319,12 @@
     }
 
     /// An assignment goes out; silence counts from here if nothing was out before.
-    pub fn book(&mut self, now: Time, task: u64, cost: f64, slots: f64) {
+    pub fn book(&mut self, now: Time, task: u64, cost: f64) {
         if self.in_flight == 0 {
             self.last_sign = now;
         }
         self.in_flight += 1;
         self.untried = false;
-        self.held += slots;
         self.cold.iter_mut().for_each(|c| c.room -= cost);
         self.unstarted.insert((now, task));
     }
@@ -364,9 +349,8 @@
     }
 
     /// An assignment that went out at `sent` has ended.
-    pub fn strike(&mut self, sent: Time, task: u64, slots: f64) {
+    pub fn strike(&mut self, sent: Time, task: u64) {
         self.in_flight -= 1;
-        self.held -= slots;
         self.unstarted.remove(&(sent, task));
     }
 }
@@ -401,8 +385,6 @@
     pub id: String,
     pub workload: usize,
     pub slots: f64,
-    /// Slots that other dispatchers are told of.
-    pub told: f64,
     pub arrived: Time,
     pub expiry: Time,
     /// The part of its customer's tasks that lay within the customer's share when it came.
@@ -504,16 +486,7 @@
         }
         let rate = if reports > 0.0 { rates / reports } else { 0.0 };
         let utilisation = (told > 0.0).then(|| used / told);
-        let slots = workers().map(|w| w.slots).fold(0.0, f64::max);
-        Census { slots, rate, utilisation, effort, few, kinds }
-    }
-
-    /// Another dispatcher told how many slots it has taken at a worker of this part.
-    pub fn told(&mut self, part: &Part, now: Time, from: usize, news: &[u8]) {
-        let &[a, b, held] = news else { return };
-        if let Some(&j) = part.workers.iter().find(|j| self.workers[**j].mark == [a, b]) {
-            self.workers[j].others.insert(from, (now, f64::from(held)));
-        }
+        Census { rate, utilisation, effort, few, kinds }
     }
 
     /// The workers of a part: how many, and the ids of those gone, barred, cold, ill and without a share.
@@ -544,9 +517,8 @@
             (self.round, &entry.id).hash(&mut hasher);
             let key = hasher.finish();
             self.ring.insert(key, j);
-            let mark = [key as u8, (key >> 8) as u8];
             let out = self.out.contains(&entry.id);
-            self.workers.push(Worker { id: entry.id.clone(), mark, out, ..Worker::default() });
+            self.workers.push(Worker { id: entry.id.clone(), out, ..Worker::default() });
         }
         let worker = &mut self.workers[j];
         (worker.zone, worker.cell, worker.kind) = (entry.zone, entry.cell, entry.kind);
