What a client has waited is read from the longest time that any of its workload brings

In place of the settings' expiry: clients that always bring less than that would count as retries for ever (a loopback test whose clients bring 4 of 5 s failed: 503 for 200).

--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -79,7 +79,6 @@
     Ok(Workload {
         effect: effect(all, i)?,
         due: time(all, &at("dueTimeMs"))?,
-        expiry: time(all, &at("expiryMs"))?,
         stretch: number_or(all, &format!("/specifics/classStretch/{i}"), 0.0)?
             + number_or(all, &at("aimStretch"), 0.0)?,
         revenue: number(all, &at("revenue"))?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,8 +40,6 @@
 pub struct Workload {
     pub effect: Effect,
     pub due: Time,
-    /// How long a client waits, over all its tries.
-    pub expiry: Time,
     /// The due time grows by this many times the task's own running time.
     pub stretch: f64,
     pub revenue: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -390,7 +390,7 @@
         if workload >= self.workloads.len() {
             return m.out.abandon(id);
         }
-        self.seen.arrival(m.now, workload, customer);
+        self.seen.arrival(m.now, workload, customer, budget);
         let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
         let expiry = self.desk.last_call(m.now + budget);
         let (id, slots, arrived) =
@@ -401,11 +401,12 @@
         self.down(m, n);
     }
 
-    /// How long its client has waited in earlier tries, unless it comes with too little time for even one.
+    /// How long its client has waited in earlier tries, if all begin with the longest time; not of one that comes
+    /// with less than a whole due time: it is impatient.
     fn waited(&self, now: Time, i: usize, budget: Time) -> Time {
         let load = &self.workloads[i];
         let due = load.due + micros(load.stretch * self.seen.usual(now, i));
-        if budget > due { (load.expiry - budget).max(0) } else { 0 }
+        if budget > due { self.seen.longest[i] - budget } else { 0 }
     }
 
     fn down(&mut self, m: &mut Moment, n: u64) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -671,6 +671,8 @@
     span: Time,
     arrived: Vec<Ring>,
     asked: Vec<Ring>,
+    /// The longest that a client of the workload would wait.
+    pub longest: Vec<Time>,
     runs: Vec<Ring>,
     /// The same over a long time: what the tasks take when all is well.
     usual: Vec<Ring>,
@@ -700,6 +702,7 @@
             span,
             arrived,
             asked,
+            longest: vec![0; priors.len()],
             runs,
             usual,
             squares,
@@ -715,6 +718,7 @@
     fn like(&self, other: &Seen) -> bool {
         let (mine, others) = (self.rings(), other.rings());
         let alike = mine.len() == others.len() && mine.iter().zip(&others).all(|(a, b)| a.like(b));
+        let alike = alike && self.longest.len() == other.longest.len();
         alike && self.span == other.span && (&self.priors, &self.quotas) == (&other.priors, &other.quotas)
     }
 
@@ -723,8 +727,9 @@
         many.into_iter().flatten().chain([&self.started, &self.waits]).collect()
     }
 
-    pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>) {
+    pub fn arrival(&mut self, now: Time, workload: usize, customer: Option<usize>, budget: Time) {
         self.arrived[workload].add(now, 1.0, 1.0);
+        self.longest[workload] = self.longest[workload].max(budget);
         if let Some(ring) = customer.and_then(|c| self.asked.get_mut(c)) {
             ring.add(now, 1.0, 1.0);
         }
