Hanging workers are barred and tried again where no task may repeat; tests of the new shape; mix refused

The configuration refuses slowEnd without missAllowed, the other way round, either out of range, slowEnd beside parallelTries, and a zone that is none of the zones. Each fix undone fails a test: feeders, far workers for near ones, bars, trials, retries, pause, copies.

--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -16,6 +16,8 @@
         index: count(all, "/index")?,
         zone: count(all, "/zone")?,
     };
+    let zones = length(all, "/zones")?.unwrap_or(usize::MAX);
+    ensure!(place.zone < zones, "/zone is none of /zones");
     let allowed = Allowed {
         assignments: count(all, "/limits/mostAssignments")?,
         withdrawal: flag(all, "/limits/cancel")?,
@@ -63,7 +65,11 @@
         (Some(_), Some(_)) => {}
     }
     ensure!(number(all, allowed)? <= 1.0, "{allowed} is over 1");
-    number(all, weight)
+    // It is kept by early bounces; where copies find room, tasks wait longer, and it would go unread.
+    ensure!(!flag(all, "/limits/parallelTries")?, "{weight} does not go with /limits/parallelTries");
+    let found = number(all, weight)?;
+    ensure!(found <= 1.0, "{weight} is over 1");
+    Ok(found)
 }
 
 fn workloads(all: &Value) -> Result<Vec<Workload>> {
@@ -208,3 +214,57 @@
 pub fn micros(ms: f64) -> Option<Time> {
     (ms.is_finite() && ms.abs() < 1e15).then(|| (ms * 1000.0).round() as Time)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rainlug::Outgoing;
+    use serde_json::json;
+
+    struct Nowhere;
+
+    impl Outgoing for Nowhere {
+        fn assign(&mut self, _: &str, _: &str) {}
+        fn withdraw(&mut self, _: &str, _: usize) {}
+        fn bounce(&mut self, _: &str, _: Time) {}
+        fn abandon(&mut self, _: &str) {}
+        fn wake(&mut self, _: Time, _: u64) {}
+        fn probe(&mut self, _: &str) {}
+        fn follow(&mut self) {}
+    }
+
+    fn settings(copies: bool, score: Value) -> Value {
+        json!({"groupSize": 4, "index": 0, "zone": 1, "zones": ["a", "b"], "scoreParts": score,
+            "limits": {"mostAssignments": 3, "cancel": true, "parallelTries": copies},
+            "obligations": {"coldFrom": 0.3, "warmWithinMs": 9000, "overloadFactor": 3, "fallMs": 3000},
+            "workloads": [{"name": "copy", "idempotency": "once", "dueTimeMs": 300, "revenue": 1}]})
+    }
+
+    /// What is said of settings that are refused; nothing of those that hold.
+    fn said(all: &Value) -> Option<String> {
+        let made = dispatcher(&mut Moment { now: 0, out: &mut Nowhere }, 1, all);
+        made.err().map(|e| format!("{e:#}"))
+    }
+
+    #[test]
+    fn one_build_takes_either_shape_and_refuses_a_mix_by_its_key() {
+        let even = json!({"whole": 0.7, "slowEnd": 0.2, "missAllowed": 0.01});
+        assert_eq!(said(&settings(true, json!({"whole": 1.0}))), None);
+        assert_eq!(said(&settings(false, json!({"whole": 1.0}))), None);
+        assert_eq!(said(&settings(false, even.clone())), None);
+        let refused = |all: Value, key: &str| {
+            let line = said(&all).expect("refused");
+            assert!(line.contains(key) && !line.contains('\n'), "{line}");
+        };
+        refused(settings(true, even), "/limits/parallelTries");
+        refused(settings(false, json!({"slowEnd": 0.2})), "/scoreParts/missAllowed");
+        refused(settings(false, json!({"missAllowed": 0.01})), "/scoreParts/slowEnd");
+        refused(settings(false, json!({"slowEnd": 1.2, "missAllowed": 0.01})), "/scoreParts/slowEnd");
+        refused(settings(false, json!({"slowEnd": 0.2, "missAllowed": 7})), "/scoreParts/missAllowed");
+        refused(settings(false, json!({"slowEnd": "much", "missAllowed": 0.01})), "/scoreParts/slowEnd");
+        refused(settings(false, json!({"slowEnd": -0.2, "missAllowed": 0.01})), "/scoreParts/slowEnd");
+        let mut nowhere = settings(false, json!({}));
+        nowhere["zone"] = json!(2);
+        refused(nowhere, "/zone");
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -177,6 +177,8 @@
     place: Place,
     /// Processes of this dispatcher that live: more than one while it is upgraded.
     processes: usize,
+    /// No workload may run again: its tasks make the trials that ill workers come back by.
+    sole: bool,
     chance: Chance,
     workloads: Vec<Workload>,
     weights: Weights,
@@ -217,6 +219,7 @@
         Dispatcher {
             place,
             processes: 1,
+            sole: workloads.iter().all(|w| w.effect != Effect::Idempotent),
             chance,
             ledger: Ledger { effects, assignments: allowed.assignments, copies: copies && allowed.copies },
             allowed,
@@ -271,8 +274,8 @@
         worker.cold = since.map(|since| Cold { since, room, counted: now });
     }
 
-    /// Staff take a worker out or give it back, under its id: the list changes nothing in that. Given back, it
-    /// counts as a new process that starts now.
+    /// Staff take a worker out or give it back, under its id: the list changes nothing in that. Given back,
+    /// it counts as a new process that starts now.
     pub fn hand(&mut self, m: &mut Moment, id: &str, out: bool) {
         let Some(j) = self.fleet.hand(id, out) else { return };
         if !out {
@@ -293,8 +296,8 @@
         Lessons::of(&self.seen, &self.fleet)
     }
 
-    /// Takes over what the process before has learnt, before any task; how old it is, it says itself. Nothing of it
-    /// makes a worker warmer.
+    /// Takes over what the process before has learnt, before any task; how old it is, it says itself. Nothing
+    /// of it makes a worker warmer.
     pub fn recall(&mut self, m: &mut Moment, lessons: Lessons) {
         lessons.teach(&mut self.seen, &mut self.fleet, -self.chance.draw());
         self.solve(m.now);
@@ -387,9 +390,7 @@
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
-        if workload >= self.workloads.len() {
-            return m.out.abandon(id);
-        }
+        let Some(_) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer, budget);
         let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
         let expiry = self.desk.last_call(m.now + budget);
@@ -401,12 +402,12 @@
         self.down(m, n);
     }
 
-    /// How long its client has waited in earlier tries, if all begin with the longest time; not of one that comes
-    /// with less than a whole due time: it is impatient.
+    /// How long its client has waited in earlier tries, if all begin with the longest time; not where late
+    /// answers earn something, nor of one that comes with less than a whole due time: it is impatient.
     fn waited(&self, now: Time, i: usize, budget: Time) -> Time {
         let load = &self.workloads[i];
         let due = load.due + micros(load.stretch * self.seen.usual(now, i));
-        if budget > due { self.seen.longest[i] - budget } else { 0 }
+        if budget > due && load.overdue <= 0.0 { self.seen.longest[i] - budget } else { 0 }
     }
 
     fn down(&mut self, m: &mut Moment, n: u64) {
@@ -453,8 +454,8 @@
             return Step::End;
         }
         if task.out() > 0 {
-            // What waits at a worker that tells of room is not heard there: an error. The connection of what runs
-            // without the progress that is due is dead. Both go elsewhere if they may.
+            // What waits at a worker that tells of room is not heard there: an error. The connection of what
+            // runs without the progress that is due is dead. Both go elsewhere if they may.
             let due = (self.known.progress as f64 * OVERDUE) as Time;
             let (quiet, load) = (self.seen.quiet(m.now, SILENT, SOLVE / 10), &self.workloads[task.workload]);
             let stays = !self.allowed.withdrawal || load.effect == Effect::SideEffecting;
@@ -510,12 +511,11 @@
         // A crossing costs the same whatever the task earns: to a cheap one it may be dearer than a queue.
         let crossing = if self.ledger.copies { DEAR * self.parts.min(5) as f64 } else { DEAR };
         let dear = crossing * self.revenue(now, i) < self.known.cross_zone;
-        // Where near workers are no busier, an idle far one is no reason to cross.
         let near = self.part.lean < NEAR;
         let mut best: Option<((u8, f64), usize)> = None;
         for (j, worker) in part() {
             let idle = worker.in_flight == 0 && now - worker.last_sign >= SOLVE / 5;
-            let trial = idle && load.effect == Effect::Idempotent;
+            let trial = idle && (load.effect == Effect::Idempotent || self.sole);
             let skipped = worker.state != State::Ready
                 || load.kind.is_some_and(|k| k != worker.kind)
                 || worker.in_flight as f64 >= skip
@@ -681,6 +681,8 @@
         let Some(task) = self.desk.get(n) else { return };
         let (a, i) = (&task.assignments[assignment], task.workload);
         let worker = &mut self.fleet.workers[a.worker];
+        // Silence counts only while something is out, and nothing else finds out who lets all time out.
+        let unheard = self.sole && worker.last_sign <= a.sent && now - a.sent >= SOLVE / 2;
         worker.strike(a.sent, n);
         match outcome {
             Outcome::Finished => {
@@ -691,12 +693,13 @@
             Outcome::Failed => worker.answered(now, i, 1.0),
             // One job may be killed, or one connection break, at a sound worker: a dead one refuses the next.
             Outcome::Reset => worker.last_sign = now,
-            Outcome::Unreachable => {
+            Outcome::TimedOut if !unheard => {}
+            Outcome::Unreachable | Outcome::TimedOut => {
                 worker.bar(now, SOLVE / 5, 2 * SOLVE);
                 self.solve(now);
             }
             Outcome::Full => worker.waits.add(now, self.seen.run(now, i), 1.0),
-            Outcome::TimedOut | Outcome::Withdrawn | Outcome::NeverSent => {}
+            Outcome::Withdrawn | Outcome::NeverSent => {}
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -19,6 +19,8 @@
     pub wakes: Vec<(Time, u64)>,
     pub withdrawn: Vec<(String, usize)>,
     pub probes: usize,
+    /// When those that were bounced are to come back.
+    pub pauses: Vec<Time>,
 }
 
 impl Outgoing for Record {
@@ -28,7 +30,8 @@
     fn withdraw(&mut self, task: &str, assignment: usize) {
         self.withdrawn.push((task.into(), assignment));
     }
-    fn bounce(&mut self, task: &str, _: Time) {
+    fn bounce(&mut self, task: &str, pause: Time) {
+        self.pauses.push(pause);
         self.sent.push((self.now, Sent::Bounce(task.into())));
     }
     fn abandon(&mut self, task: &str) {
@@ -71,6 +74,11 @@
     Listed { id: id.into(), zone, kind: 0, cell: zone, state, weight: 1.0, started }
 }
 
+/// The first of a group.
+pub fn place(group_size: usize) -> Place {
+    Place { seed: 7, index: 0, group_size, zone: 0 }
+}
+
 /// One dispatcher of a group.
 pub fn in_group(index: usize, group_size: usize, allowed: Allowed, known: Known) -> Bench {
     Bench::start_as(Place { seed: index as u64, index, group_size, zone: 0 }, allowed, known)
@@ -83,8 +91,7 @@
 
 impl Bench {
     pub fn start(group_size: usize, must_ask: bool) -> Self {
-        let place = Place { seed: 7, index: 0, group_size, zone: 0 };
-        Self::start_as(place, Allowed { must_ask, ..allowed() }, known())
+        Self::start_as(place(group_size), Allowed { must_ask, ..allowed() }, known())
     }
 
     pub fn with_workers(group_size: usize, ids: &[&str]) -> Self {
@@ -94,8 +101,13 @@
     }
 
     pub fn start_as(place: Place, allowed: Allowed, known: Known) -> Self {
+        Self::start_for(place, allowed, known, &effects(), 0.5)
+    }
+
+    /// With workloads of these effects, whose late answers earn so much.
+    pub fn start_for(place: Place, allowed: Allowed, known: Known, of: &[Effect], overdue: f64) -> Self {
         let one =
-            |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue: 0.5, kind: None };
+            |effect| Workload { effect, due: 500 * MS, stretch: 2.0, revenue: 1.0, overdue, kind: None };
         let weights =
             Weights { whole: 1.0, worst_workload: 0.2, slow_end: 0.0, beyond_share: 0.1, by_work: false };
         let obligations = Obligations {
@@ -107,7 +119,7 @@
         };
         let mut out = Record::default();
         let m = &mut Moment { now: 0, out: &mut out };
-        let workloads = effects().map(one).to_vec();
+        let workloads = of.iter().copied().map(one).collect();
         let to = Dispatcher::start(m, place, workloads, Vec::new(), weights, allowed, obligations, known);
         Bench { out, to }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Bench, MS, Sent, allowed, fleet, in_group, known, listed};
+use common::{Bench, MS, Sent, allowed, fleet, in_group, known, listed, place};
 use rainlug::*;
 
 /// One of a hundred dispatchers that feed sixty workers.
@@ -224,3 +224,137 @@
         }
     }
 }
+
+/// A fleet in two locations whose tasks must never run twice, and go out one at a time.
+fn no_copies() -> Allowed {
+    Allowed { copies: false, pause: 2 * SECOND, ..allowed() }
+}
+
+fn in_two_locations(states: [State; 2]) -> Vec<Listed> {
+    (0..176).map(|i| listed(&format!("w{i}"), i % 2, states[i % 2], None)).collect()
+}
+
+/// Twenty-four dispatchers fed each worker and each saw one start of it in seconds: tasks met in queues that no second
+/// copy could leave.
+#[test]
+fn without_copies_few_dispatchers_feed_a_worker_and_all_are_fed() {
+    let fed = |copies: bool| {
+        let mut feeders = std::collections::BTreeMap::new();
+        for index in 0..298 {
+            let allowed = Allowed { copies, ..no_copies() };
+            let mut bench = in_group(index, 298, allowed, known());
+            bench.list(&in_two_locations([State::Ready; 2]));
+            let part = std::collections::BTreeSet::from_iter(bench.tasks("t", 40, 1));
+            part.into_iter().for_each(|w| *feeders.entry(w).or_insert(0) += 1);
+        }
+        feeders
+    };
+    let (few, many) = (fed(false), fed(true));
+    assert_eq!((few.len(), many.len()), (176, 176));
+    assert!(few.values().all(|n| (1..=12).contains(n)), "{few:?}");
+    assert!(many.values().sum::<usize>() > 2 * few.values().sum::<usize>(), "{few:?} {many:?}");
+}
+
+/// Half of the fleet was lost with a location. Until the list says so, its workers are barred one by one, and parts of
+/// one or two workers were left; then parts were one worker.
+#[test]
+fn a_lost_location_leaves_a_part_of_the_other_one_and_comes_back() {
+    let far = |w: &String| w[1..].parse::<usize>().unwrap() % 2 == 1;
+    let mut bench = in_group(5, 298, no_copies(), Known { cross_zone: 0.03, ..known() });
+    bench.list(&in_two_locations([State::Ready; 2]));
+    for n in 0..4 {
+        let id = format!("lost{n}");
+        bench.task(&id, 1);
+        for nth in 0..3 {
+            let at =
+                bench.out.sent.iter().filter(|(_, s)| matches!(s, Sent::Assign(t, _) if *t == id)).count();
+            if at <= nth {
+                break;
+            }
+            if bench.worker_of(&id).is_some_and(|w| far(&w)) {
+                bench.run(&id, nth);
+                break;
+            }
+            bench.end(&id, nth, Outcome::Unreachable);
+        }
+    }
+    let served = |bench: &mut Bench, name: &str| {
+        let workers = bench.tasks(name, 20, 1);
+        let sent: Vec<String> = (0..20).map(|i| format!("{name}{i}")).collect();
+        for id in sent {
+            if bench.worker_of(&id).is_some() {
+                bench.run(&id, 0);
+            }
+        }
+        std::collections::BTreeSet::from_iter(workers)
+    };
+    let reached = served(&mut bench, "more");
+    assert!(reached.iter().filter(|w| far(w)).count() >= 3, "{reached:?}");
+    bench.list(&in_two_locations([State::Gone, State::Ready]));
+    bench.pass(6 * SECOND);
+    let left = served(&mut bench, "left");
+    assert!(left.len() >= 3 && left.iter().all(&far), "{left:?}");
+    let now = bench.out.now;
+    let back = |i: usize| listed(&format!("w{}", 2 * i), 0, State::Ready, Some(now));
+    bench.list(&(0..88).map(back).collect::<Vec<_>>());
+    bench.pass(12 * SECOND);
+    assert!(served(&mut bench, "back").iter().any(|w| !far(w)), "{:?}", bench.out.sent);
+}
+
+/// Nothing but work that must not run twice: a worker that took a task and said nothing was given the next as soon as
+/// that had timed out, and one that was barred had no idempotent task to come back by.
+#[test]
+fn in_a_fleet_of_side_effects_a_worker_that_hangs_is_left_and_comes_back() {
+    let mut bench = Bench::start_for(place(1), no_copies(), known(), &[Effect::SideEffecting], 0.0);
+    bench.ready(&["a", "b", "c", "d"]);
+    bench.task("first", 0);
+    let hangs = bench.worker_of("first").unwrap();
+    bench.pass(5 * SECOND);
+    bench.end("first", 0, Outcome::TimedOut);
+    let sent_there = |bench: &mut Bench, name: &str| {
+        let ids: Vec<String> = (0..8).map(|i| format!("{name}{i}")).collect();
+        let mut there = Vec::new();
+        for id in ids {
+            bench.task(&id, 0);
+            if bench.worker_of(&id).as_ref() == Some(&hangs) {
+                there.push(id);
+            } else {
+                bench.run(&id, 0);
+            }
+        }
+        there
+    };
+    assert_eq!(sent_there(&mut bench, "early"), Vec::<String>::new());
+    let mut back = Vec::new();
+    for n in 0..8 {
+        bench.pass(SECOND);
+        let there = sent_there(&mut bench, &format!("late{n}-"));
+        assert!(there.len() <= 1, "one trial at a time: {there:?}");
+        back.extend(there);
+        if let Some(id) = back.last() {
+            bench.run(id, 0);
+            break;
+        }
+    }
+    assert!(!back.is_empty(), "it never came back");
+    bench.pass(12 * SECOND);
+    assert!(!sent_there(&mut bench, "well").is_empty(), "it answered, and gets its turns again");
+}
+
+/// Clients that were bounced with the longest pause came back after their due time and took the room of others.
+#[test]
+fn a_bounce_asks_to_come_back_in_time_and_who_comes_too_late_does_not_wait() {
+    let come = |budget: Time| {
+        let mut bench = Bench::start_for(place(1), no_copies(), known(), &[Effect::SideEffecting], 0.0);
+        bench.ready(&["a"]);
+        bench.task("holds", 0);
+        bench.with(|to, m| to.task(m, "comes", (0, None), budget, 1.0));
+        let bounced = bench.out.sent.iter().any(|(_, s)| *s == Sent::Bounce("comes".into()));
+        assert!(bench.out.pauses.iter().all(|p| (1..=500 * MS / 4).contains(p)), "{:?}", bench.out.pauses);
+        bounced
+    };
+    // The due time is 0.5 s and twice the running time, taken for 0.5 s before any is known.
+    assert!(come(3 * SECOND), "its due time was over when it came");
+    assert!(!come(1400 * MS), "it has come for the first time, with little time");
+    assert!(!come(5 * SECOND), "it has all its time");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use common::{Bench, MS, Sent, effects, listed};
+use common::{Bench, MS, Sent, allowed, effects, known, listed, place};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rainlug::*;
@@ -39,6 +39,8 @@
     states: HashMap<String, State>,
     /// Taken out by hand, whatever the list says.
     by_hand: HashSet<String>,
+    /// Two assignments of a task may be out together.
+    copies: bool,
     /// When the process ends.
     closes: Option<Time>,
     read: usize,
@@ -75,6 +77,8 @@
                     assert_eq!(self.states.get(worker), Some(&State::Ready), "{worker} is not ready");
                     assert!(!self.by_hand.contains(worker), "{worker} is out by hand");
                     assert!(self.allows(task, *now, Some(worker)), "{task} may have run already");
+                    let alone = !self.out.iter().any(|o| o.task == *task && o.outcome.is_none());
+                    assert!(self.copies || alone, "{task} is out twice");
                     let number = self.out.iter().filter(|o| o.task == *task).count();
                     assert!(number < 3, "{task} sent too often");
                     let (task, worker) = (task.clone(), worker.clone());
@@ -208,8 +212,10 @@
     let mut runner = TestRunner::new_with_rng(Config { failure_persistence: None, ..Config::default() }, rng);
     let days = prop::collection::vec(events(), 1..150);
     runner
-        .run(&(days, 0..4usize, 0..300usize), |(events, size, closing)| {
-            let (mut bench, mut model) = (Bench::start([1, 3, 60, 2000][size], false), Model::default());
+        .run(&(days, 0..8usize, 0..300usize), |(events, size, closing)| {
+            let (place, copies) = (place([1, 3, 60, 2000][size % 4]), size < 4);
+            let mut bench = Bench::start_as(place, Allowed { copies, ..allowed() }, known());
+            let mut model = Model { copies, ..Model::default() };
             for (i, state) in [State::Ready; 4].into_iter().enumerate().skip(4 * (size % 2)) {
                 model.apply(&mut bench, Event::List(i, state, false), 0);
             }
