--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -535,3 +535,23 @@
     let output = Command::new(PROGRAM).env("RELAY_CONFIG", "/nowhere/at all").output().unwrap();
     assert!(String::from_utf8(output.stderr).unwrap().contains("/nowhere/at all"));
 }
+
+/// One build, either shape: what the settings of a fleet without second copies say is in force, and a mix is refused.
+#[test]
+fn a_fleet_without_second_copies_is_served_and_a_mix_is_refused_by_its_key() {
+    let even = "\"scoreParts\":{\"whole\":0.7,\"slowEnd\":0.2,\"missAllowed\":0.01},\"limits\":{\"parallelTries\":COPIES,\"mostAssignments\"";
+    let shape = |copies: &str| even.replace("COPIES", copies);
+    let with = |text: String, copies: &str| text.replace("\"limits\":{\"mostAssignments\"", &shape(copies));
+    let (busy, free) = (Worker::start(|_| Act::Return), Worker::start(|_| Act::Finish));
+    let (program, list) = start_with(&[("w1", busy.at), ("w2", free.at)], |t| with(t, "false"));
+    let mut client = Client::of(&program);
+    // What a worker handed back unstarted has not run: it may go to the other one, one assignment at a time.
+    (0..6).for_each(|n| assert_eq!(client.ask("/bid", &format!("b{n}"), "4000m").0, 200));
+    let alone: Vec<String> = free.tasks.try_iter().map(|(head, _)| head).collect();
+    assert_eq!(alone.len(), 6, "{alone:?}");
+    let mixed = with(configuration(&list, &[("w1", busy.at)]), "true");
+    let output = Command::new(PROGRAM).env("RELAY_CONFIG", written(&mixed)).output().unwrap();
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success() && message.contains("/limits/parallelTries"), "{message}");
+    assert_eq!(message.trim_end().lines().count(), 1, "{message}");
+}
