One due time, one lock, one wait: what the last work wrote twice is written once

- logic.rs: how long a task has (due_within) was worked out again for retries; the pause of a bounce is named once.
The feeders of a cold worker were counted over the whole list for every worker of the part at every beat, cold or not: now once a beat.
- state.rs: one comparison of measures for workers and for what was seen; a barred worker is ill already.
- handover: one way to take a lock and to know a file, so an error in locking the words now names the file too; the text of words holds the words instead of their fields.

--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -57,23 +57,32 @@
     (of.ino(), of.mtime(), of.mtime_nsec(), of.len())
 }
 
+/// Which file there is, if any can be seen.
+fn found(path: &Path) -> Option<Mark> {
+    fs::metadata(path).ok().as_ref().map(mark)
+}
+
+/// The lock of that file, held until it is dropped; nothing where another process holds it.
+fn locked(path: &Path) -> Result<Option<File>> {
+    let opened = File::options().create(true).write(true).truncate(false).open(path);
+    let lock = opened.with_context(|| format!("cannot open {}", path.display()))?;
+    match lock.try_lock() {
+        Ok(()) => Ok(Some(lock)),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(error)) => {
+            Err(error).with_context(|| format!("cannot lock {}", path.display()))
+        }
+    }
+}
+
 impl Place {
     /// Takes the first place that nobody holds, and reads the words said so far. A file of words that cannot be used is
     /// told with the reason, and counts as none.
     pub fn take(dir: &Path, name: &str, started: Time) -> Result<(Self, Option<anyhow::Error>)> {
         let base = dir.join(format!("rainlug-{}", utf8_percent_encode(name, NON_ALPHANUMERIC)));
         for number in 0..PLACES {
-            let path = lock_path(&base, number);
-            let opened = File::options().create(true).write(true).truncate(false).open(&path);
-            let lock = opened.with_context(|| format!("cannot open {}", path.display()))?;
-            match lock.try_lock() {
-                Ok(()) => {}
-                Err(TryLockError::WouldBlock) => continue,
-                Err(TryLockError::Error(error)) => {
-                    return Err(error).with_context(|| format!("cannot lock {}", path.display()));
-                }
-            }
-            let left = fs::metadata(learnt_path(&base)).ok().as_ref().map(mark);
+            let Some(lock) = locked(&lock_path(&base, number))? else { continue };
+            let left = found(&learnt_path(&base));
             let place = Place {
                 name: name.to_owned(),
                 base,
@@ -164,14 +173,7 @@
     /// Adds to the words of all, and gives those that this process held before; nothing where another process is just
     /// adding to them.
     pub fn say(&self, change: impl FnOnce(&mut Words)) -> Result<Option<Words>> {
-        let path = self.base.with_added_extension("lock");
-        let lock = File::options().create(true).write(true).truncate(false).open(&path);
-        let lock = lock.with_context(|| format!("cannot open {}", path.display()))?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => return Ok(None),
-            Err(TryLockError::Error(error)) => return Err(error.into()),
-        }
+        let Some(_lock) = locked(&self.base.with_added_extension("lock"))? else { return Ok(None) };
         let before = self.words();
         // What cannot be used is written anew, by what this process holds.
         let _ = self.news();
@@ -179,7 +181,7 @@
         change(&mut words);
         words.version += 1;
         replace(&self.words_path(), &words.text(&self.name))?;
-        self.file.set(fs::metadata(self.words_path()).ok().as_ref().map(mark));
+        self.file.set(found(&self.words_path()));
         self.applied(words)?;
         Ok(Some(before))
     }
@@ -199,8 +201,8 @@
     /// What was left since this process began; nothing yet, or an error where it cannot be used.
     pub fn taught<T: DeserializeOwned>(&self) -> Result<Option<T>> {
         let path = learnt_path(&self.base);
-        let Ok(found) = fs::metadata(&path) else { return Ok(None) };
-        if Some(mark(&found)) == self.left {
+        let found = found(&path);
+        if found.is_none() || found == self.left {
             return Ok(None);
         }
         let text = fs::read_to_string(&path).with_context(|| format!("cannot read {}", path.display()))?;
--- a/crates/handover/src/words.rs
+++ b/crates/handover/src/words.rs
@@ -8,7 +8,7 @@
 /// Texts of another form are not read.
 const FORM: u32 = 1;
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Words {
     /// Grows with each word.
     pub version: u64,
@@ -22,9 +22,8 @@
 struct Text {
     form: u32,
     name: String,
-    version: u64,
-    out: BTreeSet<String>,
-    emptied: bool,
+    #[serde(flatten)]
+    words: Words,
 }
 
 impl Words {
@@ -33,13 +32,12 @@
         let text: Text = serde_json::from_str(text).context("no whole text of words")?;
         ensure!(text.form == FORM, "of form {}, not {FORM}", text.form);
         ensure!(text.name == name, "of {}, not of {name}", text.name);
-        Ok(Words { version: text.version, out: text.out, emptied: text.emptied })
+        Ok(text.words)
     }
 
     pub fn text(&self, name: &str) -> String {
-        let Words { version, out, emptied } = self.clone();
-        serde_json::to_string(&Text { form: FORM, name: name.to_owned(), version, out, emptied })
-            .unwrap_or_default()
+        let text = Text { form: FORM, name: name.to_owned(), words: self.clone() };
+        serde_json::to_string(&text).unwrap_or_default()
     }
 
     /// A worker is out, or given back.
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -150,7 +150,7 @@
     Ok((rev, entries))
 }
 
-/// Makes the module; the protocol has no messages between dispatchers.
+/// Makes the module.
 pub fn dispatcher(m: &mut Moment, all: &Value) -> Result<Dispatcher> {
     let (made, _) = setup::dispatcher(m, setup::seed(all, "/seed")?, settings(all)?)?;
     Ok(made)
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/rainlugd/src/transport/limits.rs
@@ -44,9 +44,7 @@
             list: Room::of(2),
         }
     }
-}
 
-impl Bounds {
     /// What one process may hold is for so many.
     pub fn shared_by(&self, processes: usize) {
         [&self.clients, &self.workers, &self.turned_away].iter().for_each(|room| room.shared_by(processes));
--- a/crates/rainlugd/tests/service.rs
+++ b/crates/rainlugd/tests/service.rs
@@ -36,15 +36,6 @@
     configuration(list, workers).replace("\"listen\":\"127.0.0.1:0\"", &listens)
 }
 
-/// Waits until something is so.
-fn until(what: &str, mut so: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !so() {
-        assert!(begun.elapsed() < LONG, "waited too long: {what}");
-        thread::yield_now();
-    }
-}
-
 /// One figure.
 fn figure(program: &Program, name: &str) -> usize {
     let (status, text) = program.call("GET", "/stats");
@@ -55,7 +46,7 @@
 
 /// Waits until a figure has a value.
 fn settles(program: &Program, name: &str, value: usize) {
-    until(&format!("{name} is {value}"), || figure(program, name) == value);
+    until(&format!("{name} is {value}"), |_| figure(program, name) == value);
 }
 
 #[test]
@@ -133,13 +124,10 @@
     }
     assert_eq!(one.tasks.try_iter().count(), 0);
     assert_eq!(program.call("POST", "/workers/w%201/ready").0, 200);
-    let begun = Instant::now();
-    let mut n = 0;
-    while one.tasks.try_recv().is_err() {
-        n += 1;
+    until("given back, it is used", |n| {
         client.ask("/search", &format!("u{n}"), "4000m");
-        assert!(begun.elapsed() < LONG, "given back and not used");
-    }
+        one.tasks.try_recv().is_ok()
+    });
     assert_eq!(figure(&program, "relay.targets_disabled"), 0);
 }
 
@@ -266,7 +254,7 @@
             .collect();
         let mut new = Program::begin(command(dir.path()), &next(&list, &workers, &at.to_string()));
         new.opens();
-        until("yes", || new.call("GET", "/healthcheck").0 == 200);
+        until("yes", |_| new.call("GET", "/healthcheck").0 == 200);
         old.terminate();
         old.logged("clients come to another process now");
         assert_eq!(old.call("GET", "/healthcheck").0, 200, "it still answers there");
@@ -277,7 +265,7 @@
         drop(long);
         assert!(old.ended().success());
         let before = figure(&new, "relay.replies.search.success");
-        until("tasks at the new one", || figure(&new, "relay.replies.search.success") > before + 20);
+        until("tasks at the new one", |_| figure(&new, "relay.replies.search.success") > before + 20);
         over.store(true, Ordering::Relaxed);
         clients.into_iter().for_each(|client| assert!(client.join().unwrap() > 0));
     });
@@ -329,9 +317,9 @@
     };
     assert!(keeps(&old));
     let new = Program::start(command(dir.path()), &text);
-    until("the old one sends its clients away", || !keeps(&old));
+    until("the old one sends its clients away", |_| !keeps(&old));
     drop(new);
-    until("the old one keeps them again", || (0..8).all(|_| keeps(&old)));
+    until("the old one keeps them again", |_| (0..8).all(|_| keeps(&old)));
     old.terminate();
     assert!(old.ended().success());
 }
@@ -346,7 +334,7 @@
     program.opens();
     assert_eq!(program.call("POST", "/workers/w1/maint").0, 200);
     assert_eq!(program.call("POST", "/workers/w1/ready").0, 200);
-    until("a task served", || Client::of(&program).ask("/search", "s1", "4000m").0 == 200);
+    until("a task served", |_| Client::of(&program).ask("/search", "s1", "4000m").0 == 200);
 }
 
 #[test]
@@ -355,17 +343,15 @@
     let (bad, good) = (Worker::start(|_| Act::Fail), Worker::start(|_| Act::Finish));
     let (list, workers) = (List::start(), [("w1", bad.at), ("w2", good.at), ("w3", good.at)]);
     let old = Program::start(command(dir.path()), &next(&list, &workers, "127.0.0.1:0"));
-    let mut tasks = 0;
-    until("errors known", || {
-        tasks += 1;
-        Client::of(&old).ask("/search", &format!("s{tasks}"), "4000m");
+    until("errors known", |n| {
+        Client::of(&old).ask("/search", &format!("s{n}"), "4000m");
         figure(&old, "relay.targets_disabled") == 1
     });
     // The list names one more; the next process is told of an older list, and of a source where nobody is.
     list.tell.send(Some(line(2, false, &[("w4", good.at, "a", "in_service")]))).unwrap();
     settles(&old, "relay.targets", 4);
-    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let text = next(&list, &workers, &old.at.to_string()).replace(&list.at.to_string(), &nobody.to_string());
+    let text =
+        next(&list, &workers, &old.at.to_string()).replace(&list.at.to_string(), &nobody().to_string());
     let mut new = Program::begin(command(dir.path()), &text);
     new.opens();
     assert_eq!((figure(&new, "relay.targets"), figure(&new, "relay.targets_disabled")), (4, 1));
@@ -375,15 +361,15 @@
 fn a_connection_that_tells_no_progress_is_left_and_the_task_finished_elsewhere() {
     let (silent, good) = (Worker::start(|_| Act::Stall), Worker::start(|_| Act::Finish));
     let (program, _list) = start(&[("w1", silent.at), ("w2", good.at)]);
-    let mut n = 0;
-    until("a task that started where nothing comes back", || {
-        n += 1;
+    let mut last = 0;
+    until("a task that started where nothing comes back", |n| {
+        last = n;
         let (begun, mut client) = (Instant::now(), Client::of(&program));
         assert_eq!(client.ask("/search", &format!("s{n}"), "5000m").0, 200);
         // Progress is due every 2 s by the settings.
         silent.tasks.try_recv().is_ok() && begun.elapsed() > Duration::from_secs(2)
     });
-    assert_eq!(silent.given_up.recv_timeout(LONG).unwrap(), format!("s{n}"));
+    assert_eq!(silent.given_up.recv_timeout(LONG).unwrap(), format!("s{last}"));
 }
 
 /// Upgrade and planned restart at once: with the end of the newer process the older one was ended too, with its tasks.
@@ -438,5 +424,5 @@
 
 /// Waits until a figure has at least a value.
 fn settles_over(program: &Program, name: &str, value: usize) {
-    until(&format!("{name} is {value} or more"), || figure(program, name) >= value);
+    until(&format!("{name} is {value} or more"), |_| figure(program, name) >= value);
 }
--- a/crates/rainlugd/tests/sockets.rs
+++ b/crates/rainlugd/tests/sockets.rs
@@ -3,7 +3,7 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::Command;
 use std::time::Instant;
 
@@ -37,18 +37,6 @@
     (workers, program, list)
 }
 
-/// Does the numbered thing until it tells that it is done.
-fn until(mut done: impl FnMut(usize) -> bool) {
-    let begun = Instant::now();
-    let found = (1..).take_while(|_| begun.elapsed() < LONG).any(&mut done);
-    assert!(found, "waited too long");
-}
-
-/// An address at which nobody listens.
-fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 #[test]
 fn a_task_goes_to_a_worker_as_it_came_and_its_result_back() {
     let worker = Worker::start(|_| Act::Finish);
@@ -121,7 +109,7 @@
     let (_workers, program, _list) = start_alike(3, Act::FinishOnce);
     let mut client = Client::of(&program);
     let mut well = 0;
-    until(|n| {
+    until("eight finished in a row", |n| {
         let finished = client.ask("/bid", &format!("b{n}"), "5000m").0 == 200;
         well = if finished { well + 1 } else { 0 };
         well == 8
@@ -194,7 +182,7 @@
     let change = [("w1", old.at, "a", "terminating"), ("w2", new.at, "a", "in_service")];
     list.tell.send(Some(line(2, false, &change))).unwrap();
     // The first task at the new worker shows that the change has been read.
-    until(|n| {
+    until("a task at the new worker", |n| {
         assert_eq!(client.ask("/search", &format!("s{n}"), "4000m").0, 200);
         new.tasks.try_recv().is_ok()
     });
@@ -217,7 +205,7 @@
     assert_eq!(list.asked.recv_timeout(LONG).unwrap(), "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
     // A whole list without the old worker, of a version that went back.
     list.tell.send(Some(line(3, true, &[("w2", new.at, "a", "in_service")]))).unwrap();
-    until(|n| {
+    until("a task at the new worker", |n| {
         client.ask("/search", &format!("t{n}"), "4000m");
         new.tasks.try_recv().is_ok()
     });
@@ -500,7 +488,7 @@
     assert_eq!(asked, "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
     let change = [("w1", old.at, "a", "terminating"), ("w2", new.at, "a", "in_service")];
     moved.tell.send(Some(line(8, false, &change))).unwrap();
-    until(|n| {
+    until("a task at the new worker", |n| {
         assert_eq!(client.ask("/search", &format!("t{n}"), "4000m").0, 200);
         new.tasks.try_recv().is_ok()
     });
@@ -539,17 +527,19 @@
 /// One build, either shape: what the settings of a fleet without second copies say is in force, and a mix is refused.
 #[test]
 fn a_fleet_without_second_copies_is_served_and_a_mix_is_refused_by_its_key() {
-    let even = "\"scoreParts\":{\"whole\":0.7,\"slowEnd\":0.2,\"missAllowed\":0.01},\"limits\":{\"parallelTries\":COPIES,\"mostAssignments\"";
-    let shape = |copies: &str| even.replace("COPIES", copies);
-    let with = |text: String, copies: &str| text.replace("\"limits\":{\"mostAssignments\"", &shape(copies));
+    let with = |text: String, copies: bool| {
+        let even =
+            r#""scoreParts":{"whole":0.7,"slowEnd":0.2,"missAllowed":0.01},"limits":{"parallelTries":"#;
+        text.replace("\"limits\":{\"mostAssignments\"", &format!("{even}{copies},\"mostAssignments\""))
+    };
     let (busy, free) = (Worker::start(|_| Act::Return), Worker::start(|_| Act::Finish));
-    let (program, list) = start_with(&[("w1", busy.at), ("w2", free.at)], |t| with(t, "false"));
+    let (program, list) = start_with(&[("w1", busy.at), ("w2", free.at)], |t| with(t, false));
     let mut client = Client::of(&program);
     // What a worker handed back unstarted has not run: it may go to the other one, one assignment at a time.
     (0..6).for_each(|n| assert_eq!(client.ask("/bid", &format!("b{n}"), "4000m").0, 200));
     let alone: Vec<String> = free.tasks.try_iter().map(|(head, _)| head).collect();
     assert_eq!(alone.len(), 6, "{alone:?}");
-    let mixed = with(configuration(&list, &[("w1", busy.at)]), "true");
+    let mixed = with(configuration(&list, &[("w1", busy.at)]), true);
     let output = Command::new(PROGRAM).env("RELAY_CONFIG", written(&mixed)).output().unwrap();
     let message = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success() && message.contains("/limits/parallelTries"), "{message}");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,8 +19,8 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
-/// Part of a task's revenue over which a crossing is worse than a queue, for each part of the fleet up to
-/// five.
+/// Part of a task's revenue over which a crossing is worse than a queue; where copies go out, for each part
+/// of the fleet up to five.
 const DEAR: f64 = 0.04;
 /// How far turns lean to near workers for each part of their time that far ones are busier.
 const LEAN: f64 = 4.0;
@@ -390,26 +390,21 @@
     /// A task has come, of a workload and a customer; `budget` is the time its client will wait.
     pub fn task(&mut self, m: &mut Moment, id: &str, of: (usize, Option<usize>), budget: Time, slots: f64) {
         let (workload, customer) = of;
-        let Some(_) = self.workloads.get(workload) else { return m.out.abandon(id) };
+        let Some(load) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer, budget);
         let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
         let expiry = self.desk.last_call(m.now + budget);
-        let (id, slots, arrived) =
-            (id.to_owned(), slots.max(1.0), m.now - self.waited(m.now, workload, budget));
+        // How long its client has waited in earlier tries, if all begin with the longest time; not where late
+        // answers earn something, nor of one that comes with less than a whole due time: it is impatient.
+        let again = load.overdue <= 0.0 && budget > self.due_within(m.now, workload, 0.0);
+        let arrived = m.now - if again { self.seen.longest[workload] - budget } else { 0 };
+        let (id, slots) = (id.to_owned(), slots.max(1.0));
         let task = Task { id, workload, slots, arrived, expiry, within_share, ..Task::default() };
         let n = self.desk.take(task);
         m.out.wake(expiry, n);
         self.down(m, n);
     }
 
-    /// How long its client has waited in earlier tries, if all begin with the longest time; not where late
-    /// answers earn something, nor of one that comes with less than a whole due time: it is impatient.
-    fn waited(&self, now: Time, i: usize, budget: Time) -> Time {
-        let load = &self.workloads[i];
-        let due = load.due + micros(load.stretch * self.seen.usual(now, i));
-        if budget > due && load.overdue <= 0.0 { self.seen.longest[i] - budget } else { 0 }
-    }
-
     fn down(&mut self, m: &mut Moment, n: u64) {
         for (stage, _) in STAGES {
             match stage(self, m, n) {
@@ -423,11 +418,10 @@
     /// The final answer, at once: a bounce where the ledger allows that promise, else an abandonment.
     fn answer(&mut self, m: &mut Moment, n: u64) {
         let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return };
+        // Who came back after its due time would come in vain.
+        let pause = (self.workloads[task.workload].due / BACK).min(self.allowed.pause);
         match self.ledger.may_bounce(task) {
-            // Who came back after its due time would come in vain.
-            true => {
-                m.out.bounce(&task.id, (self.workloads[task.workload].due / BACK).min(self.allowed.pause))
-            }
+            true => m.out.bounce(&task.id, pause),
             false => m.out.abandon(&task.id),
         }
         self.earn(m.now, n, false);
@@ -634,9 +628,13 @@
 
     /// When a task is due that takes the mean time of its workload, or `runs` of those before.
     fn due_time(&self, now: Time, task: &Task, runs: f64) -> Time {
-        let load = &self.workloads[task.workload];
-        let slack = (load.stretch - runs).max(0.0) * self.seen.usual(now, task.workload);
-        task.expiry.min(task.arrived + load.due + micros(slack))
+        task.expiry.min(task.arrived + self.due_within(now, task.workload, runs))
+    }
+
+    /// How long after its arrival that is, where its client waits so long.
+    fn due_within(&self, now: Time, i: usize, runs: f64) -> Time {
+        let load = &self.workloads[i];
+        load.due + micros((load.stretch - runs).max(0.0) * self.seen.usual(now, i))
     }
 
     /// A job told that it started, or how far it is: a sign of life.
@@ -747,7 +745,9 @@
                 m.out.probe(&self.fleet.workers[self.part.workers[nth % self.part.workers.len()]].id);
             }
         }
-        (0..self.part.workers.len()).for_each(|i| self.warm(m.now, self.part.workers[i]));
+        let (all, ready) = (self.place.group_size.max(1), self.fleet.ready().max(1));
+        let feeders = (all * self.part.workers.len()).div_ceil(ready).clamp(1, all) * self.processes;
+        (0..self.part.workers.len()).for_each(|i| self.warm(m.now, self.part.workers[i], feeders as f64));
         if self.pulse.beat((SOLVE / BEAT) as u64) {
             self.solve(m.now)
         } else {
@@ -761,20 +761,18 @@
         self.fleet.standing(&self.part, now, ERRONEOUS)
     }
 
-    /// A cold worker's room grows with what it can do by now, a dispatcher's part of it.
-    fn warm(&mut self, now: Time, j: usize) {
-        let (all, ready) = (self.place.group_size.max(1), self.fleet.ready().max(1));
+    /// A cold worker's room grows with what it can do by now, a dispatcher's part of it among its `feeders`.
+    fn warm(&mut self, now: Time, j: usize, feeders: f64) {
         let worker = &mut self.fleet.workers[j];
         worker.cold.take_if(|c| now - c.since >= self.obligations.warm_within);
         let Some(cold) = worker.cold.as_mut() else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
         let can = from + (1.0 - from) * age as f64 / self.obligations.warm_within as f64;
-        let feeders = (all * self.part.workers.len()).div_ceil(ready).clamp(1, all) * self.processes;
         // Before anyone has reported, all that is known of a worker is that it has a core: with no room at
         // all, a fleet and dispatchers that restarted together would wait for each other.
         let effort = self.part.census.effort / worker.size;
         let work = if effort > 0.0 { effort } else { self.seen.mean_run(now) };
-        let rate = COLD_USE * self.obligations.overload_factor / work * can / feeders as f64;
+        let rate = COLD_USE * self.obligations.overload_factor / work * can / feeders;
         cold.grow(now, rate, rate * seconds(self.obligations.fall));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,11 @@
     }
 }
 
+/// Whether these are the same measures as others.
+fn alike(mine: &[&Ring], others: &[&Ring]) -> bool {
+    mine.len() == others.len() && mine.iter().zip(others).all(|(a, b)| a.like(b))
+}
+
 /// Chance, by a seed and a counter.
 pub(crate) struct Chance {
     pub seed: u64,
@@ -210,8 +215,7 @@
 impl Worker {
     /// Whether the same is measured of it as of another.
     fn like(&self, other: &Worker) -> bool {
-        let (mine, others) = (self.rings(), other.rings());
-        mine.len() == others.len() && mine.iter().zip(&others).all(|(a, b)| a.like(b))
+        alike(&self.rings(), &other.rings())
     }
 
     fn rings(&self) -> Vec<&Ring> {
@@ -465,7 +469,7 @@
     /// those.
     pub fn listed(&self, now: Time, errors: f64, count: bool) -> (usize, usize) {
         let listed = || self.workers.iter().filter(|w| w.state != State::Gone);
-        let avoided = |w: &&Worker| w.out || count && (w.barred(now) || w.ill(now, errors));
+        let avoided = |w: &&Worker| w.out || count && w.ill(now, errors);
         (listed().count(), listed().filter(avoided).count())
     }
 
@@ -721,9 +725,7 @@
 
     /// Whether this measures the same as another.
     fn like(&self, other: &Seen) -> bool {
-        let (mine, others) = (self.rings(), other.rings());
-        let alike = mine.len() == others.len() && mine.iter().zip(&others).all(|(a, b)| a.like(b));
-        let alike = alike && self.longest.len() == other.longest.len();
+        let alike = alike(&self.rings(), &other.rings()) && self.longest.len() == other.longest.len();
         alike && self.span == other.span && (&self.priors, &self.quotas) == (&other.priors, &other.quotas)
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -198,11 +198,23 @@
     use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
     use std::sync::{Arc, Mutex};
     use std::thread::spawn;
-    use std::time::Duration;
+    use std::time::{Duration, Instant};
 
     /// Whoever waits longer has failed.
     pub const LONG: Duration = Duration::from_secs(30);
 
+    /// Does the numbered thing until it tells that it is done.
+    pub fn until(what: &str, mut done: impl FnMut(usize) -> bool) {
+        let begun = Instant::now();
+        let found = (1..).take_while(|_| begun.elapsed() < LONG).any(&mut done);
+        assert!(found, "waited too long: {what}");
+    }
+
+    /// An address at which nobody listens.
+    pub fn nobody() -> SocketAddr {
+        TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    }
+
     /// A message's head, and its body by its stated length; nothing where the connection ended.
     fn message(from: &mut impl BufRead) -> Option<(String, String)> {
         let (mut head, mut length) = (String::new(), 0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use common::{Bench, MS, Sent, allowed, fleet, in_group, known, listed, place};
 use rainlug::*;
 
@@ -239,12 +241,12 @@
 #[test]
 fn without_copies_few_dispatchers_feed_a_worker_and_all_are_fed() {
     let fed = |copies: bool| {
-        let mut feeders = std::collections::BTreeMap::new();
+        let mut feeders = BTreeMap::new();
         for index in 0..298 {
             let allowed = Allowed { copies, ..no_copies() };
             let mut bench = in_group(index, 298, allowed, known());
             bench.list(&in_two_locations([State::Ready; 2]));
-            let part = std::collections::BTreeSet::from_iter(bench.tasks("t", 40, 1));
+            let part = BTreeSet::from_iter(bench.tasks("t", 40, 1));
             part.into_iter().for_each(|w| *feeders.entry(w).or_insert(0) += 1);
         }
         feeders
@@ -280,13 +282,12 @@
     }
     let served = |bench: &mut Bench, name: &str| {
         let workers = bench.tasks(name, 20, 1);
-        let sent: Vec<String> = (0..20).map(|i| format!("{name}{i}")).collect();
-        for id in sent {
+        for id in (0..20).map(|i| format!("{name}{i}")) {
             if bench.worker_of(&id).is_some() {
                 bench.run(&id, 0);
             }
         }
-        std::collections::BTreeSet::from_iter(workers)
+        BTreeSet::from_iter(workers)
     };
     let reached = served(&mut bench, "more");
     assert!(reached.iter().filter(|w| far(w)).count() >= 3, "{reached:?}");
@@ -312,9 +313,8 @@
     bench.pass(5 * SECOND);
     bench.end("first", 0, Outcome::TimedOut);
     let sent_there = |bench: &mut Bench, name: &str| {
-        let ids: Vec<String> = (0..8).map(|i| format!("{name}{i}")).collect();
         let mut there = Vec::new();
-        for id in ids {
+        for id in (0..8).map(|i| format!("{name}{i}")) {
             bench.task(&id, 0);
             if bench.worker_of(&id).as_ref() == Some(&hangs) {
                 there.push(id);
