The clock and the log lie below all layers: routing and program no longer import each other

The fleet's actor is to come into routing and needs the clock; until now routing took it from program, which takes routing's actors: a circle. Clock and log move to base, below transport; Stances and Beside, which are actors with letters, move to routing, where their users are.

--- a/crates/rainlugd/src/program/log.rs
+++ b/crates/rainlugd/src/base/log.rs
@@ -42,11 +42,11 @@
 /// Writes a line to standard error, unless this place has written too many of late.
 macro_rules! log {
     ($($words:tt)*) => {{
-        static GATE: $crate::program::log::Gate = $crate::program::log::Gate::new();
+        static GATE: $crate::base::log::Gate = $crate::base::log::Gate::new();
         match GATE.pass() {
-            Some(0) => $crate::program::log::line(format_args!($($words)*)),
+            Some(0) => $crate::base::log::line(format_args!($($words)*)),
             Some(missed) => {
-                $crate::program::log::line(format_args!("{} ({missed} more like it)", format_args!($($words)*)))
+                $crate::base::log::line(format_args!("{} ({missed} more like it)", format_args!($($words)*)))
             }
             None => {}
         }
@@ -67,8 +67,8 @@
 /// Writes an event at a time, if events are to be written.
 macro_rules! trace {
     ($now:expr, $($words:tt)*) => {
-        if $crate::program::log::traced() {
-            $crate::program::log::event($now, format_args!($($words)*));
+        if $crate::base::log::traced() {
+            $crate::base::log::event($now, format_args!($($words)*));
         }
     };
 }
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -1,11 +1,5 @@
-//! The program: what it is told, its start, its signals, its clock and its log.
+//! The program: what it is told, its start and its signals.
 
-#[macro_use]
-pub mod log;
-
-mod beside;
-mod clock;
-mod stances;
 mod told;
 
 use std::convert::Infallible;
@@ -28,10 +22,7 @@
 use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::{Instant, sleep, timeout};
 
-pub use beside::Beside;
-pub use clock::Clock;
-pub use stances::Stances;
-
+use crate::base::Clock;
 use crate::protocol::head;
 use crate::protocol::words::Entry;
 use crate::routing::client::{self, Door};
@@ -39,7 +30,7 @@
 use crate::routing::list::{self, Source};
 use crate::routing::management::{self, Office};
 use crate::routing::module::{self, Desk};
-use crate::routing::{MAILBOX, Mail, ToModule};
+use crate::routing::{Beside, MAILBOX, Mail, Stances, ToModule};
 use crate::transport::{Bounds, Link, Pool, Room};
 
 /// New connections still come for so long after the word to stop.
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -12,7 +12,7 @@
 use rainlug_setup as setup;
 use serde_json::Value;
 
-use super::Clock;
+use crate::base::Clock;
 use crate::protocol::words::{self, Entry};
 use crate::routing::client::Door;
 use crate::routing::figures::Figures;
--- a/crates/rainlugd/src/program/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -10,9 +10,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
-use super::{Clock, Stances};
+use super::{Mail, Stances, ToModule};
+use crate::base::Clock;
 use crate::protocol::words::Entry;
-use crate::routing::{Mail, ToModule};
 use crate::transport::Bounds;
 
 /// How often it is looked who else lives, alone and where somebody does.
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -12,7 +12,7 @@
 
 use super::figures::Figures;
 use super::{Answer, Mail, Parcel, ToModule};
-use crate::program::Clock;
+use crate::base::Clock;
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
 
--- a/crates/rainlugd/src/routing/management.rs
+++ b/crates/rainlugd/src/routing/management.rs
@@ -9,8 +9,8 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::figures::Figures;
-use super::{Mail, ToModule};
-use crate::program::{Beside, Stances};
+use super::{Beside, Mail, Stances, ToModule};
+
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
 
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -1,12 +1,15 @@
 //! Actors with mailboxes: one for each client connection, one for each worker with its connections, one for the list
-//! and one for the module. They carry what is decided and told; nothing is decided here.
+//! and one for the module; and what the processes of one dispatcher tell one another. They carry what is decided and
+//! told; nothing is decided here.
 
+mod beside;
 pub mod client;
 pub mod figures;
 pub mod list;
 pub mod management;
 pub mod module;
 mod outcome;
+mod stances;
 mod worker;
 
 use std::rc::Rc;
@@ -17,6 +20,8 @@
 
 use crate::protocol::words::Entry;
 use crate::transport::End;
+pub use beside::Beside;
+pub use stances::Stances;
 pub use worker::Reach;
 
 /// Letters that a mailbox holds; who sends waits then, but for the module, which is told that there is no room.
--- a/crates/rainlugd/src/program/stances.rs
+++ b/crates/rainlugd/src/routing/stances.rs
@@ -6,7 +6,7 @@
 use rainlug_handover::{Phase, Stance};
 use tokio::sync::watch;
 
-use super::Clock;
+use crate::base::Clock;
 
 pub struct Stances {
     clock: Clock,
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -13,7 +13,7 @@
 
 use super::figures::Figures;
 use super::{MAILBOX, Mail, Parcel, ToModule};
-use crate::program::Clock;
+use crate::base::Clock;
 use crate::protocol::lines::Lines;
 use crate::protocol::{head, report, words};
 use crate::transport::{End, Link, MOST_BODY, Piece, Pool, Room, Trust};
