rainlugd keeps a view of its fleet where it is told of one: actor peers, GET /fleet, four figures

With a fleet section the process opens a UDP socket and carries the view of crates/fleet over it; without one nothing is opened, sent or allocated, and /stats and /fleet are as they were. Each wrong key is named by crates/setup; the section is checked at a reload and takes effect at the next start. SIGTERM says that the process leaves.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -30,7 +30,7 @@
 use crate::routing::list::{self, Source};
 use crate::routing::management::{self, Office};
 use crate::routing::module::{self, Desk};
-use crate::routing::{Beside, MAILBOX, Mail, Stances, ToModule};
+use crate::routing::{Beside, MAILBOX, Mail, Peers, Stances, ToModule};
 use crate::transport::{Bounds, Link, Pool, Room};
 
 /// New connections still come for so long after the word to stop.
@@ -76,6 +76,7 @@
     logic: Dispatcher,
     listen: SocketAddr,
     management: Option<SocketAddr>,
+    fleet: Option<rainlug_setup::Fleet>,
     figures: Rc<Figures>,
     heard: Rc<Notify>,
 }
@@ -103,6 +104,7 @@
         asked,
         desk,
         management: told::management(all)?,
+        fleet: rainlug_setup::fleet(all)?,
         figures,
         heard,
     })
@@ -119,6 +121,12 @@
     let Parts { bounds, pool, door, source, rev, known, asked, closing, mut desk, mut logic, .. } = made;
     let stances = Rc::new(Stances::new(clock));
     let mut beside = None;
+    let peers =
+        made.fleet.map(|fleet| Peers::open(fleet, told::name(all)?, told::zone(all)?, clock)).transpose()?;
+    let peers = peers.map(Rc::new);
+    if let Some(peers) = peers.clone() {
+        spawn_local(async move { peers.run().await });
+    }
     if let Some(at) = made.management {
         let cannot = || format!("cannot listen on {at}, /management");
         let listener = TcpListener::bind(at).await.with_context(cannot)?;
@@ -133,7 +141,7 @@
         logic.beside(others.count());
         log!("managed on {}", listener.local_addr()?);
         let (figures, room, beside_it) = (made.figures.clone(), bounds.management.clone(), others.clone());
-        let office = Office { module, figures, stances, beside: beside_it, room };
+        let office = Office { module, figures, stances, beside: beside_it, peers: peers.clone(), room };
         spawn_local(manage(listener, Rc::new(office), Pool::within(0)));
         beside = Some(others);
     }
@@ -159,6 +167,7 @@
             beside.iter().for_each(|others| others.serves());
             stop.recv().await;
         }
+        peers.iter().for_each(|peers| peers.leave());
         wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, bounds.clients).await;
         Ok(())
     };
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -31,7 +31,7 @@
 const LAST_KILL: Time = 7 * SECOND / 10;
 
 /// Keys that are read at the start alone, where a change of them would matter.
-pub const LATER: [&str; 5] = ["name", "listen", "management", "limits", "settings"];
+pub const LATER: [&str; 6] = ["name", "listen", "management", "fleet", "limits", "settings"];
 
 /// Within this time of connecting a client that sends nothing that can be used is owed an error or a close.
 const OWED: Time = 3 * SECOND;
@@ -79,6 +79,15 @@
     setup::name(all, "/name")
 }
 
+/// The name of this dispatcher's zone; empty where zones have none.
+pub fn zone(all: &Value) -> Result<String> {
+    let settings = settings(all)?;
+    Ok(setup::names(settings, "/zones")?
+        .into_iter()
+        .nth(setup::count(settings, "/zone")?)
+        .unwrap_or_default())
+}
+
 pub fn figures(all: &Value) -> Result<Figures> {
     Ok(Figures::of(setup::names(settings(all)?, "/workloads")?))
 }
--- a/crates/rainlugd/src/routing/management.rs
+++ b/crates/rainlugd/src/routing/management.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::figures::Figures;
-use super::{Beside, Mail, Stances, ToModule};
+use super::{Beside, Mail, Peers, Stances, ToModule};
 
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
@@ -27,6 +27,8 @@
     pub stances: Rc<Stances>,
     /// The other processes of this dispatcher, which are told of each word.
     pub beside: Rc<Beside>,
+    /// The fleet's view, where it is kept.
+    pub peers: Option<Rc<Peers>>,
     pub room: Room,
 }
 
@@ -69,6 +71,7 @@
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     let expected = match parts[..] {
         ["healthcheck"] | ["stats"] => "GET",
+        ["fleet"] if office.peers.is_some() => "GET",
         ["workers", _, "maint" | "ready"] | ["healthcheck", "fail" | "ok"] => "POST",
         _ => return (404, String::new()),
     };
@@ -76,7 +79,11 @@
         return (405, String::new());
     }
     match parts[..] {
-        ["stats"] => return (200, office.figures.text()),
+        ["stats"] => {
+            let fleet = office.peers.as_ref().map(|peers| peers.figures());
+            return (200, office.figures.text() + &fleet.unwrap_or_default());
+        }
+        ["fleet"] => return (200, office.peers.as_ref().map(|peers| peers.text()).unwrap_or_default()),
         ["workers", id, word] => return (hand(office, id, word == "maint").await, String::new()),
         ["healthcheck", word] => {
             office.stances.emptied(word == "fail");
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -1,5 +1,5 @@
 //! Actors with mailboxes: one for each client connection, one for each worker with its connections, one for the list
-//! and one for the module; and what the processes of one dispatcher tell one another. They carry what is decided and
+//! and one for the module; one for the fleet's view; and what the processes of one dispatcher tell one another. They carry what is decided and
 //! told; nothing is decided here.
 
 mod beside;
@@ -9,6 +9,7 @@
 pub mod management;
 pub mod module;
 mod outcome;
+mod peers;
 mod stances;
 mod worker;
 
@@ -21,6 +22,7 @@
 use crate::protocol::words::Entry;
 use crate::transport::End;
 pub use beside::Beside;
+pub use peers::Peers;
 pub use stances::Stances;
 pub use worker::Reach;
 
--- /dev/null
+++ b/crates/rainlugd/src/routing/peers.rs
@@ -0,0 +1,198 @@
+//! The actor of the fleet's view: it owns the socket and the view, carries datagrams to it and from it, and decides nothing. It
+//! never waits for another actor, and none waits for it.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use rainlug_fleet::{Card, Outgoing, Process, Standing, View, Ways};
+use serde_json::{Value, json};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep, sleep_until};
+
+use crate::base::Clock;
+use crate::protocol::envelope::{Envelope, MOST};
+
+/// Datagrams read in one go, and the pause after so many: a flood must not hold up tasks, and is lost in the socket's buffer.
+const BURST: usize = 32;
+const PAUSE: Duration = Duration::from_millis(1);
+
+pub struct Peers {
+    socket: UdpSocket,
+    envelope: Envelope,
+    clock: Clock,
+    fleet: String,
+    me: Card,
+    view: RefCell<View>,
+    bad: Cell<u64>,
+    changes: Cell<u64>,
+    /// The view has something to do sooner than it said.
+    sooner: Notify,
+}
+
+/// The socket's end of the view.
+struct Line<'a>(&'a Peers);
+
+impl Outgoing for Line<'_> {
+    fn send(&mut self, to: SocketAddr, payload: &[u8]) {
+        // What the socket does not take now is lost, as any datagram may be.
+        let _ = self.0.socket.try_send_to(&self.0.envelope.seal(payload), to);
+    }
+
+    fn changed(&mut self, process: &Process) {
+        self.0.changes.update(|n| n + 1);
+        let card = &process.card;
+        log!("fleet: {} at {} (process {:016x}) {}", card.name, card.at, card.id, said(process.standing));
+    }
+}
+
+fn said(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Alive => "is there",
+        Standing::Suspect => "is suspected",
+        Standing::Gone => "is gone",
+        Standing::Left => "has left",
+    }
+}
+
+fn word(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Alive => "alive",
+        Standing::Suspect => "suspect",
+        Standing::Gone => "gone",
+        Standing::Left => "left",
+    }
+}
+
+/// What of the protocol is on: all, but in a build that is broken on purpose, for the checkers to be tried on.
+fn ways() -> Ways {
+    #[cfg(feature = "broken")]
+    let off = std::env::var("RAINLUG_BROKEN").unwrap_or_default();
+    #[cfg(not(feature = "broken"))]
+    let off = "";
+    Ways {
+        refutes: off != "refutes",
+        retries: off != "retries",
+        suspicion: off != "suspicion",
+        health: off != "health",
+    }
+}
+
+impl Peers {
+    /// A process of the dispatcher `name` in `zone`, with its socket open.
+    ///
+    /// # Errors
+    /// Where the address cannot be had.
+    pub fn open(told: rainlug_setup::Fleet, name: String, zone: String, clock: Clock) -> Result<Self> {
+        let cannot = || format!("cannot listen on {}, /fleet/listen", told.listen);
+        let socket = std::net::UdpSocket::bind(told.listen).with_context(cannot)?;
+        socket.set_nonblocking(true).with_context(cannot)?;
+        let socket = UdpSocket::from_std(socket).with_context(cannot)?;
+        let at = match told.advertise {
+            Some(at) => at,
+            None => socket.local_addr().with_context(cannot)?,
+        };
+        // A process that is started again is another one: neither the clock nor the process's number tells them apart.
+        let draw = |what: u8| RandomState::new().hash_one((what, clock.now(), std::process::id())).max(1);
+        let (figures, start) = (Vec::new(), clock.now());
+        let me = Card { id: draw(0), name, zone, at, start, edition: 0, figures };
+        let view = View::new(me.clone(), told.seeds, told.period, ways(), draw(1), clock.now());
+        log!("fleet {}: {} at {at}, process {:016x}", told.name, me.name, me.id);
+        Ok(Peers {
+            socket,
+            envelope: Envelope::of(&told.name),
+            clock,
+            fleet: told.name,
+            me,
+            view: RefCell::new(view),
+            bad: Cell::default(),
+            changes: Cell::default(),
+            sooner: Notify::new(),
+        })
+    }
+
+    /// Carries datagrams for good.
+    pub async fn run(&self) -> Infallible {
+        let mut buffer = [0; MOST + 1];
+        loop {
+            let next = self.view.borrow().next();
+            let readable = tokio::select! {
+                biased;
+                () = sleep_until(self.clock.instant(next)) => false,
+                () = self.sooner.notified() => false,
+                ready = self.socket.readable() => ready.is_ok(),
+            };
+            let read = if readable { self.read(&mut buffer) } else { 0 };
+            self.view.borrow_mut().due(self.clock.now(), &mut Line(self));
+            if read == BURST {
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    /// Hands the view what has come, up to a burst; how much that was.
+    fn read(&self, buffer: &mut [u8]) -> usize {
+        for nth in 0..BURST {
+            let Ok((length, from)) = self.socket.try_recv_from(buffer) else { return nth };
+            let opened = self.envelope.open(&buffer[..length]).map_err(|stranger| format!("{stranger:?}"));
+            let taken = opened.and_then(|payload| {
+                let heard = self.view.borrow_mut().heard(self.clock.now(), from, payload, &mut Line(self));
+                heard.map_err(|odd| format!("{odd:?}"))
+            });
+            if let Err(why) = taken {
+                self.bad.update(|n| n + 1);
+                log!("fleet: a datagram of {length} bytes from {from} is dropped: {why}");
+            }
+        }
+        BURST
+    }
+
+    /// This process ends: it says so once, and to whoever asks.
+    pub fn leave(&self) {
+        self.view.borrow_mut().leave(&mut Line(self));
+        self.sooner.notify_one();
+    }
+
+    /// The view as JSON; times are Unix time in milliseconds, by this process's clock.
+    pub fn text(&self) -> String {
+        let view = self.view.borrow();
+        let members = view.members();
+        let members = members.iter().map(|m| {
+            let of = |(card, standing, since): &(&Card, Standing, i64)| {
+                json!({"id": format!("{:016x}", card.id), "state": word(*standing), "since_ms": since / 1000,
+                    "address": card.at.to_string(), "zone": card.zone, "started_ms": card.start / 1000})
+            };
+            let since = m
+                .processes
+                .iter()
+                .filter(|(_, s, _)| *s == m.standing)
+                .map(|(_, _, since)| since / 1000)
+                .min();
+            json!({"name": m.name, "state": word(m.standing), "since_ms": since,
+                "processes": m.processes.iter().map(of).collect::<Vec<Value>>()})
+        });
+        let members: Vec<Value> = members.collect();
+        let all = json!({"fleet": self.fleet, "name": self.me.name, "process": format!("{:016x}", self.me.id),
+            "version": view.version(), "digest": format!("{:016x}", view.digest()), "distrust": view.distrust(),
+            "members": members});
+        format!("{all}\n")
+    }
+
+    /// Its lines among the figures.
+    pub fn figures(&self) -> String {
+        let view = self.view.borrow();
+        let members = view.members();
+        let count = |of: fn(&Standing) -> bool| members.iter().filter(|m| of(&m.standing)).count();
+        let mut text = String::new();
+        let _ = writeln!(text, "relay.fleet.members:{}|g", count(|s| *s <= Standing::Suspect));
+        let _ = writeln!(text, "relay.fleet.suspects:{}|g", count(|s| *s == Standing::Suspect));
+        let _ = writeln!(text, "relay.fleet.changes:{}|c", self.changes.get());
+        let _ = writeln!(text, "relay.fleet.datagrams_bad:{}|c", self.bad.get());
+        text
+    }
+}
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -129,6 +129,63 @@
         .collect()
 }
 
+/// What is told of the fleet that a dispatcher is one of.
+#[derive(Debug)]
+pub struct Fleet {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Where others reach it, if that is not where it listens.
+    pub advertise: Option<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    pub period: Time,
+}
+
+/// A period without a key, and its bounds, in milliseconds.
+const PERIOD: (f64, f64, f64) = (1000.0, 20.0, 60_000.0);
+/// Names and zones go round in datagrams: they are no longer than this, in bytes.
+const LONGEST_NAME: usize = 64;
+
+/// The fleet; nothing where there is no such section. The dispatcher's own name and zone are checked with it.
+pub fn fleet(all: &Value) -> Result<Option<Fleet>> {
+    let Some(section) = all.get("fleet") else { return Ok(None) };
+    ensure!(section.is_object(), lack("an object", "/fleet"));
+    let fits = |name: &str| (1..=LONGEST_NAME).contains(&name.len());
+    let (fleet, own) = (name(all, "/fleet/name")?, name(all, "/name")?);
+    ensure!(fits(&fleet), "/fleet/name is not of 1 to {LONGEST_NAME} bytes");
+    ensure!(fits(&own), "/name is not of 1 to {LONGEST_NAME} bytes, as /fleet is set");
+    let zones = names(all, "/settings/zones")?;
+    ensure!(
+        zones.iter().all(|z| z.len() <= LONGEST_NAME),
+        "/settings/zones has a name over {LONGEST_NAME} bytes"
+    );
+    let reached = |at: SocketAddr| !at.ip().is_unspecified() && at.port() != 0;
+    let listen = address(all, "/fleet/listen")?;
+    let advertise = all.pointer("/fleet/advertise").map(|_| address(all, "/fleet/advertise")).transpose()?;
+    if let Some(at) = advertise {
+        ensure!(reached(at), "/fleet/advertise is no address that others reach");
+    }
+    ensure!(
+        advertise.is_some() || !listen.ip().is_unspecified(),
+        "/fleet/advertise is needed: /fleet/listen is every address of the machine"
+    );
+    ensure!(
+        advertise.is_none_or(|at| at.is_ipv4() == listen.is_ipv4()),
+        "/fleet/advertise is not of the same kind of address as /fleet/listen"
+    );
+    let seeds = (0..length(all, "/fleet/seeds")?.unwrap_or(0)).map(|i| {
+        let at = format!("/fleet/seeds/{i}");
+        let seed = address(all, &at)?;
+        ensure!(reached(seed), "{at} is no address that can be reached");
+        Ok(seed)
+    });
+    let seeds = seeds.collect::<Result<_>>()?;
+    let (usual, least, most) = PERIOD;
+    let period = number_or(all, "/fleet/periodMs", usual)?;
+    ensure!((least..=most).contains(&period), "/fleet/periodMs is not from {least} to {most}");
+    let period = micros(period).with_context(|| lack("a time", "/fleet/periodMs"))?;
+    Ok(Some(Fleet { name: fleet, listen, advertise, seeds, period }))
+}
+
 /// True where the list of workers comes only when asked for.
 pub fn must_ask(all: &Value) -> Result<bool> {
     Ok(word(all, "/discovery")? == Some("subscribe"))
@@ -246,6 +303,44 @@
         made.err().map(|e| format!("{e:#}"))
     }
 
+    #[test]
+    fn a_fleet_is_read_and_each_wrong_key_is_named() {
+        let with = |key: &str, value: Value| {
+            let mut all = json!({"name": "n0", "fleet": {"name": "f", "listen": "127.0.0.1:0"}});
+            all["fleet"][key] = value;
+            all
+        };
+        assert!(fleet(&json!({"name": "n0"})).unwrap().is_none());
+        let made = fleet(&with("seeds", json!(["127.0.0.1:7001", "[::1]:7002"]))).unwrap().unwrap();
+        assert_eq!((made.seeds.len(), made.period, made.advertise), (2, 1_000_000, None));
+        let wrong = [
+            ("name", json!("")),
+            ("name", json!("x".repeat(65))),
+            ("name", json!(7)),
+            ("listen", json!("here")),
+            ("advertise", json!("0.0.0.0:7000")),
+            ("advertise", json!("127.0.0.1:0")),
+            ("advertise", json!("[::1]:7000")),
+            ("seeds", json!("127.0.0.1:7001")),
+            ("seeds", json!(["127.0.0.1"])),
+            ("seeds", json!(["127.0.0.1:0"])),
+            ("periodMs", json!(0)),
+            ("periodMs", json!(1e9)),
+            ("periodMs", json!("fast")),
+        ];
+        for (key, value) in wrong {
+            let said = format!("{:#}", fleet(&with(key, value.clone())).unwrap_err());
+            assert!(said.contains(&format!("/fleet/{key}")) && !said.contains('\n'), "{key} {value}: {said}");
+        }
+        let said = format!("{:#}", fleet(&with("listen", json!("0.0.0.0:7000"))).unwrap_err());
+        assert!(said.contains("/fleet/advertise is needed"), "{said}");
+        assert!(fleet(&json!({"name": "n0", "fleet": 3})).is_err());
+        assert!(
+            fleet(&json!({"fleet": {"name": "f", "listen": "127.0.0.1:0"}})).is_err(),
+            "a dispatcher has a name"
+        );
+    }
+
     #[test]
     fn one_build_takes_either_shape_and_refuses_a_mix_by_its_key() {
         let even = json!({"whole": 0.7, "slowEnd": 0.2, "missAllowed": 0.01});
