The rig: several dispatchers behind relays, faults by script and seed, a checker that is shown to fire

The users ask for tests that start several processes of the program and inject faults between them. rainlug-rig starts 1 to 64 built dispatchers with stand-in workers and list, puts a relay in front of each fleet address so that every ordered pair is a link of its own, and judges what the processes answer at /fleet and what relays, clients and workers saw. rainlug-load becomes a library for it; its stub keeps account of what ran. Each check is shown to fail on a faked answer, and the view's on builds with refutation or retries off. Found by it: two processes that had left told one another so without end (12,000 datagrams a second in five); now only a try is answered. Found by the emulator: time for one that is no suspect was never over, a loop without end. Both have a test.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -172,7 +172,10 @@
 
     /// A suspect's time is over at `until`.
     pub fn wait(&mut self, id: u64, until: Time) {
-        let Some(process) = self.known.get_mut(&id) else { return };
+        // Time for one that is no suspect would never be over: nothing takes it back.
+        let Some(process) = self.known.get_mut(&id).filter(|p| p.standing == Standing::Suspect) else {
+            return;
+        };
         self.suspects.remove(&(process.until, id));
         process.until = until;
         self.suspects.insert((until, id));
@@ -392,6 +395,20 @@
         assert_eq!(found, ids.len());
     }
 
+    #[test]
+    fn only_a_suspect_has_time_to_speak_up() {
+        let mut table = Table::default();
+        table.set(card(1), 0, Standing::Gone, 0);
+        table.wait(1, 5);
+        assert_eq!(table.first(), None);
+        table.set(card(1), 1, Standing::Suspect, 0);
+        table.wait(1, 5);
+        table.longer(2);
+        assert_eq!(table.first(), Some((7, 1)));
+        table.set(card(1), 2, Standing::Alive, 0);
+        assert_eq!(table.first(), None);
+    }
+
     #[test]
     fn what_was_told_least_comes_first_and_news_end() {
         let mut table = Table::default();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -52,7 +52,7 @@
     pub health: bool,
     /// A suspect speaks up.
     pub refutes: bool,
-    /// Who is gone is tried again.
+    /// Who is gone, and seeds that were lost, are tried again.
     pub retries: bool,
 }
 
@@ -384,17 +384,18 @@
         let pause = if alone { self.period } else { KNOCKS * self.period };
         // Not all at the same moments.
         self.knock = now + pause / 2 + self.chance.random_range(0..=pause);
+        if !self.ways.retries && self.version > 1 {
+            return;
+        }
         for _ in 0..if alone { FIRST_KNOCKS } else { 1 } {
             let (gone, seeds) = (self.table.gone(), &self.seeds);
             // Neither must starve the other.
             let by_seed = !seeds.is_empty() && (gone.is_empty() || self.chance.random());
             let found = if by_seed {
                 seeds.choose(&mut self.chance).map(|at| (0, *at))
-            } else if self.ways.retries {
+            } else {
                 let id = self.chance.random_range(0..gone.len().max(1));
                 gone.get(id).and_then(|id| self.table.get(*id)).map(|p| (p.card.id, p.card.at))
-            } else {
-                None
             };
             if let Some((id, at)) = found.filter(|(_, at)| self.table.at(*at).is_none()) {
                 let nonce = self.nonce();
@@ -475,6 +476,10 @@
             return Ok(());
         }
         if self.left {
+            // A try alone is answered: two that have left would else tell one another so without end.
+            if kind != wire::PING {
+                return Ok(());
+            }
             let mut bytes = self.begin(wire::NEWS);
             wire::put_word(&mut bytes, wire::LEFT, self.me.id, self.life, 0);
             out.send(from, &bytes);
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -248,6 +248,18 @@
     }
 }
 
+#[test]
+fn all_that_leave_at_once_fall_silent() {
+    let mut fleet = fleet(8, 27);
+    for n in 0..8 {
+        fleet.emulator.with(n, |w, _, out| w.leave(out));
+    }
+    pass(&mut fleet, 0.1);
+    let sent = fleet.emulator.datagrams;
+    pass(&mut fleet, 10.0);
+    assert_eq!(fleet.emulator.datagrams, sent);
+}
+
 #[test]
 fn an_upgrade_is_never_absent_and_never_counted_twice() {
     let mut fleet = fleet(6, 24);
--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -1,6 +1,7 @@
 //! Sends a schedule to a dispatcher. No answer holds a later task back.
 
 use std::cell::RefCell;
+use std::iter::repeat;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -72,7 +73,9 @@
         if load.fingerprint {
             request = request.header("Idempotency-Key", &fingerprint);
         }
-        let Ok(request) = request.body(Full::from(vec![b'x'; load.body_bytes])) else {
+        // Bodies begin with the fingerprint, as far as they are long: a stand-in knows a task by it in each try.
+        let body: Vec<u8> = fingerprint.bytes().chain(repeat(b'x')).take(load.body_bytes).collect();
+        let Ok(request) = request.body(Full::from(body)) else {
             return (End::Odd, again);
         };
         let end = timeout(left + GRACE, answer(client, request)).await.unwrap_or(End::TimedOut);
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,13 +1,5 @@
 //! `rainlug-load`: sends a dispatcher tasks on a schedule that no answer slows, and counts each latency from the time at
-//! which the task was meant to be sent.
-
-mod driver;
-mod experiment;
-mod plan;
-mod record;
-mod report;
-mod schedule;
-mod stub;
+//! which the task was meant to be sent. All of it is in the library.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -15,7 +7,8 @@
 
 use anyhow::{Result, ensure};
 use clap::{Parser, Subcommand};
-use plan::Plan;
+use rainlug_load::plan::Plan;
+use rainlug_load::{driver, experiment, record, report, schedule, stub};
 use tracing::{info, warn};
 
 #[derive(Parser)]
--- a/crates/load/src/stub.rs
+++ b/crates/load/src/stub.rs
@@ -1,42 +1,106 @@
-//! A stand-in worker and list, so that a dispatcher can be tried without a fleet.
+//! Stand-in workers and a list of them, so that a dispatcher can be tried without a fleet. They keep account of what ran.
 
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-/// Serves as a worker that takes `work` for each task, and as a list that names it; gives the list's line on it.
-pub async fn run(worker: &str, list: &str, work: Duration) -> Result<()> {
-    let workers = TcpListener::bind(worker).await.with_context(|| format!("cannot listen on {worker}"))?;
-    let lists = TcpListener::bind(list).await.with_context(|| format!("cannot listen on {list}"))?;
-    let line = format!(
-        r#"{{"rev":1,"all":true,"targets":[{{"uid":"stub","endpoint":"{}","az":"north","model":"plain","pod_group":0,"state":"in_service","capacity_hint":1.0,"boot_ms":0}}]}}"#,
-        workers.local_addr()?
-    );
-    println!("worker {}, list {}; known: {line}", workers.local_addr()?, lists.local_addr()?);
-    let serve = async {
-        loop {
-            tokio::select! {
-                Ok((stream, _)) = workers.accept() => {
+/// A task that came to a stand-in worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub worker: usize,
+    /// The path, which names the workload.
+    pub path: String,
+    /// The first bytes of the body: of a task of the driver's the fingerprint, the same in each of its tries.
+    pub mark: String,
+    pub came: Instant,
+}
+
+/// Stand-ins that serve as long as their `LocalSet` runs.
+pub struct Stub {
+    pub list: SocketAddr,
+    /// The list's line on the workers.
+    pub known: String,
+    pub workers: Vec<SocketAddr>,
+    runs: Rc<RefCell<Vec<Run>>>,
+    connections: Rc<Cell<u64>>,
+}
+
+/// So much of a body is kept.
+const MARK: usize = 32;
+
+impl Stub {
+    /// Workers at these addresses, each taking `work` for each task, and a list that names them in turns in the zones.
+    ///
+    /// # Errors
+    /// Where an address cannot be had.
+    pub async fn start(workers: &[String], list: &str, work: Duration, zones: &[String]) -> Result<Self> {
+        let lists = TcpListener::bind(list).await.with_context(|| format!("cannot listen on {list}"))?;
+        let (runs, connections) = (Rc::<RefCell<Vec<Run>>>::default(), Rc::<Cell<u64>>::default());
+        let (mut entries, mut places) = (Vec::new(), Vec::new());
+        for (nth, at) in workers.iter().enumerate() {
+            let listener = TcpListener::bind(at).await.with_context(|| format!("cannot listen on {at}"))?;
+            let at = listener.local_addr()?;
+            let name = if workers.len() == 1 { "stub".to_owned() } else { format!("stub{nth}") };
+            entries.push(
+                serde_json::json!({"uid": name, "endpoint": at.to_string(), "az": zones[nth % zones.len()],
+                "model": "plain", "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}),
+            );
+            places.push(at);
+            let (runs, connections) = (runs.clone(), connections.clone());
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    connections.update(|n| n + 1);
                     // Two small writes for each task: the second must not wait for the first's acknowledgement.
                     let _ = stream.set_nodelay(true);
-                    spawn_local(async move { while_open(stream, work).await.unwrap_or_default() });
-                }
-                Ok((stream, _)) = lists.accept() => {
-                    let line = line.clone();
-                    spawn_local(async move { watched(stream, line).await.unwrap_or_default() });
+                    let runs = runs.clone();
+                    spawn_local(
+                        async move { while_open(stream, work, nth, &runs).await.unwrap_or_default() },
+                    );
                 }
-            }
+            });
         }
+        let known = serde_json::json!({"rev": 1, "all": true, "targets": entries}).to_string();
+        let (line, list) = (known.clone(), lists.local_addr()?);
+        spawn_local(async move {
+            while let Ok((stream, _)) = lists.accept().await {
+                let line = line.clone();
+                spawn_local(async move { watched(stream, line).await.unwrap_or_default() });
+            }
+        });
+        Ok(Stub { list, known, workers: places, runs, connections })
+    }
+
+    /// All that came, in the order of its coming.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.borrow().clone()
+    }
+
+    /// Connections that dispatchers opened to the workers.
+    pub fn connections(&self) -> u64 {
+        self.connections.get()
+    }
+}
+
+/// Serves as a worker that takes `work` for each task, and as a list that names it; says where, and the list's line on it.
+pub async fn run(worker: &str, list: &str, work: Duration) -> Result<()> {
+    let serve = async {
+        let stub = Stub::start(&[worker.to_owned()], list, work, &["north".to_owned()]).await?;
+        println!("worker {}, list {}; known: {}", stub.workers[0], stub.list, stub.known);
+        pending().await
     };
     LocalSet::new().run_until(serve).await
 }
 
-/// A request's head and the length of its body, which is read; nothing at the connection's end.
-async fn request(from: &mut BufReader<TcpStream>) -> Option<String> {
+/// A request's head, and its body, which is read; nothing at the connection's end.
+async fn request(from: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
     let (mut head, mut length) = (String::new(), 0);
     while !head.ends_with("\r\n\r\n") {
         let had = head.len();
@@ -46,7 +110,7 @@
     }
     let mut body = vec![0; Some(length).filter(|n| *n <= 64 << 10)?];
     from.read_exact(&mut body).await.ok()?;
-    Some(head)
+    Some((head, body))
 }
 
 /// The head of an answer that goes on in chunks.
@@ -56,10 +120,18 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-async fn while_open(stream: TcpStream, work: Duration) -> Option<()> {
+async fn while_open(
+    stream: TcpStream,
+    work: Duration,
+    worker: usize,
+    runs: &RefCell<Vec<Run>>,
+) -> Option<()> {
     let mut stream = BufReader::new(stream);
     loop {
-        let head = request(&mut stream).await?;
+        let (head, body) = request(&mut stream).await?;
+        let path = head.split(' ').nth(1)?.trim_start_matches('/').to_owned();
+        let mark = String::from_utf8_lossy(&body[..body.len().min(MARK)]).into_owned();
+        runs.borrow_mut().push(Run { worker, path, mark, came: Instant::now() });
         let id = head
             .lines()
             .find_map(|l| l.to_ascii_lowercase().strip_prefix("x-call-id:").map(|i| i.trim().to_owned()))?;
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,11 @@
+//! The rig: real processes of the built dispatcher, a relay in front of each fleet address, faults by a script and a seed, and a
+//! checker that reads what the processes answer and what relays and stand-ins saw. Scripts: `docs/rig.md`.
+
+pub mod check;
+pub mod measure;
+mod observe;
+pub mod play;
+mod process;
+mod relay;
+pub mod report;
+pub mod script;
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,164 @@
+//! `rainlug-rig`: several dispatchers, faults between them, and a verdict.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::{Context, Result};
+use clap::{Parser, Subcommand};
+use rainlug_rig::check::Verdict;
+use rainlug_rig::measure;
+use rainlug_rig::play::play;
+use rainlug_rig::report::{self, Kept};
+use rainlug_rig::script::Script;
+
+#[derive(Parser)]
+#[command(
+    version,
+    about = "Starts several dispatchers, puts faults between them, and checks what they say and do"
+)]
+struct Arguments {
+    #[command(subcommand)]
+    does: Does,
+}
+
+#[derive(Subcommand)]
+enum Does {
+    /// Plays a script. Exit 0 only if every check held.
+    Run {
+        script: PathBuf,
+        /// In place of the script's.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// The folder for logs, record, tables and chart.
+        #[arg(long, default_value = "rig-result")]
+        out: PathBuf,
+        /// The dispatcher; beside this program if it is not named.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Plays a script with one seed after the other.
+    Sweep {
+        script: PathBuf,
+        /// Such as 1..20; the last one is played too.
+        #[arg(long)]
+        seeds: String,
+        #[arg(long, default_value = "rig-sweep")]
+        out: PathBuf,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Writes tables and chart of a kept run anew.
+    Report { folder: PathBuf },
+    /// Measures the view in virtual time, beside plainer ways.
+    Measure {
+        #[arg(long, value_delimiter = ',', default_value = "5,48,300,1000,3000")]
+        sizes: Vec<usize>,
+        /// Parts of datagrams lost.
+        #[arg(long, value_delimiter = ',', default_value = "0,0.05,0.2,0.4")]
+        losses: Vec<f64>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Member-periods of each undisturbed part.
+        #[arg(long, default_value_t = 1e6)]
+        long: f64,
+        #[arg(long, default_value = "rig-measure")]
+        out: PathBuf,
+    },
+}
+
+/// How it ended: all held, something did not, or nothing was played.
+enum End {
+    Held,
+    Failed,
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+    match does(Arguments::parse().does) {
+        Ok(End::Held) => ExitCode::SUCCESS,
+        Ok(End::Failed) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("rainlug-rig: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn does(what: Does) -> Result<End> {
+    match what {
+        Does::Run { script, seed, out, program } => {
+            let script = Script::read(&script, seed)?;
+            let verdicts = run(&script, &beside(program)?, &out)?;
+            Ok(told(&verdicts, &script.name))
+        }
+        Does::Sweep { script, seeds, out, program } => {
+            let (program, range) = (beside(program)?, range(&seeds)?);
+            let mut end = End::Held;
+            for seed in range {
+                let read = Script::read(&script, Some(seed))?;
+                let verdicts = run(&read, &program, &out.join(seed.to_string()))?;
+                if let End::Failed = told(&verdicts, &format!("{} seed {seed}", read.name)) {
+                    end = End::Failed;
+                }
+            }
+            Ok(end)
+        }
+        Does::Report { folder } => {
+            let kept = report::read(&folder)?;
+            report::write(&folder, &kept)?;
+            Ok(End::Held)
+        }
+        Does::Measure { sizes, losses, seed, long, out } => {
+            anyhow::ensure!(
+                sizes.iter().all(|s| (3..=10_000).contains(s)),
+                "--sizes are not all from 3 to 10000"
+            );
+            anyhow::ensure!(
+                losses.iter().all(|l| (0.0..1.0).contains(l)),
+                "--losses are not all from 0 to under 1"
+            );
+            std::fs::create_dir_all(&out).with_context(|| format!("cannot make {}", out.display()))?;
+            let rows = measure::all(&sizes, &losses, seed, long);
+            report::put(&out, "view.csv", &measure::csv(&rows))?;
+            report::put(&out, "view.md", &measure::markdown(&rows))?;
+            print!("{}", measure::markdown(&rows));
+            Ok(End::Held)
+        }
+    }
+}
+
+fn run(script: &Script, program: &Path, out: &Path) -> Result<Vec<Verdict>> {
+    let record = play(script, program, out)?;
+    let verdicts = record.judge(&script.checks);
+    let script = serde_json::to_value(script)?;
+    let kept = Kept { version: env!("CARGO_PKG_VERSION").into(), script, record, verdicts };
+    report::keep(out, &kept)?;
+    report::write(out, &kept)?;
+    Ok(kept.verdicts)
+}
+
+/// A line for what did not hold first, or that all did.
+fn told(verdicts: &[Verdict], name: &str) -> End {
+    match verdicts.iter().find(|v| !v.held) {
+        Some(v) => {
+            println!("{name}: failed at {:.1} s: {}: {}", v.at, v.check, v.words);
+            End::Failed
+        }
+        None => {
+            println!("{name}: {} checks held", verdicts.len());
+            End::Held
+        }
+    }
+}
+
+fn beside(program: Option<PathBuf>) -> Result<PathBuf> {
+    let here = std::env::current_exe().context("where this program is")?;
+    Ok(program.unwrap_or_else(|| here.with_file_name("rainlugd")))
+}
+
+fn range(text: &str) -> Result<std::ops::RangeInclusive<u64>> {
+    let ends = text.split_once("..").and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    let (first, last): (u64, u64) = ends.with_context(|| format!("--seeds {text} is not such as 1..20"))?;
+    anyhow::ensure!(first <= last, "--seeds {text} ends before it begins");
+    Ok(first..=last)
+}
--- /dev/null
+++ b/crates/rig/src/play.rs
@@ -0,0 +1,469 @@
+//! Plays a script: starts stand-ins, relays and processes, does to them what the timeline says, and writes down what is seen.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use nix::sys::signal::Signal;
+use rainlug_load::plan::{Arrivals, Plan, Workload};
+use rainlug_load::record::{self, End};
+use rainlug_load::stub::Stub;
+use rainlug_load::{driver, schedule};
+use rand::{Rng, RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::sync::Mutex;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+use tracing::{info, warn};
+
+use crate::check::{Record, Round};
+use crate::observe::Observer;
+use crate::process::Process;
+use crate::relay::Relays;
+use crate::script::{Act, Link, Script, name};
+
+/// How often processes are asked for their view: part of a period, but no oftener than this.
+const ASKED: f64 = 0.5;
+const OFTENEST: Duration = Duration::from_millis(50);
+/// An upgrade's new process serves within this time.
+const UPGRADED: Duration = Duration::from_secs(20);
+
+/// A place for a process: it has an address for the fleet and a relay in front of it for good.
+struct Slot {
+    listen: SocketAddr,
+    process: Mutex<Option<Process>>,
+    management: Cell<Option<SocketAddr>>,
+}
+
+struct Stage {
+    script: Script,
+    program: PathBuf,
+    folder: PathBuf,
+    fronts: Vec<SocketAddr>,
+    slots: Vec<Slot>,
+    /// The slot in which each dispatcher runs, or ran last.
+    active: Vec<Cell<usize>>,
+    clients: Vec<Cell<Option<SocketAddr>>>,
+    /// Dispatchers that run, and a count of changes: while a change is under way it is odd.
+    running: RefCell<BTreeSet<usize>>,
+    changes: Cell<u64>,
+    under_way: Cell<u32>,
+    relays: Rc<Relays>,
+    list: SocketAddr,
+    known: String,
+    chance: RefCell<ChaCha8Rng>,
+    record: RefCell<Record>,
+    began: Cell<Instant>,
+}
+
+/// Plays a script with the program, and keeps configurations and logs in the folder.
+///
+/// # Errors
+/// Where something cannot be started.
+pub fn play(script: &Script, program: &Path, folder: &Path) -> Result<Record> {
+    fs::create_dir_all(folder).with_context(|| format!("cannot make {}", folder.display()))?;
+    let folder = fs::canonicalize(folder).with_context(|| format!("cannot use {}", folder.display()))?;
+    let program =
+        fs::canonicalize(program).with_context(|| format!("no program at {}", program.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let run = async {
+        tokio::select! {
+            // What is dropped by this is ended with it: see `Process::start`.
+            _ = tokio::signal::ctrl_c() => anyhow::bail!("interrupted"),
+            done = on_stage(script, program, folder) => done,
+        }
+    };
+    LocalSet::new().block_on(&runtime, run)
+}
+
+/// Addresses of this run's own: the loopback net is large, and another rig on this machine has another part of it.
+fn addresses(count: usize, port: u16) -> Vec<SocketAddr> {
+    let own = std::process::id();
+    let [_, _, a, b] = own.to_be_bytes();
+    (0..count).map(|n| SocketAddr::from(([127, 1 + a % 250, b, 1 + n as u8], port))).collect()
+}
+
+async fn on_stage(script: &Script, program: PathBuf, folder: PathBuf) -> Result<Record> {
+    let workers = vec!["127.0.0.1:0".to_owned(); script.workers];
+    let stub =
+        Stub::start(&workers, "127.0.0.1:0", Duration::from_millis(script.work_ms), &script.zones).await?;
+    let (fronts, listen) = (addresses(2 * script.count, 7100), addresses(2 * script.count, 7000));
+    let relays = Relays::start(&fronts, listen.clone(), script.count, script.link, script.seed).await?;
+    let slot = |listen| Slot { listen, process: Mutex::new(None), management: Cell::new(None) };
+    let stage = Rc::new(Stage {
+        program,
+        folder,
+        fronts,
+        slots: listen.into_iter().map(slot).collect(),
+        active: (0..script.count).map(Cell::new).collect(),
+        clients: (0..script.count).map(|_| Cell::new(None)).collect(),
+        running: RefCell::default(),
+        changes: Cell::new(0),
+        under_way: Cell::new(0),
+        relays,
+        list: stub.list,
+        known: stub.known.clone(),
+        chance: RefCell::new(ChaCha8Rng::seed_from_u64(!script.seed)),
+        record: RefCell::default(),
+        began: Cell::new(Instant::now()),
+        script: script.clone(),
+    });
+    let first: Vec<usize> = (0..script.count).filter(|n| !script.later.contains(n)).collect();
+    stage.start(&first).await?;
+    stage.began.set(Instant::now());
+    stage.record.borrow_mut().troubled.clear();
+    info!("{} processes serve", first.len());
+    let load = stage.clone().load(&first);
+    let asks = spawn_local(stage.clone().ask());
+    let mut pending: Vec<JoinHandle<Result<()>>> = Vec::new();
+    for (at, act) in &script.faults {
+        sleep_until(stage.began.get() + Duration::from_secs_f64(*at)).await;
+        info!("{:.1} s: {}", stage.now(), act.text());
+        stage.record.borrow_mut().events.push((stage.now(), act.text()));
+        pending.extend(stage.act(act).await?);
+    }
+    sleep_until(stage.began.get() + Duration::from_secs_f64(script.seconds)).await;
+    asks.abort();
+    for one in pending {
+        one.await??;
+    }
+    if let Some(load) = load {
+        // The last tasks have their budget yet.
+        while !load.is_finished() {
+            sleep(OFTENEST).await;
+        }
+        let results = load.join().map_err(|_| anyhow::anyhow!("the load ended badly"))??;
+        let mut record = stage.record.borrow_mut();
+        for (nth, result) in results {
+            record.schedule_missed |= result.schedule_missed;
+            let ends = record.ends.entry(nth).or_default();
+            result
+                .workloads
+                .iter()
+                .flat_map(|w| &w.ends)
+                .for_each(|(e, n)| *ends.entry(*e).or_default() += n);
+        }
+    }
+    stage.finish().await;
+    let mut record = stage.record.replace(Record::default());
+    let carried = stage.relays.carried();
+    (record.datagrams, record.bytes, record.lost) = (carried.datagrams, carried.bytes, carried.lost);
+    (record.longest, record.connections) = (carried.longest, stub.connections());
+    let mut begun = BTreeMap::<String, u32>::new();
+    for run in stub.runs().into_iter().filter(|r| r.path == "bid" && !r.mark.is_empty()) {
+        *begun.entry(run.mark).or_default() += 1;
+    }
+    record.twice = begun.into_iter().filter(|(_, n)| *n > 1).map(|(mark, _)| mark).collect();
+    if record.schedule_missed {
+        warn!("the load did not keep its schedule: this machine is too small for the run");
+    }
+    Ok(record)
+}
+
+impl Stage {
+    fn now(&self) -> f64 {
+        self.began.get().elapsed().as_secs_f64()
+    }
+
+    /// What a process in a slot is told.
+    fn configuration(&self, nth: usize, slot: usize) -> String {
+        let script = &self.script;
+        let clients = self.clients[nth].get().map_or("127.0.0.1:0".to_owned(), |at| at.to_string());
+        let known: serde_json::Value = serde_json::from_str(&self.known).unwrap_or_default();
+        json!({
+            "name": name(nth), "listen": clients, "management": "127.0.0.1:0", "discovery": self.list.to_string(),
+            "seed": format!("{:016x}", script.seed + nth as u64), "limits": {"memory_mb": 64, "sockets": 512},
+            "known": known,
+            "fleet": {"name": "rig", "listen": self.slots[slot].listen.to_string(),
+                "advertise": self.fronts[slot].to_string(), "periodMs": script.period_ms,
+                "seeds": self.fronts[..script.count.min(3)].iter().map(|f| f.to_string()).collect::<Vec<_>>()},
+            "settings": {
+                "index": nth, "groupSize": script.count, "zone": nth % script.zones.len(), "zones": script.zones,
+                "hostTypes": ["plain"],
+                "limits": {"mostAssignments": 3, "cancel": true, "connIdleMs": 30000, "dialTimeoutMs": 200},
+                "obligations": {"coldFrom": 0.3, "warmWithinMs": 9000, "overloadFactor": 3, "fallMs": 3000,
+                    "drainGraceMs": 500},
+                "specifics": {"tellsStart": true, "progressMs": 2000},
+                "workloads": [
+                    {"name": "search", "idempotency": "repeatable", "dueTimeMs": 300, "expiryMs": 5000, "revenue": 1},
+                    {"name": "bid", "idempotency": "once", "dueTimeMs": 800, "expiryMs": 20000, "revenue": 10}]
+            }
+        })
+        .to_string()
+    }
+
+    /// Dispatchers change between this and its end: what is asked meanwhile shows neither what was nor what is to be.
+    fn begins(&self) {
+        self.under_way.update(|n| n + 1);
+        self.changes.update(|n| n + 1);
+    }
+
+    fn ends(&self) {
+        self.under_way.update(|n| n - 1);
+        self.changes.update(|n| n + 1);
+    }
+
+    /// Starts a process in each one's slot, all at once, and waits until they serve.
+    async fn start(&self, which: &[usize]) -> Result<()> {
+        self.begins();
+        for nth in which {
+            self.trouble(*nth);
+            self.begin(*nth, self.active[*nth].get()).await?;
+        }
+        for nth in which {
+            self.opened(*nth, self.active[*nth].get()).await?;
+            self.running.borrow_mut().insert(*nth);
+        }
+        self.ends();
+        Ok(())
+    }
+
+    async fn begin(&self, nth: usize, slot: usize) -> Result<()> {
+        let mut place = self.slots[slot].process.lock().await;
+        if let Some(before) = place.as_mut() {
+            // One that was told to end may still answer what it holds.
+            if !before.over() && !before.end().await {
+                self.record.borrow_mut().ended_badly.push(nth);
+            }
+        }
+        let (text, common) = (self.configuration(nth, slot), self.folder.join("common").join(name(nth)));
+        let called = format!("{}-{slot}-{:.0}", name(nth), self.now() * 1000.0);
+        *place =
+            Some(Process::start(&self.program, &self.folder, &called, &text, &common, &self.script.broken)?);
+        Ok(())
+    }
+
+    async fn opened(&self, nth: usize, slot: usize) -> Result<()> {
+        let mut place = self.slots[slot].process.lock().await;
+        let process = place.as_mut().context("no process")?;
+        let at = process.ready().await.with_context(|| format!("{}: see its log", name(nth)))?;
+        self.clients[nth].set(Some(at));
+        self.slots[slot].management.set(process.management());
+        Ok(())
+    }
+
+    fn trouble(&self, nth: usize) {
+        let mut record = self.record.borrow_mut();
+        if !record.troubled.contains(&nth) {
+            record.troubled.push(nth);
+        }
+    }
+
+    async fn signal(&self, which: &[usize], signal: Signal) {
+        for nth in which {
+            self.trouble(*nth);
+            let mut place = self.slots[self.active[*nth].get()].process.lock().await;
+            let Some(process) = place.as_mut() else { continue };
+            match signal {
+                Signal::SIGKILL => process.kill().await,
+                _ => process.signal(signal),
+            }
+            let runs = signal == Signal::SIGCONT && !process.over() && !process.stopped();
+            let mut running = self.running.borrow_mut();
+            if runs {
+                running.insert(*nth)
+            } else {
+                running.remove(nth)
+            };
+        }
+    }
+
+    /// Does one thing; what takes its time goes on beside.
+    async fn act(self: &Rc<Self>, act: &Act) -> Result<Option<JoinHandle<Result<()>>>> {
+        self.begins();
+        let mut beside = None;
+        match act {
+            Act::Kill(on) => self.signal(on, Signal::SIGKILL).await,
+            Act::Terminate(on) => self.signal(on, Signal::SIGTERM).await,
+            Act::Stop(on) => self.signal(on, Signal::SIGSTOP).await,
+            Act::Continue(on) => self.signal(on, Signal::SIGCONT).await,
+            Act::Start(on) => {
+                let (stage, on) = (self.clone(), on.clone());
+                beside = Some(spawn_local(async move { stage.start(&on).await }));
+            }
+            Act::Restart(on) => {
+                self.signal(on, Signal::SIGKILL).await;
+                let (stage, on) = (self.clone(), on.clone());
+                beside = Some(spawn_local(async move { stage.start(&on).await }));
+            }
+            Act::Upgrade(on) => {
+                let (stage, on) = (self.clone(), on.clone());
+                beside = Some(spawn_local(async move {
+                    for nth in on {
+                        stage.upgrade(nth).await?;
+                    }
+                    Ok(())
+                }));
+            }
+            Act::Link { from, to, link } => {
+                for (a, b) in
+                    from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b)
+                {
+                    self.relays.set(a, b, Some(*link));
+                }
+            }
+            Act::Split(sides) => {
+                let side = |n: usize| sides.iter().position(|s| s.contains(&n));
+                let all = 0..self.script.count;
+                for (a, b) in all.clone().flat_map(|a| all.clone().map(move |b| (a, b))) {
+                    if side(a) != side(b) {
+                        self.relays.set(a, b, Some(Link { cut: true, ..self.script.link }));
+                    }
+                }
+            }
+            Act::Heal => self.relays.heal(),
+            Act::Garbage(on, count) => self.garbage(on, *count).await?,
+        }
+        self.ends();
+        Ok(beside)
+    }
+
+    /// A second process beside the one that serves; when it serves too, the first is asked to end.
+    async fn upgrade(&self, nth: usize) -> Result<()> {
+        let (old, count) = (self.active[nth].get(), self.script.count);
+        let new = if old < count { old + count } else { old - count };
+        self.begin(nth, new).await?;
+        self.opened(nth, new).await?;
+        let (at, observer, begun) = (self.slots[new].management.get(), Observer::new(), Instant::now());
+        while let Some(at) = at
+            && !observer.serves(at).await
+        {
+            anyhow::ensure!(begun.elapsed() < UPGRADED, "the new process of {} does not serve", name(nth));
+            sleep(OFTENEST).await;
+        }
+        self.active[nth].set(new);
+        if let Some(process) = self.slots[old].process.lock().await.as_mut()
+            && !process.end().await
+        {
+            self.record.borrow_mut().ended_badly.push(nth);
+        }
+        Ok(())
+    }
+
+    /// Datagrams that are none, at the relay and past it: empty, random, as long as can be, and ones that were true once.
+    async fn garbage(&self, on: &[usize], count: usize) -> Result<()> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        for nth in on {
+            let slot = self.active[*nth].get();
+            for n in 0..count {
+                let mut bytes = {
+                    let mut chance = self.chance.borrow_mut();
+                    let length = [0, 15, 16, 40, 400, 1400, 1500, 60_000][chance.random_range(0..8)];
+                    let mut bytes = vec![0; length];
+                    chance.fill_bytes(&mut bytes);
+                    bytes
+                };
+                if n % 3 == 0 && bytes.len() > 4 {
+                    bytes[..4].copy_from_slice(b"rlf\x01");
+                }
+                let at = if n % 2 == 0 { self.fronts[slot] } else { self.slots[slot].listen };
+                let _ = socket.send_to(&bytes, at).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks all that run for their views, again and again.
+    async fn ask(self: Rc<Self>) {
+        let observer = Observer::new();
+        let pause = Duration::from_secs_f64(self.script.period_ms / 1000.0 * ASKED).max(OFTENEST);
+        loop {
+            sleep(pause).await;
+            let (changes, running) =
+                (self.changes.get(), self.running.borrow().iter().copied().collect::<Vec<_>>());
+            let at = self.now();
+            let asked: Vec<_> = running
+                .iter()
+                .filter_map(|n| Some((*n, self.slots[self.active[*n].get()].management.get()?)))
+                .map(|(n, at)| {
+                    let observer = observer.clone();
+                    spawn_local(async move { observer.view(n, at).await })
+                })
+                .collect();
+            let mut samples = Vec::new();
+            for one in asked {
+                samples.extend(one.await.ok().flatten());
+            }
+            let sure = changes == self.changes.get() && self.under_way.get() == 0;
+            self.record.borrow_mut().rounds.push(Round { at, running, sure, samples });
+        }
+    }
+
+    /// Clients of each of those dispatchers, in a thread of their own.
+    #[expect(clippy::type_complexity, reason = "a handle of a thread")]
+    fn load(
+        self: Rc<Self>,
+        on: &[usize],
+    ) -> Option<std::thread::JoinHandle<Result<Vec<(usize, record::Result)>>>> {
+        let load = self.script.load?;
+        let workload = |name: &str, part: f64| Workload {
+            name: name.to_owned(),
+            part,
+            budget_ms: load.budget_ms,
+            body_bytes: 64,
+            fingerprint: false,
+            retries: 2,
+            backoff_ms: 50,
+        };
+        let plan = |nth: usize| {
+            Some(Plan {
+                target: self.clients[nth].get()?,
+                seed: self.script.seed.wrapping_mul(1009).wrapping_add(nth as u64),
+                seconds: self.script.seconds,
+                connections: 512,
+                arrivals: Arrivals::Poisson { rate: load.rate },
+                workloads: vec![workload("search", 4.0), workload("bid", 1.0)],
+            })
+        };
+        let plans: Vec<(usize, Plan)> = on.iter().filter_map(|n| Some((*n, plan(*n)?))).collect();
+        Some(std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            LocalSet::new().block_on(&runtime, async {
+                let mut runs = Vec::new();
+                for (nth, plan) in plans {
+                    let schedule = schedule::of(&plan)?;
+                    runs.push(spawn_local(
+                        async move { (nth, driver::run(&plan, schedule).await.result(&plan)) },
+                    ));
+                }
+                let mut results = Vec::new();
+                for run in runs {
+                    results.push(run.await?);
+                }
+                Ok(results)
+            })
+        }))
+    }
+
+    /// Ends all that still runs.
+    async fn finish(&self) {
+        let mut ending = Vec::new();
+        for (slot, place) in self.slots.iter().enumerate() {
+            if let Some(mut process) = place.process.lock().await.take() {
+                ending.push((
+                    slot % self.script.count,
+                    spawn_local(async move { process.over() || process.end().await }),
+                ));
+            }
+        }
+        for (nth, one) in ending {
+            if !one.await.unwrap_or(false) {
+                self.record.borrow_mut().ended_badly.push(nth);
+            }
+        }
+    }
+}
+
+/// How all tasks of a run ended.
+pub fn ends(record: &Record) -> BTreeMap<End, u64> {
+    let mut all = BTreeMap::new();
+    record.ends.values().flatten().for_each(|(end, n)| *all.entry(*end).or_default() += n);
+    all
+}
--- /dev/null
+++ b/crates/rig/tests/scripts.rs
@@ -0,0 +1,115 @@
+//! The scripts of `deploy/rig` with processes of the built program, and the rig's own word on what is wrong.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const RIG: &str = env!("CARGO_BIN_EXE_rainlug-rig");
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// The dispatcher as it is built now, with or without what breaks it on purpose.
+fn built(broken: bool) -> PathBuf {
+    let target = Path::new(RIG).parent().unwrap().join(if broken { "broken" } else { "whole" });
+    let mut build = Command::new(env!("CARGO"));
+    build
+        .current_dir(root())
+        .args(["build", "--locked", "--quiet", "-p", "rainlugd", "--target-dir"])
+        .arg(&target);
+    if broken {
+        build.args(["--features", "broken"]);
+    }
+    assert!(build.status().unwrap().success());
+    target.join("debug/rainlugd")
+}
+
+fn rig(script: &Path, out: &Path, program: &Path) -> Output {
+    let mut run = Command::new(RIG);
+    run.arg("run").arg(script).arg("--out").arg(out).arg("--program").arg(program);
+    run.output().unwrap()
+}
+
+fn holds(script: &str) {
+    let out = tempfile::tempdir().unwrap();
+    let run = rig(&root().join("deploy/rig").join(script), out.path(), &built(false));
+    let said = String::from_utf8_lossy(&run.stdout).into_owned();
+    let report = fs::read_to_string(out.path().join("report.md")).unwrap_or_default();
+    assert!(run.status.success(), "{said}\n{}\n{report}", String::from_utf8_lossy(&run.stderr));
+    for file in ["views.csv", "views.svg", "record.json"] {
+        assert!(out.path().join(file).exists(), "{file}");
+    }
+}
+
+#[test]
+fn members_come_die_come_back_and_leave() {
+    holds("members.toml");
+}
+
+#[test]
+fn halves_and_bridges() {
+    holds("partition.toml");
+}
+
+#[test]
+fn stopped_flooded_disordered_and_upgraded() {
+    holds("stopped.toml");
+}
+
+/// The checks are worth something only if they fail where the view is broken.
+#[test]
+fn broken_builds_are_found() {
+    let program = built(true);
+    let breaks = |part: &str, faults: &str, words: &str| {
+        let folder = tempfile::tempdir().unwrap();
+        let script = folder.path().join("broken.toml");
+        let head =
+            format!("seconds = 20.0\nperiod_ms = 100.0\n[processes]\ncount = 3\nbroken = \"{part}\"\n");
+        fs::write(&script, head + faults).unwrap();
+        let run = rig(&script, &folder.path().join("out"), &program);
+        let said = String::from_utf8_lossy(&run.stdout).into_owned();
+        let whole = part.is_empty();
+        assert_eq!(run.status.code(), Some(i32::from(!whole)), "{part}: {said}");
+        assert!(said.contains(words), "{part}: {said}");
+    };
+    let stop = "[[fault]]\nat = 2.0\nkind = \"stop\"\non = [\"d2\"]\n[[fault]]\nat = 9.0\nkind = \"continue\"\non = [\"d2\"]\n\
+                [[check]]\nkind = \"agree\"\nfrom = 14.0\nby = 20.0\n";
+    // The seeds are all of them, so who is gone would be found by them: the cut is what is left to the retries.
+    let split = "[[fault]]\nat = 2.0\nkind = \"kill\"\non = [\"d0\"]\n[[fault]]\nat = 2.0\nkind = \"split\"\n\
+                 sides = [[\"d1\"], [\"d2\"]]\n[[fault]]\nat = 9.0\nkind = \"heal\"\n\
+                 [[check]]\nkind = \"agree\"\nfrom = 10.0\nby = 20.0\n";
+    std::thread::scope(|scope| {
+        scope.spawn(|| breaks("", stop, "checks held"));
+        scope.spawn(|| breaks("refutes", stop, "failed at 20.0 s: agree from 14 by 20: at odds"));
+        scope.spawn(|| breaks("", split, "checks held"));
+        scope.spawn(|| breaks("retries", split, "failed at 20.0 s: agree from 10 by 20: at odds"));
+    });
+}
+
+#[test]
+fn a_wrong_script_starts_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let script = folder.path().join("wrong.toml");
+    let out = folder.path().join("out");
+    for (text, words) in [
+        ("seconds = 5.0\n[processes]\ncount = 3\nsize = 1\n", "line 4: unknown field `size`"),
+        (
+            "seconds = 5.0\n[processes]\ncount = 3\n[[fault]]\nat = 9.0\nkind = \"heal\"\n",
+            "line 5: fault.at is 9, and the run ends at 5",
+        ),
+        ("seconds = ", "line 1: "),
+    ] {
+        fs::write(&script, text).unwrap();
+        let run = rig(&script, &out, Path::new("/nowhere"));
+        let said = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert_eq!(run.status.code(), Some(2));
+        assert!(
+            said.contains("wrong.toml, ") && said.contains(words) && said.trim().lines().count() == 1,
+            "{said}"
+        );
+        assert!(!out.exists());
+    }
+    let absent = rig(&folder.path().join("none.toml"), &out, Path::new("/nowhere"));
+    assert_eq!(absent.status.code(), Some(2));
+}
