--- a/crates/rainlugd/src/routing/peers.rs
+++ b/crates/rainlugd/src/routing/peers.rs
@@ -180,7 +180,7 @@
         let all = json!({"fleet": self.fleet, "name": self.me.name, "process": format!("{:016x}", self.me.id),
             "version": view.version(), "digest": format!("{:016x}", view.digest()), "distrust": view.distrust(),
             "members": members});
-        format!("{all}\n")
+        format!("{all:#}\n")
     }
 
     /// Its lines among the figures.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -295,6 +295,8 @@
         gone: &Sender<String>,
         words: &Mutex<Receiver<()>>,
     ) -> Option<()> {
+        // Two small writes for each task: the second must not wait 40 ms for the first's acknowledgement.
+        to.set_nodelay(true).unwrap();
         let mut from = BufReader::new(to.try_clone().unwrap());
         while let Some((head, body)) = message(&mut from) {
             if head.starts_with("GET /status/load ") {
