Whatever faults came, a plain list of who runs is what every view agrees on: by chance, 60 courses

The plain model of the view is a list of who runs. 60 drawn courses of kills, restarts, leaves, stops, splits, one-way cuts and bad links on seven processes all end in it within 60 periods of the last fault and stay there; bent and cut datagrams past the checksum end in an error or a note, never in a panic.

--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -1,5 +1,7 @@
 //! The faults that a fleet meets, in virtual time: each test fails without what answers it in the view.
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rainlug_fleet::emulator::{Emulator, Fleet, Link, address};
 use rainlug_fleet::{Odd, Standing, Ways};
 
@@ -326,3 +328,98 @@
     }
     assert!(fleet.emulator.longest <= 1_400, "{}", fleet.emulator.longest);
 }
+
+/// One fault, by a number and two places.
+fn fault(
+    fleet: &mut Fleet,
+    running: &mut [bool],
+    stopped: &mut [bool],
+    (kind, one, other): (u8, usize, usize),
+) {
+    match kind {
+        0 if running[one] => {
+            fleet.emulator.stop(one, false);
+            fleet.emulator.kill(one);
+            (running[one], stopped[one]) = (false, false);
+        }
+        1 | 2 => {
+            // Also in place of one that runs: killed and started again at once.
+            fleet.start(one);
+            (running[one], stopped[one]) = (true, false);
+        }
+        3 if running[one] && !stopped[one] => {
+            fleet.emulator.with(one, |w, _, out| w.leave(out));
+            fleet.emulator.kill(one);
+            running[one] = false;
+        }
+        4 if running[one] => {
+            stopped[one] = !stopped[one];
+            fleet.emulator.stop(one, stopped[one]);
+        }
+        5 => fleet.emulator.split(|a, b| (a < one) != (b < one)),
+        6 => fleet.emulator.way(one, other, Link { cut: true, ..LAN }),
+        7 => fleet.emulator.way(
+            one,
+            other,
+            Link { loss: 0.5, delay: 300_000, spread: 600_000, twice: 0.5, cut: false },
+        ),
+        8 => fleet.emulator.heal(),
+        _ => {}
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, rng_seed: RngSeed::Fixed(28), failure_persistence: None, ..Default::default() })]
+
+    /// The plain model is a list of who runs: whatever happened, a while after the last fault every view is that list.
+    #[test]
+    fn whatever_happened_all_agree_on_who_runs(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec(((0u8..9, 0usize..7, 0usize..7), 0.0f64..12.0), 1..25),
+    ) {
+        let mut fleet = fleet(7, seed);
+        let (mut running, mut stopped) = ([true; 7], [false; 7]);
+        for (what, then) in faults {
+            fault(&mut fleet, &mut running, &mut stopped, what);
+            pass(&mut fleet, then);
+        }
+        fleet.emulator.heal();
+        (0..7).filter(|n| stopped[*n]).for_each(|n| fleet.emulator.stop(n, false));
+        // Six times the shortest time to speak up, for a single accuser, and what comes before and after it.
+        prop_assert!(fleet.agrees_in(60.0).is_some());
+        let ids: Vec<u64> = (0..7).filter(|n| running[*n]).map(|n| fleet.emulator.id(n)).collect();
+        for (n, view) in fleet.emulator.running() {
+            prop_assert_eq!(view.processes_living(), ids.len());
+            prop_assert!(ids.iter().all(|id| *id == fleet.emulator.id(n) || view.get(*id).is_some_and(|p| p.lives())));
+        }
+        pass(&mut fleet, 60.0);
+        prop_assert!(fleet.emulator.agreed(), "and go on agreeing");
+    }
+
+    /// Whoever carries datagrams drops what is damaged; what slips through ends in an error or a note, never in a panic, and
+    /// never makes a process call itself gone.
+    #[test]
+    fn bent_datagrams_harm_nobody(bends in proptest::collection::vec((any::<u16>(), any::<u16>(), any::<u8>()), 1..60)) {
+        let mut fleet = fleet(5, 29);
+        fleet.emulator.keep_each = 1;
+        fleet.emulator.kill(4);
+        pass(&mut fleet, 12.0);
+        fleet.emulator.keep_each = 0;
+        let kept = std::mem::take(&mut fleet.emulator.kept);
+        for (nth, at, bits) in bends {
+            let (to, from, payload) = &kept[usize::from(nth) % kept.len()];
+            let mut bytes = payload.to_vec();
+            let at = usize::from(at) % bytes.len();
+            bytes[at] ^= bits;
+            bytes.truncate(if bits % 4 == 0 { at } else { bytes.len() });
+            fleet.emulator.arrive(*to, *from, bytes.into());
+            pass(&mut fleet, 0.05);
+        }
+        pass(&mut fleet, 1.0);
+        for (n, view) in fleet.emulator.running() {
+            let members = view.members();
+            let own = members.iter().find(|m| m.name == format!("d{n}"));
+            prop_assert!(own.is_some_and(|m| m.standing == Standing::Alive));
+        }
+    }
+}
