--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -100,17 +100,24 @@
 
 /// How many each holds for there, over time, and what was done when.
 fn chart(path: &Path, record: &Record) -> Result<()> {
-    let mut lines = std::collections::BTreeMap::<usize, Vec<(f64, f64)>>::new();
+    // A line of pieces: while a process is away there is nothing to draw, and no line over the gap.
+    let mut lines = std::collections::BTreeMap::<usize, Vec<Vec<(f64, f64)>>>::new();
     for round in &record.rounds {
         for s in &round.samples {
             let there = s.states.values().filter(|v| *v == "alive" || *v == "suspect").count();
             // Lines that lie on one another would hide all but one.
             let shift = (s.who % 8) as f64 * 0.02;
-            lines.entry(s.who).or_default().push((round.at, there as f64 + shift));
+            let pieces = lines.entry(s.who).or_insert_with(|| vec![Vec::new()]);
+            pieces.last_mut().into_iter().for_each(|piece| piece.push((round.at, there as f64 + shift)));
+        }
+        for (who, pieces) in &mut lines {
+            if !round.samples.iter().any(|s| s.who == *who) && pieces.last().is_some_and(|p| !p.is_empty()) {
+                pieces.push(Vec::new());
+            }
         }
     }
     let far = record.rounds.last().map_or(1.0, |r| r.at.max(1.0));
-    let high = lines.values().flatten().fold(1.0f64, |h, p| h.max(p.1));
+    let high = lines.values().flatten().flatten().fold(1.0f64, |h, p| h.max(p.1));
     let drawn = || -> std::result::Result<(), Box<dyn std::error::Error>> {
         let area = SVGBackend::new(path, (1000, 420)).into_drawing_area();
         area.fill(&WHITE)?;
@@ -128,9 +135,9 @@
             let place = (*at, (high + 1.0) * (0.06 + 0.05 * (n % 6) as f64));
             chart.draw_series([Text::new(words, place, ("sans-serif", 10).into_font())])?;
         }
-        for (who, line) in &lines {
+        for (who, piece) in lines.iter().flat_map(|(who, pieces)| pieces.iter().map(move |p| (who, p))) {
             let color = Palette99::pick(*who).to_rgba();
-            chart.draw_series(LineSeries::new(line.iter().copied(), color.stroke_width(1)))?;
+            chart.draw_series(LineSeries::new(piece.iter().copied(), color.stroke_width(1)))?;
         }
         area.present()?;
         Ok(())
