--- a/crates/budgets/src/divider.rs
+++ b/crates/budgets/src/divider.rs
@@ -31,7 +31,6 @@
 /// A process that may divide.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Divider {
-    me: u64,
     epoch: u32,
     /// When the voices now gathered were asked for, and whose they are.
     asked: Time,
@@ -43,10 +42,9 @@
 }
 
 impl Divider {
-    pub fn new(terms: &Terms, me: u64) -> Self {
+    pub fn new(terms: &Terms) -> Self {
         let count = terms.budgets.len();
         Divider {
-            me,
             epoch: 0,
             asked: Time::MIN,
             voices: BTreeSet::new(),
@@ -157,8 +155,4 @@
     pub fn out(&self, nth: usize) -> Amount {
         self.lent[nth].values().map(Lent::most).sum()
     }
-
-    pub fn id(&self) -> u64 {
-        self.me
-    }
 }
--- a/crates/budgets/tests/never_over.rs
+++ b/crates/budgets/tests/never_over.rs
@@ -133,7 +133,7 @@
         let mut process = Process {
             id,
             voter: Voter::new(&self.terms, 0),
-            divider: Divider::new(&self.terms, id),
+            divider: Divider::new(&self.terms),
             holders: Vec::new(),
             drift,
             offset,
@@ -252,7 +252,7 @@
                 process.divider.voiced(&terms, local, voter, epoch, asked);
                 if !had && process.divider.holds(local) && self.lacks == Lacks::Epoch {
                     // As if it had come into office long ago.
-                    let mut early = Divider::new(&terms, process.id);
+                    let mut early = Divider::new(&terms);
                     while early.epoch() < epoch {
                         early.stand(local - 100 * SECOND);
                     }
