--- a/crates/budgets/src/divider.rs
+++ b/crates/budgets/src/divider.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{Amount, Terms, Time, fair};
+use crate::{Amount, Ask, Key, Terms, Time, Ways, fair};
 
 /// Part of a share by which a new one must differ from the one before to be taken: shares that tremble make everybody ask again.
 const TREMBLE: Amount = 16;
@@ -13,6 +13,8 @@
 /// What one holder has of one budget, as far as it may have it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Lent {
+    /// Of which dispatcher it is a process, by its place on the roster.
+    name: u16,
     /// Number, amount, and until when it counts.
     grants: Vec<(u32, Amount, Time)>,
     number: u32,
@@ -35,22 +37,21 @@
     /// When the voices now gathered were asked for, and whose they are.
     asked: Time,
     voices: BTreeSet<u16>,
-    /// Its office lasts until then; from when it lends each budget.
+    /// Its office lasts until then; from when on each budget may grow for somebody.
     until: Option<Time>,
     from: Vec<Time>,
-    lent: Vec<BTreeMap<u64, Lent>>,
+    lent: BTreeMap<Key, BTreeMap<u64, Lent>>,
 }
 
 impl Divider {
-    pub fn new(terms: &Terms) -> Self {
-        let count = terms.budgets.len();
+    pub fn new() -> Self {
         Divider {
             epoch: 0,
             asked: Time::MIN,
             voices: BTreeSet::new(),
             until: None,
-            from: vec![Time::MAX; count],
-            lent: vec![BTreeMap::new(); count],
+            from: Vec::new(),
+            lent: BTreeMap::new(),
         }
     }
 
@@ -80,8 +81,15 @@
         }
     }
 
+    /// Its office is over now, and what it lent goes on elsewhere.
+    pub fn resign(&mut self) {
+        self.until = None;
+        self.voices.clear();
+        self.asked = Time::MIN;
+    }
+
     /// A voter, by its place among the voters, gave its voice, asked for at `asked` in that epoch.
-    pub fn voiced(&mut self, terms: &Terms, now: Time, voter: u16, epoch: u32, asked: Time) {
+    pub fn voiced(&mut self, terms: &Terms, ways: Ways, now: Time, voter: u16, epoch: u32, asked: Time) {
         if epoch != self.epoch || asked != self.asked || usize::from(voter) >= terms.voters.len() {
             return;
         }
@@ -93,29 +101,32 @@
         }
         if self.until.is_none() {
             // Whoever divided before may have lent until just now: what it lent is over by then, wherever it is.
-            self.from = (0..terms.budgets.len()).map(|nth| now + terms.counted(nth)).collect();
-            self.lent.iter_mut().for_each(BTreeMap::clear);
+            let wait = |nth| if ways.dividers_wait { terms.counted(nth) } else { 0 };
+            self.from = (0..terms.budgets.len()).map(|nth| now + wait(nth)).collect();
+            self.lent.clear();
         }
         self.until = Some(until);
     }
 
-    /// A holder asks for so much of a budget beyond its own: it has taken grants of this epoch up to the number `seen`, and
-    /// keeps no more than `keeps` of them. Its asks have growing numbers. What it is lent: the grant's number and amount.
-    #[expect(clippy::too_many_arguments, reason = "a message's fields")]
+    /// A holder, a process of the dispatcher in that place of the roster, asks for so much of a budget beyond its own. It has
+    /// taken grants of this epoch up to the number `seen`, and keeps no more than `keeps` of them, or of those of an epoch
+    /// before. It asked after it had heard of the epoch `known`. Its asks have growing numbers. What it is lent: the grant's
+    /// number and amount.
     pub fn lend(
         &mut self,
         terms: &Terms,
         now: Time,
-        nth: usize,
-        holder: u64,
-        ask: u32,
-        wants: Amount,
-        (epoch, seen, keeps): (u32, u32, Amount),
+        key: Key,
+        (name, holder): (u16, u64),
+        known: u32,
+        ask: Ask,
     ) -> Option<(u32, Amount)> {
-        if !self.holds(now) || nth >= terms.budgets.len() || now < self.from[nth] {
+        let nth = usize::from(key.0);
+        let on_it = usize::from(name) < terms.roster.len() && nth < terms.budgets.len();
+        if !self.holds(now) || !on_it || known != self.epoch {
             return None;
         }
-        let all = &mut self.lent[nth];
+        let all = self.lent.entry(key).or_default();
         for lent in all.values_mut() {
             lent.grants.retain(|(.., until)| now < *until);
             if now - lent.heard > FORGOTTEN * terms.grant {
@@ -124,27 +135,30 @@
         }
         all.retain(|id, lent| *id == holder || !lent.grants.is_empty() || lent.wants > 0);
         let own = all.entry(holder).or_default();
-        if ask <= own.asked {
+        if ask.number <= own.asked {
             // Said before what was said since.
             return None;
         }
-        (own.asked, own.wants, own.heard) = (ask, wants, now);
-        if epoch == self.epoch {
+        (own.name, own.asked, own.wants, own.heard) = (name, ask.number, ask.wants, now);
+        if ask.epoch == self.epoch {
             // What it has taken and no longer keeps is free. What is on its way to it, it may yet take.
-            for grant in own.grants.iter_mut().filter(|(number, ..)| *number <= seen) {
-                grant.1 = grant.1.min(keeps);
+            for grant in own.grants.iter_mut().filter(|(number, ..)| *number <= ask.seen) {
+                grant.1 = grant.1.min(ask.keeps);
             }
         }
+        let kept = if ask.epoch == self.epoch { own.last.min(ask.keeps) } else { ask.keeps };
         let others: Amount = all.iter().filter(|(id, _)| **id != holder).map(|(_, l)| l.most()).sum();
-        let ids: Vec<u64> = all.keys().copied().collect();
-        let wanted: Vec<Amount> = all.values().map(|l| l.wants).collect();
         let pool = terms.pool(nth);
-        let place = ids.iter().position(|id| *id == holder)?;
-        let share = fair::shares(pool, &wanted)[place];
+        let share = share(all, holder, pool, terms.grain(nth))?;
         let own = all.get_mut(&holder)?;
-        let trembles = share.abs_diff(own.last) <= own.last / TREMBLE && own.last <= wants;
+        let trembles = share.abs_diff(own.last) <= own.last / TREMBLE && own.last <= ask.wants;
         // Nothing grows before what shrinks elsewhere has been given back or is over.
-        let amount = if trembles { own.last } else { share }.min(pool.saturating_sub(others));
+        let mut amount = if trembles { own.last } else { share }.min(pool.saturating_sub(others));
+        if now < self.from[nth] {
+            // What the one before lent may still be held by whoever has not been heard of. Who has it and has asked since this
+            // office began may go on with what it keeps of it: that is nobody else's.
+            amount = amount.min(kept);
+        }
         own.last = amount;
         own.number += 1;
         own.grants.push((own.number, amount, now + terms.counted(nth)));
@@ -152,7 +166,40 @@
     }
 
     /// All that may be held of a budget by what this one lent.
-    pub fn out(&self, nth: usize) -> Amount {
-        self.lent[nth].values().map(Lent::most).sum()
+    pub fn out(&self, key: Key) -> Amount {
+        self.lent.get(&key).map_or(0, |all| all.values().map(Lent::most).sum())
     }
+
+    /// What was last lent of a budget to each dispatcher, by its place on the roster.
+    pub fn division(&self, key: Key) -> BTreeMap<u16, Amount> {
+        let mut found = BTreeMap::new();
+        for lent in self.lent.get(&key).into_iter().flat_map(|all| all.values()) {
+            *found.entry(lent.name).or_default() += lent.last;
+        }
+        found
+    }
+
+    /// Forgets budgets of which nothing is held: things that came and went.
+    pub fn tidy(&mut self, now: Time) {
+        self.lent.retain(|_, all| all.values().any(|l| l.grants.iter().any(|(.., until)| now < *until)));
+    }
+}
+
+impl Default for Divider {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A holder's share: dispatchers get theirs by what their processes want together, and of that each process its own.
+fn share(all: &BTreeMap<u64, Lent>, holder: u64, pool: Amount, grain: Amount) -> Option<Amount> {
+    let mut names = BTreeMap::<u16, Amount>::new();
+    all.values().for_each(|lent| *names.entry(lent.name).or_default() += lent.wants / grain);
+    let of = all.get(&holder)?.name;
+    let wanted: Vec<Amount> = names.values().copied().collect();
+    let part = fair::shares(pool / grain, &wanted)[names.keys().position(|n| *n == of)?];
+    let within: Vec<(u64, Amount)> =
+        all.iter().filter(|(_, l)| l.name == of).map(|(id, l)| (*id, l.wants / grain)).collect();
+    let wanted: Vec<Amount> = within.iter().map(|w| w.1).collect();
+    Some(fair::shares(part, &wanted)[within.iter().position(|w| w.0 == holder)?] * grain)
 }
--- a/crates/budgets/src/holder.rs
+++ b/crates/budgets/src/holder.rs
@@ -2,6 +2,11 @@
 
 use crate::{Amount, Kind, Terms, Time, UNIT};
 
+/// Part of a mean time in use by which one more observation moves it.
+const LEARNS: Time = 8;
+/// Asks that are no further apart than such a part of a grant say the same.
+const AT_ONCE: Time = 8;
+
 /// What a holder says when it asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ask {
@@ -16,29 +21,33 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
     nth: usize,
-    /// Its own part counts from then: a process before it may have used it.
-    from: Time,
+    /// Its own part counts from then, if it may be used at all.
+    from: Option<Time>,
     asked: (u32, Time),
     answered: bool,
     epoch: u32,
     seen: u32,
     granted: Amount,
     until: Time,
-    /// Of a rate: what may be spent at `level_at`. Of an occupancy: what is in use.
+    /// Of a rate: what may be spent at `level_at`. Of an occupancy: what is in use. Of parts: what is wanted.
     level: Amount,
     level_at: Time,
-    /// What was refused since the last ask, and what was used.
+    /// The most that was in use since the last ask, what was refused since, and what was used.
+    peak: Amount,
     refused: Amount,
     used: Amount,
+    /// How long one is in use, as far as seen.
+    lasts: Time,
+    /// What it would use if it had it, as last asked.
+    demand: Amount,
 }
 
 impl Holder {
-    /// The only process of its dispatcher, which begins now. Nothing of what a process before it has spent or begun is known: of
-    /// a rate nothing has come in yet, of an occupancy the own part may be in use until all that was begun is over.
-    pub fn new(terms: &Terms, nth: usize, now: Time) -> Self {
-        let mut holder = Holder {
+    /// Of a process that begins now, without a part of its own.
+    pub fn new(nth: usize, now: Time) -> Self {
+        Holder {
             nth,
-            from: now,
+            from: None,
             asked: (0, now),
             answered: true,
             epoch: 0,
@@ -47,26 +56,43 @@
             until: now,
             level: 0,
             level_at: now,
+            peak: 0,
             refused: 0,
             used: 0,
-        };
-        holder.not_before(terms, now);
-        holder
+            lasts: 0,
+            demand: 0,
+        }
     }
 
-    /// Another process of this dispatcher has held the own part until now.
-    pub fn not_before(&mut self, terms: &Terms, now: Time) {
+    /// Another process of this dispatcher, which is over, may have held the own part until `before`; from now on this one has it.
+    /// Nothing of what that one spent or began is known: of a rate nothing has come in yet, of an occupancy the own part may be
+    /// in use until all that was begun is over.
+    pub fn owns(&mut self, terms: &Terms, now: Time, before: Time) {
         self.come_in(terms, now);
-        self.from = match terms.budgets[self.nth].kind {
-            Kind::Rate { .. } => now,
-            Kind::Occupancy { longest } => now + terms.over(longest),
-        };
+        self.from = Some(match terms.budgets[self.nth].kind {
+            Kind::Rate { .. } | Kind::Parts => now,
+            Kind::Occupancy { longest } => (before + terms.over(longest)).max(now),
+        });
+    }
+
+    /// It has neither an own part nor a grant any more.
+    pub fn nothing(&mut self, terms: &Terms, now: Time) {
+        self.come_in(terms, now);
+        (self.from, self.granted, self.until) = (None, 0, now);
+    }
+
+    fn own(&self, terms: &Terms, now: Time) -> Amount {
+        if self.from.is_some_and(|from| now >= from) { terms.own(self.nth) } else { 0 }
+    }
+
+    /// What it was lent that holds now.
+    pub fn granted(&self, now: Time) -> Amount {
+        if now < self.until { self.granted } else { 0 }
     }
 
     /// What it may use now: its own, and what it was lent.
     pub fn share(&self, terms: &Terms, now: Time) -> Amount {
-        let own = if now >= self.from { terms.own(self.nth) } else { 0 };
-        own + if now < self.until { self.granted } else { 0 }
+        self.own(terms, now) + self.granted(now)
     }
 
     /// What of a rate has come in. A clock that runs fast must not bring in more.
@@ -79,49 +105,61 @@
         let brings = |rate: Amount, time: Time| {
             (u128::from(rate) * time.max(0) as u128 * slow / 1_000_000_000_000) as Amount
         };
-        let own = brings(terms.own(self.nth), now - self.level_at.max(self.from));
+        let own = self.from.map_or(0, |from| brings(terms.own(self.nth), now - self.level_at.max(from)));
         let lent = brings(self.granted, self.until.min(now) - self.level_at);
         self.level = (self.level + own + lent).min(terms.burst(self.nth));
         self.level_at = now;
     }
 
-    /// Whether one more may go now; if not, when it is worth asking again. What may go counts as spent, or as in use until
-    /// [`Holder::back`].
-    pub fn take(&mut self, terms: &Terms, now: Time) -> Result<(), Time> {
+    /// Whether one more may go now, and until when it may be begun; if not, when it is worth asking again, where so many wait
+    /// already.
+    pub fn may(&mut self, terms: &Terms, now: Time, waiting: usize) -> Result<Time, Time> {
         self.come_in(terms, now);
-        let share = self.share(terms, now);
-        let again = match terms.budgets[self.nth].kind {
-            Kind::Rate { .. } if self.level >= UNIT => {
-                self.level -= UNIT;
-                None
-            }
+        let (share, more) = (self.share(terms, now), 1 + waiting as Amount);
+        match terms.budgets[self.nth].kind {
+            Kind::Rate { .. } if self.level >= UNIT => Ok(now + terms.grant),
             Kind::Rate { .. } => {
-                let lacks = u128::from(UNIT - self.level) * 1_000_000;
+                let lacks = u128::from(more * UNIT - self.level) * 1_000_000;
                 // Without any share it is worth asking when a grant may have come.
-                let wait = lacks.checked_div(u128::from(share)).map_or(terms.grant, |t| t as Time + 1);
-                Some(now + wait.min(terms.grant))
-            }
-            Kind::Occupancy { .. } if self.level + UNIT <= share => {
-                self.level += UNIT;
-                None
-            }
-            Kind::Occupancy { .. } => Some(now + terms.grant / 2),
-        };
-        match again {
-            None => {
-                self.used += UNIT;
-                Ok(())
+                Err(now + lacks.checked_div(u128::from(share)).map_or(terms.grant, |t| t as Time + 1))
             }
-            Some(at) => {
-                self.refused += UNIT;
-                Err(at)
+            Kind::Occupancy { .. } if self.level + UNIT <= self.own(terms, now) => Ok(Time::MAX),
+            Kind::Occupancy { .. } if self.level + UNIT <= share => Ok(self.until),
+            Kind::Occupancy { .. } => {
+                // So many are in use, and one ends in each such part of the time that one lasts.
+                let ends = (u128::from(more) * self.lasts as u128).checked_div(u128::from(self.level / UNIT));
+                Err(now + ends.filter(|t| *t > 0).map_or(terms.grant, |t| t as Time))
             }
+            Kind::Parts => Err(now + terms.grant),
+        }
+    }
+
+    /// One more goes now, as [`Holder::may`] has just said that it may: it counts as spent, or as in use until
+    /// [`Holder::back`].
+    pub fn take(&mut self, terms: &Terms) {
+        match terms.budgets[self.nth].kind {
+            Kind::Rate { .. } => self.level = self.level.saturating_sub(UNIT),
+            Kind::Occupancy { .. } => self.level += UNIT,
+            Kind::Parts => {}
         }
+        self.peak = self.peak.max(self.level);
+        self.used += UNIT;
+    }
+
+    /// One could not go.
+    pub fn refuse(&mut self) {
+        self.refused += UNIT;
     }
 
-    /// One of an occupancy is no longer in use.
-    pub fn back(&mut self) {
+    /// One of an occupancy is no longer in use, after so long.
+    pub fn back(&mut self, after: Time) {
         self.level = self.level.saturating_sub(UNIT);
+        self.lasts += if self.lasts == 0 { after } else { (after - self.lasts) / LEARNS };
+    }
+
+    /// So much of the parts is of use.
+    pub fn want(&mut self, wants: Amount) {
+        self.level = wants;
     }
 
     /// What of an occupancy is in use.
@@ -129,32 +167,46 @@
         self.level
     }
 
+    /// Whether there is anything to say to a divider: something is wanted, or held.
+    pub fn concerned(&self, terms: &Terms, now: Time) -> bool {
+        // What of a rate has come in is nobody's concern.
+        let level = if matches!(terms.budgets[self.nth].kind, Kind::Rate { .. }) { 0 } else { self.level };
+        self.used + self.refused + level + self.demand + self.granted(now) > 0
+    }
+
+    /// Whether something was refused since the last ask.
+    pub fn hungry(&self) -> bool {
+        self.refused > 0
+    }
+
     /// It asks now, `since` microseconds after it asked before.
     pub fn ask(&mut self, terms: &Terms, now: Time, since: Time) -> Ask {
         self.come_in(terms, now);
-        let own = terms.own(self.nth);
-        let demand = match terms.budgets[self.nth].kind {
-            // A quarter over what was asked of it, so that it can grow.
+        let own = self.own(terms, now);
+        // A quarter over what was asked of it, so that it can grow.
+        let grows = |all: u128| ((all + all / 4) as Amount).min(terms.budgets[self.nth].whole);
+        let (demand, busy) = match terms.budgets[self.nth].kind {
             Kind::Rate { .. } => {
-                let all = u128::from(self.used + self.refused) * 1_000_000 / since.max(1) as u128;
-                (all + all / 4) as Amount
+                (grows(u128::from(self.used + self.refused) * 1_000_000 / since.max(1) as u128), 0)
             }
             Kind::Occupancy { .. } => {
-                let all = self.level + self.refused;
-                (all + all / 4).div_ceil(UNIT) * UNIT
+                let wanted = grows(u128::from(self.peak + self.refused)).div_ceil(UNIT) * UNIT;
+                (wanted, self.level.saturating_sub(own))
             }
+            Kind::Parts => (self.level, 0),
         };
+        // What was wanted falls by halves, since little is seen in so short a time; and nothing is seen of it between two asks at
+        // once.
+        let before = if since < terms.grant / AT_ONCE { self.demand } else { self.demand / 2 };
+        self.demand = demand.max(if before < UNIT / 8 { 0 } else { before });
+        let demand = self.demand;
         (self.refused, self.used) = (0, 0);
+        self.peak = self.level;
         self.asked = (self.asked.0 + 1, now);
         self.answered = false;
         let wants = demand.saturating_sub(own);
         // From here on it keeps no more than it wants, or has in use: that is said now, and done now.
-        let busy = match terms.budgets[self.nth].kind {
-            Kind::Occupancy { .. } => self.level.saturating_sub(if now >= self.from { own } else { 0 }),
-            Kind::Rate { .. } => 0,
-        };
-        let granted = if now < self.until { self.granted } else { 0 };
-        self.granted = granted.min(wants);
+        self.granted = self.granted(now).min(wants);
         let keeps = self.granted.max(busy);
         Ask { number: self.asked.0, wants, epoch: self.epoch, seen: self.seen, keeps }
     }
--- a/crates/budgets/src/voter.rs
+++ b/crates/budgets/src/voter.rs
@@ -18,6 +18,9 @@
     }
 
     /// A candidate asks for its voice in an epoch; whether it is promised. Where it is not, the highest epoch it knows of.
+    ///
+    /// # Errors
+    /// That epoch.
     pub fn asked(&mut self, terms: &Terms, now: Time, candidate: u64, epoch: u32) -> Result<(), u32> {
         let other = self.promised.is_some_and(|(to, _, until)| to != candidate && now < until);
         // An epoch belongs to one candidate: it tells that one's answers from those of the one before.
@@ -30,8 +33,14 @@
         Ok(())
     }
 
-    /// Another process of this name has voted until now: its promises hold for this one too.
-    pub fn not_before(&mut self, terms: &Terms, now: Time) {
-        self.from = self.from.max(now + terms.over(terms.lease));
+    /// The candidate has given up, and will not come into office by what was promised to it.
+    pub fn released(&mut self, now: Time, candidate: u64) {
+        self.promised.iter_mut().filter(|p| p.0 == candidate).for_each(|p| p.2 = p.2.min(now));
+    }
+
+    /// Until when it can promise nothing to that candidate.
+    pub fn bound(&self, now: Time, candidate: u64) -> Time {
+        let other = self.promised.filter(|(to, _, until)| *to != candidate && now < *until);
+        other.map_or(Time::MIN, |(.., until)| until).max(self.from)
     }
 }
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -216,7 +216,7 @@
                         _ => 1.0,
                     };
                     let most = if large || way == Way::Plain { DEATHS / 15 } else { DEATHS };
-                    let settles = way == Way::View && !brief && !(large && lossy);
+                    let settles = way == Way::View && !brief;
                     let done = row(way, size, loss, seed, long / part, (most, settles));
                     if let Ok(mut rows) = rows.lock() {
                         rows.push(done);
