--- a/crates/budgets/src/holder.rs
+++ b/crates/budgets/src/holder.rs
@@ -167,6 +167,11 @@
         self.level
     }
 
+    /// What it would use if it had it, as last asked.
+    pub fn demand(&self) -> Amount {
+        self.demand
+    }
+
     /// Whether there is anything to say to a divider: something is wanted, or held.
     pub fn concerned(&self, terms: &Terms, now: Time) -> bool {
         // What of a rate has come in is nobody's concern.
--- a/crates/budgets/src/party.rs
+++ b/crates/budgets/src/party.rs
@@ -522,10 +522,10 @@
         self.shares.get(&key).map_or(0.0, |s| s.share(&self.terms, now) as f64 / UNIT as f64)
     }
 
-    /// What it may use of a budget now, and what of an occupancy is in use.
-    pub fn has(&self, nth: usize, now: Time) -> (Amount, Amount) {
+    /// What it may use of a budget now, what of an occupancy is in use, and what it would use if it had it, as last asked.
+    pub fn has(&self, nth: usize, now: Time) -> (Amount, Amount, Amount) {
         let share = self.shares.get(&(nth as u16, 0));
-        share.map_or((0, 0), |share| (share.share(&self.terms, now), share.in_use()))
+        share.map_or((0, 0, 0), |share| (share.share(&self.terms, now), share.in_use(), share.demand()))
     }
 
     /// Whether it divides, and in which epoch; else the last one that it has heard of.
--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -47,6 +47,8 @@
     left: Option<Mark>,
     /// Held as long as the process lives.
     _lock: File,
+    /// Held by one process at a time.
+    sole: RefCell<Option<File>>,
 }
 
 /// Which file it is: a file that was replaced is another one.
@@ -92,6 +94,7 @@
                 file: Cell::default(),
                 left,
                 _lock: lock,
+                sole: RefCell::default(),
             };
             place.publish()?;
             let odd = place.news().err();
@@ -139,6 +142,16 @@
         !self.others().iter().any(|o| o.stops && o.started < self.started())
     }
 
+    /// Whether this is the one process that may act for the dispatcher alone. The first one is, and the next when that has
+    /// ended, however it did.
+    pub fn sole(&self) -> bool {
+        let mut sole = self.sole.borrow_mut();
+        if sole.is_none() {
+            *sole = locked(&self.base.with_added_extension("sole")).ok().flatten();
+        }
+        sole.is_some()
+    }
+
     fn publish(&self) -> io::Result<()> {
         let text = serde_json::to_string(&*self.status.borrow())?;
         replace(&status_path(&self.base, self.number), &text)
@@ -310,6 +323,15 @@
         }
     }
 
+    #[test]
+    fn one_process_is_sole_and_the_next_when_it_has_ended() {
+        let dir = tempfile::tempdir().unwrap();
+        let (old, new) = (take(dir.path(), 10), take(dir.path(), 20));
+        assert!(old.sole() && !new.sole() && old.sole());
+        drop(old);
+        assert!(new.sole());
+    }
+
     #[test]
     fn what_was_learnt_reaches_who_begins_after_and_is_not_read_later() {
         let dir = tempfile::tempdir().unwrap();
--- a/crates/load/src/stub.rs
+++ b/crates/load/src/stub.rs
@@ -20,7 +20,13 @@
     pub path: String,
     /// The first bytes of the body: of a task of the driver's the fingerprint, the same in each of its tries.
     pub mark: String,
+    /// As its dispatcher's client called it: the same in each assignment of one task.
+    pub id: String,
     pub came: Instant,
+    /// It was not begun.
+    pub turned_away: bool,
+    /// When it ended, whoever still waited for it.
+    pub ended: Option<Instant>,
 }
 
 /// Stand-ins that serve as long as their `LocalSet` runs.
@@ -37,11 +43,18 @@
 const MARK: usize = 32;
 
 impl Stub {
-    /// Workers at these addresses, each taking `work` for each task, and a list that names them in turns in the zones.
+    /// Workers at these addresses, each taking `work` for each task, and a list that names them in turns in the zones. Each turns
+    /// away every task of that number, where it is not 0.
     ///
     /// # Errors
     /// Where an address cannot be had.
-    pub async fn start(workers: &[String], list: &str, work: Duration, zones: &[String]) -> Result<Self> {
+    pub async fn start(
+        workers: &[String],
+        list: &str,
+        work: Duration,
+        zones: &[String],
+        turned_away: usize,
+    ) -> Result<Self> {
         let lists = TcpListener::bind(list).await.with_context(|| format!("cannot listen on {list}"))?;
         let (runs, connections) = (Rc::<RefCell<Vec<Run>>>::default(), Rc::<Cell<u64>>::default());
         let (mut entries, mut places) = (Vec::new(), Vec::new());
@@ -55,15 +68,17 @@
             );
             places.push(at);
             let (runs, connections) = (runs.clone(), connections.clone());
+            let come = Rc::new(Cell::new(0));
             spawn_local(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     connections.update(|n| n + 1);
                     // Two small writes for each task: the second must not wait for the first's acknowledgement.
                     let _ = stream.set_nodelay(true);
-                    let runs = runs.clone();
-                    spawn_local(
-                        async move { while_open(stream, work, nth, &runs).await.unwrap_or_default() },
-                    );
+                    let (runs, come) = (runs.clone(), come.clone());
+                    spawn_local(async move {
+                        let turn = (&*come, turned_away);
+                        while_open(stream, work, nth, turn, &runs).await.unwrap_or_default();
+                    });
                 }
             });
         }
@@ -92,7 +107,7 @@
 /// Serves as a worker that takes `work` for each task, and as a list that names it; says where, and the list's line on it.
 pub async fn run(worker: &str, list: &str, work: Duration) -> Result<()> {
     let serve = async {
-        let stub = Stub::start(&[worker.to_owned()], list, work, &["north".to_owned()]).await?;
+        let stub = Stub::start(&[worker.to_owned()], list, work, &["north".to_owned()], 0).await?;
         println!("worker {}, list {}; known: {}", stub.workers[0], stub.list, stub.known);
         pending().await
     };
@@ -116,6 +131,9 @@
 /// The head of an answer that goes on in chunks.
 const OPENING: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// An answer that turns a task away.
+const AWAY: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
@@ -124,6 +142,7 @@
     stream: TcpStream,
     work: Duration,
     worker: usize,
+    (come, turned_away): (&Cell<usize>, usize),
     runs: &RefCell<Vec<Run>>,
 ) -> Option<()> {
     let mut stream = BufReader::new(stream);
@@ -131,13 +150,25 @@
         let (head, body) = request(&mut stream).await?;
         let path = head.split(' ').nth(1)?.trim_start_matches('/').to_owned();
         let mark = String::from_utf8_lossy(&body[..body.len().min(MARK)]).into_owned();
-        runs.borrow_mut().push(Run { worker, path, mark, came: Instant::now() });
         let id = head
             .lines()
             .find_map(|l| l.to_ascii_lowercase().strip_prefix("x-call-id:").map(|i| i.trim().to_owned()))?;
+        come.update(|n| n + 1);
+        let away = turned_away > 0 && come.get().is_multiple_of(turned_away);
+        let (came, number) = (Instant::now(), runs.borrow().len());
+        let ended = away.then_some(came);
+        runs.borrow_mut().push(Run { worker, path, mark, id: id.clone(), came, turned_away: away, ended });
+        if away {
+            stream.write_all(AWAY.as_bytes()).await.ok()?;
+            continue;
+        }
+        let over = || runs.borrow_mut()[number].ended = Some(Instant::now());
         let line = |state: &str| chunk(&format!("{{\"id\":\"{id}\",\"from\":\"stub\",{state}}}\n"));
-        stream.write_all(format!("{OPENING}{}", line("\"state\":\"started\"")).as_bytes()).await.ok()?;
+        // What has begun runs to its end, also where nobody waits for it any more.
+        let began = stream.write_all(format!("{OPENING}{}", line("\"state\":\"started\"")).as_bytes()).await;
         sleep(work).await;
+        over();
+        began.ok()?;
         let at = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_millis();
         let last = line(&format!("\"state\":\"done\",\"result\":\"at {at}\""));
         stream.write_all(format!("{last}0\r\n\r\n").as_bytes()).await.ok()?;
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -30,7 +30,7 @@
 use crate::routing::list::{self, Source};
 use crate::routing::management::{self, Office};
 use crate::routing::module::{self, Desk};
-use crate::routing::{Beside, MAILBOX, Mail, Peers, Stances, ToModule};
+use crate::routing::{Beside, Budgets, MAILBOX, Mail, Peers, Stances, ToModule};
 use crate::transport::{Bounds, Link, Pool, Room};
 
 /// New connections still come for so long after the word to stop.
@@ -42,6 +42,8 @@
 /// Where another process of this dispatcher serves, the list's first word is waited for so long: a new process that takes
 /// clients is due in 6 s.
 const FIRST_NEWS: Duration = Duration::from_secs(1);
+/// How often it is looked whether an older process has ended.
+const SOLE: Duration = Duration::from_millis(25);
 /// An address that is in use is tried again so often, for so long.
 const AGAIN: Duration = Duration::from_millis(50);
 const TAKEN: Duration = Duration::from_secs(4);
@@ -77,6 +79,7 @@
     listen: SocketAddr,
     management: Option<SocketAddr>,
     fleet: Option<rainlug_setup::Fleet>,
+    budgets: Option<rainlug_setup::Budgets>,
     figures: Rc<Figures>,
     heard: Rc<Notify>,
 }
@@ -105,6 +108,7 @@
         desk,
         management: told::management(all)?,
         fleet: rainlug_setup::fleet(all)?,
+        budgets: rainlug_setup::budgets(all)?,
         figures,
         heard,
     })
@@ -121,9 +125,10 @@
     let Parts { bounds, pool, door, source, rev, known, asked, closing, mut desk, mut logic, .. } = made;
     let stances = Rc::new(Stances::new(clock));
     let mut beside = None;
-    let peers =
-        made.fleet.map(|fleet| Peers::open(fleet, told::name(all)?, told::zone(all)?, clock)).transpose()?;
-    let peers = peers.map(Rc::new);
+    let opened = |fleet| Peers::open(fleet, made.budgets, told::name(all)?, told::zone(all)?, clock);
+    let peers = made.fleet.map(opened).transpose()?.map(Rc::new);
+    let budgets = peers.as_ref().and_then(|peers| peers.budgets());
+    budgets.iter().for_each(|budgets| desk.counts(budgets.clone()));
     if let Some(peers) = peers.clone() {
         spawn_local(async move { peers.run().await });
     }
@@ -154,6 +159,15 @@
     if let Some(others) = beside.clone() {
         spawn_local(async move { others.look().await });
     }
+    if let Some((others, budgets)) = beside.clone().zip(budgets.clone()) {
+        spawn_local(async move {
+            // An older process has this dispatcher's own part, and its voice, until it has ended.
+            while !others.sole() {
+                sleep(SOLE).await;
+            }
+            budgets.alone();
+        });
+    }
     let served = async {
         let opened = tokio::select! {
             biased;
@@ -174,7 +188,7 @@
     tokio::select! {
         // Tasks without an owner must not outlive the module.
         over = module => over.context("the module's actor ended"),
-        never = reload(again, path, all, clock, &mailbox, moves) => match never {},
+        never = reload(again, path, all, clock, &mailbox, (moves, budgets)) => match never {},
         served = served => served,
     }
 }
@@ -221,17 +235,24 @@
     all: &Value,
     clock: Clock,
     mailbox: &ToModule,
-    moves: watch::Sender<Rc<Source>>,
+    (moves, budgets): (watch::Sender<Rc<Source>>, Option<Rc<Budgets>>),
 ) -> Infallible {
     loop {
         let Some(()) = again.recv().await else { pending().await };
         let read = told::from(path).and_then(|new| {
             let made = parts(&new, clock, mailbox).with_context(|| path.to_owned())?;
-            Ok((made.source, new))
+            Ok((made.source, made.budgets, new))
         });
         match read {
-            Ok((source, new)) => {
-                let later: Vec<&str> = told::LATER.into_iter().filter(|k| all.get(k) != new.get(k)).collect();
+            Ok((source, divided, new)) => {
+                let changed = |k: &&str| all.get(k) != new.get(k);
+                let mut later: Vec<&str> = told::LATER.into_iter().filter(changed).collect();
+                let kept = match (&budgets, divided) {
+                    (Some(budgets), Some(divided)) => budgets.reload(divided),
+                    (None, None) => true,
+                    _ => false,
+                };
+                later.extend((!kept).then_some("budgets"));
                 let restart = if later.is_empty() { "" } else { "; only after a restart: " };
                 log!("reloaded: the list is at {}{restart}{}", source.at, later.join(", "));
                 if **moves.borrow() != source {
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -99,6 +99,12 @@
         told.unwrap_or_else(|error| log!("others cannot be told that this process ends: {error}"));
     }
 
+    /// Whether no other process lives that may act for this dispatcher alone; once yes, for good. Never where processes cannot
+    /// tell one another.
+    pub fn sole(&self) -> bool {
+        self.place.as_ref().is_some_and(Place::sole)
+    }
+
     /// Whether no older process is left that answers what it holds before it ends.
     pub fn outlived(&self) -> bool {
         self.place.as_ref().is_none_or(Place::outlived)
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -1,8 +1,9 @@
 //! Actors with mailboxes: one for each client connection, one for each worker with its connections, one for the list
-//! and one for the module; one for the fleet's view; and what the processes of one dispatcher tell one another. They carry what is decided and
+//! and one for the module; one for the fleet's view and its budgets; and what the processes of one dispatcher tell one another. They carry what is decided and
 //! told; nothing is decided here.
 
 mod beside;
+mod budgets;
 pub mod client;
 pub mod figures;
 pub mod list;
@@ -22,6 +23,7 @@
 use crate::protocol::words::Entry;
 use crate::transport::End;
 pub use beside::Beside;
+pub use budgets::Budgets;
 pub use peers::Peers;
 pub use stances::Stances;
 pub use worker::Reach;
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
+use super::budgets::{self, Budgets};
 use super::outcome::outcome;
 use super::worker::{self, Order, Reach, Standing};
 use super::{Answer, Mail, Parcel};
@@ -23,6 +24,8 @@
     client: Option<oneshot::Sender<Answer>>,
     expiry: Time,
     assignments: Vec<Way>,
+    /// What each assignment holds of a budget.
+    counted: Vec<Option<budgets::Held>>,
 }
 
 /// How far an assignment is.
@@ -55,6 +58,8 @@
     unsent: VecDeque<(Rc<Parcel>, usize)>,
     unprobed: VecDeque<String>,
     asked: Option<Rc<Notify>>,
+    /// What the fleet has in common, where that is kept.
+    budgets: Option<Rc<Budgets>>,
     /// Told when the list has said something.
     heard: Rc<Notify>,
 }
@@ -72,10 +77,16 @@
             unsent: VecDeque::new(),
             unprobed: VecDeque::new(),
             asked,
+            budgets: None,
             heard,
         }
     }
 
+    /// From now on what goes out is counted.
+    pub fn counts(&mut self, budgets: Rc<Budgets>) {
+        self.budgets = Some(budgets);
+    }
+
     /// Tells the workers' actors what the list says, before the module hears of it.
     pub fn listed(&mut self, everything: bool, entries: Vec<Entry>) -> Vec<Listed> {
         if everything {
@@ -109,6 +120,7 @@
     }
 
     fn answer(&mut self, task: &str, answer: Answer) {
+        self.budgets.iter().for_each(|budgets| budgets.answered(task));
         if let Some(client) = self.held.get_mut(task).and_then(|h| h.client.take()) {
             trace!(self.now(), "answer {task} {}", answer.word());
             // A client that has gone says so itself.
@@ -138,7 +150,9 @@
         trace!(self.reach.clock.now(), "assign {task} {nth} {worker}");
         let (hold, given_up) = oneshot::channel();
         held.assignments.push(Way::Out { _hold: hold });
-        let order = Order::Assign { parcel: parcel.clone(), nth, expiry: held.expiry, given_up };
+        let (counted, until) = self.budgets.as_ref().map_or((None, Time::MAX), |b| b.counted());
+        held.counted.push(counted);
+        let order = Order::Assign { parcel: parcel.clone(), nth, expiry: held.expiry, until, given_up };
         if self.workers.get(worker).is_none_or(|w| w.mailbox.try_send(order).is_err()) {
             self.unsent.push_back((parcel, nth));
         }
@@ -165,6 +179,19 @@
         self.wakes.push(Reverse((at, self.count, mark)));
     }
 
+    fn may(&mut self, task: &str, mark: u64, workload: usize, again: bool) -> Result<(), Time> {
+        let Some(budgets) = &self.budgets else { return Ok(()) };
+        let refused = budgets.may(task, mark, workload, again).err();
+        refused.map_or(Ok(()), |at| {
+            self.wake(at, mark);
+            Err(at)
+        })
+    }
+
+    fn room(&mut self, worker: &str, wants: f64) -> Option<f64> {
+        self.budgets.as_ref()?.room(worker, wants)
+    }
+
     fn probe(&mut self, worker: &str) {
         trace!(self.now(), "probe {worker}");
         if self.workers.get(worker).is_none_or(|w| w.mailbox.try_send(Order::Probe).is_err()) {
@@ -189,6 +216,14 @@
 ) {
     loop {
         let next = desk.wakes.peek().map_or(Time::MAX, |Reverse((at, ..))| *at);
+        let budgets = desk.budgets.clone();
+        let next = budgets.iter().map(|b| b.release()).fold(next, Time::min);
+        let more = async {
+            match &budgets {
+                Some(budgets) => budgets.more.notified().await,
+                None => std::future::pending().await,
+            }
+        };
         let mail = tokio::select! {
             biased;
             Some(word) = words.recv() => Some(word),
@@ -197,11 +232,16 @@
                 None => return,
             },
             () = sleep_until(desk.reach.clock.instant(next)) => None,
+            () = more => None,
         };
         wake(&mut logic, &mut desk);
         if let Some(mail) = mail {
             take(&mut logic, &mut desk, mail);
         }
+        while let Some(mark) = budgets.as_ref().and_then(|b| b.released()) {
+            let now = desk.now();
+            logic.due(&mut Moment { now, out: &mut desk }, mark);
+        }
         turn_back(&mut logic, &mut desk);
     }
 }
@@ -242,7 +282,13 @@
             }
             trace!(now, "task {} {} {budget}", parcel.id, of.0);
             let expiry = at + budget;
-            let held = Held { parcel: parcel.clone(), client: Some(client), expiry, assignments: Vec::new() };
+            let held = Held {
+                parcel: parcel.clone(),
+                client: Some(client),
+                expiry,
+                assignments: Vec::new(),
+                counted: Vec::new(),
+            };
             desk.held.insert(parcel.id.clone(), held);
             logic.task(&mut Moment { now, out: desk }, &parcel.id, of, expiry - now, slots);
         }
@@ -322,12 +368,18 @@
     let Some(held) = desk.of(parcel) else { return };
     held.assignments[nth] = Way::Ended;
     let outcome = outcome(end);
+    let counted = held.counted.get_mut(nth).and_then(Option::take);
     trace!(now, "end {} {nth} {end:?}", parcel.id);
     if let Some(client) = held.client.take_if(|_| outcome == Outcome::Finished) {
         trace!(now, "answer {} finished", parcel.id);
         let _ = client.send(Answer::Finished(result));
     }
     let closed = held.client.is_none();
+    if let Some((budgets, counted)) = desk.budgets.as_ref().zip(counted) {
+        // What was given up, or not heard of again, may run as long as anything may.
+        let over = outcome.never_ran() || matches!(outcome, Outcome::Finished | Outcome::Failed);
+        budgets.ended(counted, over);
+    }
     logic.ended(&mut Moment { now, out: desk }, &parcel.id, nth, (outcome, closed), report);
     desk.forget(&parcel.id);
 }
--- a/crates/rainlugd/src/routing/peers.rs
+++ b/crates/rainlugd/src/routing/peers.rs
@@ -2,10 +2,12 @@
 //! never waits for another actor, and none waits for it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::fmt::Write;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -15,6 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until};
 
+use super::Budgets;
 use crate::base::Clock;
 use crate::protocol::envelope::{Envelope, MOST};
 
@@ -31,6 +34,9 @@
     view: RefCell<View>,
     bad: Cell<u64>,
     changes: Cell<u64>,
+    /// The fleet's budgets, where they are kept, and the view's version that they know.
+    budgets: Option<Rc<Budgets>>,
+    hinted: Cell<u64>,
     /// The view has something to do sooner than it said.
     sooner: Notify,
 }
@@ -51,6 +57,27 @@
     }
 }
 
+impl rainlug_budgets::Outgoing for Line<'_> {
+    fn send(&mut self, to: SocketAddr, payload: &[u8]) {
+        rainlug_fleet::Outgoing::send(self, to, payload);
+    }
+
+    fn divides(&mut self, at: Option<SocketAddr>, epoch: u32) {
+        match at {
+            Some(at) => log!("budgets: the process at {at} divides, epoch {epoch}"),
+            None => log!("budgets: this process divides, epoch {epoch}"),
+        }
+    }
+
+    fn differs(&mut self, at: SocketAddr, whole_only: bool) {
+        self.0.budgets.iter().for_each(|budgets| budgets.differs(at, whole_only));
+    }
+
+    fn changed(&mut self) {
+        self.0.budgets.iter().for_each(|budgets| budgets.more.notify_one());
+    }
+}
+
 fn said(standing: Standing) -> &'static str {
     match standing {
         Standing::Alive => "is there",
@@ -84,11 +111,17 @@
 }
 
 impl Peers {
-    /// A process of the dispatcher `name` in `zone`, with its socket open.
+    /// A process of the dispatcher `name` in `zone`, with its socket open, and what it holds of the fleet's budgets.
     ///
     /// # Errors
     /// Where the address cannot be had.
-    pub fn open(told: rainlug_setup::Fleet, name: String, zone: String, clock: Clock) -> Result<Self> {
+    pub fn open(
+        told: rainlug_setup::Fleet,
+        divided: Option<rainlug_setup::Budgets>,
+        name: String,
+        zone: String,
+        clock: Clock,
+    ) -> Result<Self> {
         let cannot = || format!("cannot listen on {}, /fleet/listen", told.listen);
         let socket = std::net::UdpSocket::bind(told.listen).with_context(cannot)?;
         socket.set_nonblocking(true).with_context(cannot)?;
@@ -103,7 +136,10 @@
         let me = Card { id: draw(0), name, zone, at, start, edition: 0, figures };
         let view = View::new(me.clone(), told.seeds, told.period, ways(), draw(1), clock.now());
         log!("fleet {}: {} at {at}, process {:016x}", told.name, me.name, me.id);
+        let budgets = divided.map(|told| Rc::new(Budgets::new(told, me.id, draw(2), clock)));
         Ok(Peers {
+            budgets,
+            hinted: Cell::default(),
             socket,
             envelope: Envelope::of(&told.name),
             clock,
@@ -120,7 +156,8 @@
     pub async fn run(&self) -> Infallible {
         let mut buffer = [0; MOST + 1];
         loop {
-            let next = self.view.borrow().next();
+            let next =
+                self.budgets.iter().map(|b| b.next()).fold(self.view.borrow().next(), rainlug::Time::min);
             let readable = tokio::select! {
                 biased;
                 () = sleep_until(self.clock.instant(next)) => false,
@@ -129,18 +166,45 @@
             };
             let read = if readable { self.read(&mut buffer) } else { 0 };
             self.view.borrow_mut().due(self.clock.now(), &mut Line(self));
+            if let Some(budgets) = &self.budgets {
+                self.hint(budgets);
+                budgets.due(&mut Line(self));
+            }
             if read == BURST {
                 sleep(PAUSE).await;
             }
         }
     }
 
+    /// What is held of the fleet's budgets, where they are kept.
+    pub fn budgets(&self) -> Option<Rc<Budgets>> {
+        self.budgets.clone()
+    }
+
+    /// Tells where the dispatchers are, where the view has changed.
+    fn hint(&self, budgets: &Budgets) {
+        let view = self.view.borrow();
+        if self.hinted.replace(view.version()) == view.version() {
+            return;
+        }
+        let mut found = BTreeMap::<String, Vec<SocketAddr>>::new();
+        for member in view.members() {
+            // Who is thought to be gone may be there all the same.
+            let others = member.processes.iter().filter(|p| p.0.id != self.me.id && p.1 != Standing::Left);
+            found.entry(member.name.to_owned()).or_default().extend(others.map(|p| p.0.at));
+        }
+        budgets.there(&found);
+    }
+
     /// Hands the view what has come, up to a burst; how much that was.
     fn read(&self, buffer: &mut [u8]) -> usize {
         for nth in 0..BURST {
             let Ok((length, from)) = self.socket.try_recv_from(buffer) else { return nth };
             let opened = self.envelope.open(&buffer[..length]).map_err(|stranger| format!("{stranger:?}"));
             let taken = opened.and_then(|payload| {
+                if let Some(budgets) = self.budgets.as_ref().filter(|_| rainlug_budgets::concerns(payload)) {
+                    return budgets.heard(from, payload, &mut Line(self)).map_err(|odd| format!("{odd:?}"));
+                }
                 let heard = self.view.borrow_mut().heard(self.clock.now(), from, payload, &mut Line(self));
                 heard.map_err(|odd| format!("{odd:?}"))
             });
@@ -193,6 +257,7 @@
         let _ = writeln!(text, "relay.fleet.suspects:{}|g", count(|s| *s == Standing::Suspect));
         let _ = writeln!(text, "relay.fleet.changes:{}|c", self.changes.get());
         let _ = writeln!(text, "relay.fleet.datagrams_bad:{}|c", self.bad.get());
+        text += &self.budgets.as_ref().map(|budgets| budgets.figures()).unwrap_or_default();
         text
     }
 }
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -36,11 +36,12 @@
 
 /// What a worker's actor is told.
 pub enum Order {
-    /// To be tried until the expiry, or until `given_up` ends.
+    /// To be tried until the expiry, or until `given_up` ends; and to be written by `until`.
     Assign {
         parcel: Rc<Parcel>,
         nth: usize,
         expiry: Time,
+        until: Time,
         given_up: oneshot::Receiver<()>,
     },
     Probe,
@@ -85,8 +86,9 @@
                 let (at, ..) = *standing.borrow();
                 let (reach, back) = (reach.clone(), back.clone());
                 match order {
-                    Order::Assign { parcel, nth, expiry, given_up } => {
-                        spawn_local(exchange(reach, link, at, parcel, nth, expiry, given_up, back));
+                    Order::Assign { parcel, nth, expiry, until, given_up } => {
+                        let times = (expiry, until);
+                        spawn_local(exchange(reach, link, at, parcel, nth, times, given_up, back));
                     }
                     Order::Probe => {
                         spawn_local(probe(reach, link, at, id.clone(), back));
@@ -117,7 +119,7 @@
     at: SocketAddr,
     parcel: Rc<Parcel>,
     nth: usize,
-    expiry: Time,
+    (expiry, until): (Time, Time),
     given_up: oneshot::Receiver<()>,
     back: mpsc::Sender<(Link, SocketAddr)>,
 ) {
@@ -125,7 +127,7 @@
     let mut kept = None;
     let told = tokio::select! {
         biased;
-        told = assign(&reach, link, at, (&parcel, nth), expiry, &written, &mut kept) => told,
+        told = assign(&reach, link, at, (&parcel, nth), (expiry, until), &written, &mut kept) => told,
         _ = given_up => Err(if written.get() { End::GivenUp } else { End::Unsent }),
         () = sleep_until(reach.clock.instant(expiry)) => {
             Err(if written.get() { End::TimedOut } else { End::Unwritten })
@@ -177,12 +179,16 @@
     link: Option<(Link, Instant)>,
     at: SocketAddr,
     (parcel, nth): (&Rc<Parcel>, usize),
-    expiry: Time,
+    (expiry, until): (Time, Time),
     written: &Cell<bool>,
     kept: &mut Option<Link>,
 ) -> Result<Told, End> {
     let rested = link.as_ref().map(|(_, since)| since.elapsed());
     let mut link = open(reach, link, at).await?;
+    // A process that stood still since it was decided must not send what is too late by now.
+    if reach.clock.now() >= expiry.min(until) {
+        return Err(End::Unsent);
+    }
     let opening = head::assignment(&parcel.head, parcel.body.len(), at, expiry - reach.clock.now());
     let begun = async {
         link.send(opening.as_bytes(), &parcel.body, written).await?;
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -8,6 +8,7 @@
 
 use crate::observe::Sample;
 use crate::script::{Check, name};
+use crate::spent::Spent;
 
 /// No datagram between dispatchers is longer, in bytes.
 const LONGEST: usize = 1400;
@@ -41,6 +42,9 @@
     pub bytes: u64,
     pub lost: u64,
     pub longest: usize,
+    /// What of each budget was used at the stand-in workers.
+    #[serde(default)]
+    pub spent: Vec<Spent>,
     /// Connections opened to the stand-in workers.
     pub connections: u64,
     /// The machine did not keep the load's schedule.
@@ -61,6 +65,19 @@
     of.iter().map(|n| name(*n)).collect::<Vec<_>>().join(" ")
 }
 
+/// Whether no more than the whole of a budget was used at any moment.
+fn within(spent: &Spent) -> Verdict {
+    let first = spent.over.first().copied();
+    Verdict {
+        check: format!("never over the whole of {}", spent.name),
+        held: first.is_none(),
+        at: first.map_or(0.0, |f| f.0),
+        words: first.map_or(format!("at most {:.1}", spent.most), |(_, by)| {
+            format!("over by {by:.1}, {} times in all", spent.over.len())
+        }),
+    }
+}
+
 /// Whether a sample has a dispatcher in a state.
 fn has(sample: &Sample, whom: usize, state: &str) -> bool {
     let found = sample.states.get(&name(whom)).map(String::as_str);
@@ -87,6 +104,7 @@
     /// Judges the script's checks, and those that hold for every run.
     pub fn judge(&self, checks: &[Check]) -> Vec<Verdict> {
         let mut verdicts: Vec<Verdict> = checks.iter().map(|c| self.check(c)).collect();
+        verdicts.extend(self.spent.iter().map(within));
         verdicts.extend([
             self.own(),
             self.versions(),
@@ -148,6 +166,19 @@
                     None => verdict(text, asked.then_some(*by), *by, "nobody was asked".into()),
                 }
             }
+            Check::Used { budget, part, from, by } | Check::Unused { budget, part, from, by } => {
+                let used = self.spent.iter().find(|s| s.name == *budget).map_or(0.0, |s| s.used(*from, *by));
+                let least = matches!(check, Check::Used { .. });
+                let held = if least { used >= *part } else { used <= *part };
+                let words = if least { "at least" } else { "at most" };
+                // Told also where it holds: it is a measurement.
+                Verdict {
+                    check: format!("{words} {part} of {budget} used from {from} by {by}"),
+                    held,
+                    at: *by,
+                    words: format!("{used:.3}"),
+                }
+            }
             Check::Finished { part } => {
                 let (mut done, mut all) = (0, 0);
                 for (end, count) in self.ends.values().flatten() {
@@ -303,6 +334,28 @@
         faked(&|r| r.twice = vec!["f7".into()], "1 side-effecting tasks began twice, such as f7");
         faked(&|r| r.ends.entry(1).or_default().extend([(End::TimedOut, 1)]), "clients waited in vain at d1");
         faked(&|r| r.ended_badly = vec![1], "d1 did not end well");
+        let spent = |over: &[(f64, f64)]| Spent {
+            name: "ledger".into(),
+            over: over.to_vec(),
+            series: vec![1.0; 20],
+            wholes: vec![2.0; 20],
+            ..Spent::default()
+        };
+        faked(
+            &|r| r.spent = vec![spent(&[(3.0, 1.0)])],
+            "3 never over the whole of ledger: over by 1.0, 1 times in all",
+        );
+        let used = |least: bool| {
+            let (budget, part, from, by) = ("ledger".to_owned(), 0.6, 2.0, 8.0);
+            if least {
+                Check::Used { budget, part, from, by }
+            } else {
+                Check::Unused { budget, part, from, by }
+            }
+        };
+        let record = Record { spent: vec![spent(&[])], ..record() };
+        assert_eq!(failing(&record, &[used(false)]), Vec::<String>::new());
+        assert_eq!(failing(&record, &[used(true)]), ["8 at least 0.6 of ledger used from 2 by 8: 0.500"]);
         faked(&|r| r.rounds.clear(), "none calls itself gone: nobody answered");
     }
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,3 +9,4 @@
 mod relay;
 pub mod report;
 pub mod script;
+pub mod spent;
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context, Result};
 use nix::sys::signal::Signal;
-use rainlug_load::plan::{Arrivals, Plan, Workload};
+use rainlug_load::plan::{Arrivals, Plan, SECOND, Workload};
 use rainlug_load::record::{self, End};
 use rainlug_load::stub::Stub;
 use rainlug_load::{driver, schedule};
@@ -27,7 +27,8 @@
 use crate::observe::Observer;
 use crate::process::Process;
 use crate::relay::Relays;
-use crate::script::{Act, Link, Script, name};
+use crate::script::{Act, Link, Script, What, name};
+use crate::spent;
 
 /// How often processes are asked for their view: part of a period, but no oftener than this.
 const ASKED: f64 = 0.5;
@@ -59,6 +60,9 @@
     list: SocketAddr,
     known: String,
     chance: RefCell<ChaCha8Rng>,
+    /// Wholes as they were changed for each dispatcher; and when, to what.
+    wholes: RefCell<BTreeMap<(usize, String), f64>>,
+    changed: RefCell<Vec<(f64, String, f64)>>,
     record: RefCell<Record>,
     began: Cell<Instant>,
 }
@@ -92,8 +96,14 @@
 
 async fn on_stage(script: &Script, program: PathBuf, folder: PathBuf) -> Result<Record> {
     let workers = vec!["127.0.0.1:0".to_owned(); script.workers];
-    let stub =
-        Stub::start(&workers, "127.0.0.1:0", Duration::from_millis(script.work_ms), &script.zones).await?;
+    let stub = Stub::start(
+        &workers,
+        "127.0.0.1:0",
+        Duration::from_millis(script.work_ms),
+        &script.zones,
+        script.turned_away,
+    )
+    .await?;
     let (fronts, listen) = (addresses(2 * script.count, 7100), addresses(2 * script.count, 7000));
     let relays = Relays::start(&fronts, listen.clone(), script.count, script.link, script.seed).await?;
     let slot = |listen| Slot { listen, process: Mutex::new(None), management: Cell::new(None) };
@@ -111,6 +121,8 @@
         list: stub.list,
         known: stub.known.clone(),
         chance: RefCell::new(ChaCha8Rng::seed_from_u64(!script.seed)),
+        wholes: RefCell::default(),
+        changed: RefCell::default(),
         record: RefCell::default(),
         began: Cell::new(Instant::now()),
         script: script.clone(),
@@ -156,9 +168,13 @@
     let carried = stage.relays.carried();
     (record.datagrams, record.bytes, record.lost) = (carried.datagrams, carried.bytes, carried.lost);
     (record.longest, record.connections) = (carried.longest, stub.connections());
-    let mut begun = BTreeMap::<String, u32>::new();
-    for run in stub.runs().into_iter().filter(|r| r.path == "bid" && !r.mark.is_empty()) {
-        *begun.entry(run.mark).or_default() += 1;
+    let (runs, mut begun) = (stub.runs(), BTreeMap::<String, u32>::new());
+    for run in runs.iter().filter(|r| r.path == "bid" && !r.mark.is_empty() && !r.turned_away) {
+        *begun.entry(run.mark.clone()).or_default() += 1;
+    }
+    if let Some(budgets) = &script.budgets {
+        let (began, changed) = (stage.began.get(), stage.changed.borrow());
+        record.spent = spent::count(budgets, &changed, &runs, began, script.seconds);
     }
     record.twice = begun.into_iter().filter(|(_, n)| *n > 1).map(|(mark, _)| mark).collect();
     if record.schedule_missed {
@@ -177,7 +193,8 @@
         let script = &self.script;
         let clients = self.clients[nth].get().map_or("127.0.0.1:0".to_owned(), |at| at.to_string());
         let known: serde_json::Value = serde_json::from_str(&self.known).unwrap_or_default();
-        json!({
+        let (search, bid) = (script.expiry_ms.unwrap_or(5000), script.expiry_ms.unwrap_or(20_000));
+        let mut all = json!({
             "name": name(nth), "listen": clients, "management": "127.0.0.1:0", "discovery": self.list.to_string(),
             "seed": format!("{:016x}", script.seed + nth as u64), "limits": {"memory_mb": 64, "sockets": 512},
             "known": known,
@@ -192,11 +209,77 @@
                     "drainGraceMs": 500},
                 "specifics": {"tellsStart": true, "progressMs": 2000},
                 "workloads": [
-                    {"name": "search", "idempotency": "repeatable", "dueTimeMs": 300, "expiryMs": 5000, "revenue": 1},
-                    {"name": "bid", "idempotency": "once", "dueTimeMs": 800, "expiryMs": 20000, "revenue": 10}]
+                    {"name": "search", "idempotency": "repeatable", "dueTimeMs": 300, "expiryMs": search, "revenue": 1},
+                    {"name": "bid", "idempotency": "once", "dueTimeMs": 800, "expiryMs": bid, "revenue": 10}]
             }
-        })
-        .to_string()
+        });
+        if let Some(budgets) = self.budgets(nth) {
+            all["budgets"] = budgets;
+        }
+        all.to_string()
+    }
+
+    /// What a dispatcher is told of budgets now.
+    fn budgets(&self, nth: usize) -> Option<serde_json::Value> {
+        let told = self.script.budgets.as_ref()?;
+        let odd = told.odd.contains(&name(nth));
+        let mut roster: Vec<String> = (0..self.script.count).map(name).collect();
+        let voters: Vec<String> = (0..told.voters).map(name).collect();
+        roster.retain(|n| !odd || *n == name(nth) || voters.contains(n));
+        let divided: Vec<serde_json::Value> = told
+            .divided
+            .iter()
+            .map(|d| {
+                let changed = self.wholes.borrow().get(&(nth, d.name.clone())).copied();
+                let mut one = json!({"name": d.name, "what": d.what, "reserve": d.reserve});
+                if d.what != What::Warming {
+                    one["whole"] = json!(changed.unwrap_or(d.whole));
+                }
+                for (key, value) in [("burst", d.burst), ("longestMs", d.longest_ms)] {
+                    if let Some(value) = value {
+                        one[key] = json!(value);
+                    }
+                }
+                if let Some(workload) = &d.workload {
+                    one["workload"] = json!(workload);
+                }
+                one
+            })
+            .collect();
+        Some(json!({"roster": roster, "voters": voters, "grantMs": told.grant_ms, "leaseMs": told.lease_ms,
+            "driftPpm": told.drift_ppm, "divided": divided}))
+    }
+
+    /// Tells dispatchers another whole of a budget, each by its file and SIGHUP.
+    async fn reload(&self, on: &[usize], budget: &str, whole: f64) -> Result<()> {
+        for nth in on {
+            self.wholes.borrow_mut().insert((*nth, budget.to_owned()), whole);
+            let slot = self.active[*nth].get();
+            let text = self.configuration(*nth, slot);
+            if let Some(process) = self.slots[slot].process.lock().await.as_ref() {
+                process.retold(&text)?;
+                process.signal(Signal::SIGHUP);
+            }
+        }
+        self.changed.borrow_mut().push((self.now(), budget.to_owned(), whole));
+        Ok(())
+    }
+
+    /// Stops a process for longer than a grant and lets it go for a moment, again and again, at moments of chance.
+    async fn tremble(&self, nth: usize, count: usize) {
+        let grant = self.script.budgets.as_ref().map_or(0.2, |b| b.grant_ms / 1000.0);
+        for _ in 0..count {
+            let [stopped, runs] = {
+                let mut chance = self.chance.borrow_mut();
+                [grant * (1.0 + 0.3 * chance.random::<f64>()), 0.005 + 0.1 * chance.random::<f64>()]
+            };
+            for (signal, time) in [(Signal::SIGSTOP, stopped), (Signal::SIGCONT, runs)] {
+                if let Some(process) = self.slots[self.active[nth].get()].process.lock().await.as_ref() {
+                    process.signal(signal);
+                }
+                sleep(Duration::from_secs_f64(time)).await;
+            }
+        }
     }
 
     /// Dispatchers change between this and its end: what is asked meanwhile shows neither what was nor what is to be.
@@ -319,6 +402,21 @@
                 }
             }
             Act::Heal => self.relays.heal(),
+            Act::Reload(on, budget, whole) => self.reload(on, budget, *whole).await?,
+            Act::Tremble(on, count) => {
+                let (stage, on, count) = (self.clone(), on.clone(), *count);
+                on.iter().for_each(|nth| self.trouble(*nth));
+                beside = Some(spawn_local(async move {
+                    let all = on.into_iter().map(|nth| {
+                        let stage = stage.clone();
+                        spawn_local(async move { stage.tremble(nth, count).await })
+                    });
+                    for one in all.collect::<Vec<_>>() {
+                        one.await?;
+                    }
+                    Ok(())
+                }));
+            }
             Act::Garbage(on, count) => self.garbage(on, *count).await?,
         }
         self.ends();
@@ -402,14 +500,15 @@
         self: Rc<Self>,
         on: &[usize],
     ) -> Option<std::thread::JoinHandle<Result<Vec<(usize, record::Result)>>>> {
-        let load = self.script.load?;
+        let load = self.script.load.clone()?;
+        let seconds = self.script.seconds;
         let workload = |name: &str, part: f64| Workload {
             name: name.to_owned(),
             part,
             budget_ms: load.budget_ms,
             body_bytes: 64,
             fingerprint: false,
-            retries: 2,
+            retries: load.retries,
             backoff_ms: 50,
         };
         let plan = |nth: usize| {
@@ -419,16 +518,31 @@
                 seconds: self.script.seconds,
                 connections: 512,
                 arrivals: Arrivals::Poisson { rate: load.rate },
-                workloads: vec![workload("search", 4.0), workload("bid", 1.0)],
+                workloads: vec![workload("search", load.parts[0]), workload("bid", load.parts[1])],
             })
         };
+        let shifts = load.shifts.clone();
+        // One piece after the other, each with a rate of its own.
+        let scheduled = move |nth: usize, plan: &Plan| -> Result<Vec<schedule::Due>> {
+            let mut rates = vec![(0.0, load.rate)];
+            rates.extend(shifts.iter().map(|s| (s.at, s.rates[nth])));
+            let mut all = Vec::new();
+            for (piece, (from, rate)) in rates.iter().enumerate().filter(|(_, r)| r.1 > 0.0) {
+                let to = rates.get(piece + 1).map_or(seconds, |r| r.0);
+                let seed = plan.seed.wrapping_add(piece as u64 * 7919);
+                let arrivals = Arrivals::Poisson { rate: *rate };
+                let part = schedule::of(&Plan { seed, seconds: to - from, arrivals, ..plan.clone() })?;
+                all.extend(part.into_iter().map(|(due, w)| (due + (from * SECOND as f64) as u64, w)));
+            }
+            Ok(all)
+        };
         let plans: Vec<(usize, Plan)> = on.iter().filter_map(|n| Some((*n, plan(*n)?))).collect();
         Some(std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
             LocalSet::new().block_on(&runtime, async {
                 let mut runs = Vec::new();
                 for (nth, plan) in plans {
-                    let schedule = schedule::of(&plan)?;
+                    let schedule = scheduled(nth, &plan)?;
                     runs.push(spawn_local(
                         async move { (nth, driver::run(&plan, schedule).await.result(&plan)) },
                     ));
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -32,6 +32,7 @@
 
 pub struct Process {
     child: Child,
+    told: PathBuf,
     said: watch::Receiver<Said>,
     stopped: Cell<bool>,
 }
@@ -70,7 +71,7 @@
             }
             tell.send_modify(|s| s.over = true);
         });
-        Ok(Process { child, said, stopped: Cell::new(false) })
+        Ok(Process { child, told, said, stopped: Cell::new(false) })
     }
 
     /// Waits until it serves; its clients' address.
@@ -87,6 +88,11 @@
         self.said.borrow().management
     }
 
+    /// Another configuration, for it to read again.
+    pub fn retold(&self, text: &str) -> Result<()> {
+        std::fs::write(&self.told, text).with_context(|| format!("cannot write {}", self.told.display()))
+    }
+
     pub fn stopped(&self) -> bool {
         self.stopped.get()
     }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -10,6 +10,7 @@
 
 use crate::check::{Record, Verdict};
 use crate::play::ends;
+use crate::spent::STEP;
 
 /// A run as it is kept: its script as played, what was seen, how it was judged.
 #[derive(Deserialize, Serialize)]
@@ -51,6 +52,17 @@
         }
     }
     put(folder, "views.csv", &views)?;
+    if !kept.record.spent.is_empty() {
+        let names: Vec<String> = kept.record.spent.iter().map(|s| format!("{0},{0}_whole", s.name)).collect();
+        let mut budgets = format!("seconds,{}\n", names.join(","));
+        for n in 0..kept.record.spent[0].series.len() {
+            let values: Vec<String> =
+                kept.record.spent.iter().map(|s| format!("{:.2},{}", s.series[n], s.wholes[n])).collect();
+            writeln!(budgets, "{:.1},{}", n as f64 * STEP, values.join(","))?;
+        }
+        put(folder, "budgets.csv", &budgets)?;
+        used(&folder.join("budgets.svg"), &kept.record)?;
+    }
     chart(&folder.join("views.svg"), &kept.record)
 }
 
@@ -78,6 +90,13 @@
             v.words
         )?;
     }
+    if !record.spent.is_empty() {
+        text +=
+            "\n| budget | most at once, or drawn from the burst | over the whole |\n| --- | --- | --- |\n";
+        for s in &record.spent {
+            writeln!(text, "| {} | {:.1} | {} |", s.name, s.most, s.over.len())?;
+        }
+    }
     text += "\n| seconds | done |\n| --- | --- |\n";
     for (at, act) in &record.events {
         writeln!(text, "| {at:.1} | {act} |")?;
@@ -148,3 +167,39 @@
         Err(error) => bail!("cannot draw {}: {error}", path.display()),
     }
 }
+
+/// The part of each budget's whole that is used, over time, and what was done when.
+fn used(path: &Path, record: &Record) -> Result<()> {
+    let far = record.spent[0].series.len() as f64 * STEP;
+    let drawn = || -> std::result::Result<(), Box<dyn std::error::Error>> {
+        let area = SVGBackend::new(path, (1000, 420)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption("part of each budget's whole in use at the workers", ("sans-serif", 18))
+            .margin(10)
+            .x_label_area_size(30)
+            .y_label_area_size(40)
+            .build_cartesian_2d(0.0..far.max(1.0), 0.0..1.3)?;
+        chart.configure_mesh().x_desc("seconds").draw()?;
+        for (n, (at, act)) in record.events.iter().enumerate() {
+            chart.draw_series(LineSeries::new([(*at, 0.0), (*at, 1.3)], RED.mix(0.4)))?;
+            let words: String = act.chars().take(if record.events.len() > 20 { 0 } else { 40 }).collect();
+            let place = (*at, 1.3 - 0.05 * (1 + n % 4) as f64);
+            chart.draw_series([Text::new(words, place, ("sans-serif", 10).into_font())])?;
+        }
+        for (nth, spent) in record.spent.iter().enumerate() {
+            let color = Palette99::pick(nth).to_rgba();
+            let parts = spent.series.iter().zip(&spent.wholes).enumerate();
+            let parts = parts.map(|(n, (used, whole))| (n as f64 * STEP, used / whole));
+            let line = chart.draw_series(LineSeries::new(parts, color.stroke_width(1)))?;
+            line.label(&spent.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], color));
+        }
+        chart.configure_series_labels().border_style(BLACK.mix(0.3)).draw()?;
+        area.present()?;
+        Ok(())
+    };
+    match drawn() {
+        Ok(()) => Ok(()),
+        Err(error) => bail!("cannot draw {}: {error}", path.display()),
+    }
+}
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -25,6 +25,7 @@
     period_ms: Spanned<f64>,
     processes: Processes,
     load: Option<Load>,
+    budgets: Option<Spanned<Budgets>>,
     #[serde(default)]
     link: Link,
     #[serde(default)]
@@ -53,6 +54,11 @@
     workers: Spanned<usize>,
     #[serde(default = "work")]
     work_ms: u64,
+    /// Each worker turns away every task of this number; 0 is none.
+    #[serde(default)]
+    turned_away: usize,
+    /// The longest that clients wait, of both workloads, where it is not as usual.
+    expiry_ms: Option<u64>,
     /// Parts of the view that are off in all of them, in a build that can be broken.
     #[serde(default)]
     broken: String,
@@ -71,12 +77,108 @@
 }
 
 /// Tasks a second to each dispatcher.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
     pub rate: f64,
     #[serde(default = "budget")]
     pub budget_ms: u64,
+    /// Parts of the tasks that are searches, and bids.
+    #[serde(default = "parts")]
+    pub parts: [f64; 2],
+    /// How often a client asks again after a bounce.
+    #[serde(default = "again")]
+    pub retries: u32,
+    /// Other rates from some moment on: the moment, and a rate for each dispatcher.
+    #[serde(default)]
+    pub shifts: Vec<Shift>,
+}
+
+/// Rates of dispatchers, in their order, from a moment on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shift {
+    pub at: f64,
+    pub rates: Vec<f64>,
+}
+
+fn parts() -> [f64; 2] {
+    [4.0, 1.0]
+}
+
+fn again() -> u32 {
+    2
+}
+
+/// What dispatchers are told of budgets.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budgets {
+    #[serde(default = "grant")]
+    pub grant_ms: f64,
+    #[serde(default = "lease")]
+    pub lease_ms: f64,
+    #[serde(default = "drift")]
+    pub drift_ppm: u32,
+    /// So many of the first dispatchers are the voters.
+    #[serde(default = "voters")]
+    pub voters: usize,
+    /// Dispatchers that are told another roster, of themselves and the voters.
+    #[serde(default)]
+    pub odd: Vec<String>,
+    pub divided: Vec<Divided>,
+}
+
+fn grant() -> f64 {
+    1000.0
+}
+
+fn lease() -> f64 {
+    500.0
+}
+
+fn drift() -> u32 {
+    10_000
+}
+
+fn voters() -> usize {
+    3
+}
+
+/// What a budget limits.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    Retries,
+    Assignments,
+    Tasks,
+    Warming,
+}
+
+/// One budget.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Divided {
+    pub name: String,
+    pub what: What,
+    pub workload: Option<String>,
+    #[serde(default = "whole")]
+    pub whole: f64,
+    pub reserve: f64,
+    pub burst: Option<f64>,
+    pub longest_ms: Option<f64>,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+impl Budgets {
+    /// Seconds after a change of a whole at the last process until nothing goes by the one before.
+    pub fn settles(&self, divided: &Divided) -> f64 {
+        let longest = divided.longest_ms.unwrap_or(0.0);
+        (2.0 * self.lease_ms + 2.0 * self.grant_ms + longest) / 1000.0 * 1.05 + 1.0
+    }
 }
 
 fn budget() -> u64 {
@@ -117,6 +219,9 @@
     twice: Option<f64>,
     corrupt: Option<f64>,
     cut: Option<bool>,
+    /// Of a reload: the budget, and its new whole.
+    budget: Option<String>,
+    whole: Option<f64>,
 }
 
 /// What is done, to processes by their number.
@@ -142,6 +247,10 @@
     Heal,
     /// So many datagrams that are none.
     Garbage(Vec<usize>, usize),
+    /// So often stopped for longer than a grant, and let go for a moment.
+    Tremble(Vec<usize>, usize),
+    /// Another whole of a budget, at SIGHUP.
+    Reload(Vec<usize>, String, f64),
 }
 
 impl Act {
@@ -163,6 +272,8 @@
             }
             Act::Heal => "heal".to_owned(),
             Act::Garbage(on, count) => format!("garbage {count} to {}", names(on)),
+            Act::Tremble(on, count) => format!("tremble {count} times {}", names(on)),
+            Act::Reload(on, budget, whole) => format!("reload {budget} {whole} {}", names(on)),
         }
     }
 }
@@ -194,6 +305,7 @@
     from: Option<Spanned<f64>>,
     by: Option<Spanned<f64>>,
     part: Option<Spanned<f64>>,
+    budget: Option<Spanned<String>>,
 }
 
 /// What must hold.
@@ -208,6 +320,10 @@
     Never { who: Vec<usize>, whom: Vec<usize>, state: String, from: f64, by: f64 },
     /// Such a part of all tasks was finished.
     Finished { part: f64 },
+    /// Such a part of a budget's whole was used on the mean between the two.
+    Used { budget: String, part: f64, from: f64, by: f64 },
+    /// No more than such a part was.
+    Unused { budget: String, part: f64, from: f64, by: f64 },
 }
 
 /// A script that can be played.
@@ -222,8 +338,11 @@
     pub zones: Vec<String>,
     pub workers: usize,
     pub work_ms: u64,
+    pub turned_away: usize,
+    pub expiry_ms: Option<u64>,
     pub broken: String,
     pub load: Option<Load>,
+    pub budgets: Option<Budgets>,
     pub link: Link,
     pub faults: Vec<(f64, Act)>,
     pub checks: Vec<Check>,
@@ -299,9 +418,26 @@
             )
         };
         part(&read.link, "link").map_err(|e| place.error(0..0, &e))?;
+        if let Some(budgets) = &read.budgets {
+            let told = budgets.get_ref();
+            those("budgets.odd", &Spanned::new(budgets.span(), told.odd.clone()))?;
+            if !(1..=count).contains(&told.voters) {
+                fails(budgets.span(), format!("budgets.voters is not from 1 to {count}"))?;
+            }
+            let rate = |d: &&Divided| matches!(d.what, What::Retries | What::Assignments);
+            if let Some(lacking) = told.divided.iter().filter(rate).find(|d| d.burst.is_none()) {
+                fails(budgets.span(), format!("budgets.divided {} lacks the key burst", lacking.name))?;
+            }
+            let tasks = |d: &&Divided| d.what == What::Tasks;
+            if let Some(lacking) = told.divided.iter().filter(tasks).find(|d| d.longest_ms.is_none()) {
+                fails(budgets.span(), format!("budgets.divided {} lacks the key longest_ms", lacking.name))?;
+            }
+        }
+        let divided: Vec<String> =
+            read.budgets.iter().flat_map(|b| b.get_ref().divided.iter().map(|d| d.name.clone())).collect();
         let mut faults = Vec::new();
         for raw in &read.fault {
-            let act = act(raw, &place, &those, &read.link)?;
+            let act = act(raw, &place, &those, &read.link, &divided)?;
             faults.push((time("fault.at", &raw.at)?, act));
         }
         let seed = seed.unwrap_or(read.seed);
@@ -329,9 +465,17 @@
         faults.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut checks = Vec::new();
         for raw in &read.check {
-            checks.push(check(raw, &place, &those, &time, seconds, count)?);
+            checks.push(check(raw, &place, &those, &time, (seconds, count, &divided))?);
         }
-        if let Some(load) = read.load
+        if let Some(load) = &read.load
+            && load
+                .shifts
+                .iter()
+                .any(|s| s.rates.len() != count || s.rates.iter().any(|r| !(0.0..=10_000.0).contains(r)))
+        {
+            fails(0..0, format!("load.shifts.rates are not {count} from 0 to 10000"))?;
+        }
+        if let Some(load) = &read.load
             && !(load.rate > 0.0 && load.rate <= 10_000.0 && load.budget_ms > 0)
         {
             fails(0..0, "load.rate is not over 0 and up to 10000, or load.budget_ms is 0".into())?;
@@ -346,6 +490,9 @@
             zones: read.processes.zones.into_inner(),
             workers: read.processes.workers.into_inner(),
             work_ms: read.processes.work_ms,
+            turned_away: read.processes.turned_away,
+            expiry_ms: read.processes.expiry_ms,
+            budgets: read.budgets.map(Spanned::into_inner),
             broken: read.processes.broken,
             load: read.load,
             link: read.link,
@@ -372,7 +519,7 @@
 
 type Those<'a> = &'a dyn Fn(&str, &Spanned<Vec<String>>) -> Result<Vec<usize>>;
 
-fn act(raw: &RawFault, place: &Place, those: Those, base: &Link) -> Result<Act> {
+fn act(raw: &RawFault, place: &Place, those: Those, base: &Link, divided: &[String]) -> Result<Act> {
     let kind = raw.kind.get_ref().as_str();
     let lacks = |key: &str| place.error(raw.kind.span(), &format!("fault {kind} lacks the key {key}"));
     let on = || those("fault.on", raw.on.as_ref().ok_or_else(|| lacks("on"))?);
@@ -387,12 +534,25 @@
     odd(
         "on",
         raw.on.is_some(),
-        &["start", "kill", "terminate", "stop", "continue", "restart", "upgrade", "garbage"],
+        &[
+            "start",
+            "kill",
+            "terminate",
+            "stop",
+            "continue",
+            "restart",
+            "upgrade",
+            "garbage",
+            "tremble",
+            "reload",
+        ],
     )?;
+    odd("budget", raw.budget.is_some(), &["reload"])?;
+    odd("whole", raw.whole.is_some(), &["reload"])?;
     odd("from", raw.from.is_some(), &["link"])?;
     odd("to", raw.to.is_some(), &["link"])?;
     odd("sides", raw.sides.is_some(), &["split"])?;
-    odd("count", raw.count.is_some(), &["garbage"])?;
+    odd("count", raw.count.is_some(), &["garbage", "tremble"])?;
     let link = Link {
         loss: raw.loss.unwrap_or(base.loss),
         delay_ms: raw.delay_ms.unwrap_or(base.delay_ms),
@@ -411,6 +571,14 @@
         "restart" => Act::Restart(on()?),
         "upgrade" => Act::Upgrade(on()?),
         "garbage" => Act::Garbage(on()?, raw.count.unwrap_or(1000)),
+        "tremble" => Act::Tremble(on()?, raw.count.unwrap_or(10)),
+        "reload" => {
+            let budget = raw.budget.clone().ok_or_else(|| lacks("budget"))?;
+            if !divided.contains(&budget) {
+                bail!(place.error(raw.kind.span(), &format!("fault.budget: no budget is called {budget}")));
+            }
+            Act::Reload(on()?, budget, raw.whole.ok_or_else(|| lacks("whole"))?)
+        }
         "heal" => Act::Heal,
         "link" => {
             part(&link, "fault").map_err(|e| place.error(raw.kind.span(), &e))?;
@@ -432,8 +600,7 @@
     place: &Place,
     those: Those,
     time: &dyn Fn(&str, &Spanned<f64>) -> Result<f64>,
-    seconds: f64,
-    count: usize,
+    (seconds, count, divided): (f64, usize, &[String]),
 ) -> Result<Check> {
     let kind = raw.kind.get_ref().as_str();
     let lacks = |key: &str| place.error(raw.kind.span(), &format!("check {kind} lacks the key {key}"));
@@ -452,17 +619,30 @@
         }
         Ok(state.get_ref().clone())
     };
+    let part = || {
+        let part = raw.part.as_ref().ok_or_else(|| lacks("part"))?;
+        if !(0.0..=1.0).contains(part.get_ref()) {
+            bail!(place.error(part.span(), "check.part is not from 0 to 1"));
+        }
+        Ok(*part.get_ref())
+    };
+    let budget = || {
+        let budget = raw.budget.as_ref().ok_or_else(|| lacks("budget"))?;
+        if !divided.contains(budget.get_ref()) {
+            bail!(
+                place
+                    .error(budget.span(), &format!("check.budget: no budget is called {}", budget.get_ref()))
+            );
+        }
+        Ok(budget.get_ref().clone())
+    };
     Ok(match kind {
         "agree" => Check::Agree { from, by },
         "sees" => Check::Sees { who, whom, state: state()?, from, by },
         "never" => Check::Never { who, whom, state: state()?, from, by },
-        "finished" => {
-            let part = raw.part.as_ref().ok_or_else(|| lacks("part"))?;
-            if !(0.0..=1.0).contains(part.get_ref()) {
-                bail!(place.error(part.span(), "check.part is not from 0 to 1"));
-            }
-            Check::Finished { part: *part.get_ref() }
-        }
+        "finished" => Check::Finished { part: part()? },
+        "used" => Check::Used { budget: budget()?, part: part()?, from, by },
+        "unused" => Check::Unused { budget: budget()?, part: part()?, from, by },
         _ => bail!(place.error(raw.kind.span(), &format!("check.kind: {kind} is no kind of check"))),
     })
 }
@@ -547,6 +727,17 @@
             ("[[check]]\nkind = \"sees\"\nstate = \"tired\"\n", "line 6: check.state is none of alive"),
             ("[[check]]\nkind = \"agree\"\nfrom = 5.0\nby = 3.0\n", "line 5: check.by is before check.from"),
             ("[[check]]\nkind = \"finished\"\n", "line 5: check finished lacks the key part"),
+            ("[[check]]\nkind = \"used\"\npart = 0.5\n", "line 5: check used lacks the key budget"),
+            (
+                "[[check]]\nkind = \"used\"\nbudget = \"b\"\npart = 0.5\n",
+                "line 6: check.budget: no budget is called b",
+            ),
+            ("[budgets]\nvoters = 9\ndivided = []\n", "budgets.voters is not from 1 to 3"),
+            (
+                "[[budgets.divided]]\nname = \"b\"\nwhat = \"retries\"\nreserve = 1\n",
+                "budgets.divided b lacks the key burst",
+            ),
+            ("[load]\nrate = 1.0\n[[load.shifts]]\nat = 1.0\nrates = [1.0]\n", "load.shifts.rates are not 3"),
             (
                 "[random]\nkinds = [\"melt\"]\nevery = 1.0\nfrom = 0.0\nto = 5.0\nlasts = 1.0\n",
                 "line 5: random.kinds: melt",
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::{Condvar, Mutex};
 
 const RIG: &str = env!("CARGO_BIN_EXE_rainlug-rig");
 
@@ -25,7 +26,20 @@
     target.join("debug/rainlugd")
 }
 
+/// So many rigs run at once: more would starve one another on a small machine, and what is measured is not that.
+const AT_ONCE: usize = 3;
+static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
 fn rig(script: &Path, out: &Path, program: &Path) -> Output {
+    let full = |running: &mut usize| *running >= AT_ONCE;
+    *RUNNING.1.wait_while(RUNNING.0.lock().unwrap(), full).unwrap() += 1;
+    let done = played(script, out, program);
+    *RUNNING.0.lock().unwrap() -= 1;
+    RUNNING.1.notify_one();
+    done
+}
+
+fn played(script: &Path, out: &Path, program: &Path) -> Output {
     let mut run = Command::new(RIG);
     run.arg("run").arg(script).arg("--out").arg(out).arg("--program").arg(program);
     run.output().unwrap()
@@ -57,6 +71,42 @@
     holds("stopped.toml");
 }
 
+#[test]
+fn budgets_are_kept_through_deaths_partitions_stops_and_an_upgrade() {
+    holds("budgets.toml");
+}
+
+#[test]
+fn budgets_are_kept_through_common_starts_reloads_and_other_rosters() {
+    holds("budgets-told.toml");
+}
+
+/// Where what the dead began is not waited out, the workers see more than the whole.
+#[test]
+fn a_whole_that_is_gone_over_is_found_at_the_workers() {
+    let program = built(true);
+    let goes = |part: &str, code: i32| {
+        let folder = tempfile::tempdir().unwrap();
+        let script = folder.path().join("over.toml");
+        let head = format!(
+            "seconds = 12.0\n[processes]\ncount = 3\nwork_ms = 1400\nexpiry_ms = 2000\nbroken = \"{part}\"\n\
+             [load]\nrate = 20.0\nbudget_ms = 2000\nparts = [0.0, 1.0]\nretries = 0\n[budgets]\n[[budgets.divided]]\n\
+             name = \"ledger\"\nwhat = \"tasks\"\nworkload = \"bid\"\nwhole = 9.0\nreserve = 9.0\nlongest_ms = 2200.0\n"
+        );
+        let restart =
+            |at: f64| format!("[[fault]]\nat = {at:.1}\nkind = \"restart\"\non = [\"d0\", \"d1\", \"d2\"]\n");
+        fs::write(&script, head + &restart(5.0) + &restart(8.0)).unwrap();
+        let run = rig(&script, &folder.path().join("out"), &program);
+        let said = String::from_utf8_lossy(&run.stdout).into_owned();
+        assert_eq!(run.status.code(), Some(code), "{part}: {said}");
+        assert!(code == 0 || said.contains("never over the whole of ledger: over by"), "{said}");
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| goes("", 0));
+        scope.spawn(|| goes("dead-expire", 1));
+    });
+}
+
 /// The checks are worth something only if they fail where the view is broken.
 #[test]
 fn broken_builds_are_found() {
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -1,11 +1,13 @@
 //! Reads a dispatcher's settings from JSON into the module's types. Every key that either program reads is read and
 //! checked here, and every default stands here; what is wrong is said with the key's path. Unknown keys are skipped.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result, bail, ensure};
 use rainlug::logic::Dispatcher;
 use rainlug::{Allowed, Effect, Group, Known, Moment, Obligations, Place, Report, Time, Weights, Workload};
+use rainlug_budgets::{Amount, Budget, Kind, Terms, UNIT};
 use serde_json::Value;
 
 /// Makes a dispatcher by its settings; gives it with the number of its workloads.
@@ -186,6 +188,161 @@
     Ok(Some(Fleet { name: fleet, listen, advertise, seeds, period }))
 }
 
+/// What of this dispatcher's a budget limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Assignments of tasks that had one before, a second.
+    Again,
+    /// Assignments of a workload, a second.
+    Assignments(usize),
+    /// Tasks of a workload at workers, at once.
+    Tasks(usize),
+    /// Room at each cold worker.
+    Warming,
+}
+
+/// What is told of the budgets that a fleet has in common.
+#[derive(Debug)]
+pub struct Budgets {
+    pub terms: Terms,
+    /// Of the terms' budgets, in their order.
+    pub uses: Vec<Use>,
+    /// This dispatcher's place on the roster.
+    pub me: u16,
+}
+
+/// A grant's length, and its bounds, in milliseconds; the part of it that is a lease; the bound on drift.
+const GRANT: (f64, f64, f64) = (2000.0, 200.0, 60_000.0);
+const LEASE: f64 = 0.5;
+const DRIFT: (f64, f64) = (10_000.0, 200_000.0);
+/// The reserve's part of a whole, where none is told.
+const RESERVE: f64 = 0.2;
+/// Dispatchers on a roster, voters among them where none are named, and budgets, at most.
+const MOST_NAMES: usize = 1000;
+const VOTERS: usize = 3;
+const MOST_BUDGETS: usize = 32;
+/// The largest whole.
+const MOST_WHOLE: f64 = 1e9;
+
+fn amount(units: f64) -> Amount {
+    (units * UNIT as f64).round() as Amount
+}
+
+/// The budgets; nothing where there is no such section.
+pub fn budgets(all: &Value) -> Result<Option<Budgets>> {
+    let Some(section) = all.get("budgets") else { return Ok(None) };
+    ensure!(section.is_object(), lack("an object", "/budgets"));
+    ensure!(all.get("fleet").is_some(), lack("an object (as budgets is set)", "/fleet"));
+    ensure!(all.get("management").is_some(), lack("an address (as budgets is set)", "/management"));
+    let roster = distinct(names(all, "/budgets/roster")?, "/budgets/roster")?;
+    ensure!((1..=MOST_NAMES).contains(&roster.len()), "/budgets/roster is not of 1 to {MOST_NAMES} names");
+    let own = name(all, "/name")?;
+    let me = roster.iter().position(|n| *n == own);
+    let me = me.with_context(|| format!("/budgets/roster does not name this dispatcher, {own}"))?;
+    let voters = match all.pointer("/budgets/voters") {
+        Some(_) => distinct(names(all, "/budgets/voters")?, "/budgets/voters")?,
+        None => roster[..if roster.len() < VOTERS { 1 } else { VOTERS }].to_vec(),
+    };
+    ensure!(voters.len() % 2 == 1, "/budgets/voters is not of an odd number of names");
+    let stranger = voters.iter().find(|v| !roster.contains(v));
+    ensure!(
+        stranger.is_none(),
+        "/budgets/voters names {}, who is not on /budgets/roster",
+        stranger.map_or("", |s| s)
+    );
+    let (usual, least, most) = GRANT;
+    let grant = number_or(all, "/budgets/grantMs", usual)?;
+    ensure!((least..=most).contains(&grant), "/budgets/grantMs is not from {least} to {most}");
+    let lease = number_or(all, "/budgets/leaseMs", grant * LEASE)?;
+    ensure!((least / 2.0..=most).contains(&lease), "/budgets/leaseMs is not from {} to {most}", least / 2.0);
+    let (usual, most) = DRIFT;
+    let drift = number_or(all, "/budgets/driftPpm", usual)?;
+    ensure!(drift <= most && drift.fract() == 0.0, "/budgets/driftPpm is not a whole number up to {most}");
+    let times = |ms: f64, at: &str| micros(ms).with_context(|| lack("a time", at));
+    let (grant, lease) = (times(grant, "/budgets/grantMs")?, times(lease, "/budgets/leaseMs")?);
+    let count = length(all, "/budgets/divided")?.unwrap_or(0);
+    ensure!((1..=MOST_BUDGETS).contains(&count), "/budgets/divided is not of 1 to {MOST_BUDGETS} budgets");
+    let (mut divided, mut uses) = (Vec::<Budget>::new(), Vec::<Use>::new());
+    for i in 0..count {
+        let (budget, does) = budget(all, i, roster.len(), grant)?;
+        let at = format!("/budgets/divided/{i}");
+        ensure!(
+            divided.iter().all(|b| b.name != budget.name),
+            "{at}/name is another budget's too: {}",
+            budget.name
+        );
+        ensure!(!uses.contains(&does), "{at} limits what another budget limits");
+        divided.push(budget);
+        uses.push(does);
+    }
+    let terms = Terms { roster, voters, grant, lease, drift: drift as u32, budgets: divided };
+    Ok(Some(Budgets { terms, uses, me: me as u16 }))
+}
+
+fn distinct(names: Vec<String>, path: &str) -> Result<Vec<String>> {
+    let mut seen = BTreeSet::new();
+    let twice = names.iter().find(|n| !seen.insert(n.as_str()));
+    ensure!(twice.is_none(), "{path} names {} twice", twice.map_or("", |t| t));
+    let fits = |name: &String| (1..=LONGEST_NAME).contains(&name.len());
+    ensure!(names.iter().all(fits), "{path} has a name that is not of 1 to {LONGEST_NAME} bytes");
+    Ok(names)
+}
+
+fn budget(all: &Value, i: usize, dispatchers: usize, grant: Time) -> Result<(Budget, Use)> {
+    let at = |key: &str| format!("/budgets/divided/{i}/{key}");
+    let called = name(all, &at("name"))?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_".contains(c);
+    ensure!(
+        (1..=LONGEST_NAME).contains(&called.len()) && called.chars().all(plain),
+        "{} is not of 1 to {LONGEST_NAME} letters, digits, - and _",
+        at("name")
+    );
+    let what = word(all, &at("what"))?;
+    let does = match what {
+        Some("retries") => Use::Again,
+        Some("assignments") => Use::Assignments(workload_named(all, &at("workload"))?),
+        Some("tasks") => Use::Tasks(workload_named(all, &at("workload"))?),
+        Some("warming") => Use::Warming,
+        _ => bail!("{} is not retries, assignments, tasks or warming", at("what")),
+    };
+    let warming = does == Use::Warming;
+    let whole = if warming { number_or(all, &at("whole"), 1.0)? } else { number(all, &at("whole"))? };
+    ensure!(whole > 0.0 && whole <= MOST_WHOLE, "{} is not over 0 and up to {MOST_WHOLE}", at("whole"));
+    ensure!(!warming || whole == 1.0, "{} is not 1, all of a worker's room", at("whole"));
+    let reserve = number_or(all, &at("reserve"), whole * RESERVE)?;
+    ensure!(reserve <= whole, "{} is over {}", at("reserve"), at("whole"));
+    let kind = match does {
+        Use::Warming => Kind::Parts,
+        Use::Tasks(workload) => {
+            ensure!(whole.fract() == 0.0, "{} is not a whole number", at("whole"));
+            let (expiry, margin) = (
+                time(all, &format!("/settings/workloads/{workload}/expiryMs"))?,
+                time_or(all, "/settings/limits/dialTimeoutMs", 0)?,
+            );
+            let longest = time_or(all, &at("longestMs"), expiry + margin)?;
+            ensure!(longest >= expiry, "{} is under the workload's expiry", at("longestMs"));
+            ensure!(grant <= expiry, "/budgets/grantMs is over the expiry of {}", at("workload"));
+            Kind::Occupancy { longest }
+        }
+        Use::Again | Use::Assignments(_) => {
+            let burst = number_or(all, &at("burst"), whole.max(dispatchers as f64))?;
+            ensure!(
+                burst >= dispatchers as f64 && burst <= MOST_WHOLE,
+                "{} is not one for each on /budgets/roster, {dispatchers}, or more",
+                at("burst")
+            );
+            Kind::Rate { burst: amount(burst) }
+        }
+    };
+    Ok((Budget { name: called, kind, whole: amount(whole), reserve: amount(reserve) }, does))
+}
+
+fn workload_named(all: &Value, path: &str) -> Result<usize> {
+    let called = name(all, path)?;
+    let found = names(all, "/settings/workloads")?.into_iter().position(|w| w == called);
+    found.with_context(|| format!("{path} is none of /settings/workloads: {called}"))
+}
+
 /// True where the list of workers comes only when asked for.
 pub fn must_ask(all: &Value) -> Result<bool> {
     Ok(word(all, "/discovery")? == Some("subscribe"))
@@ -341,6 +498,68 @@
         );
     }
 
+    #[test]
+    fn budgets_are_read_and_each_wrong_key_is_named() {
+        let all = json!({"name": "n1", "management": "127.0.0.1:0", "fleet": {"name": "f", "listen": "127.0.0.1:0"},
+            "settings": {"limits": {"dialTimeoutMs": 200}, "workloads": [{"name": "post", "expiryMs": 5000}, {"name": "search", "expiryMs": 4000}]},
+            "budgets": {"roster": ["n0", "n1", "n2", "n3"], "divided": [
+                {"name": "retries", "what": "retries", "whole": 50, "reserve": 10},
+                {"name": "ledger", "what": "tasks", "workload": "post", "whole": 40, "reserve": 6},
+                {"name": "sent", "what": "assignments", "workload": "search", "whole": 2.5, "burst": 4},
+                {"name": "cold", "what": "warming"}]}});
+        let made = budgets(&all).unwrap().unwrap();
+        assert_eq!(made.uses, [Use::Again, Use::Tasks(0), Use::Assignments(1), Use::Warming]);
+        assert_eq!((made.me, made.terms.voters.len(), made.terms.grant), (1, 3, 2_000_000));
+        assert_eq!(made.terms.budgets[0].kind, Kind::Rate { burst: 50 * UNIT });
+        assert_eq!(made.terms.budgets[1].kind, Kind::Occupancy { longest: 5_200_000 });
+        assert_eq!((made.terms.own(1), made.terms.budgets[3].reserve), (UNIT, UNIT / 5));
+        assert!(budgets(&json!({"name": "n1"})).unwrap().is_none());
+        let wrong: [(&str, Value, &str); 25] = [
+            ("/budgets/roster", json!([]), "/budgets/roster"),
+            ("/budgets/roster", json!(["n0", "n2"]), "/budgets/roster does not name this dispatcher, n1"),
+            ("/budgets/roster", json!(["n1", "n0", "n1"]), "/budgets/roster names n1 twice"),
+            ("/budgets/voters", json!([]), "/budgets/voters is not of an odd number"),
+            ("/budgets/voters", json!(["n0", "n1"]), "/budgets/voters is not of an odd number"),
+            ("/budgets/voters", json!(["n9"]), "/budgets/voters names n9"),
+            ("/budgets/grantMs", json!(5500), "/budgets/grantMs is over the expiry of /budgets/divided/1"),
+            ("/budgets/grantMs", json!(1), "/budgets/grantMs is not from"),
+            ("/budgets/leaseMs", json!("long"), "/budgets/leaseMs"),
+            ("/budgets/driftPpm", json!(500_000), "/budgets/driftPpm"),
+            ("/budgets/divided", json!([]), "/budgets/divided"),
+            ("/budgets/divided/0/whole", json!(0), "/budgets/divided/0/whole"),
+            ("/budgets/divided/0/whole", json!(-1), "/budgets/divided/0/whole is negative"),
+            ("/budgets/divided/0/whole", json!(1e300), "/budgets/divided/0/whole"),
+            ("/budgets/divided/0/whole", Value::Null, "/budgets/divided/0/whole"),
+            ("/budgets/divided/0/reserve", json!(51), "/budgets/divided/0/reserve is over"),
+            ("/budgets/divided/0/burst", json!(3), "/budgets/divided/0/burst is not one for each"),
+            ("/budgets/divided/0/name", json!("a b"), "/budgets/divided/0/name"),
+            ("/budgets/divided/0/what", json!("spend"), "/budgets/divided/0/what"),
+            ("/budgets/divided/1/workload", json!("pay"), "/budgets/divided/1/workload is none of"),
+            ("/budgets/divided/1/whole", json!(41.5), "/budgets/divided/1/whole is not a whole number"),
+            ("/budgets/divided/1/longestMs", json!(4999), "/budgets/divided/1/longestMs"),
+            ("/budgets/divided/1/name", json!("retries"), "/budgets/divided/1/name is another budget's too"),
+            ("/budgets/divided/2/what", json!("retries"), "/budgets/divided/2 limits what another"),
+            ("/budgets/divided/3/whole", json!(2), "/budgets/divided/3/whole"),
+        ];
+        for (path, value, words) in wrong {
+            let mut all = all.clone();
+            let (at, key) = path.rsplit_once('/').unwrap();
+            let place = all.pointer_mut(at).unwrap();
+            match key.parse::<usize>() {
+                Ok(n) => place[n] = value.clone(),
+                Err(_) => place[key] = value.clone(),
+            }
+            let said = format!("{:#}", budgets(&all).err().unwrap_or_else(|| panic!("{path} {value}")));
+            assert!(said.contains(words) && !said.contains('\n'), "{path} {value}: {said}");
+        }
+        for key in ["fleet", "management"] {
+            let mut all = all.clone();
+            all.as_object_mut().unwrap().remove(key);
+            let said = format!("{:#}", budgets(&all).unwrap_err());
+            assert!(said.contains(&format!("/{key}")), "{said}");
+        }
+    }
+
     #[test]
     fn one_build_takes_either_shape_and_refuses_a_mix_by_its_key() {
         let even = json!({"whole": 0.7, "slowEnd": 0.2, "missAllowed": 0.01});
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -180,6 +180,19 @@
     /// Final answer without a promise.
     fn abandon(&mut self, task: &str);
     fn wake(&mut self, at: Time, mark: u64);
+    /// Whether one more assignment of a workload may go out now, as the next thing, by the budgets that a fleet has in common;
+    /// `again` where the task had one before. If it may not, the task of that mark is woken when it is worth asking again.
+    ///
+    /// # Errors
+    /// That moment.
+    fn may(&mut self, _task: &str, _mark: u64, _workload: usize, _again: bool) -> Result<(), Time> {
+        Ok(())
+    }
+    /// This dispatcher's part of a cold worker's room, from 0 to 1, where it has use for so large a part; nothing where no fleet
+    /// keeps account of it.
+    fn room(&mut self, _worker: &str, _wants: f64) -> Option<f64> {
+        None
+    }
     fn probe(&mut self, worker: &str);
     /// Asks for the list of workers and its changes from now on.
     fn follow(&mut self);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,8 +19,7 @@
 const SKIP_FLOOR: f64 = 2.0;
 /// Tasks that a θ must rest on, over those of a mean worker, to count as much as the mean θ.
 const FEW: f64 = 0.1;
-/// Part of a task's revenue over which a crossing is worse than a queue; where copies go out, for each part
-/// of the fleet up to five.
+/// Part of a revenue over which a crossing is worse than a queue; with copies, for each part of five at most.
 const DEAR: f64 = 0.04;
 /// How far turns lean to near workers for each part of their time that far ones are busier.
 const LEAN: f64 = 4.0;
@@ -239,8 +238,7 @@
     /// What the list says: changes, or everything; `cached` is what it said to an earlier process.
     pub fn list(&mut self, m: &mut Moment, everything: bool, cached: bool, entries: &[Listed]) {
         if !cached {
-            // Live weights change all of the list all the time: who held a watch for them would leave no room
-            // to others.
+            // Live weights change all of the list all the time: a watch held for them leaves others no room.
             let again = self.obligations.must_ask_in as f64 * (0.8 + 0.15 * self.chance.draw());
             let brief = self.allowed.must_ask && self.known.live_weights;
             (self.pulse.asks_failed, self.pulse.ask_at) = (0, brief.then(|| m.now + again as Time));
@@ -274,8 +272,7 @@
         worker.cold = since.map(|since| Cold { since, room, counted: now });
     }
 
-    /// Staff take a worker out or give it back, under its id: the list changes nothing in that. Given back,
-    /// it counts as a new process that starts now.
+    /// Staff take a worker out or give it back, whatever the list says; then it is a process that starts now.
     pub fn hand(&mut self, m: &mut Moment, id: &str, out: bool) {
         let Some(j) = self.fleet.hand(id, out) else { return };
         if !out {
@@ -296,8 +293,7 @@
         Lessons::of(&self.seen, &self.fleet)
     }
 
-    /// Takes over what the process before has learnt, before any task; how old it is, it says itself. Nothing
-    /// of it makes a worker warmer.
+    /// Takes over what the process before has learnt, with its age, before any task. It warms no worker.
     pub fn recall(&mut self, m: &mut Moment, lessons: Lessons) {
         lessons.teach(&mut self.seen, &mut self.fleet, -self.chance.draw());
         self.solve(m.now);
@@ -475,8 +471,7 @@
         let may = |w: &Worker| self.ledger.may_assign(m.now, task, w, workers);
         match workers.is_empty() || workers.iter().any(may) {
             true => Step::Pass,
-            // Whoever waits at as many workers as it may be sent to is not lost yet: one of them may start
-            // it.
+            // Whoever waits at as many workers as it may be sent to is not lost yet: one may start it.
             false if task.out() > 0 => Step::Keep,
             false => Step::End,
         }
@@ -545,6 +540,12 @@
             }
         }
         let Some((_, j)) = best else { return Step::Pass };
+        // A budget of the fleet's may be spent. Nobody else waits for that; who would wait in vain is answered.
+        if let Err(at) = m.out.may(&task.id, n, i, !task.assignments.is_empty()) {
+            let end = at >= hope && task.out() == 0;
+            self.desk.release(n);
+            return if end { Step::End } else { Step::Keep };
+        }
         self.assign(m, n, j, task.slots * run / mean, hope);
         Step::Keep
     }
@@ -737,8 +738,7 @@
             self.pulse.ask_at = Some(m.now + self.obligations.must_ask_in / 2);
             m.out.follow();
         }
-        // What probes may cost grows with own tasks: hundreds of dispatchers probing all would sink the
-        // fleet.
+        // What probes may cost grows with own tasks: hundreds of dispatchers that probe all sink the fleet.
         if self.allowed.probes && self.known.reports_by_probe {
             let earned = PROBES * self.seen.rate(m.now) * seconds(BEAT);
             for nth in self.pulse.probes(earned, self.part.workers.len() / 2) {
@@ -747,7 +747,7 @@
         }
         let (all, ready) = (self.place.group_size.max(1), self.fleet.ready().max(1));
         let feeders = (all * self.part.workers.len()).div_ceil(ready).clamp(1, all) * self.processes;
-        (0..self.part.workers.len()).for_each(|i| self.warm(m.now, self.part.workers[i], feeders as f64));
+        (0..self.part.workers.len()).for_each(|i| self.warm(m, self.part.workers[i], feeders as f64));
         if self.pulse.beat((SOLVE / BEAT) as u64) {
             self.solve(m.now)
         } else {
@@ -761,9 +761,9 @@
         self.fleet.standing(&self.part, now, ERRONEOUS)
     }
 
-    /// A cold worker's room grows with what it can do by now, a dispatcher's part of it among its `feeders`.
-    fn warm(&mut self, now: Time, j: usize, feeders: f64) {
-        let worker = &mut self.fleet.workers[j];
+    /// A cold worker's room grows with what it can do by now, for this dispatcher by its part, told or even.
+    fn warm(&mut self, m: &mut Moment, j: usize, feeders: f64) {
+        let (now, worker) = (m.now, &mut self.fleet.workers[j]);
         worker.cold.take_if(|c| now - c.since >= self.obligations.warm_within);
         let Some(cold) = worker.cold.as_mut() else { return };
         let (from, age) = (self.obligations.cold_from, now - cold.since);
@@ -772,7 +772,9 @@
         // all, a fleet and dispatchers that restarted together would wait for each other.
         let effort = self.part.census.effort / worker.size;
         let work = if effort > 0.0 { effort } else { self.seen.mean_run(now) };
-        let rate = COLD_USE * self.obligations.overload_factor / work * can / feeders;
+        let whole = COLD_USE * self.obligations.overload_factor / work * can;
+        let wants = self.seen.rate(now) * worker.share / whole;
+        let rate = m.out.room(&worker.id, wants).map_or(whole / feeders, |part| whole * part);
         cold.grow(now, rate, rate * seconds(self.obligations.fall));
     }
 }
