--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,10 +21,17 @@
     pub probes: usize,
     /// When those that were bounced are to come back.
     pub pauses: Vec<Time>,
+    /// A budget is used up, by workload: it is worth asking again after so long. The last place is for what goes again.
+    pub refuses: [Option<Time>; 4],
+    /// The task that may go next.
+    granted: Option<String>,
+    /// This dispatcher's part of cold workers' room, where account is kept of that.
+    pub room: Option<f64>,
 }
 
 impl Outgoing for Record {
     fn assign(&mut self, task: &str, worker: &str) {
+        assert_eq!(self.granted.take().as_deref(), Some(task), "it was not asked whether it may go");
         self.sent.push((self.now, Sent::Assign(task.into(), worker.into())));
     }
     fn withdraw(&mut self, task: &str, assignment: usize) {
@@ -40,6 +47,17 @@
     fn wake(&mut self, at: Time, mark: u64) {
         self.wakes.push((at, mark));
     }
+    fn may(&mut self, task: &str, mark: u64, workload: usize, again: bool) -> Result<(), Time> {
+        let wait = self.refuses[workload].or(self.refuses[3].filter(|_| again));
+        self.granted = wait.is_none().then(|| task.to_owned());
+        wait.map_or(Ok(()), |wait| {
+            self.wake(self.now + wait, mark);
+            Err(self.now + wait)
+        })
+    }
+    fn room(&mut self, _: &str, _: f64) -> Option<f64> {
+        self.room
+    }
     fn probe(&mut self, _: &str) {
         self.probes += 1;
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -21,6 +21,8 @@
     All(State),
     Closing(Time),
     Hand(usize, bool),
+    /// A budget is used up, or comes back.
+    Budget(usize, Option<Time>),
 }
 
 struct Out {
@@ -154,6 +156,7 @@
                 };
                 bench.with(|to, m| to.hand(m, &id, out));
             }
+            Event::Budget(of, wait) => bench.out.refuses[of] = wait,
             Event::Passes(length) => {
                 let until = bench.out.now + length;
                 // What is out at its task's expiry times out there, and not later.
@@ -201,6 +204,7 @@
         1 => prop::sample::select(vec![State::Ready, State::Gone]).prop_map(Event::All),
         2 => (0..5usize, state, any::<bool>()).prop_map(|(i, s, r)| Event::List(i, s, r)),
         1 => (0..5usize, any::<bool>()).prop_map(|(i, out)| Event::Hand(i, out)),
+        1 => (0..4usize, prop::option::of(1..3 * SECOND)).prop_map(|(of, wait)| Event::Budget(of, wait)),
         4 => (1..900 * MS).prop_map(Event::Passes),
         2 => (0..5usize, 0.0..1.0f64, prop_oneof![Just(0.0), 0.01..9.0f64]).prop_map(|(i, b, r)| Event::Reports(i, b, r)),
     ]
