--- a/crates/budgets/src/divider.rs
+++ b/crates/budgets/src/divider.rs
@@ -9,6 +9,9 @@
 const TREMBLE: Amount = 16;
 /// A holder that has not asked for so many grants' lengths wants nothing.
 const FORGOTTEN: Time = 2;
+/// Shares are divided anew once in such a part of a grant, or when somebody wants much more: each ask of hundreds would else
+/// cost a look at all.
+const ANEW: Time = 32;
 
 /// What one holder has of one budget, as far as it may have it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -21,9 +24,49 @@
     asked: u32,
     wants: Amount,
     heard: Time,
+    /// Its share as last divided, and what it was lent last.
+    share: Amount,
     last: Amount,
 }
 
+/// What is lent of one budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Book {
+    all: BTreeMap<u64, Lent>,
+    /// The most that all may hold together, as last counted: what has run out since is counted yet.
+    most: Amount,
+    looked: Option<Time>,
+}
+
+impl Book {
+    /// Counts what may still be held, and divides the pool anew.
+    fn look(&mut self, terms: &Terms, now: Time, nth: usize) {
+        self.looked = Some(now);
+        for lent in self.all.values_mut() {
+            lent.grants.retain(|(.., until)| now < *until);
+            if now - lent.heard > FORGOTTEN * terms.grant {
+                lent.wants = 0;
+            }
+        }
+        self.all.retain(|_, lent| !lent.grants.is_empty() || lent.wants > 0);
+        self.most = self.all.values().map(Lent::most).sum();
+        let grain = terms.grain(nth);
+        // Dispatchers get theirs by what their processes want together, and of that each process its own.
+        let mut names = BTreeMap::<u16, Vec<u64>>::new();
+        self.all.iter().for_each(|(id, lent)| names.entry(lent.name).or_default().push(*id));
+        let wants = |id: &u64| self.all.get(id).map_or(0, |lent| lent.wants / grain);
+        let wanted: Vec<Amount> = names.values().map(|ids| ids.iter().map(wants).sum()).collect();
+        let parts = fair::shares(terms.pool(nth) / grain, &wanted);
+        for (ids, part) in names.into_values().zip(parts) {
+            let wanted: Vec<Amount> =
+                ids.iter().map(|id| self.all.get(id).map_or(0, |lent| lent.wants / grain)).collect();
+            for (id, share) in ids.iter().zip(fair::shares(part, &wanted)) {
+                self.all.entry(*id).and_modify(|lent| lent.share = share * grain);
+            }
+        }
+    }
+}
+
 impl Lent {
     fn most(&self) -> Amount {
         self.grants.iter().map(|g| g.1).max().unwrap_or(0)
@@ -40,7 +83,7 @@
     /// Its office lasts until then; from when on each budget may grow for somebody.
     until: Option<Time>,
     from: Vec<Time>,
-    lent: BTreeMap<Key, BTreeMap<u64, Lent>>,
+    lent: BTreeMap<Key, Book>,
 }
 
 impl Divider {
@@ -126,20 +169,15 @@
         if !self.holds(now) || !on_it || known != self.epoch {
             return None;
         }
-        let all = self.lent.entry(key).or_default();
-        for lent in all.values_mut() {
-            lent.grants.retain(|(.., until)| now < *until);
-            if now - lent.heard > FORGOTTEN * terms.grant {
-                lent.wants = 0;
-            }
-        }
-        all.retain(|id, lent| *id == holder || !lent.grants.is_empty() || lent.wants > 0);
-        let own = all.entry(holder).or_default();
+        let book = self.lent.entry(key).or_default();
+        let own = book.all.entry(holder).or_default();
         if ask.number <= own.asked {
             // Said before what was said since.
             return None;
         }
+        let (before, wanted) = (own.most(), own.wants);
         (own.name, own.asked, own.wants, own.heard) = (name, ask.number, ask.wants, now);
+        own.grants.retain(|(.., until)| now < *until);
         if ask.epoch == self.epoch {
             // What it has taken and no longer keeps is free. What is on its way to it, it may yet take.
             for grant in own.grants.iter_mut().filter(|(number, ..)| *number <= ask.seen) {
@@ -147,10 +185,14 @@
             }
         }
         let kept = if ask.epoch == self.epoch { own.last.min(ask.keeps) } else { ask.keeps };
-        let others: Amount = all.iter().filter(|(id, _)| **id != holder).map(|(_, l)| l.most()).sum();
+        book.most = book.most - before + own.most();
+        if book.looked.is_none_or(|at| now - at >= terms.grant / ANEW) || ask.wants > 2 * wanted {
+            book.look(terms, now, nth);
+        }
         let pool = terms.pool(nth);
-        let share = share(all, holder, pool, terms.grain(nth))?;
-        let own = all.get_mut(&holder)?;
+        let own = book.all.entry(holder).or_default();
+        let others = book.most - own.most();
+        let share = own.share.min(ask.wants);
         let trembles = share.abs_diff(own.last) <= own.last / TREMBLE && own.last <= ask.wants;
         // Nothing grows before what shrinks elsewhere has been given back or is over.
         let mut amount = if trembles { own.last } else { share }.min(pool.saturating_sub(others));
@@ -159,21 +201,24 @@
             // office began may go on with what it keeps of it: that is nobody else's.
             amount = amount.min(kept);
         }
+        let before = own.most();
+        (own.name, own.asked, own.wants, own.heard) = (name, ask.number, ask.wants, now);
         own.last = amount;
         own.number += 1;
         own.grants.push((own.number, amount, now + terms.counted(nth)));
+        book.most = book.most - before + own.most();
         Some((own.number, amount))
     }
 
     /// All that may be held of a budget by what this one lent.
     pub fn out(&self, key: Key) -> Amount {
-        self.lent.get(&key).map_or(0, |all| all.values().map(Lent::most).sum())
+        self.lent.get(&key).map_or(0, |book| book.all.values().map(Lent::most).sum())
     }
 
     /// What was last lent of a budget to each dispatcher, by its place on the roster.
     pub fn division(&self, key: Key) -> BTreeMap<u16, Amount> {
         let mut found = BTreeMap::new();
-        for lent in self.lent.get(&key).into_iter().flat_map(|all| all.values()) {
+        for lent in self.lent.get(&key).into_iter().flat_map(|book| book.all.values()) {
             *found.entry(lent.name).or_default() += lent.last;
         }
         found
@@ -181,7 +226,8 @@
 
     /// Forgets budgets of which nothing is held: things that came and went.
     pub fn tidy(&mut self, now: Time) {
-        self.lent.retain(|_, all| all.values().any(|l| l.grants.iter().any(|(.., until)| now < *until)));
+        let holds = |l: &Lent| l.grants.iter().any(|(.., until)| now < *until);
+        self.lent.retain(|_, book| book.all.values().any(holds));
     }
 }
 
@@ -190,16 +236,3 @@
         Self::new()
     }
 }
-
-/// A holder's share: dispatchers get theirs by what their processes want together, and of that each process its own.
-fn share(all: &BTreeMap<u64, Lent>, holder: u64, pool: Amount, grain: Amount) -> Option<Amount> {
-    let mut names = BTreeMap::<u16, Amount>::new();
-    all.values().for_each(|lent| *names.entry(lent.name).or_default() += lent.wants / grain);
-    let of = all.get(&holder)?.name;
-    let wanted: Vec<Amount> = names.values().copied().collect();
-    let part = fair::shares(pool / grain, &wanted)[names.keys().position(|n| *n == of)?];
-    let within: Vec<(u64, Amount)> =
-        all.iter().filter(|(_, l)| l.name == of).map(|(id, l)| (*id, l.wants / grain)).collect();
-    let wanted: Vec<Amount> = within.iter().map(|w| w.1).collect();
-    Some(fair::shares(part, &wanted)[within.iter().position(|w| w.0 == holder)?] * grain)
-}
--- a/crates/budgets/src/emulator.rs
+++ b/crates/budgets/src/emulator.rs
@@ -111,8 +111,9 @@
     drift: i64,
     offset: Time,
     chance: ChaCha8Rng,
-    /// Tries a second, of each budget.
+    /// Tries a second, and how many of these are of each budget.
     hunger: Rc<Cell<f64>>,
+    parts: Vec<f64>,
     hints: u64,
     next: Time,
     account: Rc<RefCell<Account>>,
@@ -155,7 +156,7 @@
             for after in self.account.borrow_mut().ended(nth, now, self.id) {
                 self.party.back(nth, after);
             }
-            let tries = self.hunger.get() * TICK as f64 / UNIT as f64;
+            let tries = self.parts[nth] * self.hunger.get() * TICK as f64 / UNIT as f64;
             let tries = tries as u64 + u64::from(self.chance.random_bool(tries.fract()));
             for _ in 0..tries {
                 if self.party.may(nth, local, 0).is_ok() {
@@ -227,6 +228,8 @@
     pub terms: Terms,
     pub ways: Ways,
     pub size: usize,
+    /// What part of all tries are of each budget.
+    pub parts: Vec<f64>,
     /// Clocks are off by up to so many parts in a million, and by less than the terms allow for.
     pub drift: i64,
     hunger: Vec<Rc<Cell<f64>>>,
@@ -243,6 +246,7 @@
             account: Rc::new(RefCell::new(Account::of(&terms, fleet.now))),
             fleet,
             drift: i64::from(terms.drift) * 999 / 1000,
+            parts: vec![1.0; terms.budgets.len()],
             terms,
             ways,
             size,
@@ -277,6 +281,7 @@
             next: now + self.fleet.chance.random_range(0..TICK),
             chance: ChaCha8Rng::seed_from_u64(seed),
             hunger: self.hunger[name].clone(),
+            parts: self.parts.clone(),
             hints: 0,
             account: self.account.clone(),
         }
@@ -362,10 +367,12 @@
         (total(self) - before) / time as f64
     }
 
-    /// The time until such a part of a budget's whole is in use over a second, if it is within `most`.
+    /// The time until such a part of a budget's whole, less the own parts of those that are dead, is in use over a second, if it
+    /// is within `most`.
     pub fn until_used(&mut self, nth: usize, part: f64, most: Time) -> Option<Time> {
         let begun = self.fleet.now;
-        let whole = self.terms.budgets[nth].whole as f64 / UNIT as f64;
+        let dead = (0..self.size).filter(|of| !self.lives(*of)).count() as u64;
+        let whole = (self.terms.budgets[nth].whole - dead * self.terms.own(nth)) as f64 / UNIT as f64;
         let mut last = std::collections::VecDeque::new();
         while self.fleet.now - begun < most {
             last.push_back(self.use_over(nth, UNIT as Time / 10));
--- a/crates/budgets/src/holder.rs
+++ b/crates/budgets/src/holder.rs
@@ -4,6 +4,8 @@
 
 /// Part of a mean time in use by which one more observation moves it.
 const LEARNS: Time = 8;
+/// Asks whose mean says what is used; as many as there are in a grant's length.
+const LASTS: usize = 4;
 /// Asks that are no further apart than such a part of a grant say the same.
 const AT_ONCE: Time = 8;
 
@@ -38,8 +40,9 @@
     used: Amount,
     /// How long one is in use, as far as seen.
     lasts: Time,
-    /// What it would use if it had it, as last asked.
+    /// What it would use if it had it, as last asked; and on the mean of its last asks.
     demand: Amount,
+    last: [Amount; LASTS],
 }
 
 impl Holder {
@@ -61,6 +64,7 @@
             used: 0,
             lasts: 0,
             demand: 0,
+            last: [0; LASTS],
         }
     }
 
@@ -195,16 +199,26 @@
                 (grows(u128::from(self.used + self.refused) * 1_000_000 / since.max(1) as u128), 0)
             }
             Kind::Occupancy { .. } => {
-                let wanted = grows(u128::from(self.peak + self.refused)).div_ceil(UNIT) * UNIT;
+                // Where nothing was refused it is enough as it is: each unit more is one that another one lacks.
+                let some = (self.peak + self.level) / 2;
+                let wanted =
+                    if self.refused > 0 { grows(u128::from(self.peak + self.refused)) } else { some };
                 (wanted, self.level.saturating_sub(own))
             }
             Kind::Parts => (self.level, 0),
         };
-        // What was wanted falls by halves, since little is seen in so short a time; and nothing is seen of it between two asks at
-        // once.
-        let before = if since < terms.grant / AT_ONCE { self.demand } else { self.demand / 2 };
-        self.demand = demand.max(if before < UNIT / 8 { 0 } else { before });
-        let demand = self.demand;
+        if since >= terms.grant / AT_ONCE {
+            self.last.rotate_left(1);
+            self.last[LASTS - 1] = demand;
+        }
+        let mean = self.last.iter().sum::<Amount>() / LASTS as Amount;
+        // Who lacked something wants what it lacked. Who did not wants what it uses on the mean: in so short a time little is seen,
+        // and between two asks at once nothing.
+        let demand = if self.refused > 0 { demand.max(mean) } else { mean };
+        let demand = if since < terms.grant / AT_ONCE { demand.max(self.demand) } else { demand };
+        // An occupancy is had in whole units.
+        let demand = demand.div_ceil(terms.grain(self.nth)) * terms.grain(self.nth);
+        self.demand = demand;
         (self.refused, self.used) = (0, 0);
         self.peak = self.level;
         self.asked = (self.asked.0 + 1, now);
--- a/crates/budgets/src/party.rs
+++ b/crates/budgets/src/party.rs
@@ -500,7 +500,8 @@
     /// One could not go.
     pub fn refuse(&mut self, nth: usize, now: Time) {
         let Some(share) = self.shares.get_mut(&(nth as u16, 0)) else { return };
-        let news = !share.hungry();
+        // Where more was asked for already, it comes with the next answer.
+        let news = !share.hungry() && share.demand() == 0;
         share.refuse();
         if news {
             self.next_ask =
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,4 +9,5 @@
 mod relay;
 pub mod report;
 pub mod script;
+pub mod shares;
 pub mod spent;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -10,6 +10,7 @@
 use rainlug_rig::play::play;
 use rainlug_rig::report::{self, Kept};
 use rainlug_rig::script::Script;
+use rainlug_rig::shares;
 use tracing::warn;
 
 #[derive(Parser)]
@@ -68,6 +69,18 @@
         #[arg(long, default_value = "rig-measure")]
         out: PathBuf,
     },
+    /// Measures budgets in virtual time, beside even parts and no division.
+    Shares {
+        #[arg(long, value_delimiter = ',', default_value = "5,48,300")]
+        sizes: Vec<usize>,
+        /// Parts of datagrams lost.
+        #[arg(long, value_delimiter = ',', default_value = "0,0.2")]
+        losses: Vec<f64>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "rig-shares")]
+        out: PathBuf,
+    },
 }
 
 /// How it ended: all held, something did not, or nothing was played.
@@ -134,6 +147,32 @@
             print!("{}", measure::markdown(&rows));
             Ok(End::Held)
         }
+        Does::Shares { sizes, losses, seed, out } => {
+            anyhow::ensure!(
+                sizes.iter().all(|s| (4..=1000).contains(s)),
+                "--sizes are not all from 4 to 1000"
+            );
+            anyhow::ensure!(
+                losses.iter().all(|l| (0.0..1.0).contains(l)),
+                "--losses are not all from 0 to under 1"
+            );
+            std::fs::create_dir_all(&out).with_context(|| format!("cannot make {}", out.display()))?;
+            let mut rows = Vec::new();
+            for size in sizes {
+                for loss in &losses {
+                    rows.push(shares::row(shares::Way::Lent, size, *loss, seed));
+                    report::put(&out, "shares.csv", &shares::csv(&rows))?;
+                    report::put(&out, "shares.md", &shares::markdown(&rows))?;
+                }
+                rows.push(shares::row(shares::Way::Even, size, 0.0, seed));
+                rows.push(shares::row(shares::Way::Undivided, size, 0.0, seed));
+            }
+            report::put(&out, "shares.csv", &shares::csv(&rows))?;
+            report::put(&out, "shares.md", &shares::markdown(&rows))?;
+            print!("{}", shares::markdown(&rows));
+            let over: usize = rows.iter().filter(|r| r.way != shares::Way::Undivided).map(|r| r.over).sum();
+            Ok(if over == 0 { End::Held } else { End::Failed })
+        }
     }
 }
 
