--- a/crates/budgets/src/emulator.rs
+++ b/crates/budgets/src/emulator.rs
@@ -2,8 +2,11 @@
 //! account, in true time, of all that is spent and runs. One seed is one course of events.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use rainlug_fleet::emulator::{Emulator, Link, Watcher, address};
 use rainlug_fleet::{Card, View};
@@ -12,8 +15,9 @@
 
 use crate::{Kind, Outgoing, Party, Terms, Time, UNIT, Ways};
 
-/// How often a process tries to spend.
+/// How often a process tries to spend, and at least once for so many tries: what comes in between is not saved for long.
 pub const TICK: Time = 20_000;
+const TRIES: f64 = 8.0;
 const MILLION: i128 = 1_000_000;
 /// The view's period.
 const PERIOD: Time = 1_000_000;
@@ -26,14 +30,16 @@
     longest: Vec<Time>,
     now: Time,
     level: Vec<f64>,
-    /// Of each budget what runs: its end, whose it is, its beginning.
-    runs: Vec<Vec<(Time, u64, Time)>>,
+    /// Of each budget what runs: its end, whose it is, its beginning; and how long what has ended lasted, by whose it is.
+    runs: Vec<BinaryHeap<Reverse<(Time, u64, Time)>>>,
+    ended: Vec<HashMap<u64, Vec<Time>>>,
     pub spent: Vec<u64>,
     /// Units of each occupancy times microseconds in use.
     pub in_use: Vec<f64>,
     pub over: Vec<String>,
-    /// Bytes of datagrams about budgets.
+    /// Bytes of datagrams about budgets, and the time that they and asking took.
     pub bytes: u64,
+    pub took: Duration,
 }
 
 impl Account {
@@ -55,11 +61,13 @@
             now,
             level: burst.clone(),
             burst,
-            runs: vec![Vec::new(); count],
+            runs: vec![BinaryHeap::new(); count],
+            ended: vec![HashMap::new(); count],
             spent: vec![0; count],
             in_use: vec![0.0; count],
             over: Vec::new(),
             bytes: 0,
+            took: Duration::ZERO,
         }
     }
 
@@ -68,11 +76,16 @@
         for nth in 0..self.wholes.len() {
             let whole = self.wholes[nth] as f64 / UNIT as f64;
             self.level[nth] = (self.level[nth] + whole * past).min(self.burst[nth]);
-            for run in &self.runs[nth] {
-                self.in_use[nth] += (run.0.min(now) - run.2.max(self.now)).max(0) as f64;
+            let mut last = self.now;
+            while let Some(Reverse((end, whose, begun))) =
+                self.runs[nth].peek().copied().filter(|Reverse(run)| run.0 <= now)
+            {
+                self.in_use[nth] += self.runs[nth].len() as f64 * (end - last) as f64;
+                last = end;
+                self.runs[nth].pop();
+                self.ended[nth].entry(whose).or_default().push(end - begun);
             }
-            // Those of the dead go by themselves; the living learn of theirs first.
-            self.runs[nth].retain(|run| run.0 > now - TICK);
+            self.in_use[nth] += self.runs[nth].len() as f64 * (now - last) as f64;
         }
         self.now = now;
     }
@@ -81,8 +94,8 @@
         self.to(now);
         self.spent[nth] += 1;
         if let Some(lasts) = lasts {
-            self.runs[nth].push((now + lasts, whose, now));
-            let running = self.runs[nth].iter().filter(|run| run.0 > now).count() as u64;
+            self.runs[nth].push(Reverse((now + lasts, whose, now)));
+            let running = self.runs[nth].len() as u64;
             if running * UNIT > self.wholes[nth] {
                 self.over.push(format!("{now}: {running} of budget {nth} run"));
             }
@@ -98,8 +111,7 @@
     /// How long each lasted of what has just ended for that process.
     fn ended(&mut self, nth: usize, now: Time, whose: u64) -> Vec<Time> {
         self.to(now);
-        let ended = self.runs[nth].extract_if(.., |run| run.1 == whose && run.0 <= now);
-        ended.map(|run| run.0 - run.2).collect()
+        self.ended[nth].remove(&whose).unwrap_or_default()
     }
 }
 
@@ -116,6 +128,7 @@
     parts: Vec<f64>,
     hints: u64,
     next: Time,
+    spent: Time,
     account: Rc<RefCell<Account>>,
 }
 
@@ -156,7 +169,7 @@
             for after in self.account.borrow_mut().ended(nth, now, self.id) {
                 self.party.back(nth, after);
             }
-            let tries = self.parts[nth] * self.hunger.get() * TICK as f64 / UNIT as f64;
+            let tries = self.parts[nth] * self.hunger.get() * (now - self.spent) as f64 / UNIT as f64;
             let tries = tries as u64 + u64::from(self.chance.random_bool(tries.fract()));
             for _ in 0..tries {
                 if self.party.may(nth, local, 0).is_ok() {
@@ -168,6 +181,7 @@
                 }
             }
         }
+        self.spent = now;
     }
 }
 
@@ -179,8 +193,9 @@
     fn due(&mut self, now: Time, out: &mut dyn rainlug_fleet::Outgoing) {
         let local = self.local(now);
         if now >= self.next {
-            self.next = now + TICK;
             self.spend(now);
+            let few = (TRIES * UNIT as f64 / self.hunger.get().max(1.0)) as Time;
+            self.next = now + few.clamp(TICK / 40, TICK);
         }
         self.view.due(local, out);
         if self.hints != self.view.version() {
@@ -194,7 +209,9 @@
             }
             found.into_iter().enumerate().for_each(|(name, at)| self.party.there(name, at));
         }
+        let begun = Instant::now();
         self.party.due(local, &mut Both(out, &self.account));
+        self.account.borrow_mut().took += begun.elapsed();
     }
 
     fn heard(
@@ -208,7 +225,9 @@
         if !crate::concerns(payload) {
             return self.view.heard(local, from, payload, out);
         }
+        let begun = Instant::now();
         let heard = self.party.heard(local, from, payload, &mut Both(out, &self.account));
+        self.account.borrow_mut().took += begun.elapsed();
         heard.map_err(|_| rainlug_fleet::Odd::Malformed)
     }
 
@@ -279,6 +298,7 @@
             drift,
             offset,
             next: now + self.fleet.chance.random_range(0..TICK),
+            spent: now,
             chance: ChaCha8Rng::seed_from_u64(seed),
             hunger: self.hunger[name].clone(),
             parts: self.parts.clone(),
--- a/crates/rig/src/shares.rs
+++ b/crates/rig/src/shares.rs
@@ -1,7 +1,6 @@
 //! Budgets measured in virtual time, beside a fixed even part for each and no division at all. A seed is one course of events.
 
 use std::fmt::Write;
-use std::time::Instant;
 
 use rainlug_budgets::emulator::World;
 use rainlug_budgets::{Amount, Budget, Kind, Terms, Time, UNIT, Ways};
@@ -141,10 +140,10 @@
         world
     };
     let mut world = hungry_fleet();
-    let (begun, bytes) = (Instant::now(), world.account.borrow().bytes);
+    let (took, bytes) = (world.account.borrow().took, world.account.borrow().bytes);
     let hungry = used(&mut world);
     let time = 2.0 * (LOOK / SECOND) as f64 * size as f64;
-    let core = begun.elapsed().as_secs_f64() * 1e6 / time;
+    let core = (world.account.borrow().took - took).as_secs_f64() * 1e6 / time;
     let bytes = (world.account.borrow().bytes - bytes) as f64 / time;
     over += world.account.borrow().over.len();
     let mut sides = [[0.0; 2]; 2];
