--- a/crates/budgets/src/party.rs
+++ b/crates/budgets/src/party.rs
@@ -529,6 +529,11 @@
         share.map_or((0, 0, 0), |share| (share.share(&self.terms, now), share.in_use(), share.demand()))
     }
 
+    /// How many things of a budget of parts are spoken of here.
+    pub fn things(&self, nth: usize) -> usize {
+        self.spoken.keys().filter(|key| usize::from(key.0) == nth).count()
+    }
+
     /// Whether it divides, and in which epoch; else the last one that it has heard of.
     pub fn office(&self, now: Time) -> (bool, u32) {
         (self.divider.holds(now), if self.divider.holds(now) { self.divider.epoch() } else { self.known })
--- a/crates/rainlugd/src/routing/budgets.rs
+++ b/crates/rainlugd/src/routing/budgets.rs
@@ -245,6 +245,10 @@
             let (share, in_use, asked) = party.has(nth, now);
             let waiting = self.waiting.borrow()[nth].len();
             let budget = &party.terms().budgets[nth];
+            if budget.kind == Kind::Parts {
+                let _ = writeln!(text, "relay.budgets.{name}.workers:{}|g", party.things(nth));
+                continue;
+            }
             let mut line = |key: &str, value: f64| {
                 let _ = writeln!(text, "relay.budgets.{name}.{key}:{value}|g");
             };
--- a/crates/rainlugd/tests/budgets.rs
+++ b/crates/rainlugd/tests/budgets.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use std::process::Command;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use common::sockets::*;
 
@@ -108,3 +108,20 @@
     assert_eq!(figure(&program, "relay.budgets.again.share"), 0.0);
     assert_eq!(figure(&program, "relay.budgets.divides"), 0.0);
 }
+
+/// A cold worker's room is a budget of its own, which appears and ends with its warming.
+#[test]
+fn a_cold_worker_is_divided_as_long_as_it_warms() {
+    let (worker, list, dir) = (Worker::start(|_| Act::Finish), List::start(), tempfile::tempdir().unwrap());
+    // Warm in nine seconds, of which seven are over.
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() - 7000;
+    let text = told(&list, Some(&worker), r#"{"name":"cold","what":"warming"}"#);
+    let text = text.replace("\"boot_ms\":0", &format!("\"boot_ms\":{born}"));
+    let program = Program::start(program(&dir), &text);
+    let workers = || figure(&program, "relay.budgets.cold.workers");
+    until("it is divided", |_| workers() == 1.0);
+    // Its part comes with an answer; then there is room.
+    until("a task reaches it", |n| Client::of(&program).ask("/search", &format!("t{n}"), "4000m").0 == 200);
+    until("it is warm", |_| workers() == 0.0);
+    assert_eq!(Client::of(&program).ask("/search", "warm", "4000m").0, 200);
+}
