--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -145,12 +145,13 @@
 
 impl Outgoing for Desk {
     fn assign(&mut self, task: &str, worker: &str) {
+        // Taken in any case: it must not count for the next one.
+        let (counted, until) = self.budgets.as_ref().map_or((None, Time::MAX), |b| b.counted());
         let Some(held) = self.held.get_mut(task) else { return };
         let (nth, parcel) = (held.assignments.len(), held.parcel.clone());
         trace!(self.reach.clock.now(), "assign {task} {nth} {worker}");
         let (hold, given_up) = oneshot::channel();
         held.assignments.push(Way::Out { _hold: hold });
-        let (counted, until) = self.budgets.as_ref().map_or((None, Time::MAX), |b| b.counted());
         held.counted.push(counted);
         let order = Order::Assign { parcel: parcel.clone(), nth, expiry: held.expiry, until, given_up };
         if self.workers.get(worker).is_none_or(|w| w.mailbox.try_send(order).is_err()) {
