Budgets read the view's bytes, addresses and broken builds by the same pieces as the view

Read once more: wire::Reader of the budgets was the view's again (now rainlug_fleet::Reader and Odd); rainlugd and the emulator each built the others' addresses from the view's members (View::others, Party::there takes it); two actors read RAINLUG_BROKEN; names and roster were kept beside the terms that have them; what a holder keeps was bent in two places for the broken build; a field and its accessor nobody read; an answer of placed() asked three times.

--- a/crates/budgets/src/emulator.rs
+++ b/crates/budgets/src/emulator.rs
@@ -200,14 +200,7 @@
         self.view.due(local, out);
         if self.hints != self.view.version() {
             self.hints = self.view.version();
-            let mut found = vec![Vec::new(); self.party.terms().roster.len()];
-            for member in self.view.members() {
-                if let Some(name) = self.party.terms().roster.iter().position(|n| n == member.name) {
-                    let others = member.processes.iter().filter(|p| p.0.id != self.id);
-                    found[name] = others.map(|p| p.0.at).collect();
-                }
-            }
-            found.into_iter().enumerate().for_each(|(name, at)| self.party.there(name, at));
+            self.party.there(self.view.others());
         }
         let begun = Instant::now();
         self.party.due(local, &mut Both(out, &self.account));
@@ -228,7 +221,7 @@
         let begun = Instant::now();
         let heard = self.party.heard(local, from, payload, &mut Both(out, &self.account));
         self.account.borrow_mut().took += begun.elapsed();
-        heard.map_err(|_| rainlug_fleet::Odd::Malformed)
+        heard
     }
 
     fn living(&self) -> usize {
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -24,6 +24,7 @@
 pub use voter::Voter;
 
 pub use rainlug::Time;
+pub use rainlug_fleet::Odd;
 
 /// Millionths: of a unit a second for rates, of a unit for occupancies and parts. Sums of whole numbers are exact.
 pub type Amount = u64;
@@ -77,10 +78,3 @@
     /// What may be used has changed.
     fn changed(&mut self);
 }
-
-/// Why a datagram was not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Odd {
-    /// It ends too early, or says what no process says.
-    Malformed,
-}
--- a/crates/budgets/src/party.rs
+++ b/crates/budgets/src/party.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 
 use bytes::BufMut;
+use rainlug_fleet::Reader;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::wire::{self, Reader};
-use crate::{Amount, Divider, Holder, Key, Kind, Odd, Outgoing, Terms, Time, UNIT, Voter, Ways};
+use crate::wire;
+use crate::{Amount, Ask, Divider, Holder, Key, Kind, Odd, Outgoing, Terms, Time, UNIT, Voter, Ways};
 
 /// Parts of a grant after which a holder asks again; sooner, where what it did not want before is wanted now.
 const ASKS: Time = 4;
@@ -36,7 +37,6 @@
     me: u16,
     place: Option<u16>,
     id: u64,
-    began: Time,
     chance: ChaCha8Rng,
     /// Since when it is the only process of its dispatcher that may use its part and vote.
     sole: Option<Time>,
@@ -82,7 +82,6 @@
             me,
             place: place.map(|p| p as u16),
             id,
-            began: now,
             chance,
             sole: None,
             voter: None,
@@ -108,10 +107,11 @@
         &self.terms
     }
 
-    /// Where the other processes of a dispatcher are, by its place on the roster, as far as anybody knows. A hint: a wrong one
-    /// costs use, never the sum.
-    pub fn there(&mut self, name: usize, at: Vec<SocketAddr>) {
-        self.others.get_mut(name).into_iter().for_each(|found| *found = at.clone());
+    /// Where the other processes of dispatchers are, by their names, as far as anybody knows. A hint: a wrong one costs use,
+    /// never the sum.
+    pub fn there(&mut self, mut found: BTreeMap<&str, Vec<SocketAddr>>) {
+        let of = |name: &String| found.remove(name.as_str()).unwrap_or_default();
+        self.others = self.terms.roster.iter().map(of).collect();
     }
 
     /// From now on no other process of its dispatcher lives that uses its part or votes.
@@ -266,16 +266,15 @@
         self.divider.tidy(now);
         let since = (now - self.asked).max(1);
         self.asked = now;
-        let terms = &self.terms;
-        let asks: Vec<(Key, crate::Ask)> = self
-            .shares
-            .iter_mut()
-            .filter(|(_, share)| share.concerned(terms, now))
-            .map(|(key, share)| (*key, share.ask(terms, now, since)))
-            .collect();
+        let (terms, says) = (&self.terms, self.ways.shrinks_first);
+        let ask = |(key, share): (&Key, &mut Holder)| {
+            let ask = share.ask(terms, now, since);
+            (*key, Ask { keeps: if says { ask.keeps } else { 0 }, ..ask })
+        };
+        let concerned = self.shares.iter_mut().filter(|(_, share)| share.concerned(terms, now));
+        let asks: Vec<(Key, Ask)> = concerned.map(ask).collect();
         if self.divider.holds(now) {
-            for (key, mut ask) in asks {
-                ask.keeps = if self.ways.shrinks_first { ask.keeps } else { 0 };
+            for (key, ask) in asks {
                 let epoch = self.divider.epoch();
                 let lent = self.divider.lend(&self.terms, now, key, (self.me, self.id), epoch, ask);
                 if let (Some((number, amount)), Some(share)) = (lent, self.shares.get_mut(&key)) {
@@ -291,17 +290,13 @@
         if self.deaf > DEAF {
             self.leader = None;
         }
-        let mut parts = asks.chunks(wire::ENTRIES);
-        let mut first = Some(parts.next().unwrap_or_default());
-        while let Some(part) = first.take().or_else(|| parts.next()) {
+        // Who asks for nothing asks whether its terms are the voters'.
+        for part in asks.chunks(wire::ENTRIES).chain(asks.is_empty().then_some(&asks[..])) {
             let mut words = wire::head(wire::ASK, self.frame, self.digest);
             words.put_u16(self.me);
             words.put_u64(self.id);
             words.put_u32(self.known);
-            for (key, ask) in part {
-                let keeps = if self.ways.shrinks_first { ask.keeps } else { 0 };
-                wire::put_ask(&mut words, *key, &crate::Ask { keeps, ..*ask });
-            }
+            part.iter().for_each(|(key, ask)| wire::put_ask(&mut words, *key, ask));
             match self.leader.filter(|_| self.confirmed) {
                 Some(at) => out.send(at, &words),
                 None => self.to_voters(&words, out),
@@ -347,8 +342,8 @@
                 self.confirm(now, voter, true);
                 if id == self.id {
                     self.leads(now, from, epoch, out);
-                    while read.more() {
-                        let (key, ask) = (read.key()?, read.number()?);
+                    while !read.0.is_empty() {
+                        let (key, ask) = (wire::key(&mut read)?, read.number()?);
                         let (number, amount) = (read.number()?, read.long()?);
                         if let Some(share) = self.shares.get_mut(&key) {
                             share.lent(&self.terms, now, epoch, ask, number, amount);
@@ -439,8 +434,8 @@
         let mut words = wire::head(wire::LEND, self.frame, self.digest);
         words.put_u32(epoch);
         words.put_u64(id);
-        while read.more() {
-            let (key, ask) = (read.key()?, read.ask()?);
+        while !read.0.is_empty() {
+            let (key, ask) = (wire::key(&mut read)?, wire::ask(&mut read)?);
             if let Some((number, amount)) = self.divider.lend(&self.terms, now, key, (name, id), epoch, ask) {
                 words.put_u16(key.0);
                 words.put_u64(key.1);
@@ -543,9 +538,4 @@
     pub fn division(&self, nth: usize) -> BTreeMap<u16, Amount> {
         self.divider.division((nth as u16, 0))
     }
-
-    /// Since when it lives.
-    pub fn began(&self) -> Time {
-        self.began
-    }
 }
--- a/crates/budgets/src/wire.rs
+++ b/crates/budgets/src/wire.rs
@@ -1,7 +1,8 @@
 //! The bytes of a payload: its kind, the sums over the sender's terms, and what belongs to the kind. Numbers are big-endian. A
 //! change here is another version of the envelope.
 
-use bytes::{Buf, BufMut};
+use bytes::BufMut;
+use rainlug_fleet::Reader;
 
 use crate::{Ask, Key, MOST, Odd};
 
@@ -46,37 +47,11 @@
     to.put_u64(ask.keeps);
 }
 
-/// Takes a payload apart; what is too short is malformed.
-pub struct Reader<'a>(pub &'a [u8]);
-
-impl Reader<'_> {
-    pub fn byte(&mut self) -> Result<u8, Odd> {
-        self.0.try_get_u8().map_err(|_| Odd::Malformed)
-    }
-
-    pub fn short(&mut self) -> Result<u16, Odd> {
-        self.0.try_get_u16().map_err(|_| Odd::Malformed)
-    }
-
-    pub fn number(&mut self) -> Result<u32, Odd> {
-        self.0.try_get_u32().map_err(|_| Odd::Malformed)
-    }
-
-    pub fn long(&mut self) -> Result<u64, Odd> {
-        self.0.try_get_u64().map_err(|_| Odd::Malformed)
-    }
-
-    pub fn key(&mut self) -> Result<Key, Odd> {
-        Ok((self.short()?, self.long()?))
-    }
-
-    pub fn ask(&mut self) -> Result<Ask, Odd> {
-        let (number, wants) = (self.number()?, self.long()?);
-        Ok(Ask { number, wants, epoch: self.number()?, seen: self.number()?, keeps: self.long()? })
-    }
+pub fn key(read: &mut Reader) -> Result<Key, Odd> {
+    Ok((read.short()?, read.long()?))
+}
 
-    /// Whether there is more.
-    pub fn more(&self) -> bool {
-        !self.0.is_empty()
-    }
+pub fn ask(read: &mut Reader) -> Result<Ask, Odd> {
+    let (number, wants) = (read.number()?, read.long()?);
+    Ok(Ask { number, wants, epoch: read.number()?, seen: read.number()?, keeps: read.long()? })
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub use rainlug::Time;
 pub use table::{Process, Standing};
 pub use view::{Member, View, Ways};
+pub use wire::Reader;
 
 /// The longest payload of a datagram, in bytes: with what [`ENVELOPE`] leaves room for it is 1,400.
 pub const MOST: usize = 1400 - ENVELOPE;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -180,6 +180,16 @@
         all.into_iter().map(|(name, of)| Member { name, standing: best(&of), processes: of }).collect()
     }
 
+    /// Where the other processes of each dispatcher are, but for those that have left: who is thought to be gone may be there all
+    /// the same.
+    pub fn others(&self) -> BTreeMap<&str, Vec<SocketAddr>> {
+        let others = |m: Member<'_>| -> Vec<SocketAddr> {
+            let here = m.processes.iter().filter(|p| p.0.id != self.me.id && p.1 != Standing::Left);
+            here.map(|p| p.0.at).collect()
+        };
+        self.members().into_iter().map(|m| (m.name, others(m))).collect()
+    }
+
     /// How many processes it holds for alive, this one among them.
     pub fn processes_living(&self) -> usize {
         self.table.living() + usize::from(!self.left)
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -160,20 +160,19 @@
         spawn_local(async move { others.look().await });
     }
     if let Some((others, budgets)) = beside.clone().zip(budgets.clone()) {
-        if !others.placed() {
+        if others.placed() {
+            spawn_local(async move {
+                // An older process has this dispatcher's own part, and its voice, until it has ended.
+                while !others.sole() {
+                    sleep(SOLE).await;
+                }
+                budgets.alone();
+            });
+        } else {
             log!(
                 "budgets: no own part and no voice: nobody can say whether another process of this dispatcher lives"
             );
         }
-        spawn_local(async move {
-            // An older process has this dispatcher's own part, and its voice, until it has ended.
-            while others.placed() && !others.sole() {
-                sleep(SOLE).await;
-            }
-            if others.placed() {
-                budgets.alone();
-            }
-        });
     }
     let served = async {
         let opened = tokio::select! {
--- a/crates/rainlugd/src/routing/budgets.rs
+++ b/crates/rainlugd/src/routing/budgets.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::broken;
 use crate::base::Clock;
 
 /// Processes with other terms that are told of by name.
@@ -37,8 +38,6 @@
     clock: Clock,
     party: RefCell<Party>,
     uses: Vec<Use>,
-    names: Vec<String>,
-    roster: Vec<String>,
     totals: Vec<Totals>,
     /// Tasks that wait for each budget, with their marks, in the order of their coming.
     waiting: RefCell<Vec<VecDeque<(String, u64)>>>,
@@ -54,10 +53,7 @@
 
 /// All of the protocol is on, but in a build that is broken on purpose, for the checkers to be tried on.
 fn ways() -> Ways {
-    #[cfg(feature = "broken")]
-    let off = std::env::var("RAINLUG_BROKEN").unwrap_or_default();
-    #[cfg(not(feature = "broken"))]
-    let off = "";
+    let off = broken();
     Ways {
         voters_wait: off != "voters-wait" && off != "waits",
         dividers_wait: off != "dividers-wait" && off != "waits",
@@ -71,19 +67,17 @@
     /// Of a process with that id, which begins now.
     pub fn new(told: rainlug_setup::Budgets, id: u64, seed: u64, clock: Clock) -> Self {
         let names: Vec<String> = told.terms.budgets.iter().map(|b| b.name.clone()).collect();
-        let (count, roster) = (names.len(), told.terms.roster.clone());
+        let (count, roster) = (names.len(), told.terms.roster.len());
         log!(
             "budgets: {} of {} dispatchers, voters {}",
             names.join(", "),
-            roster.len(),
+            roster,
             told.terms.voters.join(", ")
         );
         Budgets {
             clock,
             party: RefCell::new(Party::new(told.terms, told.me, id, ways(), seed, clock.now())),
             uses: told.uses,
-            names,
-            roster,
             totals: (0..count).map(|_| Totals::default()).collect(),
             waiting: RefCell::new(vec![VecDeque::new(); count]),
             counted: RefCell::default(),
@@ -107,10 +101,8 @@
     }
 
     /// Where the dispatchers on the roster are, by the view.
-    pub fn there(&self, found: &BTreeMap<String, Vec<SocketAddr>>) {
-        for (nth, name) in self.roster.iter().enumerate() {
-            self.party.borrow_mut().there(nth, found.get(name).cloned().unwrap_or_default());
-        }
+    pub fn there(&self, found: BTreeMap<&str, Vec<SocketAddr>>) {
+        self.party.borrow_mut().there(found);
     }
 
     pub fn next(&self) -> Time {
@@ -241,10 +233,10 @@
             u8::from(divides),
             self.differed.get()
         );
-        for (nth, (name, totals)) in self.names.iter().zip(&self.totals).enumerate() {
+        for (nth, (budget, totals)) in party.terms().budgets.iter().zip(&self.totals).enumerate() {
+            let name = &budget.name;
             let (share, in_use, asked) = party.has(nth, now);
             let waiting = self.waiting.borrow()[nth].len();
-            let budget = &party.terms().budgets[nth];
             if budget.kind == Kind::Parts {
                 let _ = writeln!(text, "relay.budgets.{name}.workers:{}|g", party.things(nth));
                 continue;
@@ -261,7 +253,7 @@
             if divides {
                 line("whole", units(budget.whole));
                 for (name, lent) in party.division(nth).into_iter().filter(|(_, lent)| *lent > 0) {
-                    line(&format!("lent.{}", self.roster[usize::from(name)]), units(lent));
+                    line(&format!("lent.{}", party.terms().roster[usize::from(name)]), units(lent));
                 }
             }
             let (used, refused) = (totals.used.get(), totals.refused.get());
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -28,6 +28,11 @@
 pub use stances::Stances;
 pub use worker::Reach;
 
+/// What is off in a build that is broken on purpose, for the checkers to be tried on; nothing in any other.
+fn broken() -> String {
+    if cfg!(feature = "broken") { std::env::var("RAINLUG_BROKEN").unwrap_or_default() } else { String::new() }
+}
+
 /// Letters that a mailbox holds; who sends waits then, but for the module, which is told that there is no room.
 pub const MAILBOX: usize = 1024;
 
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -182,11 +182,11 @@
 
     fn may(&mut self, task: &str, mark: u64, workload: usize, again: bool) -> Result<(), Time> {
         let Some(budgets) = &self.budgets else { return Ok(()) };
-        let refused = budgets.may(task, mark, workload, again).err();
-        refused.map_or(Ok(()), |at| {
+        let found = budgets.may(task, mark, workload, again);
+        if let Err(at) = found {
             self.wake(at, mark);
-            Err(at)
-        })
+        }
+        found
     }
 
     fn room(&mut self, worker: &str, wants: f64) -> Option<f64> {
--- a/crates/rainlugd/src/routing/peers.rs
+++ b/crates/rainlugd/src/routing/peers.rs
@@ -2,7 +2,6 @@
 //! never waits for another actor, and none waits for it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::fmt::Write;
 use std::hash::{BuildHasher, RandomState};
@@ -17,7 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until};
 
-use super::Budgets;
+use super::{Budgets, broken};
 use crate::base::Clock;
 use crate::protocol::envelope::{Envelope, MOST};
 
@@ -98,10 +97,7 @@
 
 /// What of the protocol is on: all, but in a build that is broken on purpose, for the checkers to be tried on.
 fn ways() -> Ways {
-    #[cfg(feature = "broken")]
-    let off = std::env::var("RAINLUG_BROKEN").unwrap_or_default();
-    #[cfg(not(feature = "broken"))]
-    let off = "";
+    let off = broken();
     Ways {
         refutes: off != "refutes",
         retries: off != "retries",
@@ -187,13 +183,7 @@
         if self.hinted.replace(view.version()) == view.version() {
             return;
         }
-        let mut found = BTreeMap::<String, Vec<SocketAddr>>::new();
-        for member in view.members() {
-            // Who is thought to be gone may be there all the same.
-            let others = member.processes.iter().filter(|p| p.0.id != self.me.id && p.1 != Standing::Left);
-            found.entry(member.name.to_owned()).or_default().extend(others.map(|p| p.0.at));
-        }
-        budgets.there(&found);
+        budgets.there(view.others());
     }
 
     /// Hands the view what has come, up to a burst; how much that was.
