An upgrade is never seen as leaving: word of an end names the next process, which is told who is there

The older process said farewell before others had heard of the newer one.

Word of an end goes with the card of the dispatcher's other process; the older one waits with its farewell until its view has the newer one (five periods at most), and leaves it the addresses of the fleet beside what it has learnt.

Without a fleet section nothing is different: no byte more is left to the next process, and farewells do not exist.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -83,6 +83,8 @@
     digest: u64,
     /// Who lives at an address, as last learnt.
     places: BTreeMap<SocketAddr, u64>,
+    /// The living by a hash of their dispatcher's name.
+    kin: BTreeSet<(u64, u64)>,
     gone: VecDeque<u64>,
     buried: VecDeque<u64>,
     lives: BTreeMap<u64, u32>,
@@ -118,6 +120,14 @@
         self.places.get(&place).copied()
     }
 
+    /// Another process of the same dispatcher that lives.
+    pub fn beside(&self, card: &Card) -> Option<&Process> {
+        let called = xxh3_64(card.name.as_bytes());
+        let mut all =
+            self.kin.range((called, 0)..=(called, u64::MAX)).filter_map(|(_, id)| self.known.get(id));
+        all.find(|p| p.card.id != card.id && p.card.name == card.name)
+    }
+
     /// The last life of a process of which no more is known.
     pub fn buried(&self, id: u64) -> Option<u32> {
         self.lives.get(&id).copied()
@@ -254,6 +264,7 @@
             self.living += 1;
             self.digest ^= process.mark();
             self.places.insert(process.card.at, id);
+            self.kin.insert((xxh3_64(process.card.name.as_bytes()), id));
         } else if process.standing == Standing::Gone {
             self.gone.push_back(id);
         } else {
@@ -270,6 +281,7 @@
             if self.places.get(&process.card.at) == Some(&id) {
                 self.places.remove(&process.card.at);
             }
+            self.kin.remove(&(xxh3_64(process.card.name.as_bytes()), id));
         } else {
             self.gone.retain(|g| *g != id);
             if self.lives.remove(&id).is_some() {
@@ -361,7 +373,7 @@
         }
         assert_eq!((table.known.len(), table.gone.len(), table.living()), (MOST_GONE, MOST_GONE, 0));
         assert_eq!(table.buried(1), Some(0), "it is still known as old");
-        assert_eq!((table.digest(), table.places.len()), (0, 0));
+        assert_eq!((table.digest(), table.places.len(), table.kin.len()), (0, 0, 0));
         assert!(table.news.len() <= MOST_GONE);
         for id in many + 1..many + 40_000 {
             table.set(card(id), 0, Standing::Left, 0);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -40,6 +40,8 @@
 const FIXES: usize = 4;
 /// Who leaves tells so many itself.
 const FAREWELLS: usize = 64;
+/// Seeds, those told later too.
+const MOST_SEEDS: usize = 256;
 /// A clock that jumped by more than a part of a period: this process stood still, and judges nobody by it.
 const JUMP: Time = 2;
 
@@ -195,6 +197,24 @@
         self.table.living() + usize::from(!self.left)
     }
 
+    /// Where this process and up to [`FAREWELLS`] others are, by chance, for one that begins.
+    pub fn places(&mut self) -> Vec<SocketAddr> {
+        let others = self.some(FAREWELLS, 0);
+        std::iter::once(self.me.at).chain(others.into_iter().map(|(_, at)| at)).collect()
+    }
+
+    /// Further seeds, up to [`MOST_SEEDS`], which are tried now where nobody is known.
+    pub fn told(&mut self, now: Time, seeds: &[SocketAddr]) {
+        for at in seeds {
+            if self.seeds.len() < MOST_SEEDS && *at != self.me.at && !self.seeds.contains(at) {
+                self.seeds.push(*at);
+            }
+        }
+        if self.table.living() == 0 {
+            self.knock = now;
+        }
+    }
+
     /// It has long known a process, for fleets that are to begin settled.
     #[cfg(feature = "emulator")]
     pub(crate) fn meet(&mut self, card: Rc<Card>, now: Time) {
@@ -433,7 +453,7 @@
         let mut told = Vec::new();
         for process in self.table.untold() {
             let before = bytes.len();
-            put(&mut bytes, process);
+            self.put_known(&mut bytes, process);
             if bytes.len() > MOST {
                 bytes.truncate(before);
                 break;
@@ -457,12 +477,21 @@
     /// What is known of a process, if anything is.
     fn put(&self, bytes: &mut Vec<u8>, id: u64) {
         match (self.table.get(id), self.table.buried(id)) {
-            (Some(process), _) => put(bytes, process),
+            (Some(process), _) => self.put_known(bytes, process),
             (None, Some(life)) => wire::put_word(bytes, wire::GONE, id, life, self.me.id),
             _ => {}
         }
     }
 
+    /// A note on a process; of one that is there no more, after who is there for its dispatcher. Word of its end may overtake that
+    /// of the next one's beginning, on ways that lose or delay: the dispatcher would be absent for whoever hears it.
+    fn put_known(&self, bytes: &mut Vec<u8>, process: &Process) {
+        if !process.lives() {
+            self.table.beside(&process.card).into_iter().for_each(|next| lend(bytes, next));
+        }
+        put(bytes, process);
+    }
+
     /// Takes a datagram's payload that came from an address. Time and what is due go first.
     ///
     /// # Errors
@@ -492,9 +521,7 @@
             if kind != wire::PING {
                 return Ok(());
             }
-            let mut bytes = self.begin(wire::NEWS);
-            wire::put_word(&mut bytes, wire::LEFT, self.me.id, self.life, 0);
-            out.send(from, &bytes);
+            out.send(from, &self.farewell());
             return Ok(());
         }
         let (mut nonce, mut id, mut place, mut first, mut digests) = (0, 0, from, false, Vec::new());
@@ -818,14 +845,25 @@
         full.iter().for_each(|bytes| out.send(with, bytes));
     }
 
+    /// Whether another process of this dispatcher is there: the fleet can be told of it when this one leaves.
+    pub fn accompanied(&self) -> bool {
+        self.table.beside(&self.me).is_some()
+    }
+
     /// This process ends: it says so, and answers nothing else any more.
     pub fn leave(&mut self, out: &mut dyn Outgoing) {
         let listeners = self.some(FAREWELLS, 0);
         self.left = true;
         self.version += 1;
+        let bytes = self.farewell();
+        listeners.iter().for_each(|(_, at)| out.send(*at, &bytes));
+    }
+
+    fn farewell(&self) -> Vec<u8> {
         let mut bytes = self.begin(wire::NEWS);
+        self.table.beside(&self.me).into_iter().for_each(|next| lend(&mut bytes, next));
         wire::put_word(&mut bytes, wire::LEFT, self.me.id, self.life, 0);
-        listeners.iter().for_each(|(_, at)| out.send(*at, &bytes));
+        bytes
     }
 }
 
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -290,6 +290,49 @@
     assert!(fleet.emulator.agreed());
 }
 
+/// Word that the older process has left overtakes word of the newer one: it names that one.
+#[test]
+fn an_upgrade_over_ways_that_lose_and_delay_is_never_absent() {
+    for seed in 60..100 {
+        let mut fleet = fleet(6, seed);
+        fleet.emulator.kill(5);
+        fleet.agrees_in(40.0).unwrap();
+        let link = Link { loss: 0.3, spread: 100_000, twice: 0.2, ..LAN };
+        fleet.emulator.link = link;
+        fleet.start_as(5, "d1");
+        let known = |e: &Emulator<rainlug_fleet::View>| e.get(1).unwrap().accompanied();
+        fleet.emulator.until(1_000, 3 * PERIOD, known).unwrap();
+        fleet.emulator.with(1, |w, _, out| w.leave(out));
+        for step in 0..400 {
+            pass(&mut fleet, 0.01);
+            for by in [0, 2, 3, 4] {
+                let members = fleet.emulator.get(by).unwrap().members();
+                let of = members.iter().find(|m| m.name == "d1").map(|m| m.standing);
+                assert!(of.is_some_and(|s| s < Standing::Gone), "{of:?} at {by}, step {step}, seed {seed}");
+            }
+        }
+    }
+}
+
+/// A process that begins where no seed is anybody's any more learns from the one before it who is there.
+#[test]
+fn an_upgrade_needs_no_seed_that_lives() {
+    let mut fleet = fleet(8, 101);
+    for n in 4..8 {
+        fleet.emulator.with(n, |w, _, out| w.leave(out));
+        fleet.emulator.kill(n);
+    }
+    assert!(fleet.agrees_in(40.0).is_some());
+    fleet.seeds = vec![5, 6];
+    let there = fleet.emulator.with(3, |w, _, _| w.places()).unwrap();
+    assert_eq!((there[0], there.len()), (address(3), 4), "its own first, and all that live");
+    fleet.start_as(4, "d3");
+    pass(&mut fleet, 20.0);
+    assert!(!fleet.emulator.agreed(), "nobody knows it");
+    fleet.emulator.with(4, |w, now, _| w.told(now, &there));
+    assert!(fleet.agrees_in(2.0).is_some());
+}
+
 #[test]
 fn attached_figures_reach_all_and_the_newest_wins() {
     let mut fleet = fleet(24, 25);
--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::fs::{self, File, TryLockError};
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result, bail};
@@ -33,6 +34,9 @@
 struct Learnt<T> {
     name: String,
     what: T,
+    /// Where others of the fleet are. One that has no fleet, or is older than this, says nothing of it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    fleet: Vec<SocketAddr>,
 }
 
 pub struct Place {
@@ -205,14 +209,14 @@
         self.others().iter().all(|o| o.applied >= version)
     }
 
-    /// Leaves what this process has learnt by now for those that begin.
-    pub fn teach(&self, what: impl Serialize) -> Result<()> {
-        let text = serde_json::to_string(&Learnt { name: self.name.clone(), what })?;
+    /// Leaves what this process has learnt by now for those that begin, and where others of its fleet are.
+    pub fn teach(&self, what: impl Serialize, fleet: Vec<SocketAddr>) -> Result<()> {
+        let text = serde_json::to_string(&Learnt { name: self.name.clone(), what, fleet })?;
         Ok(replace(&learnt_path(&self.base), &text)?)
     }
 
     /// What was left since this process began; nothing yet, or an error where it cannot be used.
-    pub fn taught<T: DeserializeOwned>(&self) -> Result<Option<T>> {
+    pub fn taught<T: DeserializeOwned>(&self) -> Result<Option<(T, Vec<SocketAddr>)>> {
         let path = learnt_path(&self.base);
         let found = found(&path);
         if found.is_none() || found == self.left {
@@ -221,7 +225,7 @@
         let text = fs::read_to_string(&path).with_context(|| format!("cannot read {}", path.display()))?;
         let read = serde_json::from_str::<Learnt<T>>(&text);
         let learnt = read.with_context(|| format!("{} is not used", path.display()))?;
-        Ok(Some(learnt).filter(|l| l.name == self.name).map(|l| l.what))
+        Ok(Some(learnt).filter(|l| l.name == self.name).map(|l| (l.what, l.fleet)))
     }
 
     fn words_path(&self) -> PathBuf {
@@ -336,11 +340,15 @@
     fn what_was_learnt_reaches_who_begins_after_and_is_not_read_later() {
         let dir = tempfile::tempdir().unwrap();
         let old = take(dir.path(), 10);
-        old.teach([1, 2]).unwrap();
+        let at: Vec<SocketAddr> = vec!["127.0.0.1:9".parse().unwrap()];
+        old.teach([1, 2], at.clone()).unwrap();
         let new = take(dir.path(), 20);
         assert_eq!(new.taught::<Vec<u32>>().unwrap(), None, "left for another one before");
-        old.teach([1, 2, 3]).unwrap();
-        assert_eq!(new.taught::<Vec<u32>>().unwrap(), Some(vec![1, 2, 3]));
+        old.teach([1, 2, 3], at.clone()).unwrap();
+        assert_eq!(new.taught::<Vec<u32>>().unwrap(), Some((vec![1, 2, 3], at)));
+        // By one that knows of no fleet.
+        fs::write(learnt_path(&new.base), "{\"name\":\"n/0\",\"what\":[4]}").unwrap();
+        assert_eq!(new.taught::<Vec<u32>>().unwrap(), Some((vec![4], Vec::new())));
         // Of another form, or torn.
         assert!(new.taught::<Vec<String>>().is_err());
         fs::write(learnt_path(&new.base), "{\"name\":\"n/0\",\"wh").unwrap();
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -137,8 +137,8 @@
         let listener = TcpListener::bind(at).await.with_context(cannot)?;
         let (name, dir) = (told::name(all)?, told::common());
         let (module, stances) = (words.clone(), stances.clone());
-        let others =
-            Beside::of(dir.as_deref(), &name, clock, module.clone(), stances.clone(), bounds.clone());
+        let (to, all, known) = (module.clone(), bounds.clone(), peers.clone());
+        let others = Beside::of(dir.as_deref(), &name, clock, to, stances.clone(), all, known);
         let others = Rc::new(others);
         for worker in others.begin().await {
             logic.hand(&mut Moment { now: clock.now(), out: &mut desk }, &worker, true);
@@ -187,8 +187,14 @@
             beside.iter().for_each(|others| others.serves());
             stop.recv().await;
         }
-        peers.iter().for_each(|peers| peers.leave());
-        wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, bounds.clients).await;
+        let follows = || beside.as_deref().is_some_and(Beside::followed);
+        let leaves = async {
+            if let Some(peers) = &peers {
+                peers.leave(follows, Duration::from_micros(closing as u64)).await;
+            }
+        };
+        let winds_up = wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, bounds.clients);
+        tokio::join!(leaves, winds_up);
         Ok(())
     };
     tokio::select! {
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use rainlug::Lessons;
-use rainlug_handover::{Place, Words};
+use rainlug_handover::{Place, Status, Words};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
-use super::{Mail, Stances, ToModule};
+use super::{Mail, Peers, Stances, ToModule};
 use crate::base::Clock;
 use crate::protocol::words::Entry;
 use crate::transport::Bounds;
@@ -31,6 +31,7 @@
     module: ToModule,
     stances: Rc<Stances>,
     bounds: Bounds,
+    peers: Option<Rc<Peers>>,
     others: Cell<usize>,
 }
 
@@ -44,6 +45,7 @@
         module: ToModule,
         stances: Rc<Stances>,
         bounds: Bounds,
+        peers: Option<Rc<Peers>>,
     ) -> Self {
         let taken = dir.map(|dir| Place::take(dir, name, clock.now()));
         let place = match taken {
@@ -60,7 +62,7 @@
                 None
             }
         };
-        Beside { place, module, stances, bounds, others: Cell::new(0) }
+        Beside { place, module, stances, bounds, peers, others: Cell::new(0) }
     }
 
     /// Workers that are out by words said before. That clients are sent away holds on only where a process lives that
@@ -115,13 +117,18 @@
         self.place.as_ref().is_none_or(Place::outlived)
     }
 
+    /// Whether a newer process serves already, as of now.
+    pub fn followed(&self) -> bool {
+        self.place.as_ref().is_some_and(|place| follows(place, &place.others()))
+    }
+
     /// Looks at the others for good.
     pub async fn look(&self) {
         let Some(place) = &self.place else { return };
         loop {
             sleep(if self.alone() { LOOK_ALONE } else { LOOK_BESIDE }).await;
             let others = place.others();
-            self.stances.followed(others.iter().any(|o| o.serves && o.started > place.started()));
+            self.stances.followed(follows(place, &others));
             if others.len() > self.others.get() && self.stances.serves() {
                 self.teach(place).await;
             }
@@ -143,7 +150,8 @@
         let (to, known) = oneshot::channel();
         let _ = self.module.send(Mail::Teach(to)).await;
         if let Ok(known) = known.await {
-            let left = place.teach(known);
+            let fleet = self.peers.as_ref().map(|peers| peers.places()).unwrap_or_default();
+            let left = place.teach(known, fleet);
             left.unwrap_or_else(|error| log!("the next process learns nothing from this one: {error:#}"));
         }
     }
@@ -154,7 +162,8 @@
         let begun = Instant::now();
         while begun.elapsed() < TAUGHT_BY {
             match place.taught::<(Vec<Entry>, Box<Lessons>)>() {
-                Ok(Some((entries, lessons))) => {
+                Ok(Some(((entries, lessons), fleet))) => {
+                    self.peers.iter().for_each(|peers| peers.told(&fleet));
                     log!("{} workers as the process before knows them", entries.len());
                     let _ = self.module.send(Mail::Learn(entries, lessons)).await;
                     return;
@@ -203,3 +212,7 @@
         }
     }
 }
+
+fn follows(place: &Place, others: &[Status]) -> bool {
+    others.iter().any(|o| o.serves && o.started > place.started())
+}
--- a/crates/rainlugd/src/routing/peers.rs
+++ b/crates/rainlugd/src/routing/peers.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use super::{Budgets, broken};
 use crate::base::Clock;
@@ -23,12 +23,16 @@
 /// Datagrams read in one go, and the pause after so many: a flood must not hold up tasks, and is lost in the socket's buffer.
 const BURST: usize = 32;
 const PAUSE: Duration = Duration::from_millis(1);
+/// Periods in which a new process is heard of, and how often it is looked whether it was.
+const HEARD: u32 = 5;
+const LOOK: Duration = Duration::from_millis(10);
 
 pub struct Peers {
     socket: UdpSocket,
     envelope: Envelope,
     clock: Clock,
     fleet: String,
+    period: Duration,
     me: Card,
     view: RefCell<View>,
     bad: Cell<u64>,
@@ -140,6 +144,7 @@
             envelope: Envelope::of(&told.name),
             clock,
             fleet: told.name,
+            period: Duration::from_micros(told.period as u64),
             me,
             view: RefCell::new(view),
             bad: Cell::default(),
@@ -172,6 +177,18 @@
         }
     }
 
+    /// Where this process and some others of the fleet are, for the dispatcher's next process.
+    pub fn places(&self) -> Vec<SocketAddr> {
+        self.view.borrow_mut().places()
+    }
+
+    /// Where others were when the process before said so. The next one has an address of its own, and after some upgrades no seed
+    /// that was configured need be anybody's.
+    pub fn told(&self, fleet: &[SocketAddr]) {
+        self.view.borrow_mut().told(self.clock.now(), fleet);
+        self.sooner.notify_one();
+    }
+
     /// What is held of the fleet's budgets, where they are kept.
     pub fn budgets(&self) -> Option<Rc<Budgets>> {
         self.budgets.clone()
@@ -206,8 +223,15 @@
         BURST
     }
 
-    /// This process ends: it says so once, and to whoever asks.
-    pub fn leave(&self) {
+    /// This process ends: it says so once, and to whoever asks. While another one `follows`, not before the view has that one, or
+    /// it has had its time to be heard: others must be told of both at once, or the dispatcher is absent for them.
+    pub async fn leave(&self, follows: impl Fn() -> bool, within: Duration) {
+        let waits = async {
+            while follows() && !self.view.borrow().accompanied() {
+                sleep(LOOK).await;
+            }
+        };
+        let _ = timeout(within.min(HEARD * self.period), waits).await;
         self.view.borrow_mut().leave(&mut Line(self));
         self.sooner.notify_one();
     }
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -71,6 +71,11 @@
     holds("stopped.toml");
 }
 
+#[test]
+fn upgraded_one_after_another_over_bad_ways() {
+    holds("upgrades.toml");
+}
+
 #[test]
 fn budgets_are_kept_through_deaths_partitions_stops_and_an_upgrade() {
     holds("budgets.toml");
