Whoever is gone leaves its part of the workers to one neighbour, where a view of the fleet is kept

With seven in ten of a group dead a third of the workers had no feeder, and the others had all of it: the module went by the configured group. It is told the living numbers by one call. A gone one's place on its ring goes to the one before it, so no other part moves; own rate over all and customers' shares go by the living. What bounds a sum over all (cold rooms, calls for the list) keeps the configured group, since a view may be wrong.

crates/fleet's roll makes the numbers from the view with care: gone counts only after fleet.holdMs (10 s), back counts at once.

--- a/crates/fleet/src/emulator.rs
+++ b/crates/fleet/src/emulator.rs
@@ -376,6 +376,8 @@
     pub period: Time,
     pub ways: Ways,
     pub seeds: Vec<usize>,
+    /// What a process at a place attaches to itself.
+    pub figures: fn(usize) -> Vec<u8>,
     drawn: u64,
 }
 
@@ -387,6 +389,7 @@
             period,
             ways,
             seeds: (0..places.min(3)).collect(),
+            figures: |_| Vec::new(),
             drawn: 0,
         }
     }
@@ -404,7 +407,7 @@
         // Clocks may go back: a later process says that it began earlier.
         let start = -(self.drawn as Time);
         let (name, zone) = (name.to_owned(), format!("z{}", at % 3));
-        Card { id, name, zone, at: address(at), start, edition: 0, figures: Vec::new() }
+        Card { id, name, zone, at: address(at), start, edition: 0, figures: (self.figures)(at) }
     }
 
     fn view(&mut self, card: Card) -> View {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 #[cfg(feature = "emulator")]
 pub mod emulator;
 mod patience;
+pub mod roll;
 mod table;
 mod view;
 mod wire;
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug_fleet::emulator::{Emulator, Fleet, Link, address};
+use rainlug_fleet::roll::{Roll, figures};
 use rainlug_fleet::{Odd, Standing, Ways};
 
 const PERIOD: i64 = 1_000_000;
@@ -466,3 +467,66 @@
         }
     }
 }
+
+fn roll(by: usize, size: usize, hold: f64) -> (usize, Roll) {
+    (by, Roll::new(size, (hold * PERIOD as f64) as i64))
+}
+
+/// Lets periods pass, and has each look whenever it wants to; what they count as there in the end.
+fn look(fleet: &mut Fleet, rolls: &mut [(usize, Roll)], periods: f64) -> Vec<Vec<usize>> {
+    for _ in 0..(periods * 20.0) as usize {
+        pass(fleet, 0.05);
+        for (by, roll) in rolls.iter_mut() {
+            roll.look(fleet.emulator.now, fleet.emulator.get(*by).unwrap());
+        }
+    }
+    rolls.iter().map(|(_, roll)| roll.told().to_vec()).collect()
+}
+
+#[test]
+fn who_is_gone_counts_until_that_has_held_and_who_is_back_at_once() {
+    let mut fleet = Fleet::new(6, LAN, Ways::default(), PERIOD, 102);
+    fleet.figures = |at| figures(at, 6);
+    (0..6).for_each(|n| fleet.start(n));
+    let mut rolls = [roll(0, 6, 10.0), roll(3, 6, 10.0)];
+    let all: Vec<usize> = (0..6).collect();
+    assert_eq!(look(&mut fleet, &mut rolls, 15.0), [all.clone(), all.clone()]);
+    // A restart that takes less than the time, however often, changes nothing.
+    for _ in 0..3 {
+        fleet.emulator.with(4, |w, _, out| w.leave(out));
+        fleet.emulator.kill(4);
+        assert_eq!(look(&mut fleet, &mut rolls, 8.0), [all.clone(), all.clone()]);
+        fleet.start(4);
+        assert_eq!(look(&mut fleet, &mut rolls, 5.0), [all.clone(), all.clone()]);
+    }
+    fleet.emulator.kill(4);
+    fleet.agrees_in(40.0).unwrap();
+    assert_eq!(look(&mut fleet, &mut rolls, 2.0), [all.clone(), all.clone()], "it is gone, not for long");
+    let fewer = vec![0, 1, 2, 3, 5];
+    assert_eq!(look(&mut fleet, &mut rolls, 9.0), [fewer.clone(), fewer]);
+    fleet.start(4);
+    assert_eq!(look(&mut fleet, &mut rolls, 3.0), [all.clone(), all.clone()]);
+    // Of another group, or of a build that says nothing: whose neighbour it is cannot be known.
+    fleet.emulator.kill(1);
+    assert_eq!(look(&mut fleet, &mut rolls, 30.0)[0], [0, 2, 3, 4, 5]);
+    for odd in [|_| figures(5, 7), |_| Vec::new(), |_| vec![9; 32]] {
+        fleet.figures = odd;
+        fleet.emulator.kill(5);
+        fleet.start(5);
+        assert_eq!(look(&mut fleet, &mut rolls, 20.0), [all.clone(), all.clone()]);
+    }
+}
+
+/// Two halves that do not see one another each count on themselves alone, and on all again soon after they are healed.
+#[test]
+fn halves_count_on_themselves_and_on_all_again() {
+    let mut fleet = Fleet::new(8, LAN, Ways::default(), PERIOD, 103);
+    fleet.figures = |at| figures(at, 8);
+    (0..8).for_each(|n| fleet.start(n));
+    let mut rolls = [roll(0, 8, 5.0), roll(7, 8, 5.0)];
+    look(&mut fleet, &mut rolls, 10.0);
+    fleet.emulator.split(|a, b| a < 3 && b >= 3);
+    assert_eq!(look(&mut fleet, &mut rolls, 60.0), [vec![0, 1, 2], vec![3, 4, 5, 6, 7]]);
+    fleet.emulator.heal();
+    assert!(look(&mut fleet, &mut rolls, 12.0).iter().all(|told| told.len() == 8));
+}
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -130,7 +130,8 @@
     let budgets = peers.as_ref().and_then(|peers| peers.budgets());
     budgets.iter().for_each(|budgets| desk.counts(budgets.clone()));
     if let Some(peers) = peers.clone() {
-        spawn_local(async move { peers.run().await });
+        let module = mailbox.clone();
+        spawn_local(async move { peers.run(&module).await });
     }
     if let Some(at) = made.management {
         let cannot = || format!("cannot listen on {at}, /management");
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -88,6 +88,8 @@
     },
     /// So many other processes of this dispatcher live.
     Beside(usize),
+    /// The numbers of its group that are there, by the view.
+    Group(Vec<usize>),
     /// What the list says and what has been learnt is asked for, for the next process.
     Teach(oneshot::Sender<(Vec<Entry>, Lessons)>),
     /// What the process before left for this one.
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -350,6 +350,10 @@
             desk.reach.figures.listed(logic.listed(now));
         }
         Mail::Beside(others) => logic.beside(others),
+        Mail::Group(living) => {
+            trace!(now, "group {}", living.len());
+            logic.group(&mut Moment { now, out: desk }, &living);
+        }
         Mail::ListFailed => logic.list_failed(now),
         Mail::Closing(by) => logic.closing(&mut Moment { now, out: desk }, by),
     }
--- a/crates/rainlugd/src/routing/peers.rs
+++ b/crates/rainlugd/src/routing/peers.rs
@@ -10,13 +10,15 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use rainlug_fleet::roll::{self, Roll};
 use rainlug_fleet::{Card, Outgoing, Process, Standing, View, Ways};
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::{sleep, sleep_until, timeout};
 
-use super::{Budgets, broken};
+use super::{Budgets, Mail, ToModule, broken};
 use crate::base::Clock;
 use crate::protocol::envelope::{Envelope, MOST};
 
@@ -35,6 +37,9 @@
     period: Duration,
     me: Card,
     view: RefCell<View>,
+    /// Which numbers of the group count as there; and those that the module's mailbox had no room for.
+    roll: RefCell<Roll>,
+    untold: RefCell<Option<Vec<usize>>>,
     bad: Cell<u64>,
     changes: Cell<u64>,
     /// The fleet's budgets, where they are kept, and the view's version that they know.
@@ -132,7 +137,8 @@
         };
         // A process that is started again is another one: neither the clock nor the process's number tells them apart.
         let draw = |what: u8| RandomState::new().hash_one((what, clock.now(), std::process::id())).max(1);
-        let (figures, start) = (Vec::new(), clock.now());
+        let (index, size) = told.number;
+        let (figures, start) = (roll::figures(index, size), clock.now());
         let me = Card { id: draw(0), name, zone, at, start, edition: 0, figures };
         let view = View::new(me.clone(), told.seeds, told.period, ways(), draw(1), clock.now());
         log!("fleet {}: {} at {at}, process {:016x}", told.name, me.name, me.id);
@@ -147,18 +153,20 @@
             period: Duration::from_micros(told.period as u64),
             me,
             view: RefCell::new(view),
+            roll: RefCell::new(Roll::new(size, told.hold)),
+            untold: RefCell::default(),
             bad: Cell::default(),
             changes: Cell::default(),
             sooner: Notify::new(),
         })
     }
 
-    /// Carries datagrams for good.
-    pub async fn run(&self) -> Infallible {
+    /// Carries datagrams for good, and tells the module which of its group are there.
+    pub async fn run(&self, module: &ToModule) -> Infallible {
         let mut buffer = [0; MOST + 1];
         loop {
-            let next =
-                self.budgets.iter().map(|b| b.next()).fold(self.view.borrow().next(), rainlug::Time::min);
+            let next = self.view.borrow().next().min(self.roll.borrow().next());
+            let next = self.budgets.iter().map(|b| b.next()).fold(next, rainlug::Time::min);
             let readable = tokio::select! {
                 biased;
                 () = sleep_until(self.clock.instant(next)) => false,
@@ -167,6 +175,7 @@
             };
             let read = if readable { self.read(&mut buffer) } else { 0 };
             self.view.borrow_mut().due(self.clock.now(), &mut Line(self));
+            self.count(module);
             if let Some(budgets) = &self.budgets {
                 self.hint(budgets);
                 budgets.due(&mut Line(self));
@@ -194,6 +203,20 @@
         self.budgets.clone()
     }
 
+    /// Tells the module which of its group are there, where that has changed.
+    fn count(&self, module: &ToModule) {
+        if let Some(living) = self.roll.borrow_mut().look(self.clock.now(), &self.view.borrow()) {
+            log!("fleet: {} of the group count as there", living.len());
+            self.untold.replace(Some(living.to_vec()));
+        }
+        if let Some(living) = self.untold.take() {
+            // There is room at the next turn, some part of a period later.
+            let full = module.try_send(Mail::Group(living)).err().map(TrySendError::into_inner);
+            self.untold
+                .replace(full.and_then(|mail| if let Mail::Group(of) = mail { Some(of) } else { None }));
+        }
+    }
+
     /// Tells where the dispatchers are, where the view has changed.
     fn hint(&self, budgets: &Budgets) {
         let view = self.view.borrow();
@@ -269,6 +292,7 @@
         let mut text = String::new();
         let _ = writeln!(text, "relay.fleet.members:{}|g", count(|s| *s <= Standing::Suspect));
         let _ = writeln!(text, "relay.fleet.suspects:{}|g", count(|s| *s == Standing::Suspect));
+        let _ = writeln!(text, "relay.fleet.counted:{}|g", self.roll.borrow().told().len());
         let _ = writeln!(text, "relay.fleet.changes:{}|c", self.changes.get());
         let _ = writeln!(text, "relay.fleet.datagrams_bad:{}|c", self.bad.get());
         text += &self.budgets.as_ref().map(|budgets| budgets.figures()).unwrap_or_default();
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -140,10 +140,16 @@
     pub advertise: Option<SocketAddr>,
     pub seeds: Vec<SocketAddr>,
     pub period: Time,
+    /// Who is gone for so long is no longer counted on.
+    pub hold: Time,
+    /// Its number in its group, and the group's size.
+    pub number: (usize, usize),
 }
 
 /// A period without a key, and its bounds, in milliseconds.
 const PERIOD: (f64, f64, f64) = (1000.0, 20.0, 60_000.0);
+/// The same of the time for which one that is gone still counts.
+const HOLD: (f64, f64, f64) = (10_000.0, 0.0, 600_000.0);
 /// Names and zones go round in datagrams: they are no longer than this, in bytes.
 const LONGEST_NAME: usize = 64;
 
@@ -185,7 +191,12 @@
     let period = number_or(all, "/fleet/periodMs", usual)?;
     ensure!((least..=most).contains(&period), "/fleet/periodMs is not from {least} to {most}");
     let period = micros(period).with_context(|| lack("a time", "/fleet/periodMs"))?;
-    Ok(Some(Fleet { name: fleet, listen, advertise, seeds, period }))
+    let (usual, least, most) = HOLD;
+    let hold = number_or(all, "/fleet/holdMs", usual)?;
+    ensure!((least..=most).contains(&hold), "/fleet/holdMs is not from {least} to {most}");
+    let hold = micros(hold).with_context(|| lack("a time", "/fleet/holdMs"))?;
+    let number = (count(all, "/settings/index")?, count(all, "/settings/groupSize")?);
+    Ok(Some(Fleet { name: fleet, listen, advertise, seeds, period, hold, number }))
 }
 
 /// What of this dispatcher's a budget limits.
@@ -463,13 +474,15 @@
     #[test]
     fn a_fleet_is_read_and_each_wrong_key_is_named() {
         let with = |key: &str, value: Value| {
-            let mut all = json!({"name": "n0", "fleet": {"name": "f", "listen": "127.0.0.1:0"}});
+            let mut all = json!({"name": "n0", "settings": {"index": 2, "groupSize": 5},
+                "fleet": {"name": "f", "listen": "127.0.0.1:0"}});
             all["fleet"][key] = value;
             all
         };
         assert!(fleet(&json!({"name": "n0"})).unwrap().is_none());
         let made = fleet(&with("seeds", json!(["127.0.0.1:7001", "[::1]:7002"]))).unwrap().unwrap();
         assert_eq!((made.seeds.len(), made.period, made.advertise), (2, 1_000_000, None));
+        assert_eq!((made.hold, made.number), (10_000_000, (2, 5)));
         let wrong = [
             ("name", json!("")),
             ("name", json!("x".repeat(65))),
@@ -484,6 +497,8 @@
             ("periodMs", json!(0)),
             ("periodMs", json!(1e9)),
             ("periodMs", json!("fast")),
+            ("holdMs", json!(-1)),
+            ("holdMs", json!(1e9)),
         ];
         for (key, value) in wrong {
             let said = format!("{:#}", fleet(&with(key, value.clone())).unwrap_err());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,8 @@
 //! Every decision of rainlug: which worker a task goes to, when it waits, and how it ends.
-//! How to call it: make a [`Dispatcher`] with `start`, then hand it each event as it comes, with a
-//! [`Moment`]: the time and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in
-//! `state.rs`. A task runs down the chain `STAGES`, and how its assignments end runs up it. Shares are solved
-//! by the M/G/1 model (`shares`), turns taken by a billiard inside them (`placed`): docs/design.md tells
-//! where that is from.
+//! How to call it: make a [`Dispatcher`] with `start`, then hand it each event with a [`Moment`]: the time
+//! and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in `state.rs`. A task runs
+//! down the chain `STAGES`, and how its assignments end runs up it. Shares are solved by the M/G/1 model
+//! (`shares`), turns taken by a billiard inside them (`placed`): docs/design.md tells where that is from.
 
 use crate::state::{
     Assignment, Chance, Cold, Desk, Fleet, Part, Pulse, Seen, Task, Worker, micros, seconds, worst,
@@ -187,6 +186,9 @@
     known: Known,
     fleet: Fleet,
     parts: usize,
+    /// Of the group those that live, and places on its ring that this one has: its own and gone ones' next.
+    live: usize,
+    span: usize,
     part: Part,
     desk: Desk,
     seen: Seen,
@@ -226,6 +228,8 @@
             known,
             fleet: Fleet::of(place.index / parts),
             parts,
+            live: place.group_size,
+            span: 1,
             part: Part::default(),
             desk: Desk::default(),
             seen: Seen::since(m.now, SOLVE, workloads.iter().map(|w| seconds(w.due)).collect(), quotas),
@@ -288,6 +292,17 @@
         self.processes = 1 + others;
     }
 
+    /// Which numbers of the group live, as known for some time. Whoever is gone leaves its place to the one
+    /// before; nobody else moves. What bounds a sum over all (cold rooms, calls for a list) goes by them all.
+    pub fn group(&mut self, m: &mut Moment, living: &[usize]) {
+        let own = self.place.index % self.parts;
+        let number = |k: &usize| self.place.index - own + (own + k) % self.parts;
+        let there = |k: &usize| number(k) >= self.place.group_size || living.contains(&number(k));
+        (self.live, self.span) = (living.len().max(1), (1..self.parts).find(there).unwrap_or(self.parts));
+        self.solve(m.now);
+        self.move_on(m);
+    }
+
     /// What it has learnt, for the process that follows.
     pub fn lessons(&self) -> Lessons {
         Lessons::of(&self.seen, &self.fleet)
@@ -309,20 +324,16 @@
     pub fn list_failed(&mut self, now: Time) {
         let longest = self.obligations.must_ask_in.max(SOLVE);
         let first = SOLVE / 10 * self.parts as Time;
-        let pause = (first << self.pulse.asks_failed.min(8)).min(longest) as f64;
-        let pause = (pause * (0.5 + self.chance.draw())) as Time;
+        let pause = (first << self.pulse.asks_failed.min(8)).min(longest) as f64 * (0.5 + self.chance.draw());
         self.pulse.asks_failed += 1;
-        self.pulse.ask_at = self.allowed.must_ask.then(|| now + pause);
+        self.pulse.ask_at = self.allowed.must_ask.then(|| now + pause as Time);
     }
 
     /// Solves for the part of the fleet that this dispatcher keeps to: the next workers on the ring from its
     /// own point, so many that each worker has its feeders; as many near ones as far ones.
     fn solve(&mut self, now: Time) {
-        let workers = &self.fleet.workers;
-        let ready = self.fleet.ring().filter(|&j| workers[j].state == State::Ready && !workers[j].out);
-        let near = |j: &usize| workers[*j].zone == self.place.zone;
-        let (close, far): (Vec<usize>, Vec<usize>) = ready.partition(near);
-        let size = (close.len() + far.len()).div_ceil(self.parts).max(LEAST);
+        let (workers, (close, far)) = (&self.fleet.workers, self.fleet.by_zone(self.place.zone));
+        let size = ((close.len() + far.len()) * self.span).div_ceil(self.parts).max(LEAST);
         let mut part: Vec<usize> = Vec::new();
         for (times, among) in [(1, close), (2, far)] {
             let sound = part.iter().filter(|j| !workers[**j].barred(now)).count();
@@ -334,7 +345,7 @@
         let ready: Vec<usize> = part.iter().copied().filter(usable).collect();
         let census = self.fleet.census(now, &ready, FEW);
         // Where each has a part of the fleet, own traffic says little of the whole: workers tell their rates.
-        let own = self.seen.rate(now) * self.place.group_size as f64 / self.parts as f64;
+        let own = self.seen.rate(now) * (self.live * self.span) as f64 / self.parts as f64;
         let rate = if self.parts > 1 && census.rate > 0.0 { census.rate * ready.len() as f64 } else { own };
         let spread = 1.0 + self.seen.spread(now);
         let station = |&j: &usize| {
@@ -370,14 +381,7 @@
         if self.known.cross_zone <= 0.0 || self.parts == 1 {
             return;
         }
-        let busy = |near: bool| {
-            let part = self.part.workers.iter().map(|&j| &self.fleet.workers[j]);
-            let among = part.filter(|w| w.state == State::Ready && (w.zone == self.place.zone) == near);
-            let told =
-                among.map(|w| w.utilisation.totals(now)).filter(|t| t.1 > 0.0).map(|(u, n)| (u / n, 1.0));
-            told.fold((0.0, 0.0), |t, u| (t.0 + u.0, t.1 + u.1))
-        };
-        let ((near, some), (far, others)) = (busy(true), busy(false));
+        let ((near, some), (far, others)) = self.fleet.busy(now, &self.part, self.place.zone);
         if some > 0.0 && others > 0.0 {
             self.part.lean = (LEAN * (near / some - far / others)).clamp(0.05, 1.0);
         }
@@ -388,7 +392,7 @@
         let (workload, customer) = of;
         let Some(load) = self.workloads.get(workload) else { return m.out.abandon(id) };
         self.seen.arrival(m.now, workload, customer, budget);
-        let within_share = self.seen.within_share(m.now, customer, self.place.group_size as f64);
+        let within_share = self.seen.within_share(m.now, customer, self.live as f64);
         let expiry = self.desk.last_call(m.now + budget);
         // How long its client has waited in earlier tries, if all begin with the longest time; not where late
         // answers earn something, nor of one that comes with less than a whole due time: it is impatient.
@@ -491,9 +495,7 @@
         let hope = self.hope(now, task);
         let mine = self.seen.part(now, i).max(UNSEEN);
         let part = || self.part.workers.iter().map(|&j| (j, &self.fleet.workers[j]));
-        let open = || part().filter(|(_, w)| w.share > 0.0);
-        let flying: usize = open().map(|(_, w)| w.in_flight).sum();
-        let skip = (2.0 * flying as f64 / open().count().max(1) as f64).max(SKIP_FLOOR);
+        let skip = (2.0 * self.fleet.mean_flying(&self.part)).max(SKIP_FLOOR);
         let mean = self.seen.mean_run(now);
         let last = now >= self.due_time(now, task, 1.0) && !self.past_hope(now, task);
         let elsewhere = self.seen.waits.mean(now, 0.0, 2.0);
@@ -540,7 +542,7 @@
             }
         }
         let Some((_, j)) = best else { return Step::Pass };
-        // A budget of the fleet's may be spent. Nobody else waits for that; who would wait in vain is answered.
+        // A budget of the fleet may be spent. Nobody else waits for that; who would wait in vain is answered.
         if let Err(at) = m.out.may(&task.id, n, i, !task.assignments.is_empty()) {
             let end = at >= hope && task.out() == 0;
             self.desk.release(n);
@@ -748,10 +750,9 @@
         let (all, ready) = (self.place.group_size.max(1), self.fleet.ready().max(1));
         let feeders = (all * self.part.workers.len()).div_ceil(ready).clamp(1, all) * self.processes;
         (0..self.part.workers.len()).for_each(|i| self.warm(m, self.part.workers[i], feeders as f64));
-        if self.pulse.beat((SOLVE / BEAT) as u64) {
-            self.solve(m.now)
-        } else {
-            self.lean(m.now)
+        match self.pulse.beat((SOLVE / BEAT) as u64) {
+            true => self.solve(m.now),
+            false => self.lean(m.now),
         }
         self.move_on(m);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -506,16 +506,36 @@
         format!("part={all} gone={gone} barred={barred} cold={cold} ill={ill} unshared={idle}")
     }
 
+    /// What the near workers of a part have told of their utilisation, in sum, and how many have; and the far ones.
+    pub fn busy(&self, now: Time, part: &Part, zone: usize) -> ((f64, f64), (f64, f64)) {
+        let busy = |near: bool| {
+            let part = part.workers.iter().map(|&j| &self.workers[j]);
+            let among = part.filter(|w| w.state == State::Ready && (w.zone == zone) == near);
+            let told =
+                among.map(|w| w.utilisation.totals(now)).filter(|t| t.1 > 0.0).map(|(u, n)| (u / n, 1.0));
+            told.fold((0.0, 0.0), |t, u| (t.0 + u.0, t.1 + u.1))
+        };
+        (busy(true), busy(false))
+    }
+
+    /// Jobs in flight at a mean worker of a part, of those with a share.
+    pub fn mean_flying(&self, part: &Part) -> f64 {
+        let open = || part.workers.iter().map(|&j| &self.workers[j]).filter(|w| w.share > 0.0);
+        open().map(|w| w.in_flight).sum::<usize>() as f64 / open().count().max(1) as f64
+    }
+
+    /// The ready workers that staff have not taken out, in the ring's order: near ones, and far ones.
+    pub fn by_zone(&self, zone: usize) -> (Vec<usize>, Vec<usize>) {
+        let ready =
+            self.ring.values().filter(|j| self.workers[**j].state == State::Ready && !self.workers[**j].out);
+        ready.partition(|j| self.workers[**j].zone == zone)
+    }
+
     /// How many workers the list says are ready.
     pub fn ready(&self) -> usize {
         self.workers.iter().filter(|w| w.state == State::Ready).count()
     }
 
-    /// All workers, in the ring's order.
-    pub fn ring(&self) -> impl Iterator<Item = usize> {
-        self.ring.values().copied()
-    }
-
     /// Takes over an entry of the list; tells whether its process is a new one, and whether its state has changed.
     pub fn enter(&mut self, entry: &Listed) -> (usize, bool, bool) {
         let known = self.named(&entry.id);
