--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::iter::repeat;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,9 +17,12 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::plan::{Plan, Workload};
-use crate::record::{End, Recorder};
+use crate::record::{End, Ended, Recorder};
 use crate::schedule::Due;
 
+/// Where a try goes, by a number of chance: the number of the place and its address.
+pub type Front = dyn Fn(u64) -> Option<(usize, SocketAddr)>;
+
 type Sender = Client<HttpConnector, Full<Bytes>>;
 
 /// Waits longer than a task's budget by this for its answer.
@@ -26,13 +30,26 @@
 
 /// Sends all that is due, and ends when the last task has ended.
 pub async fn run(plan: &Plan, schedule: Vec<Due>) -> Recorder {
+    let target = plan.target;
+    send(plan, schedule, Rc::new(move |_| Some((0, target))), None).await
+}
+
+/// The same through a front: each try goes where that says, by a number of chance; nothing where nobody serves. Which it was is
+/// kept with each task's end.
+pub async fn through(plan: &Plan, schedule: Vec<Due>, front: Rc<Front>) -> Recorder {
+    send(plan, schedule, front, Some(Vec::new())).await
+}
+
+async fn send(plan: &Plan, schedule: Vec<Due>, front: Rc<Front>, all: Option<Vec<Ended>>) -> Recorder {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     let client: Sender = Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_max_idle_per_host(plan.connections)
         .build(connector);
-    let seen = Rc::new(RefCell::new(Recorder::of(plan.workloads.len())));
+    let mut recorder = Recorder::of(plan.workloads.len());
+    recorder.all = all;
+    let seen = Rc::new(RefCell::new(recorder));
     let (tasks, began) = (LocalSet::new(), Instant::now());
     let mut ids = ChaCha8Rng::seed_from_u64(!plan.seed);
     let open = Rc::new(());
@@ -41,16 +58,15 @@
             sleep_until(began + Duration::from_micros(due)).await;
             let sent = began.elapsed().as_micros() as u64;
             if Rc::strong_count(&open) > plan.connections {
-                seen.borrow_mut().ended(workload, (due, sent, sent), End::NotSent, 0);
+                seen.borrow_mut().ended(workload, (due, sent, sent), End::NotSent, 0, None);
                 continue;
             }
             let (load, seed, held) = (plan.workloads[workload].clone(), ids.random(), open.clone());
-            let (client, seen, target) = (client.clone(), seen.clone(), plan.target);
+            let (client, seen, front) = (client.clone(), seen.clone(), front.clone());
             tokio::task::spawn_local(async move {
-                let (end, again) =
-                    task(&client, &format!("http://{target}/{}", load.name), &load, seed).await;
+                let (end, again, by) = task(&client, &*front, &load, seed).await;
                 let done = began.elapsed().as_micros() as u64;
-                seen.borrow_mut().ended(workload, (due, sent, done), end, again);
+                seen.borrow_mut().ended(workload, (due, sent, done), end, again, by);
                 drop(held);
             });
         }
@@ -60,14 +76,15 @@
     seen.replace(Recorder::of(0))
 }
 
-/// One task with its further tries, up to its budget; how it ended and how often it was asked again.
-async fn task(client: &Sender, to: &str, load: &Workload, seed: u64) -> (End, u32) {
+/// One task with its further tries, up to its budget; how it ended, how often it was asked again, and where it was last.
+async fn task(client: &Sender, front: &Front, load: &Workload, seed: u64) -> (End, u32, Option<usize>) {
     let (mut again, mut chance) = (0, ChaCha8Rng::seed_from_u64(seed));
     let until = Instant::now() + Duration::from_millis(load.budget_ms);
     let fingerprint = format!("{:032x}", chance.random::<u128>());
     loop {
         let left = until.saturating_duration_since(Instant::now());
-        let mut request = Request::post(to)
+        let Some((by, target)) = front(chance.random()) else { return (End::Refused, again, None) };
+        let mut request = Request::post(format!("http://{target}/{}", load.name))
             .header("X-Call-Id", format!("{:016x}", chance.random::<u64>()))
             .header("X-Budget", format!("{}m", left.as_millis().max(1)));
         if load.fingerprint {
@@ -76,12 +93,12 @@
         // Bodies begin with the fingerprint, as far as they are long: a stand-in knows a task by it in each try.
         let body: Vec<u8> = fingerprint.bytes().chain(repeat(b'x')).take(load.body_bytes).collect();
         let Ok(request) = request.body(Full::from(body)) else {
-            return (End::Odd, again);
+            return (End::Odd, again, Some(by));
         };
         let end = timeout(left + GRACE, answer(client, request)).await.unwrap_or(End::TimedOut);
         let wait = Duration::from_millis(load.backoff_ms).mul_f64(0.5 + chance.random::<f64>());
         if end != End::Bounced || again >= load.retries || Instant::now() + wait >= until {
-            return (end, again);
+            return (end, again, Some(by));
         }
         again += 1;
         sleep(wait).await;
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -107,7 +107,7 @@
         let plan = plan(Arrivals::Constant { rate: 1.0 }, 2.0);
         let result = |ms: u64| {
             let mut seen = Recorder::of(2);
-            (0..10).for_each(|_| seen.ended(0, (0, 0, ms * 1000), End::Finished, 0));
+            (0..10).for_each(|_| seen.ended(0, (0, 0, ms * 1000), End::Finished, 0, None));
             seen.result(&plan)
         };
         let found = [vec![result(10), result(30), result(20)], vec![result(40); 3]];
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -30,9 +30,24 @@
     NotSent,
 }
 
+/// One task's end, in microseconds of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    pub workload: usize,
+    pub due: u64,
+    pub sent: u64,
+    pub done: u64,
+    pub end: End,
+    pub again: u32,
+    /// Where its last try went.
+    pub by: Option<usize>,
+}
+
 /// Counts of a run while it lasts.
 pub struct Recorder {
     began: Vec<Series>,
+    /// Each task's end, in that order, where they are asked for.
+    pub all: Option<Vec<Ended>>,
 }
 
 struct Series {
@@ -93,11 +108,19 @@
             again: 0,
             late: 0,
         };
-        Recorder { began: (0..workloads).map(|_| series()).collect() }
+        Recorder { began: (0..workloads).map(|_| series()).collect(), all: None }
     }
 
     /// A task meant for `due` was sent at `sent` and ended at `done`, all in microseconds of the run.
-    pub fn ended(&mut self, workload: usize, (due, sent, done): (u64, u64, u64), end: End, again: u32) {
+    pub fn ended(
+        &mut self,
+        workload: usize,
+        (due, sent, done): (u64, u64, u64),
+        end: End,
+        again: u32,
+        by: Option<usize>,
+    ) {
+        self.all.iter_mut().for_each(|all| all.push(Ended { workload, due, sent, done, end, again, by }));
         let series = &mut self.began[workload];
         *series.ends.entry(end).or_default() += 1;
         series.again += u64::from(again);
@@ -151,11 +174,11 @@
         let done = |at: u64| if (SECOND..3 * SECOND).contains(&at) { 3 * SECOND } else { at };
         let (mut open, mut closed, mut free) = (Recorder::of(1), Recorder::of(1), 0);
         for (due, _) in of(&plan).unwrap() {
-            open.ended(0, (due, due, done(due)), End::Finished, 0);
+            open.ended(0, (due, due, done(due)), End::Finished, 0, None);
             // Who waits for each answer before the next is sent, and counts from there.
             let sent = due.max(free);
             free = done(sent);
-            closed.ended(0, (sent, sent, free), End::Finished, 0);
+            closed.ended(0, (sent, sent, free), End::Finished, 0, None);
         }
         let found = open.result(&plan).workloads.remove(0);
         // Half of the tasks come while it stands still, evenly: 2 s for the first of them, nothing for the last.
@@ -171,10 +194,10 @@
     fn a_generator_that_sends_late_says_so() {
         let plan = plan(Arrivals::Constant { rate: 100.0 }, 1.0);
         let mut seen = Recorder::of(2);
-        (0..99).for_each(|i| seen.ended(0, (i, i, i + 5), End::Finished, 0));
-        seen.ended(0, (5, 5 + SLACK + 1, 99_000), End::Finished, 0);
+        (0..99).for_each(|i| seen.ended(0, (i, i, i + 5), End::Finished, 0, None));
+        seen.ended(0, (5, 5 + SLACK + 1, 99_000), End::Finished, 0, None);
         assert!(!seen.result(&plan).schedule_missed);
-        seen.ended(1, (5, 5 + SLACK + 1, 99_000), End::Finished, 0);
+        seen.ended(1, (5, 5 + SLACK + 1, 99_000), End::Finished, 0, None);
         assert!(seen.result(&plan).schedule_missed);
     }
 }
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -14,7 +14,7 @@
 use super::budgets::{self, Budgets};
 use super::outcome::outcome;
 use super::worker::{self, Order, Reach, Standing};
-use super::{Answer, Mail, Parcel};
+use super::{Answer, Mail, Parcel, broken};
 use crate::protocol::words::Entry;
 use crate::transport::End;
 
@@ -88,7 +88,13 @@
     }
 
     /// Tells the workers' actors what the list says, before the module hears of it.
-    pub fn listed(&mut self, everything: bool, entries: Vec<Entry>) -> Vec<Listed> {
+    pub fn listed(&mut self, everything: bool, mut entries: Vec<Entry>) -> Vec<Listed> {
+        if broken() == "drains" {
+            entries
+                .iter_mut()
+                .filter(|e| e.0.state == State::Draining)
+                .for_each(|e| e.0.state = State::Ready);
+        }
         if everything {
             self.listed.clear();
             let named: HashSet<&str> = entries.iter().map(|(e, _)| e.id.as_str()).collect();
@@ -121,6 +127,9 @@
 
     fn answer(&mut self, task: &str, answer: Answer) {
         self.budgets.iter().for_each(|budgets| budgets.answered(task));
+        if broken() == "answers" {
+            return;
+        }
         if let Some(client) = self.held.get_mut(task).and_then(|h| h.client.take()) {
             trace!(self.now(), "answer {task} {}", answer.word());
             // A client that has gone says so itself.
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -3,10 +3,11 @@
 
 use std::collections::BTreeMap;
 
-use rainlug_load::record::End;
+use rainlug_load::record::{End, Ended};
 use serde::{Deserialize, Serialize};
 
 use crate::observe::Sample;
+use crate::rules::{Broken, Done, Rule};
 use crate::script::{Check, name};
 use crate::spent::Spent;
 
@@ -34,8 +35,6 @@
     pub ends: BTreeMap<usize, BTreeMap<End, u64>>,
     /// Dispatchers that were killed, stopped or started in between: their clients may have waited in vain.
     pub troubled: Vec<usize>,
-    /// Side-effecting tasks that began more than once, by their fingerprint.
-    pub twice: Vec<String>,
     /// Dispatchers whose process did not end by itself after SIGTERM, or with an error.
     pub ended_badly: Vec<usize>,
     pub datagrams: u64,
@@ -47,6 +46,20 @@
     pub spent: Vec<Spent>,
     /// Connections opened to the stand-in workers.
     pub connections: u64,
+    /// How each task ended, where clients come through a front.
+    #[serde(default)]
+    pub all: Vec<Ended>,
+    /// Tasks that workers began while they were cold, for each start.
+    #[serde(default)]
+    pub warmed: Vec<u64>,
+    #[serde(default)]
+    pub done: Done,
+    /// Rules that were broken, by what workers and clients saw.
+    #[serde(default)]
+    pub broken: Vec<Broken>,
+    /// Dispatchers were told neither of a fleet nor of budgets.
+    #[serde(default)]
+    pub apart: bool,
     /// The machine did not keep the load's schedule.
     pub schedule_missed: bool,
 }
@@ -104,15 +117,13 @@
     /// Judges the script's checks, and those that hold for every run.
     pub fn judge(&self, checks: &[Check]) -> Vec<Verdict> {
         let mut verdicts: Vec<Verdict> = checks.iter().map(|c| self.check(c)).collect();
-        verdicts.extend(self.spent.iter().map(within));
-        verdicts.extend([
-            self.own(),
-            self.versions(),
-            self.once(),
-            self.datagrams(),
-            self.rules(),
-            self.ends(),
-        ]);
+        if !self.apart {
+            verdicts.extend(self.spent.iter().map(within));
+            verdicts.extend([self.own(), self.versions(), self.once(), self.datagrams()]);
+        }
+        verdicts.push(self.vain());
+        verdicts.extend(Rule::ALL.map(|rule| self.rule(rule)));
+        verdicts.push(self.ends());
         verdicts
     }
 
@@ -243,18 +254,30 @@
         )
     }
 
-    /// Of the four rules what the rig's own clients and workers can see: an answer in time, and no effect twice.
-    fn rules(&self) -> Verdict {
+    /// Where each dispatcher has clients of its own: an answer in time at those that nothing happened to.
+    fn vain(&self) -> Verdict {
         let waits = |(n, ends): (&usize, &BTreeMap<End, u64>)| {
             let vain = ends.get(&End::TimedOut).is_some_and(|c| *c > 0) && !self.troubled.contains(n);
             vain.then_some(*n)
         };
         let vain: Vec<usize> = self.ends.iter().filter_map(waits).collect();
-        let words = match self.twice.first() {
-            Some(task) => format!("{} side-effecting tasks began twice, such as {task}", self.twice.len()),
-            None => format!("clients waited in vain at {}", names(&vain)),
-        };
-        Self::whole("rules of tasks", self.twice.is_empty() && vain.is_empty(), words)
+        Self::whole(
+            "no client waits in vain",
+            vain.is_empty(),
+            format!("clients waited in vain at {}", names(&vain)),
+        )
+    }
+
+    fn rule(&self, rule: Rule) -> Verdict {
+        let mut broken = self.broken.iter().filter(|b| b.rule == rule);
+        let first = broken.next();
+        let words = first.map_or(String::new(), |b| format!("{}, and {} more", b.words, broken.count()));
+        Verdict {
+            check: rule.text().to_owned(),
+            held: first.is_none(),
+            at: first.map_or(0.0, |b| b.at),
+            words,
+        }
     }
 
     fn ends(&self) -> Verdict {
@@ -331,7 +354,8 @@
         );
         faked(&|r| r.longest = 1401, "no datagram over 1400 bytes");
         faked(&|r| r.datagrams = 0, "no datagram over 1400 bytes");
-        faked(&|r| r.twice = vec!["f7".into()], "1 side-effecting tasks began twice, such as f7");
+        let twice = Broken { rule: Rule::Twice, at: 4.0, words: "bid f7".into() };
+        faked(&|r| r.broken = vec![twice.clone(); 3], "4 nothing takes effect twice: bid f7, and 2 more");
         faked(&|r| r.ends.entry(1).or_default().extend([(End::TimedOut, 1)]), "clients waited in vain at d1");
         faked(&|r| r.ended_badly = vec![1], "d1 did not end well");
         let spent = |over: &[(f64, f64)]| Spent {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -9,9 +9,9 @@
 use rainlug_rig::measure;
 use rainlug_rig::play::play;
 use rainlug_rig::report::{self, Kept};
-use rainlug_rig::script::Script;
-use rainlug_rig::shares;
-use tracing::warn;
+use rainlug_rig::script::{Arm, Script};
+use rainlug_rig::{shares, shrink, trial};
+use tracing::{info, warn};
 
 /// Fleets up to this size are played without any division too.
 const UNDIVIDED: usize = 48;
@@ -40,6 +40,38 @@
         /// The dispatcher; beside this program if it is not named.
         #[arg(long)]
         program: Option<PathBuf>,
+        /// What of it is played.
+        #[arg(long, value_enum, default_value_t = Arm::Whole)]
+        arm: Arm,
+    },
+    /// Plays scripts as they are, without their faults, and without view and budgets, in turns, and compares. Exit 3 where the
+    /// machine did not keep a schedule.
+    Trial {
+        #[arg(required = true)]
+        scripts: Vec<PathBuf>,
+        #[arg(long, default_value = "1..5")]
+        seeds: String,
+        /// Plays at once.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        #[arg(long, default_value = "rig-trial")]
+        out: PathBuf,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Takes faults and processes out of a failing script while it still fails, and writes what is left.
+    Shrink {
+        script: PathBuf,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// The smaller script.
+        #[arg(long, default_value = "shrunk.toml")]
+        out: PathBuf,
+        /// Each smaller one is played up to so often: a failure need not come every time.
+        #[arg(long, default_value_t = 3)]
+        tries: usize,
+        #[arg(long)]
+        program: Option<PathBuf>,
     },
     /// Plays a script with one seed after the other.
     Sweep {
@@ -86,10 +118,11 @@
     },
 }
 
-/// How it ended: all held, something did not, or nothing was played.
+/// How it ended: all held, something did not, or the machine was too small to say.
 enum End {
     Held,
     Failed,
+    Marked,
 }
 
 fn main() -> ExitCode {
@@ -97,6 +130,7 @@
     match does(Arguments::parse().does) {
         Ok(End::Held) => ExitCode::SUCCESS,
         Ok(End::Failed) => ExitCode::from(1),
+        Ok(End::Marked) => ExitCode::from(3),
         Err(error) => {
             eprintln!("rainlug-rig: {error:#}");
             ExitCode::from(2)
@@ -106,8 +140,8 @@
 
 fn does(what: Does) -> Result<End> {
     match what {
-        Does::Run { script, seed, out, program } => {
-            let script = Script::read(&script, seed)?;
+        Does::Run { script, seed, out, program, arm } => {
+            let script = Script::read(&script, seed)?.arm(arm);
             let verdicts = run(&script, &beside(program)?, &out)?;
             Ok(told(&verdicts, &script.name))
         }
@@ -123,6 +157,66 @@
             }
             Ok(end)
         }
+        Does::Trial { scripts, seeds, jobs, out, program } => {
+            let played = trial::play(&scripts, range(&seeds)?, &beside(program)?, &out, jobs)?;
+            report::put(&out, "trial.csv", &trial::csv(&played))?;
+            report::put(&out, "trial.md", &trial::markdown(&played))?;
+            trial::charts(&out, &played)?;
+            print!("{}", trial::markdown(&played));
+            let (marked, judged): (Vec<_>, Vec<_>) = played.iter().partition(|p| p.figures.marked);
+            let failed = judged.iter().find_map(|p| Some((p, p.figures.failed.as_ref()?)));
+            if let Some((p, why)) = failed {
+                println!("{} seed {} {:?}: failed {why}", p.trial, p.seed, p.arm);
+                return Ok(End::Failed);
+            }
+            if !marked.is_empty() {
+                println!("not judged: {} plays did not keep their schedule on this machine", marked.len());
+                return Ok(End::Marked);
+            }
+            Ok(End::Held)
+        }
+        Does::Shrink { script, seed, out, tries, program } => {
+            anyhow::ensure!(tries > 0, "--tries is 0");
+            let (script, program) = (Script::read(&script, seed)?, beside(program)?);
+            let folder = out.with_extension("plays");
+            let mut played = 0;
+            let mut check = None;
+            let mut fails = |script: &Script, tries: usize| {
+                (0..tries).any(|_| {
+                    played += 1;
+                    let verdicts = match run(script, &program, &folder.join(played.to_string())) {
+                        Ok(verdicts) => verdicts,
+                        Err(error) => {
+                            warn!("{error:#}");
+                            return false;
+                        }
+                    };
+                    // Another failure is another story.
+                    let found =
+                        verdicts.iter().find(|v| !v.held && check.as_ref().is_none_or(|c| *c == v.check));
+                    if let Some(found) = found {
+                        info!("{} faults: {}: {}", script.faults.len(), found.check, found.words);
+                        check.get_or_insert_with(|| found.check.clone());
+                    }
+                    found.is_some()
+                })
+            };
+            if !fails(&script, tries) {
+                println!("{}: it did not fail in {tries} plays", script.name);
+                return Ok(End::Held);
+            }
+            let small = shrink::shrink(&script, &mut |script| fails(script, tries));
+            std::fs::write(&out, small.text()).with_context(|| format!("cannot write {}", out.display()))?;
+            println!(
+                "{}: {} of {} faults are left in {}, {played} plays: {}",
+                script.name,
+                small.faults.len(),
+                script.faults.len(),
+                out.display(),
+                check.unwrap_or_default()
+            );
+            Ok(End::Failed)
+        }
         Does::Report { folder } => {
             let kept = report::read(&folder)?;
             report::write(&folder, &kept)?;
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use nix::sys::signal::Signal;
 use rainlug_load::plan::{Arrivals, Plan, SECOND, Workload};
-use rainlug_load::record::{self, End};
-use rainlug_load::stub::Stub;
+use rainlug_load::record::{self, End, Ended};
+use rainlug_load::stub::{Run, Stub, Working};
 use rainlug_load::{driver, schedule};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,12 +28,18 @@
 use crate::observe::Observer;
 use crate::process::Process;
 use crate::relay::Relays;
-use crate::script::{Act, Link, Script, What, name};
+use crate::rules::{self, DRAIN_GRACE, FALL, OVERLOAD, WINDOW, WORKLOADS};
+use crate::script::{Act, Link, Load, Script, What, name};
 use crate::spent;
 
 /// How often processes are asked for their view: part of a period, but no oftener than this.
 const ASKED: f64 = 0.5;
 const OFTENEST: Duration = Duration::from_millis(50);
+/// Workers that have just started do this part of their work, and all of it after so many seconds.
+const COLD_FROM: f64 = 0.3;
+const WARM_WITHIN: f64 = 9.0;
+/// The front notices so much later that a dispatcher has died; of one that is told to end it knows at once.
+const NOTICED: Duration = Duration::from_secs(1);
 /// An upgrade's new process serves within this time.
 const UPGRADED: Duration = Duration::from_secs(20);
 
@@ -57,8 +64,9 @@
     changes: Cell<u64>,
     under_way: Cell<u32>,
     relays: Rc<Relays>,
-    list: SocketAddr,
-    known: String,
+    stub: Stub,
+    /// Where clients' tasks may go, for the front.
+    takes: Taking,
     chance: RefCell<ChaCha8Rng>,
     /// Wholes as they were changed for each dispatcher; and when, to what.
     wholes: RefCell<BTreeMap<(usize, String), f64>>,
@@ -96,14 +104,14 @@
 
 async fn on_stage(script: &Script, program: PathBuf, folder: PathBuf) -> Result<Record> {
     let workers = vec!["127.0.0.1:0".to_owned(); script.workers];
-    let stub = Stub::start(
-        &workers,
-        "127.0.0.1:0",
-        Duration::from_millis(script.work_ms),
-        &script.zones,
-        script.turned_away,
-    )
-    .await?;
+    let working = Working {
+        work: Duration::from_millis(script.work_ms),
+        slots: script.slots,
+        turned_away: script.turned_away,
+        cold_from: COLD_FROM,
+        warm_within: Duration::from_secs_f64(WARM_WITHIN),
+    };
+    let stub = Stub::start(&workers, "127.0.0.1:0", &working, &script.zones).await?;
     let (fronts, listen) = (addresses(2 * script.count, 7100), addresses(2 * script.count, 7000));
     let relays = Relays::start(&fronts, listen.clone(), script.count, script.link, script.seed).await?;
     let slot = |listen| Slot { listen, process: Mutex::new(None), management: Cell::new(None) };
@@ -118,8 +126,8 @@
         changes: Cell::new(0),
         under_way: Cell::new(0),
         relays,
-        list: stub.list,
-        known: stub.known.clone(),
+        stub,
+        takes: Arc::new(RwLock::new(vec![None; script.count])),
         chance: RefCell::new(ChaCha8Rng::seed_from_u64(!script.seed)),
         wholes: RefCell::default(),
         changed: RefCell::default(),
@@ -130,7 +138,12 @@
     let first: Vec<usize> = (0..script.count).filter(|n| !script.later.contains(n)).collect();
     stage.start(&first).await?;
     stage.began.set(Instant::now());
-    stage.record.borrow_mut().troubled.clear();
+    {
+        let mut record = stage.record.borrow_mut();
+        record.troubled.clear();
+        record.done = rules::Done::default();
+        record.apart = !script.shared;
+    }
     info!("{} processes serve", first.len());
     let load = stage.clone().load(&first);
     let asks = spawn_local(stage.clone().ask());
@@ -153,8 +166,9 @@
         }
         let results = load.join().map_err(|_| anyhow::anyhow!("the load ended badly"))??;
         let mut record = stage.record.borrow_mut();
-        for (nth, result) in results {
+        for (nth, result, all) in results {
             record.schedule_missed |= result.schedule_missed;
+            record.all.extend(all);
             let ends = record.ends.entry(nth).or_default();
             result
                 .workloads
@@ -167,16 +181,13 @@
     let mut record = stage.record.replace(Record::default());
     let carried = stage.relays.carried();
     (record.datagrams, record.bytes, record.lost) = (carried.datagrams, carried.bytes, carried.lost);
-    (record.longest, record.connections) = (carried.longest, stub.connections());
-    let (runs, mut begun) = (stub.runs(), BTreeMap::<String, u32>::new());
-    for run in runs.iter().filter(|r| r.path == "bid" && !r.mark.is_empty() && !r.turned_away) {
-        *begun.entry(run.mark.clone()).or_default() += 1;
+    (record.longest, record.connections) = (carried.longest, stage.stub.connections());
+    let (runs, began) = (stage.stub.runs(), stage.began.get());
+    if let Some(budgets) = script.budgets.as_ref().filter(|_| script.shared) {
+        record.spent = spent::count(budgets, &stage.changed.borrow(), &runs, began, script.seconds);
     }
-    if let Some(budgets) = &script.budgets {
-        let (began, changed) = (stage.began.get(), stage.changed.borrow());
-        record.spent = spent::count(budgets, &changed, &runs, began, script.seconds);
-    }
-    record.twice = begun.into_iter().filter(|(_, n)| *n > 1).map(|(mark, _)| mark).collect();
+    record.broken = rules::judge(&runs, &record.all, &record.done, &working, script.zones.len(), began);
+    record.warmed = warmed(&runs, &record.done.cold, began);
     if record.schedule_missed {
         warn!("the load did not keep its schedule: this machine is too small for the run");
     }
@@ -192,29 +203,39 @@
     fn configuration(&self, nth: usize, slot: usize) -> String {
         let script = &self.script;
         let clients = self.clients[nth].get().map_or("127.0.0.1:0".to_owned(), |at| at.to_string());
-        let known: serde_json::Value = serde_json::from_str(&self.known).unwrap_or_default();
-        let (search, bid) = (script.expiry_ms.unwrap_or(5000), script.expiry_ms.unwrap_or(20_000));
+        let known: serde_json::Value = serde_json::from_str(&self.stub.known).unwrap_or_default();
+        // Told wrongly on purpose, for the checkers to be tried on: see `Script::broken`.
+        let lies = |of: &str| script.broken == of;
+        let warm = if lies("told-warm") { 1.0 } else { WARM_WITHIN * 1000.0 };
+        let workload = |(name, kind, due, revenue): (&str, &str, u64, f64)| {
+            let expiry = script.expiry_ms.unwrap_or(if name == "bid" { 20_000 } else { 5000 });
+            let kind = if lies("told-repeatable") { "repeatable" } else { kind };
+            json!({"name": name, "idempotency": kind, "dueTimeMs": due, "expiryMs": expiry, "revenue": revenue,
+                "keyScope": "zone", "windowMs": WINDOW * 1000.0})
+        };
         let mut all = json!({
-            "name": name(nth), "listen": clients, "management": "127.0.0.1:0", "discovery": self.list.to_string(),
+            "name": name(nth), "listen": clients, "management": "127.0.0.1:0", "discovery": self.stub.list.to_string(),
             "seed": format!("{:016x}", script.seed + nth as u64), "limits": {"memory_mb": 64, "sockets": 512},
             "known": known,
-            "fleet": {"name": "rig", "listen": self.slots[slot].listen.to_string(),
-                "advertise": self.fronts[slot].to_string(), "periodMs": script.period_ms,
-                "seeds": self.fronts[..script.count.min(3)].iter().map(|f| f.to_string()).collect::<Vec<_>>()},
             "settings": {
                 "index": nth, "groupSize": script.count, "zone": nth % script.zones.len(), "zones": script.zones,
                 "hostTypes": ["plain"],
                 "limits": {"mostAssignments": 3, "cancel": true, "connIdleMs": 30000, "dialTimeoutMs": 200},
-                "obligations": {"coldFrom": 0.3, "warmWithinMs": 9000, "overloadFactor": 3, "fallMs": 3000,
-                    "drainGraceMs": 500},
+                "obligations": {"coldFrom": COLD_FROM, "warmWithinMs": warm, "overloadFactor": OVERLOAD,
+                    "fallMs": FALL * 1000.0, "drainGraceMs": DRAIN_GRACE * 1000.0},
                 "specifics": {"tellsStart": true, "progressMs": 2000},
-                "workloads": [
-                    {"name": "search", "idempotency": "repeatable", "dueTimeMs": 300, "expiryMs": search, "revenue": 1},
-                    {"name": "bid", "idempotency": "once", "dueTimeMs": 800, "expiryMs": bid, "revenue": 10}]
+                "workloads": WORKLOADS.map(workload)
             }
         });
-        if let Some(budgets) = self.budgets(nth) {
-            all["budgets"] = budgets;
+        if script.shared {
+            let seeds: Vec<String> =
+                self.fronts[..script.count.min(3)].iter().map(|f| f.to_string()).collect();
+            all["fleet"] = json!({"name": "rig", "listen": self.slots[slot].listen.to_string(),
+                "advertise": self.fronts[slot].to_string(), "periodMs": script.period_ms, "seeds": seeds,
+                "holdMs": script.hold_ms});
+            if let Some(budgets) = self.budgets(nth) {
+                all["budgets"] = budgets;
+            }
         }
         all.to_string()
     }
@@ -328,18 +349,39 @@
         let process = place.as_mut().context("no process")?;
         let at = process.ready().await.with_context(|| format!("{}: see its log", name(nth)))?;
         self.clients[nth].set(Some(at));
+        self.takes(nth, Some(at));
+        self.record.borrow_mut().done.serves(nth, self.now());
         self.slots[slot].management.set(process.management());
         Ok(())
     }
 
+    /// The front sends a dispatcher's address tasks from now on, or none any more.
+    fn takes(&self, nth: usize, at: Option<SocketAddr>) {
+        if let Ok(mut takes) = self.takes.write() {
+            takes[nth] = at;
+        }
+    }
+
+    /// The front notices a while later that a dispatcher is away, if it still is.
+    fn missed(self: &Rc<Self>, nth: usize, after: Duration) {
+        let stage = self.clone();
+        spawn_local(async move {
+            sleep(after).await;
+            if !stage.running.borrow().contains(&nth) {
+                stage.takes(nth, None);
+            }
+        });
+    }
+
     fn trouble(&self, nth: usize) {
         let mut record = self.record.borrow_mut();
+        record.done.trouble(nth, self.now());
         if !record.troubled.contains(&nth) {
             record.troubled.push(nth);
         }
     }
 
-    async fn signal(&self, which: &[usize], signal: Signal) {
+    async fn signal(self: &Rc<Self>, which: &[usize], signal: Signal) {
         for nth in which {
             self.trouble(*nth);
             let mut place = self.slots[self.active[*nth].get()].process.lock().await;
@@ -349,12 +391,14 @@
                 _ => process.signal(signal),
             }
             let runs = signal == Signal::SIGCONT && !process.over() && !process.stopped();
-            let mut running = self.running.borrow_mut();
             if runs {
-                running.insert(*nth)
+                self.running.borrow_mut().insert(*nth);
+                self.takes(*nth, self.clients[*nth].get());
+                self.record.borrow_mut().done.serves(*nth, self.now());
             } else {
-                running.remove(nth)
-            };
+                self.running.borrow_mut().remove(nth);
+                self.missed(*nth, if signal == Signal::SIGTERM { Duration::ZERO } else { NOTICED });
+            }
         }
     }
 
@@ -418,6 +462,30 @@
                 }));
             }
             Act::Garbage(on, count) => self.garbage(on, *count).await?,
+            Act::Lose(of) => {
+                for nth in of {
+                    self.stub.lose(*nth);
+                    self.record.borrow_mut().done.ends(*nth, self.now());
+                }
+            }
+            Act::Serve(of) => {
+                for nth in of {
+                    self.stub.serve(*nth).await?;
+                    let (now, mut record) = (self.now(), self.record.borrow_mut());
+                    record.done.ends(*nth, now);
+                    record.done.cold.push((*nth, now));
+                }
+            }
+            Act::Drain(of) => {
+                for nth in of {
+                    self.stub.drain(*nth);
+                    self.record.borrow_mut().done.drains(*nth, self.now());
+                }
+            }
+            Act::List(on) => {
+                self.stub.speaks(*on);
+                self.record.borrow_mut().done.list(*on, self.now());
+            }
         }
         self.ends();
         Ok(beside)
@@ -494,37 +562,29 @@
         }
     }
 
-    /// Clients of each of those dispatchers, in a thread of their own.
+    /// Clients of each of those dispatchers, or of all through the front, in a thread of their own.
     #[expect(clippy::type_complexity, reason = "a handle of a thread")]
     fn load(
         self: Rc<Self>,
         on: &[usize],
-    ) -> Option<std::thread::JoinHandle<Result<Vec<(usize, record::Result)>>>> {
+    ) -> Option<std::thread::JoinHandle<Result<Vec<(usize, record::Result, Vec<Ended>)>>>> {
         let load = self.script.load.clone()?;
         let seconds = self.script.seconds;
-        let workload = |name: &str, part: f64| Workload {
-            name: name.to_owned(),
-            part,
-            budget_ms: load.budget_ms,
-            body_bytes: 64,
-            fingerprint: false,
-            retries: load.retries,
-            backoff_ms: 50,
+        let plan = |nth: usize, target: SocketAddr, rate: f64| Plan {
+            target,
+            seed: self.script.seed.wrapping_mul(1009).wrapping_add(nth as u64),
+            seconds,
+            connections: if load.front { 16_384 } else { 512 },
+            arrivals: Arrivals::Poisson { rate },
+            workloads: workloads(&load),
         };
-        let plan = |nth: usize| {
-            Some(Plan {
-                target: self.clients[nth].get()?,
-                seed: self.script.seed.wrapping_mul(1009).wrapping_add(nth as u64),
-                seconds: self.script.seconds,
-                connections: 512,
-                arrivals: Arrivals::Poisson { rate: load.rate },
-                workloads: vec![workload("search", load.parts[0]), workload("bid", load.parts[1])],
-            })
-        };
-        let shifts = load.shifts.clone();
+        let (shifts, rate) = (load.shifts.clone(), load.rate);
         // One piece after the other, each with a rate of its own.
         let scheduled = move |nth: usize, plan: &Plan| -> Result<Vec<schedule::Due>> {
-            let mut rates = vec![(0.0, load.rate)];
+            if shifts.is_empty() {
+                return schedule::of(plan);
+            }
+            let mut rates = vec![(0.0, rate)];
             rates.extend(shifts.iter().map(|s| (s.at, s.rates[nth])));
             let mut all = Vec::new();
             for (piece, (from, rate)) in rates.iter().enumerate().filter(|(_, r)| r.1 > 0.0) {
@@ -536,16 +596,29 @@
             }
             Ok(all)
         };
-        let plans: Vec<(usize, Plan)> = on.iter().filter_map(|n| Some((*n, plan(*n)?))).collect();
+        let plans: Vec<(usize, Plan)> = if load.front {
+            let rate = load.rate * self.script.count as f64;
+            self.clients.iter().find_map(|c| c.get()).map(|at| (0, plan(0, at, rate))).into_iter().collect()
+        } else {
+            on.iter().filter_map(|n| Some((*n, plan(*n, self.clients[*n].get()?, load.rate)))).collect()
+        };
+        let front = load.front.then(|| self.takes.clone());
         Some(std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
             LocalSet::new().block_on(&runtime, async {
                 let mut runs = Vec::new();
                 for (nth, plan) in plans {
-                    let schedule = scheduled(nth, &plan)?;
-                    runs.push(spawn_local(
-                        async move { (nth, driver::run(&plan, schedule).await.result(&plan)) },
-                    ));
+                    let (schedule, front) = (scheduled(nth, &plan)?, front.clone());
+                    runs.push(spawn_local(async move {
+                        let mut seen = match front {
+                            Some(takes) => {
+                                driver::through(&plan, schedule, Rc::new(move |n| any(&takes, n))).await
+                            }
+                            None => driver::run(&plan, schedule).await,
+                        };
+                        let all = seen.all.take().unwrap_or_default();
+                        (nth, seen.result(&plan), all)
+                    }));
                 }
                 let mut results = Vec::new();
                 for run in runs {
@@ -575,6 +648,41 @@
     }
 }
 
+/// Where clients' tasks may go: an address for each dispatcher that the front knows to serve.
+type Taking = Arc<RwLock<Vec<Option<SocketAddr>>>>;
+
+/// One of those, by a number of chance.
+fn any(takes: &Taking, chance: u64) -> Option<(usize, SocketAddr)> {
+    let takes = takes.read().ok()?;
+    let open: Vec<(usize, SocketAddr)> =
+        takes.iter().enumerate().filter_map(|(n, at)| Some((n, (*at)?))).collect();
+    open.get(chance as usize % open.len().max(1)).copied()
+}
+
+/// What clients send, in the order of [`WORKLOADS`].
+fn workloads(load: &Load) -> Vec<Workload> {
+    let of = |((name, kind, ..), part): (&(&str, &str, u64, f64), &f64)| Workload {
+        name: (*name).to_owned(),
+        part: *part,
+        budget_ms: load.budget_ms,
+        body_bytes: 64,
+        fingerprint: *kind == "by_key",
+        retries: load.retries,
+        backoff_ms: 50,
+    };
+    WORKLOADS.iter().zip(&load.parts).map(of).collect()
+}
+
+/// Tasks that each worker began while it was cold.
+fn warmed(runs: &[Run], cold: &[(usize, f64)], began: Instant) -> Vec<u64> {
+    let count = |(worker, at): &(usize, f64)| {
+        let from = began + Duration::from_secs_f64(*at);
+        let within = |at: Instant| at >= from && at < from + Duration::from_secs_f64(WARM_WITHIN);
+        runs.iter().filter(|r| r.worker == *worker && r.began.is_some_and(within)).count() as u64
+    };
+    cold.iter().map(count).collect()
+}
+
 /// How all tasks of a run ended.
 pub fn ends(record: &Record) -> BTreeMap<End, u64> {
     let mut all = BTreeMap::new();
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use toml::Spanned;
 
 /// Processes that a script may have.
@@ -23,6 +24,8 @@
     seconds: Spanned<f64>,
     #[serde(default = "period")]
     period_ms: Spanned<f64>,
+    #[serde(default = "hold")]
+    hold_ms: f64,
     processes: Processes,
     load: Option<Load>,
     budgets: Option<Spanned<Budgets>>,
@@ -43,6 +46,10 @@
     Spanned::new(0..0, 200.0)
 }
 
+fn hold() -> f64 {
+    10_000.0
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Processes {
@@ -54,6 +61,9 @@
     workers: Spanned<usize>,
     #[serde(default = "work")]
     work_ms: u64,
+    /// Tasks at once at each worker; 0 is any number.
+    #[serde(default)]
+    slots: usize,
     /// Each worker turns away every task of this number; 0 is none.
     #[serde(default)]
     turned_away: usize,
@@ -83,9 +93,12 @@
     pub rate: f64,
     #[serde(default = "budget")]
     pub budget_ms: u64,
-    /// Parts of the tasks that are searches, and bids.
+    /// Parts of the tasks that are searches, bids and orders.
     #[serde(default = "parts")]
-    pub parts: [f64; 2],
+    pub parts: Vec<f64>,
+    /// Clients come through one front that knows, a little late, who serves; else each dispatcher has clients of its own.
+    #[serde(default)]
+    pub front: bool,
     /// How often a client asks again after a bounce.
     #[serde(default = "again")]
     pub retries: u32,
@@ -102,8 +115,8 @@
     pub rates: Vec<f64>,
 }
 
-fn parts() -> [f64; 2] {
-    [4.0, 1.0]
+fn parts() -> Vec<f64> {
+    vec![4.0, 1.0]
 }
 
 fn again() -> u32 {
@@ -212,6 +225,7 @@
     from: Option<Spanned<Vec<String>>>,
     to: Option<Spanned<Vec<String>>>,
     sides: Option<Spanned<Vec<Vec<String>>>>,
+    workers: Option<Spanned<Vec<String>>>,
     count: Option<usize>,
     loss: Option<f64>,
     delay_ms: Option<f64>,
@@ -251,6 +265,14 @@
     Tremble(Vec<usize>, usize),
     /// Another whole of a budget, at SIGHUP.
     Reload(Vec<usize>, String, f64),
+    /// Stand-in workers die with what they run.
+    Lose(Vec<usize>),
+    /// A new process at each of these workers, cold.
+    Serve(Vec<usize>),
+    /// The list says that these take nothing new.
+    Drain(Vec<usize>),
+    /// The list falls silent, or speaks again.
+    List(bool),
 }
 
 impl Act {
@@ -274,10 +296,23 @@
             Act::Garbage(on, count) => format!("garbage {count} to {}", names(on)),
             Act::Tremble(on, count) => format!("tremble {count} times {}", names(on)),
             Act::Reload(on, budget, whole) => format!("reload {budget} {whole} {}", names(on)),
+            Act::Lose(of) => format!("lose {}", workers_called(of)),
+            Act::Serve(of) => format!("serve {}", workers_called(of)),
+            Act::Drain(of) => format!("drain {}", workers_called(of)),
+            Act::List(on) => if *on { "list back" } else { "list out" }.to_owned(),
         }
     }
 }
 
+fn workers_called(of: &[usize]) -> String {
+    of.iter().map(|n| worker(*n)).collect::<Vec<_>>().join(" ")
+}
+
+/// The stand-in worker of that number.
+pub fn worker(nth: usize) -> String {
+    format!("w{nth}")
+}
+
 /// The dispatcher of that number.
 pub fn name(nth: usize) -> String {
     format!("d{nth}")
@@ -333,11 +368,14 @@
     pub seed: u64,
     pub seconds: f64,
     pub period_ms: f64,
+    /// As `fleet.holdMs`.
+    pub hold_ms: f64,
     pub count: usize,
     pub later: Vec<usize>,
     pub zones: Vec<String>,
     pub workers: usize,
     pub work_ms: u64,
+    pub slots: usize,
     pub turned_away: usize,
     pub expiry_ms: Option<u64>,
     pub broken: String,
@@ -346,6 +384,20 @@
     pub link: Link,
     pub faults: Vec<(f64, Act)>,
     pub checks: Vec<Check>,
+    /// Whether dispatchers are told of their fleet and its budgets at all.
+    pub shared: bool,
+}
+
+/// What of a trial is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arm {
+    /// As the script says.
+    Whole,
+    /// Without its faults.
+    Calm,
+    /// With its faults, and without view and budgets.
+    Apart,
 }
 
 /// States that a view can say, and that it says nothing of somebody.
@@ -436,8 +488,9 @@
         let divided: Vec<String> =
             read.budgets.iter().flat_map(|b| b.get_ref().divided.iter().map(|d| d.name.clone())).collect();
         let mut faults = Vec::new();
+        let workers: Vec<String> = (0..*read.processes.workers.get_ref()).map(worker).collect();
         for raw in &read.fault {
-            let act = act(raw, &place, &those, &read.link, &divided)?;
+            let act = act(raw, &place, &those, &read.link, (&divided, &workers))?;
             faults.push((time("fault.at", &raw.at)?, act));
         }
         let seed = seed.unwrap_or(read.seed);
@@ -460,7 +513,7 @@
                     "random: no kinds, no time between two, or a fault after the end".into(),
                 )?;
             }
-            faults.extend(by_chance(random, count, seed));
+            faults.extend(by_chance(random, count, workers.len(), seed));
         }
         faults.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut checks = Vec::new();
@@ -480,16 +533,28 @@
         {
             fails(0..0, "load.rate is not over 0 and up to 10000, or load.budget_ms is 0".into())?;
         }
+        if let Some(load) = &read.load {
+            let sound =
+                load.parts.iter().all(|p| (0.0..=1e6).contains(p)) && load.parts.iter().sum::<f64>() > 0.0;
+            if !(2..=3).contains(&load.parts.len()) || !sound {
+                fails(0..0, "load.parts are not two or three parts from 0, one of them over it".into())?;
+            }
+            if load.front && !load.shifts.is_empty() {
+                fails(0..0, "load.front and load.shifts do not go together".into())?;
+            }
+        }
         Ok(Script {
             name: called.to_owned(),
             seed,
             seconds,
             period_ms: *read.period_ms.get_ref(),
+            hold_ms: read.hold_ms,
             count,
             later: read.processes.later.as_ref().map_or(Ok(Vec::new()), |l| those("processes.later", l))?,
             zones: read.processes.zones.into_inner(),
             workers: read.processes.workers.into_inner(),
             work_ms: read.processes.work_ms,
+            slots: read.processes.slots,
             turned_away: read.processes.turned_away,
             expiry_ms: read.processes.expiry_ms,
             budgets: read.budgets.map(Spanned::into_inner),
@@ -498,8 +563,105 @@
             link: read.link,
             faults,
             checks,
+            shared: true,
         })
     }
+
+    /// The script as it is played, each fault with its moment: read again it is the same.
+    pub fn text(&self) -> String {
+        let called = |of: &[usize]| json!(of.iter().map(|n| name(*n)).collect::<Vec<_>>());
+        let workers = |of: &[usize]| json!(of.iter().map(|n| worker(*n)).collect::<Vec<_>>());
+        let fault = |(at, act): &(f64, Act)| {
+            let (kind, more) = match act {
+                Act::Start(on) => ("start", json!({"on": called(on)})),
+                Act::Kill(on) => ("kill", json!({"on": called(on)})),
+                Act::Terminate(on) => ("terminate", json!({"on": called(on)})),
+                Act::Stop(on) => ("stop", json!({"on": called(on)})),
+                Act::Continue(on) => ("continue", json!({"on": called(on)})),
+                Act::Restart(on) => ("restart", json!({"on": called(on)})),
+                Act::Upgrade(on) => ("upgrade", json!({"on": called(on)})),
+                Act::Garbage(on, count) => ("garbage", json!({"on": called(on), "count": count})),
+                Act::Tremble(on, count) => ("tremble", json!({"on": called(on), "count": count})),
+                Act::Reload(on, budget, whole) => {
+                    ("reload", json!({"on": called(on), "budget": budget, "whole": whole}))
+                }
+                Act::Link { from, to, link } => {
+                    let mut all = json!(link);
+                    (all["from"], all["to"]) = (called(from), called(to));
+                    ("link", all)
+                }
+                Act::Split(sides) => {
+                    ("split", json!({"sides": sides.iter().map(|s| called(s)).collect::<Vec<_>>()}))
+                }
+                Act::Heal => ("heal", json!({})),
+                Act::Lose(of) => ("lose", json!({"workers": workers(of)})),
+                Act::Serve(of) => ("serve", json!({"workers": workers(of)})),
+                Act::Drain(of) => ("drain", json!({"workers": workers(of)})),
+                Act::List(on) => (if *on { "list-back" } else { "list-out" }, json!({})),
+            };
+            with(more, json!({"at": at, "kind": kind}))
+        };
+        let check = |check: &Check| match check {
+            Check::Agree { from, by } => json!({"kind": "agree", "from": from, "by": by}),
+            Check::Sees { who, whom, state, from, by } => json!({"kind": "sees", "who": called(who),
+                "whom": called(whom), "state": state, "from": from, "by": by}),
+            Check::Never { who, whom, state, from, by } => json!({"kind": "never", "who": called(who),
+                "whom": called(whom), "state": state, "from": from, "by": by}),
+            Check::Finished { part } => json!({"kind": "finished", "part": part}),
+            Check::Used { budget, part, from, by } => {
+                json!({"kind": "used", "budget": budget, "part": part, "from": from, "by": by})
+            }
+            Check::Unused { budget, part, from, by } => {
+                json!({"kind": "unused", "budget": budget, "part": part, "from": from, "by": by})
+            }
+        };
+        let mut all = json!({"seed": self.seed, "seconds": self.seconds, "period_ms": self.period_ms,
+            "hold_ms": self.hold_ms, "link": self.link,
+            "processes": {"count": self.count, "later": called(&self.later), "zones": self.zones,
+                "workers": self.workers, "work_ms": self.work_ms, "slots": self.slots,
+                "turned_away": self.turned_away, "broken": self.broken}});
+        if let Some(expiry) = self.expiry_ms {
+            all["processes"]["expiry_ms"] = json!(expiry);
+        }
+        if let Some(load) = &self.load {
+            all["load"] = json!(load);
+        }
+        if let Some(budgets) = &self.budgets {
+            all["budgets"] = json!(budgets);
+        }
+        all["fault"] = self.faults.iter().map(fault).collect();
+        all["check"] = self.checks.iter().map(check).collect();
+        // TOML knows no null.
+        toml::to_string(&bare(all)).unwrap_or_else(|error| format!("# cannot be written: {error}\n"))
+    }
+
+    /// What of it an arm plays.
+    pub fn arm(self, arm: Arm) -> Script {
+        match arm {
+            Arm::Whole => self,
+            Arm::Calm => Script { faults: Vec::new(), checks: Vec::new(), ..self },
+            Arm::Apart => Script { checks: Vec::new(), shared: false, ..self },
+        }
+    }
+}
+
+/// Two objects in one.
+fn with(mut more: Value, mut first: Value) -> Value {
+    if let (Some(more), Some(first)) = (more.as_object_mut(), first.as_object_mut()) {
+        first.append(more);
+    }
+    first
+}
+
+/// Without what is null.
+fn bare(all: Value) -> Value {
+    match all {
+        Value::Object(of) => {
+            Value::Object(of.into_iter().filter(|(_, v)| !v.is_null()).map(|(k, v)| (k, bare(v))).collect())
+        }
+        Value::Array(of) => Value::Array(of.into_iter().map(bare).collect()),
+        one => one,
+    }
 }
 
 /// Parts of datagrams are parts, and times are no less than nothing.
@@ -519,7 +681,13 @@
 
 type Those<'a> = &'a dyn Fn(&str, &Spanned<Vec<String>>) -> Result<Vec<usize>>;
 
-fn act(raw: &RawFault, place: &Place, those: Those, base: &Link, divided: &[String]) -> Result<Act> {
+fn act(
+    raw: &RawFault,
+    place: &Place,
+    those: Those,
+    base: &Link,
+    (divided, workers): (&[String], &[String]),
+) -> Result<Act> {
     let kind = raw.kind.get_ref().as_str();
     let lacks = |key: &str| place.error(raw.kind.span(), &format!("fault {kind} lacks the key {key}"));
     let on = || those("fault.on", raw.on.as_ref().ok_or_else(|| lacks("on"))?);
@@ -547,6 +715,15 @@
             "reload",
         ],
     )?;
+    let of_workers = || -> Result<Vec<usize>> {
+        let named = raw.workers.as_ref().ok_or_else(|| lacks("workers"))?;
+        let number = |n: &String| {
+            let found = workers.iter().position(|w| w == n);
+            found.ok_or_else(|| place.error(named.span(), &format!("fault.workers: no worker is called {n}")))
+        };
+        named.get_ref().iter().map(number).collect()
+    };
+    odd("workers", raw.workers.is_some(), &["lose", "serve", "drain"])?;
     odd("budget", raw.budget.is_some(), &["reload"])?;
     odd("whole", raw.whole.is_some(), &["reload"])?;
     odd("from", raw.from.is_some(), &["link"])?;
@@ -580,6 +757,11 @@
             Act::Reload(on()?, budget, raw.whole.ok_or_else(|| lacks("whole"))?)
         }
         "heal" => Act::Heal,
+        "lose" => Act::Lose(of_workers()?),
+        "serve" => Act::Serve(of_workers()?),
+        "drain" => Act::Drain(of_workers()?),
+        "list-out" => Act::List(false),
+        "list-back" => Act::List(true),
         "link" => {
             part(&link, "fault").map_err(|e| place.error(raw.kind.span(), &e))?;
             let from = those("fault.from", raw.from.as_ref().ok_or_else(|| lacks("from"))?)?;
@@ -648,26 +830,45 @@
 }
 
 /// Kinds that can be drawn.
-const RANDOM: [&str; 8] = ["kill", "restart", "terminate", "stop", "split", "cut", "slow", "loss"];
+const RANDOM: [&str; 12] = [
+    "kill",
+    "restart",
+    "terminate",
+    "stop",
+    "split",
+    "cut",
+    "slow",
+    "loss",
+    "upgrade",
+    "lose",
+    "drain",
+    "list",
+];
 
 /// Draws faults, each with its undoing.
-fn by_chance(random: &Random, count: usize, seed: u64) -> Vec<(f64, Act)> {
+fn by_chance(random: &Random, count: usize, workers: usize, seed: u64) -> Vec<(f64, Act)> {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
     let (mut at, mut faults) = (random.from, Vec::new());
     // One after the other on each process: what is down is not stopped, and what is stopped not killed.
-    let mut busy = vec![0.0; count];
+    let (mut busy, mut away, mut silent) = (vec![0.0; count], vec![0.0; workers], 0.0);
     while at < random.to {
         let until = at + random.lasts * (0.3 + 0.7 * chance.random::<f64>());
         let kind = random.kinds.get_ref().choose(&mut chance).map_or("", String::as_str);
         let one = chance.random_range(0..count);
         let other = (one + chance.random_range(1..count.max(2))) % count;
         let free = busy[one] < at;
+        let of = if ["lose", "drain"].contains(&kind) { chance.random_range(0..workers) } else { 0 };
+        let whole = away[of] < at;
         let way = |link: Link| Act::Link { from: vec![one], to: vec![other], link };
         let pair = match kind {
             "kill" if free => Some((Act::Kill(vec![one]), Some(Act::Start(vec![one])))),
             "terminate" if free => Some((Act::Terminate(vec![one]), Some(Act::Start(vec![one])))),
             "stop" if free => Some((Act::Stop(vec![one]), Some(Act::Continue(vec![one])))),
             "restart" if free => Some((Act::Restart(vec![one]), None)),
+            "upgrade" if free => Some((Act::Upgrade(vec![one]), None)),
+            "lose" if whole => Some((Act::Lose(vec![of]), Some(Act::Serve(vec![of])))),
+            "drain" if whole => Some((Act::Drain(vec![of]), Some(Act::Serve(vec![of])))),
+            "list" if silent < at => Some((Act::List(false), Some(Act::List(true)))),
             "split" => {
                 let (a, b) = (0..count).partition(|_| chance.random::<bool>());
                 Some((Act::Split(vec![a, b]), Some(Act::Heal)))
@@ -683,9 +884,13 @@
             _ => None,
         };
         if let Some((does, undoes)) = pair {
-            if !matches!(does, Act::Split(_) | Act::Link { .. }) {
+            match does {
+                Act::Split(_) | Act::Link { .. } => {}
+                // It is warm again before the next one.
+                Act::Lose(_) | Act::Drain(_) => away[of] = until + 10.0,
+                Act::List(_) => silent = until + 5.0,
                 // A process that was terminated has some seconds to end.
-                busy[one] = until + 6.0;
+                _ => busy[one] = until + 6.0,
             }
             faults.push((at, does));
             faults.extend(undoes.map(|act| (until, act)));
@@ -733,6 +938,17 @@
                 "line 6: check.budget: no budget is called b",
             ),
             ("[budgets]\nvoters = 9\ndivided = []\n", "budgets.voters is not from 1 to 3"),
+            ("[[fault]]\nat = 1.0\nkind = \"drain\"\n", "line 6: fault drain lacks the key workers"),
+            (
+                "[[fault]]\nat = 1.0\nkind = \"lose\"\nworkers = [\"w9\"]\n",
+                "line 7: fault.workers: no worker is called w9",
+            ),
+            (
+                "[[fault]]\nat = 1.0\nkind = \"heal\"\nworkers = [\"w0\"]\n",
+                "line 6: fault heal has no key workers",
+            ),
+            ("[load]\nrate = 1.0\nparts = [1.0]\n", "load.parts are not two or three parts"),
+            ("[load]\nrate = 1.0\nparts = [0.0, 0.0]\n", "load.parts are not two or three parts"),
             (
                 "[[budgets.divided]]\nname = \"b\"\nwhat = \"retries\"\nreserve = 1\n",
                 "budgets.divided b lacks the key burst",
--- a/crates/rig/src/spent.rs
+++ b/crates/rig/src/spent.rs
@@ -164,6 +164,7 @@
             id: id.into(),
             came: at(came),
             turned_away: false,
+            began: Some(at(came)),
             ended: Some(at(ended)),
         }
     }
