--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -127,13 +127,9 @@
 
     fn answer(&mut self, task: &str, answer: Answer) {
         self.budgets.iter().for_each(|budgets| budgets.answered(task));
-        if broken() == "answers" {
-            return;
-        }
         if let Some(client) = self.held.get_mut(task).and_then(|h| h.client.take()) {
             trace!(self.now(), "answer {task} {}", answer.word());
-            // A client that has gone says so itself.
-            let _ = client.send(answer);
+            tell(client, answer);
         }
         self.forget(task);
     }
@@ -152,6 +148,15 @@
     }
 }
 
+fn tell(client: oneshot::Sender<Answer>, answer: Answer) {
+    if broken() == "answers" {
+        // Its task is never answered, and stays with it as long as the process lives.
+        return std::mem::forget(client);
+    }
+    // A client that has gone says so itself.
+    let _ = client.send(answer);
+}
+
 impl Outgoing for Desk {
     fn assign(&mut self, task: &str, worker: &str) {
         // Taken in any case: it must not count for the next one.
@@ -386,7 +391,7 @@
     trace!(now, "end {} {nth} {end:?}", parcel.id);
     if let Some(client) = held.client.take_if(|_| outcome == Outcome::Finished) {
         trace!(now, "answer {} finished", parcel.id);
-        let _ = client.send(Answer::Finished(result));
+        tell(client, Answer::Finished(result));
     }
     let closed = held.client.is_none();
     if let Some((budgets, counted)) = desk.budgets.as_ref().zip(counted) {
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -257,7 +257,10 @@
     /// Where each dispatcher has clients of its own: an answer in time at those that nothing happened to.
     fn vain(&self) -> Verdict {
         let waits = |(n, ends): (&usize, &BTreeMap<End, u64>)| {
-            let vain = ends.get(&End::TimedOut).is_some_and(|c| *c > 0) && !self.troubled.contains(n);
+            // Through a front each task's own end is judged.
+            let vain = self.all.is_empty()
+                && ends.get(&End::TimedOut).is_some_and(|c| *c > 0)
+                && !self.troubled.contains(n);
             vain.then_some(*n)
         };
         let vain: Vec<usize> = self.ends.iter().filter_map(waits).collect();
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -194,10 +194,8 @@
 
 fn cold(runs: &[Run], done: &Done, working: &Working, since: &dyn Fn(Instant) -> f64) -> Vec<Broken> {
     let mut found = Vec::new();
-    if working.slots == 0 {
-        return found;
-    }
-    let pace = working.slots as f64 / working.work.as_secs_f64();
+    // One that takes any number at once counts as one core: so much settings allow it, whatever it stands.
+    let pace = working.slots.max(1) as f64 / working.work.as_secs_f64();
     for (worker, started) in &done.cold {
         let warm = started + working.warm_within.as_secs_f64();
         let here = runs.iter().filter(|r| r.worker == *worker && !r.turned_away).map(|r| since(r.came));
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -142,6 +142,68 @@
     });
 }
 
+/// Each of the four rules is found broken at the workers and the clients where a dispatcher breaks it, and by no other.
+#[test]
+fn broken_rules_are_found_at_workers_and_clients() {
+    let program = built(true);
+    let breaks = |part: &str, words: &str| {
+        let folder = tempfile::tempdir().unwrap();
+        let script = folder.path().join("rules.toml");
+        let text = format!(
+            "seconds = 14.0\n[processes]\ncount = 3\nworkers = 3\nzones = [\"one\"]\nwork_ms = 300\nexpiry_ms = 2000\n\
+             broken = \"{part}\"\n[load]\nrate = 20.0\nfront = true\nbudget_ms = 2000\nparts = [2.0, 1.0, 1.0]\n\
+             [[fault]]\nat = 3.0\nkind = \"lose\"\nworkers = [\"w0\"]\n[[fault]]\nat = 4.0\nkind = \"serve\"\n\
+             workers = [\"w0\"]\n[[fault]]\nat = 4.0\nkind = \"drain\"\nworkers = [\"w1\"]\n"
+        );
+        fs::write(&script, text).unwrap();
+        let run = rig(&script, &folder.path().join("out"), &program);
+        let said = String::from_utf8_lossy(&run.stdout).into_owned();
+        assert_eq!(run.status.code(), Some(i32::from(!part.is_empty())), "{part}: {said}");
+        assert!(said.contains(words), "{part}: {said}");
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| breaks("", "checks held"));
+        scope.spawn(|| breaks("answers", "each task answered before its expiry: a "));
+        scope.spawn(|| breaks("told-repeatable", "nothing takes effect twice: "));
+        scope.spawn(|| breaks("drains", "drains are kept: a "));
+        scope.spawn(|| breaks("told-warm", "cold workers are not pushed over: "));
+    });
+}
+
+#[test]
+fn a_trial_compares_its_arms_and_a_failing_script_is_made_small() {
+    let folder = tempfile::tempdir().unwrap();
+    let script = folder.path().join("small.toml");
+    let text = |broken: &str| {
+        format!(
+            "seconds = 9.0\nperiod_ms = 100.0\n[processes]\ncount = 3\nbroken = \"{broken}\"\nexpiry_ms = 1000\n[load]\n\
+             rate = 10.0\nfront = true\nbudget_ms = 1000\n[[fault]]\nat = 2.0\nkind = \"stop\"\non = [\"d2\"]\n[[fault]]\n\
+             at = 3.0\nkind = \"continue\"\non = [\"d2\"]\n[[fault]]\nat = 3.5\nkind = \"lose\"\nworkers = [\"w1\"]\n\
+             [[fault]]\nat = 4.5\nkind = \"serve\"\nworkers = [\"w1\"]\n"
+        )
+    };
+    let rigs = |of: &[&str], program: &Path| {
+        let out = folder.path().join(of[0]);
+        let mut run = Command::new(RIG);
+        run.args(of).arg(&script).arg("--program").arg(program).arg("--out").arg(&out);
+        let done = run.output().unwrap();
+        (done.status.code(), String::from_utf8_lossy(&done.stdout).into_owned(), out)
+    };
+    fs::write(&script, text("")).unwrap();
+    let (code, said, out) = rigs(&["trial", "--seeds", "1..1", "--jobs", "3"], &built(false));
+    assert_eq!(code, Some(0), "{said}");
+    for arm in ["as written", "no fault", "no view, no budgets"] {
+        assert!(said.contains(&format!("| small | {arm} | 1 |")), "{arm}: {said}");
+    }
+    assert_eq!(fs::read_to_string(out.join("trial.csv")).unwrap().lines().count(), 4);
+    assert!(out.join("small.svg").exists());
+    fs::write(&script, text("answers").replace("seconds = 9.0", "seconds = 5.0")).unwrap();
+    let (code, said, out) = rigs(&["shrink", "--tries", "1"], &built(true));
+    assert!(code == Some(1) && said.contains("small: 0 of 4 faults are left"), "{said}");
+    let left = fs::read_to_string(out).unwrap();
+    assert!(left.contains("broken = \"answers\"") && !left.contains("[[fault]]"), "{left}");
+}
+
 #[test]
 fn a_wrong_script_starts_nothing() {
     let folder = tempfile::tempdir().unwrap();
