Parts grow as the living are fewer: four of a group of 48 had two workers each, and one had thirteen places

A part is now as long as the gone ones after it, and no shorter than the group over the living, in fractions: one death moves nobody, and parts stay alike. A new test of the module fails without it.

The rig: a drained worker is served anew though its listener closes a moment later; SIGTERM ends a play with all it started; one play that cannot be played no longer keeps a trial's other plays from it.

--- a/crates/load/src/stub.rs
+++ b/crates/load/src/stub.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::pending;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -105,6 +106,8 @@
 const MARK: usize = 32;
 /// The list hears so much later that a worker has died.
 const NOTICED: Duration = Duration::from_secs(1);
+/// Between two tries at an address that is taken.
+const AGAIN: Duration = Duration::from_millis(5);
 /// An empty line comes this often while nothing changes.
 const BEAT: Duration = Duration::from_secs(2);
 
@@ -175,10 +178,7 @@
     /// A worker dies with all that it runs; the list hears of it a second later.
     pub fn lose(&self, nth: usize) {
         let worker = &self.stage.workers[nth];
-        worker.life.send_modify(|n| *n += 1);
-        for run in self.stage.runs.borrow_mut().iter_mut().filter(|r| r.worker == nth && r.ended.is_none()) {
-            run.ended = Some(Instant::now());
-        }
+        self.stage.dies(nth);
         let (stage, life) = (self.stage.clone(), *worker.life.borrow());
         spawn_local(async move {
             sleep(NOTICED).await;
@@ -194,9 +194,17 @@
     /// Where its address cannot be had again.
     pub async fn serve(&self, nth: usize) -> Result<()> {
         let worker = &self.stage.workers[nth];
-        worker.life.send_modify(|n| *n += 1);
-        let listener =
-            TcpListener::bind(worker.at).await.with_context(|| format!("cannot listen on {}", worker.at))?;
+        self.stage.dies(nth);
+        // The listener of the process before is on its way out.
+        let listener = timeout(NOTICED, async {
+            loop {
+                match TcpListener::bind(worker.at).await {
+                    Err(error) if error.kind() == ErrorKind::AddrInUse => sleep(AGAIN).await,
+                    found => return found,
+                }
+            }
+        });
+        let listener = listener.await?.with_context(|| format!("cannot listen on {}", worker.at))?;
         worker.started.set(Some(Instant::now()));
         worker.boot_ms.set(SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64);
         self.stage.list.says(worker.entry("in_service"));
@@ -223,6 +231,14 @@
 }
 
 impl Stage {
+    /// Whoever serves for a worker stops, and all that it runs is over.
+    fn dies(&self, nth: usize) {
+        self.workers[nth].life.send_modify(|n| *n += 1);
+        for run in self.runs.borrow_mut().iter_mut().filter(|r| r.worker == nth && r.ended.is_none()) {
+            run.ended = Some(Instant::now());
+        }
+    }
+
     /// Takes in connections for one process of a worker, until it dies.
     async fn serve(self: Rc<Self>, nth: usize, listener: TcpListener) {
         let worker = &self.workers[nth];
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -19,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -86,9 +87,11 @@
         fs::canonicalize(program).with_context(|| format!("no program at {}", program.display()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = async {
+        let mut terminated = signal(SignalKind::terminate())?;
         tokio::select! {
-            // What is dropped by this is ended with it: see `Process::start`.
+            // What is dropped by these is ended with it: see `Process::start`.
             _ = tokio::signal::ctrl_c() => anyhow::bail!("interrupted"),
+            _ = terminated.recv() => anyhow::bail!("told to end"),
             done = on_stage(script, program, folder) => done,
         }
     };
--- a/crates/rig/src/trial.rs
+++ b/crates/rig/src/trial.rs
@@ -122,12 +122,16 @@
     }
     let (next, done) = (Mutex::new(plays.into_iter()), Mutex::new(Vec::new()));
     let worker = || -> Result<()> {
+        let mut first = Ok(());
         loop {
             let Some((path, script, arm)) = next.lock().ok().and_then(|mut plays| plays.next()) else {
-                return Ok(());
+                return first;
             };
-            let played = one(&path, &script, arm, program, out)?;
-            done.lock().map_err(|_| anyhow::anyhow!("another play failed"))?.push(played);
+            // One that cannot be played does not keep the others from it.
+            match one(&path, &script, arm, program, out) {
+                Ok(played) => done.lock().map_err(|_| anyhow::anyhow!("another play failed"))?.push(played),
+                Err(error) => first = first.and(Err(error)),
+            }
         }
     };
     std::thread::scope(|scope| {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -186,9 +186,9 @@
     known: Known,
     fleet: Fleet,
     parts: usize,
-    /// Of the group those that live, and places on its ring that this one has: its own and gone ones' next.
+    /// Of the group those that live, and how many parts as long as this one's would make up the fleet.
     live: usize,
-    span: usize,
+    places: f64,
     part: Part,
     desk: Desk,
     seen: Seen,
@@ -229,7 +229,7 @@
             fleet: Fleet::of(place.index / parts),
             parts,
             live: place.group_size,
-            span: 1,
+            places: parts as f64,
             part: Part::default(),
             desk: Desk::default(),
             seen: Seen::since(m.now, SOLVE, workloads.iter().map(|w| seconds(w.due)).collect(), quotas),
@@ -293,12 +293,14 @@
     }
 
     /// Which numbers of the group live, as known for some time. Whoever is gone leaves its place to the one
-    /// before; nobody else moves. What bounds a sum over all (cold rooms, calls for a list) goes by them all.
+    /// before, and parts grow as the living are fewer. What bounds a sum over all goes by the whole group.
     pub fn group(&mut self, m: &mut Moment, living: &[usize]) {
         let own = self.place.index % self.parts;
         let number = |k: &usize| self.place.index - own + (own + k) % self.parts;
         let there = |k: &usize| number(k) >= self.place.group_size || living.contains(&number(k));
-        (self.live, self.span) = (living.len().max(1), (1..self.parts).find(there).unwrap_or(self.parts));
+        let gap = (1..self.parts).find(there).unwrap_or(self.parts) as f64;
+        self.live = living.len().max(1);
+        self.places = self.parts as f64 / gap.max(self.place.group_size as f64 / self.live as f64);
         self.solve(m.now);
         self.move_on(m);
     }
@@ -333,7 +335,7 @@
     /// own point, so many that each worker has its feeders; as many near ones as far ones.
     fn solve(&mut self, now: Time) {
         let (workers, (close, far)) = (&self.fleet.workers, self.fleet.by_zone(self.place.zone));
-        let size = ((close.len() + far.len()) * self.span).div_ceil(self.parts).max(LEAST);
+        let size = (((close.len() + far.len()) as f64 / self.places).ceil() as usize).max(LEAST);
         let mut part: Vec<usize> = Vec::new();
         for (times, among) in [(1, close), (2, far)] {
             let sound = part.iter().filter(|j| !workers[**j].barred(now)).count();
@@ -345,7 +347,7 @@
         let ready: Vec<usize> = part.iter().copied().filter(usable).collect();
         let census = self.fleet.census(now, &ready, FEW);
         // Where each has a part of the fleet, own traffic says little of the whole: workers tell their rates.
-        let own = self.seen.rate(now) * (self.live * self.span) as f64 / self.parts as f64;
+        let own = self.seen.rate(now) * self.live as f64 / self.places;
         let rate = if self.parts > 1 && census.rate > 0.0 { census.rate * ready.len() as f64 } else { own };
         let spread = 1.0 + self.seen.spread(now);
         let station = |&j: &usize| {
@@ -491,8 +493,7 @@
         if task.held.is_none() && self.desk.first_held().is_some_and(dearer) {
             return Step::Pass;
         }
-        let run = self.seen.run(now, i);
-        let hope = self.hope(now, task);
+        let (run, hope) = (self.seen.run(now, i), self.hope(now, task));
         let mine = self.seen.part(now, i).max(UNSEEN);
         let part = || self.part.workers.iter().map(|&j| (j, &self.fleet.workers[j]));
         let skip = (2.0 * self.fleet.mean_flying(&self.part)).max(SKIP_FLOOR);
@@ -527,8 +528,7 @@
             }
             let (theta, inside) = (worker.model_theta, worker.share > 0.0);
             let wait = worker.wait(now, SOLVE / 5, (theta, mean), elsewhere);
-            let late = now + micros(wait) > hope;
-            let queue = wait > theta / 4.0;
+            let (late, queue) = (now + micros(wait) > hope, wait > theta / 4.0);
             let far = u8::from((dear || near) && worker.zone != self.place.zone);
             let place = if dear { 2 * far + u8::from(queue) } else { far + 2 * u8::from(queue) };
             let place = if inside { place } else { 4 };
--- a/tests/living.rs
+++ b/tests/living.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// A group of forty-eight of which the first four live: they were left with two near workers each, and one with thirteen places.
+#[test]
+fn those_left_have_parts_alike_though_they_stand_side_by_side() {
+    let (living, mut benches) = ((0..4).collect::<BTreeSet<_>>(), group(48));
+    living.iter().for_each(|n| told(&mut benches[*n], &living));
+    let pairs = parts(&mut benches, &living, "t");
+    let each: Vec<usize> = living.iter().map(|n| pairs.iter().filter(|p| p.0 == *n).count()).collect();
+    assert!(each.iter().all(|n| *n >= WORKERS * 12 / 16), "{each:?}");
+    assert!(feeders(&pairs).values().all(|n| (1..=4).contains(n)));
+}
+
 /// With seven in ten dead a third of the workers had no feeder: nobody sent them anything, and the others had all.
 #[test]
 fn when_seven_in_ten_are_gone_those_left_feed_every_worker() {
