--- a/crates/rainlugd/tests/fleet.rs
+++ b/crates/rainlugd/tests/fleet.rs
@@ -51,6 +51,40 @@
     value.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
 }
 
+/// Whoever leaves is counted on until that has held; whoever begins is counted at once.
+#[test]
+fn numbers_of_a_group_are_counted_with_care() {
+    let list = List::start();
+    let of = |index: usize, fleet: &str| {
+        let text = told(&list, &[], &format!("n{index}"), fleet)
+            .replace("\"index\":0", &format!("\"index\":{index}"));
+        let mut program =
+            Program::begin(Command::new(PROGRAM), &text.replace("\"groupSize\":1", "\"groupSize\":3"));
+        let line = program.logged("fleet f: ");
+        program.opens();
+        let at = line.split(" at ").nth(1).and_then(|l| l.split(',').next()).unwrap().to_owned();
+        (program, at)
+    };
+    let begun = Instant::now();
+    let usual = r#""listen":"127.0.0.1:0","periodMs":50,"holdMs":700"#;
+    let (one, at) = of(0, usual);
+    let seeded = format!(r#"{usual},"seeds":["{at}"]"#);
+    let (other, _) = of(1, &seeded);
+    until("both know both", |_| state(&one, "n1") == "alive" && state(&other, "n0") == "alive");
+    // The third was never there: that too has to hold first.
+    one.logged("fleet: 2 of the group count as there");
+    assert!(begun.elapsed() >= Duration::from_millis(700), "{:?}", begun.elapsed());
+    assert_eq!(figure(&one, "relay.fleet.counted"), 2);
+    let (third, _) = of(2, &seeded);
+    one.logged("fleet: 3 of the group count as there");
+    let left = Instant::now();
+    third.terminate();
+    until("it has left", |_| state(&one, "n2") == "left");
+    assert!(figure(&one, "relay.fleet.counted") == 3 || left.elapsed() >= Duration::from_millis(700));
+    until("that has held", |_| figure(&one, "relay.fleet.counted") == 2);
+    assert!(left.elapsed() >= Duration::from_millis(700), "{:?}", left.elapsed());
+}
+
 #[test]
 fn two_programs_know_one_another_and_one_without_the_section_knows_of_nothing() {
     let list = List::start();
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -25,7 +25,7 @@
     #[serde(default = "period")]
     period_ms: Spanned<f64>,
     #[serde(default = "hold")]
-    hold_ms: f64,
+    hold_ms: Spanned<f64>,
     processes: Processes,
     load: Option<Load>,
     budgets: Option<Spanned<Budgets>>,
@@ -46,8 +46,8 @@
     Spanned::new(0..0, 200.0)
 }
 
-fn hold() -> f64 {
-    10_000.0
+fn hold() -> Spanned<f64> {
+    Spanned::new(0..0, 10_000.0)
 }
 
 #[derive(Deserialize)]
@@ -447,6 +447,9 @@
         if !(20.0..=60_000.0).contains(read.period_ms.get_ref()) {
             fails(read.period_ms.span(), "period_ms is not from 20 to 60000".into())?;
         }
+        if !(0.0..=600_000.0).contains(read.hold_ms.get_ref()) {
+            fails(read.hold_ms.span(), "hold_ms is not from 0 to 600000".into())?;
+        }
         if !(1..=64).contains(read.processes.workers.get_ref()) {
             fails(read.processes.workers.span(), "processes.workers is not from 1 to 64".into())?;
         }
@@ -548,7 +551,7 @@
             seed,
             seconds,
             period_ms: *read.period_ms.get_ref(),
-            hold_ms: read.hold_ms,
+            hold_ms: *read.hold_ms.get_ref(),
             count,
             later: read.processes.later.as_ref().map_or(Ok(Vec::new()), |l| those("processes.later", l))?,
             zones: read.processes.zones.into_inner(),
@@ -967,6 +970,8 @@
             );
         }
         assert!(said("").is_empty());
+        let held = Script::of("seconds = 1.0\nhold_ms = -1.0\n[processes]\ncount = 1\n", "s.toml", "s", None);
+        assert!(format!("{:#}", held.unwrap_err()).contains("line 2: hold_ms is not from 0"));
         let many = Script::of("seconds = 1.0\n[processes]\ncount = 65\n", "s.toml", "s", None);
         assert!(format!("{:#}", many.unwrap_err()).contains("line 3: processes.count is not from 1 to 64"));
     }
