--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -64,7 +64,7 @@
             let (load, seed, held) = (plan.workloads[workload].clone(), ids.random(), open.clone());
             let (client, seen, front) = (client.clone(), seen.clone(), front.clone());
             tokio::task::spawn_local(async move {
-                let (end, again, by) = task(&client, &*front, &load, seed).await;
+                let (end, again, by) = task(&client, &*front, &load, seed, began).await;
                 let done = began.elapsed().as_micros() as u64;
                 seen.borrow_mut().ended(workload, (due, sent, done), end, again, by);
                 drop(held);
@@ -76,16 +76,25 @@
     seen.replace(Recorder::of(0))
 }
 
-/// One task with its further tries, up to its budget; how it ended, how often it was asked again, and where it was last.
-async fn task(client: &Sender, front: &Front, load: &Workload, seed: u64) -> (End, u32, Option<usize>) {
+/// One task with its further tries, up to its budget; how it ended, how often it was asked again, and where its last try went, as
+/// what and when in microseconds of the run.
+async fn task(
+    client: &Sender,
+    front: &Front,
+    load: &Workload,
+    seed: u64,
+    began: Instant,
+) -> (End, u32, Option<(usize, u64, u64)>) {
     let (mut again, mut chance) = (0, ChaCha8Rng::seed_from_u64(seed));
     let until = Instant::now() + Duration::from_millis(load.budget_ms);
     let fingerprint = format!("{:032x}", chance.random::<u128>());
     loop {
         let left = until.saturating_duration_since(Instant::now());
-        let Some((by, target)) = front(chance.random()) else { return (End::Refused, again, None) };
+        let Some((place, target)) = front(chance.random()) else { return (End::Refused, again, None) };
+        let id: u64 = chance.random();
+        let by = Some((place, id, began.elapsed().as_micros() as u64));
         let mut request = Request::post(format!("http://{target}/{}", load.name))
-            .header("X-Call-Id", format!("{:016x}", chance.random::<u64>()))
+            .header("X-Call-Id", format!("{id:016x}"))
             .header("X-Budget", format!("{}m", left.as_millis().max(1)));
         if load.fingerprint {
             request = request.header("Idempotency-Key", &fingerprint);
@@ -93,12 +102,12 @@
         // Bodies begin with the fingerprint, as far as they are long: a stand-in knows a task by it in each try.
         let body: Vec<u8> = fingerprint.bytes().chain(repeat(b'x')).take(load.body_bytes).collect();
         let Ok(request) = request.body(Full::from(body)) else {
-            return (End::Odd, again, Some(by));
+            return (End::Odd, again, by);
         };
         let end = timeout(left + GRACE, answer(client, request)).await.unwrap_or(End::TimedOut);
         let wait = Duration::from_millis(load.backoff_ms).mul_f64(0.5 + chance.random::<f64>());
         if end != End::Bounced || again >= load.retries || Instant::now() + wait >= until {
-            return (end, again, Some(by));
+            return (end, again, by);
         }
         again += 1;
         sleep(wait).await;
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -39,8 +39,8 @@
     pub done: u64,
     pub end: End,
     pub again: u32,
-    /// Where its last try went.
-    pub by: Option<usize>,
+    /// Where its last try went, as what, and when.
+    pub by: Option<(usize, u64, u64)>,
 }
 
 /// Counts of a run while it lasts.
@@ -118,7 +118,7 @@
         (due, sent, done): (u64, u64, u64),
         end: End,
         again: u32,
-        by: Option<usize>,
+        by: Option<(usize, u64, u64)>,
     ) {
         self.all.iter_mut().for_each(|all| all.push(Ended { workload, due, sent, done, end, again, by }));
         let series = &mut self.began[workload];
