--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -122,7 +122,7 @@
 
     /// Another process of the same dispatcher that lives.
     pub fn beside(&self, card: &Card) -> Option<&Process> {
-        let called = xxh3_64(card.name.as_bytes());
+        let called = called(card);
         let mut all =
             self.kin.range((called, 0)..=(called, u64::MAX)).filter_map(|(_, id)| self.known.get(id));
         all.find(|p| p.card.id != card.id && p.card.name == card.name)
@@ -264,7 +264,7 @@
             self.living += 1;
             self.digest ^= process.mark();
             self.places.insert(process.card.at, id);
-            self.kin.insert((xxh3_64(process.card.name.as_bytes()), id));
+            self.kin.insert((called(&process.card), id));
         } else if process.standing == Standing::Gone {
             self.gone.push_back(id);
         } else {
@@ -281,7 +281,7 @@
             if self.places.get(&process.card.at) == Some(&id) {
                 self.places.remove(&process.card.at);
             }
-            self.kin.remove(&(xxh3_64(process.card.name.as_bytes()), id));
+            self.kin.remove(&(called(&process.card), id));
         } else {
             self.gone.retain(|g| *g != id);
             if self.lives.remove(&id).is_some() {
@@ -349,6 +349,11 @@
     }
 }
 
+/// A dispatcher's name, in a number that few others have.
+fn called(card: &Card) -> u64 {
+    xxh3_64(card.name.as_bytes())
+}
+
 fn part(id: u64, parts: u16) -> usize {
     ((u128::from(id) * u128::from(parts)) >> 64) as usize
 }
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -33,8 +33,6 @@
     pub events: Vec<(f64, String)>,
     /// How clients' tasks ended, by dispatcher.
     pub ends: BTreeMap<usize, BTreeMap<End, u64>>,
-    /// Dispatchers that were killed, stopped or started in between: their clients may have waited in vain.
-    pub troubled: Vec<usize>,
     /// Dispatchers whose process did not end by itself after SIGTERM, or with an error.
     pub ended_badly: Vec<usize>,
     pub datagrams: u64,
@@ -260,7 +258,7 @@
             // Through a front each task's own end is judged.
             let vain = self.all.is_empty()
                 && ends.get(&End::TimedOut).is_some_and(|c| *c > 0)
-                && !self.troubled.contains(n);
+                && !self.done.troubled.iter().any(|t| t.0 == *n);
             vain.then_some(*n)
         };
         let vain: Vec<usize> = self.ends.iter().filter_map(waits).collect();
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -143,7 +143,6 @@
     stage.began.set(Instant::now());
     {
         let mut record = stage.record.borrow_mut();
-        record.troubled.clear();
         record.done = rules::Done::default();
         record.apart = !script.shared;
     }
@@ -377,11 +376,7 @@
     }
 
     fn trouble(&self, nth: usize) {
-        let mut record = self.record.borrow_mut();
-        record.done.trouble(nth, self.now());
-        if !record.troubled.contains(&nth) {
-            record.troubled.push(nth);
-        }
+        self.record.borrow_mut().done.trouble(nth, self.now());
     }
 
     async fn signal(self: &Rc<Self>, which: &[usize], signal: Signal) {
