--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
