--- /dev/null
+++ b/crates/award/src/health.rs
@@ -0,0 +1,155 @@
+//! Which workers are kept from requests for what they did to earlier ones.
+
+use crate::End;
+use crate::numbers::Faded;
+use rainlug::{SECOND, Time};
+
+/// A worker that could not be reached is left alone for this long, twice as long after each trial that fails, up to the most.
+const BAR: Time = SECOND;
+const BAR_MOST: Time = 10 * SECOND;
+/// Errors are remembered over this time...
+const SPAN: Time = 10 * SECOND;
+/// ...and turn a worker grey where there are two of them, and this part of its outcomes.
+const FEW: f64 = 1.5;
+const ERRONEOUS: f64 = 0.25;
+/// Between trials of a grey worker.
+const TRIAL: Time = SECOND;
+/// Another process has its address: it is out until the list says more.
+const AWAY: Time = 2 * SECOND;
+/// One that was full counts as full until it tells its load, but no longer.
+const FULL: Time = SECOND / 10;
+/// A silence of so many mean gaps between signs has odds of e^-6; and no shorter one than this counts.
+const SILENT: f64 = 6.0;
+const SILENCE: Time = SECOND / 2;
+
+#[derive(Clone, Copy, Debug)]
+struct Bar {
+    until: Time,
+    length: Time,
+    /// A trial is out.
+    tried: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Health {
+    bar: Option<Bar>,
+    away: Time,
+    full: Time,
+    /// Errors, and all outcomes.
+    errors: Faded<2>,
+    trial_at: Time,
+    /// Microseconds between signs of life while it had something to do, and their number.
+    gaps: Faded<2>,
+    sign: Time,
+}
+
+impl Health {
+    pub fn new(now: Time) -> Self {
+        Health {
+            bar: None,
+            away: Time::MIN,
+            full: Time::MIN,
+            errors: Faded::new(now, SPAN),
+            trial_at: now,
+            gaps: Faded::new(now, SPAN),
+            sign: now,
+        }
+    }
+
+    /// Something was sent to a worker that had nothing to do.
+    pub fn wakes(&mut self, now: Time) {
+        self.sign = self.sign.max(now);
+    }
+
+    pub fn sign(&mut self, now: Time) {
+        self.gaps.add(now, [now.saturating_sub(self.sign).max(0) as f64, 1.0]);
+        self.sign = self.sign.max(now);
+    }
+
+    /// It has begun to answer: whoever does that can be reached.
+    pub fn answers(&mut self, now: Time) {
+        self.sign(now);
+        self.bar = None;
+    }
+
+    /// Whether nothing has come since `sent` and so long that it is no chance.
+    pub fn mute(&self, now: Time, sent: Time) -> bool {
+        self.sign <= sent && now.saturating_sub(sent) > 2 * SILENCE
+    }
+
+    pub fn ended(&mut self, now: Time, end: End) {
+        match end {
+            End::Finished => {
+                self.errors.add(now, [0.0, 1.0]);
+                self.answers(now);
+            }
+            End::Failed => {
+                self.errors.add(now, [1.0, 1.0]);
+                self.sign(now);
+            }
+            End::Full => {
+                self.full = now.saturating_add(FULL);
+                self.answers(now);
+            }
+            End::Elsewhere => self.away = now.saturating_add(AWAY),
+            End::Unreachable | End::Silent => {
+                // What was out together fails together: one bar for all of it, a longer one when a trial fails.
+                let length = self.bar.map_or(BAR, |b| (2 * b.length).min(BAR_MOST));
+                if !self.barred(now) || self.bar.is_some_and(|b| b.tried) {
+                    self.bar = Some(Bar { until: now.saturating_add(length), length, tried: false });
+                }
+            }
+            End::GivenUp => {}
+        }
+    }
+
+    /// A trial goes out: no other does before its bar would be over again.
+    pub fn tries(&mut self, now: Time) {
+        self.trial_at = now.saturating_add(TRIAL);
+        if let Some(bar) = &mut self.bar {
+            (bar.until, bar.tried) = (now.saturating_add(bar.length), true);
+        }
+    }
+
+    /// Kept from all requests now.
+    pub fn barred(&self, now: Time) -> bool {
+        self.bar.is_some_and(|b| b.until > now)
+    }
+
+    /// Not shown to be well since it was barred.
+    pub fn doubted(&self) -> bool {
+        self.bar.is_some()
+    }
+
+    pub fn away(&self, now: Time) -> bool {
+        self.away > now
+    }
+
+    pub fn full(&self, now: Time) -> bool {
+        self.full > now
+    }
+
+    pub fn told_load(&mut self) {
+        self.full = Time::MIN;
+    }
+
+    pub fn grey(&self, now: Time) -> bool {
+        if self.errors.most(0) < FEW {
+            return false;
+        }
+        let [errors, all] = self.errors.sums(now);
+        errors >= FEW && errors > ERRONEOUS * all
+    }
+
+    /// Whether one request may be risked on it.
+    pub fn trial(&self, now: Time) -> bool {
+        (self.bar.is_some_and(|b| b.until <= now) || self.grey(now) && !self.doubted())
+            && self.trial_at <= now
+    }
+
+    /// Whether a worker that has something to do is silent beyond chance.
+    pub fn silent(&self, now: Time) -> bool {
+        let silence = now.saturating_sub(self.sign);
+        silence > SILENCE && silence as f64 > SILENT * self.gaps.mean(SILENCE as f64)
+    }
+}
--- /dev/null
+++ b/crates/award/src/turns.rs
@@ -0,0 +1,190 @@
+//! The ordinary path: the billiard inside the shares (Algorithm 2), and in what order it may fall on workers where some are
+//! queued, late or ill.
+
+use crate::prefix::{Chain, weight};
+use crate::server::Server;
+use crate::{Ask, Award, Class};
+use rainlug::{Time, turns};
+use rainlug_registry::Phase;
+
+/// A worker with so few own requests in flight is never skipped for holding twice the mean.
+const SKIP_FLOOR: f64 = 3.0;
+/// What is unread there is a queue once it takes one in so many of the time until the answer is due.
+const QUEUE: f64 = 4.0;
+/// Live requests wait at a worker for a slot, up to one in so many of its slots.
+const WAIT: f64 = 2.0;
+/// Workers that a prefix kept nowhere has to choose between (power of two choices).
+const CHOICES: usize = 2;
+
+/// How well a worker suits a request, the best first; the billiard decides inside each of the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// Inside the shares, and next to nothing is unread there.
+    Free,
+    /// Inside the shares, in time, but behind other prompts.
+    Queued,
+    /// Outside the shares, in time.
+    Outside,
+    /// Predicted to be late, or its memory is full.
+    Late,
+    /// Holds twice the mean.
+    Skipped,
+    /// No slot is free there.
+    Full,
+    /// Fails often, or is silent.
+    Grey,
+    /// Its beats have stopped.
+    Lost,
+    Never,
+}
+
+/// What a pick sees of all workers together.
+#[derive(Clone, Copy, Debug)]
+pub struct Sight {
+    /// Own requests in flight at which a worker is skipped.
+    pub skip: f64,
+    /// So many are barred or fail that the cause must be a common one.
+    pub common: bool,
+    /// Age at which news of load counts by half, µs.
+    pub fresh: f64,
+    /// Mean tokens that a request leaves to be read.
+    pub unread: f64,
+}
+
+impl Award {
+    pub(crate) fn sight(&self, now: Time) -> Sight {
+        let (mut ready, mut ill, mut weight) = (0usize, 0usize, 0.0);
+        for s in self.servers.iter().filter(|s| s.worker.phase == Phase::Ready) {
+            ready += 1;
+            ill += usize::from(s.health.doubted() || s.health.grey(now));
+            weight += s.weight(now);
+        }
+        let mean = weight / ready.max(1) as f64;
+        Sight {
+            skip: turns::skip_at(mean, SKIP_FLOOR),
+            common: 2 * ill > ready,
+            fresh: self.fresh(now),
+            unread: self.unread(now),
+        }
+    }
+
+    /// Microseconds until the first event there, were it sent now.
+    fn wait(&self, now: Time, sight: &Sight, s: &Server, tokens: f64) -> f64 {
+        self.reading.wait(s.ahead(now, &self.reading, sight.unread) + tokens)
+    }
+
+    /// Whether a worker is out of the question, whatever else.
+    pub(crate) fn never(&self, now: Time, sight: &Sight, s: &Server, ask: &Ask) -> bool {
+        !s.listed()
+            || s.health.away(now)
+            || (s.health.doubted() && !sight.common)
+            || ask.tried.iter().any(|t| *t == s.worker.id)
+    }
+
+    /// `tokens` of the prompt are unread there.
+    pub(crate) fn rank(&self, now: Time, sight: &Sight, s: &Server, ask: &Ask, tokens: f64) -> Rank {
+        if self.never(now, sight, s, ask) {
+            return Rank::Never;
+        }
+        let slots = s.slots(self.slots);
+        let there =
+            if s.load.tells() { s.occupancy(now, sight.fresh, self.others) } else { f64::from(s.flying) };
+        if s.health.full(now) || (slots > 0.0 && there - slots >= (slots / WAIT).max(1.0)) {
+            return Rank::Never;
+        }
+        if s.worker.phase == Phase::Silent {
+            return Rank::Lost;
+        }
+        if !sight.common && s.health.grey(now) || s.silent(now) {
+            return Rank::Grey;
+        }
+        if slots > 0.0 && there >= slots {
+            return Rank::Full;
+        }
+        if s.weight(now) >= sight.skip {
+            return Rank::Skipped;
+        }
+        let ahead = s.ahead(now, &self.reading, sight.unread);
+        let aim = if ask.aim > 0 { ask.aim as f64 } else { f64::MAX };
+        let all = s.held as f64 * (there / f64::from(s.flying.max(1))).max(1.0) + tokens + f64::from(ask.out);
+        if self.reading.wait(ahead + tokens) > aim || (self.kv > 0 && all > self.kv as f64) {
+            return Rank::Late;
+        }
+        match s.share > 0.0 {
+            false => Rank::Outside,
+            true if self.reading.ahead(ahead) > aim / QUEUE => Rank::Queued,
+            true => Rank::Free,
+        }
+    }
+
+    /// The least level in the best rank; of equals a near one.
+    pub(crate) fn turn(
+        &self,
+        now: Time,
+        sight: &Sight,
+        ask: &Ask,
+        class: Option<&Class>,
+    ) -> Option<(usize, Rank)> {
+        let part = self.part(now, class);
+        let mut best: Option<((Rank, f64, bool), usize)> = None;
+        for (j, s) in self.servers.iter().enumerate() {
+            let rank = self.rank(now, sight, s, ask, f64::from(ask.prompt));
+            let level = match rank {
+                Rank::Never => continue,
+                Rank::Free | Rank::Queued => turns::level(y(class, j), s.fastest, s.share * part),
+                Rank::Outside => s.theta * (1.0 + f64::from(s.flying)),
+                Rank::Late => self.wait(now, sight, s, 0.0),
+                _ => s.occupancy(now, sight.fresh, self.others) / s.slots(self.slots).max(1.0),
+            };
+            let key = (rank, level, !s.near);
+            if best.is_none_or(|(b, _)| key < b) {
+                best = Some((key, j));
+            }
+        }
+        best.map(|((rank, ..), j)| (j, rank))
+    }
+
+    /// For a long prefix: the least laden of those that kept most of it; where none has it, of the first that the prefix's own
+    /// order of workers holds ready, so that all dispatchers take the same ones.
+    pub(crate) fn affine(&self, now: Time, sight: &Sight, ask: &Ask, chain: &Chain) -> Option<usize> {
+        let (mut keeper, mut first) = (None::<((u64, f64), usize)>, [None::<((bool, u64), usize)>; CHOICES]);
+        for (j, s) in self.servers.iter().enumerate() {
+            let kept = s.memory.kept(chain).min(u64::from(ask.prompt));
+            let unread = (u64::from(ask.prompt) - kept) as f64;
+            let rank = self.rank(now, sight, s, ask, unread);
+            // Waiting behind others is no worse than reading the whole where nothing is unread.
+            let late = rank == Rank::Late
+                && self.wait(now, sight, s, unread) > self.reading.wait(f64::from(ask.prompt));
+            if rank > Rank::Late || late {
+                continue;
+            }
+            if kept * 2 > chain.shared {
+                let key = (u64::MAX - kept, self.laden(now, sight, s));
+                if keeper.is_none_or(|(k, _)| key < k) {
+                    keeper = Some((key, j));
+                }
+            }
+            let place = ((rank < Rank::Late, weight(chain.key, s.id)), j);
+            if let Some(nth) = first.iter().position(|f| f.is_none_or(|f| place > f)) {
+                first[nth..].rotate_right(1);
+                first[nth] = Some(place);
+            }
+        }
+        let laden = |j: usize| self.laden(now, sight, &self.servers[j]);
+        keeper.map(|(_, j)| j).or_else(|| {
+            let two = first.into_iter().flatten().map(|(_, j)| j);
+            two.min_by(|&a, &b| laden(a).total_cmp(&laden(b)))
+        })
+    }
+
+    /// How laden a worker is: its requests by its slots, and what is unread there by what it may hold of that.
+    fn laden(&self, now: Time, sight: &Sight, s: &Server) -> f64 {
+        let unread = s.ahead(now, &self.reading, sight.unread) / sight.unread.max(1.0);
+        (s.occupancy(now, sight.fresh, self.others) + unread) / s.slots(self.slots).max(1.0)
+    }
+}
+
+/// A class's turns at a worker; it had none where it is new.
+pub(crate) fn y(class: Option<&Class>, j: usize) -> f64 {
+    class.and_then(|c| c.turns.get(j)).copied().unwrap_or(0.0)
+}
--- a/crates/committee/src/lib.rs
+++ b/crates/committee/src/lib.rs
@@ -4,11 +4,16 @@
 //! without it has a new id, and votes only once the group has taken that id in.
 //! No I/O: time, chance, messages and what the disk has saved are handed in; messages, records and commands are handed out.
 
+mod log;
+mod replica;
+mod wire;
+
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use quick_error::quick_error;
-use rainlug::Time;
+pub use rainlug::Time;
+pub use replica::Replica;
 
 /// A disk's identity, drawn when it is first used.
 pub type MemberId = u64;
@@ -76,92 +81,3 @@
     /// The state machine should call `snapshot`.
     pub compact: bool,
 }
-
-/// One member's replica of one part.
-pub struct Replica {}
-
-impl Replica {
-    /// A member with nothing saved. `founding` is the first group, the same for all its members; empty for one that waits to be
-    /// taken in.
-    pub fn new(_me: Member, _founding: Vec<Member>, _settings: Settings, _seed: u64, _now: Time) -> Self {
-        todo!()
-    }
-    /// A member that has these records, all that it saved, in order. The state machine restarts from `take().restore` and
-    /// `committed`.
-    ///
-    /// # Errors
-    /// Where a record cannot be read.
-    pub fn recover(
-        _me: Member,
-        _founding: Vec<Member>,
-        _settings: Settings,
-        _records: &[Bytes],
-        _seed: u64,
-        _now: Time,
-    ) -> Result<Self, Odd> {
-        todo!()
-    }
-    pub fn next(&self) -> Time {
-        todo!()
-    }
-    pub fn due(&mut self, _now: Time) {
-        todo!()
-    }
-    /// A message of another member's replica of this part.
-    ///
-    /// # Errors
-    /// Where the bytes cannot be read; nothing has changed then.
-    pub fn heard(&mut self, _now: Time, _bytes: &[u8]) -> Result<(), Odd> {
-        todo!()
-    }
-    /// All records up to this ticket are on the disk.
-    pub fn saved(&mut self, _now: Time, _ticket: u64) {
-        todo!()
-    }
-    /// Proposes a command: its index, under which it is committed unless this leader is replaced first.
-    ///
-    /// # Errors
-    /// Not the leader.
-    pub fn propose(&mut self, _now: Time, _command: Bytes) -> Result<(Index, Term), Refused> {
-        todo!()
-    }
-    /// Proposes another group, which differs by one member or swaps one for another.
-    ///
-    /// # Errors
-    /// Not the leader, or not now.
-    pub fn change(&mut self, _now: Time, _members: Vec<Member>) -> Result<Index, Refused> {
-        todo!()
-    }
-    /// Asks for a read that sees all that was committed before; answered in [`Output::reads`].
-    pub fn read(&mut self, _now: Time, _ticket: u64) {
-        todo!()
-    }
-    /// The state machine's whole state as of all commands taken so far. Entries up to there are dropped.
-    pub fn snapshot(&mut self, _now: Time, _state: Bytes) {
-        todo!()
-    }
-    pub fn take(&mut self) -> Output {
-        todo!()
-    }
-    pub fn me(&self) -> &Member {
-        todo!()
-    }
-    pub fn leader(&self) -> Option<&Member> {
-        todo!()
-    }
-    /// Leads, and has committed an entry of its own term.
-    pub fn leads(&self) -> bool {
-        todo!()
-    }
-    pub fn term(&self) -> Term {
-        todo!()
-    }
-    /// The newest group that it knows, and whether that is committed.
-    pub fn members(&self) -> (&[Member], bool) {
-        todo!()
-    }
-    /// The leader's knowledge of who is behind: entries that each other member lacks on its disk.
-    pub fn behind(&self) -> Vec<(MemberId, u64)> {
-        todo!()
-    }
-}
--- /dev/null
+++ b/crates/committee/src/log.rs
@@ -0,0 +1,133 @@
+//! A replica's log in memory: entries behind a base, and the groups that they name.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use crate::wire::read_group;
+use crate::{Index, Member, Term};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Noop = 0,
+    Command = 1,
+    Group = 2,
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub term: Term,
+    pub kind: Kind,
+    pub data: Bytes,
+}
+
+impl Entry {
+    /// With what it takes beside its content, in bytes.
+    pub fn weight(&self) -> usize {
+        self.data.len() + 32
+    }
+}
+
+/// A change of the group, or the group as of a snapshot.
+#[derive(Clone, Debug)]
+pub struct Group {
+    pub index: Index,
+    pub before: Vec<Member>,
+    pub after: Vec<Member>,
+}
+
+#[derive(Debug)]
+pub struct Snapshot {
+    pub index: Index,
+    pub term: Term,
+    pub group: Vec<Member>,
+    pub state: Bytes,
+}
+
+pub struct Log {
+    /// Index and term of the entry before the first in memory.
+    base: (Index, Term),
+    entries: VecDeque<Entry>,
+    /// The newest is `group`; these are older ones that may come back, by index.
+    older: Vec<Group>,
+    group: Group,
+}
+
+impl Log {
+    pub fn new(index: Index, term: Term, group: Vec<Member>) -> Self {
+        let group = Group { index, before: vec![], after: group };
+        Self { base: (index, term), entries: VecDeque::new(), older: vec![], group }
+    }
+    pub fn base(&self) -> Index {
+        self.base.0
+    }
+    pub fn last(&self) -> Index {
+        self.base.0 + self.entries.len() as u64
+    }
+    pub fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base.1, |entry| entry.term)
+    }
+    pub fn group(&self) -> &Group {
+        &self.group
+    }
+    pub fn get(&self, index: Index) -> Option<&Entry> {
+        let place = index.checked_sub(self.base.0 + 1)?;
+        self.entries.get(usize::try_from(place).ok()?)
+    }
+    /// None where it is not in memory.
+    pub fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base.0 { Some(self.base.1) } else { self.get(index).map(|entry| entry.term) }
+    }
+    /// The newest index up to `index` of a term no newer than `term`; the base where none in memory is.
+    pub fn common(&self, index: Index, term: Term) -> Index {
+        let mut at = index.min(self.last());
+        while at > self.base.0 && self.term(at).is_some_and(|own| own > term) {
+            at -= 1;
+        }
+        at
+    }
+    pub fn push(&mut self, entry: Entry) {
+        if entry.kind == Kind::Group
+            && let Ok((before, after)) = read_group(&entry.data)
+        {
+            let group = Group { index: self.last() + 1, before, after };
+            self.older.push(std::mem::replace(&mut self.group, group));
+        }
+        self.entries.push_back(entry);
+    }
+    /// Drops what is behind `index`.
+    pub fn truncate(&mut self, index: Index) {
+        self.entries.truncate(usize::try_from(index.saturating_sub(self.base.0)).unwrap_or(usize::MAX));
+        while self.group.index > index
+            && let Some(group) = self.older.pop()
+        {
+            self.group = group;
+        }
+    }
+    /// The group as of a committed index.
+    pub fn group_at(&self, index: Index) -> &Group {
+        if self.group.index <= index {
+            return &self.group;
+        }
+        self.older.iter().rev().find(|group| group.index <= index).unwrap_or(&self.group)
+    }
+    /// Drops entries up to `index` but a tail of this weight; `index` is committed.
+    pub fn compact(&mut self, index: Index, tail: usize) {
+        let mut keep = index;
+        let mut weight = 0;
+        while keep > self.base.0 {
+            weight += self.get(keep).map_or(0, Entry::weight);
+            if weight > tail {
+                break;
+            }
+            keep -= 1;
+        }
+        while self.base.0 < keep
+            && let Some(entry) = self.entries.pop_front()
+        {
+            self.base = (self.base.0 + 1, entry.term);
+        }
+        let current = self.group_at(index).index;
+        self.older.retain(|group| group.index >= current);
+    }
+}
--- /dev/null
+++ b/crates/committee/tests/common/mod.rs
@@ -0,0 +1,491 @@
+//! Replicas on a virtual clock, with disks, a network and a checker of what must hold.
+#![allow(dead_code, reason = "not every test uses all of it")]
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use rainlug_committee::{Index, Member, MemberId, Refused, Replica, Settings, Term, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const MILLIS: Time = 1_000;
+pub const SECOND: Time = 1_000_000;
+
+pub fn settings(copies: usize) -> Settings {
+    Settings { heartbeat: 50 * MILLIS, election: 200 * MILLIS, copies, most_bytes: 400, compact_bytes: 4_000 }
+}
+
+pub fn member(id: MemberId) -> Member {
+    let port = u16::try_from(1000 + id % 50_000).expect("a small number");
+    Member {
+        id,
+        name: format!("member-{id}"),
+        zone: format!("zone-{}", id % 3),
+        at: SocketAddr::from(([10, 0, 0, 1], port)),
+    }
+}
+
+pub fn members(ids: &[MemberId]) -> Vec<Member> {
+    ids.iter().map(|&id| member(id)).collect()
+}
+
+enum Write {
+    Append(u64, Bytes),
+    Rewrite(u64, Vec<Bytes>),
+}
+
+pub struct Node {
+    pub me: Member,
+    founding: Vec<Member>,
+    pub replica: Option<Replica>,
+    pub disk: Vec<Bytes>,
+    writes: VecDeque<Write>,
+    /// Lives and events of an earlier life are told apart.
+    life: u64,
+    pub frozen_until: Time,
+    /// The state machine: all commands so far.
+    pub applied: Vec<(Index, u64)>,
+    pub lost: bool,
+    /// How long its disk takes, and the chance that it takes long.
+    pub disk_delay: Time,
+    pub reads: BTreeMap<u64, Result<(), Refused>>,
+    wants_snapshot: bool,
+}
+
+enum Event {
+    Deliver { to: MemberId, bytes: Bytes },
+    Synced { node: MemberId, life: u64, writes: usize },
+}
+
+pub struct Network {
+    pub loss: f64,
+    pub twice: f64,
+    pub slow: f64,
+}
+
+/// What the harness does wrong on purpose, for the checker to find.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Says that records are saved before they are.
+    EarlySaved,
+    /// A machine that lost its disk goes on under its old id.
+    OldId,
+}
+
+pub struct World {
+    pub now: Time,
+    pub chance: ChaCha8Rng,
+    pub settings: Settings,
+    pub nodes: BTreeMap<MemberId, Node>,
+    events: BTreeMap<(Time, u64), Event>,
+    sequence: u64,
+    pub cuts: BTreeSet<(MemberId, MemberId)>,
+    pub network: Network,
+    pub fault: Fault,
+    /// All that any replica has handed out as committed.
+    pub history: Vec<(Index, u64)>,
+    leaders: BTreeMap<Term, MemberId>,
+    pub leads_seen: Term,
+    /// Reads under way: how much was committed anywhere when they were asked.
+    asked: BTreeMap<u64, usize>,
+    pub answered: usize,
+    next_ticket: u64,
+    next_command: u64,
+    pub next_id: MemberId,
+    pub violation: Option<String>,
+    /// Messages delivered.
+    pub delivered: usize,
+    pub longest: usize,
+}
+
+pub fn encode(applied: &[(Index, u64)]) -> Bytes {
+    let flat: Vec<u8> =
+        applied.iter().flat_map(|(index, id)| [index.to_le_bytes(), id.to_le_bytes()].concat()).collect();
+    Bytes::from(flat)
+}
+
+fn decode(state: &[u8]) -> Vec<(Index, u64)> {
+    let word = |bytes: &[u8]| u64::from_le_bytes(bytes.try_into().expect("eight bytes"));
+    state.chunks(16).map(|pair| (word(&pair[..8]), word(&pair[8..]))).collect()
+}
+
+impl World {
+    pub fn new(seed: u64, founding: &[MemberId], settings: Settings) -> Self {
+        let mut world = Self {
+            now: 0,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            settings,
+            nodes: BTreeMap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            cuts: BTreeSet::new(),
+            network: Network { loss: 0.0, twice: 0.0, slow: 0.0 },
+            fault: Fault::None,
+            history: vec![],
+            leaders: BTreeMap::new(),
+            leads_seen: 0,
+            asked: BTreeMap::new(),
+            answered: 0,
+            next_ticket: 0,
+            next_command: 0,
+            next_id: 100,
+            violation: None,
+            delivered: 0,
+            longest: 0,
+        };
+        for &id in founding {
+            world.add(id, members(founding));
+        }
+        world
+    }
+
+    pub fn add(&mut self, id: MemberId, founding: Vec<Member>) {
+        let me = member(id);
+        let node = Node {
+            me,
+            founding,
+            replica: None,
+            disk: vec![],
+            writes: VecDeque::new(),
+            life: 0,
+            frozen_until: 0,
+            applied: vec![],
+            lost: false,
+            disk_delay: MILLIS,
+            reads: BTreeMap::new(),
+            wants_snapshot: false,
+        };
+        self.nodes.insert(id, node);
+        self.start(id);
+    }
+    pub fn start(&mut self, id: MemberId) {
+        let seed = self.chance.random();
+        let node = self.nodes.get_mut(&id).expect("a known node");
+        if node.lost || node.replica.is_some() {
+            return;
+        }
+        node.frozen_until = 0;
+        node.applied.clear();
+        let replica = Replica::recover(
+            node.me.clone(),
+            node.founding.clone(),
+            self.settings,
+            &node.disk,
+            seed,
+            self.now,
+        );
+        node.replica = Some(replica.expect("own records are read"));
+        self.pump(id);
+    }
+    /// The process ends; of what was not synced any beginning may be on the disk.
+    pub fn crash(&mut self, id: MemberId) {
+        let node = self.nodes.get_mut(&id).expect("a known node");
+        node.replica = None;
+        node.life += 1;
+        let kept = self.chance.random_range(0..=node.writes.len());
+        for write in node.writes.drain(..).take(kept) {
+            apply(&mut node.disk, write);
+        }
+        node.wants_snapshot = false;
+    }
+    /// The process ends, and nothing that was not synced is on the disk.
+    pub fn power_off(&mut self, id: MemberId) {
+        self.nodes.get_mut(&id).expect("a known node").writes.clear();
+        self.crash(id);
+    }
+    /// The disk is lost; the machine comes back with a new id, that is returned.
+    pub fn wipe(&mut self, id: MemberId) -> MemberId {
+        self.crash(id);
+        let node = self.nodes.get_mut(&id).expect("a known node");
+        node.disk.clear();
+        if self.fault == Fault::OldId {
+            self.start(id);
+            return id;
+        }
+        node.lost = true;
+        self.next_id += 1;
+        let new = self.next_id;
+        self.add(new, vec![]);
+        new
+    }
+    pub fn freeze(&mut self, id: MemberId, time: Time) {
+        let until = self.now + time;
+        self.nodes.get_mut(&id).expect("a known node").frozen_until = until;
+    }
+    pub fn cut(&mut self, from: MemberId, to: MemberId) {
+        self.cuts.insert((from, to));
+    }
+    pub fn isolate(&mut self, id: MemberId) {
+        let others: Vec<MemberId> = self.nodes.keys().copied().collect();
+        for other in others {
+            self.cuts.extend([(id, other), (other, id)]);
+        }
+    }
+    pub fn replica(&self, id: MemberId) -> &Replica {
+        self.nodes[&id].replica.as_ref().expect("it is up")
+    }
+    /// Who leads in the newest term.
+    pub fn leader(&self) -> Option<MemberId> {
+        let up = self.nodes.iter().filter_map(|(&id, node)| Some((id, node.replica.as_ref()?)));
+        up.filter(|(_, replica)| replica.leads()).max_by_key(|(_, replica)| replica.term()).map(|(id, _)| id)
+    }
+
+    /// Proposes the next command there: its id.
+    pub fn propose(&mut self, id: MemberId, padding: usize) -> Option<u64> {
+        let now = self.now;
+        let replica = self.nodes.get_mut(&id)?.replica.as_mut()?;
+        self.next_command += 1;
+        let command = self.next_command;
+        let mut bytes = command.to_le_bytes().to_vec();
+        bytes.resize(8 + padding, 0);
+        let proposed = replica.propose(now, Bytes::from(bytes)).is_ok();
+        self.pump(id);
+        proposed.then_some(command)
+    }
+    pub fn read(&mut self, id: MemberId) -> Option<u64> {
+        let now = self.now;
+        let replica = self.nodes.get_mut(&id)?.replica.as_mut()?;
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.asked.insert(ticket, self.history.len());
+        replica.read(now, ticket);
+        self.pump(id);
+        Some(ticket)
+    }
+    pub fn change(&mut self, id: MemberId, members: Vec<Member>) -> Result<Index, Refused> {
+        let now = self.now;
+        let replica = self.nodes.get_mut(&id).and_then(|node| node.replica.as_mut()).expect("it is up");
+        let changed = replica.change(now, members);
+        self.pump(id);
+        changed
+    }
+    pub fn is_committed(&self, command: u64) -> bool {
+        self.history.iter().any(|(_, id)| *id == command)
+    }
+
+    fn violate(&mut self, what: String) {
+        let now = self.now;
+        self.violation.get_or_insert_with(|| format!("at {now} us: {what}"));
+    }
+    fn event(&mut self, at: Time, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    /// Takes what a replica hands out, and checks it.
+    pub fn pump(&mut self, id: MemberId) {
+        loop {
+            let now = self.now;
+            let Some(node) = self.nodes.get_mut(&id) else { return };
+            let Some(replica) = node.replica.as_mut() else { return };
+            if std::mem::take(&mut node.wants_snapshot) {
+                replica.snapshot(now, encode(&node.applied));
+            }
+            let output = replica.take();
+            let term = replica.term();
+            let leading = replica.leader().is_some_and(|leader| leader.id == id);
+            let leads = replica.leads();
+            node.wants_snapshot = output.compact;
+            let mut writes = 0;
+            let mut newest = 0;
+            if let Some((ticket, records)) = output.rewrite {
+                node.writes.push_back(Write::Rewrite(ticket, records));
+                writes += 1;
+                newest = ticket;
+            }
+            for (ticket, record) in output.save {
+                assert!(ticket > newest, "tickets rise");
+                newest = ticket;
+                node.writes.push_back(Write::Append(ticket, record));
+                writes += 1;
+            }
+            let life = node.life;
+            let disk_delay = node.disk_delay;
+            let mut wrong = vec![];
+            if let Some((index, state)) = output.restore {
+                node.applied = decode(&state);
+                if node.applied.last().is_some_and(|(last, _)| *last > index) {
+                    wrong.push(format!("{id} restores more than up to {index}"));
+                }
+                if !self.history.starts_with(&node.applied) {
+                    wrong.push(format!("{id} restores what was not committed, up to {index}"));
+                }
+            }
+            for (index, bytes) in output.committed {
+                let command = u64::from_le_bytes(bytes[..8].try_into().expect("eight bytes"));
+                let place = node.applied.len();
+                node.applied.push((index, command));
+                match self.history.get(place) {
+                    Some(known) if *known == (index, command) => {}
+                    Some(known) => {
+                        wrong.push(format!("{id} has {command} at {index}, others {known:?}"));
+                    }
+                    None => self.history.push((index, command)),
+                }
+            }
+            for (ticket, answer) in output.reads {
+                if node.reads.insert(ticket, answer.clone()).is_some() {
+                    wrong.push(format!("read {ticket} is answered twice"));
+                }
+                if answer.is_ok() {
+                    self.answered += 1;
+                    if self.asked.get(&ticket).is_none_or(|seen| node.applied.len() < *seen) {
+                        wrong.push(format!("read {ticket} at {id} misses what was committed before it"));
+                    }
+                }
+            }
+            if leading && *self.leaders.entry(term).or_insert(id) != id {
+                wrong.push(format!("two leaders of term {term}"));
+            }
+            if leads {
+                self.leads_seen = self.leads_seen.max(term);
+            }
+            for what in wrong {
+                self.violate(what);
+            }
+            if writes > 0 {
+                let slow = self.chance.random_bool(self.network.slow);
+                let delay = self.chance.random_range(1..=disk_delay) * if slow { 50 } else { 1 };
+                self.event(now + delay, Event::Synced { node: id, life, writes });
+            }
+            for (to, bytes) in output.messages {
+                self.longest = self.longest.max(bytes.len());
+                if self.cuts.contains(&(id, to.id)) || self.chance.random_bool(self.network.loss) {
+                    continue;
+                }
+                for _ in 0..=u8::from(self.chance.random_bool(self.network.twice)) {
+                    let slow = self.chance.random_bool(self.network.slow);
+                    // In order where the network is calm, as on one connection.
+                    let delay = match (self.network.slow > 0.0, slow) {
+                        (false, _) => MILLIS,
+                        (true, false) => self.chance.random_range(100..3 * MILLIS),
+                        (true, true) => self.chance.random_range(MILLIS..150 * MILLIS),
+                    };
+                    self.event(now + delay, Event::Deliver { to: to.id, bytes: bytes.clone() });
+                }
+            }
+            if self.fault == Fault::EarlySaved && newest > 0 {
+                if let Some(replica) = self.nodes.get_mut(&id).and_then(|node| node.replica.as_mut()) {
+                    replica.saved(now, newest);
+                }
+                continue;
+            }
+            if !output.compact {
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Deliver { to, bytes } => {
+                let Some(node) = self.nodes.get_mut(&to) else { return };
+                if node.frozen_until > now {
+                    let at = node.frozen_until + self.chance.random_range(0..2);
+                    self.event(at, Event::Deliver { to, bytes });
+                    return;
+                }
+                if let Some(replica) = node.replica.as_mut() {
+                    self.delivered += 1;
+                    if let Err(odd) = replica.heard(now, &bytes) {
+                        self.violate(format!("{to} cannot read: {odd}"));
+                    }
+                    self.pump(to);
+                }
+            }
+            Event::Synced { node: id, life, writes } => {
+                let Some(node) = self.nodes.get_mut(&id) else { return };
+                if node.life != life {
+                    return;
+                }
+                if node.frozen_until > now {
+                    let at = node.frozen_until;
+                    self.event(at, Event::Synced { node: id, life, writes });
+                    return;
+                }
+                let mut newest = 0;
+                for write in node.writes.drain(..writes) {
+                    newest = apply(&mut node.disk, write);
+                }
+                if self.fault != Fault::EarlySaved
+                    && let Some(replica) = node.replica.as_mut()
+                {
+                    replica.saved(now, newest);
+                    self.pump(id);
+                }
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, time: Time) {
+        self.run_until(time, |_| false);
+    }
+    /// Runs until it holds, for so long at most; whether it held.
+    pub fn run_until(&mut self, time: Time, mut holds: impl FnMut(&Self) -> bool) -> bool {
+        let end = self.now + time;
+        loop {
+            if holds(self) {
+                return true;
+            }
+            let event = self.events.first_key_value().map(|((at, _), _)| *at);
+            let due = self
+                .nodes
+                .iter()
+                .filter_map(|(&id, node)| Some((node.replica.as_ref()?.next().max(node.frozen_until), id)))
+                .min();
+            let next = event.into_iter().chain(due.map(|(at, _)| at)).min().unwrap_or(end);
+            if next > end || self.violation.is_some() {
+                self.now = end;
+                return false;
+            }
+            self.now = self.now.max(next);
+            // A process that wakes may see its clock first, or its messages.
+            if let Some((at, id)) = due
+                && at <= self.now
+                && (event.is_none_or(|event| event > at) || self.chance.random())
+            {
+                let now = self.now;
+                if let Some(replica) = self.nodes.get_mut(&id).and_then(|node| node.replica.as_mut()) {
+                    replica.due(now);
+                    assert!(replica.next() > now, "it is due at once again");
+                }
+                self.pump(id);
+            } else if let Some((_, event)) = self.events.pop_first() {
+                self.handle(event);
+            }
+        }
+    }
+    /// Runs until there is a leader: its id.
+    #[track_caller]
+    pub fn elect(&mut self) -> MemberId {
+        assert!(
+            self.run_until(10 * SECOND, |world| world.leader().is_some()),
+            "no leader within ten seconds"
+        );
+        self.leader().expect("one leads")
+    }
+    #[track_caller]
+    pub fn commit(&mut self, command: u64) {
+        assert!(self.run_until(10 * SECOND, |world| world.is_committed(command)), "it is not committed");
+    }
+    #[track_caller]
+    pub fn sound(&self) {
+        assert_eq!(self.violation, None);
+    }
+}
+
+fn apply(disk: &mut Vec<Bytes>, write: Write) -> u64 {
+    match write {
+        Write::Append(ticket, record) => {
+            disk.push(record);
+            ticket
+        }
+        Write::Rewrite(ticket, records) => {
+            *disk = records;
+            ticket
+        }
+    }
+}
--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -1,14 +1,54 @@
 //! The data plane: what clients send at the front address goes to workers, and what these answer goes back. The choice of worker
 //! is `rainlug-award`'s; this crate carries it out.
 
+mod answers;
+mod connections;
+mod figures;
+mod forward;
+mod items;
+mod lots;
+mod request;
+mod routing;
+mod server;
+mod stopping;
+mod stream;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use rainlug_registry::{Configuration, Route, Worker};
+use rainlug::Time;
+use rainlug_award::Award;
+use rainlug_registry::{Configuration, Limits, Phase, Route, Worker};
+use rainlug_transport::{Bounds, Pool, Sizes};
 use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep_until};
+
+use crate::connections::Connections;
+use crate::figures::Figures;
+use crate::routing::Service;
+use crate::stopping::Stopping;
+
+pub use crate::stream::{Event, Events};
+
+/// Buffers, and the largest head of a worker's answer, in bytes. Bodies come in parts.
+const SIZES: Sizes = Sizes { head: 16 << 10, body: usize::MAX, buffer: 8 << 10 };
+/// What clients may send before there is a configuration.
+const LIMITS: Limits = Limits {
+    max_header_bytes: 16 << 10,
+    max_body_bytes: 4 << 20,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
+};
+/// Bodies of requests that are in hand may take one part of so many of the memory.
+const BODIES: usize = 4;
+/// How often idle connections to workers are looked through, and the timers of new services.
+const LOOK: Duration = Duration::from_millis(500);
 
 /// An answer of this tier's own.
 #[derive(Clone, Debug)]
@@ -79,50 +119,192 @@
     NoRoom,
 }
 
-pub struct Counter {}
+/// The clock of the picks: microseconds since the start.
+#[derive(Clone, Copy, Debug)]
+struct Clock(Instant);
+
+impl Clock {
+    fn now(self) -> Time {
+        Time::try_from(self.0.elapsed().as_micros()).unwrap_or(Time::MAX)
+    }
+
+    fn instant(self, at: Time) -> Instant {
+        self.0 + Duration::from_micros(u64::try_from(at).unwrap_or_default())
+    }
+}
+
+pub struct Counter {
+    told: Told,
+    clock: Clock,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    services: RefCell<HashMap<String, Rc<Service>>>,
+    workers: RefCell<HashMap<String, Worker>>,
+    others: Cell<usize>,
+    chance: Cell<u64>,
+    pool: Pool,
+    bounds: Bounds,
+    connections: Rc<Connections>,
+    /// Bytes of bodies of requests in hand.
+    bodies: Cell<usize>,
+    stopping: Stopping,
+    figures: Figures,
+}
 
 impl Counter {
-    pub fn new(_told: Told) -> Rc<Self> {
-        todo!()
+    pub fn new(told: Told) -> Rc<Self> {
+        let memory = told.memory_mb << 20;
+        let pool = Pool::within(memory, SIZES);
+        let bounds = Bounds::within(told.max_fds, memory, SIZES, false);
+        let connections = Rc::new(Connections::new(pool.clone(), bounds.workers.clone()));
+        Rc::new(Counter {
+            clock: Clock(Instant::now()),
+            configuration: RefCell::default(),
+            services: RefCell::default(),
+            workers: RefCell::default(),
+            others: Cell::new(0),
+            chance: Cell::new(told.seed),
+            pool,
+            bounds,
+            connections,
+            bodies: Cell::new(0),
+            stopping: Stopping::new(told.grace_s),
+            figures: Figures::default(),
+            told,
+        })
     }
+
     /// The newest configuration that is in force; only ever goes up.
-    pub fn configure(&self, _configuration: Rc<Configuration>) {
-        todo!()
+    pub fn configure(&self, configuration: Rc<Configuration>) {
+        let older = self.configuration.borrow().as_ref().is_some_and(|c| c.version >= configuration.version);
+        if older {
+            return;
+        }
+        for told in &configuration.services {
+            let known = self.services.borrow().get(&told.name).cloned();
+            let service = known.unwrap_or_else(|| self.open(&told.name));
+            service.max_conns.set(told.max_conns);
+            service.award.borrow_mut().service(told.slots, told.kv_capacity_tokens);
+        }
+        spdlog::info!("configuration {} is in force here", configuration.version);
+        *self.configuration.borrow_mut() = Some(configuration);
+    }
+
+    /// A service that was not known.
+    fn open(&self, name: &str) -> Rc<Service> {
+        let now = self.clock.now();
+        let mut award = Award::new(&self.told.zone, self.draw_bits(), now);
+        award.others(self.others.get());
+        for worker in self.workers.borrow().values().filter(|w| w.service == name) {
+            award.worker(now, worker);
+        }
+        let service = Service::new(award);
+        self.services.borrow_mut().insert(name.to_owned(), service.clone());
+        service
     }
+
     /// A worker is new or changed.
-    pub fn worker(&self, _worker: &Worker) {
-        todo!()
+    pub fn worker(&self, worker: &Worker) {
+        if worker.phase == Phase::Gone {
+            self.workers.borrow_mut().remove(&worker.id);
+        } else {
+            self.workers.borrow_mut().insert(worker.id.clone(), worker.clone());
+        }
+        if worker.phase >= Phase::Draining {
+            self.connections.drop_idle(&worker.id, worker.phase == Phase::Gone);
+        }
+        let service = self.services.borrow().get(&worker.service).cloned();
+        if let Some(service) = service {
+            service.award.borrow_mut().worker(self.clock.now(), worker);
+            service.wake();
+        }
     }
+
     /// How many other dispatchers live.
-    pub fn others(&self, _count: usize) {
-        todo!()
+    pub fn others(&self, count: usize) {
+        self.others.set(count);
+        self.services.borrow().values().for_each(|service| service.award.borrow_mut().others(count));
     }
+
     /// Serves clients for good.
-    pub async fn serve(self: Rc<Self>, _front: TcpListener, _lots: Rc<dyn Lots>) {
-        todo!()
+    pub async fn serve(self: Rc<Self>, front: TcpListener, lots: Rc<dyn Lots>) {
+        server::accept(self, front, lots).await;
     }
+
     /// Answers `GET /v1/readiness` for good; 200 where `ready` says so and it is not stopping.
-    pub async fn readiness(self: Rc<Self>, _at: TcpListener, _ready: Rc<dyn Fn() -> bool>) {
-        todo!()
+    pub async fn readiness(self: Rc<Self>, at: TcpListener, ready: Rc<dyn Fn() -> bool>) {
+        server::readiness(self, at, ready).await;
     }
+
     /// The timers of the picks, for good.
     pub async fn run(self: Rc<Self>) {
-        todo!()
+        let mut look = Instant::now() + LOOK;
+        loop {
+            let services: Vec<Rc<Service>> = self.services.borrow().values().cloned().collect();
+            let next = services.iter().map(|service| service.award.borrow().next()).min();
+            let next = next.map_or(look, |next| self.clock.instant(next).min(look));
+            sleep_until(next).await;
+            let now = self.clock.now();
+            for service in services {
+                let due = service.award.borrow().next() <= now;
+                if due {
+                    service.award.borrow_mut().due(now);
+                    service.wake();
+                }
+            }
+            if Instant::now() >= look {
+                self.connections.reap();
+                look = Instant::now() + LOOK;
+            }
+        }
     }
+
     /// Runs an item of a batch job at a worker, once.
-    pub async fn item(&self, _item: Item) -> Ran {
-        todo!()
+    pub async fn item(&self, item: Item) -> Ran {
+        items::run(self, item).await
     }
+
     /// SIGTERM: unready at once, idle client connections are closed in order, what is in hand is finished; ends when all is.
     pub async fn stop(&self) {
-        todo!()
+        self.stopping.stop().await;
     }
+
     /// Figures as (name, value), for the control address.
     pub fn figures(&self) -> Vec<(String, f64)> {
-        todo!()
+        self.figures.all(self)
     }
+
     /// Where a worker was last reached, for tests.
-    pub fn reaches(&self, _id: &str) -> Option<SocketAddr> {
-        None
+    pub fn reaches(&self, id: &str) -> Option<SocketAddr> {
+        self.connections.reached(id)
+    }
+
+    fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    fn limits(&self) -> Limits {
+        self.configuration.borrow().as_ref().map_or(LIMITS, |configuration| configuration.limits)
+    }
+
+    /// This dispatcher's part of the connections that a worker of the service takes.
+    fn connections_each(&self, service: &Service) -> usize {
+        match service.max_conns.get() {
+            0 => usize::MAX,
+            most => usize::try_from(most).unwrap_or(usize::MAX) / (self.others.get() + 1),
+        }
+    }
+
+    /// Bits by chance (splitmix64).
+    fn draw_bits(&self) -> u64 {
+        self.chance.set(self.chance.get().wrapping_add(0x9e37_79b9_7f4a_7c15));
+        let mut bits = self.chance.get();
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bits ^ (bits >> 31)
+    }
+
+    /// A number from 0 up to 1.
+    fn draw(&self) -> f64 {
+        (self.draw_bits() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
--- /dev/null
+++ b/crates/counter/tests/plane/stop.rs
@@ -0,0 +1,136 @@
+//! The way out, and whether this dispatcher is ready.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::common::*;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+async fn ready(bench: &Bench) -> u16 {
+    let mut client = Client { stream: TcpStream::connect(bench.ready).await.unwrap(), buffer: Vec::new() };
+    client.ask("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n").await.status()
+}
+
+#[test]
+fn readiness_is_told_over_one_connection_or_many() {
+    run(async {
+        let bench = Bench::bare().await;
+        let mut client =
+            Client { stream: TcpStream::connect(bench.ready).await.unwrap(), buffer: Vec::new() };
+        for (target, status) in [("/v1/readiness", 200), ("/v1/else", 404), ("/v1/readiness", 200)] {
+            let got = client.ask(&format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
+            assert_eq!((got.status(), got.body.len()), (status, 0));
+        }
+        for _ in 0..20 {
+            assert_eq!(ready(&bench).await, 200);
+        }
+    });
+}
+
+/// Clients that ask all the time, on connections that they keep and on new ones, while the dispatcher stops.
+#[test]
+fn until_it_has_stopped_no_request_is_lost() {
+    run(async {
+        let worker = stand(|_, _| vec![Act::Sleep(30), ok("done")]).await;
+        let bench = Rc::new(Bench::with(&[&worker]).await);
+        let stopping = Rc::new(Cell::new(false));
+        let (asked, answered, lost) =
+            (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)), Rc::new(RefCell::new(Vec::new())));
+        for n in 0..20 {
+            let (bench, stopping) = (bench.clone(), stopping.clone());
+            let (asked, answered, lost) = (asked.clone(), answered.clone(), lost.clone());
+            spawn_local(async move {
+                let mut kept: Option<Client> = None;
+                for turn in 0.. {
+                    sleep(Duration::from_millis(7 + n)).await;
+                    let mut client = match kept.take() {
+                        Some(client) => client,
+                        None => match TcpStream::connect(bench.front).await {
+                            Ok(stream) => Client { stream, buffer: Vec::new() },
+                            // Nothing was read.
+                            Err(_) => return,
+                        },
+                    };
+                    use tokio::io::AsyncWriteExt;
+                    let text = post("/m/1", &format!("{n}-{turn}"), "", "body");
+                    asked.set(asked.get() + 1);
+                    if client.stream.write_all(text.as_bytes()).await.is_err() {
+                        asked.set(asked.get() - 1);
+                        continue;
+                    }
+                    let sent = Instant::now();
+                    match client.got().await {
+                        Some(got) if got.whole && got.status() == 200 => {
+                            answered.set(answered.get() + 1);
+                            let close = got.field("Connection").as_deref() == Some("close");
+                            kept = (!close && n % 2 == 0).then_some(client);
+                        }
+                        // The end crossed the request, at once: it has not been read.
+                        None if stopping.get() && sent.elapsed() < Duration::from_millis(200) => {
+                            asked.set(asked.get() - 1)
+                        }
+                        other => lost.borrow_mut().push(format!("{n}-{turn}: {other:?}")),
+                    }
+                }
+            });
+        }
+        sleep(Duration::from_millis(300)).await;
+        let mut idle = bench.client().await;
+        assert_eq!(idle.ask(&post("/m/1", "idle", "", "")).await.status(), 200);
+        let mut slow = bench.client().await;
+        stopping.set(true);
+        let begun = Instant::now();
+        let told = {
+            let bench = bench.clone();
+            spawn_local(async move { bench.counter.stop().await })
+        };
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(ready(&bench).await, 503);
+        // Who has come and not asked yet is answered, and told that it is the last time.
+        let got = slow.ask(&post("/m/1", "slow", "", "")).await;
+        assert_eq!((got.status(), got.field("Connection").as_deref()), (200, Some("close")));
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(ready(&bench).await, 503);
+        assert!(idle.ended().await);
+        drop(idle);
+        told.await.unwrap();
+        assert!(begun.elapsed() < Duration::from_millis(2000), "{:?}", begun.elapsed());
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(*lost.borrow(), Vec::<String>::new());
+        assert!(
+            answered.get() > 50 && answered.get() == asked.get(),
+            "{} of {}",
+            answered.get(),
+            asked.get()
+        );
+        assert_eq!(bench.figure("in_hand"), 0.0);
+        assert!(TcpStream::connect(bench.front).await.is_err());
+    });
+}
+
+#[test]
+fn what_is_in_hand_is_finished() {
+    run(async {
+        let worker = stand(|_, _| vec![stream_head(), event(1), Act::Sleep(1500), event(2), last()]).await;
+        let bench = Bench::with(&[&worker]).await;
+        let mut client = bench.client().await;
+        client.send(&post("/n/1", "a", "", "")).await;
+        client.head().await.unwrap();
+        assert_eq!(client.chunk().await.unwrap(), event_text(1));
+        let stopped = async {
+            bench.counter.stop().await;
+            assert_eq!(bench.figure("in_hand"), 0.0);
+        };
+        let reads = async {
+            assert_eq!(client.chunk().await.unwrap(), event_text(2));
+            assert_eq!(client.chunk().await.unwrap(), "");
+            // It was not told that the connection ends; it ends after its answer.
+            assert!(client.ended().await);
+            drop(client);
+        };
+        tokio::join!(stopped, reads);
+    });
+}
--- /dev/null
+++ b/crates/docket/tests/failed_write.rs
@@ -0,0 +1,59 @@
+//! An append that the disk refuses. Alone in its file: it exchanges the file behind a descriptor, which no other thread may
+//! disturb.
+
+use std::fs::{self, File, OpenOptions};
+use std::os::fd::{FromRawFd, IntoRawFd, OwnedFd, RawFd};
+use std::path::Path;
+
+use bytes::Bytes;
+use rainlug_docket::{Docket, Error};
+
+fn descriptor_of(path: &Path) -> RawFd {
+    let all = fs::read_dir("/proc/self/fd").unwrap().flatten();
+    let found = all.filter(|entry| fs::read_link(entry.path()).is_ok_and(|to| to == path));
+    let numbers: Vec<RawFd> = found.filter_map(|entry| entry.file_name().to_str()?.parse().ok()).collect();
+    assert_eq!(numbers.len(), 1, "{numbers:?}");
+    numbers[0]
+}
+
+/// Puts another file behind a descriptor.
+fn exchange(descriptor: RawFd, path: &Path) {
+    // SAFETY: the owner does not use it meanwhile, and finds an open file behind the same number after.
+    drop(unsafe { OwnedFd::from_raw_fd(descriptor) });
+    // The lowest free number is taken.
+    let file: File = OpenOptions::new().read(true).write(true).open(path).unwrap();
+    assert_eq!(file.into_raw_fd(), descriptor);
+}
+
+#[test]
+fn what_a_failed_append_left_is_gone_before_the_next() {
+    let dir = tempfile::tempdir().unwrap();
+    let folder = dir.path().canonicalize().unwrap();
+    let path = folder.join("docket");
+    let (mut docket, _) = Docket::open(&folder, "docket").unwrap();
+    docket.append(&[Bytes::from("kept")]).unwrap();
+    let kept = fs::read(&path).unwrap();
+    docket.append(&[Bytes::from("one"), Bytes::from("two")]).unwrap();
+    let whole = fs::read(&path).unwrap();
+    fs::write(&path, &kept).unwrap();
+    drop(docket);
+
+    let (mut docket, found) = Docket::open(&folder, "docket").unwrap();
+    assert_eq!(found, ["kept"]);
+    let descriptor = descriptor_of(&path);
+    exchange(descriptor, Path::new("/dev/full"));
+    for _ in 0..2 {
+        // The second time, it is the cut to the good length that fails.
+        let result = docket.append(&[Bytes::from("one"), Bytes::from("two")]);
+        assert!(matches!(&result, Err(Error::Io(named, _)) if *named == path), "{result:?}");
+        assert_eq!(docket.length(), kept.len() as u64);
+    }
+    // All of it has come to the disk, yet the append was told to have failed.
+    fs::write(&path, &whole).unwrap();
+    exchange(descriptor, &path);
+    // Without the cut, "two" would stand after it.
+    docket.append(&[Bytes::from("new")]).unwrap();
+    assert_eq!(docket.length(), fs::metadata(&path).unwrap().len());
+    drop(docket);
+    assert_eq!(Docket::open(&folder, "docket").unwrap().1, ["kept", "new"]);
+}
--- /dev/null
+++ b/crates/lots/src/command.rs
@@ -0,0 +1,117 @@
+use bytes::Bytes;
+use deku::ctx::Endian;
+use deku::prelude::*;
+use rainlug::Time;
+
+use crate::{Odd, wire};
+
+/// An item as it was handed in.
+#[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+#[deku(ctx = "endian: Endian", ctx_default = "Endian::Little", endian = "endian")]
+pub struct Item {
+    #[deku(
+        reader = "wire::read_text(deku::reader)",
+        writer = "wire::write_bytes(deku::writer, id.as_bytes())"
+    )]
+    pub id: String,
+    #[deku(
+        reader = "wire::read_text(deku::reader)",
+        writer = "wire::write_bytes(deku::writer, path.as_bytes())"
+    )]
+    pub path: String,
+    #[deku(reader = "wire::read_pairs(deku::reader)", writer = "wire::write_pairs(deku::writer, headers)")]
+    pub headers: Vec<(String, String)>,
+    #[deku(reader = "wire::read_bytes(deku::reader)", writer = "wire::write_bytes(deku::writer, body)")]
+    pub body: Bytes,
+    /// Tokens of the prompt and the most out, added together.
+    pub token_count: u64,
+}
+
+/// How an item was listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", ctx = "endian: Endian", ctx_default = "Endian::Little", endian = "endian")]
+pub enum State {
+    #[deku(id = 0)]
+    Complete,
+    #[deku(id = 1)]
+    Abandoned,
+}
+
+/// A change of the register. Encoded by `deku`. Times are Unix time in microseconds.
+#[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8", endian = "little")]
+pub enum Command {
+    /// `sent` is when the leader first saw it, `due` when all results are, `retain` when items may be given up. `most` tokens may
+    /// wait on the route (0: no limit).
+    #[deku(id = 0)]
+    Submit {
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
+        )]
+        lot: String,
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, route.as_bytes())"
+        )]
+        route: String,
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, host.as_bytes())"
+        )]
+        host: String,
+        sent: Time,
+        due: Time,
+        retain: Time,
+        max_tries: u32,
+        most: u64,
+        #[deku(reader = "wire::read_list(deku::reader)", writer = "wire::write_list(deku::writer, items)")]
+        items: Vec<Item>,
+    },
+    /// The next position of the batch job; nothing where the item is listed already or the batch job is not known.
+    #[deku(id = 1)]
+    List {
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
+        )]
+        lot: String,
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, item.as_bytes())"
+        )]
+        item: String,
+        state: State,
+        #[deku(reader = "wire::read_bytes(deku::reader)", writer = "wire::write_bytes(deku::writer, text)")]
+        text: Bytes,
+    },
+    #[deku(id = 2)]
+    End {
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
+        )]
+        lot: String,
+        at: Time,
+    },
+    /// Forgets batch jobs sent before, where all is listed or ended.
+    #[deku(id = 3)]
+    Forget { before: Time },
+}
+
+impl Command {
+    pub fn encode(&self) -> Bytes {
+        let about = match self {
+            Command::Submit { items, .. } => items.iter().map(|i| 512 + i.body.len()).sum(),
+            Command::List { text, .. } => text.len(),
+            Command::End { .. } | Command::Forget { .. } => 0,
+        };
+        wire::encode(self, 512 + about)
+    }
+
+    /// # Errors
+    /// Where the bytes are not a command.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Odd> {
+        wire::decode(bytes).map_err(|e| Odd::Malformed(format!("command: {e}")))
+    }
+}
--- /dev/null
+++ b/crates/lots/tests/common/mod.rs
@@ -0,0 +1,77 @@
+//! Commands and readers that the tests share.
+#![allow(dead_code, reason = "no test file uses all")]
+
+use bytes::Bytes;
+use nanoserde::DeJson;
+use rainlug::{SECOND, Time};
+use rainlug_lots::{Command, Item, Register, State};
+
+pub const ROUTE: &str = "bulk";
+pub const DUE: Time = 60 * SECOND;
+pub const RETAIN: Time = 100 * SECOND;
+
+#[derive(DeJson, Debug, PartialEq)]
+pub struct Answer {
+    pub grand_total: u64,
+    pub next_token: u64,
+    pub outputs: Vec<Output>,
+}
+
+#[derive(DeJson, Debug, PartialEq, Clone)]
+pub struct Output {
+    pub id: String,
+    pub state: String,
+    pub prompt: String,
+}
+
+pub fn item(id: &str, token_count: u64) -> Item {
+    Item {
+        id: id.into(),
+        path: format!("/bulk/{id}"),
+        headers: vec![("X-Rainlug-Model".into(), "m".into())],
+        body: Bytes::from(format!("body of {id}")),
+        token_count,
+    }
+}
+
+/// With no limit, for items of 10 tokens each.
+pub fn submit(lot: &str, items: &[&str]) -> Command {
+    submit_within(lot, 0, DUE, items.iter().map(|id| item(id, 10)).collect())
+}
+
+pub fn submit_within(lot: &str, most: u64, due: Time, items: Vec<Item>) -> Command {
+    Command::Submit {
+        lot: lot.into(),
+        route: ROUTE.into(),
+        host: "bulk.example".into(),
+        sent: SECOND,
+        due,
+        retain: RETAIN,
+        max_tries: 3,
+        most,
+        items,
+    }
+}
+
+pub fn list(lot: &str, item: &str, text: &str) -> Command {
+    let text = Bytes::copy_from_slice(text.as_bytes());
+    Command::List { lot: lot.into(), item: item.into(), state: State::Complete, text }
+}
+
+pub fn abandon(lot: &str, item: &str) -> Command {
+    Command::List { lot: lot.into(), item: item.into(), state: State::Abandoned, text: Bytes::new() }
+}
+
+pub fn end(lot: &str) -> Command {
+    Command::End { lot: lot.into(), at: 2 * SECOND }
+}
+
+/// What a read gives, and that it says rightly whether there is an output.
+pub fn read(register: &Register, lot: &str, since: u64) -> Option<Answer> {
+    let (json, has_output) = register.read(lot, since)?;
+    assert!(!json.bytes().any(|byte| byte < b' '), "unescaped: {json:?}");
+    let answer = Answer::deserialize_json(&json).unwrap_or_else(|e| panic!("{e}: {json}"));
+    assert_eq!(has_output, !answer.outputs.is_empty());
+    assert_eq!(answer.next_token, since + answer.outputs.len() as u64);
+    Some(answer)
+}
--- /dev/null
+++ b/crates/lots/tests/register.rs
@@ -0,0 +1,520 @@
+//! What the register does with commands, and what a client reads of it.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use common::{ROUTE, abandon, end, item, list, read, submit, submit_within};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rainlug::SECOND;
+use rainlug_lots::{Applied, Command, Item, Register, State, read_requests};
+
+fn after(commands: &[Command]) -> Register {
+    let mut register = Register::default();
+    for command in commands {
+        register.apply(command);
+    }
+    register
+}
+
+#[test]
+fn a_batch_job_is_accepted_once() {
+    let mut register = Register::default();
+    assert_eq!(register.apply(&submit("l", &["a", "b"])), Applied::Accepted);
+    assert_eq!(register.apply(&submit("l", &["a", "b"])), Applied::Known);
+    assert_eq!(register.apply(&submit("l", &["c"])), Applied::Known);
+    assert!(register.knows("l") && !register.knows("m"));
+    assert_eq!(read(&register, "l", 0).unwrap().grand_total, 2);
+    assert_eq!(register.read("m", 0), None);
+    register.apply(&end("l"));
+    assert_eq!(register.apply(&submit("l", &["a"])), Applied::Known);
+}
+
+#[test]
+fn outputs_stand_in_the_order_of_their_listing() {
+    let mut register = after(&[submit("l", &["a", "b", "c"])]);
+    assert_eq!(register.apply(&list("l", "c", "text of c")), Applied::Listed { position: 0 });
+    assert_eq!(register.apply(&abandon("l", "a")), Applied::Listed { position: 1 });
+    assert_eq!(register.apply(&list("l", "a", "late")), Applied::Nothing);
+    assert_eq!(register.apply(&list("l", "x", "")), Applied::Nothing);
+    assert_eq!(register.apply(&list("m", "a", "")), Applied::Nothing);
+    let answer = register.read("l", 0).unwrap().0;
+    let outputs =
+        r#"{"id":"c","state":"complete","prompt":"text of c"},{"id":"a","state":"abandoned","prompt":""}"#;
+    assert_eq!(answer, format!(r#"{{"grand_total":3,"next_token":2,"outputs":[{outputs}]}}"#));
+    let answer = read(&register, "l", 1).unwrap();
+    assert_eq!((answer.next_token, answer.outputs.len()), (2, 1));
+}
+
+#[test]
+fn a_read_past_the_outputs_gives_none() {
+    let register = after(&[submit("l", &["a", "b"]), list("l", "a", "")]);
+    for since in [1, 2, 7] {
+        let answer = read(&register, "l", since).unwrap();
+        assert_eq!((answer.grand_total, answer.next_token, answer.outputs.len()), (2, since, 0));
+    }
+    assert_eq!(
+        register.read("l", u64::MAX),
+        Some((r#"{"grand_total":2,"next_token":18446744073709551615,"outputs":[]}"#.into(), false))
+    );
+}
+
+#[test]
+fn a_read_gives_a_megabyte_at_most_but_one_output_at_least() {
+    let (half, huge) = ("h".repeat(400_000), "\n".repeat(1_500_000));
+    let register = after(&[
+        submit("l", &["a", "b", "c", "d", "e"]),
+        list("l", "a", &half),
+        list("l", "b", &half),
+        list("l", "c", &half),
+        list("l", "d", &huge),
+        list("l", "e", ""),
+    ]);
+    let counts: Vec<_> = (0..=5).map(|since| read(&register, "l", since).unwrap().outputs.len()).collect();
+    assert_eq!(counts, [2, 2, 1, 1, 1, 0]);
+    assert!(register.read("l", 0).unwrap().0.len() <= 1_000_000);
+    assert_eq!(read(&register, "l", 3).unwrap().outputs[0].prompt, huge);
+}
+
+#[test]
+fn the_megabyte_counts_what_is_escaped() {
+    let feeds = "\n".repeat(300_000);
+    let register = after(&[submit("l", &["a", "b"]), list("l", "a", &feeds), list("l", "b", &feeds)]);
+    assert_eq!(read(&register, "l", 0).unwrap().outputs.len(), 1);
+}
+
+#[test]
+fn a_body_is_there_until_its_item_is_listed_or_its_batch_job_ended() {
+    let mut register = after(&[submit("l", &["a", "b"])]);
+    assert_eq!(register.body("l", "a"), Some(Bytes::from("body of a")));
+    assert_eq!(register.body("l", "x"), None);
+    assert_eq!(register.body("m", "a"), None);
+    register.apply(&list("l", "a", ""));
+    assert_eq!(register.body("l", "a"), None);
+    assert_eq!(register.body("l", "b"), Some(Bytes::from("body of b")));
+    register.apply(&end("l"));
+    assert_eq!(register.body("l", "b"), None);
+}
+
+#[test]
+fn what_was_listed_stays_after_the_end() {
+    let mut register = after(&[submit("l", &["a", "b"]), list("l", "a", "text")]);
+    let before = register.read("l", 0);
+    assert_eq!(register.apply(&end("l")), Applied::Ended);
+    assert_eq!(register.apply(&end("l")), Applied::Ended);
+    assert_eq!(register.apply(&end("m")), Applied::Nothing);
+    assert_eq!(register.apply(&list("l", "b", "late")), Applied::Nothing);
+    assert_eq!(register.read("l", 0), before);
+}
+
+#[test]
+fn tokens_wait_until_listed_or_ended() {
+    let mut register = Register::default();
+    let mut take = |command: &Command| (register.apply(command), register.waiting(ROUTE));
+    let job = |lot, tokens| submit_within(lot, 100, common::DUE, vec![item("a", tokens), item("b", 10)]);
+    assert_eq!(take(&job("l", 50)), (Applied::Accepted, 60));
+    assert_eq!(take(&job("m", 31)), (Applied::OverQuota, 60));
+    assert_eq!(take(&job("m", 30)), (Applied::Accepted, 100));
+    assert_eq!(take(&job("l", 50)), (Applied::Known, 100));
+    assert_eq!(take(&list("l", "a", "")).1, 50);
+    assert_eq!(take(&end("m")).1, 10);
+    assert_eq!(take(&abandon("l", "b")).1, 0);
+    // No limit, and more than a count holds.
+    let huge = submit_within("n", 0, common::DUE, vec![item("a", u64::MAX), item("b", u64::MAX)]);
+    assert_eq!(take(&huge), (Applied::Accepted, u64::MAX));
+    assert_eq!(take(&job("o", 1)), (Applied::OverQuota, u64::MAX));
+    assert_eq!(take(&end("n")).1, 0);
+    assert_eq!(register.waiting("other"), 0);
+}
+
+#[test]
+fn a_batch_job_over_quota_is_not_known() {
+    let mut register = Register::default();
+    let job = submit_within("l", 9, common::DUE, vec![item("a", 10)]);
+    assert_eq!(register.apply(&job), Applied::OverQuota);
+    assert!(!register.knows("l"));
+    assert_eq!(register.snapshot(), Register::default().snapshot());
+}
+
+#[test]
+fn an_item_twice_is_not_taken() {
+    let mut register = Register::default();
+    assert_eq!(register.apply(&submit("l", &["a", "a"])), Applied::Nothing);
+    assert!(!register.knows("l"));
+}
+
+#[test]
+fn old_batch_jobs_are_forgotten_once_nothing_of_them_is_to_come() {
+    let commands =
+        [submit("open", &["a"]), submit("listed", &["a"]), submit("ended", &["a"]), list("listed", "a", "")];
+    let mut register = after(&commands);
+    register.apply(&end("ended"));
+    let known = |register: &Register| ["open", "listed", "ended"].map(|lot| register.knows(lot));
+    register.apply(&Command::Forget { before: SECOND });
+    assert_eq!(known(&register), [true, true, true]);
+    register.apply(&Command::Forget { before: SECOND + 1 });
+    assert_eq!(known(&register), [true, false, false]);
+    assert_eq!(register.apply(&submit("ended", &["a"])), Applied::Accepted);
+}
+
+#[test]
+fn its_size_goes_up_and_down_with_what_it_holds() {
+    let mut register = Register::default();
+    let mut large = item("a", 1);
+    large.body = Bytes::from(vec![0; 100_000]);
+    register.apply(&submit_within("l", 0, common::DUE, vec![large]));
+    assert!(register.size() >= 100_000);
+    register.apply(&list("l", "a", "short"));
+    assert!(register.size() < 2_000);
+    register.apply(&Command::Forget { before: 2 * SECOND });
+    assert_eq!(register.size(), 0);
+}
+
+#[test]
+fn a_snapshot_that_is_none_changes_nothing() {
+    let mut register = after(&[submit("l", &["a", "b"]), list("l", "a", "text")]);
+    let whole = register.snapshot();
+    for cut in 0..whole.len() {
+        assert!(register.restore(&whole[..cut]).is_err(), "cut at {cut}");
+    }
+    let mut more = whole.to_vec();
+    more.push(0);
+    assert!(register.restore(&more).is_err());
+    assert_eq!(register.snapshot(), whole);
+}
+
+#[test]
+fn a_length_beyond_the_bytes_takes_no_memory() {
+    // A batch job's id of 4 GB.
+    assert!(Command::decode(&[2, 0xff, 0xff, 0xff, 0xff, b'l']).is_err());
+    // Four thousand million batch jobs.
+    let snapshot = [0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff];
+    assert!(Register::default().restore(&snapshot).is_err());
+}
+
+fn request(field: &str, value: &str) -> String {
+    let mut fields = BTreeMap::from([
+        ("id", r#""a""#),
+        ("path", r#""/bulk/3?q=1""#),
+        ("headers", r#"{"X-Rainlug-Token-Count":"540,400","X-Rainlug-Model":"m"}"#),
+        ("body", r#""q83vEjRWeJA=""#),
+        ("token_count", "940"),
+    ]);
+    fields.insert(field, value);
+    let fields: Vec<_> = fields
+        .iter()
+        .filter(|(_, value)| !value.is_empty())
+        .map(|(name, value)| format!(r#""{name}":{value}"#))
+        .collect();
+    format!("{{{}}}", fields.join(","))
+}
+
+fn requests(all: &[String]) -> String {
+    format!(r#"{{"requests":[{}]}}"#, all.join(","))
+}
+
+#[test]
+fn a_submission_is_read() {
+    let known = vec![Item {
+        id: "a".into(),
+        path: "/bulk/3?q=1".into(),
+        headers: vec![
+            ("X-Rainlug-Model".into(), "m".into()),
+            ("X-Rainlug-Token-Count".into(), "540,400".into()),
+        ],
+        body: Bytes::from_static(&[0xab, 0xcd, 0xef, 0x12, 0x34, 0x56, 0x78, 0x90]),
+        token_count: 940,
+    }];
+    assert_eq!(read_requests(requests(&[request("", "")]).as_bytes()), Ok(known.clone()));
+    let besides = requests(&[request("more", r#"[{"a":[]},"\ud83d\ude00",-1.5e3,null,true]"#)]);
+    let besides = format!(r#" {{ "other" : {{"requests":[1]}} , {}"#, &besides[1..]);
+    assert_eq!(read_requests(besides.as_bytes()), Ok(known));
+    let bare = read_requests(requests(&[request("headers", "")]).as_bytes()).unwrap();
+    assert!(bare[0].headers.is_empty());
+    let many: Vec<_> = (0..200).map(|i| request("id", &format!(r#""{i}""#))).collect();
+    let found = read_requests(requests(&many).as_bytes()).unwrap();
+    assert!(found.iter().map(|item| &item.id).eq(&(0..200).map(|i| i.to_string()).collect::<Vec<_>>()));
+}
+
+#[test]
+fn a_wrong_submission_is_told_with_its_place() {
+    let many: Vec<_> = (0..201).map(|i| request("id", &format!(r#""{i}""#))).collect();
+    let ok = request("id", r#""ok""#);
+    let second = |field, value| requests(&[ok.clone(), request(field, value)]);
+    for (body, what) in [
+        (requests(&[]), "requests: 0"),
+        (requests(&many), "requests: 201"),
+        (second("id", r#""ok""#), "requests[1].id"),
+        (second("id", r#""""#), "requests[1].id"),
+        (second("id", r#""a\nb""#), "requests[1].id"),
+        (second("path", r#""bulk""#), "requests[1].path"),
+        (second("path", r#""/a HTTP/1.1\r\nb""#), "requests[1].path"),
+        (second("headers", r#"{"a b":"c"}"#), "requests[1].headers"),
+        (second("headers", r#"{"a":"b\r\nc: d"}"#), "requests[1].headers"),
+        (second("body", r#""q83""#), "requests[1].body"),
+        (second("body", ""), "body"),
+        (second("token_count", ""), "token_count"),
+        (second("token_count", "-1"), "integer"),
+        (second("token_count", r#""1""#), "integer"),
+        (String::new(), "not JSON from byte 0"),
+        (r#"{"requests":[]} x"#.into(), "not JSON from byte 16"),
+        // These must not be given to the reader as they are: it panics or never ends.
+        (r#"{"a":}"#.into(), "not JSON from byte 5"),
+        (r#"{"a":["#.into(), "not JSON from byte 6"),
+        (format!(r#"{{"a":{}1}}"#, "/**/".repeat(100_000)), "not JSON from byte 5"),
+        (r#"{"requests":"a"}"#.into(), "["),
+        ("{}".into(), "requests"),
+        ("[".repeat(1_000_000), "not JSON from byte 1000000"),
+    ] {
+        let shown = &body[..body.len().min(200)];
+        let told = read_requests(body.as_bytes()).expect_err(shown).to_string();
+        assert!(told.contains(what), "{shown}: {told}");
+    }
+    assert!(read_requests(b"{\"requests\":\"\xff\"}").is_err());
+}
+
+#[test]
+fn a_deep_field_besides_is_skipped() {
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    assert!(read_requests(requests(&[request("deep", &deep)]).as_bytes()).is_ok());
+}
+
+fn settings(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(28),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+const LOTS: [&str; 4] = ["k", "l", "m", "n"];
+const ITEMS: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn commands() -> impl Strategy<Value = Vec<Command>> {
+    let lot = prop::sample::select(&LOTS);
+    let tokens = prop::collection::btree_map(prop::sample::select(&ITEMS), 0_u64..60, 1..5);
+    let route = prop::sample::select(&["r", "s"]);
+    let most = prop::sample::select(&[0, 50, 120]);
+    let submit =
+        (lot.clone(), route, 0_i64..100, most, tokens).prop_map(|(lot, route, sent, most, tokens)| {
+            Command::Submit {
+                lot: lot.to_owned(),
+                route: route.to_owned(),
+                host: "h".into(),
+                sent,
+                due: sent + 10,
+                retain: sent + 20,
+                max_tries: 2,
+                most,
+                items: tokens.into_iter().map(|(id, tokens)| item(id, tokens)).collect(),
+            }
+        });
+    let list = (lot.clone(), prop::sample::select(&ITEMS), any::<bool>(), any::<Vec<u8>>()).prop_map(
+        |(lot, item, is_complete, text)| Command::List {
+            lot: lot.to_owned(),
+            item: item.to_owned(),
+            state: if is_complete { State::Complete } else { State::Abandoned },
+            text: text.into(),
+        },
+    );
+    let end = lot.prop_map(|lot| Command::End { lot: lot.to_owned(), at: 0 });
+    let forget = (0_i64..100).prop_map(|before| Command::Forget { before });
+    prop::collection::vec(prop_oneof![4 => submit, 10 => list, 1 => end, 1 => forget], 0..60)
+}
+
+/// The plain model of one batch job.
+#[derive(Default)]
+struct Job {
+    route: String,
+    sent: i64,
+    tokens: BTreeMap<String, u64>,
+    listed: Vec<(String, State, String)>,
+    is_ended: bool,
+}
+
+impl Job {
+    fn open(&self) -> impl Iterator<Item = (&String, &u64)> {
+        let listed: BTreeSet<_> = self.listed.iter().map(|(id, ..)| id).collect();
+        self.tokens.iter().filter(move |(id, _)| !self.is_ended && !listed.contains(id))
+    }
+}
+
+fn waiting(jobs: &BTreeMap<String, Job>, route: &str) -> u64 {
+    jobs.values().filter(|job| job.route == route).flat_map(|job| job.open()).map(|(_, tokens)| tokens).sum()
+}
+
+fn step(jobs: &mut BTreeMap<String, Job>, command: &Command) -> Applied {
+    match command {
+        Command::Submit { lot, route, sent, most, items, .. } => {
+            if jobs.contains_key(lot) {
+                return Applied::Known;
+            }
+            let tokens: BTreeMap<_, _> = items.iter().map(|i| (i.id.clone(), i.token_count)).collect();
+            if *most > 0 && waiting(jobs, route) + tokens.values().sum::<u64>() > *most {
+                return Applied::OverQuota;
+            }
+            let job = Job { route: route.clone(), sent: *sent, tokens, ..Job::default() };
+            jobs.insert(lot.clone(), job);
+            Applied::Accepted
+        }
+        Command::List { lot, item, state, text } => {
+            let Some(job) = jobs.get_mut(lot) else { return Applied::Nothing };
+            if !job.open().any(|(id, _)| id == item) {
+                return Applied::Nothing;
+            }
+            job.listed.push((item.clone(), *state, String::from_utf8_lossy(text).into_owned()));
+            Applied::Listed { position: job.listed.len() as u64 - 1 }
+        }
+        Command::End { lot, .. } => match jobs.get_mut(lot) {
+            Some(job) => {
+                job.is_ended = true;
+                Applied::Ended
+            }
+            None => Applied::Nothing,
+        },
+        Command::Forget { before } => {
+            jobs.retain(|_, job| job.sent >= *before || job.open().next().is_some());
+            Applied::Nothing
+        }
+    }
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Complete => "complete",
+        State::Abandoned => "abandoned",
+    }
+}
+
+/// All that can be asked of two registers is the same.
+fn assert_same(a: &Register, b: &Register) {
+    for lot in LOTS {
+        assert_eq!(a.knows(lot), b.knows(lot));
+        (0..6).for_each(|since| assert_eq!(a.read(lot, since), b.read(lot, since)));
+        ITEMS.iter().for_each(|item| assert_eq!(a.body(lot, item), b.body(lot, item)));
+    }
+    ["r", "s"].iter().for_each(|route| assert_eq!(a.waiting(route), b.waiting(route)));
+    assert_eq!(a.size(), b.size());
+    assert_eq!(a.snapshot(), b.snapshot());
+}
+
+proptest! {
+    #![proptest_config(settings(300))]
+
+    /// The plain model sums and searches anew at each step. So no item stands at two positions, the quota is never passed, and
+    /// nothing that fits is refused.
+    #[test]
+    fn it_does_what_the_plain_model_does(commands in commands()) {
+        let mut register = Register::default();
+        let mut jobs = BTreeMap::new();
+        for command in &commands {
+            prop_assert_eq!(register.apply(command), step(&mut jobs, command));
+            for route in ["r", "s"] {
+                prop_assert_eq!(register.waiting(route), waiting(&jobs, route));
+            }
+            for lot in LOTS {
+                let Some(job) = jobs.get(lot) else {
+                    prop_assert!(!register.knows(lot) && register.read(lot, 0).is_none());
+                    continue;
+                };
+                let answer = read(&register, lot, 0).unwrap();
+                prop_assert_eq!(answer.grand_total, job.tokens.len() as u64);
+                let known: Vec<_> = job.listed.iter().map(|(id, state, text)| (&**id, word(*state), &**text)).collect();
+                let found: Vec<_> = answer.outputs.iter().map(|o| (&*o.id, &*o.state, &*o.prompt)).collect();
+                prop_assert_eq!(found, known);
+                let distinct: BTreeSet<_> = answer.outputs.iter().map(|o| &o.id).collect();
+                prop_assert_eq!(distinct.len(), answer.outputs.len());
+                for item in ITEMS {
+                    let body = job.open().any(|(id, _)| id == item).then(|| Bytes::from(format!("body of {item}")));
+                    prop_assert_eq!(register.body(lot, item), body);
+                }
+            }
+        }
+    }
+
+    /// A replica that plays the log, one that plays the log from its bytes, and one that goes on from a snapshot are the same.
+    #[test]
+    fn replicas_are_the_same(commands in commands(), at in any::<prop::sample::Index>()) {
+        let played = after(&commands);
+        let decoded: Vec<_> = commands.iter().map(|c| Command::decode(&c.encode()).unwrap()).collect();
+        prop_assert_eq!(&decoded, &commands);
+        assert_same(&played, &after(&decoded));
+        let cut = at.index(commands.len() + 1);
+        let mut restored = after(&[submit("other", &["a"])]);
+        restored.restore(&after(&commands[..cut]).snapshot()).unwrap();
+        for command in &commands[cut..] {
+            restored.apply(command);
+        }
+        assert_same(&played, &restored);
+    }
+
+    #[test]
+    fn a_position_never_changes(commands in commands()) {
+        let mut register = Register::default();
+        let mut seen: BTreeMap<&str, Vec<common::Output>> = BTreeMap::new();
+        for command in &commands {
+            register.apply(command);
+            for lot in LOTS {
+                let Some(answer) = read(&register, lot, 0) else {
+                    seen.remove(lot);
+                    continue;
+                };
+                let had = seen.insert(lot, answer.outputs.clone()).unwrap_or_default();
+                prop_assert!(answer.outputs.starts_with(&had));
+            }
+        }
+    }
+
+    #[test]
+    fn odd_texts_come_through(text in any::<String>(), id in "\\PC{1,8}", controls in "[\\x00-\\x1f\"\\\\\\x7f\u{2028}é😀]{0,40}") {
+        let register = after(&[submit("l", &[&id, "other"]), list("l", &id, &text), list("l", "other", &controls)]);
+        if id != "other" {
+            let answer = read(&register, "l", 0).unwrap();
+            prop_assert_eq!(&answer.outputs[0].id, &id);
+            prop_assert_eq!(&answer.outputs[0].prompt, &text);
+            prop_assert_eq!(&answer.outputs[1].prompt, &controls);
+        }
+    }
+
+    #[test]
+    fn garbage_is_refused_without_a_panic(bytes in any::<Vec<u8>>(), json in "[\\[\\]{}:,\"\\\\/*a0-9.eE+ -]{0,40}", tag in 0_u8..4) {
+        let _ = read_requests(&bytes);
+        let _ = read_requests(json.as_bytes());
+        let _ = read_requests(format!("{{\"requests\":[{{\"id\":{json}}}],\"more\":{json}}}").as_bytes());
+        let _ = Command::decode(&bytes);
+        let _ = Command::decode(&[&[tag], &bytes[..]].concat());
+        let mut register = after(&[submit("l", &["a"])]);
+        let before = register.snapshot();
+        if register.restore(&bytes).is_err() {
+            prop_assert_eq!(register.snapshot(), before);
+        }
+    }
+
+    /// What a harmed snapshot gives, if it is taken, can be used.
+    #[test]
+    fn a_harmed_snapshot_does_no_harm(commands in commands(), more in commands(), at in any::<prop::sample::Index>(), flip in 1_u8..) {
+        let mut bytes = after(&commands).snapshot().to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        let mut register = Register::default();
+        if register.restore(&bytes).is_ok() {
+            for command in &more {
+                register.apply(command);
+            }
+            LOTS.iter().for_each(|lot| drop(register.read(lot, 0)));
+            let snapshot = register.snapshot();
+            prop_assert!(Register::default().restore(&snapshot).is_ok());
+        }
+        let mut bytes = more.first().map_or(Bytes::new(), Command::encode).to_vec();
+        if !bytes.is_empty() {
+            let at = at % bytes.len();
+            bytes[at] ^= flip;
+            if let Ok(command) = Command::decode(&bytes) {
+                Register::default().apply(&command);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lots/tests/schedule.rs
@@ -0,0 +1,313 @@
+//! Which item runs next, and what is proposed when its run ends.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use common::{DUE, RETAIN, abandon, end, item, list, read, submit, submit_within};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rainlug::{SECOND, Time};
+use rainlug_lots::{Applied, Command, Next, Register, RunEnd, Schedule};
+
+/// A part's owner: each command is applied, and the schedule told of it.
+struct Owner {
+    register: Register,
+    schedule: Schedule,
+    now: Time,
+}
+
+impl Owner {
+    fn of(commands: &[Command]) -> Self {
+        let register = Register::default();
+        let schedule = Schedule::new(&register, 0);
+        let mut owner = Owner { register, schedule, now: 2 * SECOND };
+        for command in commands {
+            owner.apply(command);
+        }
+        owner
+    }
+
+    fn apply(&mut self, command: &Command) -> Applied {
+        let applied = self.register.apply(command);
+        self.schedule.applied(&self.register, command, applied);
+        applied
+    }
+
+    fn next(&mut self) -> Option<Next> {
+        self.schedule.next(&self.register, self.now)
+    }
+
+    /// The next ones as `lot/item`.
+    fn take(&mut self, count: usize) -> Vec<String> {
+        (0..count).map_while(|_| self.next()).map(|next| format!("{}/{}", next.lot, next.item.id)).collect()
+    }
+
+    fn ended(&mut self, lot: &str, item: &str, events: &[(u64, &str)], end: RunEnd) -> Option<Command> {
+        let events = events.iter().map(|(id, data)| (*id, Bytes::copy_from_slice(data.as_bytes()))).collect();
+        self.schedule.ended(&self.register, self.now, lot, item, events, end)
+    }
+
+    fn overdue(&mut self) -> Vec<Command> {
+        self.schedule.overdue(&self.register, self.now)
+    }
+
+    fn counts(&self) -> (usize, usize) {
+        (self.schedule.running(), self.schedule.waiting())
+    }
+}
+
+#[test]
+fn what_is_due_first_runs_first() {
+    let items = |ids: &[&str]| ids.iter().map(|id| item(id, 1)).collect::<Vec<_>>();
+    let mut owner = Owner::of(&[
+        submit_within("z", 0, DUE, items(&["2", "1"])),
+        submit_within("b", 0, DUE, items(&["3"])),
+        submit_within("c", 0, DUE - 1, items(&["4"])),
+    ]);
+    assert_eq!(owner.counts(), (0, 4));
+    assert_eq!(owner.take(9), ["c/4", "z/2", "z/1", "b/3"]);
+    assert_eq!(owner.counts(), (4, 0));
+}
+
+#[test]
+fn a_next_one_tells_all_that_a_run_needs() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    let next = owner.next().unwrap();
+    assert_eq!((&*next.lot, &*next.route, &*next.host), ("l", common::ROUTE, "bulk.example"));
+    assert_eq!((next.last_event, next.due, next.until), (0, DUE, RETAIN));
+    assert_eq!(next.item, item("a", 10));
+}
+
+#[test]
+fn a_whole_run_is_listed_with_all_its_data() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    let command = owner.ended("l", "a", &[(1, "one"), (2, ""), (3, "three")], RunEnd::Complete).unwrap();
+    assert_eq!(command, list("l", "a", "one\n\nthree"));
+    assert!(owner.next().is_none(), "it is proposed already");
+    assert_eq!(owner.apply(&command), Applied::Listed { position: 0 });
+    assert_eq!(owner.counts(), (0, 0));
+    owner.now += 100 * SECOND;
+    assert!(owner.overdue().is_empty());
+}
+
+#[test]
+fn a_run_broken_off_goes_on_after_its_last_event() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    assert_eq!(owner.ended("l", "a", &[(1, "one"), (2, "two")], RunEnd::Again), None);
+    assert_eq!(owner.next().unwrap().last_event, 2);
+    assert_eq!(owner.ended("l", "a", &[], RunEnd::NoRoom), None);
+    assert_eq!(owner.next().unwrap().last_event, 2);
+    // What comes again, or goes back, is not taken twice.
+    let events = [(1, "one"), (2, "two"), (3, "three"), (3, "three"), (2, "two"), (4, "four")];
+    let command = owner.ended("l", "a", &events, RunEnd::Complete);
+    assert_eq!(command, Some(list("l", "a", "one\ntwo\nthree\nfour")));
+}
+
+#[test]
+fn an_item_is_abandoned_after_its_last_try() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    for end in [RunEnd::Failed, RunEnd::Again, RunEnd::Failed, RunEnd::NoRoom] {
+        owner.next().unwrap();
+        assert_eq!(owner.ended("l", "a", &[(1, "one")], end), None);
+    }
+    owner.next().unwrap();
+    assert_eq!(owner.ended("l", "a", &[], RunEnd::Failed), Some(abandon("l", "a")));
+    assert!(owner.next().is_none());
+}
+
+#[test]
+fn an_item_that_can_never_be_done_is_abandoned_at_once() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    assert_eq!(owner.ended("l", "a", &[], RunEnd::Never), Some(abandon("l", "a")));
+}
+
+#[test]
+fn a_lost_proposal_is_made_again() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    let command = owner.ended("l", "a", &[(1, "one")], RunEnd::Complete).unwrap();
+    owner.now += 5 * SECOND - 1;
+    assert!(owner.overdue().is_empty());
+    owner.now += 1;
+    assert_eq!(owner.overdue(), std::slice::from_ref(&command));
+    assert!(owner.overdue().is_empty());
+    owner.now += 5 * SECOND;
+    assert_eq!(owner.overdue(), std::slice::from_ref(&command));
+    owner.apply(&command);
+    owner.now += 5 * SECOND;
+    assert!(owner.overdue().is_empty());
+}
+
+#[test]
+fn what_is_not_listed_when_its_time_is_over_is_abandoned() {
+    let mut owner = Owner::of(&[submit("l", &["a", "b", "c"])]);
+    owner.apply(&list("l", "a", ""));
+    owner.next().unwrap();
+    owner.now = RETAIN - 1;
+    assert!(owner.overdue().is_empty());
+    owner.now = RETAIN;
+    assert!(owner.next().is_none(), "nothing runs once its time is over");
+    assert_eq!(owner.overdue(), [abandon("l", "b"), abandon("l", "c")]);
+    assert!(owner.overdue().is_empty());
+    assert_eq!(owner.counts(), (1, 0));
+    // The one that still runs does not run again, but may be listed as what it is.
+    assert_eq!(owner.ended("l", "b", &[], RunEnd::Again), None);
+    assert_eq!(owner.counts(), (0, 0));
+    owner.now += SECOND;
+    assert_eq!(owner.overdue(), [abandon("l", "b"), abandon("l", "c")]);
+    owner.apply(&abandon("l", "b"));
+    owner.apply(&abandon("l", "c"));
+    owner.now += SECOND;
+    assert!(owner.overdue().is_empty());
+}
+
+#[test]
+fn a_run_that_is_whole_after_its_time_is_proposed_as_whole() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    owner.now = RETAIN;
+    assert_eq!(owner.overdue(), [abandon("l", "a")]);
+    let whole = owner.ended("l", "a", &[(1, "one")], RunEnd::Complete);
+    assert_eq!(whole, Some(list("l", "a", "one")));
+    owner.now += 5 * SECOND;
+    assert_eq!(owner.overdue(), [list("l", "a", "one")]);
+}
+
+#[test]
+fn nothing_runs_of_what_is_ended_or_listed() {
+    let mut owner = Owner::of(&[submit("l", &["a", "b", "c"]), submit("m", &["d", "e"])]);
+    assert_eq!(owner.take(1), ["l/a"]);
+    owner.apply(&end("l"));
+    assert_eq!(owner.counts(), (1, 2));
+    assert_eq!(owner.ended("l", "a", &[(1, "one")], RunEnd::Complete), None);
+    assert_eq!(owner.counts(), (0, 2));
+    owner.apply(&list("m", "d", ""));
+    assert_eq!(owner.take(9), ["m/e"]);
+    owner.apply(&list("m", "e", ""));
+    assert_eq!(owner.ended("m", "e", &[], RunEnd::Failed), None);
+    assert_eq!(owner.counts(), (0, 0));
+}
+
+#[test]
+fn a_run_that_was_not_given_out_is_nothing() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    assert_eq!(owner.ended("l", "a", &[(1, "one")], RunEnd::Complete), None);
+    assert_eq!(owner.ended("m", "x", &[], RunEnd::Never), None);
+    assert_eq!(owner.counts(), (0, 1));
+}
+
+#[test]
+fn a_batch_job_accepted_twice_is_planned_once() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    assert_eq!(owner.apply(&submit("l", &["a"])), Applied::Known);
+    assert_eq!(owner.counts(), (1, 0));
+    assert!(owner.next().is_none());
+}
+
+#[test]
+fn a_new_owner_plans_what_is_left() {
+    let mut owner = Owner::of(&[submit("l", &["a", "b"]), submit("m", &["c"]), submit("n", &["d"])]);
+    owner.next().unwrap();
+    owner.ended("l", "a", &[(1, "one")], RunEnd::Again);
+    owner.apply(&list("l", "b", ""));
+    owner.apply(&end("m"));
+    owner.schedule = Schedule::new(&owner.register, owner.now);
+    assert_eq!(owner.counts(), (0, 2));
+    let next = owner.next().unwrap();
+    assert_eq!((&*next.item.id, next.last_event), ("a", 0), "events had are its former owner's alone");
+    assert_eq!(owner.take(9), ["n/d"]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: RngSeed::Fixed(28), failure_persistence: None, ..Default::default() })]
+
+    /// However runs end, proposals are lost and owners change: no item runs beside itself, none is given up before its time or
+    /// its tries, each text is whole, and at last all is listed.
+    #[test]
+    fn at_last_all_is_listed_once(
+        sizes in prop::collection::vec(1_usize..6, 1..4),
+        steps in prop::collection::vec((0_u8..8, any::<prop::sample::Index>(), 0_u64..4, any::<bool>(), 0_i64..2 * SECOND), 0..200),
+    ) {
+        const EVENTS: u64 = 5;
+        let text = (1..=EVENTS).map(|id| format!("event {id}")).collect::<Vec<_>>().join("\n");
+        let mut owner = Owner::of(&[]);
+        for (i, size) in sizes.iter().enumerate() {
+            let items = (0..*size).map(|j| item(&j.to_string(), 1)).collect();
+            owner.apply(&submit_within(&format!("lot {i}"), 0, DUE - i as Time, items));
+        }
+        let mut running: Vec<Next> = Vec::new();
+        let mut failed: BTreeMap<(String, String), u32> = BTreeMap::new();
+        let mut never: BTreeSet<(String, String)> = BTreeSet::new();
+        let is_early = |command: &Command, failed: &BTreeMap<_, u32>, never: &BTreeSet<_>, now| match command {
+            Command::List { lot, item, state: rainlug_lots::State::Abandoned, .. } => {
+                let key = (lot.clone(), item.clone());
+                now < RETAIN && failed.get(&key).is_none_or(|count| *count < 3) && !never.contains(&key)
+            }
+            _ => false,
+        };
+        for (what, which, count, is_lost, pause) in steps {
+            owner.now += pause;
+            let mut proposed = Vec::new();
+            match what {
+                0 | 1 => {
+                    if let Some(next) = owner.next() {
+                        prop_assert!(!running.iter().any(|run| run.lot == next.lot && run.item.id == next.item.id));
+                        running.push(next);
+                    }
+                }
+                2 => proposed = owner.overdue(),
+                3 if is_lost => {
+                    owner.schedule = Schedule::new(&owner.register, owner.now);
+                    running.clear();
+                    failed.clear();
+                    never.clear();
+                }
+                _ if !running.is_empty() => {
+                    let run = running.swap_remove(which.index(running.len()));
+                    let key = (run.lot.clone(), run.item.id.clone());
+                    let (to, end) = match what {
+                        4 => (EVENTS, RunEnd::Complete),
+                        5 => {
+                            *failed.entry(key).or_default() += 1;
+                            (0, RunEnd::Failed)
+                        }
+                        6 if count == 0 => {
+                            never.insert(key);
+                            (0, RunEnd::Never)
+                        }
+                        _ => (EVENTS.min(run.last_event + count), RunEnd::Again),
+                    };
+                    let events: Vec<_> = (run.last_event + 1..=to).map(|id| (id, Bytes::from(format!("event {id}")))).collect();
+                    proposed.extend(owner.schedule.ended(&owner.register, owner.now, &run.lot, &run.item.id, events, end));
+                }
+                _ => {}
+            }
+            prop_assert_eq!(owner.schedule.running(), running.len());
+            for command in proposed {
+                prop_assert!(!is_early(&command, &failed, &never, owner.now), "{:?}", command);
+                if !is_lost {
+                    owner.apply(&command);
+                }
+            }
+        }
+        owner.now = owner.now.max(RETAIN) + 10 * SECOND;
+        for command in owner.overdue() {
+            owner.apply(&command);
+        }
+        for (i, size) in sizes.iter().enumerate() {
+            let answer = read(&owner.register, &format!("lot {i}"), 0).unwrap();
+            let ids: BTreeSet<_> = answer.outputs.iter().map(|output| &output.id).collect();
+            prop_assert_eq!((answer.outputs.len(), ids.len()), (*size, *size));
+            for output in &answer.outputs {
+                prop_assert_eq!(&output.prompt, if output.state == "complete" { &text } else { "" });
+            }
+        }
+        prop_assert_eq!(owner.schedule.waiting(), 0);
+    }
+}
--- a/crates/rainlugd/src/protocol/lines.rs
+++ b/crates/rainlugd/src/protocol/lines.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 
-use crate::transport::End;
+use rainlug_transport::End;
 
 /// Takes pieces in and gives lines out.
 pub struct Lines {
--- a/crates/rainlugd/src/transport/codec.rs
+++ b/crates/transport/src/codec.rs
@@ -4,11 +4,8 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::end::End;
+use super::pool::Sizes;
 
-/// The largest head of a message.
-pub const MOST_HEAD: usize = 8 << 10;
-/// The largest body of a message that comes whole.
-pub const MOST_BODY: usize = 64 << 10;
 /// The longest line that opens a chunk.
 const MOST_CHUNK_LINE: usize = 256;
 
@@ -20,7 +17,8 @@
     UntilEnd,
 }
 
-/// A piece of a message. A body of a stated length is one piece; others come as they arrive.
+/// A piece of a message. A body of a stated length is one piece, unless [`Messages::in_parts`] says otherwise; others come as
+/// they arrive.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Piece {
     Head(Bytes),
@@ -32,6 +30,7 @@
 enum At {
     Head,
     Whole(usize),
+    Part(usize),
     ChunkLine,
     Chunk(usize),
     ChunkEnd,
@@ -45,11 +44,30 @@
     at: At,
     searched: usize,
     body_of: fn(&[u8]) -> Result<Body, End>,
+    sizes: Sizes,
+    in_parts: bool,
+    bodiless: bool,
 }
 
 impl Messages {
-    pub fn new(body_of: fn(&[u8]) -> Result<Body, End>) -> Self {
-        Messages { at: At::Head, searched: 0, body_of }
+    /// Heads and whole bodies are no larger than `sizes` says.
+    pub fn new(body_of: fn(&[u8]) -> Result<Body, End>, sizes: Sizes) -> Self {
+        Messages { at: At::Head, searched: 0, body_of, sizes, in_parts: false, bodiless: false }
+    }
+
+    /// Other sizes from now on.
+    pub fn resize(&mut self, sizes: Sizes) {
+        self.sizes = sizes;
+    }
+
+    /// Bodies of a stated length come as they arrive too, and may be of any length.
+    pub fn in_parts(&mut self) {
+        self.in_parts = true;
+    }
+
+    /// Whether heads are followed by no body, whatever they say: answers to `HEAD`.
+    pub fn bodiless(&mut self, bodiless: bool) {
+        self.bodiless = bodiless;
     }
 
     /// True between two messages.
@@ -68,7 +86,7 @@
         let found = from[begin..].windows(4).position(|w| w == b"\r\n\r\n");
         self.searched = from.len();
         let length = found.map_or(from.len(), |at| begin + at + 4);
-        if length > MOST_HEAD {
+        if length > self.sizes.head {
             return Err(End::TooLarge);
         }
         if found.is_none() {
@@ -111,8 +129,10 @@
                 At::Head => {
                     let Some(head) = self.head(from)? else { return Ok(None) };
                     self.at = match (self.body_of)(&head)? {
+                        _ if self.bodiless => At::Last,
                         Body::Length(0) => At::Last,
-                        Body::Length(n) if n > MOST_BODY => return Err(End::TooLarge),
+                        Body::Length(n) if self.in_parts => At::Part(n),
+                        Body::Length(n) if n > self.sizes.body => return Err(End::TooLarge),
                         Body::Length(n) => At::Whole(n),
                         Body::Chunked => At::ChunkLine,
                         Body::UntilEnd => At::UntilEnd,
@@ -124,6 +144,13 @@
                     self.at = At::Last;
                     return Ok(Some(Piece::Body(from.split_to(n).freeze())));
                 }
+                At::Part(0) => self.at = At::Last,
+                At::Part(_) if from.is_empty() => return Ok(None),
+                At::Part(n) => {
+                    let part = from.split_to(n.min(from.len())).freeze();
+                    self.at = At::Part(n - part.len());
+                    return Ok(Some(Piece::Body(part)));
+                }
                 At::ChunkLine => {
                     let Some(line) = line(from, MOST_CHUNK_LINE)? else { return Ok(None) };
                     let size = chunk_size(&line)?;
@@ -143,7 +170,7 @@
                     self.at = At::ChunkLine;
                 }
                 At::Trailer => {
-                    let Some(line) = line(from, MOST_HEAD)? else { return Ok(None) };
+                    let Some(line) = line(from, self.sizes.head)? else { return Ok(None) };
                     if line.is_empty() {
                         self.at = At::Last;
                     }
@@ -186,6 +213,10 @@
 
     use super::*;
 
+    const MOST_HEAD: usize = 8 << 10;
+    const MOST_BODY: usize = 64 << 10;
+    const SIZES: Sizes = Sizes { head: MOST_HEAD, body: MOST_BODY, buffer: MOST_HEAD + MOST_BODY };
+
     fn by_first_byte(head: &[u8]) -> Result<Body, End> {
         match head[0] {
             b'c' => Ok(Body::Chunked),
@@ -203,7 +234,7 @@
     /// The same, handed over in these parts.
     fn parts<'a>(bytes: impl Iterator<Item = &'a [u8]>) -> (Vec<Piece>, Result<(), End>) {
         let (mut codec, mut buffer, mut found) =
-            (Messages::new(by_first_byte), BytesMut::new(), Vec::<Piece>::new());
+            (Messages::new(by_first_byte, SIZES), BytesMut::new(), Vec::<Piece>::new());
         let mut take = |piece| match (found.last_mut(), piece) {
             (Some(Piece::Body(had)), Piece::Body(more)) => *had = [&had[..], &more[..]].concat().into(),
             (_, piece) => found.push(piece),
--- a/crates/rainlugd/src/transport/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 
-use super::pool::Pool;
+use super::pool::{Pool, Sizes};
 
 /// One part of so many of the descriptors is kept for what is not a peer's: listener, list, log, clock and signals,
 /// and those to whom it must be said that there is no room.
@@ -31,9 +31,10 @@
 impl Bounds {
     /// Half of what is not in reserve is for clients and half for workers; each connection may hold a buffer, and
     /// buffers may take half of the memory.
-    pub fn within(descriptors: usize, memory: usize, managed: bool) -> Self {
+    pub fn within(descriptors: usize, memory: usize, sizes: Sizes, managed: bool) -> Self {
         let reserve = (descriptors / RESERVE).max(LEAST_RESERVE);
-        let each = (descriptors.saturating_sub(reserve) / 2).min(Pool::buffers_in(memory / 2) / 2).max(1);
+        let buffers = Pool::buffers_in(memory / 2, sizes);
+        let each = (descriptors.saturating_sub(reserve) / 2).min(buffers / 2).max(1);
         let management = if managed { (reserve / MANAGEMENT).max(2) } else { 0 };
         Bounds {
             clients: Room::of(each),
@@ -76,7 +77,7 @@
 }
 
 impl Room {
-    fn of(most: usize) -> Self {
+    pub fn of(most: usize) -> Self {
         Room { most, free: Arc::new(Semaphore::new(most)), idle: Rc::default(), lent: Rc::default() }
     }
 
@@ -161,17 +162,19 @@
 mod tests {
     use super::*;
 
+    const SIZES: Sizes = Sizes { head: 8 << 10, body: 64 << 10, buffer: 72 << 10 };
+
     #[test]
     fn bounds_leave_a_reserve_and_fit_the_memory() {
         for (descriptors, memory) in [(1024, 192 << 20), (64, 192 << 20), (1024, 8 << 20), (1, 0)] {
-            let bounds = Bounds::within(descriptors, memory, true);
+            let bounds = Bounds::within(descriptors, memory, SIZES, true);
             let free = |r: &Room| r.free.available_permits();
             let both = free(&bounds.clients) + free(&bounds.workers);
             assert!(free(&bounds.clients) >= 1 && free(&bounds.workers) >= 1);
             let spare = free(&bounds.turned_away) + free(&bounds.management);
             assert!(free(&bounds.management) >= 2 && free(&bounds.turned_away) >= 1);
             assert!(descriptors < 64 || both + spare + 8 <= descriptors);
-            assert!(memory == 0 || both <= Pool::buffers_in(memory / 2));
+            assert!(memory == 0 || both <= Pool::buffers_in(memory / 2, SIZES));
         }
     }
 
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/transport/src/link.rs
@@ -2,35 +2,43 @@
 
 use std::cell::Cell;
 use std::future::pending;
+use std::io::{ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
-use tokio::io::{AsyncReadExt, Interest};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::Framed;
 
-use super::codec::{Body, MOST_BODY, Messages, Piece};
+use super::codec::{Body, Messages, Piece};
 use super::end::End;
 use super::limits::Seat;
-use super::pool::Pool;
+use super::pool::{Pool, Sizes};
+
+/// Parts that one call hands to the system.
+const MOST_PARTS: usize = 8;
 
 pub struct Link {
     framed: Framed<TcpStream, Messages>,
     pool: Pool,
     seat: Seat,
+    most_body: usize,
 }
 
 impl Link {
     pub fn over(stream: TcpStream, body_of: fn(&[u8]) -> Result<Body, End>, pool: &Pool, seat: Seat) -> Self {
         // Small messages that wait for an answer gain nothing from waiting for more.
         let _ = stream.set_nodelay(true);
-        let mut framed = Framed::new(stream, Messages::new(body_of));
+        let mut framed = Framed::new(stream, Messages::new(body_of, pool.sizes()));
         *framed.read_buffer_mut() = Default::default();
         *framed.write_buffer_mut() = Default::default();
         framed.set_backpressure_boundary(usize::MAX);
-        Link { framed, pool: pool.clone(), seat }
+        Link { framed, pool: pool.clone(), seat, most_body: pool.sizes().body }
     }
 
     pub async fn connect(
@@ -74,7 +82,7 @@
         loop {
             match self.next().await? {
                 Piece::Body(piece) if first.is_empty() => first = piece,
-                Piece::Body(piece) if first.len().max(whole.len()) + piece.len() > MOST_BODY => {
+                Piece::Body(piece) if first.len().max(whole.len()) + piece.len() > self.most_body => {
                     return Err(End::TooLarge);
                 }
                 Piece::Body(piece) => {
@@ -105,7 +113,7 @@
         let mut rest = std::mem::take(self.framed.read_buffer_mut());
         loop {
             rest.clear();
-            if rest.capacity() < MOST_BODY {
+            if rest.capacity() < self.pool.sizes().buffer / 2 {
                 rest = self.pool.take();
             }
             if !matches!(self.framed.get_mut().read_buf(&mut rest).await, Ok(1..)) {
@@ -115,6 +123,78 @@
         self.pool.put(rest);
     }
 
+    /// Other sizes from now on.
+    pub fn resize(&mut self, sizes: Sizes) {
+        self.most_body = sizes.body;
+        self.framed.codec_mut().resize(sizes);
+    }
+
+    /// Bodies of a stated length come as they arrive too, and may be of any length.
+    pub fn in_parts(&mut self) {
+        self.framed.codec_mut().in_parts();
+    }
+
+    /// Whether heads are followed by no body, whatever they say: answers to `HEAD`.
+    pub fn bodiless(&mut self, bodiless: bool) {
+        self.framed.codec_mut().bodiless(bodiless);
+    }
+
+    /// Writes these parts one after the other, without copying them, and adds to `written` how many bytes were handed over.
+    ///
+    /// # Errors
+    /// `Unwritten` where the connection broke before the last byte.
+    pub async fn write(&mut self, parts: &[&[u8]], written: &Cell<usize>) -> Result<(), End> {
+        for group in parts.chunks(MOST_PARTS) {
+            let mut slices = [IoSlice::new(&[]); MOST_PARTS];
+            let mut count = 0;
+            for (slice, part) in slices.iter_mut().zip(group.iter().filter(|p| !p.is_empty())) {
+                *slice = IoSlice::new(part);
+                count += 1;
+            }
+            let mut left = slices.get_mut(..count).unwrap_or_default();
+            while !left.is_empty() {
+                match self.framed.get_mut().write_vectored(left).await {
+                    Ok(n @ 1..) => {
+                        written.update(|w| w + n);
+                        IoSlice::advance_slices(&mut left, n);
+                    }
+                    _ => return Err(End::Unwritten),
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// True while the peer of an idle connection has neither ended it nor sent anything: asked of the system, not only of what
+    /// the process was told last.
+    pub fn sound(&mut self) -> bool {
+        let quiet = self.framed.read_buffer().is_empty() && self.framed.codec().between();
+        let peeked = SockRef::from(self.framed.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+        quiet && matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Whether nothing has been read of a next message.
+    pub fn untouched(&self) -> bool {
+        self.framed.read_buffer().is_empty() && self.framed.codec().between()
+    }
+
+    /// Ends this side's sending and waits for the peer's end; once anything else comes, only for so long.
+    pub async fn part(&mut self, crossed: Duration) {
+        let _ = self.framed.close().await;
+        let (mut rest, mut until) = ([0; 512], None);
+        loop {
+            let read = self.framed.get_mut().read(&mut rest);
+            let read = match until {
+                Some(until) => timeout_at(until, read).await.unwrap_or(Ok(0)),
+                None => read.await,
+            };
+            if !matches!(read, Ok(1..)) {
+                return;
+            }
+            until.get_or_insert_with(|| Instant::now() + crossed);
+        }
+    }
+
     /// Takes another seat for its own.
     pub fn reseat(&mut self, seat: Seat) {
         self.seat = seat;
@@ -140,7 +220,7 @@
             *self.framed.read_buffer_mut() = buffer;
             match read {
                 Ok(0) => return,
-                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() != ErrorKind::WouldBlock => return,
                 _ if ready.is_read_closed() => return,
                 _ if full => pending().await,
                 _ => {}
@@ -153,7 +233,7 @@
         let mut byte = [0];
         let quiet = self.framed.read_buffer().is_empty() && self.framed.codec().between();
         let read = self.framed.get_ref().try_read(&mut byte);
-        !quiet || !matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+        !quiet || !matches!(read, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 }
 
@@ -166,18 +246,19 @@
 
 #[cfg(test)]
 mod tests {
-    use std::time::Duration;
-
     use tokio::net::TcpListener;
     use tokio::time::timeout;
 
     use super::super::limits::Bounds;
     use super::*;
 
+    const SIZES: Sizes = Sizes { head: 8 << 10, body: 64 << 10, buffer: 72 << 10 };
+
     /// The two ends of a new connection: the one that connected, and the one that was accepted.
     async fn ends() -> (Link, Link) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (room, pool) = (Bounds::within(1024, 64 << 20, false).workers, Pool::within(64 << 20));
+        let (room, pool) =
+            (Bounds::within(1024, 64 << 20, SIZES, false).workers, Pool::within(64 << 20, SIZES));
         let (to, until) = (listener.local_addr().unwrap(), Instant::now() + Duration::from_secs(20));
         let whole = |_: &[u8]| Ok(Body::Length(0));
         let link = Link::connect(to, until, whole, &pool, room.seat().unwrap()).await.unwrap();
