--- a/crates/counter/src/forward.rs
+++ b/crates/counter/src/forward.rs
@@ -274,7 +274,9 @@
                         self.ask.tried.push(picked.worker.id.clone());
                     }
                     picked.ticket.end(end);
-                    
+                    if !may_repeat {
+                        return self.lost();
+                    }
                 }
                 Tried::Silent(other) => {
                     self.ask.tried.push(picked.worker.id.clone());
--- a/crates/counter/tests/plane/requests.rs
+++ b/crates/counter/tests/plane/requests.rs
@@ -519,3 +519,23 @@
         assert_eq!(client.ask(&lots).await.status(), 200);
     });
 }
+
+/// What must run once is not written to a connection that its worker has ended, or has spoken on unasked.
+#[test]
+fn a_connection_that_is_not_sound_is_not_used() {
+    run(async {
+        for end in [Act::Write("garbage".into()), Act::Close, Act::Reset] {
+            let worker = stand(move |_, _| vec![ok("good"), Act::Sleep(5), end.clone()]).await;
+            let bench = Bench::with(&[&worker]).await;
+            let mut client = bench.client().await;
+            for n in 0..4 {
+                let got = client.ask(&post("/m/1", &format!("m{n}"), "", "")).await;
+                assert_eq!((got.status(), got.text()), (200, "good"), "{n}");
+                // The process is not told while it stands still, and then asks before it looks.
+                std::thread::sleep(Duration::from_millis(1));
+                sleep(Duration::from_millis(20)).await;
+            }
+            assert_eq!((worker.runs(), *worker.connections.borrow()), (4, 4));
+        }
+    });
+}
--- a/crates/counter/tests/plane/streams.rs
+++ b/crates/counter/tests/plane/streams.rs
@@ -232,3 +232,21 @@
         assert_eq!(bench.counter.item(tried).await.end, RanEnd::NoRoom);
     });
 }
+
+#[test]
+fn a_run_that_was_gone_on_with_ends_with_a_whole_event() {
+    run(async {
+        let breaks = stand(|_, _| vec![stream_head(), event(1), Act::Sleep(10), Act::Reset]).await;
+        let half = stand(|_, _| vec![stream_head(), event(2), piece("id: 3\nda"), last()]).await;
+        let bench = Bench::with(&[&breaks, &half]).await;
+        for n in 0..6 {
+            let before = breaks.runs();
+            let got = bench.client().await.ask(&post("/s/1", &format!("a{n}"), "", "")).await;
+            if breaks.runs() > before {
+                assert!(!got.whole, "{got:?}");
+                return;
+            }
+        }
+        panic!("the one that breaks was never tried");
+    });
+}
