--- a/crates/award/src/bulk.rs
+++ b/crates/award/src/bulk.rs
@@ -3,30 +3,29 @@
 use crate::server::Server;
 use crate::turns::{Rank, Sight, y};
 use crate::{Ask, Award, Class};
-use rainlug::{Time, turns};
+use rainlug::{SECOND, Time, turns};
 use rainlug_registry::Phase;
 
 /// Part of a worker's slots that may be taken for one more to go there.
-const ROOM: f64 = 0.6;
+const ROOM: f64 = 0.75;
 /// News is still so for this part of the time in which it comes to count by half.
 const NEWS: f64 = 0.5;
-/// Part of its slots that this dispatcher's own batch jobs may take.
-const OWN: f64 = 1.0 / 3.0;
+/// News older than this says nothing of a worker that holds nothing of this dispatcher's.
+const STALE: Time = SECOND;
 /// Steps in which workers count as equally laden, by part of their slots.
 const STEPS: f64 = 10.0;
 
 impl Award {
     /// Whether a worker has room that live requests do not want. Where it usually has none, only news counts that is still so:
-    /// who asks again and again would take each error of an estimate for room.
+    /// who asks again and again would take each error of an estimate for room. Of a worker that holds nothing of this
+    /// dispatcher's there is no news: one request brings some.
     pub(crate) fn spares(&self, now: Time, sight: &Sight, s: &Server) -> bool {
-        let slots = s.slots(self.slots);
-        let room = ROOM * slots.max(1.0);
+        let room = ROOM * s.slots(self.slots).max(1.0);
+        let told = s.load.usual() < room || s.load.news(now, sight.fresh * NEWS);
         s.worker.phase == Phase::Ready
             && s.unstarted == 0
             && !s.load.queue(now, sight.fresh)
-            && s.occupancy(now, sight.fresh, self.others) < room
-            && (s.load.usual() < room || s.load.news(now, sight.fresh * NEWS))
-            && f64::from(s.bulk) < (slots * OWN).max(1.0)
+            && (blind(now, s) || (told && s.occupancy(now, sight.fresh, self.others) < room))
     }
 
     pub(crate) fn spare(&self, now: Time, sight: &Sight, ask: &Ask, class: Option<&Class>) -> Option<usize> {
@@ -35,9 +34,12 @@
         for (j, s) in self.servers.iter().enumerate() {
             let slots = s.slots(self.slots);
             let laden = s.occupancy(now, sight.fresh, self.others) / slots.max(1.0);
-            if !self.spares(now, sight, s)
-                || self.rank(now, sight, s, ask, f64::from(ask.prompt)) > Rank::Outside
-            {
+            let fit = match blind(now, s) {
+                // What its rank would rest on is not known.
+                true => !self.never(now, sight, s, ask) && (sight.common || !s.health.grey(now)),
+                false => self.rank(now, sight, s, ask, f64::from(ask.prompt)) <= Rank::Outside,
+            };
+            if !fit || !self.spares(now, sight, s) {
                 continue;
             }
             let share = if s.share > 0.0 { s.share } else { 1.0 };
@@ -49,3 +51,8 @@
         best.map(|(_, j)| j)
     }
 }
+
+/// Whether nothing recent is known of a worker, and nothing is under way that would tell.
+fn blind(now: Time, s: &Server) -> bool {
+    s.flying == 0 && !s.load.news(now, STALE as f64)
+}
--- a/crates/award/tests/service.rs
+++ b/crates/award/tests/service.rs
@@ -95,7 +95,7 @@
     assert!(figures.timely(1) > 0.9 && figures.timely(0) > 0.95);
 }
 
-/// Given batch jobs beside live traffic that fills the workers, then next to none of them comes to a worker with 0.6 of its slots
+/// Given batch jobs beside live traffic that fills the workers, then next to none of them comes to a worker with 0.75 of its slots
 /// taken: what does is due to what others sent in the same moment.
 #[test]
 fn batch_jobs_keep_off_busy_workers() {
