--- a/crates/committee/src/lib.rs
+++ b/crates/committee/src/lib.rs
@@ -40,8 +40,10 @@
     pub copies: usize,
     /// Bytes of entries in one message, at most.
     pub most_bytes: usize,
-    /// Bytes of entries kept in memory after which a snapshot is asked for.
+    /// Bytes of entries on the disk since the last snapshot after which the next one is asked for.
     pub compact_bytes: usize,
+    /// Bytes of entries that a leader keeps in memory for a follower that lacks them.
+    pub lag_bytes: usize,
 }
 
 quick_error! {
--- a/crates/committee/src/log.rs
+++ b/crates/committee/src/log.rs
@@ -114,6 +114,9 @@
     }
     /// Drops entries up to `index` but a tail of this weight; `index` is committed.
     pub fn compact(&mut self, index: Index, tail: usize) {
+        if index <= self.base.0 {
+            return;
+        }
         let mut keep = index;
         let mut weight = 0;
         while keep > self.base.0 {
--- a/crates/committee/src/replica.rs
+++ b/crates/committee/src/replica.rs
@@ -115,6 +115,10 @@
     /// Weight of the entries given to the state machine since the snapshot.
     weight: usize,
     compact_asked: bool,
+    /// The snapshot's state is in memory: it is, while a follower needs it.
+    has_state: bool,
+    /// A follower needs entries that are not in memory any more.
+    state_wanted: bool,
     votes: BTreeSet<MemberId>,
     progress: BTreeMap<MemberId, Progress>,
     /// A leader's first entry.
@@ -163,6 +167,8 @@
             founded: false,
             weight: 0,
             compact_asked: false,
+            has_state: false,
+            state_wanted: false,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             first: 0,
@@ -212,6 +218,7 @@
                 Record::Snapshot { index, term, group, state } => {
                     replica.log = Log::new(index, term, group.clone());
                     replica.snapshot = Arc::new(Snapshot { index, term, group, state });
+                    replica.has_state = true;
                 }
                 Record::Settled { index } => replica.settled = replica.settled.max(index),
             }
@@ -457,14 +464,19 @@
         self.wake(now);
         self.compact_asked = false;
         let index = self.applied;
-        if index <= self.snapshot.index {
+        self.state_wanted = false;
+        if index == self.snapshot.index {
+            // The disk has it.
+            let Snapshot { term, ref group, .. } = *self.snapshot;
+            self.snapshot = Arc::new(Snapshot { index, term, group: group.clone(), state });
+            self.has_state = true;
             return;
         }
         let Some(term) = self.log.term(index) else { return };
         let group = self.log.group_at(index).after.clone();
         self.weight = 0;
         self.snapshot = Arc::new(Snapshot { index, term, group, state });
-        self.log.compact(index, self.settings.compact_bytes / 4);
+        self.has_state = true;
         self.rewrite();
     }
 
@@ -499,6 +511,11 @@
             self.compact_asked = true;
             self.output.compact = true;
         }
+        if std::mem::take(&mut self.state_wanted) && !self.compact_asked {
+            self.compact_asked = true;
+            self.output.compact = true;
+        }
+        self.trim();
         let sight = self.sight();
         self.output.changed |= sight != self.seen;
         self.seen = sight;
@@ -529,6 +546,26 @@
     }
 }
 
+/// Memory.
+impl Replica {
+    /// Drops from memory what has been handed out and followers have; the disk holds it. Of what they lack a leader keeps
+    /// `lag_bytes`: who is further behind gets a snapshot.
+    fn trim(&mut self) {
+        let lacking = self.progress.values().map(|p| p.matched).min().unwrap_or(Index::MAX);
+        let had = if self.role == Role::Leader { self.applied.min(lacking) } else { self.applied };
+        self.log.compact(had, self.settings.most_bytes);
+        self.log.compact(self.applied, self.settings.lag_bytes);
+        let sends = self.progress.values().any(|p| matches!(p.flow, Flow::Snapshot { .. }));
+        // What is to be restored or written is in the output.
+        if self.has_state && !sends {
+            self.has_state = false;
+            let Snapshot { index, term, ref group, .. } = *self.snapshot;
+            let group = group.clone();
+            self.snapshot = Arc::new(Snapshot { index, term, group, state: Bytes::new() });
+        }
+    }
+}
+
 /// Time and elections.
 impl Replica {
     fn wake(&mut self, now: Time) {
@@ -904,6 +941,7 @@
         self.unsaved.clear();
         self.log = Log::new(index, term, group.clone());
         self.snapshot = Arc::new(Snapshot { index, term, group, state: state.clone() });
+        self.has_state = true;
         self.weight = 0;
         self.compact_asked = false;
         self.commit = index;
@@ -958,6 +996,9 @@
         let beat = std::mem::take(&mut self.beat);
         let mut messages = std::mem::take(&mut self.output.messages);
         let mut all = std::mem::take(&mut self.progress);
+        let whole = self.has_state && self.snapshot.index >= self.log.base();
+        let lacks = |p: &Progress| !matches!(p.flow, Flow::Snapshot { .. }) && p.next <= self.log.base();
+        self.state_wanted |= !whole && all.values().any(lacks);
         for progress in all.values_mut() {
             self.feed(progress, beat, &mut messages);
         }
@@ -967,6 +1008,13 @@
     fn feed(&self, progress: &mut Progress, beat: bool, messages: &mut Vec<(Member, Bytes)>) {
         let before = messages.len();
         if !matches!(progress.flow, Flow::Snapshot { .. }) && progress.next <= self.log.base() {
+            if !self.has_state || self.snapshot.index < self.log.base() {
+                // The state is asked for; until it is there this follower has signs of life.
+                if beat && let Some(term) = self.log.term(self.log.base()) {
+                    messages.push(self.empty_message(&progress.member, self.log.base(), term));
+                }
+                return;
+            }
             progress.flow =
                 Flow::Snapshot { snapshot: self.snapshot.clone(), offset: 0, sent: false, moved: false };
         }
--- a/crates/committee/tests/common/mod.rs
+++ b/crates/committee/tests/common/mod.rs
@@ -13,7 +13,14 @@
 pub const SECOND: Time = 1_000_000;
 
 pub fn settings(copies: usize) -> Settings {
-    Settings { heartbeat: 50 * MILLIS, election: 200 * MILLIS, copies, most_bytes: 400, compact_bytes: 4_000 }
+    Settings {
+        heartbeat: 50 * MILLIS,
+        election: 200 * MILLIS,
+        copies,
+        most_bytes: 400,
+        compact_bytes: 4_000,
+        lag_bytes: 1_000,
+    }
 }
 
 pub fn member(id: MemberId) -> Member {
--- a/crates/committee/tests/courses.rs
+++ b/crates/committee/tests/courses.rs
@@ -24,6 +24,10 @@
     let mut world = World::new(seed, &founding, settings(most_lost + 1));
     world.fault = fault;
     world.network = Network { loss: 0.02, twice: 0.02, slow: 0.02 };
+    if fault == Fault::EarlySaved {
+        // Slow disks, so that more is lost of what was called saved: with quick ones one course in a hundred shows the lie.
+        world.nodes.values_mut().for_each(|node| node.disk_delay *= 20);
+    }
     let mut had = Had::default();
     let mut spares: Vec<Member> = vec![];
     for _ in 0..400 {
@@ -206,17 +210,17 @@
 
 #[test]
 fn three_members_hold_through_faults() {
-    courses(0..25, 3);
+    courses(0..100, 3);
 }
 
 #[test]
 fn three_members_hold_through_more_faults() {
-    courses(1000..1025, 3);
+    courses(1000..1100, 3);
 }
 
 #[test]
 fn five_members_hold_through_faults() {
-    courses(2000..2015, 5);
+    courses(2000..2060, 5);
 }
 
 /// Whether in one of these courses what must never be was.
--- a/crates/committee/tests/exhaustive.rs
+++ b/crates/committee/tests/exhaustive.rs
@@ -10,8 +10,14 @@
 use bytes::Bytes;
 use rainlug_committee::{Index, Member, MemberId, Replica, Settings, Time};
 
-const SETTINGS: Settings =
-    Settings { heartbeat: 50, election: 200, copies: 2, most_bytes: 1000, compact_bytes: 100_000 };
+const SETTINGS: Settings = Settings {
+    heartbeat: 50,
+    election: 200,
+    copies: 2,
+    most_bytes: 1000,
+    compact_bytes: 100_000,
+    lag_bytes: 25_000,
+};
 
 fn member(id: MemberId) -> Member {
     Member { id, name: id.to_string(), zone: "a".to_owned(), at: ([127, 0, 0, 1], 1).into() }
--- a/crates/office/src/calls.rs
+++ b/crates/office/src/calls.rs
@@ -35,6 +35,7 @@
 pub(crate) struct Ask {
     pub part: u16,
     request: Bytes,
+    tail: Bytes,
     goal: Goal,
     /// A batch job whose part is learnt by the answer.
     lot: Option<String>,
@@ -75,28 +76,45 @@
                     let error = findings.to_string().replace('\\', "\\\\").replace('"', "\\\"");
                     self.answer(ticket, Answer::json(400, format!("{{\"error\":\"{error}\"}}")));
                 }
-                Ok(_) => self.ask(CONTROL, &Request::Configure { base }, &text, Goal::Caller(ticket), PATIENCE, 0, 503),
+                Ok(_) => self.ask(
+                    CONTROL,
+                    &Request::Configure { base },
+                    text,
+                    Goal::Caller(ticket),
+                    PATIENCE,
+                    0,
+                    503,
+                ),
             },
             Call::Configuration => {
-                self.ask(CONTROL, &Request::Configuration, &[], Goal::Caller(ticket), PATIENCE, 0, 503);
+                self.ask(
+                    CONTROL,
+                    &Request::Configuration,
+                    Bytes::new(),
+                    Goal::Caller(ticket),
+                    PATIENCE,
+                    0,
+                    503,
+                );
             }
             Call::Retire { store } => {
                 let request = Request::Retire { store: store.as_str().into() };
-                self.ask(CONTROL, &request, &[], Goal::Caller(ticket), PATIENCE, 0, 503);
+                self.ask(CONTROL, &request, Bytes::new(), Goal::Caller(ticket), PATIENCE, 0, 503);
             }
             Call::Retiring { store } => {
                 let request = Request::Retiring { store: store.as_str().into() };
-                self.ask(CONTROL, &request, &[], Goal::Caller(ticket), PATIENCE, 0, 503);
+                self.ask(CONTROL, &request, Bytes::new(), Goal::Caller(ticket), PATIENCE, 0, 503);
             }
             Call::Submit { lot, route, body } => {
                 let request = Request::Submit { lot: lot.as_str().into(), route: route.as_str().into() };
                 let part = part_of(&route);
                 self.found_in(&lot, part);
-                self.ask(part, &request, &body, Goal::Caller(ticket), 3 * SECOND, SECOND / 2, 504);
+                self.ask(part, &request, body, Goal::Caller(ticket), 3 * SECOND, SECOND / 2, 504);
             }
             Call::Read { lot, since, wait } => {
                 let wait = wait.clamp(0, 2 * SECOND);
-                let request = Request::Read { lot: lot.as_str().into(), since, wait_ms: (wait / 1000) as u32 };
+                let request =
+                    Request::Read { lot: lot.as_str().into(), since, wait_ms: (wait / 1000) as u32 };
                 self.look_up(ticket, &lot, &request, wait);
             }
             Call::Body { lot, item } => {
@@ -124,13 +142,21 @@
 
     fn look_up(&mut self, ticket: u64, lot: &str, request: &Request, wait: Time) {
         if let Some(part) = self.found.get(lot) {
-            return self.ask(*part, request, &[], Goal::Caller(ticket), 2 * SECOND + wait, wait, 503);
+            return self.ask(
+                *part,
+                request,
+                Bytes::new(),
+                Goal::Caller(ticket),
+                2 * SECOND + wait,
+                wait,
+                503,
+            );
         }
         self.nonce += 1;
         let lookup = self.nonce;
         self.lookups.insert(lookup, Lookup { caller: ticket, left: usize::from(PARTS), unsure: false });
         for part in 1..=PARTS {
-            self.ask(part, request, &[], Goal::Lookup(lookup), 2 * SECOND + wait, wait, 503);
+            self.ask(part, request, Bytes::new(), Goal::Lookup(lookup), 2 * SECOND + wait, wait, 503);
             if let (Some(ask), nonce) = (self.asks.get_mut(&self.nonce), self.nonce) {
                 ask.lot = Some(lot.to_owned());
                 debug_assert!(nonce > lookup);
@@ -144,7 +170,7 @@
         &mut self,
         part: u16,
         request: &Request,
-        tail: &[u8],
+        tail: Bytes,
         goal: Goal,
         within: Time,
         slack: Time,
@@ -154,7 +180,8 @@
         let nonce = self.nonce;
         let ask = Ask {
             part,
-            request: join(request, tail),
+            request: join(request, &[]),
+            tail,
             goal,
             lot: None,
             slack,
@@ -196,11 +223,14 @@
             return;
         };
         (ask.to, ask.try_at) = (Some(to), now + TRY + ask.slack);
-        let request = ask.request.clone();
+        let (request, tail) = (ask.request.clone(), ask.tail.clone());
         if to == self.told.at {
-            self.serve(Origin::Own(nonce), number, &request);
+            if let Ok((request, _)) = split(&request) {
+                self.serve(Origin::Own(nonce), number, request, tail);
+            }
         } else {
-            self.effects.push(Effect::Frame { to, bytes: join(&Head::Ask { nonce, part: number }, &request) });
+            let head = join(&Head::Ask { nonce, part: number }, &request);
+            self.effects.push(Effect::Frame { to, head, tail });
         }
     }
 
@@ -235,7 +265,9 @@
             Goal::Caller(ticket) => self.answer(ticket, answer),
             Goal::Nobody => {}
             Goal::Lookup(id) => {
-                if answer.status == 200 && let Some(lot) = &ask.lot {
+                if answer.status == 200
+                    && let Some(lot) = &ask.lot
+                {
                     self.found_in(lot, ask.part);
                 }
                 let Some(lookup) = self.lookups.get_mut(&id) else { return };
@@ -283,7 +315,7 @@
             Origin::Remote { to, nonce } => {
                 let retry_ms = answer.retry.map_or(0, |r| (r / 1000).clamp(1, 60_000) as u32);
                 let head = Head::Told { nonce, status: answer.status, retry_ms, json: u8::from(answer.json) };
-                self.effects.push(Effect::Frame { to, bytes: join(&head, &answer.body) });
+                self.effects.push(Effect::Frame { to, head: join(&head, &[]), tail: answer.body });
             }
         }
     }
@@ -295,26 +327,25 @@
             Origin::Remote { to, nonce } => {
                 let leader = leader.map_or(Place { ip: [0; 4], port: 0 }, Place::from);
                 let head = Head::Elsewhere { nonce, leader };
-                self.effects.push(Effect::Frame { to, bytes: join(&head, &[]) });
+                self.effects.push(Effect::Frame { to, head: join(&head, &[]), tail: Bytes::new() });
             }
             Origin::Caller(ticket) => self.answer(ticket, Answer::later(503, SECOND / 5)),
         }
     }
 
     /// A call that has come to this process as a part's leader.
-    pub(crate) fn serve(&mut self, origin: Origin, number: u16, bytes: &Bytes) {
+    pub(crate) fn serve(&mut self, origin: Origin, number: u16, request: Request, tail: Bytes) {
         if !self.parts.get(&number).is_some_and(|p| p.replica.leads()) {
             return self.send_elsewhere(number, origin);
         }
-        let Ok((request, tail)) = split::<Request>(bytes) else {
-            return self.reply(origin, Answer::of(400));
-        };
         let name = |text: &Text| text.to_str().map(str::to_owned).unwrap_or_default();
         match (number, request) {
             (CONTROL, Request::Configure { base }) => self.configure(origin, base, tail),
             (CONTROL, Request::Configuration) => self.read(number, origin, Wanted::Configuration),
             (CONTROL, Request::Retire { store }) => self.retire(origin, name(&store)),
-            (CONTROL, Request::Retiring { store }) => self.read(number, origin, Wanted::Retiring(name(&store))),
+            (CONTROL, Request::Retiring { store }) => {
+                self.read(number, origin, Wanted::Retiring(name(&store)))
+            }
             (CONTROL, Request::Join { seat }) => {
                 if let Ok(member) = seat.member() {
                     self.joiners.insert(member.id, (member, self.now.steady));
@@ -335,7 +366,9 @@
             (CONTROL, Request::Seated { part, term, count, seats }) => {
                 self.propose(number, origin, join(&Change::Seated { part, term, count, seats }, &[]));
             }
-            (1.., Request::Submit { lot, route }) => self.submit(number, origin, name(&lot), name(&route), tail),
+            (1.., Request::Submit { lot, route }) => {
+                self.submit(number, origin, name(&lot), name(&route), tail)
+            }
             (1.., Request::Read { lot, since, wait_ms }) => {
                 let until = self.now.steady + Time::from(wait_ms.min(2000)) * 1000;
                 self.read(number, origin, Wanted::Lot { lot: name(&lot), since, until });
@@ -386,12 +419,15 @@
 
     fn retire(&mut self, origin: Origin, store: String) {
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
-        let Some((_, retiring)) = control.stores.get(&store) else { return self.reply(origin, Answer::of(404)) };
+        let Some((_, retiring)) = control.stores.get(&store) else {
+            return self.reply(origin, Answer::of(404));
+        };
         if *retiring {
             return self.reply(origin, Answer::of(200));
         }
         let lives = |at: &SocketAddr| self.living.contains_key(at);
-        let left = control.stores.values().filter(|(m, retiring)| m.name != store && !retiring && lives(&m.at));
+        let left =
+            control.stores.values().filter(|(m, retiring)| m.name != store && !retiring && lives(&m.at));
         // As many as a group must have for the loss of what is to be borne.
         if left.count() < self.told.tolerate + 1 {
             return self.reply(origin, Answer::of(409));
@@ -458,7 +494,11 @@
                 self.enter(worker);
                 self.beats.remove(&id);
                 let answer = Answer::json(200, "{}");
-                if was < Phase::Draining { self.hold(ticket, answer, id) } else { self.answer(ticket, answer) }
+                if was < Phase::Draining {
+                    self.hold(ticket, answer, id)
+                } else {
+                    self.answer(ticket, answer)
+                }
             }
             None => self.answer(ticket, Answer::json(200, "{}")),
         }
@@ -470,4 +510,3 @@
         self.held.push(Held { origin, answer, until, news: News::Worker(worker) });
     }
 }
-
--- a/crates/office/src/duties.rs
+++ b/crates/office/src/duties.rs
@@ -75,10 +75,18 @@
         let seat = Seat::from(&me);
         if self.told.counter {
             if !self.roster.core.iter().any(|s| s.id == me.id) {
-                self.ask(CONTROL, &Request::Join { seat }, &[], Goal::Nobody, ANNOUNCE, 0, 503);
+                self.ask(
+                    CONTROL,
+                    &Request::Join { seat },
+                    bytes::Bytes::new(),
+                    Goal::Nobody,
+                    ANNOUNCE,
+                    0,
+                    503,
+                );
             }
         } else if !self.roster.stores.iter().any(|s| s.seat == seat) {
-            self.ask(CONTROL, &Request::Shelve { seat }, &[], Goal::Nobody, ANNOUNCE, 0, 503);
+            self.ask(CONTROL, &Request::Shelve { seat }, bytes::Bytes::new(), Goal::Nobody, ANNOUNCE, 0, 503);
         }
     }
 
@@ -114,15 +122,18 @@
             .filter(|m| members.iter().all(|s| s.id != m.id))
             .cloned()
             .collect();
-        let without = |out: &Member| -> Vec<Member> { members.iter().filter(|m| m.id != out.id).cloned().collect() };
+        let without =
+            |out: &Member| -> Vec<Member> { members.iter().filter(|m| m.id != out.id).cloned().collect() };
         // The same machine with another disk; then who is gone; then free seats.
-        let same = fresh.iter().find_map(|f| members.iter().find(|m| m.at == f.at).map(|m| (m.clone(), f.clone())));
+        let same =
+            fresh.iter().find_map(|f| members.iter().find(|m| m.at == f.at).map(|m| (m.clone(), f.clone())));
         let gone = members.iter().find(|m| self.absent(&m.at)).cloned();
         let next = if let Some((old, new)) = same {
             Some([without(&old), vec![new]].concat())
         } else if let Some(old) = gone {
             let rest = without(&old);
-            self.best(&rest, fresh.iter().filter(|f| !self.absent(&f.at))).map(|new| [rest, vec![new]].concat())
+            self.best(&rest, fresh.iter().filter(|f| !self.absent(&f.at)))
+                .map(|new| [rest, vec![new]].concat())
         } else if members.len() < target {
             self.best(&members, fresh.iter()).map(|new| [members.clone(), vec![new]].concat())
         } else {
@@ -147,7 +158,8 @@
         let now = self.now.steady;
         let (least, target) = (self.told.tolerate + 1, 2 * self.told.tolerate + 1);
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
-        let stores: Vec<Member> = control.stores.values().filter(|(_, out)| !out).map(|(m, _)| m.clone()).collect();
+        let stores: Vec<Member> =
+            control.stores.values().filter(|(_, out)| !out).map(|(m, _)| m.clone()).collect();
         let missing: Vec<u16> = (1..=PARTS).filter(|n| !control.groups.contains_key(n)).collect();
         if missing.is_empty() || stores.len() < least {
             return;
@@ -159,7 +171,8 @@
         for number in missing {
             let mut group: Vec<Member> = Vec::new();
             // Parts begin at different stores, so that their leaders differ.
-            let turned: Vec<&Member> = (0..stores.len()).map(|i| &stores[(i + usize::from(number)) % stores.len()]).collect();
+            let turned: Vec<&Member> =
+                (0..stores.len()).map(|i| &stores[(i + usize::from(number)) % stores.len()]).collect();
             while group.len() < target.min(stores.len()) {
                 let crowd = |zone: &str| group.iter().filter(|m| m.zone == zone).count();
                 let free = turned.iter().filter(|m| group.iter().all(|g| g.id != m.id));
@@ -204,19 +217,18 @@
         if !machine {
             return;
         }
-        let listed: Vec<(Member, bool)> = self
-            .roster
-            .stores
-            .iter()
-            .filter_map(|s| Some((s.seat.member().ok()?, s.retiring > 0)))
-            .collect();
+        let listed: Vec<(Member, bool)> =
+            self.roster.stores.iter().filter_map(|s| Some((s.seat.member().ok()?, s.retiring > 0))).collect();
         let active = |m: &Member| listed.iter().any(|(l, retiring)| l.id == m.id && !retiring);
         let spare: Vec<&Member> = listed
             .iter()
-            .filter(|(l, retiring)| !retiring && members.iter().all(|m| m.id != l.id) && self.living.contains_key(&l.at))
+            .filter(|(l, retiring)| {
+                !retiring && members.iter().all(|m| m.id != l.id) && self.living.contains_key(&l.at)
+            })
             .map(|(l, _)| l)
             .collect();
-        let without = |out: &Member| -> Vec<Member> { members.iter().filter(|m| m.id != out.id).cloned().collect() };
+        let without =
+            |out: &Member| -> Vec<Member> { members.iter().filter(|m| m.id != out.id).cloned().collect() };
         let replaced = members.iter().find(|m| listed.iter().any(|(l, _)| l.id != m.id && l.at == m.at));
         let leaving = members.iter().find(|m| !active(m));
         let gone = members.iter().find(|m| self.absent(&m.at));
@@ -241,14 +253,16 @@
         }
         // Told to the configuration's part once all that live hold all of it.
         let whole = members.iter().all(|m| {
-            m.at == self.told.at || behind.iter().any(|(id, lacks)| *id == m.id && *lacks < 64) || self.absent(&m.at)
+            m.at == self.told.at
+                || behind.iter().any(|(id, lacks)| *id == m.id && *lacks < 64)
+                || self.absent(&m.at)
         });
         let told = self.roster.groups.iter().find(|g| g.part == number);
         let same = told.is_some_and(|g| g.members.iter().map(|s| s.id).eq(members.iter().map(|m| m.id)));
         if whole && !same {
             let seats: Vec<Seat> = members.iter().map(Seat::from).collect();
             let request = Request::Seated { part: number, term, count: seats.len() as u16, seats };
-            self.ask(CONTROL, &request, &[], Goal::Nobody, SECOND / 2, 0, 503);
+            self.ask(CONTROL, &request, bytes::Bytes::new(), Goal::Nobody, SECOND / 2, 0, 503);
         }
     }
 }
--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 mod duties;
 pub mod frame;
+pub mod listing;
 mod lots_part;
 mod part;
 
@@ -36,6 +37,8 @@
 const SPREADING: Time = 35 * SECOND / 100;
 /// Beats that may be missing before a worker is called silent.
 const MISSED: f64 = 3.2;
+/// Who has others, and has heard nothing of them for so long, is cut off.
+const CUT_OFF: Time = 12 * SECOND / 10;
 /// A pause in this process's own time that means that it stood still.
 const STOOD_STILL: Time = SECOND;
 
@@ -59,6 +62,8 @@
     pub tolerate: usize,
     /// Between two beats of a worker.
     pub beat: Time,
+    /// What its disk holds, in bytes.
+    pub disk_bytes: usize,
     /// How long batch jobs are kept after they were sent.
     pub keep_lots: Time,
     pub seed: u64,
@@ -114,21 +119,45 @@
 /// What the process is to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    Datagram { to: SocketAddr, bytes: Bytes },
-    /// Over a connection: whole and in order, or not at all.
-    Frame { to: SocketAddr, bytes: Bytes },
+    Datagram {
+        to: SocketAddr,
+        bytes: Bytes,
+    },
+    /// Over a connection: whole and in order, or not at all; the head's bytes and then the tail's.
+    Frame {
+        to: SocketAddr,
+        head: Bytes,
+        tail: Bytes,
+    },
     /// Appended to the part's docket and synced; then [`Office::saved`].
-    Save { part: u16, ticket: u64, records: Vec<Bytes> },
+    Save {
+        part: u16,
+        ticket: u64,
+        records: Vec<Bytes>,
+    },
     /// In place of all that the docket holds; then [`Office::saved`].
-    Rewrite { part: u16, ticket: u64, records: Vec<Bytes> },
-    Answer { ticket: u64, answer: Answer },
+    Rewrite {
+        part: u16,
+        ticket: u64,
+        records: Vec<Bytes>,
+    },
+    Answer {
+        ticket: u64,
+        answer: Answer,
+    },
     /// In force from now on.
-    Configuration { version: u64, text: Bytes },
+    Configuration {
+        version: u64,
+        text: Bytes,
+    },
     Worker(Worker),
     /// Others that send requests to workers.
     Others(usize),
     /// An item of a batch job to be run at a worker; then [`Office::ran`].
-    Run { part: u16, next: rainlug_lots::Next },
+    Run {
+        part: u16,
+        next: rainlug_lots::Next,
+    },
     /// Something that staff may want to know.
     Log(&'static str, String),
 }
@@ -158,7 +187,10 @@
 enum Origin {
     /// A call of this process's own, by its nonce.
     Own(u64),
-    Remote { to: SocketAddr, nonce: u64 },
+    Remote {
+        to: SocketAddr,
+        nonce: u64,
+    },
     /// Straight to a caller of this process.
     Caller(u64),
 }
@@ -197,6 +229,8 @@
     /// When it was last caught up with others, after a start, a cut or a freeze.
     caught_up: Option<Time>,
     begun: Time,
+    /// When anything came from a peer.
+    heard: Time,
     effects: Vec<Effect>,
 }
 
@@ -226,7 +260,7 @@
 
 impl bulletin::Outgoing for Sink<'_> {
     fn send(&mut self, to: SocketAddr, bytes: Bytes) {
-        self.effects.push(Effect::Frame { to, bytes: join(&Head::Bulletin, &bytes) });
+        self.effects.push(Effect::Frame { to, head: join(&Head::Bulletin, &[]), tail: bytes });
     }
 
     fn worker(&mut self, worker: &Worker) {
@@ -251,7 +285,8 @@
         election: 4 * SECOND / 10,
         copies: told.tolerate + 1,
         most_bytes: 256 << 10,
-        compact_bytes: 8 << 20,
+        compact_bytes: (told.disk_bytes / 8).clamp(4 << 20, 256 << 20),
+        lag_bytes: 4 << 20,
     }
 }
 
@@ -260,7 +295,11 @@
     ///
     /// # Errors
     /// Where a docket's records are none of this program's.
-    pub fn new(told: Told, dockets: Vec<(u16, Vec<Bytes>)>, now: Now) -> Result<Self, rainlug_committee::Odd> {
+    pub fn new(
+        told: Told,
+        dockets: Vec<(u16, Vec<Bytes>)>,
+        now: Now,
+    ) -> Result<Self, rainlug_committee::Odd> {
         let mut chance = ChaCha8Rng::seed_from_u64(told.seed);
         let card = Card {
             id: chance.random::<u64>().max(1),
@@ -298,6 +337,7 @@
             epoch: 0,
             caught_up: None,
             begun: now.steady,
+            heard: now.steady,
             effects: Vec::new(),
             chance,
             told,
@@ -322,7 +362,8 @@
         let mut seeds = self.told.seeds.clone();
         seeds.sort_unstable();
         seeds.dedup();
-        let founder = |at: SocketAddr| Member { id: founding_id(at), name: String::new(), zone: String::new(), at };
+        let founder =
+            |at: SocketAddr| Member { id: founding_id(at), name: String::new(), zone: String::new(), at };
         seeds.into_iter().map(founder).collect()
     }
 
@@ -333,7 +374,12 @@
     }
 
     /// Opens the replica of a part.
-    fn open(&mut self, number: u16, founding: Vec<Member>, records: &[Bytes]) -> Result<(), rainlug_committee::Odd> {
+    fn open(
+        &mut self,
+        number: u16,
+        founding: Vec<Member>,
+        records: &[Bytes],
+    ) -> Result<(), rainlug_committee::Odd> {
         let Some(me) = self.me() else { return Ok(()) };
         let (settings, seed) = (settings(&self.told), self.chance.random());
         let part = Part::open(number, me, founding, settings, records, seed, self.now.steady)?;
@@ -390,7 +436,7 @@
 
     /// A datagram's payload, from where it came.
     pub fn datagram(&mut self, now: Now, from: SocketAddr, payload: &[u8]) {
-        self.now = now;
+        (self.now, self.heard) = (now, now.steady);
         let mut sink = Sink::new(&mut self.effects);
         let _ = self.view.heard(now.steady, from, payload, &mut sink);
         self.settle();
@@ -401,8 +447,8 @@
     /// # Errors
     /// Where it is no frame of this tier; nothing has changed.
     pub fn frame(&mut self, now: Now, from: SocketAddr, bytes: &Bytes) -> Result<(), Odd> {
-        self.now = now;
         let (head, tail): (Head, Bytes) = split(bytes)?;
+        (self.now, self.heard) = (now, now.steady);
         match head {
             Head::Bulletin => {
                 let mut sink = Sink::new(&mut self.effects);
@@ -411,7 +457,10 @@
                 self.told_news(workers, texts);
             }
             Head::Group { part } => self.group(part, &tail),
-            Head::Ask { nonce, part } => self.serve(Origin::Remote { to: from, nonce }, part, &tail),
+            Head::Ask { nonce, part } => {
+                let (request, tail) = split(&tail)?;
+                self.serve(Origin::Remote { to: from, nonce }, part, request, tail);
+            }
             Head::Told { nonce, status, retry_ms, json } => {
                 let retry = (retry_ms > 0).then_some(Time::from(retry_ms) * 1000);
                 self.answered(nonce, Answer { status, retry, json: json > 0, body: tail });
@@ -452,7 +501,15 @@
     }
 
     /// How the run of an item ended, with the events (id, data) that came.
-    pub fn ran(&mut self, now: Now, part: u16, lot: &str, item: &str, events: Vec<(u64, Bytes)>, end: RunEnd) {
+    pub fn ran(
+        &mut self,
+        now: Now,
+        part: u16,
+        lot: &str,
+        item: &str,
+        events: Vec<(u64, Bytes)>,
+        end: RunEnd,
+    ) {
         self.now = now;
         self.item_ran(part, lot, item, events, end);
         self.settle();
@@ -481,7 +538,8 @@
                         self.effects.push(Effect::Configuration { version, text });
                     }
                     Err(findings) => {
-                        self.effects.push(Effect::Log("configuration", format!("version {version}: {findings}")));
+                        self.effects
+                            .push(Effect::Log("configuration", format!("version {version}: {findings}")));
                     }
                 },
                 bulletin::GROUPS => {
@@ -575,15 +633,21 @@
 
     /// Where the beats of a service's workers go: who takes requests and lives, by rendezvous hash.
     fn registrar(&self, service: &str) -> Option<SocketAddr> {
-        let weigh = |at: &SocketAddr| xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1));
+        let weigh = |at: &SocketAddr| {
+            xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1))
+        };
         let others = self.living.iter().filter(|(_, (counter, control))| *counter && control.is_some());
         let all = others.map(|(at, _)| *at).chain(self.told.counter.then_some(self.told.at));
         all.max_by_key(weigh)
     }
 
-    /// Whether it may be given clients: it knows a configuration, and has heard of others or is alone.
-    pub fn ready(&self) -> bool {
-        let now = self.now.steady;
+    /// Whether it may be given clients: it knows a configuration, has heard of others or is alone, and is not cut off: who lives
+    /// among others hears of them several times a second.
+    pub fn ready(&self, now: Now) -> bool {
+        let now = now.steady;
+        if !self.living.is_empty() && now - self.heard > CUT_OFF {
+            return false;
+        }
         let met = self.caught_up.is_some_and(|at| now - at > SECOND / 10) || now - self.begun > 3 * SECOND;
         self.configuration.is_some() && met
     }
@@ -596,7 +660,10 @@
     pub fn figures(&self) -> Vec<(String, f64)> {
         let mut figures = vec![
             ("members_living".to_owned(), self.living.len() as f64 + 1.0),
-            ("configuration_version".to_owned(), self.configuration.as_ref().map_or(0.0, |c| c.version as f64)),
+            (
+                "configuration_version".to_owned(),
+                self.configuration.as_ref().map_or(0.0, |c| c.version as f64),
+            ),
             ("workers_known".to_owned(), self.bulletin.workers().count() as f64),
             ("calls_in_hand".to_owned(), self.asks.len() as f64),
         ];
--- /dev/null
+++ b/crates/office/src/listing.rs
@@ -0,0 +1,184 @@
+//! What an operator may want to see of this process's view: members, workers, stores, parts. It is what this process knows now;
+//! nothing is asked of others.
+
+use std::net::SocketAddr;
+
+use rainlug_committee::Member;
+use rainlug_fleet::Standing;
+use rainlug_registry::{Phase, Worker};
+
+use crate::frame::Seat;
+use crate::{CONTROL, Office, PARTS};
+
+/// A process of the tier.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberLine {
+    pub name: String,
+    pub zone: String,
+    /// `counter` or `archive`; empty where it does not say.
+    pub role: &'static str,
+    /// `alive`, `suspect`, `gone` or `left`.
+    pub standing: &'static str,
+    /// Where it hears its peers.
+    pub peer: SocketAddr,
+    /// Where it serves workers and operators, if it does.
+    pub control: Option<SocketAddr>,
+    /// How long it has stood so, in milliseconds.
+    pub for_ms: u64,
+}
+
+/// A worker, as the bulletin has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerLine {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    /// `ready`, `silent` or `draining`.
+    pub phase: &'static str,
+    pub slots: u32,
+    pub call_seq: u64,
+}
+
+/// A store on the roster.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreLine {
+    pub name: String,
+    pub zone: String,
+    pub peer: SocketAddr,
+    /// By membership, as for members; `unknown` where it was never met.
+    pub standing: &'static str,
+    pub retiring: bool,
+    /// The parts that it has a seat in.
+    pub parts: Vec<u16>,
+}
+
+/// A part and its group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartLine {
+    pub number: u16,
+    /// `configuration` or `lots`.
+    pub holds: &'static str,
+    /// Its leader's name, or address; none where this process does not know.
+    pub leader: Option<String>,
+    pub members: Vec<String>,
+    pub term: u64,
+}
+
+fn standing(of: Standing) -> &'static str {
+    match of {
+        Standing::Alive => "alive",
+        Standing::Suspect => "suspect",
+        Standing::Gone => "gone",
+        Standing::Left => "left",
+    }
+}
+
+fn phase(of: Phase) -> &'static str {
+    match of {
+        Phase::Ready => "ready",
+        Phase::Silent => "silent",
+        Phase::Draining => "draining",
+        Phase::Gone => "gone",
+    }
+}
+
+impl Office {
+    /// All processes that this one knows of, itself too, by name.
+    pub fn list_members(&self) -> Vec<MemberLine> {
+        let mut lines = Vec::new();
+        for member in self.view.members() {
+            for (card, stands, since) in member.processes {
+                let (role, port) = match card.figures[..] {
+                    [role, high, low, ..] => {
+                        (if role == 1 { "counter" } else { "archive" }, u16::from_be_bytes([high, low]))
+                    }
+                    _ => ("", 0),
+                };
+                lines.push(MemberLine {
+                    name: card.name.clone(),
+                    zone: card.zone.clone(),
+                    role,
+                    standing: standing(stands),
+                    peer: card.at,
+                    control: (port != 0).then(|| SocketAddr::new(card.at.ip(), port)),
+                    for_ms: u64::try_from((self.now.steady - since).max(0) / 1000).unwrap_or(0),
+                });
+            }
+        }
+        lines
+    }
+
+    /// All workers that the bulletin lists, by id.
+    pub fn list_workers(&self) -> Vec<WorkerLine> {
+        let line = |worker: &Worker| WorkerLine {
+            id: worker.id.clone(),
+            service: worker.service.clone(),
+            zone: worker.zone.clone(),
+            address: worker.address,
+            phase: phase(worker.phase),
+            slots: worker.slots,
+            call_seq: worker.call_seq,
+        };
+        self.bulletin.workers().map(line).collect()
+    }
+
+    /// The roster of stores, by name.
+    pub fn list_stores(&self) -> Vec<StoreLine> {
+        let members = self.list_members();
+        let stands = |at: SocketAddr| members.iter().filter(|m| m.peer == at).map(|m| m.standing).min();
+        let mut lines: Vec<StoreLine> = Vec::new();
+        for (member, retiring) in self.shelved() {
+            let holds = |seats: &[Seat]| seats.iter().any(|s| s.id == member.id);
+            let parts = self.roster.groups.iter().filter(|g| holds(&g.members)).map(|g| g.part).collect();
+            let standing = stands(member.at).unwrap_or("unknown");
+            lines.push(StoreLine {
+                name: member.name,
+                zone: member.zone,
+                peer: member.at,
+                standing,
+                retiring,
+                parts,
+            });
+        }
+        lines.sort_by(|a, b| a.name.cmp(&b.name));
+        lines
+    }
+
+    fn shelved(&self) -> impl Iterator<Item = (Member, bool)> {
+        self.roster.stores.iter().filter_map(|s| Some((s.seat.member().ok()?, s.retiring > 0)))
+    }
+
+    /// All parts, as far as this process knows: of a part that it has no replica in, by the roster and by where calls went last.
+    pub fn list_parts(&self) -> Vec<PartLine> {
+        let members = self.list_members();
+        let named = |at: SocketAddr| {
+            let member = members.iter().find(|m| m.peer == at);
+            member.map_or_else(|| at.to_string(), |m| m.name.clone())
+        };
+        let line = |number: u16| {
+            let (leader, seats, term) = match self.parts.get(&number) {
+                Some(part) => {
+                    let seats: Vec<SocketAddr> = part.replica.members().0.iter().map(|m| m.at).collect();
+                    (part.replica.leader().map(|m| m.at), seats, part.replica.term())
+                }
+                None => {
+                    let listed = self.roster.groups.iter().find(|g| g.part == number);
+                    let seats =
+                        if number == CONTROL { Some(&self.roster.core) } else { listed.map(|g| &g.members) };
+                    let seats =
+                        seats.into_iter().flatten().filter_map(|s| s.member().ok()).map(|m| m.at).collect();
+                    (self.hints.get(&number).copied(), seats, listed.map_or(0, |g| g.term))
+                }
+            };
+            PartLine {
+                number,
+                holds: if number == CONTROL { "configuration" } else { "lots" },
+                leader: leader.map(named),
+                members: seats.into_iter().map(named).collect(),
+                term,
+            }
+        };
+        (CONTROL..=PARTS).map(line).collect()
+    }
+}
--- a/crates/office/src/lots_part.rs
+++ b/crates/office/src/lots_part.rs
@@ -12,6 +12,8 @@
 const RUNNING: usize = 512;
 /// The pause after an item found no room.
 const NO_ROOM: Time = SECOND / 66;
+/// Between the starts of two items.
+const BETWEEN: Time = SECOND / 500;
 /// Between two looks at what is overdue.
 const SWEEP: Time = SECOND / 4;
 /// Between two orders to forget.
@@ -29,7 +31,8 @@
         let Some(configuration) = &self.configuration else {
             return self.reply(origin, Answer::later(503, SECOND / 2));
         };
-        let Some(route) = configuration.routes.iter().find(|r| r.name == route && r.kind == Kind::Bulk) else {
+        let Some(route) = configuration.routes.iter().find(|r| r.name == route && r.kind == Kind::Bulk)
+        else {
             return self.reply(origin, Answer::later(503, SECOND / 2));
         };
         let items = match read_requests(&body) {
@@ -125,7 +128,8 @@
             if part.polls.iter().all(|p| p.3 > now) {
                 continue;
             }
-            let (over, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut part.polls).into_iter().partition(|p| p.3 <= now);
+            let (over, rest): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut part.polls).into_iter().partition(|p| p.3 <= now);
             part.polls = rest;
             for (origin, lot, since, until) in over {
                 self.show_lot(number, origin, lot, since, until);
@@ -139,15 +143,17 @@
         let (now, wall) = (self.now.steady, self.now.wall);
         for number in self.parts.keys().copied().collect::<Vec<u16>>() {
             let Some(part) = self.parts.get_mut(&number) else { continue };
-            let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else { continue };
+            let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
+                continue;
+            };
             if part.pause <= now {
                 part.pause = 0;
-                while schedule.running() < RUNNING {
-                    let Some(next) = schedule.next(register, wall) else { break };
+                if schedule.running() < RUNNING
+                    && let Some(next) = schedule.next(register, wall)
+                {
                     self.effects.push(Effect::Run { part: number, next });
                     // One at a time: the next one is begun as soon as this one has found its worker.
-                    part.pause = now + SECOND / 500;
-                    break;
+                    part.pause = now + BETWEEN;
                 }
             }
             if now - part.swept >= SWEEP {
@@ -181,7 +187,9 @@
     ) {
         let (now, wall) = (self.now.steady, self.now.wall);
         let Some(part) = self.parts.get_mut(&number) else { return };
-        let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else { return };
+        let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
+            return;
+        };
         if end == RunEnd::NoRoom {
             part.pause = now + NO_ROOM;
         }
--- a/crates/office/src/part.rs
+++ b/crates/office/src/part.rs
@@ -53,8 +53,11 @@
         now: Time,
     ) -> Result<Self, rainlug_committee::Odd> {
         let replica = Replica::recover(me, founding, settings, records, seed, now)?;
-        let machine =
-            if number == CONTROL { Machine::Control(Control::default()) } else { Machine::Lots(Register::default()) };
+        let machine = if number == CONTROL {
+            Machine::Control(Control::default())
+        } else {
+            Machine::Lots(Register::default())
+        };
         Ok(Part {
             number,
             replica,
@@ -132,7 +135,11 @@
 
     fn carry_out(&mut self, number: u16, output: Output) {
         for (to, bytes) in output.messages {
-            self.effects.push(Effect::Frame { to: to.at, bytes: join(&Head::Group { part: number }, &bytes) });
+            self.effects.push(Effect::Frame {
+                to: to.at,
+                head: join(&Head::Group { part: number }, &[]),
+                tail: bytes,
+            });
         }
         if let Some((ticket, records)) = output.rewrite {
             self.effects.push(Effect::Rewrite { part: number, ticket, records });
@@ -145,9 +152,14 @@
         if let Some((_, state)) = output.restore {
             self.restore(number, &state);
         }
+        let agreed = !output.committed.is_empty();
         for (index, command) in output.committed {
             self.committed(number, index, &command);
         }
+        if agreed && number == CONTROL {
+            // Not after each command: a new leader applies its whole log at once, and what is old is in force nowhere again.
+            self.post();
+        }
         for (ticket, result) in output.reads {
             let Some(part) = self.parts.get_mut(&number) else { return };
             let Some((origin, wanted)) = part.reads.remove(&ticket) else { continue };
@@ -156,7 +168,9 @@
                 Err(_) => self.send_elsewhere(number, origin),
             }
         }
-        if output.compact && let Some(part) = self.parts.get_mut(&number) {
+        if output.compact
+            && let Some(part) = self.parts.get_mut(&number)
+        {
             let state = match &part.machine {
                 Machine::Control(control) => control.snapshot(),
                 Machine::Lots(register) => register.snapshot(),
@@ -187,13 +201,14 @@
             Machine::Control(control) => {
                 let outcome = control.apply(command);
                 let version = control.version;
-                self.post();
                 let Some((own, origin)) = mine else { return };
                 let answer = match outcome {
                     _ if !own => return self.send_elsewhere(number, origin),
                     Ok(Outcome::Done) => Answer::of(200),
                     Ok(Outcome::Conflict) => Answer::json(412, format!("{{\"version\":{version}}}")),
-                    Ok(Outcome::Stale) => Answer::json(400, "{\"error\":\"/version: above the one in force\"}"),
+                    Ok(Outcome::Stale) => {
+                        Answer::json(400, "{\"error\":\"/version: above the one in force\"}")
+                    }
                     Ok(Outcome::Unknown) => Answer::of(404),
                     Err(_) => Answer::of(500),
                 };
@@ -223,7 +238,8 @@
             }
         } else {
             part.schedule = None;
-            let mut origins: Vec<Origin> = std::mem::take(&mut part.waiting).into_values().map(|w| w.1).collect();
+            let mut origins: Vec<Origin> =
+                std::mem::take(&mut part.waiting).into_values().map(|w| w.1).collect();
             origins.extend(std::mem::take(&mut part.reads).into_values().map(|r| r.0));
             origins.extend(std::mem::take(&mut part.polls).into_iter().map(|p| p.0));
             origins.into_iter().for_each(|origin| self.send_elsewhere(number, origin));
@@ -239,7 +255,8 @@
         let (core, settled) = part.replica.members();
         let roster = settled.then(|| control.roster(core));
         let term = part.replica.term();
-        if version > 0 && self.bulletin.get(bulletin::CONFIGURATION).is_none_or(|(known, _)| known < version) {
+        if version > 0 && self.bulletin.get(bulletin::CONFIGURATION).is_none_or(|(known, _)| known < version)
+        {
             self.enter_text(bulletin::CONFIGURATION, version, text);
         }
         if let Some(roster) = roster.filter(|r| *r != self.roster) {
--- a/crates/office/tests/common/mod.rs
+++ b/crates/office/tests/common/mod.rs
@@ -92,9 +92,15 @@
             run_time: 300 * MS,
             bytes: 0,
         };
-        (0..core).for_each(|n| drop(fleet.add(true, true, n)));
-        (0..plain).for_each(|n| drop(fleet.add(true, false, n)));
-        (0..stores).for_each(|n| drop(fleet.add(false, true, n)));
+        (0..core).for_each(|n| {
+            fleet.add(true, true, n);
+        });
+        (0..plain).for_each(|n| {
+            fleet.add(true, false, n);
+        });
+        (0..stores).for_each(|n| {
+            fleet.add(false, true, n);
+        });
         fleet
     }
 
@@ -152,6 +158,7 @@
             seeds,
             tolerate: self.tolerate,
             beat: 1200 * MS,
+            disk_bytes: 256 << 20,
             keep_lots: 180 * SECOND,
             seed,
         };
@@ -268,7 +275,9 @@
         let now = self.time();
         let (at, life) = match &event {
             Event::Datagram { to, life, .. } | Event::Frame { to, life, .. } => (*to, *life),
-            Event::Saved { at, life, .. } | Event::Wake { at, life } | Event::Ran { at, life, .. } => (*at, *life),
+            Event::Saved { at, life, .. } | Event::Wake { at, life } | Event::Ran { at, life, .. } => {
+                (*at, *life)
+            }
         };
         let machine = &mut self.machines[at];
         if machine.life != life || machine.office.is_none() {
@@ -284,7 +293,9 @@
         let Some(office) = machine.office.as_mut() else { return };
         match event {
             Event::Datagram { from, bytes, .. } => office.datagram(now, from, &bytes),
-            Event::Frame { from, bytes, .. } => office.frame(now, from, &bytes).expect("a frame of its own kind"),
+            Event::Frame { from, bytes, .. } => {
+                office.frame(now, from, &bytes).expect("a frame of its own kind")
+            }
             Event::Saved { part, ticket, .. } => {
                 if let Some(disk) = &mut machine.disk {
                     let writes = disk.writing.entry(part).or_default();
@@ -319,15 +330,20 @@
             match effect {
                 Effect::Datagram { to, bytes } => {
                     self.bytes += bytes.len() as u64;
-                    let Some(to) = self.place(to).filter(|to| !self.cut.contains(&(at, *to))) else { continue };
+                    let Some(to) = self.place(to).filter(|to| !self.cut.contains(&(at, *to))) else {
+                        continue;
+                    };
                     if self.chance.random::<f64>() >= self.loss {
                         let (delay, life) = (self.delay(), self.machines[to].life);
                         self.push(self.now + delay, Event::Datagram { to, life, from, bytes });
                     }
                 }
-                Effect::Frame { to, bytes } => {
+                Effect::Frame { to, head, tail } => {
+                    let bytes = Bytes::from([&head[..], &tail[..]].concat());
                     self.bytes += bytes.len() as u64;
-                    let Some(to) = self.place(to).filter(|to| !self.cut.contains(&(at, *to))) else { continue };
+                    let Some(to) = self.place(to).filter(|to| !self.cut.contains(&(at, *to))) else {
+                        continue;
+                    };
                     let (delay, life) = (self.delay(), self.machines[to].life);
                     let due = self.order.get(&(at, to)).copied().unwrap_or(0).max(self.now + delay);
                     self.order.insert((at, to), due);
@@ -351,7 +367,9 @@
                     self.push(self.now + self.run_time, Event::Ran { at, life, part, lot, item, events });
                 }
                 Effect::Others(_) => {}
-                Effect::Log(what, text) => self.machines[at].log.push(format!("{} {what}: {text}", self.now / MS)),
+                Effect::Log(what, text) => {
+                    self.machines[at].log.push(format!("{} {what}: {text}", self.now / MS))
+                }
             }
         }
         let machine = &mut self.machines[at];
@@ -405,7 +423,9 @@
 /// The body of a batch job of so many items.
 pub fn lot(name: &str, items: usize) -> Bytes {
     let item = |n| {
-        format!(r#"{{"id":"{name}-{n}","path":"/l/{n}","headers":{{"X-Rainlug-Model":"m"}},"body":"q83vEjRWeJA=","token_count":100}}"#)
+        format!(
+            r#"{{"id":"{name}-{n}","path":"/l/{n}","headers":{{"X-Rainlug-Model":"m"}},"body":"q83vEjRWeJA=","token_count":100}}"#
+        )
     };
     let items: Vec<String> = (0..items).map(item).collect();
     Bytes::from(format!(r#"{{"requests":[{}]}}"#, items.join(",")))
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -29,7 +29,8 @@
     for part in 0..=2 {
         let leader = fleet.leader(part).expect("a leader");
         let members = fleet.machines[leader].office.as_ref().unwrap().leads(part).2;
-        let zones: std::collections::BTreeSet<&str> = members.iter().map(|m| m.at.to_string().leak() as &str).collect();
+        let zones: std::collections::BTreeSet<&str> =
+            members.iter().map(|m| m.at.to_string().leak() as &str).collect();
         assert_eq!((members.len(), zones.len()), (3, 3), "part {part}");
     }
 }
@@ -68,7 +69,8 @@
 #[test]
 fn given_an_invalid_configuration_when_it_is_sent_then_it_is_refused_with_its_places_and_nothing_changes() {
     let mut fleet = settled(3, 2, 3, 3);
-    let bad = String::from_utf8_lossy(&configuration(9, "notary")).replace("\"timeout_ms\":4000", "\"timeout_ms\":0");
+    let bad = String::from_utf8_lossy(&configuration(9, "notary"))
+        .replace("\"timeout_ms\":4000", "\"timeout_ms\":0");
     let answer = fleet.ask(2, Call::Configure { base: 5, text: Bytes::from(bad) }, 2.0).expect("an answer");
     assert_eq!(answer.status, 400);
     assert!(String::from_utf8_lossy(&answer.body).contains("/routes/0/timeout_ms"));
@@ -256,7 +258,9 @@
     }
     // What was read before stands where it stood.
     let text_before = String::from_utf8_lossy(&before.body).into_owned();
-    let outputs = |t: &str| t.split_once("\"outputs\":[").map(|o| o.1.trim_end_matches("]}").to_owned()).unwrap_or_default();
+    let outputs = |t: &str| {
+        t.split_once("\"outputs\":[").map(|o| o.1.trim_end_matches("]}").to_owned()).unwrap_or_default()
+    };
     assert!(outputs(&text).starts_with(&outputs(&text_before)));
 }
 
@@ -269,7 +273,10 @@
         let retired = 5 + seed as usize % 4;
         let name = fleet.machines[retired].name.clone();
         assert_eq!(fleet.ask(1, Call::Retire { store: name.clone() }, 2.0).map(|a| a.status), Some(200));
-        assert_eq!(fleet.ask(1, Call::Retire { store: "no-such".to_owned() }, 2.0).map(|a| a.status), Some(404));
+        assert_eq!(
+            fleet.ask(1, Call::Retire { store: "no-such".to_owned() }, 2.0).map(|a| a.status),
+            Some(404)
+        );
         let mut complete = false;
         for _ in 0..40 {
             fleet.pass(0.25);
@@ -303,3 +310,21 @@
     assert!(back && fleet.now - since < 3 * SECOND, "after {} ms", (fleet.now - since) / MS);
     assert_eq!(fleet.ask(2, configure(5, 7), 2.0).map(|a| a.status), Some(200));
 }
+
+#[test]
+fn given_many_versions_when_all_lose_power_then_only_the_newest_comes_into_force_anywhere() {
+    for seed in 0..5 {
+        let mut fleet = settled(4, 6, 4, 40 + seed);
+        for (base, version) in [(5, 7), (7, 9), (9, 12)] {
+            assert_eq!(fleet.ask(9, configure(base, version), 2.0).map(|a| a.status), Some(200));
+        }
+        let all = fleet.machines.len();
+        (0..all).for_each(|at| fleet.kill(at, true));
+        fleet.pass(1.0);
+        (0..all).for_each(|at| fleet.start(at, false));
+        assert!(fleet.until(10.0, |f| f.machines.iter().all(|m| m.in_force.last() == Some(&12))));
+        for machine in &fleet.machines {
+            assert_eq!(machine.in_force, [12], "seed {seed}: {}", machine.name);
+        }
+    }
+}
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -15,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::listings::{self, List};
 use crate::log;
 use crate::node::{MOST_CONTROL, Node};
 
@@ -193,7 +194,7 @@
     (E::METHOD, E::PATH, handle::<E>)
 }
 
-const CALLS: [(&str, &str, Handler); 7] = [
+const CALLS: [(&str, &str, Handler); 11] = [
     entry::<Beat>(),
     entry::<Goodbye>(),
     entry::<Configure>(),
@@ -201,6 +202,10 @@
     entry::<Retire>(),
     entry::<Retiring>(),
     entry::<Figures>(),
+    entry::<List<listings::Members>>(),
+    entry::<List<listings::Workers>>(),
+    entry::<List<listings::Parts>>(),
+    entry::<List<listings::Stores>>(),
 ];
 
 /// The handler of a method and a path, and what follows the handler's own path.
@@ -280,7 +285,12 @@
 }
 
 async fn answer(link: &mut Link, answer: &Answer, close: bool) -> Result<(), End> {
-    let mut head = format!("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", answer.status, reason(answer.status), answer.body.len());
+    let mut head = format!(
+        "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
+        answer.status,
+        reason(answer.status),
+        answer.body.len()
+    );
     if answer.json {
         head.push_str("Content-Type: application/json\r\n");
     }
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -67,7 +67,9 @@
             let (docket, _) = Docket::open(&self.dir, &name(part))?;
             self.start(part, docket);
         }
-        self.writers.get(&part).ok_or_else(|| Error::Io(self.dir.clone(), std::io::ErrorKind::NotFound.into()))
+        self.writers
+            .get(&part)
+            .ok_or_else(|| Error::Io(self.dir.clone(), std::io::ErrorKind::NotFound.into()))
     }
 
     /// Appends records; told through the channel when they are synced.
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -1,9 +1,13 @@
 //! The serving tier's processes: settings, sockets, disk and command line round the cores.
 
+pub mod check;
 pub mod clock;
 pub mod control;
 pub mod disk;
+pub mod listings;
+pub mod local;
 pub mod log;
 pub mod node;
+pub mod operator;
 pub mod peers;
 pub mod settings;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -113,6 +113,7 @@
             seeds,
             tolerate: settings.tolerate.machines as usize,
             beat: settings.beat_ms as Time * 1000,
+            disk_bytes: (settings.limits.disk_mb.max(1.0) * 1e6) as usize,
             keep_lots: ((settings.bounds.status_s + 60.0) * 1e6) as Time,
             seed: draw(),
         };
@@ -177,7 +178,7 @@
         }
         if let Some(at) = settings.listen.ready {
             let office = node.clone();
-            let ready = Rc::new(move || office.office.borrow().ready());
+            let ready = Rc::new(move || office.office.borrow().ready(office.clock.now()));
             spawn_local(node.counter.clone().readiness(listen(at).await?, ready));
         }
         node.with(|_, _| ());
@@ -242,7 +243,7 @@
             Effect::Datagram { to, bytes } => {
                 let _ = self.socket.try_send_to(&self.envelope.seal(&bytes), to);
             }
-            Effect::Frame { to, bytes } => self.peers.send(to, bytes),
+            Effect::Frame { to, head, tail } => self.peers.send(to, head, tail),
             Effect::Save { part, ticket, records } => {
                 let kept = self.disk.borrow_mut().as_mut().map(|d| d.save(part, ticket, records));
                 self.kept(kept);
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3Default;
 
 /// What a connection begins with: the tier, and the version of its frames.
 const MARK: [u8; 4] = *b"rlt1";
@@ -26,9 +26,12 @@
 const MOST_FRAME: usize = 16 << 20;
 /// Bytes that may wait for a peer; what comes beyond is dropped, as if lost on the way.
 const MOST_WAITING: usize = 12 << 20;
-/// Bytes that are written in one go, about.
-const BATCH: usize = 128 << 10;
-const DIAL: Duration = Duration::from_millis(700);
+/// Bytes of the newest frames that are kept for a peer that cannot be reached.
+const MOST_KEPT: usize = 64 << 10;
+/// Bytes that are written in one go, about, and from where on a tail is not copied.
+const BATCH: usize = 64 << 10;
+const LARGE: usize = 16 << 10;
+const DIAL: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(100);
 /// A peer that acknowledges nothing for so long is cut off or stands still.
 const SILENT: Duration = Duration::from_millis(2500);
@@ -38,8 +41,15 @@
 /// Frames that came: from whom, and the bytes.
 pub type Taken = Rc<dyn Fn(SocketAddr, Bytes)>;
 
+/// A frame's head and tail.
+type Frame = (Bytes, Bytes);
+
+fn length(frame: &Frame) -> usize {
+    frame.0.len() + frame.1.len()
+}
+
 struct Line {
-    frames: mpsc::UnboundedSender<Bytes>,
+    frames: mpsc::UnboundedSender<Frame>,
     waiting: Rc<Cell<usize>>,
 }
 
@@ -54,11 +64,18 @@
 
 impl Peers {
     pub fn new(me: SocketAddr) -> Rc<Self> {
-        Rc::new(Peers { me, lines: RefCell::default(), sent: Cell::new(0), taken: Cell::new(0), dropped: Cell::new(0) })
+        Rc::new(Peers {
+            me,
+            lines: RefCell::default(),
+            sent: Cell::new(0),
+            taken: Cell::new(0),
+            dropped: Cell::new(0),
+        })
     }
 
     /// Hands a frame to the line to a peer, which is opened where there is none.
-    pub fn send(self: &Rc<Self>, to: SocketAddr, frame: Bytes) {
+    pub fn send(self: &Rc<Self>, to: SocketAddr, head: Bytes, tail: Bytes) {
+        let frame = (head, tail);
         let mut lines = self.lines.borrow_mut();
         let line = lines.entry(to).or_insert_with(|| {
             let (frames, queue) = mpsc::unbounded_channel();
@@ -66,23 +83,30 @@
             spawn_local(self.clone().carry(to, queue, waiting.clone()));
             Line { frames, waiting }
         });
-        if line.waiting.get() + frame.len() > MOST_WAITING || frame.len() > MOST_FRAME {
+        if line.waiting.get() + length(&frame) > MOST_WAITING || length(&frame) > MOST_FRAME {
             self.dropped.update(|n| n + 1);
             return;
         }
-        line.waiting.update(|n| n + frame.len());
+        line.waiting.update(|n| n + length(&frame));
         let _ = line.frames.send(frame);
     }
 
     /// Carries frames to one peer for good. What waits when a connection breaks is lost with it.
-    async fn carry(self: Rc<Self>, to: SocketAddr, mut queue: mpsc::UnboundedReceiver<Bytes>, waiting: Rc<Cell<usize>>) {
+    async fn carry(
+        self: Rc<Self>,
+        to: SocketAddr,
+        mut queue: mpsc::UnboundedReceiver<Frame>,
+        waiting: Rc<Cell<usize>>,
+    ) {
         while let Some(first) = queue.recv().await {
-            waiting.update(|n| n.saturating_sub(first.len()));
+            waiting.update(|n| n.saturating_sub(length(&first)));
             let broke = self.connected(to, first, &mut queue, &waiting).await;
             if broke.is_err() {
-                // Old frames are of no use to a peer that comes back: it is told anew.
-                while let Ok(lost) = queue.try_recv() {
-                    waiting.update(|n| n.saturating_sub(lost.len()));
+                // A little waits for a peer that comes back meanwhile, as an answer to its first word; not what is old or much.
+                while waiting.get() > MOST_KEPT
+                    && let Ok(lost) = queue.try_recv()
+                {
+                    waiting.update(|n| n.saturating_sub(length(&lost)));
                 }
                 sleep(PAUSE).await;
             }
@@ -92,8 +116,8 @@
     async fn connected(
         &self,
         to: SocketAddr,
-        first: Bytes,
-        queue: &mut mpsc::UnboundedReceiver<Bytes>,
+        first: Frame,
+        queue: &mut mpsc::UnboundedReceiver<Frame>,
         waiting: &Cell<usize>,
     ) -> io::Result<()> {
         let mut stream = timeout(DIAL, TcpStream::connect(to)).await??;
@@ -105,26 +129,33 @@
             out.put_slice(&me.ip().octets());
             out.put_u16_le(me.port());
         }
-        put(&mut out, &first);
+        let mut next = first;
         loop {
-            while out.len() < BATCH {
-                let Ok(next) = queue.try_recv() else { break };
-                waiting.update(|n| n.saturating_sub(next.len()));
+            // Small frames go together; a large tail goes as it is, without a copy.
+            put(&mut out, &next);
+            while next.1.len() < LARGE && out.len() < BATCH {
+                let Ok(more) = queue.try_recv() else { break };
+                next = more;
+                waiting.update(|n| n.saturating_sub(length(&next)));
                 put(&mut out, &next);
             }
-            self.sent.update(|n| n + out.len() as u64);
+            let tail: &[u8] = if next.1.len() < LARGE { &[] } else { &next.1 };
+            self.sent.update(|n| n + (out.len() + tail.len()) as u64);
             timeout(2 * SILENT, stream.write_all(&out)).await??;
+            if !tail.is_empty() {
+                timeout(4 * SILENT, stream.write_all(tail)).await??;
+            }
             out.clear();
-            if out.capacity() > 4 * BATCH {
+            if out.capacity() > BATCH {
                 out = BytesMut::new();
             }
             let mut none = [0];
             tokio::select! {
                 biased;
-                next = queue.recv() => {
-                    let Some(next) = next else { return Ok(()) };
-                    waiting.update(|n| n.saturating_sub(next.len()));
-                    put(&mut out, &next);
+                more = queue.recv() => {
+                    let Some(more) = more else { return Ok(()) };
+                    next = more;
+                    waiting.update(|n| n.saturating_sub(length(&next)));
                 }
                 // A peer says nothing here: what can be read is the end.
                 _ = stream.read(&mut none) => return Err(io::ErrorKind::ConnectionReset.into()),
@@ -150,7 +181,8 @@
 
     async fn take(&self, mut stream: TcpStream, taken: Taken) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let alive = TcpKeepalive::new().with_time(Duration::from_secs(5)).with_interval(Duration::from_secs(1));
+        let alive =
+            TcpKeepalive::new().with_time(Duration::from_secs(5)).with_interval(Duration::from_secs(1));
         SockRef::from(&stream).set_tcp_keepalive(&alive.with_retries(3))?;
         let mut hello = [0; HELLO];
         timeout(SILENT, stream.read_exact(&mut hello)).await??;
@@ -175,16 +207,22 @@
     }
 }
 
-fn check(frame: &[u8]) -> u32 {
-    xxh3_64(frame) as u32
+fn check(head: &[u8], tail: &[u8]) -> u32 {
+    let mut sum = Xxh3Default::new();
+    sum.update(head);
+    sum.update(tail);
+    sum.digest() as u32
 }
 
-/// Writes a frame behind what is there.
-pub fn put(to: &mut BytesMut, frame: &[u8]) {
-    to.reserve(HEAD + frame.len());
-    to.put_u32_le(frame.len() as u32);
-    to.put_u32_le(check(frame));
-    to.put_slice(frame);
+/// Writes a frame behind what is there; without its tail where that is large.
+pub fn put(to: &mut BytesMut, frame: &(Bytes, Bytes)) {
+    let (head, tail) = frame;
+    let copied = if tail.len() < LARGE { tail.len() } else { 0 };
+    to.reserve(HEAD + head.len() + copied);
+    to.put_u32_le((head.len() + tail.len()) as u32);
+    to.put_u32_le(check(head, tail));
+    to.put_slice(head);
+    to.put_slice(&tail[..copied]);
 }
 
 /// Takes the next whole frame off the front.
@@ -206,7 +244,7 @@
     }
     from.advance(HEAD);
     let frame = from.split_to(length).freeze();
-    if check(&frame) != sum {
+    if check(&frame, &[]) != sum {
         return Err(io::ErrorKind::InvalidData.into());
     }
     Ok(Some(frame))
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -1,4 +1,7 @@
-//! The settings file: read by a library for TOML, checked as a whole. Fields that are not known are ignored.
+//! The settings file: read by a library for TOML, checked field by field, so that all that is wrong is told at once. Fields that
+//! are not known are ignored.
+
+pub mod fields;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -113,35 +116,12 @@
     /// # Errors
     /// All findings, each with its place.
     pub fn read(text: &str) -> Result<Self, Vec<String>> {
-        let settings: Settings = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(0, |s| text[..s.start.min(text.len())].lines().count().max(1));
-            vec![format!("line {line}: {}", e.message().replace('\n', " "))]
-        })?;
-        let findings = settings.findings();
-        if findings.is_empty() { Ok(settings) } else { Err(findings) }
-    }
-
-    fn findings(&self) -> Vec<String> {
-        let mut findings = Vec::new();
-        let mut check = |sound: bool, place: &str, expected: &str| {
-            if !sound {
-                findings.push(format!("{place}: {expected}"));
-            }
-        };
-        check(!self.node.is_empty() && self.node.len() <= 64, "node", "1 to 64 bytes");
-        check(!self.zone.is_empty() && self.zone.len() <= 64, "zone", "1 to 64 bytes");
-        check(self.ip.is_ipv4(), "ip", "an IPv4 address");
-        check(self.port_range.0 > 0 && self.port_range.0 <= self.port_range.1, "port_range", "first and last port");
-        check(!self.seeds.is_empty(), "seeds", "one address at least");
-        check(self.beat_ms > 0, "beat_ms", "over 0");
-        check(self.limits.cpu_share > 0.0, "limits.cpu_share", "over 0");
-        check(self.limits.memory_mb >= 16.0, "limits.memory_mb", "16 at least");
-        check(self.limits.max_fds >= 64, "limits.max_fds", "64 at least");
-        check(self.tolerate.machines <= 16, "tolerate.machines", "16 at most");
-        check(self.bounds.grace_s > 0.0, "bounds.grace_s", "over 0");
-        let levels = ["error", "warn", "info", "debug"];
-        check(levels.contains(&self.log_level.as_str()), "log_level", "error, warn, info or debug");
-        findings
+        let table = fields::table(text)?;
+        let findings = fields::findings(&table);
+        if !findings.is_empty() {
+            return Err(findings.iter().map(|(place, expected)| format!("{place}: {expected}")).collect());
+        }
+        table.try_into().map_err(|e: toml::de::Error| vec![e.message().replace('\n', " ")])
     }
 
     /// Where this process hears its peers.
