--- a/crates/committee/src/log.rs
+++ b/crates/committee/src/log.rs
@@ -49,6 +49,8 @@
     /// Index and term of the entry before the first in memory.
     base: (Index, Term),
     entries: VecDeque<Entry>,
+    /// Of all entries in memory.
+    weight: usize,
     /// The newest is `group`; these are older ones that may come back, by index.
     older: Vec<Group>,
     group: Group,
@@ -57,7 +59,11 @@
 impl Log {
     pub fn new(index: Index, term: Term, group: Vec<Member>) -> Self {
         let group = Group { index, before: vec![], after: group };
-        Self { base: (index, term), entries: VecDeque::new(), older: vec![], group }
+        Self { base: (index, term), entries: VecDeque::new(), weight: 0, older: vec![], group }
+    }
+    /// Bytes that its entries take in memory.
+    pub fn weight(&self) -> usize {
+        self.weight
     }
     pub fn base(&self) -> Index {
         self.base.0
@@ -94,11 +100,17 @@
             let group = Group { index: self.last() + 1, before, after };
             self.older.push(std::mem::replace(&mut self.group, group));
         }
+        self.weight += entry.weight();
         self.entries.push_back(entry);
     }
     /// Drops what is behind `index`.
     pub fn truncate(&mut self, index: Index) {
-        self.entries.truncate(usize::try_from(index.saturating_sub(self.base.0)).unwrap_or(usize::MAX));
+        let kept = usize::try_from(index.saturating_sub(self.base.0)).unwrap_or(usize::MAX);
+        while self.entries.len() > kept
+            && let Some(entry) = self.entries.pop_back()
+        {
+            self.weight -= entry.weight();
+        }
         while self.group.index > index
             && let Some(group) = self.older.pop()
         {
@@ -129,6 +141,7 @@
         while self.base.0 < keep
             && let Some(entry) = self.entries.pop_front()
         {
+            self.weight -= entry.weight();
             self.base = (self.base.0 + 1, entry.term);
         }
         let current = self.group_at(index).index;
--- a/crates/committee/src/replica.rs
+++ b/crates/committee/src/replica.rs
@@ -552,6 +552,10 @@
     /// Drops from memory what has been handed out and followers have; the disk holds it. Of what they lack a leader keeps
     /// `lag_bytes`: who is further behind gets a snapshot.
     fn trim(&mut self) {
+        // Now and then: each time walks over what is kept.
+        if self.log.weight() <= 2 * self.settings.most_bytes && !self.has_state {
+            return;
+        }
         let lacking = self.progress.values().map(|p| p.matched).min().unwrap_or(Index::MAX);
         let had = if self.role == Role::Leader { self.applied.min(lacking) } else { self.applied };
         self.log.compact(had, self.settings.most_bytes);
--- a/crates/office/src/calls.rs
+++ b/crates/office/src/calls.rs
@@ -211,7 +211,10 @@
         let now = self.now.steady;
         let Some(number) = self.asks.get(&nonce).map(|a| a.part) else { return };
         let led = self.parts.get(&number).filter(|p| p.replica.leads()).map(|_| self.told.at);
-        let seats = self.seats(number);
+        // Who is known to be gone is asked only where nobody else is left.
+        let (mut seats, all) = (self.seats(number), self.seats(number));
+        seats.retain(|at| *at == self.told.at || self.living.contains_key(at));
+        let seats = if seats.is_empty() { all } else { seats };
         let hint = self.hints.get(&number).copied();
         let Some(ask) = self.asks.get_mut(&nonce) else { return };
         let turn = ask.tries;
@@ -283,6 +286,16 @@
         }
     }
 
+    /// Calls that wait for a peer that cannot be reached go to another member, after a pause that lets one be elected.
+    pub(crate) fn asked_in_vain(&mut self, at: SocketAddr) {
+        let soon = self.now.steady + PAUSE;
+        self.hints.retain(|_, hint| *hint != at);
+        for ask in self.asks.values_mut().filter(|a| a.to == Some(at)) {
+            (ask.to, ask.hops) = (None, 0);
+            ask.try_at = ask.try_at.min(soon);
+        }
+    }
+
     /// Another one leads, says who was asked.
     pub(crate) fn elsewhere(&mut self, nonce: u64, from: SocketAddr, leader: Option<SocketAddr>) {
         let now = self.now.steady;
--- a/crates/office/src/duties.rs
+++ b/crates/office/src/duties.rs
@@ -1,6 +1,7 @@
 //! What falls to this process from time to time: to ask for its own seat, to call workers silent, and, where it leads a part, to
 //! give the part's seats to those who are there.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use rainlug::{SECOND, Time};
@@ -46,12 +47,12 @@
             return;
         }
         let mut quiet = Vec::new();
-        let mut mine = Vec::new();
+        let mut mine = BTreeSet::new();
         for worker in self.bulletin.workers().filter(|w| w.phase == Phase::Ready) {
             if self.registrar(&worker.service) != Some(self.told.at) {
                 continue;
             }
-            mine.push(worker.id.clone());
+            mine.insert(worker.id.clone());
             if self.beats.get(&worker.id).is_some_and(|at| now - at > patience) {
                 quiet.push(worker.clone());
             }
--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -10,6 +10,7 @@
 mod lots_part;
 mod part;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -218,6 +219,8 @@
     /// In which part a batch job was found.
     found: BTreeMap<String, u16>,
     held: Vec<Held>,
+    /// Whose duty a service's workers are, as long as the members are the same.
+    registrars: RefCell<BTreeMap<String, Option<SocketAddr>>>,
     /// When the workers of services that are this process's duty were last heard.
     beats: BTreeMap<String, Time>,
     joiners: BTreeMap<MemberId, (Member, Time)>,
@@ -329,6 +332,7 @@
             hints: BTreeMap::new(),
             found: BTreeMap::new(),
             held: Vec::new(),
+            registrars: RefCell::default(),
             beats: BTreeMap::new(),
             joiners: BTreeMap::new(),
             duty_at: now.steady,
@@ -616,6 +620,7 @@
         let counters = living.values().filter(|(counter, _)| *counter).count();
         let before = self.living.values().filter(|(counter, _)| *counter).count();
         self.living = living;
+        self.registrars.borrow_mut().clear();
         let peers: Vec<SocketAddr> = self.living.keys().copied().collect();
         self.bulletin.peers(now, &peers);
         if counters != before || self.caught_up.is_none() {
@@ -633,12 +638,24 @@
 
     /// Where the beats of a service's workers go: who takes requests and lives, by rendezvous hash.
     fn registrar(&self, service: &str) -> Option<SocketAddr> {
+        if let Some(known) = self.registrars.borrow().get(service) {
+            return *known;
+        }
         let weigh = |at: &SocketAddr| {
             xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1))
         };
         let others = self.living.iter().filter(|(_, (counter, control))| *counter && control.is_some());
         let all = others.map(|(at, _)| *at).chain(self.told.counter.then_some(self.told.at));
-        all.max_by_key(weigh)
+        let found = all.max_by_key(weigh);
+        self.registrars.borrow_mut().insert(service.to_owned(), found);
+        found
+    }
+
+    /// A connection to a peer broke or did not come up: what was asked there is asked elsewhere at once.
+    pub fn unreachable(&mut self, now: Now, at: SocketAddr) {
+        self.now = now;
+        self.asked_in_vain(at);
+        self.settle();
     }
 
     /// Whether it may be given clients: it knows a configuration, has heard of others or is alone, and is not cut off: who lives
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -153,6 +153,12 @@
                 let _ = office.frame(now, from, &bytes);
             });
         });
+        let tells = Rc::downgrade(&node);
+        node.peers.when_broke(Rc::new(move |at| {
+            if let Some(node) = tells.upgrade() {
+                node.with(|office, now| office.unreachable(now, at));
+            }
+        }));
         spawn_local(node.peers.clone().listen(frames, frame));
         spawn_local(node.clone().datagrams());
         spawn_local(node.clone().timer());
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -41,6 +41,9 @@
 /// Frames that came: from whom, and the bytes.
 pub type Taken = Rc<dyn Fn(SocketAddr, Bytes)>;
 
+/// A peer that could not be reached, or whose connection broke.
+pub type Broke = Rc<dyn Fn(SocketAddr)>;
+
 /// A frame's head and tail.
 type Frame = (Bytes, Bytes);
 
@@ -56,6 +59,7 @@
 pub struct Peers {
     me: SocketAddr,
     lines: RefCell<HashMap<SocketAddr, Line>>,
+    broke: RefCell<Option<Broke>>,
     /// Bytes sent and taken, frames dropped for want of room.
     pub sent: Cell<u64>,
     pub taken: Cell<u64>,
@@ -67,12 +71,18 @@
         Rc::new(Peers {
             me,
             lines: RefCell::default(),
+            broke: RefCell::default(),
             sent: Cell::new(0),
             taken: Cell::new(0),
             dropped: Cell::new(0),
         })
     }
 
+    /// Whom to tell of peers that cannot be reached.
+    pub fn when_broke(&self, tell: Broke) {
+        *self.broke.borrow_mut() = Some(tell);
+    }
+
     /// Hands a frame to the line to a peer, which is opened where there is none.
     pub fn send(self: &Rc<Self>, to: SocketAddr, head: Bytes, tail: Bytes) {
         let frame = (head, tail);
@@ -108,6 +118,10 @@
                 {
                     waiting.update(|n| n.saturating_sub(length(&lost)));
                 }
+                let tell = self.broke.borrow().clone();
+                if let Some(tell) = tell {
+                    tell(to);
+                }
                 sleep(PAUSE).await;
             }
         }
