--- a/crates/rainlugd/src/protocol/mod.rs
+++ b/crates/rainlugd/src/protocol/mod.rs
@@ -2,7 +2,7 @@
 
 use rainlug_transport::Sizes;
 
-pub mod envelope;
+pub use rainlug_fleet::envelope;
 pub mod head;
 pub mod lines;
 pub mod report;
