--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -481,9 +481,13 @@
         if self.told.disk.is_none() || self.told.counter != (number == CONTROL) || number > PARTS {
             return;
         }
-        // A seat is given by the group; who hears of it first from the leader begins with nothing.
-        if !self.parts.contains_key(&number) && self.open(number, Vec::new(), &[]).is_err() {
-            return;
+        // A seat is given by the group. A founder must begin with the founding group, which no entry names: until the roster tells
+        // of it, its leader is not heard.
+        if !self.parts.contains_key(&number) {
+            let Some(founding) = self.founding(number) else { return };
+            if self.open(number, founding, &[]).is_err() {
+                return;
+            }
         }
         let now = self.now.steady;
         if let Some(part) = self.parts.get_mut(&number) {
@@ -494,6 +498,17 @@
         }
     }
 
+    /// What a part's replica begins with here: its founding group for one of that, nothing for another one; not known where the
+    /// roster does not tell of the part yet.
+    fn founding(&self, number: u16) -> Option<Vec<Member>> {
+        if number == CONTROL {
+            return Some(Vec::new());
+        }
+        let group = self.roster.groups.iter().find(|g| g.part == number)?;
+        let founder = group.founding.iter().any(|s| Some(s.id) == self.told.disk);
+        if founder { control::members(&group.founding).ok() } else { Some(Vec::new()) }
+    }
+
     /// All records of a part up to this ticket are on the disk.
     pub fn saved(&mut self, now: Now, number: u16, ticket: u64) {
         self.now = now;
--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -328,3 +328,22 @@
         }
     }
 }
+
+#[test]
+fn given_word_of_a_new_part_in_any_order_when_it_is_founded_then_each_member_knows_the_group_and_may_lead() {
+    for seed in 0..40 {
+        let mut fleet = settled(3, 2, 3, 700 + seed);
+        fleet.pass(1.0);
+        for part in 1..=2 {
+            for store in 5..8 {
+                let members = fleet.machines[store].office.as_ref().unwrap().leads(part).2;
+                assert_eq!(members.len(), 3, "seed {seed}: part {part} at {store}");
+            }
+            let leader = fleet.leader(part).expect("a leader");
+            fleet.wipe(leader);
+            assert!(fleet.until(3.0, |f| f.leader(part).is_some()), "seed {seed}: part {part}");
+            fleet.start(leader, false);
+            fleet.pass(6.0);
+        }
+    }
+}
