--- a/crates/office/tests/stories.rs
+++ b/crates/office/tests/stories.rs
@@ -347,3 +347,14 @@
         }
     }
 }
+
+#[test]
+fn given_a_store_that_hears_a_parts_leader_before_the_roster_then_it_begins_nothing_without_a_group() {
+    let mut fleet = common::Fleet::new(3, 0, 1, 12);
+    fleet.start(3, true);
+    let head = rainlug_office::frame::join(&rainlug_office::frame::Head::Group { part: 1 }, b"");
+    let now = rainlug_office::Now { steady: fleet.now, wall: fleet.now };
+    let office = fleet.machines[3].office.as_mut().expect("it runs");
+    office.frame(now, common::address(0), &head).expect("a frame");
+    assert!(office.figures().iter().all(|(name, _)| !name.starts_with("part_1")), "a part without a group");
+}
