--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -23,15 +23,15 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::base::Clock;
+use crate::protocol::head;
 use crate::protocol::words::Entry;
-use crate::protocol::{SIZES, head};
 use crate::routing::client::{self, Door};
 use crate::routing::figures::Figures;
 use crate::routing::list::{self, Source};
 use crate::routing::management::{self, Office};
 use crate::routing::module::{self, Desk};
 use crate::routing::{Beside, Budgets, MAILBOX, Mail, Peers, Stances, ToModule};
-use rainlug_transport::{Bounds, Link, Pool, Room};
+use crate::transport::{Bounds, Link, Pool, Room};
 
 /// New connections still come for so long after the word to stop.
 const LAST_CLIENTS: Duration = Duration::from_millis(500);
@@ -148,7 +148,7 @@
         log!("managed on {}", listener.local_addr()?);
         let (figures, room, beside_it) = (made.figures.clone(), bounds.management.clone(), others.clone());
         let office = Office { module, figures, stances, beside: beside_it, peers: peers.clone(), room };
-        spawn_local(manage(listener, Rc::new(office), Pool::within(0, SIZES)));
+        spawn_local(manage(listener, Rc::new(office), Pool::within(0)));
         beside = Some(others);
     }
     let known = desk.listed(true, known);
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -13,13 +13,12 @@
 use serde_json::Value;
 
 use crate::base::Clock;
-use crate::protocol::SIZES;
 use crate::protocol::words::{self, Entry};
 use crate::routing::client::Door;
 use crate::routing::figures::Figures;
 use crate::routing::list::Source;
 use crate::routing::{Reach, ToModule};
-use rainlug_transport::{Bounds, Pool, Trust};
+use crate::transport::{Bounds, Pool, Trust};
 
 /// Idle connections are closed after this part of the time after which workers close them: a task written to one
 /// that its worker is closing may have run, for all that can be known.
@@ -59,8 +58,7 @@
 pub fn room(all: &Value) -> Result<(Bounds, Pool)> {
     let descriptors = setup::count(all, "/limits/sockets")?;
     let memory = memory(all)?;
-    let bounds = Bounds::within(descriptors, memory, SIZES, management(all)?.is_some());
-    Ok((bounds, Pool::within(memory, SIZES)))
+    Ok((Bounds::within(descriptors, memory, management(all)?.is_some()), Pool::within(memory)))
 }
 
 /// The second address, where there is one: not the clients'.
--- a/crates/rainlugd/src/protocol/lines.rs
+++ b/crates/rainlugd/src/protocol/lines.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 
-use rainlug_transport::End;
+use crate::transport::End;
 
 /// Takes pieces in and gives lines out.
 pub struct Lines {
--- a/crates/rainlugd/src/protocol/words.rs
+++ b/crates/rainlugd/src/protocol/words.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use super::report;
-use rainlug_transport::End;
+use crate::transport::End;
 
 /// An entry of the list, and where the worker listens.
 pub type Entry = (Listed, SocketAddr);
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -13,7 +13,7 @@
 use super::{Mail, Peers, Stances, ToModule};
 use crate::base::Clock;
 use crate::protocol::words::Entry;
-use rainlug_transport::Bounds;
+use crate::transport::Bounds;
 
 /// How often it is looked who else lives, alone and where somebody does.
 const LOOK_ALONE: Duration = Duration::from_millis(100);
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -14,7 +14,7 @@
 use super::{Answer, Mail, Parcel, ToModule};
 use crate::base::Clock;
 use crate::protocol::head;
-use rainlug_transport::{End, Link, Piece, Room};
+use crate::transport::{End, Link, Piece, Room};
 
 /// Part of its time for a request for which a connection that has had its last answer waits for the client to end it.
 const FAREWELL: u32 = 4;
--- a/crates/rainlugd/src/routing/list.rs
+++ b/crates/rainlugd/src/routing/list.rs
@@ -14,7 +14,7 @@
 use super::{Mail, ToModule};
 use crate::protocol::lines::Lines;
 use crate::protocol::{head, words};
-use rainlug_transport::{End, Link, Piece, Pool, Room};
+use crate::transport::{End, Link, Piece, Pool, Room};
 
 /// An empty line comes this often while nothing changes.
 const BEAT: Duration = Duration::from_secs(2);
--- a/crates/rainlugd/src/routing/management.rs
+++ b/crates/rainlugd/src/routing/management.rs
@@ -12,7 +12,7 @@
 use super::{Beside, Mail, Peers, Stances, ToModule};
 
 use crate::protocol::head;
-use rainlug_transport::{End, Link, Piece, Room};
+use crate::transport::{End, Link, Piece, Room};
 
 /// An answer is due in a second: who has not said all by then is not heard, nor is who has not taken its answer.
 const DUE: Duration = Duration::from_secs(1);
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -21,10 +21,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::protocol::words::Entry;
+use crate::transport::End;
 pub use beside::Beside;
 pub use budgets::Budgets;
 pub use peers::Peers;
-use rainlug_transport::End;
 pub use stances::Stances;
 pub use worker::Reach;
 
--- a/crates/rainlugd/src/routing/module.rs
+++ b/crates/rainlugd/src/routing/module.rs
@@ -16,7 +16,7 @@
 use super::worker::{self, Order, Reach, Standing};
 use super::{Answer, Mail, Parcel, broken};
 use crate::protocol::words::Entry;
-use rainlug_transport::End;
+use crate::transport::End;
 
 /// A task that is owed an answer or has assignments out.
 struct Held {
--- a/crates/rainlugd/src/routing/outcome.rs
+++ b/crates/rainlugd/src/routing/outcome.rs
@@ -2,7 +2,7 @@
 
 use rainlug::Outcome;
 
-use rainlug_transport::End;
+use crate::transport::End;
 
 /// The one place where it is told. A task may have run once its last byte was handed over, and not before.
 pub fn outcome(end: End) -> Outcome {
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -15,8 +15,8 @@
 use super::{MAILBOX, Mail, Parcel, ToModule};
 use crate::base::Clock;
 use crate::protocol::lines::Lines;
-use crate::protocol::{SIZES, head, report, words};
-use rainlug_transport::{End, Link, Piece, Pool, Room, Trust};
+use crate::protocol::{head, report, words};
+use crate::transport::{End, Link, MOST_BODY, Piece, Pool, Room, Trust};
 
 /// After an answer's last line, the end of its framing comes in this part of the time that a connection may take.
 const TAIL: u32 = 4;
@@ -227,7 +227,7 @@
 
 /// Follows a worker's words on a task up to the last one.
 async fn words(reach: &Reach, link: &mut Link, parcel: &Rc<Parcel>, nth: usize) -> Result<Told, End> {
-    let mut lines = Lines::within(2 * SIZES.body);
+    let mut lines = Lines::within(2 * MOST_BODY);
     loop {
         let Piece::Body(piece) = link.next().await? else { return Err(End::Broken) };
         lines.push(&piece);
@@ -272,7 +272,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use rainlug_transport::Bounds;
+    use crate::transport::Bounds;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
@@ -286,11 +286,11 @@
         LocalSet::new().block_on(&runtime, async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (module, mut letters) = mpsc::channel(8);
-            let (pool, clock) = (Pool::within(1 << 20, SIZES), Clock::start());
+            let (pool, clock) = (Pool::within(1 << 20), Clock::start());
             let reach = Rc::new(Reach {
                 clock,
                 pool,
-                room: Bounds::within(64, 64 << 20, SIZES, false).workers.clone(),
+                room: Bounds::within(64, 64 << 20, false).workers.clone(),
                 module,
                 dial: Duration::from_secs(5),
                 trust: Trust::up_to(Duration::from_secs(5)),
