--- a/crates/committee/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -58,7 +58,7 @@
 
 quick_error! {
     #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum Odd {
+    pub enum DecodeError {
         Malformed(what: &'static str) { display("malformed: {}", what) }
     }
 }
--- a/crates/committee/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -9,7 +9,7 @@
 
 use crate::log::{Entry, Kind, Log, Snapshot};
 use crate::wire::{self, Body, Record};
-use crate::{Index, Member, MemberId, Odd, Output, Refused, Settings, Term, Time};
+use crate::{DecodeError, Index, Member, MemberId, Output, Refused, Settings, Term, Time};
 
 /// Messages with entries on their way to one follower, at most.
 const MOST_IN_FLIGHT: usize = 8;
@@ -72,7 +72,7 @@
 
 /// What [`Output::changed`] tells of.
 #[derive(Clone, Copy, PartialEq, Eq)]
-struct Seen {
+struct Observed {
     leader: Option<MemberId>,
     leads: bool,
     group: Index,
@@ -134,7 +134,7 @@
     /// Messages that must not go before a ticket is saved.
     held: VecDeque<(u64, Member, Bytes)>,
     output: Output,
-    seen: Seen,
+    seen: Observed,
 }
 
 impl Replica {
@@ -181,7 +181,7 @@
             incoming: None,
             held: VecDeque::new(),
             output: Output::default(),
-            seen: Seen { leader: None, leads: false, group: 0, settled: true },
+            seen: Observed { leader: None, leads: false, group: 0, settled: true },
         };
         // Nobody is known to lead: all may have just started. Pre-votes harm no leader that does.
         replica.deadline = replica.draw(replica.settings.election / 4);
@@ -200,7 +200,7 @@
         records: &[Bytes],
         seed: u64,
         now: Time,
-    ) -> Result<Self, Odd> {
+    ) -> Result<Self, DecodeError> {
         let mut replica = Self::new(me, founding, settings, seed, now);
         for record in records {
             replica.founded = true;
@@ -211,7 +211,7 @@
                 }
                 Record::Entry { index, entry } => {
                     if index <= replica.snapshot.index || index > replica.log.last() + 1 {
-                        return Err(Odd::Malformed("an entry's place"));
+                        return Err(DecodeError::Malformed("an entry's place"));
                     }
                     replica.log.truncate(index - 1);
                     replica.log.push(entry);
@@ -230,7 +230,7 @@
         if replica.snapshot.index > 0 {
             replica.output.restore = Some((replica.snapshot.index, replica.snapshot.state.clone()));
         }
-        replica.seen = replica.sight();
+        replica.seen = replica.observe();
         Ok(replica)
     }
 
@@ -267,7 +267,7 @@
     ///
     /// # Errors
     /// Where the bytes cannot be read; nothing has changed then.
-    pub fn heard(&mut self, now: Time, bytes: &[u8]) -> Result<(), Odd> {
+    pub fn heard(&mut self, now: Time, bytes: &[u8]) -> Result<(), DecodeError> {
         let message = wire::read_message(bytes)?;
         self.wake(now);
         if message.to != self.me.id || message.from.id == self.me.id {
@@ -517,9 +517,9 @@
             self.output.compact = true;
         }
         self.trim();
-        let sight = self.sight();
-        self.output.changed |= sight != self.seen;
-        self.seen = sight;
+        let observe = self.observe();
+        self.output.changed |= observe != self.seen;
+        self.seen = observe;
         std::mem::take(&mut self.output)
     }
 
@@ -1118,8 +1118,8 @@
         self.encode(to, body, &[&group, chunk])
     }
 
-    fn sight(&self) -> Seen {
-        Seen {
+    fn observe(&self) -> Observed {
+        Observed {
             leader: self.leader.as_ref().map(|leader| leader.id),
             leads: self.leads(),
             group: self.log.group().index,
--- a/crates/committee/src/wire.rs
+++ b/crates/consensus/src/wire.rs
@@ -6,7 +6,7 @@
 use deku::prelude::*;
 
 use crate::log::{Entry, Kind};
-use crate::{Index, Member, MemberId, Odd, Term};
+use crate::{DecodeError, Index, Member, MemberId, Term};
 
 /// Indexes and terms beyond this are not believed, so sums of them cannot run over.
 const MOST: u64 = 1 << 60;
@@ -47,14 +47,14 @@
 }
 
 impl TryFrom<MemberCode> for Member {
-    type Error = Odd;
-    fn try_from(code: MemberCode) -> Result<Self, Odd> {
-        let text = |bytes| String::from_utf8(bytes).map_err(|_| Odd::Malformed("a member's name"));
+    type Error = DecodeError;
+    fn try_from(code: MemberCode) -> Result<Self, DecodeError> {
+        let text = |bytes| String::from_utf8(bytes).map_err(|_| DecodeError::Malformed("a member's name"));
         let ip = Ipv6Addr::from(code.ip);
         let at = match (code.v6, IpAddr::V6(ip).to_canonical()) {
             (0, IpAddr::V4(ip)) => SocketAddr::V4(SocketAddrV4::new(ip, code.port)),
             (1, _) => SocketAddr::V6(SocketAddrV6::new(ip, code.port, code.flow, code.scope)),
-            _ => return Err(Odd::Malformed("a member's address")),
+            _ => return Err(DecodeError::Malformed("a member's address")),
         };
         Ok(Self { id: code.id, name: text(code.name)?, zone: text(code.zone)?, at })
     }
@@ -82,10 +82,11 @@
     Bytes::from(code.to_bytes().unwrap_or_default())
 }
 
-pub fn read_group(bytes: &[u8]) -> Result<(Vec<Member>, Vec<Member>), Odd> {
-    let ((rest, _), code) = GroupCode::from_bytes((bytes, 0)).map_err(|_| Odd::Malformed("a group"))?;
+pub fn read_group(bytes: &[u8]) -> Result<(Vec<Member>, Vec<Member>), DecodeError> {
+    let ((rest, _), code) =
+        GroupCode::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed("a group"))?;
     if !rest.is_empty() {
-        return Err(Odd::Malformed("a group's end"));
+        return Err(DecodeError::Malformed("a group's end"));
     }
     let members = |codes: Vec<MemberCode>| codes.into_iter().map(Member::try_from).collect::<Result<_, _>>();
     Ok((members(code.before)?, members(code.after)?))
@@ -176,7 +177,7 @@
     }
 }
 
-fn entry(term: Term, kind: u8, data: Bytes) -> Result<Entry, Odd> {
+fn entry(term: Term, kind: u8, data: Bytes) -> Result<Entry, DecodeError> {
     let kind = match kind {
         0 => Kind::Noop,
         1 => Kind::Command,
@@ -184,17 +185,17 @@
             read_group(&data)?;
             Kind::Group
         }
-        _ => return Err(Odd::Malformed("an entry's kind")),
+        _ => return Err(DecodeError::Malformed("an entry's kind")),
     };
     Ok(Entry { term, kind, data })
 }
 
-fn believed(figures: &[u64]) -> Result<(), Odd> {
-    if figures.iter().all(|&figure| figure < MOST) { Ok(()) } else { Err(Odd::Malformed("a figure")) }
+fn believed(figures: &[u64]) -> Result<(), DecodeError> {
+    if figures.iter().all(|&figure| figure < MOST) { Ok(()) } else { Err(DecodeError::Malformed("a figure")) }
 }
 
-pub fn read_message(bytes: &[u8]) -> Result<Message, Odd> {
-    let ((rest, _), head) = Head::from_bytes((bytes, 0)).map_err(|_| Odd::Malformed("a message"))?;
+pub fn read_message(bytes: &[u8]) -> Result<Message, DecodeError> {
+    let ((rest, _), head) = Head::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed("a message"))?;
     let from = Member::try_from(head.from)?;
     believed(&[head.term])?;
     let mut message = Message {
@@ -218,13 +219,13 @@
             for head in heads {
                 let len = usize::try_from(head.len).unwrap_or(usize::MAX);
                 if len > bulk.len() || head.term < last || head.term > message.term {
-                    return Err(Odd::Malformed("an entry"));
+                    return Err(DecodeError::Malformed("an entry"));
                 }
                 last = head.term;
                 message.entries.push(entry(head.term, head.kind, bulk.split_to(len))?);
             }
             if !bulk.is_empty() {
-                return Err(Odd::Malformed("the end of the entries"));
+                return Err(DecodeError::Malformed("the end of the entries"));
             }
         }
         Body::Appended { matched, .. } => believed(&[*matched])?,
@@ -234,11 +235,11 @@
         Body::InstallSnapshot { index, last_term, total, offset, group_len, .. } => {
             believed(&[*index, *last_term, *total, *offset])?;
             let len = usize::try_from(*group_len).unwrap_or(usize::MAX);
-            let group = rest.get(..len).ok_or(Odd::Malformed("a snapshot's group"))?;
+            let group = rest.get(..len).ok_or(DecodeError::Malformed("a snapshot's group"))?;
             message.group = read_group(group)?.1;
             message.chunk = Bytes::copy_from_slice(rest.get(len..).unwrap_or_default());
             if *offset + message.chunk.len() as u64 > *total {
-                return Err(Odd::Malformed("a snapshot's piece"));
+                return Err(DecodeError::Malformed("a snapshot's piece"));
             }
         }
         Body::SnapshotWanted { index, wanted, .. } => believed(&[*index, *wanted])?,
@@ -307,8 +308,9 @@
     record(&RecordHead::Settled { index }, &[])
 }
 
-pub fn read_record(bytes: &Bytes) -> Result<Record, Odd> {
-    let ((rest, _), head) = RecordHead::from_bytes((bytes, 0)).map_err(|_| Odd::Malformed("a record"))?;
+pub fn read_record(bytes: &Bytes) -> Result<Record, DecodeError> {
+    let ((rest, _), head) =
+        RecordHead::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed("a record"))?;
     Ok(match head {
         RecordHead::HardState { term, has_voted, voted } => {
             believed(&[term])?;
@@ -321,7 +323,7 @@
         RecordHead::Snapshot { index, term, group_len } => {
             believed(&[index, term])?;
             let len = usize::try_from(group_len).unwrap_or(usize::MAX);
-            let group = rest.get(..len).ok_or(Odd::Malformed("a snapshot's group"))?;
+            let group = rest.get(..len).ok_or(DecodeError::Malformed("a snapshot's group"))?;
             let state = bytes.slice_ref(rest.get(len..).unwrap_or_default());
             Record::Snapshot { index, term, group: read_group(group)?.1, state }
         }
--- a/crates/committee/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use rainlug_committee::{Index, Member, MemberId, Refused, Replica, Settings, Term, Time};
+use rainlug_consensus::{Index, Member, MemberId, Refused, Replica, Settings, Term, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/committee/tests/courses.rs
+++ b/crates/consensus/tests/courses.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Fault, MILLIS, Network, SECOND, World, member, settings};
-use rainlug_committee::Member;
+use rainlug_consensus::Member;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
--- a/crates/committee/tests/exhaustive.rs
+++ b/crates/consensus/tests/exhaustive.rs
@@ -8,7 +8,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use bytes::Bytes;
-use rainlug_committee::{Index, Member, MemberId, Replica, Settings, Time};
+use rainlug_consensus::{Index, Member, MemberId, Replica, Settings, Time};
 
 const SETTINGS: Settings = Settings {
     heartbeat: 50,
--- a/crates/committee/tests/stories.rs
+++ b/crates/consensus/tests/stories.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{MILLIS, SECOND, World, member, members, settings};
-use rainlug_committee::{Refused, Replica};
+use rainlug_consensus::{Refused, Replica};
 
 fn three(seed: u64) -> (World, u64) {
     let mut world = World::new(seed, &[1, 2, 3], settings(2));
--- a/crates/office/examples/scale.rs
+++ b/crates/office/examples/scale.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hollow::{Fleet, KINDS, Kind, Role, Spent, configuration, settled, shape};
 use rainlug::{SECOND, Time};
-use rainlug_committee::{Member, MemberId, Replica, Settings};
+use rainlug_consensus::{Member, MemberId, Replica, Settings};
 use rainlug_office::{CONTROL, Call, PARTS, part_of};
 
 /// Changes that a figure of spread is over (of the largest configuration: fewer, as all that they cost is reading them), and the
--- a/crates/office/src/calls.rs
+++ b/crates/office/src/calls.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_committee::Refused;
+use rainlug_consensus::Refused;
 use rainlug_registry::{Configuration, Phase, Worker};
 
 use crate::control::Change;
--- a/crates/office/src/control.rs
+++ b/crates/office/src/control.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use deku::prelude::*;
-use rainlug_committee::Member;
+use rainlug_consensus::Member;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::frame::{Odd, Seat, Text, join, split};
+use crate::frame::{DecodeError, Seat, Text, join, split};
 
 /// So many accepted versions are remembered, to know a configuration that is sent again.
 const REMEMBERED: usize = 4096;
@@ -124,7 +124,7 @@
 
     /// # Errors
     /// Where the bytes are not a roster.
-    pub fn decode(bytes: &Bytes) -> Result<Self, Odd> {
+    pub fn decode(bytes: &Bytes) -> Result<Self, DecodeError> {
         split::<Roster>(bytes).map(|(roster, _)| roster)
     }
 }
@@ -133,7 +133,7 @@
     members.iter().map(Seat::from).collect()
 }
 
-pub fn members(seats: &[Seat]) -> Result<Vec<Member>, Odd> {
+pub fn members(seats: &[Seat]) -> Result<Vec<Member>, DecodeError> {
     seats.iter().map(Seat::member).collect()
 }
 
@@ -147,7 +147,7 @@
 
 impl Control {
     /// Applies an agreed change.
-    pub fn apply(&mut self, bytes: &Bytes) -> Result<Outcome, Odd> {
+    pub fn apply(&mut self, bytes: &Bytes) -> Result<Outcome, DecodeError> {
         let (change, tail): (Change, Bytes) = split(bytes)?;
         Ok(match change {
             Change::Configure { base, version } => self.configure(base, version, tail),
@@ -237,7 +237,7 @@
 
     /// # Errors
     /// Where the bytes are not a snapshot.
-    pub fn restore(bytes: &Bytes) -> Result<Self, Odd> {
+    pub fn restore(bytes: &Bytes) -> Result<Self, DecodeError> {
         let (image, text): (Image, Bytes) = split(bytes)?;
         let mut control = Control { version: image.version, text, ..Control::default() };
         control.accepted = image.accepted.iter().map(|p| (p.version, p.hash)).collect();
--- a/crates/office/src/duties.rs
+++ b/crates/office/src/duties.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use rainlug::{SECOND, Time};
-use rainlug_committee::Member;
+use rainlug_consensus::Member;
 use rainlug_registry::Phase;
 
 use crate::calls::Goal;
--- a/crates/office/src/frame.rs
+++ b/crates/office/src/frame.rs
@@ -8,7 +8,7 @@
 quick_error! {
     /// Why bytes were not taken.
     #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum Odd {
+    pub enum DecodeError {
         /// They end too early, or say what no process says.
         Malformed { display("not a frame of this tier") }
     }
@@ -31,8 +31,8 @@
 }
 
 impl Text {
-    pub fn to_str(&self) -> Result<&str, Odd> {
-        str::from_utf8(&self.bytes).map_err(|_| Odd::Malformed)
+    pub fn to_str(&self) -> Result<&str, DecodeError> {
+        str::from_utf8(&self.bytes).map_err(|_| DecodeError::Malformed)
     }
 }
 
@@ -70,15 +70,15 @@
     pub at: Place,
 }
 
-impl From<&rainlug_committee::Member> for Seat {
-    fn from(m: &rainlug_committee::Member) -> Self {
+impl From<&rainlug_consensus::Member> for Seat {
+    fn from(m: &rainlug_consensus::Member) -> Self {
         Seat { id: m.id, name: m.name.as_str().into(), zone: m.zone.as_str().into(), at: m.at.into() }
     }
 }
 
 impl Seat {
-    pub fn member(&self) -> Result<rainlug_committee::Member, Odd> {
-        Ok(rainlug_committee::Member {
+    pub fn member(&self) -> Result<rainlug_consensus::Member, DecodeError> {
+        Ok(rainlug_consensus::Member {
             id: self.id,
             name: self.name.to_str()?.to_owned(),
             zone: self.zone.to_str()?.to_owned(),
@@ -161,10 +161,10 @@
 ///
 /// # Errors
 /// Where the bytes do not begin with a head.
-pub fn split<H: for<'a> DekuContainerRead<'a>>(bytes: &Bytes) -> Result<(H, Bytes), Odd> {
-    let ((rest, bit), head) = H::from_bytes((bytes, 0)).map_err(|_| Odd::Malformed)?;
+pub fn split<H: for<'a> DekuContainerRead<'a>>(bytes: &Bytes) -> Result<(H, Bytes), DecodeError> {
+    let ((rest, bit), head) = H::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed)?;
     if bit != 0 {
-        return Err(Odd::Malformed);
+        return Err(DecodeError::Malformed);
     }
     let at = bytes.len() - rest.len();
     Ok((head, bytes.slice(at..)))
--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_committee::{Member, MemberId, Settings};
+use rainlug_consensus::{Member, MemberId, Settings};
 use rainlug_fleet::{Card, Process, Standing, View, Ways};
 use rainlug_lots::RunEnd;
 use rainlug_registry::{Bulletin, Configuration, Phase, Worker, bulletin};
@@ -25,7 +25,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use control::Roster;
-use frame::{Head, Odd, join, split};
+use frame::{DecodeError, Head, join, split};
 use part::Part;
 
 /// The part that holds the configuration.
@@ -302,7 +302,7 @@
         told: Told,
         dockets: Vec<(u16, Vec<Bytes>)>,
         now: Now,
-    ) -> Result<Self, rainlug_committee::Odd> {
+    ) -> Result<Self, rainlug_consensus::DecodeError> {
         let mut chance = ChaCha8Rng::seed_from_u64(told.seed);
         let card = Card {
             id: chance.random::<u64>().max(1),
@@ -383,7 +383,7 @@
         number: u16,
         founding: Vec<Member>,
         records: &[Bytes],
-    ) -> Result<(), rainlug_committee::Odd> {
+    ) -> Result<(), rainlug_consensus::DecodeError> {
         let Some(me) = self.me() else { return Ok(()) };
         let (settings, seed) = (settings(&self.told), self.chance.random());
         let part = Part::open(number, me, founding, settings, records, seed, self.now.steady)?;
@@ -450,7 +450,7 @@
     ///
     /// # Errors
     /// Where it is no frame of this tier; nothing has changed.
-    pub fn frame(&mut self, now: Now, from: SocketAddr, bytes: &Bytes) -> Result<(), Odd> {
+    pub fn frame(&mut self, now: Now, from: SocketAddr, bytes: &Bytes) -> Result<(), DecodeError> {
         let (head, tail): (Head, Bytes) = split(bytes)?;
         (self.now, self.heard) = (now, now.steady);
         match head {
--- a/crates/office/src/listing.rs
+++ b/crates/office/src/listing.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use rainlug_committee::Member;
+use rainlug_consensus::Member;
 use rainlug_fleet::Standing;
 use rainlug_registry::{Phase, Worker};
 
--- a/crates/office/src/part.rs
+++ b/crates/office/src/part.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rainlug::Time;
-use rainlug_committee::{Index, Member, Output, Replica, Settings};
+use rainlug_consensus::{Index, Member, Output, Replica, Settings};
 use rainlug_lots::{Register, Schedule};
 use rainlug_registry::bulletin;
 
@@ -51,7 +51,7 @@
         records: &[Bytes],
         seed: u64,
         now: Time,
-    ) -> Result<Self, rainlug_committee::Odd> {
+    ) -> Result<Self, rainlug_consensus::DecodeError> {
         let replica = Replica::recover(me, founding, settings, records, seed, now)?;
         let machine = if number == CONTROL {
             Machine::Control(Control::default())
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -41,7 +41,7 @@
         Settings(source: settings::Error) { from() display("{}", source) }
         Listen(at: SocketAddr, source: std::io::Error) { source(source) display("cannot listen on {}: {}", at, source) }
         Disk(source: rainlug_docket::Error) { from() display("{}", source) }
-        Docket(odd: rainlug_committee::Odd) { from() display("a docket holds what is not this program's: {}", odd) }
+        Docket(odd: rainlug_consensus::DecodeError) { from() display("a docket holds what is not this program's: {}", odd) }
         Missing(place: &'static str) { display("{}: needed by this role", place) }
         Io(source: std::io::Error) { from() display("{}", source) }
     }
--- a/crates/tier/src/operator.rs
+++ b/crates/tier/src/operator.rs
@@ -29,7 +29,7 @@
         Call(source: client::Error) { from() display("{}", source) }
         /// The other side's word.
         Answered(status: u16, said: String) { display("answered {}{}", status, said) }
-        Odd(what: &'static str) { display("{}: not what a rainlug of this version answers", what) }
+        DecodeError(what: &'static str) { display("{}: not what a rainlug of this version answers", what) }
         File(path: PathBuf, findings: Vec<(String, String)>) {
             display("{}: {}", path.display(), lines(findings).join("; "))
         }
@@ -71,8 +71,8 @@
 }
 
 pub(crate) fn read<T: DeJson>(body: &Bytes, what: &'static str) -> Result<T, Error> {
-    let text = str::from_utf8(body).ok().filter(|_| is_json(body)).ok_or(Error::Odd(what))?;
-    T::deserialize_json(text).map_err(|_| Error::Odd(what))
+    let text = str::from_utf8(body).ok().filter(|_| is_json(body)).ok_or(Error::DecodeError(what))?;
+    T::deserialize_json(text).map_err(|_| Error::DecodeError(what))
 }
 
 #[derive(DeJson)]
@@ -108,7 +108,7 @@
 }
 
 fn utf8(body: &Bytes) -> Result<String, Error> {
-    String::from_utf8(body.to_vec()).map_err(|_| Error::Odd("the answer"))
+    String::from_utf8(body.to_vec()).map_err(|_| Error::DecodeError("the answer"))
 }
 
 /// Rows under their columns.
@@ -182,7 +182,7 @@
 async fn in_force(at: SocketAddr) -> Result<Option<Configuration>, Error> {
     let told = ask(at, Ask::get("/v1/configuration")).await?;
     match told.status {
-        200 => Configuration::read(&told.body).map(Some).map_err(|_| Error::Odd("the configuration")),
+        200 => Configuration::read(&told.body).map(Some).map_err(|_| Error::DecodeError("the configuration")),
         404 => Ok(None),
         _ => Err(refused(&told)),
     }
@@ -396,7 +396,7 @@
         }
         let page: Page = read(&told.body, "the results")?;
         if page.next_token != since + page.outputs.len() as u64 {
-            return Err(Error::Odd("the results"));
+            return Err(Error::DecodeError("the results"));
         }
         since = page.next_token;
         outputs.extend(page.outputs);
