--- a/crates/office/src/lib.rs
+++ b/crates/office/src/lib.rs
@@ -300,7 +300,7 @@
     /// Where a docket's records are none of this program's.
     pub fn new(
         told: Told,
-        dockets: Vec<(u16, Vec<Bytes>)>,
+        logs: Vec<(u16, Vec<Bytes>)>,
         now: Now,
     ) -> Result<Self, rainlug_consensus::DecodeError> {
         let mut chance = ChaCha8Rng::seed_from_u64(told.seed);
@@ -347,7 +347,7 @@
             told,
             now,
         };
-        for (number, records) in dockets {
+        for (number, records) in logs {
             let founding = if number == CONTROL { office.founders() } else { Vec::new() };
             office.open(number, founding, &records)?;
         }
--- a/crates/office/tests/common/mod.rs
+++ b/crates/office/tests/common/mod.rs
@@ -140,12 +140,12 @@
         let machine = &mut self.machines[at];
         assert!(machine.office.is_none(), "{} runs", machine.name);
         let founds = first_boot && machine.counter && seeds.contains(&machine.at);
-        let mut dockets = Vec::new();
+        let mut logs = Vec::new();
         if let Some(disk) = &mut machine.disk {
             if disk.id == 0 {
                 disk.id = if founds { founding_id(machine.at) } else { drawn };
             }
-            dockets = disk.synced.iter().map(|(part, records)| (*part, records.clone())).collect();
+            logs = disk.synced.iter().map(|(part, records)| (*part, records.clone())).collect();
         }
         let told = Told {
             node: machine.name.clone(),
@@ -162,7 +162,7 @@
             keep_lots: 180 * SECOND,
             seed,
         };
-        machine.office = Some(Office::new(told, dockets, now).expect("its own records"));
+        machine.office = Some(Office::new(told, logs, now).expect("its own records"));
         machine.life += 1;
         machine.frozen = false;
         machine.in_force.clear();
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use rainlug_docket::{Docket, Error, Writer};
 use rainlug_office::{CONTROL, PARTS};
+use rainlug_wal::{Error, Wal, Writer};
 use tokio::sync::mpsc;
 
 /// A part's ticket that is on the disk, or why nothing more is.
@@ -33,7 +33,7 @@
         saved: mpsc::UnboundedSender<Saved>,
     ) -> Result<(Self, u64, Vec<(u16, Vec<Bytes>)>), Error> {
         std::fs::create_dir_all(dir).map_err(|e| Error::Io(dir.to_owned(), e))?;
-        let (mut own, records) = Docket::open(dir, "identity")?;
+        let (mut own, records) = Wal::open(dir, "identity")?;
         let known = records.first().and_then(|r| r.get(..8)?.try_into().ok()).map(u64::from_le_bytes);
         let id = match known {
             Some(id) => id,
@@ -43,20 +43,20 @@
             }
         };
         let mut disk = Disk { dir: dir.to_owned(), writers: BTreeMap::new(), saved };
-        let mut dockets = Vec::new();
+        let mut logs = Vec::new();
         for part in CONTROL..=PARTS {
             if dir.join(name(part)).exists() {
-                let (docket, records) = Docket::open(dir, &name(part))?;
-                disk.start(part, docket);
-                dockets.push((part, records));
+                let (wal, records) = Wal::open(dir, &name(part))?;
+                disk.start(part, wal);
+                logs.push((part, records));
             }
         }
-        Ok((disk, id, dockets))
+        Ok((disk, id, logs))
     }
 
-    fn start(&mut self, part: u16, docket: Docket) {
+    fn start(&mut self, part: u16, wal: Wal) {
         let saved = self.saved.clone();
-        let writer = Writer::start(docket, move |done| {
+        let writer = Writer::start(wal, move |done| {
             let _ = saved.send((part, done.ticket, done.result));
         });
         self.writers.insert(part, writer);
@@ -64,8 +64,8 @@
 
     fn writer(&mut self, part: u16) -> Result<&Writer, Error> {
         if !self.writers.contains_key(&part) {
-            let (docket, _) = Docket::open(&self.dir, &name(part))?;
-            self.start(part, docket);
+            let (wal, _) = Wal::open(&self.dir, &name(part))?;
+            self.start(part, wal);
         }
         self.writers
             .get(&part)
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -40,8 +40,8 @@
     pub enum Error {
         Settings(source: settings::Error) { from() display("{}", source) }
         Listen(at: SocketAddr, source: std::io::Error) { source(source) display("cannot listen on {}: {}", at, source) }
-        Disk(source: rainlug_docket::Error) { from() display("{}", source) }
-        Docket(odd: rainlug_consensus::DecodeError) { from() display("a docket holds what is not this program's: {}", odd) }
+        Disk(source: rainlug_wal::Error) { from() display("{}", source) }
+        Wal(odd: rainlug_consensus::DecodeError) { from() display("a wal holds what is not this program's: {}", odd) }
         Missing(place: &'static str) { display("{}: needed by this role", place) }
         Io(source: std::io::Error) { from() display("{}", source) }
     }
@@ -94,10 +94,10 @@
         let seeds = settings.seed_peers();
         let founds = settings.first_boot && role == Role::Counter && seeds.contains(&peer);
         let drawn = if founds { founding_id(peer) } else { draw().max(1) };
-        let (disk, id, dockets) = match &settings.data_dir {
+        let (disk, id, logs) = match &settings.data_dir {
             Some(dir) => {
-                let (disk, id, dockets) = Disk::open(dir, drawn, saved)?;
-                (Some(disk), Some(id), dockets)
+                let (disk, id, logs) = Disk::open(dir, drawn, saved)?;
+                (Some(disk), Some(id), logs)
             }
             None => (None, None, Vec::new()),
         };
@@ -128,7 +128,7 @@
             pass_ms: settings.bounds.pass_ms as u64,
             seed: draw(),
         });
-        let office = Office::new(told, dockets, clock.now())?;
+        let office = Office::new(told, logs, clock.now())?;
         let node = Rc::new(Node {
             role,
             clock,
@@ -280,7 +280,7 @@
         }
     }
 
-    fn kept(&self, kept: Option<Result<(), rainlug_docket::Error>>) {
+    fn kept(&self, kept: Option<Result<(), rainlug_wal::Error>>) {
         if let Some(Err(error)) = kept {
             log::error("disk", &error.to_string());
             self.failed.notify_one();
--- a/crates/docket/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -34,7 +34,7 @@
 const HEADER: usize = 20;
 
 /// A file of records, open for appending. One process at a time may have it.
-pub struct Docket {
+pub struct Wal {
     folder: PathBuf,
     path: PathBuf,
     file: File,
@@ -46,7 +46,7 @@
     is_folder_dirty: bool,
 }
 
-impl Docket {
+impl Wal {
     /// Opens or creates the docket `name` in `dir` and gives its records in order. What a loss of power left of the last append is
     /// cut off, and what it left of a rewrite is removed.
     ///
@@ -82,7 +82,7 @@
             file.set_len(offset as u64).map_err(at)?;
             file.sync_all().map_err(at)?;
         }
-        let docket = Docket {
+        let wal = Wal {
             folder: dir.to_path_buf(),
             path,
             file,
@@ -90,7 +90,7 @@
             is_tail_dirty: false,
             is_folder_dirty: false,
         };
-        Ok((docket, records))
+        Ok((wal, records))
     }
 
     /// Appends records by one write, and syncs. No records: nothing is done.
@@ -241,25 +241,25 @@
 
 impl Writer {
     /// `done` is called on the thread, in the order of the calls; once for appends that went as one, with the last one's ticket.
-    pub fn start(docket: Docket, done: impl Fn(Done) + Send + 'static) -> Self {
+    pub fn start(wal: Wal, done: impl Fn(Done) + Send + 'static) -> Self {
         let (jobs, queue) = mpsc::channel();
-        std::thread::spawn(move || write_all(docket, &queue, done));
+        std::thread::spawn(move || write_all(wal, &queue, done));
         Writer { jobs }
     }
 
-    /// Appends as [`Docket::append`] does. Tickets go up.
+    /// Appends as [`Wal::append`] does. Tickets go up.
     pub fn append(&self, ticket: u64, records: Vec<Bytes>) {
         // The thread ends before this only if `done` panicked; nobody hears of tickets then.
         let _ = self.jobs.send(Job::Append { ticket, records });
     }
 
-    /// Rewrites as [`Docket::rewrite`] does, after all appends asked for before.
+    /// Rewrites as [`Wal::rewrite`] does, after all appends asked for before.
     pub fn rewrite(&self, ticket: u64, records: Vec<Bytes>) {
         let _ = self.jobs.send(Job::Rewrite { ticket, records });
     }
 }
 
-fn write_all(mut docket: Docket, queue: &mpsc::Receiver<Job>, done: impl Fn(Done)) {
+fn write_all(mut wal: Wal, queue: &mpsc::Receiver<Job>, done: impl Fn(Done)) {
     while let Ok(first) = queue.recv() {
         let mut waiting = std::iter::once(first).chain(queue.try_iter()).peekable();
         while let Some(job) = waiting.next() {
@@ -267,7 +267,7 @@
             let (ticket, result) = match job {
                 Job::Rewrite { ticket, records } => {
                     started = Instant::now();
-                    (ticket, docket.rewrite(&records))
+                    (ticket, wal.rewrite(&records))
                 }
                 Job::Append { mut ticket, mut records } => {
                     while let Some(Job::Append { ticket: next, records: more }) =
@@ -277,10 +277,10 @@
                         records.extend(more);
                     }
                     started = Instant::now();
-                    (ticket, docket.append(&records))
+                    (ticket, wal.append(&records))
                 }
             };
-            done(Done { ticket, length: docket.length(), took: started.elapsed(), result });
+            done(Done { ticket, length: wal.length(), took: started.elapsed(), result });
         }
     }
 }
--- a/crates/docket/tests/failed_write.rs
+++ b/crates/wal/tests/failed_write.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 use bytes::Bytes;
-use rainlug_docket::{Docket, Error};
+use rainlug_wal::{Error, Wal};
 
 fn descriptor_of(path: &Path) -> RawFd {
     let all = fs::read_dir("/proc/self/fd").unwrap().flatten();
@@ -29,31 +29,31 @@
 fn what_a_failed_append_left_is_gone_before_the_next() {
     let dir = tempfile::tempdir().unwrap();
     let folder = dir.path().canonicalize().unwrap();
-    let path = folder.join("docket");
-    let (mut docket, _) = Docket::open(&folder, "docket").unwrap();
-    docket.append(&[Bytes::from("kept")]).unwrap();
+    let path = folder.join("wal");
+    let (mut wal, _) = Wal::open(&folder, "wal").unwrap();
+    wal.append(&[Bytes::from("kept")]).unwrap();
     let kept = fs::read(&path).unwrap();
-    docket.append(&[Bytes::from("one"), Bytes::from("two")]).unwrap();
+    wal.append(&[Bytes::from("one"), Bytes::from("two")]).unwrap();
     let whole = fs::read(&path).unwrap();
     fs::write(&path, &kept).unwrap();
-    drop(docket);
+    drop(wal);
 
-    let (mut docket, found) = Docket::open(&folder, "docket").unwrap();
+    let (mut wal, found) = Wal::open(&folder, "wal").unwrap();
     assert_eq!(found, ["kept"]);
     let descriptor = descriptor_of(&path);
     exchange(descriptor, Path::new("/dev/full"));
     for _ in 0..2 {
         // The second time, it is the cut to the good length that fails.
-        let result = docket.append(&[Bytes::from("one"), Bytes::from("two")]);
+        let result = wal.append(&[Bytes::from("one"), Bytes::from("two")]);
         assert!(matches!(&result, Err(Error::Io(named, _)) if *named == path), "{result:?}");
-        assert_eq!(docket.length(), kept.len() as u64);
+        assert_eq!(wal.length(), kept.len() as u64);
     }
     // All of it has come to the disk, yet the append was told to have failed.
     fs::write(&path, &whole).unwrap();
     exchange(descriptor, &path);
     // Without the cut, "two" would stand after it.
-    docket.append(&[Bytes::from("new")]).unwrap();
-    assert_eq!(docket.length(), fs::metadata(&path).unwrap().len());
-    drop(docket);
-    assert_eq!(Docket::open(&folder, "docket").unwrap().1, ["kept", "new"]);
+    wal.append(&[Bytes::from("new")]).unwrap();
+    assert_eq!(wal.length(), fs::metadata(&path).unwrap().len());
+    drop(wal);
+    assert_eq!(Wal::open(&folder, "wal").unwrap().1, ["kept", "new"]);
 }
--- a/crates/docket/tests/records.rs
+++ b/crates/wal/tests/records.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rainlug_docket::{Docket, Done, Error, Writer};
+use rainlug_wal::{Done, Error, Wal, Writer};
 
 /// Bytes before the payload of a record.
 const HEADER: usize = 20;
@@ -16,8 +16,8 @@
     all.iter().map(|text| Bytes::copy_from_slice(text.as_bytes())).collect()
 }
 
-fn open(dir: &Path) -> (Docket, Vec<Bytes>) {
-    Docket::open(dir, "docket").expect("a docket")
+fn open(dir: &Path) -> (Wal, Vec<Bytes>) {
+    Wal::open(dir, "wal").expect("a wal")
 }
 
 fn records(dir: &Path) -> Vec<Bytes> {
@@ -27,44 +27,44 @@
 #[test]
 fn records_come_back_in_order() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut docket, found) = open(dir.path());
+    let (mut wal, found) = open(dir.path());
     assert!(found.is_empty());
-    assert_eq!(docket.length(), 0);
-    docket.append(&texts(&["a", "", "ccc"])).unwrap();
-    docket.append(&[]).unwrap();
-    docket.append(&texts(&["dd"])).unwrap();
-    assert_eq!(docket.length(), (4 * HEADER + 6) as u64);
-    assert_eq!(fs::metadata(dir.path().join("docket")).unwrap().len(), docket.length());
-    drop(docket);
+    assert_eq!(wal.length(), 0);
+    wal.append(&texts(&["a", "", "ccc"])).unwrap();
+    wal.append(&[]).unwrap();
+    wal.append(&texts(&["dd"])).unwrap();
+    assert_eq!(wal.length(), (4 * HEADER + 6) as u64);
+    assert_eq!(fs::metadata(dir.path().join("wal")).unwrap().len(), wal.length());
+    drop(wal);
 
-    let (mut docket, found) = open(dir.path());
+    let (mut wal, found) = open(dir.path());
     assert_eq!(found, texts(&["a", "", "ccc", "dd"]));
-    docket.append(&texts(&["e"])).unwrap();
+    wal.append(&texts(&["e"])).unwrap();
     assert_eq!(records(dir.path()), texts(&["a", "", "ccc", "dd", "e"]));
 }
 
 #[test]
 fn a_tail_cut_anywhere_loses_of_the_last_batch_alone() {
     let dir = tempfile::tempdir().unwrap();
-    let path = dir.path().join("docket");
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["first", "second"])).unwrap();
-    let synced = docket.length() as usize;
-    docket.append(&texts(&["third", "fourth"])).unwrap();
+    let path = dir.path().join("wal");
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["first", "second"])).unwrap();
+    let synced = wal.length() as usize;
+    wal.append(&texts(&["third", "fourth"])).unwrap();
     let whole = fs::read(&path).unwrap();
     let third = synced + HEADER + 5;
     for cut in synced..=whole.len() {
         fs::write(&path, &whole[..cut]).unwrap();
-        let (mut docket, found) = open(dir.path());
+        let (mut wal, found) = open(dir.path());
         let count = 2 + usize::from(cut >= third) + usize::from(cut == whole.len());
         assert_eq!(found, texts(&["first", "second", "third", "fourth"][..count]), "cut at {cut}");
         // What is appended then stands after what was found, and a second loss of power does no more.
-        docket.append(&texts(&["next"])).unwrap();
+        wal.append(&texts(&["next"])).unwrap();
         let mut all = found;
         all.push("next".into());
         assert_eq!(records(dir.path()), all, "cut at {cut}");
-        let length = docket.length();
-        docket.append(&texts(&["torn", "too"])).unwrap();
+        let length = wal.length();
+        wal.append(&texts(&["torn", "too"])).unwrap();
         let mut bytes = fs::read(&path).unwrap();
         bytes[length as usize..][..HEADER].fill(0);
         fs::write(&path, bytes).unwrap();
@@ -76,12 +76,12 @@
 fn pages_of_the_last_batch_may_be_missing_in_any_order() {
     const PAGE: usize = 4096;
     let dir = tempfile::tempdir().unwrap();
-    let path = dir.path().join("docket");
-    let (mut docket, _) = open(dir.path());
+    let path = dir.path().join("wal");
+    let (mut wal, _) = open(dir.path());
     let first = Bytes::from(vec![1; 3 * PAGE / 2]);
-    docket.append(std::slice::from_ref(&first)).unwrap();
-    let synced = docket.length() as usize;
-    docket.append(&(2..12).map(|i| Bytes::from(vec![i; PAGE / 2 - HEADER])).collect::<Vec<_>>()).unwrap();
+    wal.append(std::slice::from_ref(&first)).unwrap();
+    let synced = wal.length() as usize;
+    wal.append(&(2..12).map(|i| Bytes::from(vec![i; PAGE / 2 - HEADER])).collect::<Vec<_>>()).unwrap();
     let whole = fs::read(&path).unwrap();
     let pages = whole.len().div_ceil(PAGE);
     for missing in 1..1_u32 << (pages - 1) {
@@ -101,19 +101,19 @@
 #[test]
 fn damage_in_the_middle_is_named() {
     let dir = tempfile::tempdir().unwrap();
-    let path = dir.path().join("docket");
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["first"])).unwrap();
-    let second = docket.length();
-    docket.append(&texts(&["second"])).unwrap();
-    let third = docket.length();
-    docket.append(&texts(&["third"])).unwrap();
+    let path = dir.path().join("wal");
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["first"])).unwrap();
+    let second = wal.length();
+    wal.append(&texts(&["second"])).unwrap();
+    let third = wal.length();
+    wal.append(&texts(&["third"])).unwrap();
     let whole = fs::read(&path).unwrap();
     for at in second..third {
         let mut bytes = whole.clone();
         bytes[at as usize] ^= 0x10;
         fs::write(&path, &bytes).unwrap();
-        match Docket::open(dir.path(), "docket") {
+        match Wal::open(dir.path(), "wal") {
             Err(Error::Damaged(named, offset)) => assert_eq!((named, offset), (path.clone(), second)),
             Err(other) => panic!("byte {at}: {other}"),
             Ok((_, found)) => panic!("byte {at}: {found:?}"),
@@ -125,28 +125,28 @@
 #[test]
 fn a_rewritten_record_is_damaged_and_not_torn() {
     let dir = tempfile::tempdir().unwrap();
-    let path = dir.path().join("docket");
-    let (mut docket, _) = open(dir.path());
-    docket.rewrite(&texts(&["first", "second", "third"])).unwrap();
+    let path = dir.path().join("wal");
+    let (mut wal, _) = open(dir.path());
+    wal.rewrite(&texts(&["first", "second", "third"])).unwrap();
     let mut bytes = fs::read(&path).unwrap();
     bytes[HEADER + 5 + HEADER] ^= 1;
     fs::write(&path, bytes).unwrap();
     let offset = (HEADER + 5) as u64;
-    assert!(matches!(Docket::open(dir.path(), "docket"), Err(Error::Damaged(_, at)) if at == offset));
+    assert!(matches!(Wal::open(dir.path(), "wal"), Err(Error::Damaged(_, at)) if at == offset));
 }
 
 #[test]
 fn a_record_within_a_torn_record_is_no_later_one() {
     let dir = tempfile::tempdir().unwrap();
-    let path = dir.path().join("docket");
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["first"])).unwrap();
-    docket.append(&texts(&["second"])).unwrap();
-    docket.append(&texts(&["third"])).unwrap();
+    let path = dir.path().join("wal");
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["first"])).unwrap();
+    wal.append(&texts(&["second"])).unwrap();
+    wal.append(&texts(&["third"])).unwrap();
     let inner = fs::read(&path).unwrap();
-    docket.rewrite(&texts(&["first"])).unwrap();
-    let synced = docket.length() as usize;
-    docket.append(&[inner.into()]).unwrap();
+    wal.rewrite(&texts(&["first"])).unwrap();
+    let synced = wal.length() as usize;
+    wal.append(&[inner.into()]).unwrap();
     let mut bytes = fs::read(&path).unwrap();
     bytes[synced..][..HEADER].fill(0);
     fs::write(&path, bytes).unwrap();
@@ -156,23 +156,23 @@
 #[test]
 fn a_rewrite_puts_records_in_place_of_all() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["a", "b", "c"])).unwrap();
-    docket.rewrite(&texts(&["abc"])).unwrap();
-    assert_eq!(docket.length(), (HEADER + 3) as u64);
-    docket.append(&texts(&["d"])).unwrap();
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["a", "b", "c"])).unwrap();
+    wal.rewrite(&texts(&["abc"])).unwrap();
+    assert_eq!(wal.length(), (HEADER + 3) as u64);
+    wal.append(&texts(&["d"])).unwrap();
     assert_eq!(records(dir.path()), texts(&["abc", "d"]));
-    docket.rewrite(&[]).unwrap();
+    wal.rewrite(&[]).unwrap();
     assert!(records(dir.path()).is_empty());
 }
 
 #[test]
 fn a_rewrite_broken_off_before_the_rename_leaves_nothing() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["a", "b"])).unwrap();
-    drop(docket);
-    let fresh = dir.path().join("docket.new");
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["a", "b"])).unwrap();
+    drop(wal);
+    let fresh = dir.path().join("wal.new");
     fs::write(&fresh, b"half of a rewrite").unwrap();
     assert_eq!(records(dir.path()), texts(&["a", "b"]));
     assert!(!fresh.exists());
@@ -181,12 +181,12 @@
 #[test]
 fn a_failed_rewrite_leaves_the_old_file() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["a"])).unwrap();
-    let fresh = dir.path().join("docket.new");
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["a"])).unwrap();
+    let fresh = dir.path().join("wal.new");
     fs::create_dir(&fresh).unwrap();
-    assert!(matches!(docket.rewrite(&texts(&["b"])), Err(Error::Io(named, _)) if named == fresh));
-    docket.append(&texts(&["c"])).unwrap();
+    assert!(matches!(wal.rewrite(&texts(&["b"])), Err(Error::Io(named, _)) if named == fresh));
+    wal.append(&texts(&["c"])).unwrap();
     fs::remove_dir(&fresh).unwrap();
     assert_eq!(records(dir.path()), texts(&["a", "c"]));
 }
@@ -194,12 +194,12 @@
 #[test]
 fn a_rewrite_without_space_leaves_the_old_file() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut docket, _) = open(dir.path());
-    docket.append(&texts(&["a"])).unwrap();
-    std::os::unix::fs::symlink("/dev/full", dir.path().join("docket.new")).unwrap();
-    assert!(matches!(docket.rewrite(&texts(&["b"])), Err(Error::Io(..))));
-    assert_eq!(docket.length(), (HEADER + 1) as u64);
-    docket.append(&texts(&["c"])).unwrap();
+    let (mut wal, _) = open(dir.path());
+    wal.append(&texts(&["a"])).unwrap();
+    std::os::unix::fs::symlink("/dev/full", dir.path().join("wal.new")).unwrap();
+    assert!(matches!(wal.rewrite(&texts(&["b"])), Err(Error::Io(..))));
+    assert_eq!(wal.length(), (HEADER + 1) as u64);
+    wal.append(&texts(&["c"])).unwrap();
     assert_eq!(records(dir.path()), texts(&["a", "c"]));
 }
 
@@ -207,18 +207,18 @@
 fn what_cannot_be_opened_is_named() {
     let dir = tempfile::tempdir().unwrap();
     let missing = dir.path().join("missing");
-    let result = Docket::open(&missing, "docket").map(|_| ());
-    let named = missing.join("docket");
+    let result = Wal::open(&missing, "wal").map(|_| ());
+    let named = missing.join("wal");
     assert!(matches!(&result, Err(Error::Io(path, _)) if *path == named), "{result:?}");
 }
 
 #[test]
 fn waiting_appends_go_as_one_and_rewrites_in_their_turn() {
     let dir = tempfile::tempdir().unwrap();
-    let (docket, _) = open(dir.path());
+    let (wal, _) = open(dir.path());
     let (done, finished) = mpsc::channel();
     let (go, gate) = mpsc::channel::<()>();
-    let writer = Writer::start(docket, move |one: Done| {
+    let writer = Writer::start(wal, move |one: Done| {
         let is_first = one.ticket == 1;
         done.send(one).unwrap();
         if is_first {
@@ -246,11 +246,11 @@
 #[test]
 fn the_thread_tells_of_failures_and_goes_on() {
     let dir = tempfile::tempdir().unwrap();
-    let (docket, _) = open(dir.path());
-    let fresh = dir.path().join("docket.new");
+    let (wal, _) = open(dir.path());
+    let fresh = dir.path().join("wal.new");
     fs::create_dir(&fresh).unwrap();
     let (done, finished) = mpsc::channel();
-    let writer = Writer::start(docket, move |one| done.send(one).unwrap());
+    let writer = Writer::start(wal, move |one| done.send(one).unwrap());
     writer.rewrite(1, texts(&["a"]));
     let failed = finished.recv().unwrap();
     assert!(failed.ticket == 1 && failed.length == 0 && failed.result.is_err());
@@ -270,12 +270,12 @@
         cut in 0.0..1.0,
     ) {
         let dir = tempfile::tempdir().unwrap();
-        let path = dir.path().join("docket");
-        let (mut docket, _) = open(dir.path());
+        let path = dir.path().join("wal");
+        let (mut wal, _) = open(dir.path());
         let mut synced = 0;
         for batch in &batches {
-            synced = docket.length() as usize;
-            docket.append(&batch.iter().map(|r| Bytes::copy_from_slice(r)).collect::<Vec<_>>()).unwrap();
+            synced = wal.length() as usize;
+            wal.append(&batch.iter().map(|r| Bytes::copy_from_slice(r)).collect::<Vec<_>>()).unwrap();
         }
         let mut bytes = fs::read(&path).unwrap();
         let tail = bytes.len() - synced;
@@ -302,17 +302,17 @@
         garbage in prop::collection::vec(any::<u8>(), 0..200),
     ) {
         let dir = tempfile::tempdir().unwrap();
-        let path = dir.path().join("docket");
-        let (mut docket, _) = open(dir.path());
+        let path = dir.path().join("wal");
+        let (mut wal, _) = open(dir.path());
         let mut synced = 0;
         for size in sizes {
-            synced = docket.length();
-            docket.append(&[Bytes::from(vec![7; size])]).unwrap();
+            synced = wal.length();
+            wal.append(&[Bytes::from(vec![7; size])]).unwrap();
         }
         let mut bytes = fs::read(&path).unwrap();
         bytes[(at * synced as f64) as usize] ^= flip;
         fs::write(&path, bytes).unwrap();
-        let is_damaged = matches!(Docket::open(dir.path(), "docket"), Err(Error::Damaged(..)));
+        let is_damaged = matches!(Wal::open(dir.path(), "wal"), Err(Error::Damaged(..)));
         prop_assert!(is_damaged);
         fs::write(&path, garbage).unwrap();
         prop_assert!(records(dir.path()).is_empty());
