--- a/crates/office/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
+use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
 use rainlug_lots::RunEnd;
-use rainlug_office::{Answer, Call, Effect, Now, Office, Told, founding_id};
 use rainlug_registry::{Phase, Worker};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -94,7 +94,7 @@
 pub struct Member {
     pub at: SocketAddr,
     pub role: Role,
-    pub office: Option<Office>,
+    pub coordinator: Option<Coordinator>,
     pub spent: Spent,
     life: u32,
     wakes: Time,
@@ -188,7 +188,7 @@
         let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
         let counter = role != Role::Archive;
         let id = if seeds.contains(&at) { founding_id(at) } else { self.chance.random::<u64>().max(1) };
-        let told = Told {
+        let info = NodeInfo {
             node: format!("{}-{place}", if counter { "edge" } else { "storage" }),
             zone: format!("zone-{}", place % 11),
             at,
@@ -203,9 +203,17 @@
             keep_lots: 180 * SECOND,
             seed: self.chance.random(),
         };
-        let office = Office::new(told, Vec::new(), now).expect("no records yet");
+        let coordinator = Coordinator::new(info, Vec::new(), now).expect("no records yet");
         let (spent, wakes) = (Spent::default(), Time::MAX);
-        self.members.push(Member { at, role, office: Some(office), spent, life: 0, wakes, link_free: 0 });
+        self.members.push(Member {
+            at,
+            role,
+            coordinator: Some(coordinator),
+            spent,
+            life: 0,
+            wakes,
+            link_free: 0,
+        });
     }
 
     fn time(&self) -> Now {
@@ -233,7 +241,7 @@
     }
 
     fn beat(&mut self, worker: usize) -> Option<u64> {
-        let lives = |at: &usize| self.members[*at].office.is_some();
+        let lives = |at: &usize| self.members[*at].coordinator.is_some();
         let counters: Vec<usize> = (0..self.members.len())
             .filter(|at| self.members[*at].role != Role::Archive)
             .filter(lives)
@@ -242,7 +250,7 @@
         let to = self.workers[worker].to.filter(lives).unwrap_or(drawn);
         let hollow = &mut self.workers[worker];
         hollow.seq += 1;
-        let told = Worker {
+        let info = Worker {
             id: hollow.id.clone(),
             service: format!("model-{}", hollow.service),
             address: SocketAddr::from(([10, 9, (worker / 250) as u8, (worker % 250) as u8 + 1], 80)),
@@ -254,13 +262,13 @@
         };
         self.members[to].spent.beats += 1;
         self.beat_tickets.insert(self.tickets + 1, worker);
-        Some(self.call(to, Call::Beat(told)))
+        Some(self.call(to, Call::Beat(info)))
     }
 
     /// The process is gone, and its machine.
     pub fn kill(&mut self, at: usize) {
         let member = &mut self.members[at];
-        member.office = None;
+        member.coordinator = None;
         member.life += 1;
         member.wakes = Time::MAX;
     }
@@ -268,7 +276,7 @@
     pub fn call(&mut self, at: usize, call: Call) -> u64 {
         self.tickets += 1;
         let (ticket, now) = (self.tickets, self.time());
-        self.act(at, |office| office.call(now, ticket, call));
+        self.act(at, |coordinator| coordinator.call(now, ticket, call));
         ticket
     }
 
@@ -299,11 +307,11 @@
     }
 
     pub fn living(&self) -> usize {
-        self.members.iter().filter(|m| m.office.is_some()).count()
+        self.members.iter().filter(|m| m.coordinator.is_some()).count()
     }
 
     pub fn leader(&self, part: u16) -> Option<usize> {
-        self.members.iter().position(|m| m.office.as_ref().is_some_and(|o| o.leads(part).0))
+        self.members.iter().position(|m| m.coordinator.as_ref().is_some_and(|o| o.leads(part).0))
     }
 
     /// Whether a configuration is in force everywhere.
@@ -317,11 +325,11 @@
     }
 
     /// The member's core does something; its time is its member's.
-    fn act(&mut self, at: usize, what: impl FnOnce(&mut Office)) {
+    fn act(&mut self, at: usize, what: impl FnOnce(&mut Coordinator)) {
         let member = &mut self.members[at];
-        if let Some(office) = member.office.as_mut() {
+        if let Some(coordinator) = member.coordinator.as_mut() {
             let begun = Instant::now();
-            what(office);
+            what(coordinator);
             member.spent.busy += begun.elapsed();
             self.after(at);
         }
@@ -349,22 +357,26 @@
         match event {
             Event::Datagram { from, bytes, .. } => {
                 self.members[at].spent.received[Kind::Membership as usize] += bytes.len() as u64;
-                self.act(at, |office| office.datagram(now, from, &bytes));
+                self.act(at, |coordinator| coordinator.datagram(now, from, &bytes));
             }
             Event::Frame { from, head, tail, .. } => {
                 let bytes = Bytes::from([head, tail].concat());
                 self.members[at].spent.received[kind(&bytes) as usize] += bytes.len() as u64;
-                self.act(at, |office| office.frame(now, from, &bytes).expect("a frame of its own kind"));
+                self.act(at, |coordinator| {
+                    coordinator.frame(now, from, &bytes).expect("a frame of its own kind")
+                });
+            }
+            Event::Saved { part, ticket, .. } => {
+                self.act(at, |coordinator| coordinator.saved(now, part, ticket))
             }
-            Event::Saved { part, ticket, .. } => self.act(at, |office| office.saved(now, part, ticket)),
             Event::Wake { .. } => {
                 self.members[at].wakes = Time::MAX;
-                self.act(at, |office| office.due(now));
+                self.act(at, |coordinator| coordinator.due(now));
             }
             Event::Ran { part, lot, item, .. } => {
                 self.items_ran += 1;
                 let events = vec![(1, self.output.clone())];
-                self.act(at, |office| office.ran(now, part, &lot, &item, events, RunEnd::Complete));
+                self.act(at, |coordinator| coordinator.ran(now, part, &lot, &item, events, RunEnd::Complete));
             }
             Event::Beat { .. } => {}
         }
@@ -372,8 +384,8 @@
 
     /// Carries out what the core of a member wants.
     fn after(&mut self, at: usize) {
-        let Some(office) = self.members[at].office.as_mut() else { return };
-        let effects = office.take();
+        let Some(coordinator) = self.members[at].coordinator.as_mut() else { return };
+        let effects = coordinator.take();
         let (from, life) = (self.members[at].at, self.members[at].life);
         for effect in effects {
             match effect {
@@ -417,7 +429,7 @@
             }
         }
         let member = &mut self.members[at];
-        let next = member.office.as_ref().map_or(Time::MAX, Office::next);
+        let next = member.coordinator.as_ref().map_or(Time::MAX, Coordinator::next);
         if next < member.wakes {
             member.wakes = next;
             self.push(next.max(self.now), Event::Wake { at, life });
@@ -440,12 +452,12 @@
             return;
         };
         let text = String::from_utf8_lossy(&answer.body);
-        let told = text.split('"').nth(3).and_then(|at| at.parse::<SocketAddr>().ok());
-        let to = told.and_then(|at| self.places.get(&SocketAddr::new(at.ip(), 7000)).copied());
+        let info = text.split('"').nth(3).and_then(|at| at.parse::<SocketAddr>().ok());
+        let to = info.and_then(|at| self.places.get(&SocketAddr::new(at.ip(), 7000)).copied());
         if to.is_some() {
             self.workers[worker].to = to;
         } else if let Some(to) = self.workers[worker].to
-            && self.members[to].office.is_none()
+            && self.members[to].coordinator.is_none()
         {
             self.workers[worker].to = None;
         }
--- a/crates/office/examples/scale.rs
+++ b/crates/coordinator/examples/scale.rs
@@ -13,7 +13,7 @@
 use hollow::{Fleet, KINDS, Kind, Role, Spent, configuration, settled, shape};
 use rainlug::{SECOND, Time};
 use rainlug_consensus::{Member, MemberId, Replica, Settings};
-use rainlug_office::{CONTROL, Call, PARTS, part_of};
+use rainlug_coordinator::{CONTROL, Call, PARTS, part_of};
 
 /// Changes that a figure of spread is over (of the largest configuration: fewer, as all that they cost is reading them), and the
 /// pause between two.
@@ -156,13 +156,13 @@
     size: usize,
     rows: Vec<String>,
     /// Each is printed as soon as it is known.
-    told: bool,
+    info: bool,
 }
 
 impl Rows {
     fn add(&mut self, load: &str, role: &str, figure: &str, value: impl std::fmt::Display) {
         let row = format!("{},{},{load},{role},{figure},{value}", self.what, self.size);
-        if self.told {
+        if self.info {
             println!("{row}");
         }
         self.rows.push(row);
@@ -235,7 +235,7 @@
 }
 
 fn of_role(fleet: &Fleet, role: Role, but: &[usize]) -> Vec<usize> {
-    let living = |at: &usize| fleet.members[*at].office.is_some() && fleet.members[*at].role == role;
+    let living = |at: &usize| fleet.members[*at].coordinator.is_some() && fleet.members[*at].role == role;
     (0..fleet.members.len()).filter(living).filter(|at| !but.contains(at)).collect()
 }
 
@@ -254,7 +254,7 @@
 }
 
 fn member_rows(size: usize, options: &Options) {
-    let mut rows = Rows { what: "members", size, rows: Vec::new(), told: true };
+    let mut rows = Rows { what: "members", size, rows: Vec::new(), info: true };
     let before = resident();
     let mut fleet = settled(size, options.seed);
     let count = fleet.members.len() as f64;
@@ -370,7 +370,7 @@
 fn item_rows(seed: u64) -> Vec<String> {
     const JOBS: usize = 25;
     const ITEMS: usize = 200;
-    let mut rows = Rows { what: "items", size: JOBS * ITEMS, rows: Vec::new(), told: false };
+    let mut rows = Rows { what: "items", size: JOBS * ITEMS, rows: Vec::new(), info: false };
     for run in [1, 300, 1500] {
         let load = format!("runs of {run} ms");
         let mut fleet = settled(14, seed);
@@ -437,7 +437,7 @@
 
 /// Commands that three replicas in memory commit, for each second of one core; disks save at once.
 fn agreement_rows(_seed: u64) -> Vec<String> {
-    let mut rows = Rows { what: "agreement", size: 3, rows: Vec::new(), told: false };
+    let mut rows = Rows { what: "agreement", size: 3, rows: Vec::new(), info: false };
     for bytes in [100_usize, 1_000, 10_000] {
         for batch in [1_usize, 64] {
             let load = format!("{bytes} B by {batch}");
--- a/crates/office/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -11,7 +11,7 @@
 use crate::control::Change;
 use crate::frame::{Head, Place, Request, Text, join, split};
 use crate::part::Wanted;
-use crate::{Answer, CONTROL, Call, Effect, Held, News, Now, Office, Origin, PARTS, SPREADING, part_of};
+use crate::{Answer, CONTROL, Call, Coordinator, Effect, Held, News, Now, Origin, PARTS, SPREADING, part_of};
 
 /// A try at a leader that is not answered in this time goes to another member.
 const TRY: Time = 4 * SECOND / 10;
@@ -64,7 +64,7 @@
     unsure: bool,
 }
 
-impl Office {
+impl Coordinator {
     /// A call of a client, worker or operator, answered by [`Effect::Answer`] with this ticket.
     pub fn call(&mut self, now: Now, ticket: u64, call: Call) {
         self.now = now;
@@ -204,16 +204,16 @@
             let group = self.roster.groups.iter().find(|g| g.part == number);
             group.map(|g| g.members.iter().map(|s| s.at.into()).collect()).unwrap_or_default()
         };
-        if known.is_empty() && number == CONTROL { self.told.seeds.clone() } else { known }
+        if known.is_empty() && number == CONTROL { self.info.seeds.clone() } else { known }
     }
 
     fn attempt(&mut self, nonce: u64) {
         let now = self.now.steady;
         let Some(number) = self.asks.get(&nonce).map(|a| a.part) else { return };
-        let led = self.parts.get(&number).filter(|p| p.replica.leads()).map(|_| self.told.at);
+        let led = self.parts.get(&number).filter(|p| p.replica.leads()).map(|_| self.info.at);
         // Who is known to be gone is asked only where nobody else is left.
         let (mut seats, all) = (self.seats(number), self.seats(number));
-        seats.retain(|at| *at == self.told.at || self.living.contains_key(at));
+        seats.retain(|at| *at == self.info.at || self.living.contains_key(at));
         let seats = if seats.is_empty() { all } else { seats };
         let hint = self.hints.get(&number).copied();
         let Some(ask) = self.asks.get_mut(&nonce) else { return };
@@ -227,7 +227,7 @@
         };
         (ask.to, ask.try_at) = (Some(to), now + TRY + ask.slack);
         let (request, tail) = (ask.request.clone(), ask.tail.clone());
-        if to == self.told.at {
+        if to == self.info.at {
             if let Ok((request, _)) = split(&request) {
                 self.serve(Origin::Own(nonce), number, request, tail);
             }
@@ -327,7 +327,8 @@
             Origin::Caller(ticket) => self.answer(ticket, answer),
             Origin::Remote { to, nonce } => {
                 let retry_ms = answer.retry.map_or(0, |r| (r / 1000).clamp(1, 60_000) as u32);
-                let head = Head::Told { nonce, status: answer.status, retry_ms, json: u8::from(answer.json) };
+                let head =
+                    Head::Answer { nonce, status: answer.status, retry_ms, json: u8::from(answer.json) };
                 self.effects.push(Effect::Frame { to, head: join(&head, &[]), tail: answer.body });
             }
         }
@@ -336,7 +337,7 @@
     pub(crate) fn send_elsewhere(&mut self, number: u16, origin: Origin) {
         let leader = self.parts.get(&number).and_then(|p| p.replica.leader()).map(|m| m.at);
         match origin {
-            Origin::Own(nonce) => self.elsewhere(nonce, self.told.at, leader),
+            Origin::Own(nonce) => self.elsewhere(nonce, self.info.at, leader),
             Origin::Remote { to, nonce } => {
                 let leader = leader.map_or(Place { ip: [0; 4], port: 0 }, Place::from);
                 let head = Head::Elsewhere { nonce, leader };
@@ -442,7 +443,7 @@
         let left =
             control.stores.values().filter(|(m, retiring)| m.name != store && !retiring && lives(&m.at));
         // As many as a group must have for the loss of what is to be borne.
-        if left.count() < self.told.tolerate + 1 {
+        if left.count() < self.info.tolerate + 1 {
             return self.reply(origin, Answer::of(409));
         }
         self.propose(CONTROL, origin, join(&Change::Retire { store: store.as_str().into() }, &[]));
@@ -480,7 +481,7 @@
         let (id, service, phase) = (worker.id.clone(), worker.service.clone(), worker.phase);
         let news = self.enter(worker);
         let registrar = self.registrar(&service);
-        let elsewhere = registrar.filter(|at| *at != self.told.at);
+        let elsewhere = registrar.filter(|at| *at != self.info.at);
         let control = elsewhere.and_then(|at| self.living.get(&at)).and_then(|(_, control)| *control);
         if elsewhere.is_none() {
             self.beats.insert(id.clone(), self.now.steady);
--- a/crates/office/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -12,7 +12,7 @@
 use crate::control::Change;
 use crate::frame::{Request, Seat, join};
 use crate::part::Machine;
-use crate::{CONTROL, Effect, MISSED, Office, Origin, PARTS, bulletin};
+use crate::{CONTROL, Coordinator, Effect, MISSED, Origin, PARTS, bulletin};
 
 /// Who has not been there for so long loses a seat, if another one can have it.
 const ABSENT: Time = 4 * SECOND;
@@ -21,7 +21,7 @@
 /// The wait for more stores than are needed at least, before the parts are founded.
 const GATHER: Time = 3 * SECOND;
 
-impl Office {
+impl Coordinator {
     pub(crate) fn duties(&mut self) {
         self.silent();
         if self.announce_at <= self.now.steady {
@@ -42,14 +42,14 @@
 
     /// Workers whose beats are this process's duty, and do not come.
     fn silent(&mut self) {
-        let (now, patience) = (self.now.steady, (self.told.beat as f64 * MISSED) as Time);
-        if !self.told.counter {
+        let (now, patience) = (self.now.steady, (self.info.beat as f64 * MISSED) as Time);
+        if !self.info.counter {
             return;
         }
         let mut quiet = Vec::new();
         let mut mine = BTreeSet::new();
         for worker in self.bulletin.workers().filter(|w| w.phase == Phase::Ready) {
-            if self.registrar(&worker.service) != Some(self.told.at) {
+            if self.registrar(&worker.service) != Some(self.info.at) {
                 continue;
             }
             mine.insert(worker.id.clone());
@@ -74,7 +74,7 @@
     fn announce(&mut self) {
         let Some(me) = self.me() else { return };
         let seat = Seat::from(&me);
-        if self.told.counter {
+        if self.info.counter {
             if !self.roster.core.iter().any(|s| s.id == me.id) {
                 self.ask(
                     CONTROL,
@@ -93,7 +93,7 @@
 
     fn absent(&self, at: &SocketAddr) -> bool {
         let now = self.now.steady;
-        if *at == self.told.at || self.living.contains_key(at) {
+        if *at == self.info.at || self.living.contains_key(at) {
             return false;
         }
         now - self.gone.get(at).copied().unwrap_or(self.begun) > ABSENT
@@ -109,7 +109,7 @@
     fn seat_core(&mut self) {
         let now = self.now.steady;
         self.joiners.retain(|_, (_, heard)| now - *heard < 3 * ANNOUNCE);
-        let target = 2 * self.told.tolerate + 1;
+        let target = 2 * self.info.tolerate + 1;
         let Some(part) = self.parts.get(&CONTROL) else { return };
         let (members, settled) = part.replica.members();
         if !settled {
@@ -157,7 +157,7 @@
     /// The first groups of the parts of batch jobs.
     fn found_parts(&mut self) {
         let now = self.now.steady;
-        let (least, target) = (self.told.tolerate + 1, 2 * self.told.tolerate + 1);
+        let (least, target) = (self.info.tolerate + 1, 2 * self.info.tolerate + 1);
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
         let stores: Vec<Member> =
             control.stores.values().filter(|(_, out)| !out).map(|(m, _)| m.clone()).collect();
@@ -193,7 +193,7 @@
 
     /// Parts that were founded with this store among them, and that it does not have, begin here.
     pub(crate) fn founded(&mut self) {
-        let Some(me) = self.me().filter(|_| !self.told.counter) else { return };
+        let Some(me) = self.me().filter(|_| !self.info.counter) else { return };
         for group in self.roster.groups.clone() {
             if self.parts.contains_key(&group.part) || !group.founding.iter().any(|s| s.id == me.id) {
                 continue;
@@ -206,7 +206,7 @@
 
     /// The seats of a part of batch jobs that this process leads.
     fn seat_stores(&mut self, number: u16) {
-        let target = 2 * self.told.tolerate + 1;
+        let target = 2 * self.info.tolerate + 1;
         let Some(part) = self.parts.get(&number) else { return };
         let (members, settled) = part.replica.members();
         if !settled || self.bulletin.get(bulletin::GROUPS).is_none() {
@@ -240,7 +240,7 @@
                 match self.best(&rest, spare.iter().copied()) {
                     Some(new) => Some([rest, vec![new]].concat()),
                     // Nobody can have the seat of one that is to go.
-                    None if !active(old) && rest.len() > self.told.tolerate => Some(rest),
+                    None if !active(old) && rest.len() > self.info.tolerate => Some(rest),
                     None => None,
                 }
             }
@@ -254,12 +254,12 @@
         }
         // Told to the configuration's part once all that live hold all of it.
         let whole = members.iter().all(|m| {
-            m.at == self.told.at
+            m.at == self.info.at
                 || behind.iter().any(|(id, lacks)| *id == m.id && *lacks < 64)
                 || self.absent(&m.at)
         });
-        let told = self.roster.groups.iter().find(|g| g.part == number);
-        let same = told.is_some_and(|g| g.members.iter().map(|s| s.id).eq(members.iter().map(|m| m.id)));
+        let info = self.roster.groups.iter().find(|g| g.part == number);
+        let same = info.is_some_and(|g| g.members.iter().map(|s| s.id).eq(members.iter().map(|m| m.id)));
         if whole && !same {
             let seats: Vec<Seat> = members.iter().map(Seat::from).collect();
             let request = Request::Seated { part: number, term, count: seats.len() as u16, seats };
--- a/crates/office/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -102,7 +102,7 @@
     Ask { nonce: u64, part: u16 },
     /// Its answer; the tail is the body.
     #[deku(id = "3")]
-    Told { nonce: u64, status: u16, retry_ms: u32, json: u8 },
+    Answer { nonce: u64, status: u16, retry_ms: u32, json: u8 },
     /// Its answer: another one leads, as far as is known (port 0: nobody).
     #[deku(id = "4")]
     Elsewhere { nonce: u64, leader: Place },
--- a/crates/office/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -45,7 +45,7 @@
 
 /// What the process is told of itself and the deployment.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct NodeInfo {
     pub node: String,
     pub zone: String,
     /// Where it hears its peers, by datagrams and connections.
@@ -130,13 +130,13 @@
         head: Bytes,
         tail: Bytes,
     },
-    /// Appended to the part's docket and synced; then [`Office::saved`].
+    /// Appended to the part's docket and synced; then [`Coordinator::saved`].
     Save {
         part: u16,
         ticket: u64,
         records: Vec<Bytes>,
     },
-    /// In place of all that the docket holds; then [`Office::saved`].
+    /// In place of all that the docket holds; then [`Coordinator::saved`].
     Rewrite {
         part: u16,
         ticket: u64,
@@ -154,7 +154,7 @@
     Worker(Worker),
     /// Others that send requests to workers.
     Others(usize),
-    /// An item of a batch job to be run at a worker; then [`Office::ran`].
+    /// An item of a batch job to be run at a worker; then [`Coordinator::ran`].
     Run {
         part: u16,
         next: rainlug_lots::Next,
@@ -197,8 +197,8 @@
 }
 
 /// One process's coordination.
-pub struct Office {
-    told: Told,
+pub struct Coordinator {
+    info: NodeInfo,
     now: Now,
     chance: ChaCha8Rng,
     view: View,
@@ -276,47 +276,47 @@
 }
 
 /// The figures of a process's card: its role, and the port where it serves workers.
-fn figures(told: &Told) -> Vec<u8> {
-    let mut figures = vec![u8::from(told.counter)];
-    figures.extend(told.control.map_or(0, |c| c.port()).to_be_bytes());
+fn figures(info: &NodeInfo) -> Vec<u8> {
+    let mut figures = vec![u8::from(info.counter)];
+    figures.extend(info.control.map_or(0, |c| c.port()).to_be_bytes());
     figures
 }
 
-fn settings(told: &Told) -> Settings {
+fn settings(info: &NodeInfo) -> Settings {
     Settings {
         heartbeat: SECOND / 10,
         election: 4 * SECOND / 10,
-        copies: told.tolerate + 1,
+        copies: info.tolerate + 1,
         most_bytes: 256 << 10,
-        compact_bytes: (told.disk_bytes / 8).clamp(4 << 20, 256 << 20),
+        compact_bytes: (info.disk_bytes / 8).clamp(4 << 20, 256 << 20),
         lag_bytes: 4 << 20,
     }
 }
 
-impl Office {
+impl Coordinator {
     /// `dockets` are the records of the parts that this process's disk holds.
     ///
     /// # Errors
     /// Where a docket's records are none of this program's.
     pub fn new(
-        told: Told,
+        info: NodeInfo,
         logs: Vec<(u16, Vec<Bytes>)>,
         now: Now,
     ) -> Result<Self, rainlug_consensus::DecodeError> {
-        let mut chance = ChaCha8Rng::seed_from_u64(told.seed);
+        let mut chance = ChaCha8Rng::seed_from_u64(info.seed);
         let card = Card {
             id: chance.random::<u64>().max(1),
-            name: told.node.clone(),
-            zone: told.zone.clone(),
-            at: told.at,
+            name: info.node.clone(),
+            zone: info.zone.clone(),
+            at: info.at,
             start: now.wall,
             edition: 0,
-            figures: figures(&told),
+            figures: figures(&info),
         };
         let period = 3 * SECOND / 10;
-        let view = View::new(card, told.seeds.clone(), period, Ways::default(), chance.random(), now.steady);
+        let view = View::new(card, info.seeds.clone(), period, Ways::default(), chance.random(), now.steady);
         let bulletin = Bulletin::new(SECOND, chance.random(), now.steady);
-        let mut office = Office {
+        let mut coordinator = Coordinator {
             view,
             seen: 0,
             living: BTreeMap::new(),
@@ -344,26 +344,28 @@
             heard: now.steady,
             effects: Vec::new(),
             chance,
-            told,
+            info,
             now,
         };
         for (number, records) in logs {
-            let founding = if number == CONTROL { office.founders() } else { Vec::new() };
-            office.open(number, founding, &records)?;
+            let founding = if number == CONTROL { coordinator.founders() } else { Vec::new() };
+            coordinator.open(number, founding, &records)?;
         }
-        let seed = office.told.seeds.contains(&office.told.at);
-        let founds = office.told.disk == Some(founding_id(office.told.at)) && seed && office.told.counter;
-        if founds && !office.parts.contains_key(&CONTROL) {
-            let founding = office.founders();
-            office.open(CONTROL, founding, &[])?;
+        let seed = coordinator.info.seeds.contains(&coordinator.info.at);
+        let founds = coordinator.info.disk == Some(founding_id(coordinator.info.at))
+            && seed
+            && coordinator.info.counter;
+        if founds && !coordinator.parts.contains_key(&CONTROL) {
+            let founding = coordinator.founders();
+            coordinator.open(CONTROL, founding, &[])?;
         }
-        office.settle();
-        Ok(office)
+        coordinator.settle();
+        Ok(coordinator)
     }
 
     /// The first group of the configuration's part.
     fn founders(&self) -> Vec<Member> {
-        let mut seeds = self.told.seeds.clone();
+        let mut seeds = self.info.seeds.clone();
         seeds.sort_unstable();
         seeds.dedup();
         let founder =
@@ -372,9 +374,9 @@
     }
 
     fn me(&self) -> Option<Member> {
-        let told = &self.told;
-        let (name, zone) = (told.node.clone(), told.zone.clone());
-        Some(Member { id: told.disk?, name, zone, at: told.at })
+        let info = &self.info;
+        let (name, zone) = (info.node.clone(), info.zone.clone());
+        Some(Member { id: info.disk?, name, zone, at: info.at })
     }
 
     /// Opens the replica of a part.
@@ -385,7 +387,7 @@
         records: &[Bytes],
     ) -> Result<(), rainlug_consensus::DecodeError> {
         let Some(me) = self.me() else { return Ok(()) };
-        let (settings, seed) = (settings(&self.told), self.chance.random());
+        let (settings, seed) = (settings(&self.info), self.chance.random());
         let part = Part::open(number, me, founding, settings, records, seed, self.now.steady)?;
         self.parts.insert(number, part);
         Ok(())
@@ -396,7 +398,7 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// When [`Office::due`] wants to be called, at the latest, by the steady clock.
+    /// When [`Coordinator::due`] wants to be called, at the latest, by the steady clock.
     pub fn next(&self) -> Time {
         let parts = self.parts.values().map(|p| p.replica.next());
         let asks = self.asks.values().map(|a| a.next());
@@ -465,7 +467,7 @@
                 let (request, tail) = split(&tail)?;
                 self.serve(Origin::Remote { to: from, nonce }, part, request, tail);
             }
-            Head::Told { nonce, status, retry_ms, json } => {
+            Head::Answer { nonce, status, retry_ms, json } => {
                 let retry = (retry_ms > 0).then_some(Time::from(retry_ms) * 1000);
                 self.answered(nonce, Answer { status, retry, json: json > 0, body: tail });
             }
@@ -478,7 +480,7 @@
     }
 
     fn group(&mut self, number: u16, bytes: &Bytes) {
-        if self.told.disk.is_none() || self.told.counter != (number == CONTROL) || number > PARTS {
+        if self.info.disk.is_none() || self.info.counter != (number == CONTROL) || number > PARTS {
             return;
         }
         // A seat is given by the group. A founder must begin with the founding group, which no entry names: until the roster tells
@@ -505,7 +507,7 @@
             return Some(Vec::new());
         }
         let group = self.roster.groups.iter().find(|g| g.part == number)?;
-        let founder = group.founding.iter().any(|s| Some(s.id) == self.told.disk);
+        let founder = group.founding.iter().any(|s| Some(s.id) == self.info.disk);
         if founder { control::members(&group.founding).ok() } else { Some(Vec::new()) }
     }
 
@@ -615,7 +617,7 @@
         let mut living = BTreeMap::new();
         for member in self.view.members() {
             for (card, standing, _) in member.processes {
-                if card.at == self.told.at || standing > Standing::Suspect {
+                if card.at == self.info.at || standing > Standing::Suspect {
                     continue;
                 }
                 let (role, port) = match card.figures[..] {
@@ -660,7 +662,7 @@
             xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1))
         };
         let others = self.living.iter().filter(|(_, (counter, control))| *counter && control.is_some());
-        let all = others.map(|(at, _)| *at).chain(self.told.counter.then_some(self.told.at));
+        let all = others.map(|(at, _)| *at).chain(self.info.counter.then_some(self.info.at));
         let found = all.max_by_key(weigh);
         self.registrars.borrow_mut().insert(service.to_owned(), found);
         found
--- a/crates/office/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -8,7 +8,7 @@
 use rainlug_registry::{Phase, Worker};
 
 use crate::frame::Seat;
-use crate::{CONTROL, Office, PARTS};
+use crate::{CONTROL, Coordinator, PARTS};
 
 /// A process of the tier.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,7 +83,7 @@
     }
 }
 
-impl Office {
+impl Coordinator {
     /// All processes that this one knows of, itself too, by name.
     pub fn list_members(&self) -> Vec<MemberLine> {
         let mut lines = Vec::new();
--- a/crates/office/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -6,7 +6,7 @@
 use rainlug_registry::Kind;
 
 use crate::part::{Machine, Wanted};
-use crate::{Answer, Effect, Office, Origin};
+use crate::{Answer, Coordinator, Effect, Origin};
 
 /// Items that a leader has running, at most; which of them find room at workers is decided by each pick.
 const RUNNING: usize = 512;
@@ -19,7 +19,7 @@
 /// Between two orders to forget.
 const FORGET: Time = 20 * SECOND;
 
-impl Office {
+impl Coordinator {
     pub(crate) fn submit(&mut self, number: u16, origin: Origin, lot: String, route: String, body: Bytes) {
         let wall = self.now.wall;
         let Some(part) = self.parts.get(&number) else { return };
@@ -161,7 +161,7 @@
                 part.swept = now;
                 let mut commands = schedule.overdue(register, wall);
                 if forget && register.size() > 0 {
-                    commands.push(Command::Forget { before: wall - self.told.keep_lots });
+                    commands.push(Command::Forget { before: wall - self.info.keep_lots });
                 }
                 for command in commands {
                     self.propose_quietly(number, command);
--- a/crates/office/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -10,7 +10,7 @@
 
 use crate::control::{Control, Outcome};
 use crate::frame::{Head, join};
-use crate::{Answer, CONTROL, Effect, Held, News, Office, Origin, SPREADING};
+use crate::{Answer, CONTROL, Coordinator, Effect, Held, News, Origin, SPREADING};
 
 pub(crate) enum Machine {
     Control(Control),
@@ -111,7 +111,7 @@
     }
 }
 
-impl Office {
+impl Coordinator {
     /// Carries out what a part's replica wants, until it wants nothing more.
     pub(crate) fn drain(&mut self, number: u16) {
         for _ in 0..64 {
--- a/crates/office/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
+use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
 use rainlug_lots::RunEnd;
-use rainlug_office::{Answer, Call, Effect, Now, Office, Told, founding_id};
 use rainlug_registry::Worker;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -38,7 +38,7 @@
     pub at: SocketAddr,
     pub counter: bool,
     pub disk: Option<Disk>,
-    pub office: Option<Office>,
+    pub coordinator: Option<Coordinator>,
     pub frozen: bool,
     life: u32,
     wakes: Time,
@@ -114,7 +114,7 @@
             at: address(place),
             counter,
             disk: disk.then(Disk::default),
-            office: None,
+            coordinator: None,
             frozen: false,
             life: 0,
             wakes: Time::MAX,
@@ -138,7 +138,7 @@
         let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
         let (seed, now, drawn) = (self.chance.random(), self.time(), self.chance.random::<u64>().max(1));
         let machine = &mut self.machines[at];
-        assert!(machine.office.is_none(), "{} runs", machine.name);
+        assert!(machine.coordinator.is_none(), "{} runs", machine.name);
         let founds = first_boot && machine.counter && seeds.contains(&machine.at);
         let mut logs = Vec::new();
         if let Some(disk) = &mut machine.disk {
@@ -147,7 +147,7 @@
             }
             logs = disk.synced.iter().map(|(part, records)| (*part, records.clone())).collect();
         }
-        let told = Told {
+        let info = NodeInfo {
             node: machine.name.clone(),
             zone: machine.zone.clone(),
             at: machine.at,
@@ -162,7 +162,7 @@
             keep_lots: 180 * SECOND,
             seed,
         };
-        machine.office = Some(Office::new(told, logs, now).expect("its own records"));
+        machine.coordinator = Some(Coordinator::new(info, logs, now).expect("its own records"));
         machine.life += 1;
         machine.frozen = false;
         machine.in_force.clear();
@@ -173,7 +173,7 @@
     /// The process is gone. With `power`, what is not synced is lost; without, what was written reaches the disk.
     pub fn kill(&mut self, at: usize, power: bool) {
         let machine = &mut self.machines[at];
-        machine.office = None;
+        machine.coordinator = None;
         machine.life += 1;
         machine.wakes = Time::MAX;
         if let Some(disk) = &mut machine.disk {
@@ -224,8 +224,8 @@
     pub fn call(&mut self, at: usize, call: Call) -> u64 {
         self.tickets += 1;
         let (ticket, now) = (self.tickets, self.time());
-        if let Some(office) = &mut self.machines[at].office {
-            office.call(now, ticket, call);
+        if let Some(coordinator) = &mut self.machines[at].coordinator {
+            coordinator.call(now, ticket, call);
         }
         self.after(at);
         ticket
@@ -280,7 +280,7 @@
             }
         };
         let machine = &mut self.machines[at];
-        if machine.life != life || machine.office.is_none() {
+        if machine.life != life || machine.coordinator.is_none() {
             return;
         }
         if machine.frozen {
@@ -290,11 +290,11 @@
             }
             return;
         }
-        let Some(office) = machine.office.as_mut() else { return };
+        let Some(coordinator) = machine.coordinator.as_mut() else { return };
         match event {
-            Event::Datagram { from, bytes, .. } => office.datagram(now, from, &bytes),
+            Event::Datagram { from, bytes, .. } => coordinator.datagram(now, from, &bytes),
             Event::Frame { from, bytes, .. } => {
-                office.frame(now, from, &bytes).expect("a frame of its own kind")
+                coordinator.frame(now, from, &bytes).expect("a frame of its own kind")
             }
             Event::Saved { part, ticket, .. } => {
                 if let Some(disk) = &mut machine.disk {
@@ -304,14 +304,14 @@
                         keep(&mut disk.synced, part, whole, records);
                     }
                 }
-                office.saved(now, part, ticket);
+                coordinator.saved(now, part, ticket);
             }
             Event::Wake { .. } => {
                 machine.wakes = Time::MAX;
-                office.due(now);
+                coordinator.due(now);
             }
             Event::Ran { part, lot, item, events, .. } => {
-                office.ran(now, part, &lot, &item, events, RunEnd::Complete);
+                coordinator.ran(now, part, &lot, &item, events, RunEnd::Complete);
             }
         }
         self.after(at);
@@ -323,8 +323,8 @@
 
     /// Carries out what the office at a machine wants.
     fn after(&mut self, at: usize) {
-        let Some(office) = self.machines[at].office.as_mut() else { return };
-        let effects = office.take();
+        let Some(coordinator) = self.machines[at].coordinator.as_mut() else { return };
+        let effects = coordinator.take();
         let (from, life) = (self.machines[at].at, self.machines[at].life);
         for effect in effects {
             match effect {
@@ -373,7 +373,7 @@
             }
         }
         let machine = &mut self.machines[at];
-        let next = machine.office.as_ref().map_or(Time::MAX, |o| o.next());
+        let next = machine.coordinator.as_ref().map_or(Time::MAX, |o| o.next());
         if next < machine.wakes {
             machine.wakes = next;
             let life = machine.life;
@@ -395,7 +395,7 @@
 
     /// Who leads a part.
     pub fn leader(&self, part: u16) -> Option<usize> {
-        let leads = |m: &Machine| !m.frozen && m.office.as_ref().is_some_and(|o| o.leads(part).0);
+        let leads = |m: &Machine| !m.frozen && m.coordinator.as_ref().is_some_and(|o| o.leads(part).0);
         self.machines.iter().position(leads)
     }
 }
--- a/crates/office/tests/scale.rs
+++ b/crates/coordinator/tests/scale.rs
@@ -5,7 +5,7 @@
 
 use hollow::{Fleet, Role, configuration, settled};
 use rainlug::{SECOND, Time};
-use rainlug_office::Call;
+use rainlug_coordinator::Call;
 
 const BOUND: Time = 2 * SECOND;
 
--- a/crates/office/tests/stories.rs
+++ b/crates/coordinator/tests/stories.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use common::{MS, beat, configuration, lot, settled};
 use rainlug::SECOND;
-use rainlug_office::{CONTROL, Call, part_of};
+use rainlug_coordinator::{CONTROL, Call, part_of};
 use rainlug_registry::Phase;
 
 fn configure(base: u64, version: u64) -> Call {
@@ -28,7 +28,7 @@
     }
     for part in 0..=2 {
         let leader = fleet.leader(part).expect("a leader");
-        let members = fleet.machines[leader].office.as_ref().unwrap().leads(part).2;
+        let members = fleet.machines[leader].coordinator.as_ref().unwrap().leads(part).2;
         let zones: std::collections::BTreeSet<&str> =
             members.iter().map(|m| m.at.to_string().leak() as &str).collect();
         assert_eq!((members.len(), zones.len()), (3, 3), "part {part}");
@@ -209,7 +209,7 @@
     fleet.start(new, false);
     fleet.pass(10.0);
     let leader = fleet.leader(CONTROL).expect("a leader");
-    let members = fleet.machines[leader].office.as_ref().unwrap().leads(CONTROL).2;
+    let members = fleet.machines[leader].coordinator.as_ref().unwrap().leads(CONTROL).2;
     let places: Vec<_> = members.iter().map(|m| m.at).collect();
     assert!(members.len() == 3 && places.contains(&common::address(new)), "{places:?}");
     // Now another one may be lost.
@@ -336,7 +336,7 @@
         fleet.pass(1.0);
         for part in 1..=2 {
             for store in 5..8 {
-                let members = fleet.machines[store].office.as_ref().unwrap().leads(part).2;
+                let members = fleet.machines[store].coordinator.as_ref().unwrap().leads(part).2;
                 assert_eq!(members.len(), 3, "seed {seed}: part {part} at {store}");
             }
             let leader = fleet.leader(part).expect("a leader");
@@ -352,9 +352,12 @@
 fn given_a_store_that_hears_a_parts_leader_before_the_roster_then_it_begins_nothing_without_a_group() {
     let mut fleet = common::Fleet::new(3, 0, 1, 12);
     fleet.start(3, true);
-    let head = rainlug_office::frame::join(&rainlug_office::frame::Head::Group { part: 1 }, b"");
-    let now = rainlug_office::Now { steady: fleet.now, wall: fleet.now };
-    let office = fleet.machines[3].office.as_mut().expect("it runs");
-    office.frame(now, common::address(0), &head).expect("a frame");
-    assert!(office.figures().iter().all(|(name, _)| !name.starts_with("part_1")), "a part without a group");
+    let head = rainlug_coordinator::frame::join(&rainlug_coordinator::frame::Head::Group { part: 1 }, b"");
+    let now = rainlug_coordinator::Now { steady: fleet.now, wall: fleet.now };
+    let coordinator = fleet.machines[3].coordinator.as_mut().expect("it runs");
+    coordinator.frame(now, common::address(0), &head).expect("a frame");
+    assert!(
+        coordinator.figures().iter().all(|(name, _)| !name.starts_with("part_1")),
+        "a part without a group"
+    );
 }
--- a/crates/tier/src/clock.rs
+++ b/crates/tier/src/clock.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rainlug::Time;
-use rainlug_office::Now;
+use rainlug_coordinator::Now;
 use tokio::time::Instant;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rainlug_office::{Answer, Call};
+use rainlug_coordinator::{Answer, Call};
 use rainlug_registry::Worker;
 use rainlug_transport::head::{self, Fields};
 use rainlug_transport::{End, Link, Piece, Pool, Room, Sizes};
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use rainlug_office::{CONTROL, PARTS};
+use rainlug_coordinator::{CONTROL, PARTS};
 use rainlug_wal::{Error, Wal, Writer};
 use tokio::sync::mpsc;
 
--- a/crates/tier/src/listings.rs
+++ b/crates/tier/src/listings.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use nanoserde::{DeJson, SerJson};
-use rainlug_office::{Answer, Office};
+use rainlug_coordinator::{Answer, Coordinator};
 
 use crate::control::{Asked, Exchange};
 use crate::node::Node;
@@ -19,7 +19,7 @@
     const PATH: &'static str;
     const COLUMNS: &'static [&'static str];
 
-    fn of(office: &Office) -> Self;
+    fn of(coordinator: &Coordinator) -> Self;
     fn lines(&self) -> &[Self::Line];
     fn cells(line: &Self::Line) -> Vec<String>;
 }
@@ -98,8 +98,8 @@
     const PATH: &'static str = "/v1/members";
     const COLUMNS: &'static [&'static str] = &["NAME", "ROLE", "ZONE", "STANDING", "FOR", "PEERS", "CONTROL"];
 
-    fn of(office: &Office) -> Self {
-        let member = |m: rainlug_office::listing::MemberLine| Member {
+    fn of(coordinator: &Coordinator) -> Self {
+        let member = |m: rainlug_coordinator::listing::MemberLine| Member {
             name: m.name,
             zone: m.zone,
             role: m.role.to_owned(),
@@ -108,7 +108,7 @@
             control: m.control.map(text),
             for_ms: m.for_ms,
         };
-        Members { members: office.list_members().into_iter().map(member).collect() }
+        Members { members: coordinator.list_members().into_iter().map(member).collect() }
     }
 
     fn lines(&self) -> &[Member] {
@@ -135,8 +135,8 @@
     const PATH: &'static str = "/v1/workers";
     const COLUMNS: &'static [&'static str] = &["ID", "SERVICE", "ZONE", "ADDRESS", "PHASE", "SLOTS", "CALLS"];
 
-    fn of(office: &Office) -> Self {
-        let worker = |w: rainlug_office::listing::WorkerLine| Worker {
+    fn of(coordinator: &Coordinator) -> Self {
+        let worker = |w: rainlug_coordinator::listing::WorkerLine| Worker {
             id: w.id,
             service: w.service,
             zone: w.zone,
@@ -145,7 +145,7 @@
             slots: w.slots,
             call_seq: w.call_seq,
         };
-        Workers { workers: office.list_workers().into_iter().map(worker).collect() }
+        Workers { workers: coordinator.list_workers().into_iter().map(worker).collect() }
     }
 
     fn lines(&self) -> &[Worker] {
@@ -164,8 +164,8 @@
     const PATH: &'static str = "/v1/stores";
     const COLUMNS: &'static [&'static str] = &["NAME", "ZONE", "PEERS", "STANDING", "RETIRING", "PARTS"];
 
-    fn of(office: &Office) -> Self {
-        let store = |s: rainlug_office::listing::StoreLine| Store {
+    fn of(coordinator: &Coordinator) -> Self {
+        let store = |s: rainlug_coordinator::listing::StoreLine| Store {
             name: s.name,
             zone: s.zone,
             peer: text(s.peer),
@@ -173,7 +173,7 @@
             retiring: s.retiring,
             parts: s.parts,
         };
-        Stores { stores: office.list_stores().into_iter().map(store).collect() }
+        Stores { stores: coordinator.list_stores().into_iter().map(store).collect() }
     }
 
     fn lines(&self) -> &[Store] {
@@ -193,15 +193,15 @@
     const PATH: &'static str = "/v1/parts";
     const COLUMNS: &'static [&'static str] = &["PART", "HOLDS", "LEADER", "TERM", "MEMBERS"];
 
-    fn of(office: &Office) -> Self {
-        let part = |p: rainlug_office::listing::PartLine| Part {
+    fn of(coordinator: &Coordinator) -> Self {
+        let part = |p: rainlug_coordinator::listing::PartLine| Part {
             number: p.number,
             holds: p.holds.to_owned(),
             leader: p.leader,
             members: p.members,
             term: p.term,
         };
-        Parts { parts: office.list_parts().into_iter().map(part).collect() }
+        Parts { parts: coordinator.list_parts().into_iter().map(part).collect() }
     }
 
     fn lines(&self) -> &[Part] {
@@ -227,6 +227,6 @@
     }
 
     async fn carry_out(self, node: Rc<Node>) -> Answer {
-        Answer::json(200, node.with(|office, _| L::of(office).serialize_json()))
+        Answer::json(200, node.with(|coordinator, _| L::of(coordinator).serialize_json()))
     }
 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -10,10 +10,10 @@
 use bytes::Bytes;
 use quick_error::quick_error;
 use rainlug::Time;
+use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
 use rainlug_counter::{Counter, Item, RanEnd, Reply, Replying};
 use rainlug_fleet::envelope::{Envelope, MOST};
 use rainlug_lots::{Next, RunEnd};
-use rainlug_office::{Answer, Call, Effect, Now, Office, Told, founding_id};
 use rainlug_registry::{Configuration, Route};
 use rand::TryRngCore;
 use tokio::net::{TcpListener, UdpSocket};
@@ -56,7 +56,7 @@
 pub struct Node {
     role: Role,
     clock: Clock,
-    office: RefCell<Office>,
+    coordinator: RefCell<Coordinator>,
     socket: UdpSocket,
     envelope: Envelope,
     peers: Rc<Peers>,
@@ -102,7 +102,7 @@
             None => (None, None, Vec::new()),
         };
         let control_at = settings.listen.control;
-        let told = Told {
+        let told = NodeInfo {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
             at: peer,
@@ -128,11 +128,11 @@
             pass_ms: settings.bounds.pass_ms as u64,
             seed: draw(),
         });
-        let office = Office::new(told, logs, clock.now())?;
+        let coordinator = Coordinator::new(told, logs, clock.now())?;
         let node = Rc::new(Node {
             role,
             clock,
-            office: RefCell::new(office),
+            coordinator: RefCell::new(coordinator),
             socket,
             envelope: Envelope::of("rainlug"),
             peers: Peers::new(peer),
@@ -149,14 +149,14 @@
         log::event("start", &format!("{:?}, peers at {peer}", role));
         let taken = node.clone();
         let frame = Rc::new(move |from, bytes: Bytes| {
-            taken.with(|office, now| {
-                let _ = office.frame(now, from, &bytes);
+            taken.with(|coordinator, now| {
+                let _ = coordinator.frame(now, from, &bytes);
             });
         });
         let tells = Rc::downgrade(&node);
         node.peers.when_broke(Rc::new(move |at| {
             if let Some(node) = tells.upgrade() {
-                node.with(|office, now| office.unreachable(now, at));
+                node.with(|coordinator, now| coordinator.unreachable(now, at));
             }
         }));
         spawn_local(node.peers.clone().listen(frames, frame));
@@ -167,7 +167,7 @@
         spawn_local(async move {
             while let Some((part, ticket, result)) = on_disk.recv().await {
                 match result {
-                    Ok(()) => keeps.with(|office, now| office.saved(now, part, ticket)),
+                    Ok(()) => keeps.with(|coordinator, now| coordinator.saved(now, part, ticket)),
                     Err(error) => {
                         log::error("disk", &error.to_string());
                         keeps.failed.notify_one();
@@ -183,8 +183,8 @@
             spawn_local(node.counter.clone().serve(listen(front).await?, Rc::new(Desk(node.clone()))));
         }
         if let Some(at) = settings.listen.ready {
-            let office = node.clone();
-            let ready = Rc::new(move || office.office.borrow().ready(office.clock.now()));
+            let coordinator = node.clone();
+            let ready = Rc::new(move || coordinator.coordinator.borrow().ready(coordinator.clock.now()));
             spawn_local(node.counter.clone().readiness(listen(at).await?, ready));
         }
         node.with(|_, _| ());
@@ -213,15 +213,15 @@
         if self.role == Role::Counter {
             let _ = timeout(most, self.counter.stop()).await;
         }
-        self.with(|office, now| office.leave(now));
+        self.with(|coordinator, now| coordinator.leave(now));
         sleep(Duration::from_millis(50)).await;
         log::event("stop", "ended");
         Ok(())
     }
 
     /// Hands something to the office, and carries out what follows.
-    pub fn with<R>(self: &Rc<Self>, what: impl FnOnce(&mut Office, Now) -> R) -> R {
-        let result = what(&mut self.office.borrow_mut(), self.clock.now());
+    pub fn with<R>(self: &Rc<Self>, what: impl FnOnce(&mut Coordinator, Now) -> R) -> R {
+        let result = what(&mut self.coordinator.borrow_mut(), self.clock.now());
         self.pump();
         result
     }
@@ -231,14 +231,14 @@
             return;
         }
         loop {
-            let effects = self.office.borrow_mut().take();
+            let effects = self.coordinator.borrow_mut().take();
             if effects.is_empty() {
                 break;
             }
             effects.into_iter().for_each(|effect| self.carry_out(effect));
         }
         self.pumping.set(false);
-        if self.office.borrow().next() < self.rings.get() {
+        if self.coordinator.borrow().next() < self.rings.get() {
             self.sooner.notify_one();
         }
     }
@@ -293,7 +293,7 @@
         self.tickets.set(ticket);
         let (waits, answered) = oneshot::channel();
         self.answers.borrow_mut().insert(ticket, waits);
-        self.with(|office, now| office.call(now, ticket, call));
+        self.with(|coordinator, now| coordinator.call(now, ticket, call));
         answered.await.unwrap_or_else(|_| Answer::of(503))
     }
 
@@ -328,7 +328,7 @@
                 (ran.events, end)
             }
         };
-        self.with(|office, now| office.ran(now, part, &lot, &id, events, end));
+        self.with(|coordinator, now| coordinator.ran(now, part, &lot, &id, events, end));
     }
 
     async fn datagrams(self: Rc<Self>) {
@@ -340,7 +340,7 @@
             for _ in 0..BURST {
                 let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) else { break };
                 if let Ok(payload) = self.envelope.open(&buffer[..length]) {
-                    self.with(|office, now| office.datagram(now, from, payload));
+                    self.with(|coordinator, now| coordinator.datagram(now, from, payload));
                 }
             }
             tokio::task::yield_now().await;
@@ -349,20 +349,20 @@
 
     async fn timer(self: Rc<Self>) {
         loop {
-            let next = self.office.borrow().next();
+            let next = self.coordinator.borrow().next();
             self.rings.set(next);
             tokio::select! {
                 biased;
                 () = self.sooner.notified() => continue,
                 () = sleep_until(self.clock.instant(next)) => {}
             }
-            self.with(|office, now| office.due(now));
+            self.with(|coordinator, now| coordinator.due(now));
         }
     }
 
     /// Figures as lines of name and value.
     pub fn figures(&self) -> String {
-        let mut all = self.office.borrow().figures();
+        let mut all = self.coordinator.borrow().figures();
         all.extend(self.counter.figures());
         let peers = &self.peers;
         all.push(("peer_bytes_sent".to_owned(), peers.sent.get() as f64));
--- a/crates/tier/tests/local.rs
+++ b/crates/tier/tests/local.rs
@@ -86,7 +86,7 @@
     end: Instant,
     at: &[SocketAddr],
     ask: Ask<'_>,
-    will_do: impl Fn(&Told) -> bool,
+    will_do: impl Fn(&NodeInfo) -> bool,
 ) -> Told {
     let mut last = None;
     for at in at.iter().cycle() {
