--- a/crates/workshop/src/beats.rs
+++ b/crates/sim-worker/src/beats.rs
@@ -6,8 +6,8 @@
 
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::client::{self, Ask, Told};
-use crate::{Phase, Workshop};
+use crate::client::{self, Ask, Response};
+use crate::{Phase, SimWorker};
 
 /// A beat is acknowledged in this time, by an answer of no more bytes than that.
 const ACKNOWLEDGED: Duration = Duration::from_secs(1);
@@ -24,7 +24,7 @@
 pub(crate) struct Callees {
     list: Vec<SocketAddr>,
     turn: usize,
-    /// Told by an answer; holds until a beat fails there.
+    /// Response by an answer; holds until a beat fails there.
     beat_addr: Option<SocketAddr>,
 }
 
@@ -52,15 +52,15 @@
 }
 
 /// Where a 307 sends its caller: `http://IP:PORT/path`.
-fn moved(told: &Told) -> Option<(SocketAddr, String)> {
+fn moved(told: &Response) -> Option<(SocketAddr, String)> {
     let rest = told.location.as_deref().filter(|_| told.status == 307)?.strip_prefix("http://")?;
     let (at, path) = rest.split_once('/')?;
     Some((at.parse().ok()?, format!("/{path}")))
 }
 
-impl Workshop {
+impl SimWorker {
     /// One call for this worker, at whoever is due for it; its acknowledgement.
-    async fn tell(&self, method: &str, body: &str) -> Option<Told> {
+    async fn tell(&self, method: &str, body: &str) -> Option<Response> {
         let mut at = self.callees.borrow().now()?;
         let mut path = format!("/v1/workers/{}", self.told.id);
         for _ in 0..=MOVES {
--- a/crates/workshop/src/client.rs
+++ b/crates/sim-worker/src/client.rs
@@ -41,7 +41,7 @@
 
 /// What was answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Told {
+pub struct Response {
     pub status: u16,
     /// Where else to ask (307).
     pub location: Option<String>,
@@ -52,7 +52,7 @@
 ///
 /// # Errors
 /// Where there is no answer.
-pub async fn call(at: SocketAddr, ask: Ask<'_>, within: Duration) -> Result<Told, Error> {
+pub async fn call(at: SocketAddr, ask: Ask<'_>, within: Duration) -> Result<Response, Error> {
     let until = Instant::now() + within;
     match timeout_at(until, answered(at, &ask, until)).await {
         Ok(Ok(told)) => Ok(told),
@@ -63,7 +63,7 @@
     }
 }
 
-async fn answered(at: SocketAddr, ask: &Ask<'_>, until: Instant) -> Result<Told, End> {
+async fn answered(at: SocketAddr, ask: &Ask<'_>, until: Instant) -> Result<Response, End> {
     let (room, pool) = (Room::of(1), Pool::within(1 << 20, SIZES));
     let seat = room.seat().ok_or(End::NoRoom)?;
     let mut link = Link::connect(at, until, head::answer_body, &pool, seat).await?;
@@ -85,7 +85,7 @@
         let (status, location) = head::answer(&head, |s, f| (s, f.get("Location").map(str::to_owned)))?;
         let body = link.body().await?;
         if status >= 200 {
-            return Ok(Told { status, location, body });
+            return Ok(Response { status, location, body });
         }
     }
 }
--- a/crates/workshop/src/lib.rs
+++ b/crates/sim-worker/src/lib.rs
@@ -40,7 +40,7 @@
 
 /// What a worker is told of itself.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct WorkerSettings {
     /// Of this start: never used again.
     pub id: String,
     pub service: String,
@@ -63,8 +63,8 @@
 }
 
 /// One worker.
-pub struct Workshop {
-    told: Told,
+pub struct SimWorker {
+    told: WorkerSettings,
     engine: RefCell<Engine>,
     callers: RefCell<HashMap<u64, mpsc::UnboundedSender<Event>>>,
     callees: RefCell<Callees>,
@@ -79,12 +79,12 @@
     sooner: Notify,
 }
 
-impl Workshop {
+impl SimWorker {
     /// Serves until SIGTERM or SIGINT, then drains, says goodbye and ends.
     ///
     /// # Errors
     /// Where its address or signals cannot be had.
-    pub async fn run(told: Told) -> Result<(), Error> {
+    pub async fn run(told: WorkerSettings) -> Result<(), Error> {
         let at = told.at;
         let listener = TcpListener::bind(at).await.map_err(|e| Error::Listen(at, e))?;
         let (mut terminate, mut interrupt) =
@@ -100,10 +100,10 @@
     }
 
     /// Serves until `stop` ends, then drains, says goodbye and ends. It needs a `LocalSet` round it.
-    pub async fn serve(told: Told, listener: TcpListener, stop: impl Future<Output = ()>) {
+    pub async fn serve(told: WorkerSettings, listener: TcpListener, stop: impl Future<Output = ()>) {
         // Workers begin at different ones of those that may be told.
         let turn = xxhash_rust::xxh3::xxh3_64(told.id.as_bytes()) as usize % told.controls.len().max(1);
-        let shop = Rc::new(Workshop {
+        let shop = Rc::new(SimWorker {
             engine: RefCell::new(Engine::new(told.shape)),
             callers: RefCell::default(),
             callees: RefCell::new(Callees::new(told.controls.clone(), turn)),
--- a/crates/workshop/src/serve.rs
+++ b/crates/sim-worker/src/serve.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::engine::{Event, Job};
-use crate::{MODEL, Phase, VERSION, Workshop};
+use crate::{MODEL, Phase, SimWorker, VERSION};
 
 const SIZES: Sizes = Sizes { head: 32 << 10, body: 16 << 20, buffer: 8 << 10 };
 /// An idle connection is closed after this time, and it is said to be a little less.
@@ -121,7 +121,7 @@
 
 /// A request's place in the engine: dropped with it.
 struct Place<'a> {
-    shop: &'a Workshop,
+    shop: &'a SimWorker,
     job: u64,
     events: mpsc::UnboundedReceiver<Event>,
 }
@@ -134,7 +134,7 @@
     }
 }
 
-impl Workshop {
+impl SimWorker {
     /// Takes connections for good.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
         let (room, pool) = (Room::of(self.told.max_conns), Pool::within(4 << 20, SIZES));
--- a/crates/workshop/tests/engine.rs
+++ b/crates/sim-worker/tests/engine.rs
@@ -1,6 +1,6 @@
 //! The simulated batch: its pace, its memory, what it keeps.
 
-use rainlug_workshop::engine::{Engine, Event, Job, Shape, Time};
+use rainlug_sim_worker::engine::{Engine, Event, Job, Shape, Time};
 
 const SHAPE: Shape = Shape {
     slots: 4,
--- a/crates/workshop/tests/worker.rs
+++ b/crates/sim-worker/tests/worker.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rainlug_workshop::client::{self, Ask, Told as Answered};
-use rainlug_workshop::engine::Shape;
-use rainlug_workshop::{Told, Workshop, beat_addr};
+use rainlug_sim_worker::client::{self, Ask, Response as Answered};
+use rainlug_sim_worker::engine::Shape;
+use rainlug_sim_worker::{SimWorker, WorkerSettings, beat_addr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -48,7 +48,7 @@
 async fn worker(controls: Vec<SocketAddr>, shape: Shape) -> Running {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let at = listener.local_addr().unwrap();
-    let told = Told {
+    let told = WorkerSettings {
         id: "w-1".to_owned(),
         service: "model".to_owned(),
         zone: "north".to_owned(),
@@ -61,7 +61,7 @@
         shape,
     };
     let (stop, stopped) = oneshot::channel();
-    let ended = spawn_local(Workshop::serve(told, listener, async {
+    let ended = spawn_local(SimWorker::serve(told, listener, async {
         let _ = stopped.await;
     }));
     Running { at, stop, ended }
--- a/crates/tier/src/local.rs
+++ b/crates/tier/src/local.rs
@@ -13,7 +13,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use quick_error::quick_error;
-use rainlug_workshop::client::{self, Ask};
+use rainlug_sim_worker::client::{self, Ask};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep};
 use toml::{Table, Value};
--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use rainlug_sim_worker::{SimWorker, WorkerSettings, engine::Shape};
 use rainlug_tier::listings::{Members, Parts, Stores, Workers};
 use rainlug_tier::local::{self, Plan, plan};
 use rainlug_tier::node::{Node, Role};
 use rainlug_tier::operator::{self, Retire};
 use rainlug_tier::{check, log, settings::Settings};
-use rainlug_workshop::{Told, Workshop, engine::Shape};
 
 /// A serving tier with a batch interface
 #[derive(Clone, Debug, Bpaf)]
@@ -216,7 +216,7 @@
     }
     log::start(&worker.name, "info");
     let micros = |ms: f64| (ms.clamp(0.01, 60_000.0) * 1000.0) as rainlug::Time;
-    let told = Told {
+    let told = WorkerSettings {
         id: format!("{}-{drawn:08x}", worker.name),
         service: worker.service,
         zone: worker.zone,
@@ -235,7 +235,7 @@
             ..Shape::default()
         },
     };
-    match runs(Workshop::run(told)) {
+    match runs(SimWorker::run(told)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error("stop", &error.to_string());
--- a/crates/tier/src/operator.rs
+++ b/crates/tier/src/operator.rs
@@ -9,7 +9,7 @@
 use nanoserde::{DeJson, SerJson};
 use quick_error::quick_error;
 use rainlug_registry::Configuration;
-use rainlug_workshop::client::{self, Ask, Told};
+use rainlug_sim_worker::client::{self, Ask, Response};
 use tokio::time::{Instant, sleep};
 
 use crate::check;
@@ -80,14 +80,14 @@
     error: String,
 }
 
-fn refused(told: &Told) -> Error {
+fn refused(told: &Response) -> Error {
     let said = read::<Refusal>(&told.body, "")
         .map_or_else(|_| String::new(), |r| format!(": {}", r.error.replace('\n', " ")));
     Error::Answered(told.status, said)
 }
 
 /// Asks until there is an answer that is not to be asked again, three seconds long.
-async fn ask(at: SocketAddr, ask: Ask<'_>) -> Result<Told, Error> {
+async fn ask(at: SocketAddr, ask: Ask<'_>) -> Result<Response, Error> {
     let until = Instant::now() + ANSWER;
     loop {
         let told = client::call(at, ask, until.saturating_duration_since(Instant::now()).max(AGAIN)).await;
@@ -102,7 +102,7 @@
     }
 }
 
-async fn get(at: SocketAddr, path: &str) -> Result<Told, Error> {
+async fn get(at: SocketAddr, path: &str) -> Result<Response, Error> {
     let told = ask(at, Ask::get(path)).await?;
     if told.status == 200 { Ok(told) } else { Err(refused(&told)) }
 }
--- a/crates/tier/tests/local.rs
+++ b/crates/tier/tests/local.rs
@@ -8,8 +8,8 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use rainlug_sim_worker::client::{self, Ask, Response};
 use rainlug_tier::local::{CONFIGURATION, HOST, Plan};
-use rainlug_workshop::client::{self, Ask, Told};
 use tokio::time::{Instant, sleep};
 
 /// All of it takes no longer.
@@ -87,7 +87,7 @@
     at: &[SocketAddr],
     ask: Ask<'_>,
     will_do: impl Fn(&NodeInfo) -> bool,
-) -> Told {
+) -> Response {
     let mut last = None;
     for at in at.iter().cycle() {
         let told = client::call(*at, ask, Duration::from_secs(3)).await;
