--- a/crates/coordinator/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -1,4 +1,4 @@
-//! Hollow members: real coordination cores (`Office`) of many processes in one, on a virtual clock, with what they send, save and
+//! Hollow members: real coordination cores (`Coordinator`) of many processes in one, on a virtual clock, with what they send, save and
 //! spend counted by kind and by member. Disks only count what is saved; links have a rate; workers beat where they are told to.
 //! No sockets: bytes are payloads, without the heads of TCP, UDP, TLS or the frame's length and check.
 #![allow(dead_code, reason = "the example and the test use different parts")]
@@ -62,7 +62,7 @@
     pub busy: Duration,
     pub saves: u64,
     pub saved_bytes: u64,
-    /// Of them, in place of all that the docket held.
+    /// Of them, in place of all that the log held.
     pub rewritten_bytes: u64,
     pub beats: u64,
 }
@@ -87,8 +87,8 @@
 pub enum Role {
     /// A counter that may have a seat in the configuration's group.
     Core,
-    Counter,
-    Archive,
+    Gateway,
+    Store,
 }
 
 pub struct Member {
@@ -154,7 +154,7 @@
 
 impl Fleet {
     /// All begin at once. Nothing is agreed on yet.
-    pub fn start(core: usize, plain: usize, archives: usize, seed: u64) -> Self {
+    pub fn start(core: usize, plain: usize, stores: usize, seed: u64) -> Self {
         let mut fleet = Fleet {
             now: SECOND,
             members: Vec::new(),
@@ -173,7 +173,7 @@
             tickets: 0,
             chance: ChaCha8Rng::seed_from_u64(seed),
         };
-        let roles = [(Role::Core, core), (Role::Counter, plain), (Role::Archive, archives)];
+        let roles = [(Role::Core, core), (Role::Gateway, plain), (Role::Store, stores)];
         let roles = roles.into_iter().flat_map(|(role, count)| std::iter::repeat_n(role, count));
         for (place, role) in roles.enumerate() {
             fleet.places.insert(address(place), place);
@@ -186,15 +186,15 @@
     fn begin(&mut self, place: usize, role: Role) {
         let (at, now) = (address(place), self.time());
         let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
-        let counter = role != Role::Archive;
+        let gateway = role != Role::Store;
         let id = if seeds.contains(&at) { founding_id(at) } else { self.chance.random::<u64>().max(1) };
         let info = NodeInfo {
-            node: format!("{}-{place}", if counter { "edge" } else { "storage" }),
+            node: format!("{}-{place}", if gateway { "edge" } else { "storage" }),
             zone: format!("zone-{}", place % 11),
             at,
-            control: counter.then(|| SocketAddr::new(at.ip(), 8000)),
-            counter,
-            disk: (role != Role::Counter).then_some(id),
+            control: gateway.then(|| SocketAddr::new(at.ip(), 8000)),
+            gateway,
+            disk: (role != Role::Gateway).then_some(id),
             first_boot: true,
             seeds,
             tolerate: 1,
@@ -242,11 +242,11 @@
 
     fn beat(&mut self, worker: usize) -> Option<u64> {
         let lives = |at: &usize| self.members[*at].coordinator.is_some();
-        let counters: Vec<usize> = (0..self.members.len())
-            .filter(|at| self.members[*at].role != Role::Archive)
+        let gateways: Vec<usize> = (0..self.members.len())
+            .filter(|at| self.members[*at].role != Role::Store)
             .filter(lives)
             .collect();
-        let drawn = counters[self.chance.random_range(0..counters.len())];
+        let drawn = gateways[self.chance.random_range(0..gateways.len())];
         let to = self.workers[worker].to.filter(lives).unwrap_or(drawn);
         let hollow = &mut self.workers[worker];
         hollow.seq += 1;
@@ -517,8 +517,8 @@
 
 /// A fleet with a first configuration (version 5, 5 KB) in force everywhere.
 pub fn settled(dispatchers: usize, seed: u64) -> Fleet {
-    let (core, plain, archives) = shape(dispatchers);
-    let mut fleet = Fleet::start(core, plain, archives, seed);
+    let (core, plain, stores) = shape(dispatchers);
+    let mut fleet = Fleet::start(core, plain, stores, seed);
     fleet.pass(10.0);
     let answer = fleet.ask(0, Call::Configure { base: 0, text: configuration(5, 5_000) }, 2.0);
     assert_eq!(answer.map(|a| a.1.status), Some(200), "the first configuration");
--- a/crates/coordinator/examples/scale.rs
+++ b/crates/coordinator/examples/scale.rs
@@ -186,9 +186,9 @@
     let groups: [(&str, Vec<usize>); 5] = [
         ("configuration leader", leader.into_iter().collect()),
         ("core", of_role(fleet, Role::Core, leader.as_slice())),
-        ("counter", of_role(fleet, Role::Counter, &[])),
-        ("archive leader", lot_leaders.clone()),
-        ("archive", of_role(fleet, Role::Archive, &lot_leaders)),
+        ("gateway", of_role(fleet, Role::Gateway, &[])),
+        ("store leader", lot_leaders.clone()),
+        ("store", of_role(fleet, Role::Store, &lot_leaders)),
     ];
     for (role, places) in groups {
         if places.is_empty() {
@@ -258,9 +258,9 @@
     let before = resident();
     let mut fleet = settled(size, options.seed);
     let count = fleet.members.len() as f64;
-    let (core, _, archives) = shape(size);
+    let (core, _, stores) = shape(size);
     rows.add("rest", "all", "processes", fleet.members.len());
-    rows.add("rest", "all", "of them core; archives", format!("{core}; {archives}"));
+    rows.add("rest", "all", "of them core; stores", format!("{core}; {stores}"));
     let memory = |rows: &mut Rows, load: &str| {
         rows.add(
             load,
@@ -404,7 +404,7 @@
         fleet.pass(1.0);
         let had = ((processor() - cpu) / wall.elapsed().as_secs_f64()).min(1.0);
         rows.add(&load, "part", "items/s (virtual)", format!("{:.0}", fleet.items_ran as f64 / seconds));
-        let followers: Vec<usize> = of_role(&fleet, Role::Archive, &[leader]);
+        let followers: Vec<usize> = of_role(&fleet, Role::Store, &[leader]);
         for (role, places) in [("leader", vec![leader]), ("follower", followers)] {
             let each = |from: &[Spent], what: &dyn Fn(&Spent) -> f64| {
                 let sum: f64 =
@@ -414,14 +414,9 @@
             let busy = had * each(&submitted, &|s| s.busy.as_secs_f64());
             rows.add(&load, role, "core CPU us an item from run to listed", format!("{:.0}", 1e6 * busy));
             rows.add(&load, role, "items/s a core of processor", format!("{:.0}", 1.0 / busy));
-            rows.add(
-                &load,
-                role,
-                "docket B an item",
-                format!("{:.0}", each(&spent, &|s| s.saved_bytes as f64)),
-            );
+            rows.add(&load, role, "log B an item", format!("{:.0}", each(&spent, &|s| s.saved_bytes as f64)));
             let rewritten = each(&spent, &|s| s.rewritten_bytes as f64);
-            rows.add(&load, role, "of it by rewriting the docket B an item", format!("{rewritten:.0}"));
+            rows.add(&load, role, "of it by rewriting the log B an item", format!("{rewritten:.0}"));
             rows.add(&load, role, "saves an item", format!("{:.2}", each(&submitted, &|s| s.saves as f64)));
             let groups = Kind::Groups as usize;
             rows.add(
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -43,7 +43,7 @@
     /// Workers whose beats are this process's duty, and do not come.
     fn silent(&mut self) {
         let (now, patience) = (self.now.steady, (self.info.beat as f64 * MISSED) as Time);
-        if !self.info.counter {
+        if !self.info.gateway {
             return;
         }
         let mut quiet = Vec::new();
@@ -74,7 +74,7 @@
     fn announce(&mut self) {
         let Some(me) = self.me() else { return };
         let seat = Seat::from(&me);
-        if self.info.counter {
+        if self.info.gateway {
             if !self.roster.core.iter().any(|s| s.id == me.id) {
                 self.ask(
                     CONTROL,
@@ -193,7 +193,7 @@
 
     /// Parts that were founded with this store among them, and that it does not have, begin here.
     pub(crate) fn founded(&mut self) {
-        let Some(me) = self.me().filter(|_| !self.info.counter) else { return };
+        let Some(me) = self.me().filter(|_| !self.info.gateway) else { return };
         for group in self.roster.groups.clone() {
             if self.parts.contains_key(&group.part) || !group.founding.iter().any(|s| s.id == me.id) {
                 continue;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -53,7 +53,7 @@
     /// Where it serves workers and operators, if it does.
     pub control: Option<SocketAddr>,
     /// It takes requests; otherwise it keeps batch jobs.
-    pub counter: bool,
+    pub gateway: bool,
     /// Its disk's identity; nothing where it has no disk.
     pub disk: Option<MemberId>,
     pub first_boot: bool,
@@ -130,13 +130,13 @@
         head: Bytes,
         tail: Bytes,
     },
-    /// Appended to the part's docket and synced; then [`Coordinator::saved`].
+    /// Appended to the part's log and synced; then [`Coordinator::saved`].
     Save {
         part: u16,
         ticket: u64,
         records: Vec<Bytes>,
     },
-    /// In place of all that the docket holds; then [`Coordinator::saved`].
+    /// In place of all that the log holds; then [`Coordinator::saved`].
     Rewrite {
         part: u16,
         ticket: u64,
@@ -277,7 +277,7 @@
 
 /// The figures of a process's card: its role, and the port where it serves workers.
 fn figures(info: &NodeInfo) -> Vec<u8> {
-    let mut figures = vec![u8::from(info.counter)];
+    let mut figures = vec![u8::from(info.gateway)];
     figures.extend(info.control.map_or(0, |c| c.port()).to_be_bytes());
     figures
 }
@@ -294,10 +294,10 @@
 }
 
 impl Coordinator {
-    /// `dockets` are the records of the parts that this process's disk holds.
+    /// `logs` are the records of the parts that this process's disk holds.
     ///
     /// # Errors
-    /// Where a docket's records are none of this program's.
+    /// Where a log's records are none of this program's.
     pub fn new(
         info: NodeInfo,
         logs: Vec<(u16, Vec<Bytes>)>,
@@ -354,7 +354,7 @@
         let seed = coordinator.info.seeds.contains(&coordinator.info.at);
         let founds = coordinator.info.disk == Some(founding_id(coordinator.info.at))
             && seed
-            && coordinator.info.counter;
+            && coordinator.info.gateway;
         if founds && !coordinator.parts.contains_key(&CONTROL) {
             let founding = coordinator.founders();
             coordinator.open(CONTROL, founding, &[])?;
@@ -480,7 +480,7 @@
     }
 
     fn group(&mut self, number: u16, bytes: &Bytes) {
-        if self.info.disk.is_none() || self.info.counter != (number == CONTROL) || number > PARTS {
+        if self.info.disk.is_none() || self.info.gateway != (number == CONTROL) || number > PARTS {
             return;
         }
         // A seat is given by the group. A founder must begin with the founding group, which no entry names: until the roster tells
@@ -634,14 +634,14 @@
         let newcomers: BTreeSet<SocketAddr> =
             living.keys().filter(|at| !self.living.contains_key(at)).copied().collect();
         self.gone.retain(|at, since| !living.contains_key(at) && now - *since < 600 * SECOND);
-        let counters = living.values().filter(|(counter, _)| *counter).count();
-        let before = self.living.values().filter(|(counter, _)| *counter).count();
+        let gateways = living.values().filter(|(gateway, _)| *gateway).count();
+        let before = self.living.values().filter(|(gateway, _)| *gateway).count();
         self.living = living;
         self.registrars.borrow_mut().clear();
         let peers: Vec<SocketAddr> = self.living.keys().copied().collect();
         self.bulletin.peers(now, &peers);
-        if counters != before || self.caught_up.is_none() {
-            self.effects.push(Effect::Others(counters));
+        if gateways != before || self.caught_up.is_none() {
+            self.effects.push(Effect::Others(gateways));
         }
         // Who meets others again, after its start or a cut, compares with them at once.
         if !newcomers.is_empty() && self.caught_up.is_none_or(|at| now - at > SECOND / 4) {
@@ -661,8 +661,8 @@
         let weigh = |at: &SocketAddr| {
             xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1))
         };
-        let others = self.living.iter().filter(|(_, (counter, control))| *counter && control.is_some());
-        let all = others.map(|(at, _)| *at).chain(self.info.counter.then_some(self.info.at));
+        let others = self.living.iter().filter(|(_, (gateway, control))| *gateway && control.is_some());
+        let all = others.map(|(at, _)| *at).chain(self.info.gateway.then_some(self.info.at));
         let found = all.max_by_key(weigh);
         self.registrars.borrow_mut().insert(service.to_owned(), found);
         found
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -15,7 +15,7 @@
 pub struct MemberLine {
     pub name: String,
     pub zone: String,
-    /// `counter` or `archive`; empty where it does not say.
+    /// `gateway` or `store`; empty where it does not say.
     pub role: &'static str,
     /// `alive`, `suspect`, `gone` or `left`.
     pub standing: &'static str,
@@ -91,7 +91,7 @@
             for (card, stands, since) in member.processes {
                 let (role, port) = match card.figures[..] {
                     [role, high, low, ..] => {
-                        (if role == 1 { "counter" } else { "archive" }, u16::from_be_bytes([high, low]))
+                        (if role == 1 { "gateway" } else { "store" }, u16::from_be_bytes([high, low]))
                     }
                     _ => ("", 0),
                 };
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -36,7 +36,7 @@
     pub name: String,
     pub zone: String,
     pub at: SocketAddr,
-    pub counter: bool,
+    pub gateway: bool,
     pub disk: Option<Disk>,
     pub coordinator: Option<Coordinator>,
     pub frozen: bool,
@@ -72,7 +72,7 @@
 }
 
 impl Fleet {
-    /// `core` counters with a disk, `plain` without one, and `stores`; zones in turn. Nobody runs yet.
+    /// `core` gateways with a disk, `plain` without one, and `stores`; zones in turn. Nobody runs yet.
     pub fn new(core: usize, plain: usize, stores: usize, seed: u64) -> Self {
         let mut fleet = Fleet {
             now: SECOND,
@@ -105,14 +105,14 @@
     }
 
     /// One more machine, which does not run yet.
-    pub fn add(&mut self, counter: bool, disk: bool, zone: usize) -> usize {
+    pub fn add(&mut self, gateway: bool, disk: bool, zone: usize) -> usize {
         let place = self.machines.len();
-        let kind = if counter { "edge" } else { "storage" };
+        let kind = if gateway { "edge" } else { "storage" };
         self.machines.push(Machine {
             name: format!("{kind}-{place}"),
             zone: format!("zone-{}", zone % 4),
             at: address(place),
-            counter,
+            gateway,
             disk: disk.then(Disk::default),
             coordinator: None,
             frozen: false,
@@ -139,7 +139,7 @@
         let (seed, now, drawn) = (self.chance.random(), self.time(), self.chance.random::<u64>().max(1));
         let machine = &mut self.machines[at];
         assert!(machine.coordinator.is_none(), "{} runs", machine.name);
-        let founds = first_boot && machine.counter && seeds.contains(&machine.at);
+        let founds = first_boot && machine.gateway && seeds.contains(&machine.at);
         let mut logs = Vec::new();
         if let Some(disk) = &mut machine.disk {
             if disk.id == 0 {
@@ -151,8 +151,8 @@
             node: machine.name.clone(),
             zone: machine.zone.clone(),
             at: machine.at,
-            control: machine.counter.then(|| SocketAddr::new(machine.at.ip(), 8000)),
-            counter: machine.counter,
+            control: machine.gateway.then(|| SocketAddr::new(machine.at.ip(), 8000)),
+            gateway: machine.gateway,
             disk: machine.disk.as_ref().map(|d| d.id),
             first_boot,
             seeds,
@@ -321,7 +321,7 @@
         self.machines.iter().position(|m| m.at == at)
     }
 
-    /// Carries out what the office at a machine wants.
+    /// Carries out what the coordinator at a machine wants.
     fn after(&mut self, at: usize) {
         let Some(coordinator) = self.machines[at].coordinator.as_mut() else { return };
         let effects = coordinator.take();
--- a/crates/coordinator/tests/scale.rs
+++ b/crates/coordinator/tests/scale.rs
@@ -47,13 +47,13 @@
     const SECONDS: f64 = 20.0;
     let mut fleet = settled(dispatchers, 23);
     let bytes = |fleet: &Fleet| -> u64 {
-        let counters = fleet.members.iter().filter(|m| m.role == Role::Counter);
-        counters.map(|m| m.spent.sent.iter().chain(&m.spent.received).sum::<u64>()).sum()
+        let gateways = fleet.members.iter().filter(|m| m.role == Role::Gateway);
+        gateways.map(|m| m.spent.sent.iter().chain(&m.spent.received).sum::<u64>()).sum()
     };
     let before = bytes(&fleet);
     fleet.pass(SECONDS);
-    let counters = fleet.members.iter().filter(|m| m.role == Role::Counter).count();
-    (bytes(&fleet) - before) as f64 / counters as f64 / SECONDS
+    let gateways = fleet.members.iter().filter(|m| m.role == Role::Gateway).count();
+    (bytes(&fleet) - before) as f64 / gateways as f64 / SECONDS
 }
 
 /// `examples/scale.rs` measured x1.004 to x1.012 from 30 to 60 with seeds 21 to 24, and 1,344, 1,334 and 1,337 B/s at 14, 60 and
--- a/crates/counter/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 
-use crate::Counter;
+use crate::Gateway;
 use crate::forward::Outcome;
 
 /// A number that goes up.
@@ -64,11 +64,11 @@
         }
     }
 
-    pub fn all(&self, counter: &Counter) -> Vec<(String, f64)> {
-        let connections = &counter.connections;
+    pub fn all(&self, gateway: &Gateway) -> Vec<(String, f64)> {
+        let connections = &gateway.connections;
         let (open, idle) = connections.counts();
         let mut picks = [0; 11];
-        for service in counter.services.borrow().values() {
+        for service in gateway.services.borrow().values() {
             let counts = service.award.borrow().counts();
             let parts = [
                 counts.turns,
@@ -119,9 +119,9 @@
             ("reused", connections.reused.get()),
         ];
         let held = [
-            ("in_hand", counter.stopping.in_hand()),
-            ("clients", counter.stopping.clients()),
-            ("bodies_bytes", counter.bodies.get()),
+            ("in_hand", gateway.stopping.in_hand()),
+            ("clients", gateway.stopping.clients()),
+            ("bodies_bytes", gateway.bodies.get()),
             ("worker_connections", open),
             ("worker_connections_idle", idle),
         ];
--- a/crates/counter/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,7 +18,7 @@
 use crate::routing::{Picked, class, services};
 use crate::stopping::Stage;
 use crate::stream::Events;
-use crate::{Counter, Reply, millis};
+use crate::{Gateway, Reply, millis};
 
 /// A connection must be up in this time, and in this part of what is left.
 const DIAL: Duration = Duration::from_secs(1);
@@ -92,7 +92,7 @@
 }
 
 pub(crate) struct Exchange<'a> {
-    counter: &'a Counter,
+    gateway: &'a Gateway,
     request: &'a Request,
     client: Option<&'a mut Link>,
     then: Then,
@@ -115,7 +115,7 @@
 }
 
 impl<'a> Exchange<'a> {
-    pub fn new(counter: &'a Counter, request: &'a Request, client: Option<&'a mut Link>, then: Then) -> Self {
+    pub fn new(gateway: &'a Gateway, request: &'a Request, client: Option<&'a mut Link>, then: Then) -> Self {
         let ask = Ask {
             class: 0,
             bulk: client.is_none(),
@@ -126,7 +126,7 @@
             tried: Vec::new(),
         };
         Exchange {
-            counter,
+            gateway,
             request,
             client,
             then,
@@ -145,7 +145,7 @@
 
     /// What becomes of the client's connection: since it began the process may have been told to stop.
     fn then(&self) -> Then {
-        if self.counter.stopping.stage() == Stage::Serving { self.then } else { Then::Close }
+        if self.gateway.stopping.stage() == Stage::Serving { self.then } else { Then::Close }
     }
 
     /// The run begins after that event.
@@ -218,7 +218,7 @@
 
     /// The newest route of the request.
     fn route(&mut self) -> Option<Rc<Route>> {
-        let configuration = self.counter.configuration()?;
+        let configuration = self.gateway.configuration()?;
         let route = configuration.route(&self.request.host, self.request.path()).cloned();
         self.configuration = Some(configuration);
         route
@@ -226,10 +226,10 @@
 
     /// Whether what was decided still holds: the worker takes requests, and the route still has its service.
     fn holds(&self, picked: &Picked) -> bool {
-        if !self.counter.sendable(&picked.worker.id) {
+        if !self.gateway.sendable(&picked.worker.id) {
             return false;
         }
-        let (Some(then), Some(now)) = (&self.configuration, self.counter.configuration()) else {
+        let (Some(then), Some(now)) = (&self.configuration, self.gateway.configuration()) else {
             return true;
         };
         Rc::ptr_eq(then, &now)
@@ -269,7 +269,7 @@
                     picked.ticket.end(end);
                 }
                 Tried::Lost(end) => {
-                    self.counter.figures.lost.up();
+                    self.gateway.figures.lost.up();
                     if !self.fresh {
                         self.ask.tried.push(picked.worker.id.clone());
                     }
@@ -293,14 +293,14 @@
                 }
             }
             if self.sent > 0 {
-                self.counter.figures.retried.up();
+                self.gateway.figures.retried.up();
             }
         }
     }
 
     /// A worker, for which it is waited a little.
     async fn picked(&mut self, route: &Route, until: Instant) -> Result<Option<Picked>, Stop> {
-        let (counter, draw) = (self.counter, self.request.draw);
+        let (gateway, draw) = (self.gateway, self.request.draw);
         let most = if self.began {
             millis(route.gap_aim_ms).max(MOST_WAIT)
         } else {
@@ -308,11 +308,11 @@
         };
         let patience = until.min(Instant::now() + most);
         loop {
-            if let Some(picked) = counter.pick(route, draw, self.ask(route, &[])) {
+            if let Some(picked) = gateway.pick(route, draw, self.ask(route, &[])) {
                 return Ok(Some(picked));
             }
             let mut waits =
-                services(route, draw).filter_map(|name| counter.services.borrow().get(name).cloned());
+                services(route, draw).filter_map(|name| gateway.services.borrow().get(name).cloned());
             let Some(service) = waits.next() else { return Ok(None) };
             match self.wait(service.room(route.priority), patience).await {
                 Ok(()) => {}
@@ -338,7 +338,7 @@
         let now = Instant::now();
         if !self.holds(picked) || now >= until {
             // The connection has not been used.
-            self.counter.connections.put(&picked.worker, connection, Default::default());
+            self.gateway.connections.put(&picked.worker, connection, Default::default());
             return Tried::NotSent(Ended::GivenUp);
         }
         connection.link.bodiless(self.request.method == "HEAD");
@@ -347,7 +347,7 @@
         let parts = [&self.request.lines[..], &completed, &self.request.body];
         let sent = self.wait(connection.link.write(&parts, &written), until).await;
         if written.get() == 0 && !matches!(sent, Ok(Ok(()))) {
-            self.counter.connections.used(&connection, matches!(sent, Ok(Err(_))));
+            self.gateway.connections.used(&connection, matches!(sent, Ok(Err(_))));
             return match sent {
                 Err(stop) => Tried::Stopped(stop),
                 Ok(_) => Tried::NotSent(Ended::Unreachable),
@@ -359,7 +359,7 @@
         }
         let tried = self.head(&mut connection, picked, route, until, silent).await;
         let broke = matches!(tried, Err(Tried::Lost(_)));
-        self.counter.connections.used(&connection, broke);
+        self.gateway.connections.used(&connection, broke);
         self.fresh = broke && connection.rested.is_some();
         match tried {
             Ok(answer) => Tried::Answer(Box::new(answer), Box::new(connection)),
@@ -369,14 +369,14 @@
 
     /// A connection that idles, or a new one.
     async fn connection(&mut self, picked: &Picked, until: Instant) -> Result<Connection, Tried> {
-        let connections = self.counter.connections.clone();
+        let connections = self.gateway.connections.clone();
         let idle = if self.fresh { None } else { connections.idle(&picked.worker) };
         if let Some(connection) = idle {
             return Ok(connection);
         }
         let now = Instant::now();
         let up = now + DIAL.min(until.saturating_duration_since(now) / DIAL_PART);
-        let most = self.counter.connections_each(&picked.service);
+        let most = self.gateway.connections_each(&picked.service);
         match self.wait(connections.dial(&picked.worker, most, up), until).await {
             Ok(Ok(connection)) => Ok(connection),
             // There is no room on this side.
@@ -428,7 +428,7 @@
                 // On a connection that has carried others, whose it is cannot be known; it is enough for who may run again.
                 Echo::Missing => {
                     let alone = connection.rested.is_none() && strays == 0;
-                    self.counter.figures.unnamed.up();
+                    self.gateway.figures.unnamed.up();
                     answer.success() || !(alone || (answer.turned_away() && route.repeatable()))
                 }
             };
@@ -439,7 +439,7 @@
                 return Ok(answer);
             }
             // A late answer to an earlier request; ours may come after it.
-            self.counter.figures.strays.up();
+            self.gateway.figures.strays.up();
             strays += 1;
             if strays > STRAYS || answer.echo == Echo::Missing || answer.framing == Body::UntilEnd {
                 return lost;
@@ -453,9 +453,9 @@
         if self.sent >= route.max_tries {
             return None;
         }
-        let (counter, draw) = (self.counter, self.request.draw);
+        let (gateway, draw) = (self.gateway, self.request.draw);
         let ask = self.ask(route, std::slice::from_ref(&picked.worker.id));
-        let other = counter.pick(route, draw, ask);
+        let other = gateway.pick(route, draw, ask);
         self.ask.tried.pop();
         other
     }
@@ -493,7 +493,7 @@
             picked.ticket.end(Ended::Failed);
             match whole {
                 Ok(Some((body, true))) => {
-                    self.counter.connections.put(&picked.worker, *connection, keep);
+                    self.gateway.connections.put(&picked.worker, *connection, keep);
                     self.spare = Some(Spare { status: answer.status, lines: answer.lines, body });
                 }
                 Err(Stop::Left) => return Ok(Outcome::Left),
@@ -514,11 +514,11 @@
         match passed {
             Passed::Whole => {
                 picked.ticket.end(ended);
-                self.counter.connections.put(&picked.worker, *connection, keep);
+                self.gateway.connections.put(&picked.worker, *connection, keep);
                 Ok(Outcome::Answered(status))
             }
             Passed::Broken(end) => {
-                self.counter.figures.lost.up();
+                self.gateway.figures.lost.up();
                 self.ask.tried.push(picked.worker.id.clone());
                 picked.ticket.end(end);
                 let goes_on = may_repeat && (!self.began || events);
@@ -540,7 +540,7 @@
         let other_version =
             self.request.versioned && answer.instance.as_deref().is_none_or(|id| id == worker);
         if answer.status == 421 && !other_version {
-            self.counter.connections.drop_idle(worker, false);
+            self.gateway.connections.drop_idle(worker, false);
             return Ended::Elsewhere;
         }
         Ended::Full
@@ -551,7 +551,7 @@
         if answer.status == 421 || answer.keep.close || answer.framing == Body::UntilEnd {
             return;
         }
-        let connections = self.counter.connections.clone();
+        let connections = self.gateway.connections.clone();
         tokio::task::spawn_local(async move {
             let rest = async {
                 let mut size = 0;
@@ -671,7 +671,7 @@
                     self.request.last_event.as_ref().and_then(|id| id.parse().ok()).filter(|_| resumes);
             }
         } else {
-            self.counter.figures.resumed.up();
+            self.gateway.figures.resumed.up();
         }
         let joined = head.is_none();
         let (mut events, mut started) = (Events::default(), false);
@@ -776,7 +776,7 @@
         if self.began || self.may_have_run() {
             return self.lost();
         }
-        Outcome::Own(Reply::refused(self.counter.pause(route)))
+        Outcome::Own(Reply::refused(self.gateway.pause(route)))
     }
 
     /// Its time is over.
--- a/crates/counter/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -13,33 +13,33 @@
 use crate::request::Request;
 use crate::routing::Picked;
 use crate::stream::Events;
-use crate::{Counter, Item, Ran, RanEnd, millis};
+use crate::{Gateway, Item, Ran, RanEnd, millis};
 
 /// A run from which nothing comes for so long is given up.
 const SILENT: Duration = Duration::from_secs(5);
 
-pub(crate) async fn run(counter: &Counter, item: Item) -> Ran {
+pub(crate) async fn run(gateway: &Gateway, item: Item) -> Ran {
     let mut ran = Ran { worker: None, events: Vec::new(), end: RanEnd::NoRoom };
-    let configuration = counter.configuration();
+    let configuration = gateway.configuration();
     let newest = configuration.and_then(|c| c.routes.iter().find(|r| r.name == item.route.name).cloned());
     let Some(route) = newest else { return ran };
-    let Some(request) = request(counter, &item, &route.host) else {
+    let Some(request) = request(gateway, &item, &route.host) else {
         ran.end = RanEnd::Failed;
         return ran;
     };
     let until = request.arrived + millis(item.deadline_ms);
     let last = Some(item.last_event).filter(|last| *last > 0);
-    let mut exchange = Exchange::new(counter, &request, None, Then::Close);
+    let mut exchange = Exchange::new(gateway, &request, None, Then::Close);
     exchange.goes_on_after(last);
     let ask = exchange.ask(&route, &item.tried);
-    let Some(picked) = counter.pick(&route, request.draw, ask) else { return ran };
+    let Some(picked) = gateway.pick(&route, request.draw, ask) else { return ran };
     ran.worker = Some(picked.worker.id.clone());
     ran.end = RanEnd::Again;
     match exchange.attempt(&picked, &route, until, Some(SILENT)).await {
         Tried::NotSent(end) | Tried::Lost(end) => picked.ticket.end(end),
         Tried::Silent(_) | Tried::Stopped(_) => picked.ticket.end(Ended::Silent),
         Tried::Answer(answer, connection) => {
-            answered(counter, &mut exchange, *answer, connection, picked, until, &mut ran, last).await;
+            answered(gateway, &mut exchange, *answer, connection, picked, until, &mut ran, last).await;
         }
     }
     ran
@@ -47,7 +47,7 @@
 
 #[allow(clippy::too_many_arguments)]
 async fn answered(
-    counter: &Counter,
+    gateway: &Gateway,
     exchange: &mut Exchange<'_>,
     answer: Answer,
     mut connection: Box<Connection>,
@@ -107,7 +107,7 @@
             Ok(Ok(Piece::Last)) if events.rest().is_empty() => {
                 ran.end = RanEnd::Complete;
                 picked.ticket.end(Ended::Finished);
-                counter.connections.put(&picked.worker, *connection, answer.keep);
+                gateway.connections.put(&picked.worker, *connection, answer.keep);
                 return;
             }
             Ok(_) => return picked.ticket.end(Ended::Failed),
@@ -118,7 +118,7 @@
 }
 
 /// The request of an item; nothing where it cannot be written as one.
-fn request(counter: &Counter, item: &Item, host: &str) -> Option<Request> {
+fn request(gateway: &Gateway, item: &Item, host: &str) -> Option<Request> {
     let plain = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
     if !item.path.starts_with('/') || !plain(&item.path) || !plain(host) || !plain(&item.id) {
         return None;
@@ -145,7 +145,7 @@
         }
     }
     text.extend_from_slice(b"\r\n");
-    let mut request = Request::read(&text, Instant::now(), counter.draw()).ok()?;
+    let mut request = Request::read(&text, Instant::now(), gateway.draw()).ok()?;
     request.body = item.body.clone();
     Some(request)
 }
--- a/crates/counter/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,7 +75,7 @@
 
 /// What the process is told of itself.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct GatewaySettings {
     pub node: String,
     pub zone: String,
     pub memory_mb: usize,
@@ -140,8 +140,8 @@
     }
 }
 
-pub struct Counter {
-    told: Told,
+pub struct Gateway {
+    told: GatewaySettings,
     clock: Clock,
     configuration: RefCell<Option<Rc<Configuration>>>,
     services: RefCell<HashMap<String, Rc<Service>>>,
@@ -157,13 +157,13 @@
     figures: Figures,
 }
 
-impl Counter {
-    pub fn new(told: Told) -> Rc<Self> {
+impl Gateway {
+    pub fn new(told: GatewaySettings) -> Rc<Self> {
         let memory = told.memory_mb << 20;
         let pool = Pool::within(memory, SIZES);
         let bounds = Bounds::within(told.max_fds, memory, SIZES, false);
         let connections = Rc::new(Connections::new(pool.clone(), bounds.workers.clone()));
-        Rc::new(Counter {
+        Rc::new(Gateway {
             clock: Clock(Instant::now()),
             configuration: RefCell::default(),
             services: RefCell::default(),
--- a/crates/counter/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -10,7 +10,7 @@
 use rainlug_registry::{Phase, Route, Worker};
 use tokio::sync::oneshot;
 
-use crate::{Clock, Counter};
+use crate::{Clock, Gateway};
 
 /// Times that a pick is asked again where the worker it gave is not to be sent anything.
 const MISPICKS: usize = 4;
@@ -128,7 +128,7 @@
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, b| (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
-impl Counter {
+impl Gateway {
     /// Whether requests may be sent to a worker now, as far as it is known.
     pub(crate) fn sendable(&self, id: &str) -> bool {
         self.workers.borrow().get(id).is_some_and(|worker| worker.phase < Phase::Draining)
--- a/crates/counter/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,7 +16,7 @@
 use crate::lots::{self, Call};
 use crate::request::{Request, Unfit};
 use crate::stopping::Stage;
-use crate::{BODIES, Counter, Lots, Reply, SIZES, millis};
+use crate::{BODIES, Gateway, Lots, Reply, SIZES, millis};
 
 /// The pause after a failure to accept that would come again at once.
 const BREATH: Duration = Duration::from_millis(10);
@@ -40,15 +40,15 @@
 const ASKERS: usize = 8;
 
 /// Takes connections until idle ones are closed.
-pub(crate) async fn accept(counter: Rc<Counter>, front: TcpListener, lots: Rc<dyn Lots>) {
+pub(crate) async fn accept(gateway: Rc<Gateway>, front: TcpListener, lots: Rc<dyn Lots>) {
     loop {
         let accepted = tokio::select! {
             biased;
             accepted = front.accept() => accepted,
-            () = counter.stopping.reached(Stage::Closing) => break,
+            () = gateway.stopping.reached(Stage::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => welcome(&counter, stream, &lots),
+            Ok((stream, _)) => welcome(&gateway, stream, &lots),
             Err(_) => sleep(BREATH).await,
         }
     }
@@ -57,7 +57,7 @@
         tokio::select! {
             biased;
             accepted = front.accept() => match accepted {
-                Ok((stream, _)) => welcome(&counter, stream, &lots),
+                Ok((stream, _)) => welcome(&gateway, stream, &lots),
                 Err(_) => return,
             },
             () = std::future::ready(()) => return,
@@ -65,25 +65,25 @@
     }
 }
 
-fn welcome(counter: &Rc<Counter>, stream: TcpStream, lots: &Rc<dyn Lots>) {
-    let (counter, lots) = (counter.clone(), lots.clone());
+fn welcome(gateway: &Rc<Gateway>, stream: TcpStream, lots: &Rc<dyn Lots>) {
+    let (gateway, lots) = (gateway.clone(), lots.clone());
     let link =
-        move |counter: &Counter, seat: Seat| Link::over(stream, head::request_body, &counter.pool, seat);
-    if let Some(seat) = counter.bounds.clients.seat() {
+        move |gateway: &Gateway, seat: Seat| Link::over(stream, head::request_body, &gateway.pool, seat);
+    if let Some(seat) = gateway.bounds.clients.seat() {
         spawn_local(async move {
-            let link = link(&counter, seat);
-            connection(&counter, link, lots.as_ref()).await;
+            let link = link(&gateway, seat);
+            connection(&gateway, link, lots.as_ref()).await;
         });
-    } else if let Some(spare) = counter.bounds.turned_away.seat() {
+    } else if let Some(spare) = gateway.bounds.turned_away.seat() {
         spawn_local(async move {
             // While others hold seats idly, who has something to ask is not turned away for lack of one.
-            if let Some(seat) = counter.bounds.clients.claim().await {
+            if let Some(seat) = gateway.bounds.clients.claim().await {
                 drop(spare);
-                let link = link(&counter, seat);
-                connection(&counter, link, lots.as_ref()).await;
+                let link = link(&gateway, seat);
+                connection(&gateway, link, lots.as_ref()).await;
             } else {
-                counter.figures.turned_away.up();
-                turn_away(link(&counter, spare)).await;
+                gateway.figures.turned_away.up();
+                turn_away(link(&gateway, spare)).await;
             }
         });
     }
@@ -99,17 +99,17 @@
 
 /// Bytes of a body that count until this is dropped.
 struct BodyRoom<'a> {
-    counter: &'a Counter,
+    gateway: &'a Gateway,
     bytes: usize,
 }
 
 impl BodyRoom<'_> {
     fn grow(&mut self, bytes: usize) -> bool {
-        let all = self.counter.bodies.get().saturating_add(bytes);
-        if all > (self.counter.told.memory_mb << 20) / BODIES {
+        let all = self.gateway.bodies.get().saturating_add(bytes);
+        if all > (self.gateway.told.memory_mb << 20) / BODIES {
             return false;
         }
-        self.counter.bodies.set(all);
+        self.gateway.bodies.set(all);
         self.bytes += bytes;
         true
     }
@@ -117,7 +117,7 @@
 
 impl Drop for BodyRoom<'_> {
     fn drop(&mut self) {
-        self.counter.bodies.update(|all| all.saturating_sub(self.bytes));
+        self.gateway.bodies.update(|all| all.saturating_sub(self.bytes));
     }
 }
 
@@ -127,16 +127,16 @@
     Gone,
 }
 
-async fn connection(counter: &Rc<Counter>, mut link: Link, lots: &dyn Lots) {
-    let _client = counter.stopping.client();
+async fn connection(gateway: &Rc<Gateway>, mut link: Link, lots: &dyn Lots) {
+    let _client = gateway.stopping.client();
     let come = Instant::now();
     let mut rank = UNPROVEN;
     loop {
-        let limits = counter.limits();
+        let limits = gateway.limits();
         link.resize(Sizes { head: limits.max_header_bytes, ..SIZES });
         let idle = millis(limits.idle_timeout_ms);
         let closing = async {
-            counter.stopping.reached(Stage::Closing).await;
+            gateway.stopping.reached(Stage::Closing).await;
             if rank == UNPROVEN {
                 tokio::time::sleep_until(come + NEWCOMER).await;
             }
@@ -145,35 +145,35 @@
             biased;
             () = link.idle() => {}
             () = closing => return leave(link).await,
-            () = counter.bounds.clients.wanted(rank) => return leave(link).await,
+            () = gateway.bounds.clients.wanted(rank) => return leave(link).await,
             () = sleep(idle) => return leave(link).await,
         }
         rank = KEPT;
-        let in_hand = counter.stopping.request();
+        let in_hand = gateway.stopping.request();
         let arrived = Instant::now();
-        let mut room = BodyRoom { counter, bytes: 0 };
-        let request = match request(counter, &mut link, &limits, arrived, &mut room).await {
+        let mut room = BodyRoom { gateway, bytes: 0 };
+        let request = match request(gateway, &mut link, &limits, arrived, &mut room).await {
             Ok(request) => request,
             Err(Unread::Gone) => return,
             Err(Unread::Reply(reply)) => {
-                counter.figures.replied(reply.status);
+                gateway.figures.replied(reply.status);
                 let _ = timeout(TAKEN, link.write(&[&reply.head(Then::Close)], &Cell::new(0))).await;
                 drop(in_hand);
                 let _ = timeout(FAREWELL, link.finish()).await;
                 return;
             }
         };
-        counter.figures.requests.up();
-        let keeps = request.keeps && counter.stopping.stage() == Stage::Serving;
+        gateway.figures.requests.up();
+        let keeps = request.keeps && gateway.stopping.stage() == Stage::Serving;
         let then = if keeps { Then::Keep(idle) } else { Then::Close };
-        let outcome = serve(counter, &mut link, &request, lots, then).await;
-        counter.figures.ended(&outcome);
+        let outcome = serve(gateway, &mut link, &request, lots, then).await;
+        gateway.figures.ended(&outcome);
         let mut close = !keeps;
         match outcome {
             Outcome::Answered(_) => {}
             Outcome::Own(reply) => {
                 // Since it began the process may have been told to stop.
-                close |= counter.stopping.stage() != Stage::Serving;
+                close |= gateway.stopping.stage() != Stage::Serving;
                 let head = reply.head(if close { Then::Close } else { then });
                 let body: &[u8] = if request.method == "HEAD" { &[] } else { &reply.body };
                 let written = timeout(TAKEN, link.write(&[&head, body], &Cell::new(0))).await;
@@ -202,7 +202,7 @@
 
 /// Reads a request whole.
 async fn request(
-    counter: &Counter,
+    gateway: &Gateway,
     link: &mut Link,
     limits: &Limits,
     arrived: Instant,
@@ -217,7 +217,7 @@
         Ok(_) => return no(400),
         Err(_) => return no(408),
     };
-    let mut request = match Request::read(&text, arrived, counter.draw()) {
+    let mut request = match Request::read(&text, arrived, gateway.draw()) {
         Ok(request) => request,
         Err(Unfit::Malformed) => return no(400),
         Err(Unfit::TooLarge) => return no(413),
@@ -280,7 +280,7 @@
 
 /// Carries a request out.
 async fn serve(
-    counter: &Rc<Counter>,
+    gateway: &Rc<Gateway>,
     link: &mut Link,
     request: &Request,
     lots: &dyn Lots,
@@ -289,7 +289,7 @@
     if let Some(call) = lots::call(request, lots) {
         return replied(link, request, call).await;
     }
-    let Some(configuration) = counter.configuration() else {
+    let Some(configuration) = gateway.configuration() else {
         return Outcome::Own(Reply::refused(STARTING));
     };
     let Some(route) = configuration.route(&request.host, request.path()) else {
@@ -302,7 +302,7 @@
     if request.id.is_none() {
         return Outcome::Own(Reply::of(400));
     }
-    Exchange::new(counter, request, Some(link), then).run().await
+    Exchange::new(gateway, request, Some(link), then).run().await
 }
 
 /// Waits for the answer to a call on batch jobs.
@@ -324,7 +324,7 @@
 }
 
 /// Answers whether this dispatcher is ready.
-pub(crate) async fn readiness(counter: Rc<Counter>, at: TcpListener, ready: Rc<dyn Fn() -> bool>) {
+pub(crate) async fn readiness(gateway: Rc<Gateway>, at: TcpListener, ready: Rc<dyn Fn() -> bool>) {
     let room = Room::of(ASKERS);
     let pool = Pool::within(0, Sizes { body: SIZES.buffer, buffer: 1 << 10, ..SIZES });
     loop {
@@ -334,14 +334,14 @@
         };
         let Some(seat) = room.claim().await else { continue };
         let link = Link::over(stream, head::request_body, &pool, seat);
-        let (counter, ready, room) = (counter.clone(), ready.clone(), room.clone());
+        let (gateway, ready, room) = (gateway.clone(), ready.clone(), room.clone());
         spawn_local(async move {
-            let _ = asked(&counter, link, &room, ready.as_ref()).await;
+            let _ = asked(&gateway, link, &room, ready.as_ref()).await;
         });
     }
 }
 
-async fn asked(counter: &Counter, mut link: Link, room: &Room, ready: &dyn Fn() -> bool) -> Result<(), End> {
+async fn asked(gateway: &Gateway, mut link: Link, room: &Room, ready: &dyn Fn() -> bool) -> Result<(), End> {
     loop {
         tokio::select! {
             biased;
@@ -357,7 +357,7 @@
             let known = path == Some("/v1/readiness") && matches!(method, "GET" | "HEAD");
             let status = match known {
                 false => 404,
-                true if counter.stopping.asked() && ready() => 200,
+                true if gateway.stopping.asked() && ready() => 200,
                 true => 503,
             };
             (status, fields.keeps())
--- a/crates/counter/tests/plane/common.rs
+++ b/crates/gateway/tests/plane/common.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rainlug_counter::{Counter, Lots, Reply, Replying, Told};
+use rainlug_gateway::{Gateway, GatewaySettings, Lots, Reply, Replying};
 use rainlug_registry::{Configuration, Phase, Route, Worker};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -196,7 +196,7 @@
 
 /// A dispatcher at work.
 pub struct Bench {
-    pub counter: Rc<Counter>,
+    pub gateway: Rc<Gateway>,
     pub front: SocketAddr,
     pub ready: SocketAddr,
 }
@@ -222,7 +222,7 @@
 impl Bench {
     /// A dispatcher with no configuration and no workers.
     pub async fn bare() -> Self {
-        let told = Told {
+        let told = GatewaySettings {
             node: "edge-1".into(),
             zone: "z".into(),
             memory_mb: 200,
@@ -231,24 +231,24 @@
             pass_ms: 120,
             seed: 7,
         };
-        let counter = Counter::new(told);
+        let gateway = Gateway::new(told);
         let (front, ready) = (
             TcpListener::bind("127.0.0.1:0").await.unwrap(),
             TcpListener::bind("127.0.0.1:0").await.unwrap(),
         );
         let (at, ready_at) = (front.local_addr().unwrap(), ready.local_addr().unwrap());
-        spawn_local(counter.clone().serve(front, Rc::new(Echoing)));
-        spawn_local(counter.clone().readiness(ready, Rc::new(|| true)));
-        spawn_local(counter.clone().run());
-        Bench { counter, front: at, ready: ready_at }
+        spawn_local(gateway.clone().serve(front, Rc::new(Echoing)));
+        spawn_local(gateway.clone().readiness(ready, Rc::new(|| true)));
+        spawn_local(gateway.clone().run());
+        Bench { gateway, front: at, ready: ready_at }
     }
 
     /// With the usual routes, and these workers of service `s`.
     pub async fn with(stands: &[&Stand]) -> Self {
         let bench = Bench::bare().await;
-        bench.counter.configure(configuration(1, ROUTES, LIMITS));
+        bench.gateway.configure(configuration(1, ROUTES, LIMITS));
         for (n, stand) in stands.iter().enumerate() {
-            bench.counter.worker(&worker(&format!("i-{n}"), stand.at));
+            bench.gateway.worker(&worker(&format!("i-{n}"), stand.at));
         }
         bench
     }
@@ -260,7 +260,7 @@
     }
 
     pub fn figure(&self, name: &str) -> f64 {
-        self.counter.figures().into_iter().find(|(n, _)| n == name).unwrap().1
+        self.gateway.figures().into_iter().find(|(n, _)| n == name).unwrap().1
     }
 }
 
--- a/crates/counter/tests/plane/requests.rs
+++ b/crates/gateway/tests/plane/requests.rs
@@ -15,8 +15,8 @@
         let got = client.ask(&post("/i/1", "a", "", "")).await;
         assert_eq!(got.status(), 503);
         assert!(got.field("Retry-After").unwrap().parse::<f64>().unwrap() > 0.0);
-        bench.counter.configure(configuration(5, ROUTES, LIMITS));
-        bench.counter.configure(configuration(4, "", LIMITS));
+        bench.gateway.configure(configuration(5, ROUTES, LIMITS));
+        bench.gateway.configure(configuration(4, "", LIMITS));
         assert_eq!(client.ask(&post("/nowhere/1", "a", "", "")).await.status(), 404);
         let other = post("/i/1", "a", "", "").replace("A.example", "b.example");
         assert_eq!(client.ask(&other).await.status(), 404);
@@ -137,7 +137,7 @@
     run(async {
         let bench = Bench::bare().await;
         let limits = LIMITS.replace("5000", "200");
-        bench.counter.configure(configuration(1, ROUTES, &limits));
+        bench.gateway.configure(configuration(1, ROUTES, &limits));
         let mut client = bench.client().await;
         assert_eq!(client.ask(&post("/x/1", "a", "", "")).await.status(), 404);
         let begun = Instant::now();
@@ -341,7 +341,7 @@
         let bench = Bench::with(&[&old, &new]).await;
         let mut drains = worker("i-0", old.at);
         (drains.phase, drains.call_seq) = (Phase::Draining, 2);
-        bench.counter.worker(&drains);
+        bench.gateway.worker(&drains);
         let mut client = bench.client().await;
         for n in 0..20 {
             assert_eq!(client.ask(&post("/m/1", &format!("m{n}"), "", "")).await.text(), "new");
@@ -402,11 +402,11 @@
         let bench = Bench::with(&[&full]).await;
         let mut client = bench.client().await;
         client.send(&post("/m/1", "a", "", "")).await;
-        let counter = bench.counter.clone();
+        let gateway = bench.gateway.clone();
         spawn_local(async move {
             sleep(Duration::from_millis(50)).await;
-            counter.configure(configuration(2, &ROUTES.replace("/m/", "/else/"), LIMITS));
-            counter.worker(&worker("i-8", good.at));
+            gateway.configure(configuration(2, &ROUTES.replace("/m/", "/else/"), LIMITS));
+            gateway.worker(&worker("i-8", good.at));
         });
         assert_eq!(client.got().await.unwrap().status(), 404);
     });
@@ -418,15 +418,15 @@
         let (s, t) = (stand(|_, _| vec![ok("s")]).await, stand(|_, _| vec![ok("t")]).await);
         let bench = Bench::bare().await;
         let split = r#""split":[{"service":"s","weight":80},{"service":"t","weight":20}]"#;
-        bench.counter.configure(configuration(1, &ROUTES.replace(r#""service":"s""#, split), LIMITS));
-        bench.counter.worker(&worker("i-0", s.at));
+        bench.gateway.configure(configuration(1, &ROUTES.replace(r#""service":"s""#, split), LIMITS));
+        bench.gateway.worker(&worker("i-0", s.at));
         let mut client = bench.client().await;
         for n in 0..10 {
             assert_eq!(client.ask(&post("/m/1", &format!("m{n}"), "", "")).await.text(), "s");
         }
         let mut other = worker("i-1", t.at);
         other.service = "t".into();
-        bench.counter.worker(&other);
+        bench.gateway.worker(&other);
         for n in 0..200 {
             client.ask(&post("/m/1", &format!("n{n}"), "", "")).await;
         }
@@ -434,10 +434,10 @@
         // A service that takes no more is sent nothing.
         let before = t.runs();
         let only = r#""split":[{"service":"s","weight":1},{"service":"t","weight":0}]"#;
-        bench.counter.configure(configuration(2, &ROUTES.replace(r#""service":"s""#, only), LIMITS));
+        bench.gateway.configure(configuration(2, &ROUTES.replace(r#""service":"s""#, only), LIMITS));
         let mut gone = worker("i-0", s.at);
         gone.phase = Phase::Gone;
-        bench.counter.worker(&gone);
+        bench.gateway.worker(&gone);
         assert_eq!(client.ask(&post("/m/1", "x", "", "")).await.status(), 503);
         assert_eq!(t.runs(), before);
     });
@@ -448,8 +448,8 @@
     run(async {
         let stand = stand(|_, _| vec![Act::Sleep(300), ok("x")]).await;
         let bench = Bench::bare().await;
-        bench.counter.configure(configuration(1, ROUTES, &LIMITS.replace("300000", "60000000")));
-        bench.counter.worker(&worker("i-0", stand.at));
+        bench.gateway.configure(configuration(1, ROUTES, &LIMITS.replace("300000", "60000000")));
+        bench.gateway.worker(&worker("i-0", stand.at));
         let mut first = bench.client().await;
         let large = "x".repeat(40 << 20);
         first.send(&post("/m/1", "a", "", &large)).await;
@@ -505,8 +505,8 @@
             },
         );
         let limits = LIMITS.replace("5000", "9007199254740991").replace(":300,", ":9007199254740991,");
-        bench.counter.configure(configuration(1, &large, &limits));
-        bench.counter.worker(&worker("i-0", stand.at));
+        bench.gateway.configure(configuration(1, &large, &limits));
+        bench.gateway.worker(&worker("i-0", stand.at));
         let mut client = bench.client().await;
         let more = format!(
             "X-Rainlug-Deadline-Ms: {most}\r\nX-Rainlug-Wait-Ms: {most}\r\nLast-Event-Id: {most}\r\n"
--- a/crates/counter/tests/plane/stop.rs
+++ b/crates/gateway/tests/plane/stop.rs
@@ -85,7 +85,7 @@
         let begun = Instant::now();
         let told = {
             let bench = bench.clone();
-            spawn_local(async move { bench.counter.stop().await })
+            spawn_local(async move { bench.gateway.stop().await })
         };
         sleep(Duration::from_millis(20)).await;
         assert_eq!(ready(&bench).await, 503);
@@ -121,7 +121,7 @@
         client.head().await.unwrap();
         assert_eq!(client.chunk().await.unwrap(), event_text(1));
         let stopped = async {
-            bench.counter.stop().await;
+            bench.gateway.stop().await;
             assert_eq!(bench.figure("in_hand"), 0.0);
         };
         let reads = async {
--- a/crates/counter/tests/plane/streams.rs
+++ b/crates/gateway/tests/plane/streams.rs
@@ -4,7 +4,7 @@
 
 use crate::common::*;
 use bytes::Bytes;
-use rainlug_counter::{Event, Events, Item, RanEnd};
+use rainlug_gateway::{Event, Events, Item, RanEnd};
 use tokio::time::sleep;
 
 fn texts(ids: std::ops::RangeInclusive<u64>) -> String {
@@ -208,7 +208,7 @@
             deadline_ms: 5000,
             tried: Vec::new(),
         };
-        let ran = bench.counter.item(item.clone()).await;
+        let ran = bench.gateway.item(item.clone()).await;
         assert_eq!(ran.end, RanEnd::Complete);
         assert_eq!(ran.worker.as_deref(), Some("i-0"));
         assert_eq!(ran.events, [(3, Bytes::from("piece 3")), (4, Bytes::from("piece 4"))]);
@@ -218,18 +218,18 @@
         assert_eq!(seen.field("X-Rainlug-Attempt-Id").unwrap(), "e5");
         assert!(seen.field("X-Bad").is_none() && seen.field("b").is_none());
         let item = Item { last_event: 0, ..item };
-        let ran = bench.counter.item(item.clone()).await;
+        let ran = bench.gateway.item(item.clone()).await;
         assert_eq!((ran.end, ran.events.len()), (RanEnd::Again, 1));
         assert!(worker.seen.borrow()[1].field("Last-Event-Id").is_none());
         for end in [RanEnd::Failed, RanEnd::Never, RanEnd::Again] {
-            let ran = bench.counter.item(item.clone()).await;
+            let ran = bench.gateway.item(item.clone()).await;
             // A worker that failed may be spared for a while.
             if ran.end != RanEnd::NoRoom {
                 assert_eq!(ran.end, end);
             }
         }
         let tried = Item { tried: vec!["i-0".into()], ..item };
-        assert_eq!(bench.counter.item(tried).await.end, RanEnd::NoRoom);
+        assert_eq!(bench.gateway.item(tried).await.end, RanEnd::NoRoom);
     });
 }
 
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -1,4 +1,4 @@
-//! The process's disk: its identity, and a docket for each part that it has a replica of, each written by a thread of its own.
+//! The process's disk: its identity, and a log for each part that it has a replica of, each written by a thread of its own.
 
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -75,7 +75,7 @@
     /// Appends records; told through the channel when they are synced.
     ///
     /// # Errors
-    /// Where the part's docket cannot be begun.
+    /// Where the part's log cannot be begun.
     pub fn save(&mut self, part: u16, ticket: u64, records: Vec<Bytes>) -> Result<(), Error> {
         self.writer(part)?.append(ticket, records);
         Ok(())
--- a/crates/tier/src/local.rs
+++ b/crates/tier/src/local.rs
@@ -45,7 +45,7 @@
 quick_error! {
     #[derive(Debug)]
     pub enum Error {
-        Counts { display("--counters, --stores and --workers: 1 to 50 each expected") }
+        Counts { display("--gateways, --stores and --workers: 1 to 50 each expected") }
         Port { display("--base-port: 1 to 65000 expected") }
         Files(path: PathBuf, source: std::io::Error) { source(source) display("{}: {}", path.display(), source) }
         Locked(dir: PathBuf) { display("{}: another `rainlug local` runs here", dir.display()) }
@@ -73,7 +73,7 @@
     pub dir: PathBuf,
     /// Processes that take requests
     #[bpaf(long, argument("N"), fallback(3), display_fallback)]
-    pub counters: u8,
+    pub gateways: u8,
     /// Processes that keep batch jobs
     #[bpaf(long, argument("N"), fallback(3), display_fallback)]
     pub stores: u8,
@@ -87,8 +87,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
-    Counter,
-    Archive,
+    Gateway,
+    Store,
     Worker,
 }
 
@@ -105,7 +105,7 @@
     /// # Errors
     /// Where counts or ports are none that there can be.
     pub fn sound(&self) -> Result<(), Error> {
-        if [self.counters, self.stores, self.workers].iter().any(|n| !(1..=50).contains(n)) {
+        if [self.gateways, self.stores, self.workers].iter().any(|n| !(1..=50).contains(n)) {
             return Err(Error::Counts);
         }
         if !(1..=65_000).contains(&self.base_port) {
@@ -114,11 +114,11 @@
         Ok(())
     }
 
-    /// All processes, from 127.0.0.2 on: counters, stores, workers.
+    /// All processes, from 127.0.0.2 on: gateways, stores, workers.
     pub fn machines(&self) -> Vec<Machine> {
         let roles = [
-            (Role::Counter, "counter", self.counters),
-            (Role::Archive, "store", self.stores),
+            (Role::Gateway, "gateway", self.gateways),
+            (Role::Store, "store", self.stores),
             (Role::Worker, "worker", self.workers),
         ];
         let mut all = Vec::new();
@@ -135,28 +135,28 @@
 
     /// Machines that may be lost at once with nothing lost.
     fn tolerates(&self) -> u8 {
-        u8::from(self.counters >= 3 && self.stores >= 3)
+        u8::from(self.gateways >= 3 && self.stores >= 3)
     }
 
     fn at(&self, machine: &Machine, port: u16) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(machine.ip), self.base_port + port)
     }
 
-    fn counters(&self) -> Vec<Machine> {
-        self.machines().into_iter().filter(|m| m.role == Role::Counter).collect()
+    fn gateways(&self) -> Vec<Machine> {
+        self.machines().into_iter().filter(|m| m.role == Role::Gateway).collect()
     }
 
     /// Where clients, operators and `GET /v1/readiness` call.
     pub fn fronts(&self) -> Vec<SocketAddr> {
-        self.counters().iter().map(|m| self.at(m, FRONT)).collect()
+        self.gateways().iter().map(|m| self.at(m, FRONT)).collect()
     }
 
     pub fn controls(&self) -> Vec<SocketAddr> {
-        self.counters().iter().map(|m| self.at(m, CONTROL)).collect()
+        self.gateways().iter().map(|m| self.at(m, CONTROL)).collect()
     }
 
     pub fn readies(&self) -> Vec<SocketAddr> {
-        self.counters().iter().map(|m| self.at(m, READY)).collect()
+        self.gateways().iter().map(|m| self.at(m, READY)).collect()
     }
 
     fn settings_file(&self, name: &str) -> PathBuf {
@@ -167,21 +167,21 @@
         self.dir.join("logs").join(format!("{name}.log"))
     }
 
-    /// The settings file of a counter or store.
+    /// The settings file of a gateway or store.
     pub fn settings(&self, machine: &Machine, first_boot: bool) -> String {
         let text = |text: &str| Value::String(text.to_owned());
         let address = |port| text(&self.at(machine, port).to_string());
-        let counter = machine.role == Role::Counter;
+        let gateway = machine.role == Role::Gateway;
         let seeds = self.controls().into_iter().take(if self.tolerates() > 0 { 3 } else { 1 });
         let seeds: Vec<Value> = seeds.map(|at| text(&at.to_string())).collect();
         let ports = [PEERS.0, PEERS.1].map(|p| Value::Integer(i64::from(self.base_port + p)));
         let mut listen = Table::new();
-        if counter {
+        if gateway {
             for (name, port) in [("front", FRONT), ("ready", READY), ("control", CONTROL)] {
                 listen.insert(name.to_owned(), address(port));
             }
         }
-        let serves = if counter { vec![text("edge"), text("control")] } else { vec![text("storage")] };
+        let serves = if gateway { vec![text("edge"), text("control")] } else { vec![text("storage")] };
         let table = |pairs: Vec<(&str, Value)>| -> Table {
             pairs.into_iter().map(|(n, v)| (n.to_owned(), v)).collect()
         };
@@ -194,7 +194,7 @@
         let bounds = vec![("grace_s", Value::Integer(6)), ("status_s", Value::Integer(600))];
         let all = vec![
             ("node", text(&machine.name)),
-            ("role", text(if counter { "counter" } else { "archive" })),
+            ("role", text(if gateway { "gateway" } else { "store" })),
             ("zone", text(machine.zone)),
             ("ip", text(&machine.ip.to_string())),
             ("port_range", Value::Array(ports.to_vec())),
@@ -222,7 +222,7 @@
     }
 
     fn layout(&self) -> String {
-        format!("--counters {} --stores {} --base-port {}", self.counters, self.stores, self.base_port)
+        format!("--gateways {} --stores {} --base-port {}", self.gateways, self.stores, self.base_port)
     }
 
     /// Takes the folder: locked, and of this layout. Whether a tier was founded in it.
@@ -262,8 +262,8 @@
     fn free(&self) -> Result<(), Error> {
         for machine in self.machines() {
             let ports = match machine.role {
-                Role::Counter => vec![FRONT, READY, CONTROL, PEERS.0],
-                Role::Archive => vec![PEERS.0],
+                Role::Gateway => vec![FRONT, READY, CONTROL, PEERS.0],
+                Role::Store => vec![PEERS.0],
                 Role::Worker => vec![WORK],
             };
             for at in ports.into_iter().map(|port| self.at(&machine, port)) {
@@ -276,8 +276,8 @@
     fn arguments(&self, machine: &Machine) -> Vec<String> {
         let settings = self.settings_file(&machine.name).to_string_lossy().into_owned();
         let mut all: Vec<String> = match machine.role {
-            Role::Counter => vec!["counter".into(), "--settings".into(), settings],
-            Role::Archive => vec!["archive".into(), "--settings".into(), settings],
+            Role::Gateway => vec!["gateway".into(), "--settings".into(), settings],
+            Role::Store => vec!["store".into(), "--settings".into(), settings],
             Role::Worker => {
                 let at = self.at(machine, WORK).to_string();
                 let told = [
@@ -362,7 +362,7 @@
 impl Tier {
     /// Ends all in order: workers, while there is somebody to hear their drains; those who take requests; stores.
     async fn end(&mut self) {
-        for role in [Role::Worker, Role::Counter, Role::Archive] {
+        for role in [Role::Worker, Role::Gateway, Role::Store] {
             let mut these: Vec<&mut Started> =
                 self.all.iter_mut().filter(|s| s.machine.role == role).collect();
             these.iter_mut().filter(|s| s.over.is_none()).for_each(|s| s.tell_to_end());
@@ -421,7 +421,7 @@
             })
             .await?;
         }
-        self.until("a counter is not ready", until, async |plan| {
+        self.until("a gateway is not ready", until, async |plan| {
             for at in plan.readies() {
                 if status(Some(&at), Ask::get("/v1/readiness")).await != Some(200) {
                     return false;
@@ -485,8 +485,8 @@
             let m = &s.machine;
             let at = |port| plan.at(m, port).to_string();
             let (serves, control) = match m.role {
-                Role::Counter => (at(FRONT), at(CONTROL)),
-                Role::Archive => ("-".to_owned(), "-".to_owned()),
+                Role::Gateway => (at(FRONT), at(CONTROL)),
+                Role::Store => ("-".to_owned(), "-".to_owned()),
                 Role::Worker => (at(WORK), "-".to_owned()),
             };
             vec![m.name.clone(), m.zone.to_owned(), s.child.id().to_string(), serves, control]
--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -23,10 +23,10 @@
     Local(#[bpaf(external(plan))] Plan),
     /// Takes requests, and keeps the configuration and the list of workers
     #[bpaf(command)]
-    Counter(#[bpaf(external(started))] Started),
+    Gateway(#[bpaf(external(started))] Started),
     /// Keeps batch jobs and runs their items
     #[bpaf(command)]
-    Archive(#[bpaf(external(started))] Started),
+    Store(#[bpaf(external(started))] Started),
     /// Stands in for a model worker: speaks the protocol and runs no model
     #[bpaf(command)]
     Worker(#[bpaf(external(worker))] Worker),
@@ -268,8 +268,8 @@
 
 fn main() -> ExitCode {
     match rainlug().run() {
-        Rainlug::Counter(started) => serve(Role::Counter, started),
-        Rainlug::Archive(started) => serve(Role::Archive, started),
+        Rainlug::Gateway(started) => serve(Role::Gateway, started),
+        Rainlug::Store(started) => serve(Role::Store, started),
         Rainlug::Worker(worker) => work(worker),
         Rainlug::Local(plan) => match runs(local::run(plan)) {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -1,4 +1,4 @@
-//! One process of the tier: the office's core with sockets, disk and data plane round it. It carries effects out and decides
+//! One process of the tier: the coordinator's core with sockets, disk and data plane round it. It carries effects out and decides
 //! nothing.
 
 use std::cell::{Cell, RefCell};
@@ -11,8 +11,8 @@
 use quick_error::quick_error;
 use rainlug::Time;
 use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
-use rainlug_counter::{Counter, Item, RanEnd, Reply, Replying};
 use rainlug_fleet::envelope::{Envelope, MOST};
+use rainlug_gateway::{Gateway, Item, RanEnd, Reply, Replying};
 use rainlug_lots::{Next, RunEnd};
 use rainlug_registry::{Configuration, Route};
 use rand::TryRngCore;
@@ -49,8 +49,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
-    Counter,
-    Archive,
+    Gateway,
+    Store,
 }
 
 pub struct Node {
@@ -61,7 +61,7 @@
     envelope: Envelope,
     peers: Rc<Peers>,
     disk: RefCell<Option<Disk>>,
-    counter: Rc<Counter>,
+    gateway: Rc<Gateway>,
     answers: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     tickets: Cell<u64>,
     configuration: RefCell<Option<Rc<Configuration>>>,
@@ -92,7 +92,7 @@
         let (saved, mut on_disk) = mpsc::unbounded_channel::<Saved>();
         let peer = settings.peer();
         let seeds = settings.seed_peers();
-        let founds = settings.first_boot && role == Role::Counter && seeds.contains(&peer);
+        let founds = settings.first_boot && role == Role::Gateway && seeds.contains(&peer);
         let drawn = if founds { founding_id(peer) } else { draw().max(1) };
         let (disk, id, logs) = match &settings.data_dir {
             Some(dir) => {
@@ -107,7 +107,7 @@
             zone: settings.zone.clone(),
             at: peer,
             control: control_at,
-            counter: role == Role::Counter,
+            gateway: role == Role::Gateway,
             disk: id,
             first_boot: settings.first_boot,
             seeds,
@@ -119,7 +119,7 @@
         };
         let socket = UdpSocket::bind(peer).await.map_err(|e| Error::Listen(peer, e))?;
         let frames = listen(peer).await?;
-        let counter = Counter::new(rainlug_counter::Told {
+        let gateway = Gateway::new(rainlug_gateway::GatewaySettings {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
             memory_mb: settings.limits.memory_mb as usize,
@@ -137,7 +137,7 @@
             envelope: Envelope::of("rainlug"),
             peers: Peers::new(peer),
             disk: RefCell::new(disk),
-            counter,
+            gateway,
             answers: RefCell::default(),
             tickets: Cell::new(0),
             configuration: RefCell::default(),
@@ -162,7 +162,7 @@
         spawn_local(node.peers.clone().listen(frames, frame));
         spawn_local(node.clone().datagrams());
         spawn_local(node.clone().timer());
-        spawn_local(node.counter.clone().run());
+        spawn_local(node.gateway.clone().run());
         let keeps = node.clone();
         spawn_local(async move {
             while let Some((part, ticket, result)) = on_disk.recv().await {
@@ -178,14 +178,14 @@
         if let Some(at) = control_at {
             spawn_local(control::serve(node.clone(), listen(at).await?));
         }
-        if role == Role::Counter {
+        if role == Role::Gateway {
             let front = settings.listen.front.ok_or(Error::Missing("listen.front"))?;
-            spawn_local(node.counter.clone().serve(listen(front).await?, Rc::new(Desk(node.clone()))));
+            spawn_local(node.gateway.clone().serve(listen(front).await?, Rc::new(Desk(node.clone()))));
         }
         if let Some(at) = settings.listen.ready {
             let coordinator = node.clone();
             let ready = Rc::new(move || coordinator.coordinator.borrow().ready(coordinator.clock.now()));
-            spawn_local(node.counter.clone().readiness(listen(at).await?, ready));
+            spawn_local(node.gateway.clone().readiness(listen(at).await?, ready));
         }
         node.with(|_, _| ());
         node.until_told(settings.bounds.grace_s).await
@@ -210,8 +210,8 @@
         }
         log::event("stop", "told to end");
         let most = Duration::from_secs_f64((grace_s - 1.0).max(0.5));
-        if self.role == Role::Counter {
-            let _ = timeout(most, self.counter.stop()).await;
+        if self.role == Role::Gateway {
+            let _ = timeout(most, self.gateway.stop()).await;
         }
         self.with(|coordinator, now| coordinator.leave(now));
         sleep(Duration::from_millis(50)).await;
@@ -219,7 +219,7 @@
         Ok(())
     }
 
-    /// Hands something to the office, and carries out what follows.
+    /// Hands something to the coordinator, and carries out what follows.
     pub fn with<R>(self: &Rc<Self>, what: impl FnOnce(&mut Coordinator, Now) -> R) -> R {
         let result = what(&mut self.coordinator.borrow_mut(), self.clock.now());
         self.pump();
@@ -267,12 +267,12 @@
                 if let Ok(read) = Configuration::read(&text) {
                     let read = Rc::new(read);
                     *self.configuration.borrow_mut() = Some(read.clone());
-                    self.counter.configure(read);
+                    self.gateway.configure(read);
                     log::event("configuration", &format!("version {version} is in force"));
                 }
             }
-            Effect::Worker(worker) => self.counter.worker(&worker),
-            Effect::Others(count) => self.counter.others(count),
+            Effect::Worker(worker) => self.gateway.worker(&worker),
+            Effect::Others(count) => self.gateway.others(count),
             Effect::Run { part, next } => {
                 spawn_local(self.clone().item(part, next));
             }
@@ -317,7 +317,7 @@
                     deadline_ms: left as u64,
                     tried: Vec::new(),
                 };
-                let ran = self.counter.item(item).await;
+                let ran = self.gateway.item(item).await;
                 let end = match ran.end {
                     RanEnd::Complete => RunEnd::Complete,
                     RanEnd::Failed => RunEnd::Failed,
@@ -363,7 +363,7 @@
     /// Figures as lines of name and value.
     pub fn figures(&self) -> String {
         let mut all = self.coordinator.borrow().figures();
-        all.extend(self.counter.figures());
+        all.extend(self.gateway.figures());
         let peers = &self.peers;
         all.push(("peer_bytes_sent".to_owned(), peers.sent.get() as f64));
         all.push(("peer_bytes_taken".to_owned(), peers.taken.get() as f64));
@@ -384,7 +384,7 @@
 /// Where the data plane brings calls on batch jobs.
 struct Desk(Rc<Node>);
 
-impl rainlug_counter::Lots for Desk {
+impl rainlug_gateway::Lots for Desk {
     fn submit(&self, route: Rc<Route>, id: String, body: Bytes) -> Replying {
         let call = Call::Submit { lot: id, route: route.name.clone(), body };
         let node = self.0.clone();
--- a/crates/tier/tests/local.rs
+++ b/crates/tier/tests/local.rs
@@ -86,7 +86,7 @@
     end: Instant,
     at: &[SocketAddr],
     ask: Ask<'_>,
-    will_do: impl Fn(&NodeInfo) -> bool,
+    will_do: impl Fn(&Response) -> bool,
 ) -> Response {
     let mut last = None;
     for at in at.iter().cycle() {
@@ -141,7 +141,7 @@
 fn plan(dir: &Path) -> Plan {
     // Ports that the system gives to nobody by itself, others than those of tests beside this one.
     let base_port = 10_000 + (std::process::id() % 1000) as u16 * 20;
-    Plan { dir: dir.to_owned(), counters: 3, stores: 3, workers: 3, base_port }
+    Plan { dir: dir.to_owned(), gateways: 3, stores: 3, workers: 3, base_port }
 }
 
 #[tokio::test]
@@ -152,7 +152,7 @@
     let mut running = Running::start(&plan);
     assert_eq!(running.processes.len(), 9, "it came up");
     let (fronts, controls) = (plan.fronts(), plan.controls());
-    for settings in ["counter-1", "store-3"] {
+    for settings in ["gateway-1", "store-3"] {
         assert!(
             rainlug(&[
                 "check",
@@ -191,10 +191,10 @@
     let at: Vec<String> = controls.iter().map(SocketAddr::to_string).collect();
     let parts = operator(end, &["parts", "--at", &at[0]]).await;
     let leader = parts.lines().nth(1).and_then(|line| line.split_whitespace().nth(2)).unwrap_or("-");
-    let leader = if leader == "-" { "counter-1" } else { leader };
+    let leader = if leader == "-" { "gateway-1" } else { leader };
     running.kill(leader);
     running.kill("store-1");
-    let left: Vec<usize> = (0..3).filter(|n| format!("counter-{}", n + 1) != leader).collect();
+    let left: Vec<usize> = (0..3).filter(|n| format!("gateway-{}", n + 1) != leader).collect();
     for (n, at) in left.iter().map(|n| fronts[*n]).enumerate() {
         request(end, &[at], &format!("r{}", n + 2)).await;
     }
@@ -225,9 +225,9 @@
 fn a_folder_belongs_to_one_tier_of_one_layout() {
     let dir = tempfile::tempdir().unwrap();
     let at = dir.path().display().to_string();
-    std::fs::write(dir.path().join("layout"), "--counters 3 --stores 3 --base-port 7400").unwrap();
-    let (done, text) = rainlug(&["local", "--dir", &at, "--counters", "4"]);
-    assert!(!done && text.contains("--counters 3 --stores 3") && text.lines().count() == 1, "{text}");
+    std::fs::write(dir.path().join("layout"), "--gateways 3 --stores 3 --base-port 7400").unwrap();
+    let (done, text) = rainlug(&["local", "--dir", &at, "--gateways", "4"]);
+    assert!(!done && text.contains("--gateways 3 --stores 3") && text.lines().count() == 1, "{text}");
     let (done, text) = rainlug(&["local", "--dir", &at, "--workers", "0"]);
     assert!(!done && text.contains("--workers") && text.lines().count() == 1, "{text}");
     let lock = std::fs::File::create(dir.path().join("lock")).unwrap();
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -15,7 +15,7 @@
 use quick_error::quick_error;
 
 quick_error! {
-    /// Why a docket cannot be used.
+    /// Why a log cannot be used.
     #[derive(Debug)]
     pub enum Error {
         /// The system refused a call on this file or folder.
@@ -47,7 +47,7 @@
 }
 
 impl Wal {
-    /// Opens or creates the docket `name` in `dir` and gives its records in order. What a loss of power left of the last append is
+    /// Opens or creates the log `name` in `dir` and gives its records in order. What a loss of power left of the last append is
     /// cut off, and what it left of a rewrite is removed.
     ///
     /// # Errors
@@ -164,7 +164,7 @@
     }
 }
 
-/// Where a rewrite is written before it gets the docket's name.
+/// Where a rewrite is written before it gets the log's name.
 fn fresh_path(path: &Path) -> PathBuf {
     let mut name = path.as_os_str().to_os_string();
     name.push(".new");
@@ -233,7 +233,7 @@
     Rewrite { ticket: u64, records: Vec<Bytes> },
 }
 
-/// A thread that owns a docket: calls do not wait for the disk. Several waiting appends are written and synced as one. Once this is
+/// A thread that owns a log: calls do not wait for the disk. Several waiting appends are written and synced as one. Once this is
 /// dropped, the thread finishes what is queued and ends.
 pub struct Writer {
     jobs: mpsc::Sender<Job>,
--- a/crates/wal/tests/records.rs
+++ b/crates/wal/tests/records.rs
@@ -1,4 +1,4 @@
-//! What a docket keeps over losses of power, and what its thread does with it.
+//! What a log keeps over losses of power, and what its thread does with it.
 
 use std::fs;
 use std::path::Path;
