--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -69,7 +69,7 @@
         let (open, idle) = connections.counts();
         let mut picks = [0; 11];
         for service in gateway.services.borrow().values() {
-            let counts = service.award.borrow().counts();
+            let counts = service.placement.borrow().counts();
             let parts = [
                 counts.turns,
                 counts.queued,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use rainlug_award::{Ask, End as Ended};
+use rainlug_placement::{Ask, End as Ended};
 use rainlug_registry::{Configuration, Kind, Route, Worker};
 use rainlug_transport::{Body, End, Link, Piece};
 use tokio::time::{Instant, Sleep, sleep_until};
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rainlug_award::End as Ended;
+use rainlug_placement::End as Ended;
 use rainlug_transport::{Body, Piece};
 use tokio::time::Instant;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,5 +1,5 @@
 //! The data plane: what clients send at the front address goes to workers, and what these answer goes back. The choice of worker
-//! is `rainlug-award`'s; this crate carries it out.
+//! is `rainlug-placement`'s; this crate carries it out.
 
 mod answers;
 mod connections;
@@ -23,7 +23,7 @@
 
 use bytes::Bytes;
 use rainlug::Time;
-use rainlug_award::Award;
+use rainlug_placement::Placement;
 use rainlug_registry::{Configuration, Limits, Phase, Route, Worker};
 use rainlug_transport::{Bounds, Pool, Sizes};
 use tokio::net::TcpListener;
@@ -190,7 +190,7 @@
             let known = self.services.borrow().get(&told.name).cloned();
             let service = known.unwrap_or_else(|| self.open(&told.name));
             service.max_conns.set(told.max_conns);
-            service.award.borrow_mut().service(told.slots, told.kv_capacity_tokens);
+            service.placement.borrow_mut().service(told.slots, told.kv_capacity_tokens);
         }
         spdlog::info!("configuration {} is in force here", configuration.version);
         *self.configuration.borrow_mut() = Some(configuration);
@@ -199,12 +199,12 @@
     /// A service that was not known.
     fn open(&self, name: &str) -> Rc<Service> {
         let now = self.clock.now();
-        let mut award = Award::new(&self.told.zone, self.draw_bits(), now);
-        award.others(self.others.get());
+        let mut placement = Placement::new(&self.told.zone, self.draw_bits(), now);
+        placement.others(self.others.get());
         for worker in self.workers.borrow().values().filter(|w| w.service == name) {
-            award.worker(now, worker);
+            placement.worker(now, worker);
         }
-        let service = Service::new(award);
+        let service = Service::new(placement);
         self.services.borrow_mut().insert(name.to_owned(), service.clone());
         service
     }
@@ -221,7 +221,7 @@
         }
         let service = self.services.borrow().get(&worker.service).cloned();
         if let Some(service) = service {
-            service.award.borrow_mut().worker(self.clock.now(), worker);
+            service.placement.borrow_mut().worker(self.clock.now(), worker);
             service.wake();
         }
     }
@@ -229,7 +229,7 @@
     /// How many other dispatchers live.
     pub fn others(&self, count: usize) {
         self.others.set(count);
-        self.services.borrow().values().for_each(|service| service.award.borrow_mut().others(count));
+        self.services.borrow().values().for_each(|service| service.placement.borrow_mut().others(count));
     }
 
     /// Serves clients for good.
@@ -247,14 +247,14 @@
         let mut look = Instant::now() + LOOK;
         loop {
             let services: Vec<Rc<Service>> = self.services.borrow().values().cloned().collect();
-            let next = services.iter().map(|service| service.award.borrow().next()).min();
+            let next = services.iter().map(|service| service.placement.borrow().next()).min();
             let next = next.map_or(look, |next| self.clock.instant(next).min(look));
             sleep_until(next).await;
             let now = self.clock.now();
             for service in services {
-                let due = service.award.borrow().next() <= now;
+                let due = service.placement.borrow().next() <= now;
                 if due {
-                    service.award.borrow_mut().due(now);
+                    service.placement.borrow_mut().due(now);
                     service.wake();
                 }
             }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use rainlug::Time;
-use rainlug_award::{Ask, Award, End};
+use rainlug_placement::{Ask, End, Placement};
 use rainlug_registry::{Phase, Route, Worker};
 use tokio::sync::oneshot;
 
@@ -17,16 +17,16 @@
 
 /// A service as this dispatcher sees it: its picks, and who waits for one.
 pub(crate) struct Service {
-    pub award: RefCell<Award>,
+    pub placement: RefCell<Placement>,
     pub max_conns: Cell<u64>,
     waiting: RefCell<BTreeMap<(u32, u64), oneshot::Sender<()>>>,
     waited: Cell<u64>,
 }
 
 impl Service {
-    pub fn new(award: Award) -> Rc<Self> {
+    pub fn new(placement: Placement) -> Rc<Self> {
         Rc::new(Service {
-            award: RefCell::new(award),
+            placement: RefCell::new(placement),
             max_conns: Cell::new(0),
             waiting: RefCell::default(),
             waited: Cell::new(0),
@@ -70,16 +70,16 @@
 impl Ticket {
     /// The first event, or the head of the answer, has come.
     pub fn started(&self) {
-        self.service.award.borrow_mut().started(self.clock.now(), self.number);
+        self.service.placement.borrow_mut().started(self.clock.now(), self.number);
     }
 
     /// One more event has come.
     pub fn progress(&self) {
-        self.service.award.borrow_mut().progress(self.clock.now(), self.number);
+        self.service.placement.borrow_mut().progress(self.clock.now(), self.number);
     }
 
     pub fn load(&self, worker: &str, load: (u32, u32, u32)) {
-        self.service.award.borrow_mut().load(self.clock.now(), worker, load);
+        self.service.placement.borrow_mut().load(self.clock.now(), worker, load);
     }
 
     pub fn end(mut self, end: End) {
@@ -88,7 +88,7 @@
 
     fn close(&mut self, end: End) {
         if !std::mem::replace(&mut self.ended, true) {
-            self.service.award.borrow_mut().ended(self.clock.now(), self.number, end);
+            self.service.placement.borrow_mut().ended(self.clock.now(), self.number, end);
             self.service.wake();
         }
     }
@@ -145,7 +145,7 @@
     fn pick_of(&self, service: &Rc<Service>, name: &str, ask: &Ask) -> Option<Picked> {
         let mut more: Option<Ask> = None;
         for _ in 0..MISPICKS {
-            let pick = service.award.borrow_mut().pick(self.clock.now(), more.as_ref().unwrap_or(ask))?;
+            let pick = service.placement.borrow_mut().pick(self.clock.now(), more.as_ref().unwrap_or(ask))?;
             let ticket =
                 Ticket { number: pick.ticket, service: service.clone(), clock: self.clock, ended: false };
             let worker = pick.worker;
@@ -162,7 +162,7 @@
     pub(crate) fn pause(&self, route: &Route) -> f64 {
         let services = self.services.borrow();
         let pauses = route.split.iter().filter(|(_, weight)| *weight > 0.0).filter_map(|(name, _)| {
-            let pause: Time = services.get(name)?.award.borrow().pause(self.clock.now());
+            let pause: Time = services.get(name)?.placement.borrow().pause(self.clock.now());
             Some(pause)
         });
         let pause = pauses.min().unwrap_or(rainlug::SECOND / 2);
--- a/crates/award/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,4 +1,4 @@
-//! Which worker a request goes to, one [`Award`] for each service at each dispatcher: shares solved from the M/G/1 model on a
+//! Which worker a request goes to, one [`Placement`] for each service at each dispatcher: shares solved from the M/G/1 model on a
 //! timer, per-class billiard turns inside them, the skip at twice the mean; around these, each in its file, what a model worker
 //! remembers and what others put on it. No I/O.
 
@@ -58,7 +58,7 @@
     pub tried: Vec<String>,
 }
 
-/// A worker that was picked; `ticket` names this assignment until [`Award::ended`].
+/// A worker that was picked; `ticket` names this assignment until [`Placement::ended`].
 #[derive(Clone, Debug)]
 pub struct Pick {
     pub ticket: u64,
@@ -136,7 +136,7 @@
     fresh: Option<u64>,
 }
 
-pub struct Award {
+pub struct Placement {
     zone: String,
     chance: ChaCha8Rng,
     slots: u64,
@@ -163,13 +163,13 @@
     counts: Counts,
 }
 
-impl Award {
+impl Placement {
     /// For a dispatcher in `zone`.
     pub fn new(zone: &str, seed: u64, now: Time) -> Self {
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         // Dispatchers that start together must not solve together.
         let timer = now.saturating_add(chance.random_range(0..SOLVE));
-        Award {
+        Placement {
             zone: zone.to_owned(),
             chance,
             slots: 0,
@@ -233,34 +233,34 @@
         if self.dirty && now.saturating_sub(self.solved) >= CHANGED {
             self.solve(now);
         }
-        let sight = self.sight(now);
+        let view = self.view(now);
         let chain = Chain::of(&ask.prefix);
-        let Some(j) = self.choose(now, &sight, ask, &chain) else {
+        let Some(j) = self.choose(now, &view, ask, &chain) else {
             self.counts.none += 1;
             return None;
         };
-        Some(self.assign(now, &sight, ask, &chain, j))
+        Some(self.assign(now, &view, ask, &chain, j))
     }
 
-    fn choose(&mut self, now: Time, sight: &turns::Sight, ask: &Ask, chain: &Chain) -> Option<usize> {
-        if let Some(j) = self.trial(now, sight, ask) {
+    fn choose(&mut self, now: Time, view: &turns::ClusterView, ask: &Ask, chain: &Chain) -> Option<usize> {
+        if let Some(j) = self.trial(now, view, ask) {
             self.counts.trial += 1;
             self.servers[j].health.tries(now);
             return Some(j);
         }
         let class = self.classes.get(&ask.class);
         if ask.bulk {
-            let j = self.spare(now, sight, ask, class)?;
+            let j = self.spare(now, view, ask, class)?;
             self.counts.bulk += 1;
             return Some(j);
         }
         if chain.long(ask.prompt, self.prompt(now))
-            && let Some(j) = self.affine(now, sight, ask, chain)
+            && let Some(j) = self.affine(now, view, ask, chain)
         {
             self.counts.prefix += 1;
             return Some(j);
         }
-        let (j, rank) = self.turn(now, sight, ask, class)?;
+        let (j, rank) = self.turn(now, view, ask, class)?;
         match rank {
             Rank::Free => self.counts.turns += 1,
             Rank::Queued => {
@@ -276,23 +276,23 @@
     }
 
     /// A worker that was barred, or fails, and may be tried again: by a request that nobody else has had, one at a time.
-    fn trial(&self, now: Time, sight: &turns::Sight, ask: &Ask) -> Option<usize> {
-        if sight.common || !ask.tried.is_empty() {
+    fn trial(&self, now: Time, view: &turns::ClusterView, ask: &Ask) -> Option<usize> {
+        if view.common || !ask.tried.is_empty() {
             return None;
         }
         let due = |s: &Server| {
             s.worker.phase == Phase::Ready
                 && !s.health.away(now)
                 && s.health.trial(now)
-                && (!ask.bulk || self.spares(now, sight, s))
+                && (!ask.bulk || self.spares(now, view, s))
         };
         self.servers.iter().position(due)
     }
 
-    fn assign(&mut self, now: Time, sight: &turns::Sight, ask: &Ask, chain: &Chain, j: usize) -> Pick {
-        let (fresh, others) = (sight.fresh, self.others);
+    fn assign(&mut self, now: Time, view: &turns::ClusterView, ask: &Ask, chain: &Chain, j: usize) -> Pick {
+        let (fresh, others) = (view.fresh, self.others);
         let server = &mut self.servers[j];
-        let ahead = server.ahead(now, &self.reading, sight.unread);
+        let ahead = server.ahead(now, &self.reading, view.unread);
         let unread = u64::from(ask.prompt).saturating_sub(server.memory.kept(chain));
         let new = match self.kv {
             0 => None,
--- a/crates/award/src/solve.rs
+++ b/crates/placement/src/solve.rs
@@ -1,7 +1,7 @@
 //! Shares, solved on their timer from the M/G/1 model (Algorithm 1): docs/design.md of the service tells where it is from.
 
 use crate::server::COLD;
-use crate::{Award, SOLVE};
+use crate::{Placement, SOLVE};
 use rainlug::Time;
 use rainlug::shares::{Station, shares};
 use rainlug_registry::Phase;
@@ -18,11 +18,11 @@
 /// A class unseen for so many times between two solves is forgotten.
 const FORGET: Time = 12;
 
-impl Award {
+impl Placement {
     pub(crate) fn solve(&mut self, now: Time) {
         (self.solved, self.dirty) = (now, false);
         let (fresh, others) = (self.fresh(now), self.others);
-        let common = self.sight(now).common;
+        let common = self.view(now).common;
         for s in &mut self.servers {
             s.load.count(now, s.flying, fresh, others);
             (s.share, s.fastest, s.theta) = (0.0, false, 0.0);
--- a/crates/award/src/turns.rs
+++ b/crates/placement/src/turns.rs
@@ -3,7 +3,7 @@
 
 use crate::prefix::{Chain, weight};
 use crate::server::Server;
-use crate::{Ask, Award, Class};
+use crate::{Ask, Class, Placement};
 use rainlug::{Time, turns};
 use rainlug_registry::Phase;
 
@@ -42,7 +42,7 @@
 
 /// What a pick sees of all workers together.
 #[derive(Clone, Copy, Debug)]
-pub struct Sight {
+pub struct ClusterView {
     /// Own requests in flight at which a worker is skipped.
     pub skip: f64,
     /// So many are barred or fail that the cause must be a common one.
@@ -53,8 +53,8 @@
     pub unread: f64,
 }
 
-impl Award {
-    pub(crate) fn sight(&self, now: Time) -> Sight {
+impl Placement {
+    pub(crate) fn view(&self, now: Time) -> ClusterView {
         let (mut ready, mut ill, mut weight) = (0usize, 0usize, 0.0);
         for s in self.servers.iter().filter(|s| s.worker.phase == Phase::Ready) {
             ready += 1;
@@ -62,7 +62,7 @@
             weight += s.weight(now);
         }
         let mean = weight / ready.max(1) as f64;
-        Sight {
+        ClusterView {
             skip: turns::skip_at(mean, SKIP_FLOOR),
             common: 2 * ill > ready,
             fresh: self.fresh(now),
@@ -71,42 +71,42 @@
     }
 
     /// Microseconds until the first event there, were it sent now.
-    fn wait(&self, now: Time, sight: &Sight, s: &Server, tokens: f64) -> f64 {
-        self.reading.wait(s.ahead(now, &self.reading, sight.unread) + tokens)
+    fn wait(&self, now: Time, view: &ClusterView, s: &Server, tokens: f64) -> f64 {
+        self.reading.wait(s.ahead(now, &self.reading, view.unread) + tokens)
     }
 
     /// Whether a worker is out of the question, whatever else.
-    pub(crate) fn never(&self, now: Time, sight: &Sight, s: &Server, ask: &Ask) -> bool {
+    pub(crate) fn never(&self, now: Time, view: &ClusterView, s: &Server, ask: &Ask) -> bool {
         !s.listed()
             || s.health.away(now)
-            || (s.health.doubted() && !sight.common)
+            || (s.health.doubted() && !view.common)
             || ask.tried.iter().any(|t| *t == s.worker.id)
     }
 
     /// `tokens` of the prompt are unread there.
-    pub(crate) fn rank(&self, now: Time, sight: &Sight, s: &Server, ask: &Ask, tokens: f64) -> Rank {
-        if self.never(now, sight, s, ask) {
+    pub(crate) fn rank(&self, now: Time, view: &ClusterView, s: &Server, ask: &Ask, tokens: f64) -> Rank {
+        if self.never(now, view, s, ask) {
             return Rank::Never;
         }
         let slots = s.slots(self.slots);
         let there =
-            if s.load.tells() { s.occupancy(now, sight.fresh, self.others) } else { f64::from(s.flying) };
+            if s.load.tells() { s.occupancy(now, view.fresh, self.others) } else { f64::from(s.flying) };
         if s.health.full(now) || (slots > 0.0 && there - slots >= (slots / WAIT).max(1.0)) {
             return Rank::Never;
         }
         if s.worker.phase == Phase::Silent {
             return Rank::Lost;
         }
-        if !sight.common && s.health.grey(now) || s.silent(now) {
+        if !view.common && s.health.grey(now) || s.silent(now) {
             return Rank::Grey;
         }
         if slots > 0.0 && there >= slots {
             return Rank::Full;
         }
-        if s.weight(now) >= sight.skip {
+        if s.weight(now) >= view.skip {
             return Rank::Skipped;
         }
-        let ahead = s.ahead(now, &self.reading, sight.unread);
+        let ahead = s.ahead(now, &self.reading, view.unread);
         let aim = if ask.aim > 0 { ask.aim as f64 } else { f64::MAX };
         if self.reading.wait(ahead + tokens) > aim || self.crammed(s, ask, there, tokens) {
             return Rank::Late;
@@ -128,20 +128,20 @@
     pub(crate) fn turn(
         &self,
         now: Time,
-        sight: &Sight,
+        view: &ClusterView,
         ask: &Ask,
         class: Option<&Class>,
     ) -> Option<(usize, Rank)> {
         let part = self.part(now, class);
         let mut best: Option<((Rank, f64, bool), usize)> = None;
         for (j, s) in self.servers.iter().enumerate() {
-            let rank = self.rank(now, sight, s, ask, f64::from(ask.prompt));
+            let rank = self.rank(now, view, s, ask, f64::from(ask.prompt));
             let level = match rank {
                 Rank::Never => continue,
                 Rank::Free | Rank::Queued => turns::level(y(class, j), s.fastest, s.share * part),
                 Rank::Outside => s.theta * (1.0 + f64::from(s.flying)),
-                Rank::Late => self.wait(now, sight, s, 0.0),
-                _ => s.occupancy(now, sight.fresh, self.others) / s.slots(self.slots).max(1.0),
+                Rank::Late => self.wait(now, view, s, 0.0),
+                _ => s.occupancy(now, view.fresh, self.others) / s.slots(self.slots).max(1.0),
             };
             let key = (rank, level, !s.near);
             if best.is_none_or(|(b, _)| key < b) {
@@ -153,28 +153,28 @@
 
     /// For a long prefix: the least laden of those that kept most of it; where none has it, the first in the prefix's own order
     /// of workers, so that all dispatchers take the same one, unless that is laden far beyond the others.
-    pub(crate) fn affine(&self, now: Time, sight: &Sight, ask: &Ask, chain: &Chain) -> Option<usize> {
-        let bound = self.bound(now, sight);
+    pub(crate) fn affine(&self, now: Time, view: &ClusterView, ask: &Ask, chain: &Chain) -> Option<usize> {
+        let bound = self.bound(now, view);
         let (mut keeper, mut first) = (None::<((u64, f64), usize)>, None::<((bool, bool, bool, u64), usize)>);
         for (j, s) in self.servers.iter().enumerate() {
             let kept = s.memory.kept(chain).min(u64::from(ask.prompt));
             let unread = (u64::from(ask.prompt) - kept) as f64;
-            let rank = self.rank(now, sight, s, ask, unread);
+            let rank = self.rank(now, view, s, ask, unread);
             // Waiting behind others is no worse than reading the whole where nothing is unread.
             let late = rank == Rank::Late
-                && self.wait(now, sight, s, unread) > self.reading.wait(f64::from(ask.prompt));
+                && self.wait(now, view, s, unread) > self.reading.wait(f64::from(ask.prompt));
             if rank > Rank::Late {
                 continue;
             }
             if kept * 2 > chain.shared && !late {
-                let key = (u64::MAX - kept, self.laden(now, sight, s));
+                let key = (u64::MAX - kept, self.laden(now, view, s));
                 if keeper.is_none_or(|(k, _)| key < k) {
                     keeper = Some((key, j));
                 }
             }
             // Who waits there for less than the shared part takes to read gains if others have had it read.
-            let soon = s.ahead(now, &self.reading, sight.unread) <= chain.shared as f64;
-            let there = s.occupancy(now, sight.fresh, self.others);
+            let soon = s.ahead(now, &self.reading, view.unread) <= chain.shared as f64;
+            let there = s.occupancy(now, view.fresh, self.others);
             let room = there <= bound * s.slots(self.slots).max(1.0) + BOUND_FLOOR;
             let place = ((!self.crammed(s, ask, there, unread), soon, room, weight(chain.key, s.id)), j);
             if first.is_none_or(|f| place > f) {
@@ -185,17 +185,17 @@
     }
 
     /// The part of its slots that a worker may have taken, the floor besides, for a prefix to go there by its order.
-    fn bound(&self, now: Time, sight: &Sight) -> f64 {
+    fn bound(&self, now: Time, view: &ClusterView) -> f64 {
         let ready = || self.servers.iter().filter(|s| s.worker.phase == Phase::Ready);
-        let there: f64 = ready().map(|s| s.occupancy(now, sight.fresh, self.others)).sum();
+        let there: f64 = ready().map(|s| s.occupancy(now, view.fresh, self.others)).sum();
         let slots: f64 = ready().map(|s| s.slots(self.slots).max(1.0)).sum();
         BOUND * there / slots.max(1.0)
     }
 
     /// How laden a worker is: its requests by its slots, and what is unread there by what it may hold of that.
-    fn laden(&self, now: Time, sight: &Sight, s: &Server) -> f64 {
-        let unread = s.ahead(now, &self.reading, sight.unread) / sight.unread.max(1.0);
-        (s.occupancy(now, sight.fresh, self.others) + unread) / s.slots(self.slots).max(1.0)
+    fn laden(&self, now: Time, view: &ClusterView, s: &Server) -> f64 {
+        let unread = s.ahead(now, &self.reading, view.unread) / view.unread.max(1.0);
+        (s.occupancy(now, view.fresh, self.others) + unread) / s.slots(self.slots).max(1.0)
     }
 }
 
--- a/crates/award/tests/any_course.rs
+++ b/crates/placement/tests/any_course.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use rainlug::SECOND;
 use rainlug::Time;
-use rainlug_award::{Ask, Award, End};
+use rainlug_placement::{Ask, End, Placement};
 use rainlug_registry::{Phase, Worker};
 use sim::listed;
 
@@ -54,7 +54,7 @@
     #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
     #[test]
     fn nothing_breaks(seed: u64, steps in prop::collection::vec(step(), 1..250)) {
-        let mut award = Award::new("z", seed, 0);
+        let mut placement = Placement::new("z", seed, 0);
         let mut now: Time = 0;
         let mut out: Vec<(u64, String)> = Vec::new();
         let mut over: Vec<u64> = Vec::new();
@@ -64,54 +64,54 @@
                 Step::Worker(w, p, slots, cold_left_ms) => {
                     let id = format!("w{w}");
                     phases.insert(id.clone(), PHASES[p]);
-                    award.worker(now, &Worker { slots, cold_left_ms, ..listed(&id, PHASES[p]) });
+                    placement.worker(now, &Worker { slots, cold_left_ms, ..listed(&id, PHASES[p]) });
                 }
                 Step::Pick(class, bulk, prompt, prefix, aim, tried) => {
                     let tried: Vec<String> = tried.iter().map(|w| format!("w{w}")).collect();
                     let ask = Ask { class, bulk, prompt, out: 20, prefix, aim, tried };
-                    if let Some(pick) = award.pick(now, &ask) {
+                    if let Some(pick) = placement.pick(now, &ask) {
                         prop_assert!(!ask.tried.contains(&pick.worker.id));
                         prop_assert!(matches!(phases[&pick.worker.id], Phase::Ready | Phase::Silent));
                         prop_assert!(out.iter().all(|o| o.0 != pick.ticket) && !over.contains(&pick.ticket));
                         out.push((pick.ticket, pick.worker.id.clone()));
                     }
                 }
-                Step::Started(n) if !out.is_empty() => award.started(now, out[n % out.len()].0),
-                Step::Progress(n) if !out.is_empty() => award.progress(now, out[n % out.len()].0),
+                Step::Started(n) if !out.is_empty() => placement.started(now, out[n % out.len()].0),
+                Step::Progress(n) if !out.is_empty() => placement.progress(now, out[n % out.len()].0),
                 Step::Load(w, running, waiting, slots) => {
-                    award.load(now, &format!("w{w}"), (running, waiting, slots));
+                    placement.load(now, &format!("w{w}"), (running, waiting, slots));
                 }
                 Step::Ended(n, end) if !out.is_empty() => {
                     let (ticket, _) = out.swap_remove(n % out.len());
-                    award.ended(now, ticket, ENDS[end]);
+                    placement.ended(now, ticket, ENDS[end]);
                     // A second end, or a sign after it, says nothing.
-                    award.ended(now, ticket, End::Failed);
-                    award.started(now, ticket);
+                    placement.ended(now, ticket, End::Failed);
+                    placement.started(now, ticket);
                     over.push(ticket);
                 }
-                Step::Others(count) => award.others(count),
-                Step::Service(slots, kv) => award.service(slots, kv),
-                Step::Due => award.due(now),
+                Step::Others(count) => placement.others(count),
+                Step::Service(slots, kv) => placement.service(slots, kv),
+                Step::Due => placement.due(now),
                 Step::Wait(time) => now += time,
                 _ => {}
             }
-            prop_assert_eq!(award.flying(), out.len());
+            prop_assert_eq!(placement.flying(), out.len());
             let some = phases.values().any(|p| matches!(p, Phase::Ready | Phase::Silent));
             let pauses = if some { 20_000..=500_000 } else { SECOND..=SECOND };
-            prop_assert!(pauses.contains(&award.pause(now)));
+            prop_assert!(pauses.contains(&placement.pause(now)));
             for w in 0..8 {
-                let share = award.share(&format!("w{w}"));
+                let share = placement.share(&format!("w{w}"));
                 prop_assert!((0.0..=1.0).contains(&share), "{}", share);
                 let there = out.iter().filter(|o| o.1 == format!("w{w}")).count();
-                prop_assert_eq!(award.there(&format!("w{w}")).0 as usize, there);
+                prop_assert_eq!(placement.there(&format!("w{w}")).0 as usize, there);
             }
         }
         for (ticket, _) in out {
-            award.ended(now, ticket, End::Finished);
+            placement.ended(now, ticket, End::Finished);
         }
-        prop_assert_eq!(award.flying(), 0);
+        prop_assert_eq!(placement.flying(), 0);
         for w in 0..8 {
-            prop_assert_eq!(award.there(&format!("w{w}")), (0, 0));
+            prop_assert_eq!(placement.there(&format!("w{w}")), (0, 0));
         }
     }
 }
--- a/crates/award/tests/service.rs
+++ b/crates/placement/tests/service.rs
@@ -41,7 +41,7 @@
 /// Given a quiet service of like workers, when small requests come, then turns inside the shares decide nearly all.
 #[test]
 fn turns_decide_on_the_ordinary_path() {
-    let figures = play(By::Award, &[SMALL], vec![Engine::default(); 12]);
+    let figures = play(By::Placement, &[SMALL], vec![Engine::default(); 12]);
     let counts = figures.counts;
     let all = counts.turns + counts.prefix + counts.outside + counts.late + counts.skipped + counts.full;
     assert!(counts.turns as f64 > 0.95 * all as f64, "{counts:?}");
@@ -52,7 +52,7 @@
 /// Given large prompts among small ones, then turns decide most picks still, and exceptions are counted.
 #[test]
 fn turns_decide_most_among_exceptions() {
-    let counts = play(By::Award, &[SMALL, LARGE], vec![Engine::default(); 12]).counts;
+    let counts = play(By::Placement, &[SMALL, LARGE], vec![Engine::default(); 12]).counts;
     let others = counts.prefix + counts.outside + counts.late + counts.skipped + counts.full + counts.grey;
     assert!(counts.turns > 3 * others && counts.prefix > 0, "{counts:?}");
 }
@@ -62,7 +62,7 @@
 fn a_slow_worker_gets_fewer() {
     let mut engines = vec![Engine::default(); 6];
     engines[2].slow = 3.0;
-    let figures = play(By::Award, &[Kind { rate: 200.0, ..SMALL }], engines);
+    let figures = play(By::Placement, &[Kind { rate: 200.0, ..SMALL }], engines);
     let others = (figures.served.iter().sum::<u64>() - figures.served[2]) as f64 / 5.0;
     assert!((figures.served[2] as f64) < 0.5 * others, "{:?}", figures.served);
 }
@@ -73,9 +73,9 @@
 fn dispatchers_agree_on_who_reads_a_prefix() {
     let kinds = [SMALL, LARGE];
     let blind = play(By::Blind, &kinds, vec![Engine::default(); 12]);
-    let award = play(By::Award, &kinds, vec![Engine::default(); 12]);
-    assert!(award.reread * 4 < blind.reread, "{} {}", award.reread, blind.reread);
-    assert!(award.timely(1) > blind.timely(1) && award.timely(0) >= blind.timely(0));
+    let placement = play(By::Placement, &kinds, vec![Engine::default(); 12]);
+    assert!(placement.reread * 4 < blind.reread, "{} {}", placement.reread, blind.reread);
+    assert!(placement.timely(1) > blind.timely(1) && placement.timely(0) >= blind.timely(0));
 }
 
 /// Given far more subjects than a dispatcher sees of and room for them all, then each is read by one worker all the same: what is
@@ -83,7 +83,8 @@
 #[test]
 fn a_subject_that_no_dispatcher_has_seen_is_read_once() {
     let seldom = Kind { subjects: 110, ..LARGE };
-    let figures = play(By::Award, &[SMALL, seldom], vec![Engine { kv: 1_200_000, ..Engine::default() }; 18]);
+    let figures =
+        play(By::Placement, &[SMALL, seldom], vec![Engine { kv: 1_200_000, ..Engine::default() }; 18]);
     let once = 3 * seldom.subjects * u64::from(seldom.shared);
     assert!(figures.reread * 20 < once, "{} {once}", figures.reread);
 }
@@ -93,15 +94,15 @@
 fn it_beats_chance() {
     let kinds = [SMALL, LARGE];
     let chance = play(By::Chance, &kinds, vec![Engine::default(); 12]);
-    let award = play(By::Award, &kinds, vec![Engine::default(); 12]);
-    assert!(award.timely(0) > chance.timely(0) && award.timely(1) > chance.timely(1));
+    let placement = play(By::Placement, &kinds, vec![Engine::default(); 12]);
+    assert!(placement.timely(0) > chance.timely(0) && placement.timely(1) > chance.timely(1));
 }
 
 /// Given one subject that all large requests share, then no single worker drowns in it.
 #[test]
 fn a_subject_of_all_is_spread() {
     let hot = Kind { subjects: 1, rate: 40.0, ..LARGE };
-    let figures = play(By::Award, &[SMALL, hot], vec![Engine::default(); 12]);
+    let figures = play(By::Placement, &[SMALL, hot], vec![Engine::default(); 12]);
     assert!(figures.timely(1) > 0.9 && figures.timely(0) > 0.95);
 }
 
@@ -110,7 +111,7 @@
 #[test]
 fn batch_jobs_keep_off_busy_workers() {
     let live = Kind { rate: 1100.0, ..SMALL };
-    let figures = play(By::Award, &[live, BULK], vec![Engine::default(); 8]);
+    let figures = play(By::Placement, &[live, BULK], vec![Engine::default(); 8]);
     println!("bulk {} on busy {} asked {:?}", figures.bulk, figures.bulk_on_busy, figures.asked);
     assert!(figures.bulk_on_busy * 50 < figures.asked[1], "{}", figures.bulk_on_busy);
 }
@@ -119,7 +120,7 @@
 #[test]
 fn batch_jobs_run_in_spare_room() {
     let live = Kind { rate: 600.0, ..SMALL };
-    let figures = play(By::Award, &[live, BULK], vec![Engine::default(); 8]);
+    let figures = play(By::Placement, &[live, BULK], vec![Engine::default(); 8]);
     println!("bulk {} on busy {} asked {:?}", figures.bulk, figures.bulk_on_busy, figures.asked);
     assert!(figures.timely(0) > 0.99 && figures.timely(1) > 0.9);
 }
@@ -129,7 +130,7 @@
 fn an_unreachable_worker_is_barred_and_comes_back() {
     let mut engines = vec![Engine::default(); 6];
     engines[1].refuses = Some((5 * SECOND, 15 * SECOND));
-    let figures = play(By::Award, &[SMALL], engines);
+    let figures = play(By::Placement, &[SMALL], engines);
     let others = (figures.served.iter().sum::<u64>() - figures.served[1]) as f64 / 5.0;
     // By each of 8 dispatchers: what was out at once, and a trial after 1, 2, 4 and 8 s.
     assert!(figures.failed <= 8 * 6, "{}", figures.failed);
@@ -141,7 +142,7 @@
 fn a_worker_that_fails_fast_attracts_nothing() {
     let mut engines = vec![Engine::default(); 6];
     engines[1].fails = true;
-    let figures = play(By::Award, &[SMALL], engines);
+    let figures = play(By::Placement, &[SMALL], engines);
     let others = (figures.served.iter().sum::<u64>() - figures.served[1]) as f64 / 5.0;
     assert!((figures.served[1] as f64) < 0.6 * others, "{:?}", figures.served);
     assert!(figures.failed <= 8 * 15, "{}", figures.failed);
--- a/crates/award/tests/sim/mod.rs
+++ b/crates/placement/tests/sim/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use rainlug::{SECOND, Time};
-use rainlug_award::{Ask, Award, Counts, End};
+use rainlug_placement::{Ask, Counts, End, Placement};
 use rainlug_registry::{Phase, Worker};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -41,7 +41,7 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum By {
-    Award,
+    Placement,
     /// The award, but never told of prefixes.
     Blind,
     Chance,
@@ -184,14 +184,14 @@
         figures.in_time = vec![0; n];
         figures.refused = vec![0; n];
         figures.waits = vec![Vec::new(); n];
-        let mut awards: Vec<Award> =
-            (0..self.dispatchers).map(|d| Award::new("z", self.seed * 100 + d as u64, 0)).collect();
+        let mut awards: Vec<Placement> =
+            (0..self.dispatchers).map(|d| Placement::new("z", self.seed * 100 + d as u64, 0)).collect();
         let names: Vec<String> = (0..self.engines.len()).map(|w| format!("w{w}")).collect();
-        for award in &mut awards {
-            award.service(u64::from(self.engines[0].slots), self.engines[0].kv);
-            award.others(self.dispatchers - 1);
+        for placement in &mut awards {
+            placement.service(u64::from(self.engines[0].slots), self.engines[0].kv);
+            placement.others(self.dispatchers - 1);
             for (w, name) in names.iter().enumerate() {
-                award.worker(0, &Worker { slots: self.engines[w].slots, ..listed(name, Phase::Ready) });
+                placement.worker(0, &Worker { slots: self.engines[w].slots, ..listed(name, Phase::Ready) });
             }
         }
         let mut machines: Vec<Machine> = self
@@ -216,8 +216,8 @@
             count += 1;
             events.push(Reverse((at, count, event)));
         };
-        for (d, award) in awards.iter().enumerate() {
-            push(&mut events, award.next(), Event::Due(d));
+        for (d, placement) in awards.iter().enumerate() {
+            push(&mut events, placement.next(), Event::Due(d));
         }
         for k in 0..n {
             push(&mut events, (chance.random::<f64>() * 1e6 / self.kinds[k].rate) as Time, Event::Arrival(k));
@@ -314,8 +314,8 @@
                 push(&mut events, now + 1, Event::Step(w));
             }
         }
-        for award in &awards {
-            let (c, sum) = (award.counts(), &mut figures.counts);
+        for placement in &awards {
+            let (c, sum) = (placement.counts(), &mut figures.counts);
             sum.turns += c.turns;
             sum.queued += c.queued;
             sum.prefix += c.prefix;
@@ -338,7 +338,7 @@
     now: Time,
     m: &mut Machine,
     name: &str,
-    awards: &mut [Award],
+    awards: &mut [Placement],
     kinds: &[Kind],
     figures: &mut Figures,
 ) -> Option<Time> {
@@ -368,18 +368,18 @@
     let then = now + took as Time;
     let load = m.load();
     for run in m.batch.iter_mut().filter(|r| r.unread == Some(0)) {
-        let award = &mut awards[run.dispatcher];
+        let placement = &mut awards[run.dispatcher];
         if !run.started {
             run.started = true;
-            award.started(then, run.ticket);
+            placement.started(then, run.ticket);
             if m.engine.tells {
-                award.load(then, name, load);
+                placement.load(then, name, load);
             }
             let wait = then - run.came;
             figures.waits[run.kind].push(wait);
             figures.in_time[run.kind] += u64::from(wait <= kinds[run.kind].aim);
         } else {
-            award.progress(then, run.ticket);
+            placement.progress(then, run.ticket);
         }
         run.left = run.left.saturating_sub(1);
     }
