--- a/crates/lots/src/command.rs
+++ b/crates/batch/src/command.rs
@@ -3,7 +3,7 @@
 use deku::prelude::*;
 use rainlug::Time;
 
-use crate::{Odd, wire};
+use crate::{DecodeError, wire};
 
 /// An item as it was handed in.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
@@ -111,7 +111,7 @@
 
     /// # Errors
     /// Where the bytes are not a command.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Odd> {
-        wire::decode(bytes).map_err(|e| Odd::Malformed(format!("command: {e}")))
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        wire::decode(bytes).map_err(|e| DecodeError::Malformed(format!("command: {e}")))
     }
 }
--- a/crates/lots/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -17,7 +17,7 @@
 quick_error! {
     /// Why bytes were not taken.
     #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum Odd {
+    pub enum DecodeError {
         Malformed(what: String) { display("malformed: {}", what) }
     }
 }
--- a/crates/lots/src/register.rs
+++ b/crates/batch/src/register.rs
@@ -4,7 +4,7 @@
 use deku::prelude::*;
 use rainlug::Time;
 
-use crate::{Command, Item, Odd, State, json, wire};
+use crate::{Command, DecodeError, Item, State, json, wire};
 
 /// Bytes that a read's answer has at most, unless one output alone is longer.
 const MOST_READ: usize = 1_000_000;
@@ -260,8 +260,8 @@
 
     /// # Errors
     /// Where the bytes are not a snapshot; nothing has changed then.
-    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), Odd> {
-        let odd = |what: &dyn std::fmt::Display| Odd::Malformed(format!("snapshot: {what}"));
+    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), DecodeError> {
+        let odd = |what: &dyn std::fmt::Display| DecodeError::Malformed(format!("snapshot: {what}"));
         let found: Snapshot = wire::decode(snapshot).map_err(|e| odd(&e))?;
         let mut register = Register { accepted: found.accepted, ..Register::default() };
         for lot in found.lots {
--- a/crates/lots/src/submission.rs
+++ b/crates/batch/src/submission.rs
@@ -6,7 +6,7 @@
 use base64::engine::general_purpose::STANDARD;
 use nanoserde::DeJson;
 
-use crate::{Item, Odd, json};
+use crate::{DecodeError, Item, json};
 
 /// Items that one batch job may have.
 const MOST_ITEMS: usize = 200;
@@ -32,7 +32,7 @@
 /// # Errors
 /// What is wrong, with its place: not JSON, none or more than 200 items, an id twice, a body that is not base64, an id, a path or a
 /// header that does not go into a head of HTTP/1.1.
-pub fn read_requests(body: &[u8]) -> Result<Vec<Item>, Odd> {
+pub fn read_requests(body: &[u8]) -> Result<Vec<Item>, DecodeError> {
     let text = str::from_utf8(body).map_err(|e| odd(format!("not UTF-8 from byte {}", e.valid_up_to())))?;
     json::check(text).map_err(|at| odd(format!("not JSON from byte {at}")))?;
     let found = Submission::deserialize_json(text).map_err(|e| odd(e.to_string()))?;
@@ -65,8 +65,8 @@
     Ok(items)
 }
 
-fn odd(what: String) -> Odd {
-    Odd::Malformed(what)
+fn odd(what: String) -> DecodeError {
+    DecodeError::Malformed(what)
 }
 
 /// RFC 9110, 5.6.2.
--- a/crates/lots/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use nanoserde::DeJson;
 use rainlug::{SECOND, Time};
-use rainlug_lots::{Command, Item, Register, State};
+use rainlug_batch::{Command, Item, Register, State};
 
 pub const ROUTE: &str = "bulk";
 pub const DUE: Time = 60 * SECOND;
--- a/crates/lots/tests/register.rs
+++ b/crates/batch/tests/register.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug::SECOND;
-use rainlug_lots::{Applied, Command, Item, Register, State, read_requests};
+use rainlug_batch::{Applied, Command, Item, Register, State, read_requests};
 
 fn after(commands: &[Command]) -> Register {
     let mut register = Register::default();
--- a/crates/lots/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -9,7 +9,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug::{SECOND, Time};
-use rainlug_lots::{Applied, Command, Next, Register, RunEnd, Schedule};
+use rainlug_batch::{Applied, Command, Next, Register, RunEnd, Schedule};
 
 /// A part's owner: each command is applied, and the schedule told of it.
 struct Owner {
@@ -245,7 +245,7 @@
         let mut failed: BTreeMap<(String, String), u32> = BTreeMap::new();
         let mut never: BTreeSet<(String, String)> = BTreeSet::new();
         let is_early = |command: &Command, failed: &BTreeMap<_, u32>, never: &BTreeSet<_>, now| match command {
-            Command::List { lot, item, state: rainlug_lots::State::Abandoned, .. } => {
+            Command::List { lot, item, state: rainlug_batch::State::Abandoned, .. } => {
                 let key = (lot.clone(), item.clone());
                 now < RETAIN && failed.get(&key).is_none_or(|count| *count < 3) && !never.contains(&key)
             }
--- a/crates/coordinator/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
+use rainlug_batch::RunEnd;
 use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
-use rainlug_lots::RunEnd;
 use rainlug_registry::{Phase, Worker};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,9 +16,9 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
+use rainlug_batch::RunEnd;
 use rainlug_consensus::{Member, MemberId, Settings};
 use rainlug_fleet::{Card, Process, Standing, View, Ways};
-use rainlug_lots::RunEnd;
 use rainlug_registry::{Bulletin, Configuration, Phase, Worker, bulletin};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -157,7 +157,7 @@
     /// An item of a batch job to be run at a worker; then [`Coordinator::ran`].
     Run {
         part: u16,
-        next: rainlug_lots::Next,
+        next: rainlug_batch::Next,
     },
     /// Something that staff may want to know.
     Log(&'static str, String),
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_lots::{Applied, Command, RunEnd, read_requests};
+use rainlug_batch::{Applied, Command, RunEnd, read_requests};
 use rainlug_registry::Kind;
 
 use crate::part::{Machine, Wanted};
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use rainlug::Time;
+use rainlug_batch::{Register, Schedule};
 use rainlug_consensus::{Index, Member, Output, Replica, Settings};
-use rainlug_lots::{Register, Schedule};
 use rainlug_registry::bulletin;
 
 use crate::control::{Control, Outcome};
