--- a/crates/coordinator/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -32,14 +32,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     Membership,
-    Bulletin,
+    Gossip,
     Groups,
     Calls,
 }
 
 pub const KINDS: [(Kind, &str); 4] = [
     (Kind::Membership, "membership"),
-    (Kind::Bulletin, "bulletin"),
+    (Kind::Gossip, "gossip"),
     (Kind::Groups, "groups"),
     (Kind::Calls, "calls"),
 ];
@@ -47,7 +47,7 @@
 /// A frame's head begins with its kind.
 fn kind(frame: &[u8]) -> Kind {
     match frame.first() {
-        Some(0) => Kind::Bulletin,
+        Some(0) => Kind::Gossip,
         Some(1) => Kind::Groups,
         _ => Kind::Calls,
     }
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -499,7 +499,7 @@
     }
 
     fn goodbye(&mut self, ticket: u64, id: String) {
-        let known = self.bulletin.workers().find(|w| w.id == id).cloned();
+        let known = self.gossip.workers().find(|w| w.id == id).cloned();
         match known {
             Some(mut worker) => {
                 let was = worker.phase;
--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -81,7 +81,7 @@
     hash: u64,
 }
 
-/// The roster of stores and the groups of parts, as the bulletin carries them.
+/// The roster of stores and the groups of parts, as the gossip carries them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little", endian = "endian")]
 pub struct Roster {
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -12,7 +12,7 @@
 use crate::control::Change;
 use crate::frame::{Request, Seat, join};
 use crate::part::Machine;
-use crate::{CONTROL, Coordinator, Effect, MISSED, Origin, PARTS, bulletin};
+use crate::{CONTROL, Coordinator, Effect, MISSED, Origin, PARTS, gossip};
 
 /// Who has not been there for so long loses a seat, if another one can have it.
 const ABSENT: Time = 4 * SECOND;
@@ -48,7 +48,7 @@
         }
         let mut quiet = Vec::new();
         let mut mine = BTreeSet::new();
-        for worker in self.bulletin.workers().filter(|w| w.phase == Phase::Ready) {
+        for worker in self.gossip.workers().filter(|w| w.phase == Phase::Ready) {
             if self.registrar(&worker.service) != Some(self.info.at) {
                 continue;
             }
@@ -209,7 +209,7 @@
         let target = 2 * self.info.tolerate + 1;
         let Some(part) = self.parts.get(&number) else { return };
         let (members, settled) = part.replica.members();
-        if !settled || self.bulletin.get(bulletin::GROUPS).is_none() {
+        if !settled || self.gossip.get(gossip::GROUPS).is_none() {
             return;
         }
         let members = members.to_vec();
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -91,9 +91,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "little")]
 pub enum Head {
-    /// Of the bulletin.
+    /// Of the gossip.
     #[deku(id = "0")]
-    Bulletin,
+    Gossip,
     /// Of a part's group.
     #[deku(id = "1")]
     Group { part: u16 },
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,4 +1,4 @@
-//! All that one process of the tier has to do with the others, without I/O: membership, the bulletin, the groups of the parts it
+//! All that one process of the tier has to do with the others, without I/O: membership, the gossip, the groups of the parts it
 //! has a seat in, calls to the leaders of parts, and the duties that fall to it. Time, chance, bytes and what the disk has saved
 //! are handed in; [`Effect`]s are handed out. The same runs on sockets and in the in-memory fleet of the tests.
 
@@ -19,7 +19,7 @@
 use rainlug_batch::RunEnd;
 use rainlug_consensus::{Member, MemberId, Settings};
 use rainlug_fleet::{Card, Process, Standing, View, Ways};
-use rainlug_registry::{Bulletin, Configuration, Phase, Worker, bulletin};
+use rainlug_registry::{Configuration, Gossip, Phase, Worker, gossip};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -207,7 +207,7 @@
     living: BTreeMap<SocketAddr, (bool, Option<SocketAddr>)>,
     /// Since when somebody is not there.
     gone: BTreeMap<SocketAddr, Time>,
-    bulletin: Bulletin,
+    gossip: Gossip,
     roster: Roster,
     roster_version: u64,
     configuration: Option<Configuration>,
@@ -237,7 +237,7 @@
     effects: Vec<Effect>,
 }
 
-/// Where the effects of view and bulletin go.
+/// Where the effects of view and gossip go.
 struct Sink<'a> {
     effects: &'a mut Vec<Effect>,
     workers: Vec<Worker>,
@@ -261,9 +261,9 @@
     }
 }
 
-impl bulletin::Outgoing for Sink<'_> {
+impl gossip::Outgoing for Sink<'_> {
     fn send(&mut self, to: SocketAddr, bytes: Bytes) {
-        self.effects.push(Effect::Frame { to, head: join(&Head::Bulletin, &[]), tail: bytes });
+        self.effects.push(Effect::Frame { to, head: join(&Head::Gossip, &[]), tail: bytes });
     }
 
     fn worker(&mut self, worker: &Worker) {
@@ -315,13 +315,13 @@
         };
         let period = 3 * SECOND / 10;
         let view = View::new(card, info.seeds.clone(), period, Ways::default(), chance.random(), now.steady);
-        let bulletin = Bulletin::new(SECOND, chance.random(), now.steady);
+        let gossip = Gossip::new(SECOND, chance.random(), now.steady);
         let mut coordinator = Coordinator {
             view,
             seen: 0,
             living: BTreeMap::new(),
             gone: BTreeMap::new(),
-            bulletin,
+            gossip,
             roster: Roster::default(),
             roster_version: 0,
             configuration: None,
@@ -404,7 +404,7 @@
         let asks = self.asks.values().map(|a| a.next());
         let held = self.held.iter().map(|h| h.until);
         let polls = self.parts.values().map(|p| p.next_poll());
-        let own = [self.view.next(), self.bulletin.next(), self.duty_at];
+        let own = [self.view.next(), self.gossip.next(), self.duty_at];
         parts.chain(asks).chain(held).chain(polls).chain(own).min().unwrap_or(Time::MAX)
     }
 
@@ -425,10 +425,10 @@
             self.view.due(now.steady, &mut sink);
         }
         if stood_still {
-            self.bulletin.catch_up(now.steady, &mut sink);
+            self.gossip.catch_up(now.steady, &mut sink);
         }
-        if self.bulletin.next() <= now.steady {
-            self.bulletin.due(now.steady, &mut sink);
+        if self.gossip.next() <= now.steady {
+            self.gossip.due(now.steady, &mut sink);
         }
         let (workers, texts) = (sink.workers, sink.texts);
         self.told_news(workers, texts);
@@ -456,9 +456,9 @@
         let (head, tail): (Head, Bytes) = split(bytes)?;
         (self.now, self.heard) = (now, now.steady);
         match head {
-            Head::Bulletin => {
+            Head::Gossip => {
                 let mut sink = Sink::new(&mut self.effects);
-                self.bulletin.heard(now.steady, from, &tail, &mut sink);
+                self.gossip.heard(now.steady, from, &tail, &mut sink);
                 let (workers, texts) = (sink.workers, sink.texts);
                 self.told_news(workers, texts);
             }
@@ -543,7 +543,7 @@
         self.view.leave(&mut sink);
     }
 
-    /// News of the bulletin takes effect here.
+    /// News of the gossip takes effect here.
     fn told_news(&mut self, workers: Vec<Worker>, texts: Vec<(u8, u64, Bytes)>) {
         for worker in workers {
             if worker.phase >= Phase::Draining {
@@ -553,7 +553,7 @@
         }
         for (kind, version, text) in texts {
             match kind {
-                bulletin::CONFIGURATION => match Configuration::read(&text) {
+                gossip::CONFIGURATION => match Configuration::read(&text) {
                     Ok(read) => {
                         self.configuration = Some(read);
                         self.effects.push(Effect::Configuration { version, text });
@@ -563,7 +563,7 @@
                             .push(Effect::Log("configuration", format!("version {version}: {findings}")));
                     }
                 },
-                bulletin::GROUPS => {
+                gossip::GROUPS => {
                     if let Ok(roster) = Roster::decode(&text) {
                         (self.roster, self.roster_version) = (roster, version);
                         self.founded();
@@ -574,10 +574,10 @@
         }
     }
 
-    /// Enters a worker's word in the bulletin; true where it is news.
+    /// Enters a worker's word in the gossip; true where it is news.
     fn enter(&mut self, worker: Worker) -> bool {
         let mut sink = Sink::new(&mut self.effects);
-        let news = self.bulletin.worker(self.now.steady, worker, &mut sink);
+        let news = self.gossip.worker(self.now.steady, worker, &mut sink);
         let (workers, texts) = (sink.workers, sink.texts);
         self.told_news(workers, texts);
         news
@@ -585,7 +585,7 @@
 
     fn enter_text(&mut self, kind: u8, version: u64, text: Bytes) {
         let mut sink = Sink::new(&mut self.effects);
-        self.bulletin.text(self.now.steady, kind, version, text, &mut sink);
+        self.gossip.text(self.now.steady, kind, version, text, &mut sink);
         let (workers, texts) = (sink.workers, sink.texts);
         self.told_news(workers, texts);
     }
@@ -600,8 +600,8 @@
         let held = std::mem::take(&mut self.held);
         for waits in held {
             let (has, all) = match &waits.news {
-                News::Configuration(version) => self.bulletin.spread(bulletin::CONFIGURATION, *version),
-                News::Worker(id) => self.bulletin.worker_spread(id),
+                News::Configuration(version) => self.gossip.spread(gossip::CONFIGURATION, *version),
+                News::Worker(id) => self.gossip.worker_spread(id),
             };
             if has >= all || now >= waits.until {
                 self.reply(waits.origin, waits.answer);
@@ -639,7 +639,7 @@
         self.living = living;
         self.registrars.borrow_mut().clear();
         let peers: Vec<SocketAddr> = self.living.keys().copied().collect();
-        self.bulletin.peers(now, &peers);
+        self.gossip.peers(now, &peers);
         if gateways != before || self.caught_up.is_none() {
             self.effects.push(Effect::Others(gateways));
         }
@@ -647,7 +647,7 @@
         if !newcomers.is_empty() && self.caught_up.is_none_or(|at| now - at > SECOND / 4) {
             self.caught_up = Some(now);
             let mut sink = Sink::new(&mut self.effects);
-            self.bulletin.catch_up(now, &mut sink);
+            self.gossip.catch_up(now, &mut sink);
             let (workers, texts) = (sink.workers, sink.texts);
             self.told_news(workers, texts);
         }
@@ -698,7 +698,7 @@
                 "configuration_version".to_owned(),
                 self.configuration.as_ref().map_or(0.0, |c| c.version as f64),
             ),
-            ("workers_known".to_owned(), self.bulletin.workers().count() as f64),
+            ("workers_known".to_owned(), self.gossip.workers().count() as f64),
             ("calls_in_hand".to_owned(), self.asks.len() as f64),
         ];
         for part in self.parts.values() {
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -27,7 +27,7 @@
     pub for_ms: u64,
 }
 
-/// A worker, as the bulletin has it.
+/// A worker, as the gossip has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerLine {
     pub id: String,
@@ -109,7 +109,7 @@
         lines
     }
 
-    /// All workers that the bulletin lists, by id.
+    /// All workers that the gossip lists, by id.
     pub fn list_workers(&self) -> Vec<WorkerLine> {
         let line = |worker: &Worker| WorkerLine {
             id: worker.id.clone(),
@@ -120,7 +120,7 @@
             slots: worker.slots,
             call_seq: worker.call_seq,
         };
-        self.bulletin.workers().map(line).collect()
+        self.gossip.workers().map(line).collect()
     }
 
     /// The roster of stores, by name.
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -6,7 +6,7 @@
 use rainlug::Time;
 use rainlug_batch::{Register, Schedule};
 use rainlug_consensus::{Index, Member, Output, Replica, Settings};
-use rainlug_registry::bulletin;
+use rainlug_registry::gossip;
 
 use crate::control::{Control, Outcome};
 use crate::frame::{Head, join};
@@ -247,7 +247,7 @@
         }
     }
 
-    /// The leader of the configuration's part enters what is agreed on in the bulletin.
+    /// The leader of the configuration's part enters what is agreed on in the gossip.
     pub(crate) fn post(&mut self) {
         let Some(part) = self.parts.get(&CONTROL).filter(|p| p.replica.leads()) else { return };
         let Some(control) = part.control() else { return };
@@ -255,16 +255,15 @@
         let (core, settled) = part.replica.members();
         let roster = settled.then(|| control.roster(core));
         let term = part.replica.term();
-        if version > 0 && self.bulletin.get(bulletin::CONFIGURATION).is_none_or(|(known, _)| known < version)
-        {
-            self.enter_text(bulletin::CONFIGURATION, version, text);
+        if version > 0 && self.gossip.get(gossip::CONFIGURATION).is_none_or(|(known, _)| known < version) {
+            self.enter_text(gossip::CONFIGURATION, version, text);
         }
         if let Some(roster) = roster.filter(|r| *r != self.roster) {
             // Later leaders have higher terms: their rosters are newer.
             self.epoch = self.epoch.max(term << 24) + 1;
             let version = self.epoch.max(self.roster_version + 1);
             self.epoch = version;
-            self.enter_text(bulletin::GROUPS, version, roster.encode());
+            self.enter_text(gossip::GROUPS, version, roster.encode());
         }
     }
 }
--- a/crates/registry/src/bulletin.rs
+++ b/crates/registry/src/gossip.rs
@@ -13,7 +13,8 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::wire::{
-    Ack, BUCKETS, Difference, Digest, Message, News, Teller, Text, TextVersion, Told, WorkerMark, phase,
+    Ack, BUCKETS, Difference, Digest, Message, News, Teller, Text, TextVersion, WorkerEntry, WorkerMark,
+    phase,
 };
 use crate::worker::MAX_NAME;
 use crate::{Phase, Worker};
@@ -22,7 +23,7 @@
 pub const CONFIGURATION: u8 = 0;
 pub const GROUPS: u8 = 1;
 
-/// Where a bulletin's effects go.
+/// Where a gossip's effects go.
 pub trait Outgoing {
     /// Bytes for another process: delivered whole and in order, or not at all.
     fn send(&mut self, to: SocketAddr, bytes: Bytes);
@@ -107,9 +108,9 @@
         spans(self.worker.phase).is_none_or(|(_, whole)| now - self.since < whole - HUSH)
     }
 
-    fn told(&self, now: Time) -> Told {
+    fn told(&self, now: Time) -> WorkerEntry {
         let ms = |time: Time| u32::try_from(time.max(0) / 1_000).unwrap_or(u32::MAX);
-        Told {
+        WorkerEntry {
             told_seq: self.told_seq,
             call_seq: self.worker.call_seq,
             phase: self.worker.phase as u8,
@@ -157,7 +158,7 @@
 }
 
 /// One process's copy.
-pub struct Bulletin {
+pub struct Gossip {
     slow: Time,
     chance: ChaCha8Rng,
     peers: Vec<SocketAddr>,
@@ -171,7 +172,7 @@
     garbage: u64,
 }
 
-impl Bulletin {
+impl Gossip {
     /// `slow` is how long a gap may stay before digests are compared with one other, in microseconds.
     pub fn new(slow: Time, seed: u64, now: Time) -> Self {
         let mut new = Self {
@@ -261,7 +262,7 @@
         self.garbage
     }
 
-    /// Bytes from another process's bulletin. Garbage is counted and dropped.
+    /// Bytes from another process's gossip. Garbage is counted and dropped.
     pub fn heard(&mut self, now: Time, from: SocketAddr, bytes: &[u8], out: &mut dyn Outgoing) {
         let from = canonical(from);
         match Message::read(bytes) {
@@ -608,7 +609,7 @@
         &mut self,
         now: Time,
         from: SocketAddr,
-        told: Vec<Told>,
+        told: Vec<WorkerEntry>,
         out: &mut dyn Outgoing,
     ) -> Vec<(String, Merged)> {
         let mut all = Vec::new();
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,12 +1,12 @@
 //! What operators and workers tell the tier: configurations and their routes, and the list of workers. No I/O: time and chance
 //! are handed in, and what is to be sent is handed out.
 
-pub mod bulletin;
 pub mod configuration;
+pub mod gossip;
 mod json;
 mod wire;
 pub mod worker;
 
-pub use bulletin::Bulletin;
 pub use configuration::{Configuration, Findings, Kind, Limits, Route, Service};
+pub use gossip::Gossip;
 pub use worker::{Phase, Worker};
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -59,7 +59,7 @@
     #[deku(reader = "read_list(deku::reader)", writer = "write_list(deku::writer, &self.texts)")]
     pub texts: Vec<Text>,
     #[deku(reader = "read_list(deku::reader)", writer = "write_list(deku::writer, &self.workers)")]
-    pub workers: Vec<Told>,
+    pub workers: Vec<WorkerEntry>,
 }
 
 /// What the sender has, in answer to news.
@@ -98,7 +98,7 @@
     #[deku(reader = "read_list(deku::reader)", writer = "write_list(deku::writer, &self.texts)")]
     pub texts: Vec<Text>,
     #[deku(reader = "read_list(deku::reader)", writer = "write_list(deku::writer, &self.workers)")]
-    pub workers: Vec<Told>,
+    pub workers: Vec<WorkerEntry>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, DekuRead, DekuWrite)]
@@ -151,9 +151,9 @@
     }
 }
 
-/// A worker as one bulletin tells another of it.
+/// A worker as one gossip tells another of it.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
-pub struct Told {
+pub struct WorkerEntry {
     #[deku(endian = "little")]
     pub told_seq: u64,
     #[deku(endian = "little")]
@@ -175,7 +175,7 @@
     pub zone: String,
 }
 
-impl Told {
+impl WorkerEntry {
     /// None where the phase is unknown.
     pub fn worker(self) -> Option<Worker> {
         Some(Worker {
--- a/crates/registry/tests/bulletin.rs
+++ b/crates/registry/tests/gossip.rs
@@ -9,8 +9,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug::{SECOND, Time};
-use rainlug_registry::bulletin::{CONFIGURATION, GROUPS, Outgoing};
-use rainlug_registry::{Bulletin, Phase, Worker};
+use rainlug_registry::gossip::{CONFIGURATION, GROUPS, Outgoing};
+use rainlug_registry::{Gossip, Phase, Worker};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -79,7 +79,7 @@
     now: Time,
     chance: ChaCha8Rng,
     loss: f64,
-    bulletins: Vec<Bulletin>,
+    bulletins: Vec<Gossip>,
     members: Vec<Member>,
     /// When each member is due, and the same in order.
     due: Vec<Time>,
@@ -92,13 +92,13 @@
     fn new(size: usize, seed: u64) -> Self {
         let peers: Vec<_> = (0..size).map(address).collect();
         let bulletins = (0..size).map(|n| {
-            let mut bulletin = Bulletin::new(SLOW, seed * 1_000 + n as u64, 0);
+            let mut gossip = Gossip::new(SLOW, seed * 1_000 + n as u64, 0);
             let others: Vec<_> = peers.iter().copied().filter(|p| *p != address(n)).collect();
-            bulletin.peers(0, &others);
-            bulletin
+            gossip.peers(0, &others);
+            gossip
         });
         let bulletins: Vec<_> = bulletins.collect();
-        let due: Vec<_> = bulletins.iter().map(Bulletin::next).collect();
+        let due: Vec<_> = bulletins.iter().map(Gossip::next).collect();
         Self {
             now: 0,
             chance: ChaCha8Rng::seed_from_u64(seed),
@@ -113,7 +113,7 @@
     }
 
     /// Lets one member act, and takes its effects.
-    fn act<T>(&mut self, n: usize, act: impl FnOnce(&mut Bulletin, Time, &mut Effects) -> T) -> T {
+    fn act<T>(&mut self, n: usize, act: impl FnOnce(&mut Gossip, Time, &mut Effects) -> T) -> T {
         let mut effects = Effects::default();
         let result = act(&mut self.bulletins[n], self.now, &mut effects);
         self.timers.remove(&(self.due[n], n));
@@ -172,7 +172,7 @@
     }
 
     /// Plays until all have it, at most so long; how long it took.
-    fn until(&mut self, most: Time, has: impl Fn(&Bulletin) -> bool) -> Option<Time> {
+    fn until(&mut self, most: Time, has: impl Fn(&Gossip) -> bool) -> Option<Time> {
         let start = self.now;
         loop {
             if self.bulletins.iter().all(&has) {
@@ -193,13 +193,13 @@
     }
 }
 
-fn phase_of(bulletin: &Bulletin, n: usize) -> Option<Phase> {
+fn phase_of(gossip: &Gossip, n: usize) -> Option<Phase> {
     let id = format!("i-{n}");
-    bulletin.workers().find(|w| w.id == id).map(|w| w.phase)
+    gossip.workers().find(|w| w.id == id).map(|w| w.phase)
 }
 
-fn phases(bulletin: &Bulletin) -> BTreeMap<String, Phase> {
-    bulletin.workers().map(|w| (w.id.clone(), w.phase)).collect()
+fn phases(gossip: &Gossip) -> BTreeMap<String, Phase> {
+    gossip.workers().map(|w| (w.id.clone(), w.phase)).collect()
 }
 
 /// Given a fleet that knows 60 workers, when one of them drains, then all know within the bound, and the teller knows that.
@@ -290,7 +290,7 @@
         assert_eq!(phase_of(&fleet.bulletins[2], 1), None);
         // When links are whole again, then digests bring it.
         fleet.loss = 0.0;
-        let has = |b: &Bulletin| phase_of(b, 1).is_some() && b.get(CONFIGURATION).is_some();
+        let has = |b: &Gossip| phase_of(b, 1).is_some() && b.get(CONFIGURATION).is_some();
         let took = fleet.until(10 * SLOW, has).unwrap();
         println!("{size} members: repaired by digests in {} ms", took / MS);
         assert!(took < 4 * SLOW, "{took}");
@@ -322,7 +322,7 @@
             fleet.members[5].cut = false;
         }
         fleet.act(5, |b, now, out| b.catch_up(now, out));
-        let up = |b: &Bulletin| phase_of(b, 19) == Some(Phase::Draining) && b.get(CONFIGURATION).is_some();
+        let up = |b: &Gossip| phase_of(b, 19) == Some(Phase::Draining) && b.get(CONFIGURATION).is_some();
         let took = fleet.until(SECOND, up).unwrap();
         println!("caught up after a {} in {} ms", if freeze { "freeze" } else { "cut" }, took / MS);
         assert!(took < 200 * MS, "{took}");
@@ -466,14 +466,14 @@
 
     #[test]
     fn garbage_is_counted_and_dropped(mut bytes in proptest::collection::vec(any::<u8>(), 0..200), kind in 0..6_u8) {
-        let mut bulletin = Bulletin::new(SLOW, 1, 0);
-        bulletin.peers(0, &[address(1), address(2)]);
-        bulletin.worker(0, worker(1, Phase::Ready, 1), &mut Effects::default());
-        bulletin.heard(0, address(1), &bytes, &mut Effects::default());
+        let mut gossip = Gossip::new(SLOW, 1, 0);
+        gossip.peers(0, &[address(1), address(2)]);
+        gossip.worker(0, worker(1, Phase::Ready, 1), &mut Effects::default());
+        gossip.heard(0, address(1), &bytes, &mut Effects::default());
         let mut framed = vec![1, kind];
         framed.append(&mut bytes);
-        bulletin.heard(0, address(1), &framed, &mut Effects::default());
-        prop_assert!(bulletin.workers().count() >= 1);
+        gossip.heard(0, address(1), &framed, &mut Effects::default());
+        prop_assert!(gossip.workers().count() >= 1);
     }
 
     #[test]
@@ -482,7 +482,7 @@
         cut in any::<prop::sample::Index>(),
         which in any::<prop::sample::Index>(),
     ) {
-        let (mut a, mut b) = (Bulletin::new(SLOW, 1, 0), Bulletin::new(SLOW, 2, 0));
+        let (mut a, mut b) = (Gossip::new(SLOW, 1, 0), Gossip::new(SLOW, 2, 0));
         a.peers(0, &[address(1)]);
         b.peers(0, &[address(0)]);
         let (mut from_a, mut from_b) = (Effects::default(), Effects::default());
@@ -507,12 +507,12 @@
 
     #[test]
     fn a_length_beyond_the_input_allocates_nothing(kind in 1..5_u8, length in any::<u32>()) {
-        let mut bulletin = Bulletin::new(SLOW, 1, 0);
+        let mut gossip = Gossip::new(SLOW, 1, 0);
         let mut bytes = vec![1, kind, 8, 0];
         bytes.extend_from_slice(&length.to_le_bytes());
         bytes.extend_from_slice(&[0, 1, 2, 3, 4, 5, 6, 7, 0xff, 0xff, 0xff, 0xff, 9]);
-        bulletin.heard(0, address(1), &bytes, &mut Effects::default());
-        prop_assert_eq!(bulletin.workers().count(), 0);
+        gossip.heard(0, address(1), &bytes, &mut Effects::default());
+        prop_assert_eq!(gossip.workers().count(), 0);
     }
 }
 
