--- a/crates/tier/tests/operator.rs
+++ b/crates/tier/tests/operator.rs
@@ -114,5 +114,5 @@
 #[test]
 fn tables_have_columns_as_wide_as_their_widest_cell() {
     let rows = [vec!["gateway-1".to_owned(), "a".to_owned()], vec!["x".to_owned(), "bb".to_owned()]];
-    assert_eq!(table(&["NAME", "B"], &rows), "NAME       B\ncounter-1  a\nx          bb\n");
+    assert_eq!(table(&["NAME", "B"], &rows), "NAME       B\ngateway-1  a\nx          bb\n");
 }
