A group of 2f members goes on with the half that is left, once a lost disk is fenced

Cause: a retire left two stores; one of them lost its disk, so no majority was left and no part of batch jobs had a leader again, though the other disk held everything.

Change: fences, decided in one order by the configuration's part, break the tie: half of an even group without a fenced member is a quorum. While a group changes an entry needs quorums of both groups and f+1 disks of either; a leader that is elected may change the group before it has committed in its term. A group counts as handed over once f+1 of its members hold its change and know, on disk, that it is committed: a course found a follower that was left with a change that only the lost leader knew of.

Not wired to the tier yet.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -5,6 +5,7 @@
 //! No I/O: time, chance, messages and what the disk has saved are handed in; messages, records and commands are handed out.
 
 mod log;
+mod quorum;
 mod replica;
 mod wire;
 
@@ -12,6 +13,7 @@
 
 use bytes::Bytes;
 use quick_error::quick_error;
+pub use quorum::Quorums;
 pub use rainlug::Time;
 pub use replica::Replica;
 
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::log::{Entry, Kind, Log, Snapshot};
+use crate::quorum::{Quorums, nth_greatest};
 use crate::wire::{self, Body, Record};
 use crate::{DecodeError, Index, Member, MemberId, Output, Refused, Settings, Term, Time};
 
@@ -42,6 +43,8 @@
     matched: Index,
     next: Index,
     flow: Flow,
+    /// Up to here it knows, on its disk, that all changes of the group are committed.
+    settled: Index,
     heard: Time,
     /// The newest round that it has answered.
     round: u64,
@@ -50,7 +53,7 @@
 
 impl Progress {
     fn new(member: Member, next: Index, flow: Flow, now: Time) -> Self {
-        Self { member, matched: 0, next, flow, heard: now, round: 0, commit_sent: 0 }
+        Self { member, matched: 0, settled: 0, next, flow, heard: now, round: 0, commit_sent: 0 }
     }
 }
 
@@ -104,6 +107,8 @@
     applied: Index,
     /// Group entries up to here are known to be committed, also where `commit` is not yet.
     settled: Index,
+    /// Of the newest record of that.
+    settled_ticket: u64,
     /// Saved in this log, up to here.
     stable: Index,
     /// Tickets under way, and up to where they make the log stable.
@@ -120,6 +125,8 @@
     /// A follower needs entries that are not in memory any more.
     state_wanted: bool,
     votes: BTreeSet<MemberId>,
+    /// Disks that another group has decided have no part in breaking a tie; only added to.
+    fenced: BTreeSet<MemberId>,
     progress: BTreeMap<MemberId, Progress>,
     /// A leader's first entry.
     first: Index,
@@ -160,6 +167,7 @@
             commit: 0,
             applied: 0,
             settled: 0,
+            settled_ticket: 0,
             stable: 0,
             unsaved: VecDeque::new(),
             ticket: 0,
@@ -170,6 +178,7 @@
             has_state: false,
             state_wanted: false,
             votes: BTreeSet::new(),
+            fenced: BTreeSet::new(),
             progress: BTreeMap::new(),
             first: 0,
             heartbeat_due: now,
@@ -321,32 +330,37 @@
                     self.install_requested(&from, round, (index, last_term), total, offset, group, &chunk);
                 }
             }
-            Body::Appended { round, matched } => self.answered(current, &from, round, |progress, last| {
-                let matched = matched.min(last);
-                progress.matched = progress.matched.max(matched);
-                progress.next = progress.next.max(progress.matched + 1);
-                match &mut progress.flow {
-                    Flow::Probe { asked } => {
-                        if matched + 1 >= progress.next {
-                            progress.flow = Flow::Replicate { in_flight: VecDeque::new() };
-                        } else {
-                            // What precedes is not saved there yet; it is common, though, or the answer were another.
-                            *asked = true;
-                        }
+            Body::Appended { round, matched, settled } => {
+                self.answered(current, &from, round, |progress, last| {
+                    let matched = matched.min(last);
+                    progress.matched = progress.matched.max(matched);
+                    if settled != 0 {
+                        progress.settled = progress.settled.max(matched);
                     }
-                    Flow::Replicate { in_flight } => {
-                        while in_flight.front().is_some_and(|&index| index <= matched) {
-                            in_flight.pop_front();
+                    progress.next = progress.next.max(progress.matched + 1);
+                    match &mut progress.flow {
+                        Flow::Probe { asked } => {
+                            if matched + 1 >= progress.next {
+                                progress.flow = Flow::Replicate { in_flight: VecDeque::new() };
+                            } else {
+                                // What precedes is not saved there yet; it is common, though, or the answer were another.
+                                *asked = true;
+                            }
                         }
-                    }
-                    Flow::Snapshot { snapshot, .. } => {
-                        if matched >= snapshot.index {
-                            progress.next = progress.matched + 1;
-                            progress.flow = Flow::Replicate { in_flight: VecDeque::new() };
+                        Flow::Replicate { in_flight } => {
+                            while in_flight.front().is_some_and(|&index| index <= matched) {
+                                in_flight.pop_front();
+                            }
+                        }
+                        Flow::Snapshot { snapshot, .. } => {
+                            if matched >= snapshot.index {
+                                progress.next = progress.matched + 1;
+                                progress.flow = Flow::Replicate { in_flight: VecDeque::new() };
+                            }
                         }
                     }
-                }
-            }),
+                })
+            }
             Body::Rejected { round, prev_index, hint_index, hint_term } => {
                 let common = self.log.common(hint_index, hint_term);
                 self.answered(current, &from, round, |progress, _| {
@@ -432,7 +446,9 @@
         let before = self.log.group().after.clone();
         let (old, new) = (ids(&before), ids(&members));
         let by_one = old.difference(&new).count() <= 1 && new.difference(&old).count() <= 1;
-        if !self.leads() || !self.is_settled() || new.is_empty() || new.len() != members.len() || !by_one {
+        // It need not have committed an entry of its own term: where half of the group is fenced it cannot before another one has
+        // joined. A change that was committed is on a quorum of the group that it ended, so whoever was elected has it.
+        if !self.is_settled() || new.is_empty() || new.len() != members.len() || !by_one {
             return Err(Refused::Busy);
         }
         for member in &members {
@@ -448,6 +464,18 @@
         Ok(self.append(Kind::Group, data))
     }
 
+    /// These disks have no part in breaking a tie from now on (see `quorum`). Of any two sets that members of a group are ever
+    /// told, one must contain the other: they are decided in one order, elsewhere. Not kept on the disk.
+    pub fn fence(&mut self, now: Time, disks: impl IntoIterator<Item = MemberId>) {
+        self.wake(now);
+        let before = self.fenced.len();
+        self.fenced.extend(disks);
+        if self.fenced.len() > before {
+            self.count_votes();
+            self.advance();
+        }
+    }
+
     /// Asks for a read that sees all that was committed before; answered in [`Output::reads`].
     pub fn read(&mut self, now: Time, ticket: u64) {
         self.wake(now);
@@ -500,7 +528,7 @@
             }
         }
         if self.role == Role::Leader && !self.reads.is_empty() {
-            let confirmed = self.most_of(|group| group / 2 + 1, |progress| progress.round, self.round);
+            let confirmed = self.reached_by_quorums(|progress| progress.round, self.round);
             let applied = self.applied;
             let answered = |read: &mut Read| read.round <= confirmed && read.index <= applied;
             self.output.reads.extend(self.reads.extract_if(.., answered).map(|read| (read.ticket, Ok(()))));
@@ -529,6 +557,10 @@
     pub fn leader(&self) -> Option<&Member> {
         self.leader.as_ref()
     }
+    /// Was elected, and may change the group; whether it may serve is told by [`Replica::leads`].
+    pub fn is_elected(&self) -> bool {
+        self.role == Role::Leader
+    }
     /// Leads, and has committed an entry of its own term.
     pub fn leads(&self) -> bool {
         self.role == Role::Leader && self.commit >= self.first
@@ -579,7 +611,7 @@
         self.now = now;
         if self.role == Role::Leader {
             if now >= self.quorum_due {
-                let heard = self.most_of(|group| self.copies(group), |progress| progress.heard, now);
+                let heard = self.reached_by_quorums(|progress| progress.heard, now);
                 self.quorum_due = heard + self.settings.election;
                 if now >= self.quorum_due {
                     self.step_down();
@@ -608,32 +640,46 @@
     fn is_settled(&self) -> bool {
         self.log.group().index <= self.commit.max(self.settled)
     }
-    /// How many of a group must have saved an entry before it is committed.
+    /// How many of a group must have saved an entry before it is committed, while no change of the group is under way.
     fn copies(&self, group: usize) -> usize {
         (group / 2 + 1).max(self.settings.copies.min(group))
     }
-    /// What so many of each group have reached; of this member it is `own`.
-    fn most_of<T: Ord + Default + Copy>(
-        &self,
-        many: impl Fn(usize) -> usize,
-        of: impl Fn(&Progress) -> T,
-        own: T,
-    ) -> T {
-        let reached = self.groups().map(|group| {
-            let mut figures: Vec<T> = group
-                .iter()
-                .map(|member| {
-                    if member.id == self.me.id {
-                        own
-                    } else {
-                        self.progress.get(&member.id).map_or_else(T::default, &of)
-                    }
-                })
-                .collect();
-            figures.sort_unstable_by(|a, b| b.cmp(a));
-            figures.get(many(group.len()).saturating_sub(1)).copied().unwrap_or_default()
-        });
-        reached.min().unwrap_or_default()
+    /// A figure of each follower, and this member's own.
+    fn figure<T: Default>(&self, member: &Member, of: impl Fn(&Progress) -> T, own: T) -> T {
+        if member.id == self.me.id {
+            return own;
+        }
+        self.progress.get(&member.id).map_or_else(T::default, of)
+    }
+    /// What a quorum of each group that must agree has reached; of this member it is `own`.
+    fn reached_by_quorums<T: Ord + Default + Copy>(&self, of: impl Fn(&Progress) -> T, own: T) -> T {
+        let reached =
+            |group| Quorums::new(group, &self.fenced).reached(|member| self.figure(member, &of, own));
+        self.groups().map(reached).min().unwrap_or_default()
+    }
+    /// The newest entry that is on the disks of enough members to be committed.
+    fn saved_by_enough(&self) -> Index {
+        let figure = |member: &Member| self.figure(member, |progress| progress.matched, self.stable);
+        let group = self.log.group();
+        if self.is_settled() {
+            return nth_greatest(group.after.iter().map(figure), self.copies(group.after.len()));
+        }
+        // While the group changes: quorums of both groups know of it, and it is on as many disks as must hold it, of either.
+        let mut either: Vec<&Member> = group.after.iter().chain(&group.before).collect();
+        either.sort_unstable_by_key(|member| member.id);
+        either.dedup_by_key(|member| member.id);
+        let copies = self.settings.copies.min(group.after.len());
+        let known = self.reached_by_quorums(|progress| progress.matched, self.stable);
+        known.min(nth_greatest(either.into_iter().map(figure), copies))
+    }
+    /// Whether so many members of the newest group as an entry needs to be committed hold all up to its change on their disks,
+    /// and know there that it is committed. What was committed before, and the group itself, then rest on no member that has left.
+    pub fn is_handed_over(&self) -> bool {
+        let group = self.log.group();
+        let own = if self.has_saved_settled() { self.stable } else { 0 };
+        let figure = |member: &Member| self.figure(member, |p| p.matched.min(p.settled), own);
+        self.is_settled()
+            && nth_greatest(group.after.iter().map(figure), self.copies(group.after.len())) >= group.index
     }
     /// All but this member.
     fn others(&self) -> Vec<Member> {
@@ -673,9 +719,9 @@
     }
     fn count_votes(&mut self) {
         let elected = self.has_seat()
-            && self.groups().all(|group| {
-                group.iter().filter(|member| self.votes.contains(&member.id)).count() > group.len() / 2
-            });
+            && self
+                .groups()
+                .all(|group| Quorums::new(group, &self.fenced).is_met(|id| self.votes.contains(&id)));
         match self.role {
             Role::PreCandidate if elected => {
                 let me = self.me.id;
@@ -829,13 +875,21 @@
     fn settle(&mut self, index: Index) {
         if self.settled < index {
             self.settled = index;
-            self.save(wire::settled_record(index));
+            self.settled_ticket = self.save(wire::settled_record(index));
         }
     }
 
+    /// Whether the newest group is known to be committed, on the disk too.
+    fn has_saved_settled(&self) -> bool {
+        self.is_settled() && self.settled_ticket <= self.saved
+    }
+    fn appended(&self, round: u64, matched: Index) -> Body {
+        Body::Appended { round, matched, settled: u8::from(self.has_saved_settled()) }
+    }
+
     fn advance(&mut self) {
         while self.role == Role::Leader {
-            let commit = self.most_of(|group| self.copies(group), |progress| progress.matched, self.stable);
+            let commit = self.saved_by_enough();
             if commit <= self.commit || self.log.term(commit) != Some(self.term) {
                 break;
             }
@@ -893,9 +947,9 @@
         self.commit_to(commit.min(last));
         let last = last.max(self.commit);
         if bulky && self.stable < last {
-            self.hold(self.ticket, from, Body::Appended { round, matched: last });
+            self.hold(self.ticket, from, self.appended(round, last));
         } else {
-            self.hold(self.hard_ticket, from, Body::Appended { round, matched: last.min(self.stable) });
+            self.hold(self.hard_ticket, from, self.appended(round, last.min(self.stable)));
         }
     }
 
@@ -917,7 +971,7 @@
         if index <= self.commit {
             self.incoming = None;
             let matched = self.stable.min(self.commit);
-            self.hold(self.hard_ticket, from, Body::Appended { round, matched });
+            self.hold(self.hard_ticket, from, self.appended(round, matched));
             return;
         }
         let same = |incoming: &Incoming| {
@@ -954,7 +1008,7 @@
         self.output.committed.clear();
         self.output.restore = Some((index, state));
         self.rewrite();
-        self.hold(self.ticket, from, Body::Appended { round, matched: index });
+        self.hold(self.ticket, from, self.appended(round, index));
     }
 }
 
--- a/crates/consensus/src/wire.rs
+++ b/crates/consensus/src/wire.rs
@@ -121,7 +121,12 @@
     },
     /// All up to `matched` is as in the leader's log, and saved.
     #[deku(id = 4)]
-    Appended { round: u64, matched: u64 },
+    Appended {
+        round: u64,
+        matched: u64,
+        /// Not 0 where the follower's newest group is known to be committed, on its disk too.
+        settled: u8,
+    },
     /// What precedes the entries is not there; the follower's newest entry that may be common.
     #[deku(id = 5)]
     Rejected { round: u64, prev_index: u64, hint_index: u64, hint_term: u64 },
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -239,6 +239,13 @@
         up.filter(|(_, replica)| replica.leads()).max_by_key(|(_, replica)| replica.term()).map(|(id, _)| id)
     }
 
+    /// Who is elected in the newest term, though it may not serve yet.
+    pub fn elected(&self) -> Option<MemberId> {
+        let up = self.nodes.iter().filter_map(|(&id, node)| Some((id, node.replica.as_ref()?)));
+        let elected = up.filter(|(_, replica)| replica.is_elected());
+        elected.max_by_key(|(_, replica)| replica.term()).map(|(id, _)| id)
+    }
+
     /// Proposes the next command there: its id.
     pub fn propose(&mut self, id: MemberId, padding: usize) -> Option<u64> {
         let now = self.now;
@@ -268,6 +275,14 @@
         self.pump(id);
         changed
     }
+    /// Tells a node that these disks are fenced.
+    pub fn fence(&mut self, id: MemberId, disks: &[MemberId]) {
+        let now = self.now;
+        if let Some(replica) = self.nodes.get_mut(&id).and_then(|node| node.replica.as_mut()) {
+            replica.fence(now, disks.iter().copied());
+            self.pump(id);
+        }
+    }
     pub fn is_committed(&self, command: u64) -> bool {
         self.history.iter().any(|(_, id)| *id == command)
     }
