Stores lost one after the other: fences are decided with the configuration, groups hand over

Change: the configuration's part fences a disk when another one takes its name or address, or when its absence ties a group that another store could complete; replicas learn fences with the roster. A group has 2f members at least. retire is complete only when each part's leader knows of it and has handed over; a retiring store that loses its disk stays retiring; a fenced store that comes back has a new identity. An old leader no longer publishes its roster above one of a later term. Seats are a module of their own.

--- a/crates/coordinator/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -407,6 +407,7 @@
                 }
                 Effect::Save { part, ticket, records } => self.save(at, part, ticket, &records, false),
                 Effect::Rewrite { part, ticket, records } => self.save(at, part, ticket, &records, true),
+                Effect::Renew { .. } => {}
                 Effect::Answer { ticket, answer } => self.answered(ticket, answer),
                 Effect::Configuration { version, .. } => {
                     let watch = self.configurations.entry(version).or_default();
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -8,7 +8,7 @@
 use rainlug_consensus::Refused;
 use rainlug_registry::{Configuration, Phase, Worker};
 
-use crate::control::Change;
+use crate::control::{Change, Store};
 use crate::frame::{Head, Place, Request, Text, join, split};
 use crate::part::Wanted;
 use crate::{Answer, CONTROL, Call, Coordinator, Effect, Held, News, Now, Origin, PARTS, SPREADING, part_of};
@@ -369,16 +369,16 @@
             (CONTROL, Request::Shelve { seat }) => {
                 let known = seat.member().ok().and_then(|m| {
                     let control = self.parts.get(&CONTROL)?.control()?;
-                    let (old, _) = control.stores.get(&m.name)?;
-                    Some(*old == m)
+                    Some(control.stores.get(&m.name)?.member == m)
                 });
                 match known {
                     Some(true) => self.reply(origin, Answer::of(200)),
                     _ => self.propose(number, origin, join(&Change::Store { seat }, &[])),
                 }
             }
-            (CONTROL, Request::Seated { part, term, count, seats }) => {
-                self.propose(number, origin, join(&Change::Seated { part, term, count, seats }, &[]));
+            (CONTROL, Request::Seated { part, term, retirements, count, seats }) => {
+                let change = Change::Seated { part, term, retirements, count, seats };
+                self.propose(number, origin, join(&change, &[]));
             }
             (1.., Request::Submit { lot, route }) => {
                 self.submit(number, origin, name(&lot), name(&route), tail)
@@ -433,17 +433,17 @@
 
     fn retire(&mut self, origin: Origin, store: String) {
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
-        let Some((_, retiring)) = control.stores.get(&store) else {
+        let Some(entry) = control.stores.get(&store) else {
             return self.reply(origin, Answer::of(404));
         };
-        if *retiring {
+        if entry.is_retiring() {
             return self.reply(origin, Answer::of(200));
         }
         let lives = |at: &SocketAddr| self.living.contains_key(at);
-        let left =
-            control.stores.values().filter(|(m, retiring)| m.name != store && !retiring && lives(&m.at));
+        let stays =
+            |other: &&Store| other.member.name != store && !other.is_retiring() && lives(&other.member.at);
         // As many as a group must have for the loss of what is to be borne.
-        if left.count() < self.info.tolerate + 1 {
+        if control.stores.values().filter(stays).count() < self.info.fewest_members() {
             return self.reply(origin, Answer::of(409));
         }
         self.propose(CONTROL, origin, join(&Change::Retire { store: store.as_str().into() }, &[]));
@@ -460,11 +460,10 @@
             }
             Wanted::Retiring(store) => {
                 let Some(control) = self.parts.get(&number).and_then(|p| p.control()) else { return };
-                let Some((member, retiring)) = control.stores.get(&store) else {
+                let Some(entry) = control.stores.get(&store) else {
                     return self.reply(origin, Answer::of(404));
                 };
-                let holds = control.groups.values().any(|g| g.members.iter().any(|m| m.id == member.id));
-                let state = if *retiring && !holds { "complete" } else { "active" };
+                let state = if control.may_go(entry) { "complete" } else { "active" };
                 self.reply(origin, Answer::json(200, format!("{{\"state\":\"{state}\"}}")));
             }
             Wanted::Lot { lot, since, until } => self.show_lot(number, origin, lot, since, until),
--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -5,14 +5,19 @@
 
 use bytes::Bytes;
 use deku::prelude::*;
-use rainlug_consensus::Member;
+use rainlug_consensus::{Member, MemberId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::frame::{DecodeError, Seat, Text, join, split};
+use crate::roster::{PartGroup, Roster, StoreSeat, members, seats};
 
 /// So many accepted versions are remembered, to know a configuration that is sent again.
 const REMEMBERED: usize = 4096;
 
+/// So many fenced disks are remembered. One that was away while as many others were fenced, and is the rest of a group that none
+/// of these tells it of, is not expected.
+const FENCES: usize = 4096;
+
 /// A change, as it is agreed on.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "little")]
@@ -29,10 +34,15 @@
     Seated {
         part: u16,
         term: u64,
+        /// How many retirements its leader knew of.
+        retirements: u32,
         count: u16,
         #[deku(count = "count")]
         seats: Vec<Seat>,
     },
+    /// The disk has no part in breaking a tie from now on.
+    #[deku(id = "4")]
+    Fence { disk: u64 },
 }
 
 /// What a change did.
@@ -51,6 +61,8 @@
 pub struct Group {
     pub founding: Vec<Member>,
     pub term: u64,
+    /// Its leader had taken so many retirements into account when it told of this group.
+    pub retirements: u32,
     pub members: Vec<Member>,
 }
 
@@ -60,8 +72,26 @@
     pub text: Bytes,
     /// Versions that were accepted, with the hash of each.
     accepted: BTreeMap<u64, u64>,
-    pub stores: BTreeMap<String, (Member, bool)>,
+    pub stores: BTreeMap<String, Store>,
     pub groups: BTreeMap<u16, Group>,
+    /// Retirements that were ever ordered.
+    retirements: u32,
+    /// Disks that break no tie any more, in the order in which that was decided.
+    fenced: Vec<MemberId>,
+}
+
+/// A store on the roster.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Store {
+    pub member: Member,
+    /// The number of its retirement, from 1; 0 where it stays.
+    pub retirement: u32,
+}
+
+impl Store {
+    pub fn is_retiring(&self) -> bool {
+        self.retirement > 0
+    }
 }
 
 #[derive(DekuRead, DekuWrite)]
@@ -81,67 +111,11 @@
     hash: u64,
 }
 
-/// The roster of stores and the groups of parts, as the gossip carries them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little", endian = "endian")]
-pub struct Roster {
-    cores: u16,
-    /// The configuration's own group.
-    #[deku(count = "cores")]
-    pub core: Vec<Seat>,
-    shelved: u16,
-    #[deku(count = "shelved")]
-    pub stores: Vec<Shelved>,
-    parts: u16,
-    #[deku(count = "parts")]
-    pub groups: Vec<Listed>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(ctx = "endian: deku::ctx::Endian", endian = "endian")]
-pub struct Shelved {
-    pub seat: Seat,
-    pub retiring: u8,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(ctx = "endian: deku::ctx::Endian", endian = "endian")]
-pub struct Listed {
-    pub part: u16,
-    pub term: u64,
-    founders: u16,
-    #[deku(count = "founders")]
-    pub founding: Vec<Seat>,
-    seated: u16,
-    #[deku(count = "seated")]
-    pub members: Vec<Seat>,
-}
-
-impl Roster {
-    pub fn encode(&self) -> Bytes {
-        join(self, &[])
-    }
-
-    /// # Errors
-    /// Where the bytes are not a roster.
-    pub fn decode(bytes: &Bytes) -> Result<Self, DecodeError> {
-        split::<Roster>(bytes).map(|(roster, _)| roster)
-    }
-}
-
-fn seats(members: &[Member]) -> Vec<Seat> {
-    members.iter().map(Seat::from).collect()
-}
-
-pub fn members(seats: &[Seat]) -> Result<Vec<Member>, DecodeError> {
-    seats.iter().map(Seat::member).collect()
-}
-
 impl Change {
     /// A part's group, to be agreed on.
-    pub fn seated(part: u16, term: u64, members: &[Member]) -> Self {
+    pub fn seated(part: u16, term: u64, retirements: u32, members: &[Member]) -> Self {
         let seats = seats(members);
-        Change::Seated { part, term, count: seats.len() as u16, seats }
+        Change::Seated { part, term, retirements, count: seats.len() as u16, seats }
     }
 }
 
@@ -152,39 +126,83 @@
         Ok(match change {
             Change::Configure { base, version } => self.configure(base, version, tail),
             Change::Store { seat } => {
-                let member = seat.member()?;
-                // Whoever had this address before is not there any more.
-                self.stores.retain(|name, (old, _)| *name == member.name || old.at != member.at);
-                match self.stores.get_mut(&member.name) {
-                    Some((old, _)) if old.id == member.id => *old = member,
-                    _ => {
-                        self.stores.insert(member.name.clone(), (member, false));
-                    }
-                }
+                self.enter_store(seat.member()?);
+                Outcome::Done
+            }
+            Change::Retire { store } => self.retire(store.to_str()?),
+            Change::Seated { part, term, retirements, seats, .. } => {
+                self.seat(part, term, retirements, members(&seats)?);
                 Outcome::Done
             }
-            Change::Retire { store } => match self.stores.get_mut(store.to_str()?) {
-                Some((_, retiring)) => {
-                    *retiring = true;
-                    Outcome::Done
-                }
-                None => Outcome::Unknown,
-            },
-            Change::Seated { part, term, seats, .. } => {
-                let members = members(&seats)?;
-                match self.groups.get_mut(&part) {
-                    None => {
-                        self.groups.insert(part, Group { founding: members.clone(), term, members });
-                    }
-                    // A founding that came twice, or word of a leader before.
-                    Some(group) if term <= group.term && (term == 0 || term < group.term) => {}
-                    Some(group) => (group.term, group.members) = (term, members),
-                }
+            Change::Fence { disk } => {
+                self.fence(disk);
                 Outcome::Done
             }
         })
     }
 
+    /// A store tells of itself. Whoever had its name or address with another disk is gone, and so is that disk.
+    fn enter_store(&mut self, member: Member) {
+        let replaced = |store: &Store| {
+            let same_place = store.member.at == member.at || store.member.name == member.name;
+            same_place && store.member.id != member.id
+        };
+        let gone: Vec<MemberId> = self.stores.values().filter(|s| replaced(s)).map(|s| s.member.id).collect();
+        gone.into_iter().for_each(|disk| self.fence(disk));
+        self.stores.retain(|name, store| *name == member.name || store.member.at != member.at);
+        // A machine that is to go is still to go where it has lost its disk meanwhile.
+        let retirement = self.stores.get(&member.name).map_or(0, |store| store.retirement);
+        self.stores.insert(member.name.clone(), Store { member, retirement });
+    }
+
+    fn retire(&mut self, name: &str) -> Outcome {
+        let Some(store) = self.stores.get_mut(name) else { return Outcome::Unknown };
+        if !store.is_retiring() {
+            self.retirements += 1;
+            store.retirement = self.retirements;
+        }
+        Outcome::Done
+    }
+
+    fn seat(&mut self, part: u16, term: u64, retirements: u32, members: Vec<Member>) {
+        match self.groups.get_mut(&part) {
+            None => {
+                let founding = members.clone();
+                self.groups.insert(part, Group { founding, term, retirements, members });
+            }
+            // A founding that came twice, or word of a leader before.
+            Some(group) if term <= group.term && (term == 0 || term < group.term) => {}
+            Some(group) => (group.term, group.retirements, group.members) = (term, retirements, members),
+        }
+    }
+
+    fn fence(&mut self, disk: MemberId) {
+        if self.is_fenced(disk) {
+            return;
+        }
+        self.fenced.push(disk);
+        let surplus = self.fenced.len().saturating_sub(FENCES);
+        self.fenced.drain(..surplus);
+    }
+
+    pub fn is_fenced(&self, disk: MemberId) -> bool {
+        self.fenced.contains(&disk)
+    }
+
+    /// How many retirements were ever ordered.
+    pub fn retirements(&self) -> u32 {
+        self.retirements
+    }
+
+    /// Whether a store that retires may be taken away: every part's leader knows that it retires, and has handed over to a group
+    /// without it.
+    pub fn may_go(&self, store: &Store) -> bool {
+        let without_it = |group: &Group| {
+            group.retirements >= store.retirement && group.members.iter().all(|m| m.id != store.member.id)
+        };
+        store.is_retiring() && self.groups.values().all(without_it)
+    }
+
     fn configure(&mut self, base: u64, version: u64, text: Bytes) -> Outcome {
         let hash = xxh3_64(&text);
         if self.accepted.get(&version) == Some(&hash) {
@@ -211,20 +229,19 @@
 
     /// The roster, with the configuration's own group.
     pub fn roster(&self, core: &[Member]) -> Roster {
-        let stores = self.stores.values();
-        let stores: Vec<Shelved> =
-            stores.map(|(m, retiring)| Shelved { seat: m.into(), retiring: u8::from(*retiring) }).collect();
-        let listed = |(part, group): (&u16, &Group)| Listed {
-            part: *part,
-            term: group.term,
-            founders: group.founding.len() as u16,
-            founding: seats(&group.founding),
-            seated: group.members.len() as u16,
-            members: seats(&group.members),
+        let seat = |store: &Store| StoreSeat { seat: (&store.member).into(), retirement: store.retirement };
+        let stores = self.stores.values().map(seat).collect();
+        let listed = |(part, group): (&u16, &Group)| {
+            PartGroup::new(
+                *part,
+                group.term,
+                group.retirements,
+                seats(&group.founding),
+                seats(&group.members),
+            )
         };
-        let groups: Vec<Listed> = self.groups.iter().map(listed).collect();
-        let (cores, shelved, parts) = (core.len() as u16, stores.len() as u16, groups.len() as u16);
-        Roster { cores, core: seats(core), shelved, stores, parts, groups }
+        let groups = self.groups.iter().map(listed).collect();
+        Roster::new(seats(core), stores, groups, self.retirements, self.fenced.clone())
     }
 
     pub fn snapshot(&self) -> Bytes {
@@ -243,12 +260,15 @@
         control.accepted = image.accepted.iter().map(|p| (p.version, p.hash)).collect();
         for store in &image.roster.stores {
             let member = store.seat.member()?;
-            control.stores.insert(member.name.clone(), (member, store.retiring > 0));
+            control.stores.insert(member.name.clone(), Store { member, retirement: store.retirement });
         }
         for group in &image.roster.groups {
             let (founding, seated) = (members(&group.founding)?, members(&group.members)?);
-            control.groups.insert(group.part, Group { founding, term: group.term, members: seated });
+            let (term, retirements) = (group.term, group.retirements);
+            control.groups.insert(group.part, Group { founding, term, retirements, members: seated });
         }
+        control.retirements = image.roster.retirements;
+        control.fenced = image.roster.fenced;
         Ok(control)
     }
 }
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -132,6 +132,8 @@
     Seated {
         part: u16,
         term: u64,
+        /// How many retirements its leader knows of.
+        retirements: u32,
         count: u16,
         #[deku(count = "count")]
         seats: Vec<Seat>,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod listing;
 mod lots_part;
 mod part;
+pub mod roster;
+mod seats;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,9 +26,9 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use control::Roster;
 use frame::{DecodeError, Head, join, split};
 use part::Part;
+use roster::Roster;
 
 /// The part that holds the configuration.
 pub const CONTROL: u16 = 0;
@@ -70,6 +72,19 @@
     pub seed: u64,
 }
 
+impl NodeInfo {
+    /// The members of a group when nothing is lost: a majority is left where `tolerate` of them are.
+    pub fn target_members(&self) -> usize {
+        2 * self.tolerate + 1
+    }
+
+    /// The fewest members that a group may have: half of them are left where `tolerate` are lost, and each entry is on more than
+    /// those (`docs/control.md`, *Losses one after the other*).
+    pub fn fewest_members(&self) -> usize {
+        (2 * self.tolerate).max(self.tolerate + 1)
+    }
+}
+
 /// The identity of a seed's disk on first boot: all know it without a word.
 pub fn founding_id(at: SocketAddr) -> MemberId {
     xxh3_64_with_seed(at.to_string().as_bytes(), 0x666f_756e_6465_7273).max(1)
@@ -142,6 +157,10 @@
         ticket: u64,
         records: Vec<Bytes>,
     },
+    /// The disk gets this identity, and what it held of parts of batch jobs is dropped.
+    Renew {
+        disk: MemberId,
+    },
     Answer {
         ticket: u64,
         answer: Answer,
@@ -228,7 +247,6 @@
     duty_at: Time,
     announce_at: Time,
     shelves_since: Option<Time>,
-    epoch: u64,
     /// When it was last caught up with others, after a start, a cut or a freeze.
     caught_up: Option<Time>,
     begun: Time,
@@ -338,7 +356,6 @@
             duty_at: now.steady,
             announce_at: now.steady,
             shelves_since: None,
-            epoch: 0,
             caught_up: None,
             begun: now.steady,
             heard: now.steady,
@@ -388,7 +405,10 @@
     ) -> Result<(), rainlug_consensus::DecodeError> {
         let Some(me) = self.me() else { return Ok(()) };
         let (settings, seed) = (settings(&self.info), self.chance.random());
-        let part = Part::open(number, me, founding, settings, records, seed, self.now.steady)?;
+        let mut part = Part::open(number, me, founding, settings, records, seed, self.now.steady)?;
+        if number != CONTROL {
+            part.replica.fence(self.now.steady, self.roster.fenced.iter().copied());
+        }
         self.parts.insert(number, part);
         Ok(())
     }
@@ -508,7 +528,7 @@
         }
         let group = self.roster.groups.iter().find(|g| g.part == number)?;
         let founder = group.founding.iter().any(|s| Some(s.id) == self.info.disk);
-        if founder { control::members(&group.founding).ok() } else { Some(Vec::new()) }
+        if founder { roster::members(&group.founding).ok() } else { Some(Vec::new()) }
     }
 
     /// All records of a part up to this ticket are on the disk.
@@ -567,6 +587,8 @@
                     if let Ok(roster) = Roster::decode(&text) {
                         (self.roster, self.roster_version) = (roster, version);
                         self.founded();
+                        self.fence_parts();
+                        self.renew_fenced_disk();
                     }
                 }
                 _ => {}
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -146,7 +146,7 @@
     }
 
     fn shelved(&self) -> impl Iterator<Item = (Member, bool)> {
-        self.roster.stores.iter().filter_map(|s| Some((s.seat.member().ok()?, s.retiring > 0)))
+        self.roster.stores.iter().filter_map(|s| Some((s.seat.member().ok()?, s.is_retiring())))
     }
 
     /// All parts, as far as this process knows: of a part that it has no replica in, by the roster and by where calls went last.
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -12,6 +12,9 @@
 use crate::frame::{Head, join};
 use crate::{Answer, CONTROL, Coordinator, Effect, Held, News, Origin, SPREADING};
 
+/// Versions of the roster that one term has, as a power of two: those of later leaders are newer.
+const ROSTERS_OF_A_TERM: u32 = 24;
+
 pub(crate) enum Machine {
     Control(Control),
     Lots(Register),
@@ -258,11 +261,10 @@
         if version > 0 && self.gossip.get(gossip::CONFIGURATION).is_none_or(|(known, _)| known < version) {
             self.enter_text(gossip::CONFIGURATION, version, text);
         }
-        if let Some(roster) = roster.filter(|r| *r != self.roster) {
-            // Later leaders have higher terms: their rosters are newer.
-            self.epoch = self.epoch.max(term << 24) + 1;
-            let version = self.epoch.max(self.roster_version + 1);
-            self.epoch = version;
+        // A leader of a later term has told of a newer one.
+        let superseded = self.roster_version >= (term + 1) << ROSTERS_OF_A_TERM;
+        if let Some(roster) = roster.filter(|r| *r != self.roster && !superseded) {
+            let version = (term << ROSTERS_OF_A_TERM).max(self.roster_version) + 1;
             self.enter_text(gossip::GROUPS, version, roster.encode());
         }
     }
--- /dev/null
+++ b/crates/coordinator/src/roster.rs
@@ -0,0 +1,119 @@
+//! The roster as the gossip carries it: the configuration's own group, the stores, the groups of the parts, and the disks that
+//! are fenced.
+
+use bytes::Bytes;
+use deku::prelude::*;
+use rainlug_consensus::{Member, MemberId};
+
+use crate::frame::{DecodeError, Seat, join, split};
+
+/// What all processes know of stores and groups.
+#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little", endian = "endian")]
+pub struct Roster {
+    core_count: u16,
+    /// The configuration's own group.
+    #[deku(count = "core_count")]
+    pub core: Vec<Seat>,
+    store_count: u16,
+    #[deku(count = "store_count")]
+    pub stores: Vec<StoreSeat>,
+    group_count: u16,
+    #[deku(count = "group_count")]
+    pub groups: Vec<PartGroup>,
+    /// Retirements that were ever ordered.
+    pub retirements: u32,
+    fenced_count: u16,
+    /// Disks that break no tie any more, in the order in which that was decided.
+    #[deku(count = "fenced_count")]
+    pub fenced: Vec<MemberId>,
+}
+
+/// A store and whether it is to go.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(ctx = "endian: deku::ctx::Endian", endian = "endian")]
+pub struct StoreSeat {
+    pub seat: Seat,
+    /// The number of its retirement, from 1; 0 where it stays.
+    pub retirement: u32,
+}
+
+impl StoreSeat {
+    pub fn is_retiring(&self) -> bool {
+        self.retirement > 0
+    }
+}
+
+/// A part's group, as its leader has told of it.
+#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(ctx = "endian: deku::ctx::Endian", endian = "endian")]
+pub struct PartGroup {
+    pub part: u16,
+    pub term: u64,
+    /// Its leader had taken so many retirements into account.
+    pub retirements: u32,
+    founding_count: u16,
+    #[deku(count = "founding_count")]
+    pub founding: Vec<Seat>,
+    member_count: u16,
+    #[deku(count = "member_count")]
+    pub members: Vec<Seat>,
+}
+
+impl PartGroup {
+    pub fn new(part: u16, term: u64, retirements: u32, founding: Vec<Seat>, members: Vec<Seat>) -> Self {
+        let (founding_count, member_count) = (founding.len() as u16, members.len() as u16);
+        Self { part, term, retirements, founding_count, founding, member_count, members }
+    }
+}
+
+impl Roster {
+    pub fn new(
+        core: Vec<Seat>,
+        stores: Vec<StoreSeat>,
+        groups: Vec<PartGroup>,
+        retirements: u32,
+        fenced: Vec<MemberId>,
+    ) -> Self {
+        Self {
+            core_count: core.len() as u16,
+            core,
+            store_count: stores.len() as u16,
+            stores,
+            group_count: groups.len() as u16,
+            groups,
+            retirements,
+            fenced_count: fenced.len() as u16,
+            fenced,
+        }
+    }
+
+    pub fn encode(&self) -> Bytes {
+        join(self, &[])
+    }
+
+    /// # Errors
+    /// Where the bytes are not a roster.
+    pub fn decode(bytes: &Bytes) -> Result<Self, DecodeError> {
+        split::<Roster>(bytes).map(|(roster, _)| roster)
+    }
+
+    pub fn is_fenced(&self, disk: MemberId) -> bool {
+        self.fenced.contains(&disk)
+    }
+
+    /// The group of a part, where it is founded.
+    pub fn group(&self, part: u16) -> Option<&PartGroup> {
+        self.groups.iter().find(|group| group.part == part)
+    }
+}
+
+pub fn seats(members: &[Member]) -> Vec<Seat> {
+    members.iter().map(Seat::from).collect()
+}
+
+/// # Errors
+/// Where a seat's name is no text.
+pub fn members(seats: &[Seat]) -> Result<Vec<Member>, DecodeError> {
+    seats.iter().map(Seat::member).collect()
+}
--- /dev/null
+++ b/crates/coordinator/src/seats.rs
@@ -0,0 +1,282 @@
+//! Who has a seat in which group: the leader of the configuration's part keeps its own group whole, founds the parts of batch
+//! jobs and fences disks; the leader of a part of batch jobs keeps that part's group whole.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use rainlug::{SECOND, Time};
+use rainlug_consensus::{Member, MemberId};
+use rand::Rng;
+
+use crate::calls::Goal;
+use crate::control::Change;
+use crate::duties::ANNOUNCE;
+use crate::frame::{Request, Seat, join};
+use crate::part::Machine;
+use crate::roster::members;
+use crate::{CONTROL, Coordinator, Effect, Origin, PARTS, gossip};
+
+/// Who has not been there for so long loses a seat, if another one can have it.
+const ABSENT: Time = 4 * SECOND;
+/// Who has not been there for so long is fenced, where its group cannot decide without and another store could have its seat.
+const FENCE_ABSENT: Time = SECOND;
+/// The wait for more stores than are needed at least, before the parts are founded.
+const GATHER: Time = 3 * SECOND;
+/// Entries that a member may lack and still count as one that holds all: the leader goes on meanwhile.
+const NEARLY_ALL: u64 = 64;
+
+impl Coordinator {
+    fn absent(&self, at: &SocketAddr) -> bool {
+        self.absent_for(at) > ABSENT
+    }
+
+    /// How long it has not been there; 0 where it is.
+    fn absent_for(&self, at: &SocketAddr) -> Time {
+        if *at == self.info.at || self.living.contains_key(at) {
+            return 0;
+        }
+        self.now.steady - self.gone.get(at).copied().unwrap_or(self.begun)
+    }
+
+    /// Where a member would best be replaced by, or joined by, one of those: in a zone that has the fewest of the others.
+    fn best<'a>(&self, others: &[Member], from: impl Iterator<Item = &'a Member>) -> Option<Member> {
+        let crowd = |zone: &str| others.iter().filter(|m| m.zone == zone).count();
+        from.min_by_key(|m| (crowd(&m.zone), m.id)).cloned()
+    }
+
+    /// The seats of the configuration's group.
+    pub(crate) fn seat_core(&mut self) {
+        let now = self.now.steady;
+        self.joiners.retain(|_, (_, heard)| now - *heard < 3 * ANNOUNCE);
+        let target = self.info.target_members();
+        let Some(part) = self.parts.get(&CONTROL) else { return };
+        let (members, settled) = part.replica.members();
+        if !settled {
+            return;
+        }
+        let members = members.to_vec();
+        let fresh: Vec<Member> = self
+            .joiners
+            .values()
+            .map(|(m, _)| m)
+            .filter(|m| members.iter().all(|s| s.id != m.id))
+            .cloned()
+            .collect();
+        let without =
+            |out: &Member| -> Vec<Member> { members.iter().filter(|m| m.id != out.id).cloned().collect() };
+        // The same machine with another disk; then who is gone; then free seats.
+        let same =
+            fresh.iter().find_map(|f| members.iter().find(|m| m.at == f.at).map(|m| (m.clone(), f.clone())));
+        let gone = members.iter().find(|m| self.absent(&m.at)).cloned();
+        let next = if let Some((old, new)) = same {
+            Some([without(&old), vec![new]].concat())
+        } else if let Some(old) = gone {
+            let rest = without(&old);
+            self.best(&rest, fresh.iter().filter(|f| !self.absent(&f.at)))
+                .map(|new| [rest, vec![new]].concat())
+        } else if members.len() < target {
+            self.best(&members, fresh.iter()).map(|new| [members.clone(), vec![new]].concat())
+        } else {
+            None
+        };
+        if let Some(next) = next {
+            self.reseat(CONTROL, next);
+        }
+    }
+
+    fn reseat(&mut self, number: u16, next: Vec<Member>) {
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        if part.replica.change(self.now.steady, next.clone()).is_ok() {
+            let names: Vec<String> = next.iter().map(|m| format!("{}@{}", m.name, m.at)).collect();
+            self.effects.push(Effect::Log("seats", format!("part {number}: {}", names.join(" "))));
+            self.drain(number);
+        }
+    }
+
+    /// The first groups of the parts of batch jobs.
+    pub(crate) fn found_parts(&mut self) {
+        let now = self.now.steady;
+        let (least, target) = (self.info.fewest_members(), self.info.target_members());
+        let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
+        let stores: Vec<Member> =
+            control.stores.values().filter(|s| !s.is_retiring()).map(|s| s.member.clone()).collect();
+        let missing: Vec<u16> = (1..=PARTS).filter(|n| !control.groups.contains_key(n)).collect();
+        if missing.is_empty() || stores.len() < least {
+            return;
+        }
+        let since = *self.shelves_since.get_or_insert(now);
+        if stores.len() < target && now - since < GATHER {
+            return;
+        }
+        for number in missing {
+            let mut group: Vec<Member> = Vec::new();
+            // Parts begin at different stores, so that their leaders differ.
+            let turned: Vec<&Member> =
+                (0..stores.len()).map(|i| &stores[(i + usize::from(number)) % stores.len()]).collect();
+            while group.len() < target.min(stores.len()) {
+                let crowd = |zone: &str| group.iter().filter(|m| m.zone == zone).count();
+                let free = turned.iter().filter(|m| group.iter().all(|g| g.id != m.id));
+                let Some(next) = free.min_by_key(|m| crowd(&m.zone)).map(|m| Member::clone(m)) else { break };
+                group.push(next);
+            }
+            self.propose_duty(Change::seated(number, 0, 0, &group));
+        }
+    }
+
+    fn propose_duty(&mut self, change: Change) {
+        self.nonce += 1;
+        let nonce = self.nonce;
+        // Its own nonce is nobody's: whether it took effect is seen in the state.
+        self.propose(CONTROL, Origin::Own(nonce), join(&change, &[]));
+    }
+
+    /// Parts that were founded with this store among them, and that it does not have, begin here.
+    pub(crate) fn founded(&mut self) {
+        let Some(me) = self.me().filter(|_| !self.info.gateway) else { return };
+        for group in self.roster.groups.clone() {
+            if self.parts.contains_key(&group.part) || !group.founding.iter().any(|s| s.id == me.id) {
+                continue;
+            }
+            if let Ok(founding) = members(&group.founding) {
+                let _ = self.open(group.part, founding, &[]);
+            }
+        }
+    }
+
+    /// Fences disks whose absence leaves a group of batch jobs without a majority, where another store could have the seat. That a
+    /// fenced one may only be cut off does no harm: it takes a new identity when it hears of it.
+    pub(crate) fn fence_absent(&mut self) {
+        let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
+        let mut fences: Vec<MemberId> = Vec::new();
+        for group in control.groups.values() {
+            let absent = |m: &&Member| self.absent_for(&m.at) > FENCE_ABSENT;
+            let gone: Vec<&Member> = group.members.iter().filter(absent).collect();
+            let half = group.members.len() / 2;
+            let decides = group.members.len() - gone.len() > half;
+            let is_tied = group.members.len().is_multiple_of(2) && gone.len() == half;
+            let could_have_the_seat = control.stores.values().any(|s| {
+                !s.is_retiring()
+                    && !control.is_fenced(s.member.id)
+                    && self.living.contains_key(&s.member.at)
+                    && group.members.iter().all(|m| m.id != s.member.id)
+            });
+            if !decides && is_tied && could_have_the_seat {
+                fences.extend(gone.iter().map(|m| m.id).filter(|disk| !control.is_fenced(*disk)));
+            }
+        }
+        for disk in fences {
+            self.effects.push(Effect::Log("fence", format!("disk {disk:x}")));
+            self.propose_duty(Change::Fence { disk });
+        }
+    }
+
+    /// All replicas of batch jobs here learn which disks are fenced.
+    pub(crate) fn fence_parts(&mut self) {
+        for number in 1..=PARTS {
+            if let Some(part) = self.parts.get_mut(&number) {
+                part.replica.fence(self.now.steady, self.roster.fenced.iter().copied());
+                self.drain(number);
+            }
+        }
+    }
+
+    /// A store whose disk was fenced and has no seat any more is a store with a new disk from now on.
+    pub(crate) fn renew_fenced_disk(&mut self) {
+        let Some(disk) = self.info.disk.filter(|disk| !self.info.gateway && self.roster.is_fenced(*disk))
+        else {
+            return;
+        };
+        let has_seat = |number: u16| {
+            let group = self.roster.group(number);
+            group.is_none_or(|group| group.members.iter().any(|seat| seat.id == disk))
+        };
+        if (1..=PARTS).any(has_seat) {
+            return;
+        }
+        self.parts.clear();
+        let new: MemberId = self.chance.random::<u64>().max(1);
+        self.info.disk = Some(new);
+        self.effects.push(Effect::Log("fenced", format!("disk {disk:x} is {new:x} from now on")));
+        self.effects.push(Effect::Renew { disk: new });
+    }
+
+    /// The seats of a part of batch jobs whose elected leader this is.
+    fn next_group(&self, members: &[Member]) -> Option<Vec<Member>> {
+        let listed: Vec<(Member, bool)> = self
+            .roster
+            .stores
+            .iter()
+            .filter_map(|s| Some((s.seat.member().ok()?, s.is_retiring())))
+            .collect();
+        let is_listed = |m: &Member| listed.iter().any(|(l, _)| l.id == m.id);
+        let is_retiring = |m: &Member| listed.iter().any(|(l, retiring)| l.id == m.id && *retiring);
+        let could_join = |(store, retiring): &&(Member, bool)| {
+            !retiring
+                && !self.roster.is_fenced(store.id)
+                && members.iter().all(|m| m.id != store.id)
+                && self.living.contains_key(&store.at)
+        };
+        let may_leave = |m: &Member| is_retiring(m) || self.roster.is_fenced(m.id);
+        let spare: Vec<&Member> = listed.iter().filter(could_join).map(|(store, _)| store).collect();
+        // First those that hold nothing any more, then those that are to go, then those that may come back.
+        let lost = members.iter().find(|m| self.roster.is_fenced(m.id) || !is_listed(m));
+        let leaving = members.iter().find(|m| is_retiring(m));
+        let gone = members.iter().find(|m| self.absent(&m.at));
+        match lost.or(leaving).or(gone) {
+            Some(out) => {
+                let rest: Vec<Member> = members.iter().filter(|m| m.id != out.id).cloned().collect();
+                match self.best(&rest, spare.iter().copied()) {
+                    Some(new) => Some([rest, vec![new]].concat()),
+                    // Nobody can have its seat. A fenced one gives it up too, and comes back as a new disk.
+                    None if may_leave(out) && rest.len() >= self.info.fewest_members() => Some(rest),
+                    None => None,
+                }
+            }
+            None if members.len() < self.info.target_members() => {
+                let new = self.best(members, spare.iter().copied())?;
+                Some([members.to_vec(), vec![new]].concat())
+            }
+            None => None,
+        }
+    }
+
+    pub(crate) fn seat_stores(&mut self, number: u16) {
+        let Some(part) = self.parts.get(&number) else { return };
+        let (members, settled) = part.replica.members();
+        if !settled || self.gossip.get(gossip::GROUPS).is_none() || !matches!(part.machine, Machine::Lots(_))
+        {
+            return;
+        }
+        let members = members.to_vec();
+        match self.next_group(&members) {
+            Some(next) => self.reseat(number, next),
+            None => self.tell_group(number, &members),
+        }
+    }
+
+    /// Tells the configuration's part of the group as it stands, once it has been handed over and all that live hold nearly all.
+    fn tell_group(&mut self, number: u16, group: &[Member]) {
+        let Some(part) = self.parts.get(&number).filter(|p| p.led && p.replica.is_handed_over()) else {
+            return;
+        };
+        let term = part.replica.term();
+        let behind = part.replica.behind();
+        let holds_all = |m: &Member| {
+            m.at == self.info.at
+                || behind.iter().any(|(id, lacks)| *id == m.id && *lacks < NEARLY_ALL)
+                || self.absent(&m.at)
+        };
+        let retirements = self.roster.retirements;
+        let is_known = self.roster.group(number).is_some_and(|told| {
+            let same = told.members.iter().map(|s| s.id).eq(group.iter().map(|m| m.id));
+            same && told.retirements == retirements
+        });
+        if is_known || !group.iter().all(holds_all) {
+            return;
+        }
+        let seats: Vec<Seat> = group.iter().map(Seat::from).collect();
+        let count = seats.len() as u16;
+        let request = Request::Seated { part: number, term, retirements, count, seats };
+        self.ask(CONTROL, &request, Bytes::new(), Goal::Nobody, SECOND / 2, 0, 503);
+    }
+}
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -351,6 +351,9 @@
                 }
                 Effect::Save { part, ticket, records } => self.write(at, part, ticket, false, records),
                 Effect::Rewrite { part, ticket, records } => self.write(at, part, ticket, true, records),
+                Effect::Renew { disk } => {
+                    self.machines[at].disk = Some(Disk { id: disk, ..Disk::default() });
+                }
                 Effect::Answer { ticket, answer } => {
                     self.answers.insert(ticket, (self.now, answer));
                 }
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -9,16 +9,37 @@
 use tokio::sync::mpsc;
 
 /// A part's ticket that is on the disk, or why nothing more is.
-pub type Saved = (u16, u64, Result<(), Error>);
+pub struct Saved {
+    pub part: u16,
+    pub ticket: u64,
+    pub result: Result<(), Error>,
+    /// The identity of the disk that it was meant for.
+    pub disk: u64,
+}
 
 pub struct Disk {
     dir: PathBuf,
+    id: u64,
+    /// How often the disk was given another identity.
+    renewals: usize,
+    identity: Wal,
     writers: BTreeMap<u16, Writer>,
     saved: mpsc::UnboundedSender<Saved>,
 }
 
-fn name(part: u16) -> String {
-    format!("part-{part}")
+/// The file of a part. One that the disk had under an earlier identity has another name: its thread may still write it.
+fn name(part: u16, renewals: usize) -> String {
+    match renewals {
+        0 => format!("part-{part}"),
+        _ => format!("part-{part}-{renewals}"),
+    }
+}
+
+fn remove(path: &Path) -> Result<(), Error> {
+    match std::fs::remove_file(path) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(Error::Io(path.to_owned(), e)),
+        _ => Ok(()),
+    }
 }
 
 impl Disk {
@@ -34,7 +55,8 @@
     ) -> Result<(Self, u64, Vec<(u16, Vec<Bytes>)>), Error> {
         std::fs::create_dir_all(dir).map_err(|e| Error::Io(dir.to_owned(), e))?;
         let (mut own, records) = Wal::open(dir, "identity")?;
-        let known = records.first().and_then(|r| r.get(..8)?.try_into().ok()).map(u64::from_le_bytes);
+        let renewals = records.len().saturating_sub(1);
+        let known = records.last().and_then(|r| r.get(..8)?.try_into().ok()).map(u64::from_le_bytes);
         let id = match known {
             Some(id) => id,
             None => {
@@ -42,11 +64,16 @@
                 drawn
             }
         };
-        let mut disk = Disk { dir: dir.to_owned(), writers: BTreeMap::new(), saved };
+        let mut disk =
+            Disk { dir: dir.to_owned(), id, renewals, identity: own, writers: BTreeMap::new(), saved };
         let mut logs = Vec::new();
         for part in CONTROL..=PARTS {
-            if dir.join(name(part)).exists() {
-                let (wal, records) = Wal::open(dir, &name(part))?;
+            for earlier in 0..renewals {
+                remove(&dir.join(name(part, earlier)))?;
+            }
+            let name = name(part, renewals);
+            if dir.join(&name).exists() {
+                let (wal, records) = Wal::open(dir, &name)?;
                 disk.start(part, wal);
                 logs.push((part, records));
             }
@@ -55,16 +82,16 @@
     }
 
     fn start(&mut self, part: u16, wal: Wal) {
-        let saved = self.saved.clone();
+        let (saved, disk) = (self.saved.clone(), self.id);
         let writer = Writer::start(wal, move |done| {
-            let _ = saved.send((part, done.ticket, done.result));
+            let _ = saved.send(Saved { part, ticket: done.ticket, result: done.result, disk });
         });
         self.writers.insert(part, writer);
     }
 
     fn writer(&mut self, part: u16) -> Result<&Writer, Error> {
         if !self.writers.contains_key(&part) {
-            let (wal, _) = Wal::open(&self.dir, &name(part))?;
+            let (wal, _) = Wal::open(&self.dir, &name(part, self.renewals))?;
             self.start(part, wal);
         }
         self.writers
@@ -72,6 +99,27 @@
             .ok_or_else(|| Error::Io(self.dir.clone(), std::io::ErrorKind::NotFound.into()))
     }
 
+    /// The identity that the disk has now.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Gives the disk another identity, and drops the parts that it holds.
+    ///
+    /// # Errors
+    /// Where files cannot be written or removed.
+    pub fn renew(&mut self, id: u64) -> Result<(), Error> {
+        // The identity first: parts of another disk's name hold nothing that anybody counts on.
+        self.identity.append(&[Bytes::copy_from_slice(&id.to_le_bytes())])?;
+        self.writers.clear();
+        for part in CONTROL..=PARTS {
+            remove(&self.dir.join(name(part, self.renewals)))?;
+        }
+        self.id = id;
+        self.renewals += 1;
+        Ok(())
+    }
+
     /// Appends records; told through the channel when they are synced.
     ///
     /// # Errors
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -165,7 +165,10 @@
         spawn_local(node.gateway.clone().run());
         let keeps = node.clone();
         spawn_local(async move {
-            while let Some((part, ticket, result)) = on_disk.recv().await {
+            while let Some(Saved { part, ticket, result, disk }) = on_disk.recv().await {
+                if keeps.disk.borrow().as_ref().is_some_and(|d| d.id() != disk) {
+                    continue;
+                }
                 match result {
                     Ok(()) => keeps.with(|coordinator, now| coordinator.saved(now, part, ticket)),
                     Err(error) => {
@@ -258,6 +261,10 @@
                 let kept = self.disk.borrow_mut().as_mut().map(|d| d.rewrite(part, ticket, records));
                 self.kept(kept);
             }
+            Effect::Renew { disk } => {
+                let renewed = self.disk.borrow_mut().as_mut().map(|d| d.renew(disk));
+                self.kept(renewed);
+            }
             Effect::Answer { ticket, answer } => {
                 if let Some(waits) = self.answers.borrow_mut().remove(&ticket) {
                     let _ = waits.send(answer);
