Move what decides nothing out of the policy files: moves only

Change: the dispatcher's fields, its ledger's and steps' types and the calls that only read or count go to src/dispatcher.rs, a station's figures to src/station.rs, and whether two workers are of one group, taking and clearing shares to src/state.rs. No decision moved, nothing changed in its order.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 //! [`logic::Dispatcher`] takes every decision. This file holds the types it is called with and the
 //! [`Outgoing`] trait through which its decisions leave; it decides nothing.
 
+mod dispatcher;
 pub mod logic;
 pub mod shares;
 mod state;
+mod station;
 pub mod turns;
 
 use serde::{Deserialize, Serialize};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,19 +1,18 @@
 //! The dispatcher: every event of a task, a worker or the list comes in here, and every decision is taken under it.
 //! How to call it: make a [`Dispatcher`] with `start`, then hand it each event with a [`Moment`]: the time
-//! and an `Outgoing` for decisions (`lib.rs`). What is remembered and counted is in `state.rs`. A task runs
-//! down the chain `STAGES`, and how its assignments end runs up it; the decisions stand by concern in the
-//! modules here, in `shares` and in `turns`.
+//! and an `Outgoing` for decisions (`lib.rs`). Its fields are in `dispatcher.rs`, what it remembers and counts is in
+//! `state.rs`. A task runs down the chain `STAGES`, and how its assignments end runs up it; the decisions stand by
+//! concern in the modules here, in `shares` and in `turns`.
 
 mod admission;
-mod health;
+pub(crate) mod health;
 mod placement;
 mod retries;
 mod slow_start;
 mod subset;
 
-use health::ERRONEOUS;
-use retries::Ledger;
-
+pub use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Ledger, Step};
 pub use crate::shares::{Station, shares};
 use crate::state::{Chance, Desk, Fleet, Part, Pulse, Seen, Task, seconds};
 use crate::{Allowed, Effect, Known, Lessons, Listed, Moment, Obligations, Outcome, Place, Report};
@@ -29,12 +28,6 @@
 /// Probes for each own task, at most.
 const PROBES: f64 = 4.0;
 
-enum Step {
-    Pass,
-    Keep,
-    End,
-}
-
 type Down = fn(&mut Dispatcher, &mut Moment, u64) -> Step;
 type Up = fn(&mut Dispatcher, Time, u64, usize, Outcome);
 
@@ -45,30 +38,6 @@
     (Dispatcher::waiting, |_, _, _, _, _| {}),
 ];
 
-pub struct Dispatcher {
-    place: Place,
-    /// Processes of this dispatcher that live: more than one while it is upgraded.
-    processes: usize,
-    /// No workload may run again: its tasks make the trials that ill workers come back by.
-    sole: bool,
-    chance: Chance,
-    workloads: Vec<Workload>,
-    weights: Weights,
-    ledger: Ledger,
-    allowed: Allowed,
-    obligations: Obligations,
-    known: Known,
-    fleet: Fleet,
-    parts: usize,
-    /// Of the group those that live, and how many parts as long as this one's would make up the fleet.
-    live: usize,
-    places: f64,
-    part: Part,
-    desk: Desk,
-    seen: Seen,
-    pulse: Pulse,
-}
-
 impl Dispatcher {
     #[allow(clippy::too_many_arguments)]
     pub fn start(
@@ -151,11 +120,6 @@
         self.move_on(m);
     }
 
-    /// So many other processes of this dispatcher live: its room at cold workers is for all of them.
-    pub fn beside(&mut self, others: usize) {
-        self.processes = 1 + others;
-    }
-
     /// Which numbers of the group live, as known for some time. Whoever is gone leaves its place to the one
     /// before, and parts grow as the living are fewer. What bounds a sum over all goes by the whole group.
     pub fn group(&mut self, m: &mut Moment, living: &[usize]) {
@@ -169,11 +133,6 @@
         self.move_on(m);
     }
 
-    /// What it has learnt, for the process that follows.
-    pub fn lessons(&self) -> Lessons {
-        Lessons::of(&self.seen, &self.fleet)
-    }
-
     /// Takes over what the process before has learnt, with its age, before any task. It warms no worker.
     pub fn recall(&mut self, m: &mut Moment, lessons: Lessons) {
         lessons.teach(&mut self.seen, &mut self.fleet, -self.chance.draw());
@@ -181,11 +140,6 @@
         self.move_on(m);
     }
 
-    /// How many workers are in the list, and how many of these are avoided now, by hand or by choice.
-    pub fn listed(&self, now: Time) -> (usize, usize) {
-        self.fleet.listed(now, ERRONEOUS, !self.part.common)
-    }
-
     /// Asks again, spread out and ever later, but never so late that the list counts as known unread.
     pub fn list_failed(&mut self, now: Time) {
         let longest = self.obligations.must_ask_in.max(SOLVE);
@@ -223,13 +177,6 @@
         }
     }
 
-    fn earn(&mut self, now: Time, n: u64, finished: bool) {
-        let Some(task) = self.desk.get(n).filter(|t| !t.answered) else { return };
-        let overdue = self.workloads[task.workload].overdue;
-        let earned = if now > self.due_time(now, task, 0.0) { overdue } else { 1.0 };
-        self.seen.earned[task.workload].add(now, if finished { earned } else { 0.0 }, 1.0);
-    }
-
     /// An answered task goes nowhere any more: what is still out is withdrawn.
     fn close(&mut self, m: &mut Moment, n: u64) {
         let Some((id, open)) = self.desk.close(n) else { return };
@@ -325,9 +272,4 @@
         }
         self.move_on(m);
     }
-
-    /// How the workers of its part stand with it, in a line for the trace.
-    pub fn standing(&self, now: Time) -> String {
-        self.fleet.standing(&self.part, now, ERRONEOUS)
-    }
 }
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -89,7 +89,7 @@
     }
 
     /// When a task is due that takes the mean time of its workload, or `runs` of those before.
-    pub(super) fn due_time(&self, now: Time, task: &Task, runs: f64) -> Time {
+    pub(crate) fn due_time(&self, now: Time, task: &Task, runs: f64) -> Time {
         task.expiry.min(task.arrived + self.due_within(now, task.workload, runs))
     }
 
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -9,7 +9,7 @@
 /// Progress that is told of a job this many times as long ago as it is due has been lost.
 const OVERDUE: f64 = 1.25;
 /// Errors in this part of a workload's tasks at a worker keep the workload away.
-pub(super) const ERRONEOUS: f64 = 0.25;
+pub(crate) const ERRONEOUS: f64 = 0.25;
 
 impl Dispatcher {
     /// What an outcome says of its worker: its load, its speed and its health.
--- a/src/logic/retries.rs
+++ b/src/logic/retries.rs
@@ -1,6 +1,6 @@
 //! Whether a task may be assigned once more: its effect, what became of its assignments, and hedges.
 
-use super::{Dispatcher, Step};
+use super::{Dispatcher, Ledger, Step};
 use crate::state::{Assignment, Task, Worker, micros};
 use crate::{Effect, Group, Moment, Time};
 
@@ -9,13 +9,6 @@
 /// Part of a workload's running time after which a task that has not started is sent a second way.
 pub(super) const PATIENCE: f64 = 1.0 / 16.0;
 
-/// The ledger of effects. Every path that assigns or bounces asks it.
-pub(super) struct Ledger {
-    pub(super) effects: Vec<Effect>,
-    pub(super) assignments: usize,
-    pub(super) copies: bool,
-}
-
 impl Ledger {
     /// Whether the task may be assigned to `to` now, by what became of its earlier assignments.
     pub(super) fn may_assign(&self, now: Time, task: &Task, to: &Worker, workers: &[Worker]) -> bool {
@@ -27,12 +20,7 @@
             Effect::Idempotent => true,
             Effect::SideEffecting => false,
             Effect::Fingerprinted { group, window } => {
-                let before = &workers[first.worker];
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => before.zone == to.zone,
-                    Group::Cell => before.cell == to.cell,
-                };
+                let same = workers[first.worker].shares_group(to, group);
                 same && ((now - first.sent) as f64) < window as f64 * WINDOW_USE
             }
         }
--- a/src/logic/subset.rs
+++ b/src/logic/subset.rs
@@ -48,15 +48,11 @@
         let found = shares(&stations, rate.min(most)).unwrap_or(vec![1.0 / ready.len() as f64; ready.len()]);
         let least = (0..ready.len()).min_by(|&a, &b| stations[a].theta.total_cmp(&stations[b].theta));
         // Workers that were lost all together have not restarted: a common cause cut them off.
-        for worker in &mut self.fleet.workers {
-            worker.lost &= !common;
-            (worker.share, worker.fastest) = (0.0, false);
-        }
+        self.fleet.workers.iter_mut().for_each(|w| w.lost &= !common);
+        self.fleet.clear_shares();
         for (i, &j) in ready.iter().enumerate() {
-            let worker = &mut self.fleet.workers[j];
-            (worker.share, worker.fastest) = (found[i], least == Some(i));
-            worker.model_theta = stations[i].theta;
-            worker.turns.iter_mut().for_each(|y| *y = self.chance.draw());
+            let (share, theta) = (found[i], stations[i].theta);
+            self.fleet.workers[j].take_share(share, theta, least == Some(i), &mut self.chance);
         }
         self.part = Part { workers: part, census, common, lean: 1.0 };
         self.lean(now);
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -1,15 +1,6 @@
 //! Shares of the work for workers, solved by the M/G/1 model: docs/design.md tells where that is from.
 
-/// A worker as Algorithm 1 sees it. Times are seconds of the whole worker, not of a core (Eq. 16).
-#[derive(Clone, Copy, Debug)]
-pub struct Station {
-    /// Mean time of a task, θ.
-    pub theta: f64,
-    /// Second moment of that time, ω; the same for work of others, µ.
-    pub omega: f64,
-    /// Utilisation by others, ρ.
-    pub rho: f64,
-}
+pub use crate::station::Station;
 
 impl Station {
     /// ψ: the marginal response time of the first task sent here (Eq. 14).
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Listed, Outcome, Report, SECOND, State, Time};
+use crate::{Group, Listed, Outcome, Report, SECOND, State, Time};
 
 const BUCKETS: Time = 8;
 
@@ -223,6 +223,15 @@
         single.into_iter().chain(&self.errors).collect()
     }
 
+    /// Whether it and another worker are of one group, and so drop one another's repeats.
+    pub fn shares_group(&self, other: &Worker, group: Group) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone == other.zone,
+            Group::Cell => self.cell == other.cell,
+        }
+    }
+
     /// The present silence, in mean gaps; `usual` is the gap to go by until some are seen.
     pub fn silence(&self, now: Time, usual: Time) -> f64 {
         let since = if self.in_flight == 0 { now } else { self.last_sign };
@@ -322,6 +331,14 @@
         self.cold.iter_mut().for_each(|c| c.room /= 2.0);
     }
 
+    /// Takes its share of a solve, with the θ that the model was given; its turns begin anew, by chance.
+    pub fn take_share(&mut self, share: f64, theta: f64, fastest: bool, chance: &mut Chance) {
+        self.share = share;
+        self.model_theta = theta;
+        self.fastest = fastest;
+        self.turns.iter_mut().for_each(|y| *y = chance.draw());
+    }
+
     /// An assignment goes out; silence counts from here if nothing was out before.
     pub fn book(&mut self, now: Time, task: u64, cost: f64) {
         if self.in_flight == 0 {
@@ -531,6 +548,14 @@
         ready.partition(|j| self.workers[**j].zone == zone)
     }
 
+    /// Leaves no worker with a share.
+    pub fn clear_shares(&mut self) {
+        for worker in &mut self.workers {
+            worker.share = 0.0;
+            worker.fastest = false;
+        }
+    }
+
     /// How many workers the list says are ready.
     pub fn ready(&self) -> usize {
         self.workers.iter().filter(|w| w.state == State::Ready).count()
