Consensus: tests of catching up, and of crashes at each write

The harness counts bytes to each member, and its checker also finds a leader of the newest term that lacks what was committed, and a restore that goes back.

--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -58,6 +58,36 @@
     pub disk_delay: Time,
     pub reads: BTreeMap<u64, Result<(), Refused>>,
     wants_snapshot: bool,
+    /// Writes that this life has asked for.
+    pub requested: usize,
+    /// Snapshots that this life has restored, beside the one it began with.
+    pub restores: usize,
+    /// The disk before its newest rewrite.
+    before_rewrite: Vec<Bytes>,
+}
+
+/// Bytes on the way to one member.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub bytes: usize,
+    /// Of them in pieces of snapshots.
+    pub snapshot_bytes: usize,
+    pub in_flight: usize,
+    pub most_in_flight: usize,
+}
+
+/// The code of a snapshot's piece among the bodies of messages.
+const INSTALL_SNAPSHOT: u8 = 6;
+/// The code of term and vote among records.
+const HARD_STATE: u8 = 1;
+
+/// The code of a message's body, behind receiver, sender and term.
+fn body_code(bytes: &[u8]) -> u8 {
+    let length = |at: usize| usize::from(u16::from_le_bytes([bytes[at], bytes[at + 1]]));
+    let zone_at = 18 + length(16);
+    let address_at = zone_at + 2 + length(zone_at);
+    let term_at = address_at + 1 + 16 + 2 + 4 + 4;
+    bytes[term_at + 8]
 }
 
 enum Event {
@@ -79,6 +109,14 @@
     EarlySaved,
     /// A machine that lost its disk goes on under its old id.
     OldId,
+    /// Term and vote are not on the disk after a restart.
+    NoHardState,
+    /// After a restart the disk is as it was before its newest rewrite.
+    OlderDisk,
+    /// A crash may leave some of a rewrite's records only.
+    TornRewrite,
+    /// The last byte of a snapshot's pieces is another one on arrival.
+    FlippedPiece,
 }
 
 pub struct World {
@@ -105,6 +143,11 @@
     /// Messages delivered.
     pub delivered: usize,
     pub longest: usize,
+    /// By receiver.
+    pub traffic: BTreeMap<MemberId, Traffic>,
+    /// Messages to this member are kept, to be delivered again.
+    pub recording: Option<MemberId>,
+    pub recorded: Vec<Bytes>,
 }
 
 pub fn encode(applied: &[(Index, u64)]) -> Bytes {
@@ -141,6 +184,9 @@
             violation: None,
             delivered: 0,
             longest: 0,
+            traffic: BTreeMap::new(),
+            recording: None,
+            recorded: vec![],
         };
         for &id in founding {
             world.add(id, members(founding));
@@ -163,6 +209,9 @@
             disk_delay: MILLIS,
             reads: BTreeMap::new(),
             wants_snapshot: false,
+            requested: 0,
+            restores: 0,
+            before_rewrite: vec![],
         };
         self.nodes.insert(id, node);
         self.start(id);
@@ -175,6 +224,14 @@
         }
         node.frozen_until = 0;
         node.applied.clear();
+        node.requested = 0;
+        match self.fault {
+            Fault::NoHardState => node.disk.retain(|record| record[0] != HARD_STATE),
+            Fault::OlderDisk if !node.before_rewrite.is_empty() => {
+                node.disk = node.before_rewrite.clone();
+            }
+            _ => {}
+        }
         let replica = Replica::recover(
             node.me.clone(),
             node.founding.clone(),
@@ -185,15 +242,34 @@
         );
         node.replica = Some(replica.expect("own records are read"));
         self.pump(id);
+        self.nodes.get_mut(&id).expect("a known node").restores = 0;
     }
     /// The process ends; of what was not synced any beginning may be on the disk.
     pub fn crash(&mut self, id: MemberId) {
+        let unsynced = self.unsynced(id);
+        let kept = self.chance.random_range(0..=unsynced);
+        self.crash_keeping(id, kept);
+    }
+    /// Writes that it has asked for and that are not synced.
+    pub fn unsynced(&self, id: MemberId) -> usize {
+        self.nodes[&id].writes.len()
+    }
+    /// The process ends, and of what was not synced just so many writes are on the disk.
+    pub fn crash_keeping(&mut self, id: MemberId, kept: usize) {
         let node = self.nodes.get_mut(&id).expect("a known node");
         node.replica = None;
         node.life += 1;
-        let kept = self.chance.random_range(0..=node.writes.len());
-        for write in node.writes.drain(..).take(kept) {
-            apply(&mut node.disk, write);
+        let writes = std::mem::take(&mut node.writes);
+        for write in writes.into_iter().take(kept) {
+            match write {
+                Write::Rewrite(_, records) if self.fault == Fault::TornRewrite => {
+                    node.disk = records.into_iter().take(1).collect();
+                    break;
+                }
+                write => {
+                    node.keep(write);
+                }
+            }
         }
         node.wants_snapshot = false;
     }
@@ -281,6 +357,25 @@
         self.events.insert((at, self.sequence), event);
     }
 
+    /// Puts a message on its way.
+    fn send(&mut self, at: Time, to: MemberId, bytes: Bytes) {
+        let is_piece = body_code(&bytes) == INSTALL_SNAPSHOT;
+        let traffic = self.traffic.entry(to).or_default();
+        traffic.bytes += bytes.len();
+        traffic.snapshot_bytes += if is_piece { bytes.len() } else { 0 };
+        traffic.in_flight += bytes.len();
+        traffic.most_in_flight = traffic.most_in_flight.max(traffic.in_flight);
+        if self.recording == Some(to) {
+            self.recorded.push(bytes.clone());
+        }
+        let bytes = if is_piece && self.fault == Fault::FlippedPiece { flip_last(&bytes) } else { bytes };
+        self.event(at, Event::Deliver { to, bytes });
+    }
+    /// Delivers a message again.
+    pub fn replay(&mut self, to: MemberId, bytes: Bytes) {
+        self.send(self.now, to, bytes);
+    }
+
     /// Takes what a replica hands out, and checks it.
     pub fn pump(&mut self, id: MemberId) {
         loop {
@@ -308,11 +403,16 @@
                 node.writes.push_back(Write::Append(ticket, record));
                 writes += 1;
             }
+            node.requested += writes;
             let life = node.life;
             let disk_delay = node.disk_delay;
             let mut wrong = vec![];
             if let Some((index, state)) = output.restore {
-                node.applied = decode(&state);
+                node.restores += 1;
+                let before = std::mem::replace(&mut node.applied, decode(&state));
+                if node.applied.len() < before.len() {
+                    wrong.push(format!("{id} goes back to {index}"));
+                }
                 if node.applied.last().is_some_and(|(last, _)| *last > index) {
                     wrong.push(format!("{id} restores more than up to {index}"));
                 }
@@ -346,6 +446,9 @@
             if leading && *self.leaders.entry(term).or_insert(id) != id {
                 wrong.push(format!("two leaders of term {term}"));
             }
+            if leads && term >= self.leads_seen && leads_with_old_state(&node.applied, &self.history) {
+                wrong.push(format!("{id} leads term {term} with old state"));
+            }
             if leads {
                 self.leads_seen = self.leads_seen.max(term);
             }
@@ -370,7 +473,7 @@
                         (true, false) => self.chance.random_range(100..3 * MILLIS),
                         (true, true) => self.chance.random_range(MILLIS..150 * MILLIS),
                     };
-                    self.event(now + delay, Event::Deliver { to: to.id, bytes: bytes.clone() });
+                    self.send(now + delay, to.id, bytes.clone());
                 }
             }
             if self.fault == Fault::EarlySaved && newest > 0 {
@@ -395,6 +498,9 @@
                     self.event(at, Event::Deliver { to, bytes });
                     return;
                 }
+                if let Some(traffic) = self.traffic.get_mut(&to) {
+                    traffic.in_flight -= bytes.len();
+                }
                 if let Some(replica) = node.replica.as_mut() {
                     self.delivered += 1;
                     if let Err(odd) = replica.heard(now, &bytes) {
@@ -414,8 +520,8 @@
                     return;
                 }
                 let mut newest = 0;
-                for write in node.writes.drain(..writes) {
-                    newest = apply(&mut node.disk, write);
+                for write in node.writes.drain(..writes).collect::<Vec<_>>() {
+                    newest = node.keep(write);
                 }
                 if self.fault != Fault::EarlySaved
                     && let Some(replica) = node.replica.as_mut()
@@ -484,15 +590,32 @@
     }
 }
 
-fn apply(disk: &mut Vec<Bytes>, write: Write) -> u64 {
-    match write {
-        Write::Append(ticket, record) => {
-            disk.push(record);
-            ticket
-        }
-        Write::Rewrite(ticket, records) => {
-            *disk = records;
-            ticket
+impl Node {
+    /// A write is on the disk; its ticket.
+    fn keep(&mut self, write: Write) -> u64 {
+        match write {
+            Write::Append(ticket, record) => {
+                self.disk.push(record);
+                ticket
+            }
+            Write::Rewrite(ticket, records) => {
+                self.before_rewrite = std::mem::replace(&mut self.disk, records);
+                ticket
+            }
         }
     }
 }
+
+fn flip_last(bytes: &Bytes) -> Bytes {
+    let mut bytes = bytes.to_vec();
+    if let Some(last) = bytes.last_mut() {
+        *last ^= 1;
+    }
+    Bytes::from(bytes)
+}
+
+/// Whether a leader of the newest term lacks something that was handed out as committed anywhere. Nobody else commits once it
+/// leads, and it commits all that was committed before with the first entry of its own term.
+pub fn leads_with_old_state(applied: &[(Index, u64)], history: &[(Index, u64)]) -> bool {
+    applied.len() < history.len()
+}
