Registry: the gossip tests' harness moves to tests/common

Cause: the tests of catching up need the same fleet of members. Change: moves only, and bulletins are called gossips as their type is.

--- /dev/null
+++ b/crates/registry/tests/common/mod.rs
@@ -0,0 +1,201 @@
+//! Members of a gossip on a virtual clock: messages in memory with delays and losses, members that are cut off.
+#![allow(dead_code, reason = "not every test uses all of it")]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use rainlug::{SECOND, Time};
+use rainlug_registry::gossip::{CONFIGURATION, Outgoing};
+use rainlug_registry::{Gossip, Phase, Worker};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const MS: Time = 1_000;
+pub const SLOW: Time = 2 * SECOND;
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7_660))
+}
+
+pub fn number(address: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = address else { panic!("{address}") };
+    let [_, _, high, low] = v4.ip().octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+pub fn worker(n: usize, phase: Phase, call_seq: u64) -> Worker {
+    Worker {
+        id: format!("i-{n}"),
+        service: "s".to_owned(),
+        address: SocketAddr::from(([10, 9, (n >> 8) as u8, n as u8], 8_080)),
+        zone: "z".to_owned(),
+        slots: 8,
+        phase,
+        cold_left_ms: 0,
+        call_seq,
+    }
+}
+
+#[derive(Default)]
+pub struct Effects {
+    pub sent: Vec<(SocketAddr, Bytes)>,
+    pub workers: Vec<Worker>,
+    pub texts: Vec<(u8, u64)>,
+}
+
+impl Outgoing for Effects {
+    fn send(&mut self, to: SocketAddr, bytes: Bytes) {
+        self.sent.push((to, bytes));
+    }
+    fn worker(&mut self, worker: &Worker) {
+        self.workers.push(worker.clone());
+    }
+    fn text(&mut self, kind: u8, version: u64, _text: &Bytes) {
+        self.texts.push((kind, version));
+    }
+}
+
+#[derive(Default)]
+pub struct Member {
+    /// Nothing comes or goes.
+    pub cut: bool,
+    /// Doesn't run: what comes waits.
+    pub frozen: bool,
+    /// What its effects have said, to the last.
+    pub phases: BTreeMap<String, Phase>,
+    pub received: usize,
+    pub sent: usize,
+    pub messages: usize,
+}
+
+/// When it arrives, its number, from whom and to whom, and what.
+type OnTheWay = (Time, usize, usize, usize, Bytes);
+
+pub struct Fleet {
+    pub now: Time,
+    pub chance: ChaCha8Rng,
+    pub loss: f64,
+    pub gossips: Vec<Gossip>,
+    pub members: Vec<Member>,
+    /// When each member is due, and the same in order.
+    due: Vec<Time>,
+    timers: BTreeSet<(Time, usize)>,
+    wire: BinaryHeap<Reverse<OnTheWay>>,
+    count: usize,
+}
+
+impl Fleet {
+    pub fn new(size: usize, seed: u64) -> Self {
+        let peers: Vec<_> = (0..size).map(address).collect();
+        let gossips = (0..size).map(|n| {
+            let mut gossip = Gossip::new(SLOW, seed * 1_000 + n as u64, 0);
+            let others: Vec<_> = peers.iter().copied().filter(|p| *p != address(n)).collect();
+            gossip.peers(0, &others);
+            gossip
+        });
+        let gossips: Vec<_> = gossips.collect();
+        let due: Vec<_> = gossips.iter().map(Gossip::next).collect();
+        Self {
+            now: 0,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            loss: 0.0,
+            timers: due.iter().enumerate().map(|(n, at)| (*at, n)).collect(),
+            due,
+            gossips,
+            members: (0..size).map(|_| Member::default()).collect(),
+            wire: BinaryHeap::new(),
+            count: 0,
+        }
+    }
+
+    /// Lets one member act, and takes its effects.
+    pub fn act<T>(&mut self, n: usize, act: impl FnOnce(&mut Gossip, Time, &mut Effects) -> T) -> T {
+        let mut effects = Effects::default();
+        let result = act(&mut self.gossips[n], self.now, &mut effects);
+        self.timers.remove(&(self.due[n], n));
+        self.due[n] = self.gossips[n].next();
+        self.timers.insert((self.due[n], n));
+        for worker in effects.workers {
+            self.members[n].phases.insert(worker.id, worker.phase);
+        }
+        for (to, bytes) in effects.sent {
+            self.members[n].sent += bytes.len();
+            self.members[n].messages += 1;
+            let to = number(to);
+            assert_ne!(to, n);
+            if self.members[n].cut || self.members[to].cut || self.chance.random_bool(self.loss) {
+                continue;
+            }
+            let delay = self.chance.random_range(MS..=20 * MS);
+            self.count += 1;
+            self.wire.push(Reverse((self.now + delay, self.count, n, to, bytes)));
+        }
+        result
+    }
+
+    /// Plays the next event before `until`. False where there is none.
+    pub fn step(&mut self, until: Time) -> bool {
+        let due = self.timers.iter().find(|(_, n)| !self.members[*n].frozen).copied();
+        let wire = self.wire.peek().map(|Reverse(next)| next.0);
+        match (wire, due) {
+            (Some(at), due) if at <= until && due.is_none_or(|(t, _)| at <= t) => {
+                let Some(Reverse((_, count, from, to, bytes))) = self.wire.pop() else { return false };
+                self.now = self.now.max(at);
+                if self.members[to].frozen {
+                    self.wire.push(Reverse((at + 50 * MS, count, from, to, bytes)));
+                } else if !self.members[to].cut {
+                    self.members[to].received += bytes.len();
+                    self.act(to, |b, now, out| b.heard(now, address(from), &bytes, out));
+                }
+                true
+            }
+            (_, Some((at, n))) if at <= until => {
+                self.now = self.now.max(at);
+                self.act(n, |b, now, out| b.due(now, out));
+                assert!(self.gossips[n].next() > self.now, "due again at once");
+                true
+            }
+            _ => {
+                self.now = self.now.max(until);
+                false
+            }
+        }
+    }
+
+    pub fn run(&mut self, time: Time) {
+        let until = self.now + time;
+        while self.step(until) {}
+    }
+
+    /// Plays until all have it, at most so long; how long it took.
+    pub fn until(&mut self, most: Time, has: impl Fn(&Gossip) -> bool) -> Option<Time> {
+        let start = self.now;
+        loop {
+            if self.gossips.iter().all(&has) {
+                return Some(self.now - start);
+            }
+            if !self.step(start + most) {
+                return self.gossips.iter().all(&has).then_some(self.now - start);
+            }
+        }
+    }
+
+    pub fn worker(&mut self, n: usize, worker: Worker) -> bool {
+        self.act(n, |b, now, out| b.worker(now, worker, out))
+    }
+
+    pub fn text(&mut self, n: usize, version: u64, text: &Bytes) -> bool {
+        self.act(n, |b, now, out| b.text(now, CONFIGURATION, version, text.clone(), out))
+    }
+}
+
+pub fn phase_of(gossip: &Gossip, n: usize) -> Option<Phase> {
+    let id = format!("i-{n}");
+    gossip.workers().find(|w| w.id == id).map(|w| w.phase)
+}
+
+pub fn phases(gossip: &Gossip) -> BTreeMap<String, Phase> {
+    gossip.workers().map(|w| (w.id.clone(), w.phase)).collect()
+}
--- a/crates/registry/tests/gossip.rs
+++ b/crates/registry/tests/gossip.rs
@@ -1,206 +1,17 @@
-//! Stories of fleets of bulletins: messages in memory with delays and losses, a virtual clock, members that are cut off.
+//! Stories of members of a gossip: what one is told reaches all, and copies converge.
+
+mod common;
 
 use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use common::{Effects, Fleet, MS, SLOW, address, phase_of, phases, worker};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug::{SECOND, Time};
-use rainlug_registry::gossip::{CONFIGURATION, GROUPS, Outgoing};
+use rainlug_registry::gossip::{CONFIGURATION, GROUPS};
 use rainlug_registry::{Gossip, Phase, Worker};
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
-
-const MS: Time = 1_000;
-const SLOW: Time = 2 * SECOND;
-
-fn address(n: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7_660))
-}
-
-fn number(address: SocketAddr) -> usize {
-    let SocketAddr::V4(v4) = address else { panic!("{address}") };
-    let [_, _, high, low] = v4.ip().octets();
-    usize::from(high) << 8 | usize::from(low)
-}
-
-fn worker(n: usize, phase: Phase, call_seq: u64) -> Worker {
-    Worker {
-        id: format!("i-{n}"),
-        service: "s".to_owned(),
-        address: SocketAddr::from(([10, 9, (n >> 8) as u8, n as u8], 8_080)),
-        zone: "z".to_owned(),
-        slots: 8,
-        phase,
-        cold_left_ms: 0,
-        call_seq,
-    }
-}
-
-#[derive(Default)]
-struct Effects {
-    sent: Vec<(SocketAddr, Bytes)>,
-    workers: Vec<Worker>,
-    texts: Vec<(u8, u64)>,
-}
-
-impl Outgoing for Effects {
-    fn send(&mut self, to: SocketAddr, bytes: Bytes) {
-        self.sent.push((to, bytes));
-    }
-    fn worker(&mut self, worker: &Worker) {
-        self.workers.push(worker.clone());
-    }
-    fn text(&mut self, kind: u8, version: u64, _text: &Bytes) {
-        self.texts.push((kind, version));
-    }
-}
-
-#[derive(Default)]
-struct Member {
-    /// Nothing comes or goes.
-    cut: bool,
-    /// Doesn't run: what comes waits.
-    frozen: bool,
-    /// What its effects have said, to the last.
-    phases: BTreeMap<String, Phase>,
-    received: usize,
-    sent: usize,
-    messages: usize,
-}
-
-/// When it arrives, its number, from whom and to whom, and what.
-type OnTheWay = (Time, usize, usize, usize, Bytes);
-
-struct Fleet {
-    now: Time,
-    chance: ChaCha8Rng,
-    loss: f64,
-    bulletins: Vec<Gossip>,
-    members: Vec<Member>,
-    /// When each member is due, and the same in order.
-    due: Vec<Time>,
-    timers: BTreeSet<(Time, usize)>,
-    wire: BinaryHeap<Reverse<OnTheWay>>,
-    count: usize,
-}
-
-impl Fleet {
-    fn new(size: usize, seed: u64) -> Self {
-        let peers: Vec<_> = (0..size).map(address).collect();
-        let bulletins = (0..size).map(|n| {
-            let mut gossip = Gossip::new(SLOW, seed * 1_000 + n as u64, 0);
-            let others: Vec<_> = peers.iter().copied().filter(|p| *p != address(n)).collect();
-            gossip.peers(0, &others);
-            gossip
-        });
-        let bulletins: Vec<_> = bulletins.collect();
-        let due: Vec<_> = bulletins.iter().map(Gossip::next).collect();
-        Self {
-            now: 0,
-            chance: ChaCha8Rng::seed_from_u64(seed),
-            loss: 0.0,
-            timers: due.iter().enumerate().map(|(n, at)| (*at, n)).collect(),
-            due,
-            bulletins,
-            members: (0..size).map(|_| Member::default()).collect(),
-            wire: BinaryHeap::new(),
-            count: 0,
-        }
-    }
-
-    /// Lets one member act, and takes its effects.
-    fn act<T>(&mut self, n: usize, act: impl FnOnce(&mut Gossip, Time, &mut Effects) -> T) -> T {
-        let mut effects = Effects::default();
-        let result = act(&mut self.bulletins[n], self.now, &mut effects);
-        self.timers.remove(&(self.due[n], n));
-        self.due[n] = self.bulletins[n].next();
-        self.timers.insert((self.due[n], n));
-        for worker in effects.workers {
-            self.members[n].phases.insert(worker.id, worker.phase);
-        }
-        for (to, bytes) in effects.sent {
-            self.members[n].sent += bytes.len();
-            self.members[n].messages += 1;
-            let to = number(to);
-            assert_ne!(to, n);
-            if self.members[n].cut || self.members[to].cut || self.chance.random_bool(self.loss) {
-                continue;
-            }
-            let delay = self.chance.random_range(MS..=20 * MS);
-            self.count += 1;
-            self.wire.push(Reverse((self.now + delay, self.count, n, to, bytes)));
-        }
-        result
-    }
-
-    /// Plays the next event before `until`. False where there is none.
-    fn step(&mut self, until: Time) -> bool {
-        let due = self.timers.iter().find(|(_, n)| !self.members[*n].frozen).copied();
-        let wire = self.wire.peek().map(|Reverse(next)| next.0);
-        match (wire, due) {
-            (Some(at), due) if at <= until && due.is_none_or(|(t, _)| at <= t) => {
-                let Some(Reverse((_, count, from, to, bytes))) = self.wire.pop() else { return false };
-                self.now = self.now.max(at);
-                if self.members[to].frozen {
-                    self.wire.push(Reverse((at + 50 * MS, count, from, to, bytes)));
-                } else if !self.members[to].cut {
-                    self.members[to].received += bytes.len();
-                    self.act(to, |b, now, out| b.heard(now, address(from), &bytes, out));
-                }
-                true
-            }
-            (_, Some((at, n))) if at <= until => {
-                self.now = self.now.max(at);
-                self.act(n, |b, now, out| b.due(now, out));
-                assert!(self.bulletins[n].next() > self.now, "due again at once");
-                true
-            }
-            _ => {
-                self.now = self.now.max(until);
-                false
-            }
-        }
-    }
-
-    fn run(&mut self, time: Time) {
-        let until = self.now + time;
-        while self.step(until) {}
-    }
-
-    /// Plays until all have it, at most so long; how long it took.
-    fn until(&mut self, most: Time, has: impl Fn(&Gossip) -> bool) -> Option<Time> {
-        let start = self.now;
-        loop {
-            if self.bulletins.iter().all(&has) {
-                return Some(self.now - start);
-            }
-            if !self.step(start + most) {
-                return self.bulletins.iter().all(&has).then_some(self.now - start);
-            }
-        }
-    }
-
-    fn worker(&mut self, n: usize, worker: Worker) -> bool {
-        self.act(n, |b, now, out| b.worker(now, worker, out))
-    }
-
-    fn text(&mut self, n: usize, version: u64, text: &Bytes) -> bool {
-        self.act(n, |b, now, out| b.text(now, CONFIGURATION, version, text.clone(), out))
-    }
-}
-
-fn phase_of(gossip: &Gossip, n: usize) -> Option<Phase> {
-    let id = format!("i-{n}");
-    gossip.workers().find(|w| w.id == id).map(|w| w.phase)
-}
-
-fn phases(gossip: &Gossip) -> BTreeMap<String, Phase> {
-    gossip.workers().map(|w| (w.id.clone(), w.phase)).collect()
-}
 
 /// Given a fleet that knows 60 workers, when one of them drains, then all know within the bound, and the teller knows that.
 fn drain(size: usize, loss: f64, bound: Time) {
@@ -209,7 +20,7 @@
         fleet.worker(n % size, worker(n, Phase::Ready, 1));
     }
     fleet.run(5 * SECOND);
-    assert!(fleet.bulletins.iter().all(|b| b.workers().count() == 60));
+    assert!(fleet.gossips.iter().all(|b| b.workers().count() == 60));
     fleet.loss = loss;
     for member in &mut fleet.members {
         (member.sent, member.received, member.messages) = (0, 0, 0);
@@ -217,7 +28,7 @@
     assert!(fleet.worker(0, worker(3, Phase::Draining, 2)));
     let took = fleet.until(20 * SECOND, |b| phase_of(b, 3) == Some(Phase::Draining)).unwrap();
     fleet.run(4 * SECOND);
-    let spread = fleet.bulletins[0].worker_spread("i-3");
+    let spread = fleet.gossips[0].worker_spread("i-3");
     let sent: usize = fleet.members.iter().map(|m| m.sent).sum();
     let messages: usize = fleet.members.iter().map(|m| m.messages).sum();
     println!(
@@ -271,9 +82,9 @@
         println!("1 MiB to 30, loss {loss}: {} ms, {} bytes a member", took / MS, received / 30);
         assert!(took < 2 * SECOND);
         assert!(received / 30 < 5 << 20);
-        assert_eq!(fleet.bulletins[4].spread(CONFIGURATION, 9), (29, 29));
-        assert_eq!(fleet.bulletins[4].spread(CONFIGURATION, 10), (0, 29));
-        assert_eq!(fleet.bulletins[0].get(GROUPS), None);
+        assert_eq!(fleet.gossips[4].spread(CONFIGURATION, 9), (29, 29));
+        assert_eq!(fleet.gossips[4].spread(CONFIGURATION, 10), (0, 29));
+        assert_eq!(fleet.gossips[0].get(GROUPS), None);
     }
 }
 
@@ -287,7 +98,7 @@
         fleet.worker(0, worker(1, Phase::Ready, 1));
         fleet.text(1, 2, &Bytes::from_static(b"two"));
         fleet.run(10 * SECOND);
-        assert_eq!(phase_of(&fleet.bulletins[2], 1), None);
+        assert_eq!(phase_of(&fleet.gossips[2], 1), None);
         // When links are whole again, then digests bring it.
         fleet.loss = 0.0;
         let has = |b: &Gossip| phase_of(b, 1).is_some() && b.get(CONFIGURATION).is_some();
@@ -312,7 +123,7 @@
         }
         fleet.text(0, 3, &Bytes::from_static(b"three"));
         fleet.run(10 * SECOND);
-        assert_eq!(phase_of(&fleet.bulletins[5], 3), Some(Phase::Ready));
+        assert_eq!(phase_of(&fleet.gossips[5], 3), Some(Phase::Ready));
         (fleet.members[5].cut, fleet.members[5].frozen) = (false, false);
         if !freeze {
             // The cut-off member heard news of its own.
@@ -353,7 +164,7 @@
     let moved = Worker { address: "10.8.8.8:1".parse().unwrap(), ..worker(1, Phase::Ready, 100) };
     assert!(fleet.worker(1, moved.clone()));
     fleet.run(SECOND);
-    assert!(fleet.bulletins.iter().all(|b| b.workers().all(|w| w.address == moved.address)));
+    assert!(fleet.gossips.iter().all(|b| b.workers().all(|w| w.address == moved.address)));
     assert!(fleet.worker(1, worker(1, Phase::Draining, 101)) && fleet.worker(2, worker(1, Phase::Gone, 101)));
 }
 
@@ -368,25 +179,25 @@
     assert!(!fleet.worker(3, worker(1, Phase::Ready, 12)));
     assert!(fleet.worker(0, worker(1, Phase::Silent, 10)));
     fleet.run(SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 1) == Some(Phase::Ready)));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 1) == Some(Phase::Ready)));
     // Silent by its newest beat, it is so for all, until the next.
     assert!(fleet.worker(0, worker(2, Phase::Silent, 1)));
     fleet.run(SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 2) == Some(Phase::Silent)));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 2) == Some(Phase::Silent)));
     assert!(fleet.worker(4, worker(2, Phase::Ready, 2)));
     fleet.run(SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 2) == Some(Phase::Ready)));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 2) == Some(Phase::Ready)));
     // After a minute of silence it is dropped everywhere, and doesn't come back by digests.
     fleet.worker(1, worker(2, Phase::Silent, 2));
     fleet.run(62 * SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 2).is_none()));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 2).is_none()));
     assert!(fleet.members.iter().all(|m| m.phases["i-2"] == Phase::Gone));
     fleet.run(120 * SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 2).is_none() && phase_of(b, 1).is_some()));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 2).is_none() && phase_of(b, 1).is_some()));
     // A worker that lives on the far side of a long cut comes back by its next beat.
     assert!(fleet.worker(1, worker(2, Phase::Ready, 90)));
     fleet.run(SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 2) == Some(Phase::Ready)));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 2) == Some(Phase::Ready)));
 }
 
 #[test]
@@ -404,14 +215,14 @@
     }
     // Who still has it as ready doesn't bring it back, but hears of its end.
     fleet.run(20 * SECOND);
-    assert_eq!(phase_of(&fleet.bulletins[9], 1), Some(Phase::Ready));
+    assert_eq!(phase_of(&fleet.gossips[9], 1), Some(Phase::Ready));
     fleet.members[9].cut = false;
     fleet.run(10 * SECOND);
-    assert!(fleet.bulletins.iter().all(|b| phase_of(b, 1).is_none()));
+    assert!(fleet.gossips.iter().all(|b| phase_of(b, 1).is_none()));
     assert_eq!(fleet.members[9].phases["i-1"], Phase::Gone);
     // Then it is forgotten by all, and stays so.
     fleet.run(100 * SECOND);
-    assert!(fleet.bulletins.iter().all(|b| b.workers().count() == 0));
+    assert!(fleet.gossips.iter().all(|b| b.workers().count() == 0));
     fleet.members.iter_mut().for_each(|m| m.sent = 0);
     fleet.run(20 * SECOND);
     assert!(fleet.members.iter().all(|m| m.sent < 15 * 160));
@@ -424,21 +235,21 @@
     fleet.worker(0, worker(1, Phase::Draining, 1));
     fleet.text(0, 1, &Bytes::from_static(b"one"));
     fleet.run(2 * SECOND);
-    assert_eq!(fleet.bulletins[0].worker_spread("i-1"), (1, 2));
-    assert_eq!(fleet.bulletins[0].spread(CONFIGURATION, 1), (1, 2));
+    assert_eq!(fleet.gossips[0].worker_spread("i-1"), (1, 2));
+    assert_eq!(fleet.gossips[0].spread(CONFIGURATION, 1), (1, 2));
     let now = fleet.now;
-    fleet.bulletins[0].peers(now, &[address(1)]);
-    assert_eq!(fleet.bulletins[0].worker_spread("i-1"), (1, 1));
-    assert_eq!(fleet.bulletins[0].spread(CONFIGURATION, 1), (1, 1));
-    fleet.bulletins[0].peers(now, &[]);
-    assert_eq!(fleet.bulletins[0].spread(CONFIGURATION, 1), (0, 0));
+    fleet.gossips[0].peers(now, &[address(1)]);
+    assert_eq!(fleet.gossips[0].worker_spread("i-1"), (1, 1));
+    assert_eq!(fleet.gossips[0].spread(CONFIGURATION, 1), (1, 1));
+    fleet.gossips[0].peers(now, &[]);
+    assert_eq!(fleet.gossips[0].spread(CONFIGURATION, 1), (0, 0));
 }
 
 #[test]
 fn a_name_that_is_too_long_is_refused() {
     let mut fleet = Fleet::new(2, 1);
     assert!(!fleet.worker(0, Worker { zone: "z".repeat(257), ..worker(1, Phase::Ready, 1) }));
-    assert_eq!(fleet.bulletins[0].workers().count(), 0);
+    assert_eq!(fleet.gossips[0].workers().count(), 0);
 }
 
 #[test]
@@ -557,10 +368,10 @@
         }
         fleet.loss = 0.0;
         fleet.run(16 * SECOND);
-        let first = phases(&fleet.bulletins[0]);
+        let first = phases(&fleet.gossips[0]);
         for n in 0..size {
-            prop_assert_eq!(&phases(&fleet.bulletins[n]), &first, "member {}", n);
-            prop_assert_eq!(fleet.bulletins[n].get(CONFIGURATION), fleet.bulletins[0].get(CONFIGURATION));
+            prop_assert_eq!(&phases(&fleet.gossips[n]), &first, "member {}", n);
+            prop_assert_eq!(fleet.gossips[n].get(CONFIGURATION), fleet.gossips[0].get(CONFIGURATION));
             // What was told outside is what stands inside.
             let told: BTreeMap<_, _> = fleet.members[n].phases.clone().into_iter()
                 .filter(|(_, phase)| *phase != Phase::Gone).collect();
