Registry: tests of members that missed hundreds of versions

Cause: nothing showed that a member far behind catches up in one exchange, or that a version never goes back at a member when an old leader posts late.

--- a/crates/registry/tests/common/mod.rs
+++ b/crates/registry/tests/common/mod.rs
@@ -14,6 +14,8 @@
 
 pub const MS: Time = 1_000;
 pub const SLOW: Time = 2 * SECOND;
+/// Delay of messages that are late, at most.
+pub const LATE: Time = 3 * SECOND;
 
 pub fn address(n: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7_660))
@@ -65,11 +67,20 @@
     pub frozen: bool,
     /// What its effects have said, to the last.
     pub phases: BTreeMap<String, Phase>,
+    /// Versions of texts that came to be known in this life, by kind, in order.
+    pub versions: BTreeMap<u8, Vec<u64>>,
+    /// Messages that came.
+    pub heard: usize,
     pub received: usize,
     pub sent: usize,
     pub messages: usize,
 }
 
+/// Whether versions that one member observed in one life rise, each above the one before.
+pub fn rises(versions: &[u64]) -> bool {
+    versions.is_sorted_by(|earlier, later| earlier < later)
+}
+
 /// When it arrives, its number, from whom and to whom, and what.
 type OnTheWay = (Time, usize, usize, usize, Bytes);
 
@@ -77,6 +88,9 @@
     pub now: Time,
     pub chance: ChaCha8Rng,
     pub loss: f64,
+    /// Chances that a message comes twice, and that one comes up to `LATE` later, so behind later ones.
+    pub twice: f64,
+    pub late: f64,
     pub gossips: Vec<Gossip>,
     pub members: Vec<Member>,
     /// When each member is due, and the same in order.
@@ -101,6 +115,8 @@
             now: 0,
             chance: ChaCha8Rng::seed_from_u64(seed),
             loss: 0.0,
+            twice: 0.0,
+            late: 0.0,
             timers: due.iter().enumerate().map(|(n, at)| (*at, n)).collect(),
             due,
             gossips,
@@ -120,6 +136,9 @@
         for worker in effects.workers {
             self.members[n].phases.insert(worker.id, worker.phase);
         }
+        for (kind, version) in effects.texts {
+            self.members[n].versions.entry(kind).or_default().push(version);
+        }
         for (to, bytes) in effects.sent {
             self.members[n].sent += bytes.len();
             self.members[n].messages += 1;
@@ -128,9 +147,12 @@
             if self.members[n].cut || self.members[to].cut || self.chance.random_bool(self.loss) {
                 continue;
             }
-            let delay = self.chance.random_range(MS..=20 * MS);
-            self.count += 1;
-            self.wire.push(Reverse((self.now + delay, self.count, n, to, bytes)));
+            for _ in 0..=u8::from(self.chance.random_bool(self.twice)) {
+                let most = if self.chance.random_bool(self.late) { LATE } else { 20 * MS };
+                let delay = self.chance.random_range(MS..=most);
+                self.count += 1;
+                self.wire.push(Reverse((self.now + delay, self.count, n, to, bytes.clone())));
+            }
         }
         result
     }
@@ -147,6 +169,7 @@
                     self.wire.push(Reverse((at + 50 * MS, count, from, to, bytes)));
                 } else if !self.members[to].cut {
                     self.members[to].received += bytes.len();
+                    self.members[to].heard += 1;
                     self.act(to, |b, now, out| b.heard(now, address(from), &bytes, out));
                 }
                 true
@@ -187,7 +210,29 @@
     }
 
     pub fn text(&mut self, n: usize, version: u64, text: &Bytes) -> bool {
-        self.act(n, |b, now, out| b.text(now, CONFIGURATION, version, text.clone(), out))
+        self.post(n, CONFIGURATION, version, text)
+    }
+
+    pub fn post(&mut self, n: usize, kind: u8, version: u64, text: &Bytes) -> bool {
+        self.act(n, |b, now, out| b.text(now, kind, version, text.clone(), out))
+    }
+
+    /// A member forgets all that it knows, and meets the others again.
+    pub fn forget(&mut self, n: usize) {
+        let (seed, now) = (self.chance.random(), self.now);
+        let others: Vec<_> = (0..self.members.len()).filter(|other| *other != n).map(address).collect();
+        self.gossips[n] = Gossip::new(SLOW, seed, now);
+        self.act(n, |b, now, out| {
+            b.peers(now, &others);
+            b.catch_up(now, out);
+        });
+    }
+
+    /// A new life of a member begins.
+    pub fn restart(&mut self, n: usize) {
+        self.members[n].versions.clear();
+        self.members[n].phases.clear();
+        self.forget(n);
     }
 }
 
