--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -65,6 +65,8 @@
     pub tolerate: usize,
     pub run_time: Time,
     pub bytes: u64,
+    /// Bytes that were sent to each machine's place.
+    pub bytes_to: BTreeMap<usize, u64>,
 }
 
 pub fn address(place: usize) -> SocketAddr {
@@ -91,6 +93,7 @@
             tolerate: 1,
             run_time: 300 * MS,
             bytes: 0,
+            bytes_to: BTreeMap::new(),
         };
         (0..core).for_each(|n| {
             fleet.add(true, true, n);
@@ -333,6 +336,7 @@
                     let Some(to) = self.place(to).filter(|to| !self.cut.contains(&(at, *to))) else {
                         continue;
                     };
+                    *self.bytes_to.entry(to).or_default() += bytes.len() as u64;
                     if self.chance.random::<f64>() >= self.loss {
                         let (delay, life) = (self.delay(), self.machines[to].life);
                         self.push(self.now + delay, Event::Datagram { to, life, from, bytes });
@@ -344,6 +348,7 @@
                     let Some(to) = self.place(to).filter(|to| !self.cut.contains(&(at, *to))) else {
                         continue;
                     };
+                    *self.bytes_to.entry(to).or_default() += bytes.len() as u64;
                     let (delay, life) = (self.delay(), self.machines[to].life);
                     let due = self.order.get(&(at, to)).copied().unwrap_or(0).max(self.now + delay);
                     self.order.insert((at, to), due);
