Random courses of operators against the in-memory fleet, checked for linearizability

Cause: nothing showed that the configuration register holds under cuts, restarts, lost answers and concurrent operators at once. Change: tests/operators: operators that put, get, re-send and lose answers; cuts whole, one way, from the core, repeated, with restarts; kills, power losses, wipes, freezes.

--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -53,6 +53,8 @@
     pub machines: Vec<Machine>,
     pub answers: BTreeMap<u64, (Time, Answer)>,
     pub runs: Vec<(usize, String, String)>,
+    /// Every text that came into force, and where.
+    pub in_force_log: Vec<(usize, Bytes)>,
     events: BinaryHeap<Reverse<(Time, u64)>>,
     held: BTreeMap<u64, Event>,
     count: u64,
@@ -63,6 +65,7 @@
     pub loss: f64,
     pub sync: Time,
     pub tolerate: usize,
+    pub disk_bytes: usize,
     pub run_time: Time,
     pub bytes: u64,
 }
@@ -79,6 +82,7 @@
             machines: Vec::new(),
             answers: BTreeMap::new(),
             runs: Vec::new(),
+            in_force_log: Vec::new(),
             events: BinaryHeap::new(),
             held: BTreeMap::new(),
             count: 0,
@@ -89,6 +93,7 @@
             loss: 0.002,
             sync: 2 * MS,
             tolerate: 1,
+            disk_bytes: 256 << 20,
             run_time: 300 * MS,
             bytes: 0,
         };
@@ -158,7 +163,7 @@
             seeds,
             tolerate: self.tolerate,
             beat: 1200 * MS,
-            disk_bytes: 256 << 20,
+            disk_bytes: self.disk_bytes,
             keep_lots: 180 * SECOND,
             seed,
         };
@@ -170,6 +175,11 @@
         self.after(at);
     }
 
+    /// Which start of its process this is.
+    pub fn life(&self, at: usize) -> u32 {
+        self.machines[at].life
+    }
+
     /// The process is gone. With `power`, what is not synced is lost; without, what was written reaches the disk.
     pub fn kill(&mut self, at: usize, power: bool) {
         let machine = &mut self.machines[at];
@@ -354,7 +364,10 @@
                 Effect::Answer { ticket, answer } => {
                     self.answers.insert(ticket, (self.now, answer));
                 }
-                Effect::Configuration { version, .. } => self.machines[at].in_force.push(version),
+                Effect::Configuration { version, text } => {
+                    self.machines[at].in_force.push(version);
+                    self.in_force_log.push((at, text));
+                }
                 Effect::Worker(worker) => {
                     self.machines[at].workers.insert(worker.id.clone(), worker);
                 }
--- /dev/null
+++ b/crates/coordinator/tests/operators/main.rs
@@ -0,0 +1,11 @@
+//! Several operators at a fleet whose machines are cut off, killed and restarted: whether the configuration stays a linearizable
+//! register with compare-and-set, and orders that are sent again are answered as before.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod checker_stories;
+mod courses;
+mod history;
+mod operator;
+mod trouble;
