Refuse orders only with a quorum; a cut-off machine answers 503 soon and is not ready

Cause: a leader that was cut off answered 400 (version not above its copy's), 404 and 409 (retire) from its old copy for up to 0.4 s; 409 also while stores were only out of sight; any cut-off machine took 0.9 s for its 503; and one cut off for some seconds had forgotten all others and called itself ready again with an old configuration, as it did at its return before it had compared anything. Change: put refusals go through the log; retire is judged after a read round, and enough listed but unseen stores are a 503. A process that knows fellows and hears nobody for 1.2 s tries for 0.25 s, is not ready, and after its return compares with others for 0.3 s first.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -18,7 +18,9 @@
 /// A pause between tries where nobody leads.
 const PAUSE: Time = SECOND / 20;
 /// Callers of `control` move on after a second.
-const PATIENCE: Time = 9 * SECOND / 10;
+const PATIENCE: Time = 8 * SECOND / 10;
+/// How long a process that is cut off tries: its callers are better served elsewhere.
+const ISOLATED_PATIENCE: Time = SECOND / 4;
 /// Batch jobs that are known to be in a part, at most.
 const MOST_FOUND: usize = 100_000;
 
@@ -178,6 +180,9 @@
     ) {
         self.nonce += 1;
         let nonce = self.nonce;
+        let leads = self.parts.get(&part).is_some_and(|p| p.replica.leads());
+        let within =
+            if self.is_isolated(self.now) && !leads { within.min(ISOLATED_PATIENCE) } else { within };
         let ask = Ask {
             part,
             request: join(request, &[]),
@@ -356,7 +361,7 @@
         match (number, request) {
             (CONTROL, Request::Configure { base }) => self.configure(origin, base, tail),
             (CONTROL, Request::Configuration) => self.read(number, origin, Wanted::Configuration),
-            (CONTROL, Request::Retire { store }) => self.retire(origin, name(&store)),
+            (CONTROL, Request::Retire { store }) => self.read(number, origin, Wanted::Retire(name(&store))),
             (CONTROL, Request::Retiring { store }) => {
                 self.read(number, origin, Wanted::Retiring(name(&store)))
             }
@@ -420,17 +425,15 @@
         let Ok(read) = Configuration::read(&text) else { return self.reply(origin, Answer::of(400)) };
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
         let version = read.version;
-        // Known to be chosen, or refused without a doubt: what is in force here is agreed on.
+        // An accepted order stays accepted, so this copy may say so. Every refusal is agreed on first: a leader that was replaced
+        // without knowing it has an old copy.
         if control.accepted(version, &text) {
             return self.reply(origin, Answer::of(200));
         }
-        if base == control.version && version <= base {
-            let error = "{\"error\":\"/version: above the one in force\"}";
-            return self.reply(origin, Answer::json(400, error));
-        }
         self.propose(CONTROL, origin, join(&Change::Configure { base, version }, &text));
     }
 
+    /// Retires a store, once a round has shown that this leader's copy is not old.
     fn retire(&mut self, origin: Origin, store: String) {
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
         let Some((_, retiring)) = control.stores.get(&store) else {
@@ -439,13 +442,19 @@
         if *retiring {
             return self.reply(origin, Answer::of(200));
         }
-        let lives = |at: &SocketAddr| self.living.contains_key(at);
-        let left =
-            control.stores.values().filter(|(m, retiring)| m.name != store && !retiring && lives(&m.at));
+        let stay = control.stores.values().filter(|(m, retiring)| m.name != store && !retiring);
+        let (listed, living) = stay.fold((0, 0), |(listed, living), (member, _)| {
+            (listed + 1, living + usize::from(self.living.contains_key(&member.at)))
+        });
         // As many as a group must have for the loss of what is to be borne.
-        if left.count() < self.info.tolerate + 1 {
+        let least = self.info.tolerate + 1;
+        if listed < least {
             return self.reply(origin, Answer::of(409));
         }
+        if living < least {
+            // Those out of sight may be back soon: this is no final answer.
+            return self.reply(origin, Answer::later(503, SECOND / 5));
+        }
         self.propose(CONTROL, origin, join(&Change::Retire { store: store.as_str().into() }, &[]));
     }
 
@@ -458,6 +467,7 @@
                 let none = Answer::of(404);
                 self.reply(origin, if text.is_empty() { none } else { Answer::json(200, text) });
             }
+            Wanted::Retire(store) => self.retire(origin, store),
             Wanted::Retiring(store) => {
                 let Some(control) = self.parts.get(&number).and_then(|p| p.control()) else { return };
                 let Some((member, retiring)) = control.stores.get(&store) else {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -40,6 +40,8 @@
 const MISSED: f64 = 3.2;
 /// Who has others, and has heard nothing of them for so long, is cut off.
 const CUT_OFF: Time = 12 * SECOND / 10;
+/// How long a process that was cut off, or stood still, compares what it knows with others before it takes clients again.
+const COMPARING: Time = 3 * SECOND / 10;
 /// A pause in this process's own time that means that it stood still.
 const STOOD_STILL: Time = SECOND;
 
@@ -234,6 +236,10 @@
     begun: Time,
     /// When anything came from a peer.
     heard: Time,
+    /// Another process that takes requests is known, and has not left: to hear nothing means to be cut off.
+    has_fellows: bool,
+    /// Until when what it missed is compared with others.
+    comparing: Time,
     effects: Vec<Effect>,
 }
 
@@ -342,6 +348,8 @@
             caught_up: None,
             begun: now.steady,
             heard: now.steady,
+            has_fellows: false,
+            comparing: now.steady,
             effects: Vec::new(),
             chance,
             info,
@@ -425,6 +433,7 @@
             self.view.due(now.steady, &mut sink);
         }
         if stood_still {
+            self.comparing = now.steady + COMPARING;
             self.gossip.catch_up(now.steady, &mut sink);
         }
         if self.gossip.next() <= now.steady {
@@ -440,9 +449,32 @@
         self.settle();
     }
 
+    /// A peer is heard. After a cut what was missed is asked for at once.
+    fn hear(&mut self, now: Now) {
+        let was_isolated = self.is_isolated(now);
+        (self.now, self.heard) = (now, now.steady);
+        if was_isolated {
+            self.comparing = now.steady + COMPARING;
+            self.catch_up();
+        }
+    }
+
+    /// Compares what it knows with several others.
+    fn catch_up(&mut self) {
+        let mut sink = Sink::new(&mut self.effects);
+        self.gossip.catch_up(self.now.steady, &mut sink);
+        let (workers, texts) = (sink.workers, sink.texts);
+        self.told_news(workers, texts);
+    }
+
+    /// Whether it knows of fellows and has heard nothing of anybody for a while: it is cut off, or the only one left.
+    fn is_isolated(&self, now: Now) -> bool {
+        self.has_fellows && now.steady - self.heard > CUT_OFF
+    }
+
     /// A datagram's payload, from where it came.
     pub fn datagram(&mut self, now: Now, from: SocketAddr, payload: &[u8]) {
-        (self.now, self.heard) = (now, now.steady);
+        self.hear(now);
         let mut sink = Sink::new(&mut self.effects);
         let _ = self.view.heard(now.steady, from, payload, &mut sink);
         self.settle();
@@ -454,7 +486,7 @@
     /// Where it is no frame of this tier; nothing has changed.
     pub fn frame(&mut self, now: Now, from: SocketAddr, bytes: &Bytes) -> Result<(), DecodeError> {
         let (head, tail): (Head, Bytes) = split(bytes)?;
-        (self.now, self.heard) = (now, now.steady);
+        self.hear(now);
         match head {
             Head::Gossip => {
                 let mut sink = Sink::new(&mut self.effects);
@@ -615,15 +647,20 @@
     fn members(&mut self) {
         let now = self.now.steady;
         let mut living = BTreeMap::new();
+        self.has_fellows = false;
         for member in self.view.members() {
             for (card, standing, _) in member.processes {
-                if card.at == self.info.at || standing > Standing::Suspect {
+                if card.at == self.info.at || standing == Standing::Left {
                     continue;
                 }
                 let (role, port) = match card.figures[..] {
                     [role, high, low, ..] => (role == 1, u16::from_be_bytes([high, low])),
                     _ => continue,
                 };
+                self.has_fellows |= role;
+                if standing > Standing::Suspect {
+                    continue;
+                }
                 let control = (port != 0).then(|| SocketAddr::new(card.at.ip(), port));
                 living.insert(card.at, (role, control));
             }
@@ -644,12 +681,10 @@
             self.effects.push(Effect::Others(gateways));
         }
         // Who meets others again, after its start or a cut, compares with them at once.
-        if !newcomers.is_empty() && self.caught_up.is_none_or(|at| now - at > SECOND / 4) {
+        let due = self.caught_up.is_none_or(|at| now - at > SECOND / 4) || now < self.comparing;
+        if !newcomers.is_empty() && due {
             self.caught_up = Some(now);
-            let mut sink = Sink::new(&mut self.effects);
-            self.gossip.catch_up(now, &mut sink);
-            let (workers, texts) = (sink.workers, sink.texts);
-            self.told_news(workers, texts);
+            self.catch_up();
         }
     }
 
@@ -676,12 +711,13 @@
     }
 
     /// Whether it may be given clients: it knows a configuration, has heard of others or is alone, and is not cut off: who lives
-    /// among others hears of them several times a second.
+    /// among others hears of them several times a second. After a cut it has compared what it knows with others first.
     pub fn ready(&self, now: Now) -> bool {
-        let now = now.steady;
-        if !self.living.is_empty() && now - self.heard > CUT_OFF {
+        let silent = !self.living.is_empty() && now.steady - self.heard > CUT_OFF;
+        if silent || self.is_isolated(now) || now.steady < self.comparing {
             return false;
         }
+        let now = now.steady;
         let met = self.caught_up.is_some_and(|at| now - at > SECOND / 10) || now - self.begun > 3 * SECOND;
         self.configuration.is_some() && met
     }
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -20,9 +20,18 @@
 /// A read that waits for its round, or for something to read.
 pub(crate) enum Wanted {
     Configuration,
+    /// Nothing to read: the order is judged once this leader is confirmed.
+    Retire(String),
     Retiring(String),
-    Lot { lot: String, since: u64, until: Time },
-    Body { lot: String, item: String },
+    Lot {
+        lot: String,
+        since: u64,
+        until: Time,
+    },
+    Body {
+        lot: String,
+        item: String,
+    },
 }
 
 pub(crate) struct Part {
--- a/crates/coordinator/tests/operators/main.rs
+++ b/crates/coordinator/tests/operators/main.rs
@@ -8,4 +8,5 @@
 mod courses;
 mod history;
 mod operator;
+mod stories;
 mod trouble;
