Workers' calls at a cut-off machine are sent on; a goodbye counts where the worker is unknown

Cause: a machine that was cut off acknowledged beats, drains and goodbyes that no other could hear, so others called healthy workers silent; DELETE of a worker that the machine had not heard of was acknowledged and forgotten; a machine that was cut off called workers silent, and that was told to others at its return.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -490,6 +490,9 @@
     fn beat(&mut self, ticket: u64, worker: Worker) {
         let (id, service, phase) = (worker.id.clone(), worker.service.clone(), worker.phase);
         let news = self.enter(worker);
+        if self.is_isolated(self.now) {
+            return self.answer(ticket, Answer::later(503, SECOND / 5));
+        }
         let registrar = self.registrar(&service);
         let elsewhere = registrar.filter(|at| *at != self.info.at);
         let control = elsewhere.and_then(|at| self.living.get(&at)).and_then(|(_, control)| *control);
@@ -508,23 +511,25 @@
         }
     }
 
+    /// A worker's end is entered also where nothing is known of it: others may know it.
     fn goodbye(&mut self, ticket: u64, id: String) {
         let known = self.gossip.workers().find(|w| w.id == id).cloned();
-        match known {
-            Some(mut worker) => {
-                let was = worker.phase;
-                worker.phase = Phase::Gone;
-                worker.call_seq += 1;
-                self.enter(worker);
-                self.beats.remove(&id);
-                let answer = Answer::json(200, "{}");
-                if was < Phase::Draining {
-                    self.hold(ticket, answer, id)
-                } else {
-                    self.answer(ticket, answer)
-                }
-            }
-            None => self.answer(ticket, Answer::json(200, "{}")),
+        let was = known.as_ref().map(|worker| worker.phase);
+        let gone = match known {
+            Some(worker) => Worker { phase: Phase::Gone, call_seq: worker.call_seq + 1, ..worker },
+            None => Worker::tombstone(id.clone()),
+        };
+        let news = self.enter(gone);
+        self.beats.remove(&id);
+        if self.is_isolated(self.now) {
+            return self.answer(ticket, Answer::later(503, SECOND / 5));
+        }
+        let answer = Answer::json(200, "{}");
+        // Of one that drains all know already that it is to have no more requests.
+        if news && was.is_none_or(|phase| phase < Phase::Draining) {
+            self.hold(ticket, answer, id);
+        } else {
+            self.answer(ticket, answer);
         }
     }
 
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -46,6 +46,11 @@
         if !self.info.gateway {
             return;
         }
+        if self.is_isolated(self.now) {
+            // Beats go elsewhere meanwhile; at its return they are awaited in full.
+            self.beats.clear();
+            return;
+        }
         let mut quiet = Vec::new();
         let mut mine = BTreeSet::new();
         for worker in self.gossip.workers().filter(|w| w.phase == Phase::Ready) {
--- a/crates/coordinator/tests/operators/main.rs
+++ b/crates/coordinator/tests/operators/main.rs
@@ -10,3 +10,4 @@
 mod operator;
 mod stories;
 mod trouble;
+mod worker_stories;
--- a/crates/registry/src/gossip.rs
+++ b/crates/registry/src/gossip.rs
@@ -104,6 +104,12 @@
             && mine.zone == other.zone
     }
 
+    /// Of a tombstone: the worker's name and place are those that were known.
+    fn complete(&mut self, known: &Worker) {
+        let (phase, call_seq) = (self.worker.phase, self.worker.call_seq);
+        self.worker = Worker { phase, call_seq, ..known.clone() };
+    }
+
     fn shown(&self, now: Time) -> bool {
         spans(self.worker.phase).is_none_or(|(_, whole)| now - self.since < whole - HUSH)
     }
@@ -321,7 +327,7 @@
         self.next_sweep = next;
     }
 
-    fn merge(&mut self, now: Time, theirs: Entry, remote: bool, out: &mut dyn Outgoing) -> Merged {
+    fn merge(&mut self, now: Time, mut theirs: Entry, remote: bool, out: &mut dyn Outgoing) -> Merged {
         let mut merged = Merged::default();
         let Some(mine) = self.workers.get_mut(&theirs.worker.id) else {
             if theirs.shown(now) {
@@ -330,6 +336,9 @@
             }
             return merged;
         };
+        if theirs.worker.is_tombstone() {
+            theirs.complete(&mine.worker);
+        }
         let ahead = theirs.mark() > mine.mark();
         if mine.alike(&theirs.worker) {
             if remote && ahead {
--- a/crates/registry/src/worker.rs
+++ b/crates/registry/src/worker.rs
@@ -36,6 +36,25 @@
 }
 
 impl Worker {
+    /// That a worker is gone of which nothing else is known here.
+    pub fn tombstone(id: String) -> Self {
+        Self {
+            id,
+            service: String::new(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            zone: String::new(),
+            slots: 0,
+            phase: Phase::Gone,
+            cold_left_ms: 0,
+            call_seq: 0,
+        }
+    }
+
+    /// Whether only its end is known.
+    pub fn is_tombstone(&self) -> bool {
+        self.phase == Phase::Gone && self.service.is_empty()
+    }
+
     /// Reads the body of a beat, `PUT /v1/workers/ID`. Unknown fields are ignored.
     ///
     /// # Errors
