Calls do not go back to a leader that has just been silent

Cause: during a leader's cut its followers name it as the leader until they elect another; a call that had waited 0.4 s for it was sent there again and waited once more.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -47,6 +47,8 @@
     try_at: Time,
     tries: usize,
     to: Option<SocketAddr>,
+    /// Who was tried last and did not answer in time: others may still name it as the leader.
+    silent: Option<SocketAddr>,
     hops: usize,
     /// What is answered where no time is left and it may have taken effect, or was never heard by a leader.
     unclear: u16,
@@ -194,6 +196,7 @@
             try_at: 0,
             tries: 0,
             to: None,
+            silent: None,
             hops: 0,
             unclear,
         };
@@ -216,11 +219,12 @@
         let now = self.now.steady;
         let Some(number) = self.asks.get(&nonce).map(|a| a.part) else { return };
         let led = self.parts.get(&number).filter(|p| p.replica.leads()).map(|_| self.info.at);
-        // Who is known to be gone is asked only where nobody else is left.
+        let silent = self.asks.get(&nonce).and_then(|a| a.silent);
+        // Who is known to be gone, or has just not answered, is asked only where nobody else is left.
         let (mut seats, all) = (self.seats(number), self.seats(number));
-        seats.retain(|at| *at == self.info.at || self.living.contains_key(at));
+        seats.retain(|at| *at == self.info.at || self.living.contains_key(at) && Some(*at) != silent);
         let seats = if seats.is_empty() { all } else { seats };
-        let hint = self.hints.get(&number).copied();
+        let hint = self.hints.get(&number).copied().filter(|hint| Some(*hint) != silent);
         let Some(ask) = self.asks.get_mut(&nonce) else { return };
         let turn = ask.tries;
         let next = (!seats.is_empty()).then(|| seats[turn % seats.len()]);
@@ -259,6 +263,7 @@
                 self.hints.remove(&ask.part);
             }
             ask.hops = 0;
+            ask.silent = ask.to.or(ask.silent);
             self.attempt(nonce);
         }
     }
@@ -310,7 +315,7 @@
         }
         let part = ask.part;
         ask.hops += 1;
-        match leader.filter(|l| *l != from && ask.hops <= 3) {
+        match leader.filter(|l| *l != from && Some(*l) != ask.silent && ask.hops <= 3) {
             Some(leader) => {
                 self.hints.insert(part, leader);
                 self.attempt(nonce);
--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -163,8 +163,9 @@
 }
 
 #[test]
-fn given_a_leader_cut_off_when_an_order_is_sent_elsewhere_then_it_is_acknowledged_within_two_seconds() {
-    const MOST: Time = 2 * SECOND;
+fn given_a_leader_cut_off_when_an_order_is_sent_elsewhere_then_it_is_acknowledged_within_a_second_and_a_half()
+{
+    const MOST: Time = 1500 * MS;
     for seed in 0..12 {
         let mut campaign = quiet(50 + seed);
         let at = leader(&campaign);
