--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -18,7 +18,9 @@
 /// A pause between tries where nobody leads.
 const PAUSE: Time = SECOND / 20;
 /// Callers of `control` move on after a second.
-const PATIENCE: Time = 9 * SECOND / 10;
+const PATIENCE: Time = 8 * SECOND / 10;
+/// How long a process that is cut off tries: its callers are better served elsewhere.
+const ISOLATED_PATIENCE: Time = SECOND / 4;
 /// Batch jobs that are known to be in a part, at most.
 const MOST_FOUND: usize = 100_000;
 
@@ -45,6 +47,8 @@
     try_at: Time,
     tries: usize,
     to: Option<SocketAddr>,
+    /// Who was tried last and did not answer in time: others may still name it as the leader.
+    silent: Option<SocketAddr>,
     hops: usize,
     /// What is answered where no time is left and it may have taken effect, or was never heard by a leader.
     unclear: u16,
@@ -178,6 +182,9 @@
     ) {
         self.nonce += 1;
         let nonce = self.nonce;
+        let leads = self.parts.get(&part).is_some_and(|p| p.replica.leads());
+        let within =
+            if self.is_isolated(self.now) && !leads { within.min(ISOLATED_PATIENCE) } else { within };
         let ask = Ask {
             part,
             request: join(request, &[]),
@@ -189,6 +196,7 @@
             try_at: 0,
             tries: 0,
             to: None,
+            silent: None,
             hops: 0,
             unclear,
         };
@@ -211,11 +219,12 @@
         let now = self.now.steady;
         let Some(number) = self.asks.get(&nonce).map(|a| a.part) else { return };
         let led = self.parts.get(&number).filter(|p| p.replica.leads()).map(|_| self.info.at);
-        // Who is known to be gone is asked only where nobody else is left.
+        let silent = self.asks.get(&nonce).and_then(|a| a.silent);
+        // Who is known to be gone, or has just not answered, is asked only where nobody else is left.
         let (mut seats, all) = (self.seats(number), self.seats(number));
-        seats.retain(|at| *at == self.info.at || self.living.contains_key(at));
+        seats.retain(|at| *at == self.info.at || self.living.contains_key(at) && Some(*at) != silent);
         let seats = if seats.is_empty() { all } else { seats };
-        let hint = self.hints.get(&number).copied();
+        let hint = self.hints.get(&number).copied().filter(|hint| Some(*hint) != silent);
         let Some(ask) = self.asks.get_mut(&nonce) else { return };
         let turn = ask.tries;
         let next = (!seats.is_empty()).then(|| seats[turn % seats.len()]);
@@ -254,6 +263,7 @@
                 self.hints.remove(&ask.part);
             }
             ask.hops = 0;
+            ask.silent = ask.to.or(ask.silent);
             self.attempt(nonce);
         }
     }
@@ -305,7 +315,7 @@
         }
         let part = ask.part;
         ask.hops += 1;
-        match leader.filter(|l| *l != from && ask.hops <= 3) {
+        match leader.filter(|l| *l != from && Some(*l) != ask.silent && ask.hops <= 3) {
             Some(leader) => {
                 self.hints.insert(part, leader);
                 self.attempt(nonce);
@@ -356,7 +366,7 @@
         match (number, request) {
             (CONTROL, Request::Configure { base }) => self.configure(origin, base, tail),
             (CONTROL, Request::Configuration) => self.read(number, origin, Wanted::Configuration),
-            (CONTROL, Request::Retire { store }) => self.retire(origin, name(&store)),
+            (CONTROL, Request::Retire { store }) => self.read(number, origin, Wanted::Retire(name(&store))),
             (CONTROL, Request::Retiring { store }) => {
                 self.read(number, origin, Wanted::Retiring(name(&store)))
             }
@@ -420,17 +430,15 @@
         let Ok(read) = Configuration::read(&text) else { return self.reply(origin, Answer::of(400)) };
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
         let version = read.version;
-        // Known to be chosen, or refused without a doubt: what is in force here is agreed on.
+        // An accepted order stays accepted, so this copy may say so. Every refusal is agreed on first: a leader that was replaced
+        // without knowing it has an old copy.
         if control.accepted(version, &text) {
             return self.reply(origin, Answer::of(200));
         }
-        if base == control.version && version <= base {
-            let error = "{\"error\":\"/version: above the one in force\"}";
-            return self.reply(origin, Answer::json(400, error));
-        }
         self.propose(CONTROL, origin, join(&Change::Configure { base, version }, &text));
     }
 
+    /// Retires a store, once a round has shown that this leader's copy is not old.
     fn retire(&mut self, origin: Origin, store: String) {
         let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
         let Some(entry) = control.stores.get(&store) else {
@@ -439,13 +447,20 @@
         if entry.is_retiring() {
             return self.reply(origin, Answer::of(200));
         }
-        let lives = |at: &SocketAddr| self.living.contains_key(at);
-        let stays =
-            |other: &&Store| other.member.name != store && !other.is_retiring() && lives(&other.member.at);
+        let stays = |other: &&Store| other.member.name != store && !other.is_retiring();
+        let (listed, living) =
+            control.stores.values().filter(stays).fold((0, 0), |(listed, living), other| {
+                (listed + 1, living + usize::from(self.living.contains_key(&other.member.at)))
+            });
         // As many as a group must have for the loss of what is to be borne.
-        if control.stores.values().filter(stays).count() < self.info.fewest_members() {
+        let least = self.info.fewest_members();
+        if listed < least {
             return self.reply(origin, Answer::of(409));
         }
+        if living < least {
+            // Those out of sight may be back soon: this is no final answer.
+            return self.reply(origin, Answer::later(503, SECOND / 5));
+        }
         self.propose(CONTROL, origin, join(&Change::Retire { store: store.as_str().into() }, &[]));
     }
 
@@ -458,6 +473,7 @@
                 let none = Answer::of(404);
                 self.reply(origin, if text.is_empty() { none } else { Answer::json(200, text) });
             }
+            Wanted::Retire(store) => self.retire(origin, store),
             Wanted::Retiring(store) => {
                 let Some(control) = self.parts.get(&number).and_then(|p| p.control()) else { return };
                 let Some(entry) = control.stores.get(&store) else {
@@ -479,6 +495,9 @@
     fn beat(&mut self, ticket: u64, worker: Worker) {
         let (id, service, phase) = (worker.id.clone(), worker.service.clone(), worker.phase);
         let news = self.enter(worker);
+        if self.is_isolated(self.now) {
+            return self.answer(ticket, Answer::later(503, SECOND / 5));
+        }
         let registrar = self.registrar(&service);
         let elsewhere = registrar.filter(|at| *at != self.info.at);
         let control = elsewhere.and_then(|at| self.living.get(&at)).and_then(|(_, control)| *control);
@@ -497,23 +516,25 @@
         }
     }
 
+    /// A worker's end is entered also where nothing is known of it: others may know it.
     fn goodbye(&mut self, ticket: u64, id: String) {
         let known = self.gossip.workers().find(|w| w.id == id).cloned();
-        match known {
-            Some(mut worker) => {
-                let was = worker.phase;
-                worker.phase = Phase::Gone;
-                worker.call_seq += 1;
-                self.enter(worker);
-                self.beats.remove(&id);
-                let answer = Answer::json(200, "{}");
-                if was < Phase::Draining {
-                    self.hold(ticket, answer, id)
-                } else {
-                    self.answer(ticket, answer)
-                }
-            }
-            None => self.answer(ticket, Answer::json(200, "{}")),
+        let was = known.as_ref().map(|worker| worker.phase);
+        let gone = match known {
+            Some(worker) => Worker { phase: Phase::Gone, call_seq: worker.call_seq + 1, ..worker },
+            None => Worker::tombstone(id.clone()),
+        };
+        let news = self.enter(gone);
+        self.beats.remove(&id);
+        if self.is_isolated(self.now) {
+            return self.answer(ticket, Answer::later(503, SECOND / 5));
+        }
+        let answer = Answer::json(200, "{}");
+        // Of one that drains all know already that it is to have no more requests.
+        if news && was.is_none_or(|phase| phase < Phase::Draining) {
+            self.hold(ticket, answer, id);
+        } else {
+            self.answer(ticket, answer);
         }
     }
 
