--- /dev/null
+++ b/crates/registry/src/gossip/entry.rs
@@ -0,0 +1,97 @@
+//! What is known of one worker, and which of two tales of it is newer.
+
+use rainlug::{SECOND, Time};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::wire::{BUCKETS, WorkerEntry};
+use crate::{Phase, Worker};
+
+/// Before it is forgotten, an entry isn't told to others any more, so that it doesn't come back from them.
+const HUSH: Time = 15 * SECOND;
+
+/// For how long an entry is listed as a worker, and for how long it is remembered, by phase.
+pub(super) fn spans(phase: Phase) -> Option<(Time, Time)> {
+    match phase {
+        Phase::Ready => None,
+        Phase::Silent => Some((60 * SECOND, 120 * SECOND)),
+        Phase::Draining => Some((600 * SECOND, 660 * SECOND)),
+        Phase::Gone => Some((0, 60 * SECOND)),
+    }
+}
+
+/// What of a worker is compared: the greater one is kept. Beats that change nothing don't change it.
+pub(super) type Mark = (bool, u64, Phase);
+
+pub(super) fn mark(told_seq: u64, phase: Phase) -> Mark {
+    (phase == Phase::Gone, told_seq, phase)
+}
+
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) worker: Worker,
+    /// `call_seq` at the last change.
+    pub(super) told_seq: u64,
+    /// When the phase began, as far as known.
+    pub(super) since: Time,
+    pub(super) cold_until: Time,
+    /// Not listed any more.
+    pub(super) buried: bool,
+}
+
+impl Entry {
+    pub(super) fn mark(&self) -> Mark {
+        mark(self.told_seq, self.worker.phase)
+    }
+
+    /// Which of two tales is newer.
+    pub(super) fn evidence(&self) -> Mark {
+        mark(self.worker.call_seq, self.worker.phase)
+    }
+
+    pub(super) fn alike(&self, other: &Worker) -> bool {
+        let mine = &self.worker;
+        mine.phase == other.phase
+            && mine.address == other.address
+            && mine.service == other.service
+            && mine.slots == other.slots
+            && mine.zone == other.zone
+    }
+
+    pub(super) fn shown(&self, now: Time) -> bool {
+        spans(self.worker.phase).is_none_or(|(_, whole)| now - self.since < whole - HUSH)
+    }
+
+    pub(super) fn told(&self, now: Time) -> WorkerEntry {
+        let ms = |time: Time| u32::try_from(time.max(0) / 1_000).unwrap_or(u32::MAX);
+        WorkerEntry {
+            told_seq: self.told_seq,
+            call_seq: self.worker.call_seq,
+            phase: self.worker.phase as u8,
+            age_ms: ms(now - self.since),
+            slots: self.worker.slots,
+            cold_left_ms: ms(self.cold_until - now),
+            address: self.worker.address.into(),
+            id: self.worker.id.clone(),
+            service: self.worker.service.clone(),
+            zone: self.worker.zone.clone(),
+        }
+    }
+}
+
+pub(super) fn entry(now: Time, worker: Worker, told_seq: u64, age_ms: u32) -> Entry {
+    Entry {
+        told_seq,
+        since: now - Time::from(age_ms) * 1_000,
+        cold_until: now + Time::from(worker.cold_left_ms) * 1_000,
+        buried: false,
+        worker,
+    }
+}
+
+pub(super) fn hash(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
+pub(super) fn bucket(hash: u64) -> usize {
+    (hash % BUCKETS as u64) as usize
+}
