An order to retire a store outlives the store's disk; stories of batch jobs sent twice

Cause: a store that came back with an empty disk was entered as a new one, so an acknowledged order to retire it was forgotten; and its state would have been complete while groups still counted on the lost disk. Change: the same machine (name and address) keeps the order with a new disk (control.rs: one line); complete also asks that no group names the machine. Stories of batch jobs submitted and ended again around a 20 s cut.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_consensus::Refused;
+use rainlug_consensus::{Member, Refused};
 use rainlug_registry::{Configuration, Phase, Worker};
 
 use crate::control::Change;
@@ -478,7 +478,9 @@
                 let Some((member, retiring)) = control.stores.get(&store) else {
                     return self.reply(origin, Answer::of(404));
                 };
-                let holds = control.groups.values().any(|g| g.members.iter().any(|m| m.id == member.id));
+                // By name too: a group may still count on a disk that this machine has lost.
+                let is_it = |m: &Member| m.id == member.id || m.name == store;
+                let holds = control.groups.values().any(|g| g.members.iter().any(is_it));
                 let state = if *retiring && !holds { "complete" } else { "active" };
                 self.reply(origin, Answer::json(200, format!("{{\"state\":\"{state}\"}}")));
             }
--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -156,7 +156,8 @@
                 // Whoever had this address before is not there any more.
                 self.stores.retain(|name, (old, _)| *name == member.name || old.at != member.at);
                 match self.stores.get_mut(&member.name) {
-                    Some((old, _)) if old.id == member.id => *old = member,
+                    // The same machine, also with another disk: an order to retire it still holds.
+                    Some((old, _)) if old.id == member.id || old.at == member.at => *old = member,
                     _ => {
                         self.stores.insert(member.name.clone(), (member, false));
                     }
--- /dev/null
+++ b/crates/coordinator/tests/operators/batch_stories.rs
@@ -0,0 +1,119 @@
+//! Named stories of batch jobs that are submitted and ended more than once while machines are cut off.
+
+use rainlug_coordinator::{Call, part_of};
+
+use crate::common::{Fleet, lot, settled};
+
+/// Core and plain machines come first.
+const FIRST_STORE: usize = 4;
+const CUT: f64 = 20.0;
+
+fn submit(id: &str) -> Call {
+    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, 5) }
+}
+
+fn end(id: &str) -> Call {
+    Call::End { lot: id.to_owned() }
+}
+
+fn status(fleet: &mut Fleet, at: usize, call: Call) -> Option<u16> {
+    fleet.ask(at, call, 4.0).map(|answer| answer.status)
+}
+
+/// Sends it to dispatcher after dispatcher until the answer is no 5xx.
+fn until_clear(fleet: &mut Fleet, first: usize, call: &Call) -> u16 {
+    for turn in 0..20 {
+        let answered = status(fleet, (first + turn) % FIRST_STORE, call.clone());
+        if let Some(clear) = answered.filter(|status| *status < 500) {
+            return clear;
+        }
+        fleet.pass(0.1);
+    }
+    panic!("no clear answer");
+}
+
+fn leader(fleet: &Fleet) -> usize {
+    fleet.leader(part_of("lots")).expect("a leader")
+}
+
+fn cut_off(fleet: &mut Fleet, at: usize) {
+    let rest: Vec<usize> = (0..fleet.machines.len()).filter(|other| *other != at).collect();
+    fleet.cut(&[at], &rest);
+}
+
+#[test]
+fn given_a_batch_job_when_its_leader_is_cut_off_before_the_answer_then_it_is_taken_once_and_acknowledged_again()
+ {
+    for seed in 0..10 {
+        let mut fleet = settled(3, 1, 4, seed);
+        let old = leader(&fleet);
+        let first = fleet.call(0, submit("job"));
+        fleet.pass(0.001 * seed as f64);
+        cut_off(&mut fleet, old);
+        assert_eq!(until_clear(&mut fleet, 1, &submit("job")), 202, "seed {seed}");
+        fleet.pass(CUT);
+        fleet.heal();
+        fleet.pass(3.0);
+        let refused = fleet.answers.get(&first).is_some_and(|(_, answer)| answer.status == 429);
+        assert!(!refused, "seed {seed}");
+        assert_eq!(status(&mut fleet, 2, submit("job")), Some(202), "seed {seed}: sent again");
+        let answer =
+            fleet.ask(3, Call::Read { lot: "job".to_owned(), since: 0, wait: 0 }, 4.0).expect("an answer");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert!(text.contains("\"grand_total\":5") && text.contains("\"next_token\":5"), "{text}");
+    }
+}
+
+#[test]
+fn given_an_ended_batch_job_when_the_end_comes_again_anywhere_then_it_is_acknowledged_again() {
+    for seed in 0..6 {
+        let mut fleet = settled(3, 1, 4, 20 + seed);
+        assert_eq!(status(&mut fleet, 0, submit("job")), Some(202));
+        let old = leader(&fleet);
+        fleet.call(1, end("job"));
+        fleet.pass(0.002 * seed as f64);
+        cut_off(&mut fleet, old);
+        assert_eq!(until_clear(&mut fleet, 2, &end("job")), 200, "seed {seed}");
+        fleet.pass(CUT);
+        fleet.heal();
+        fleet.pass(3.0);
+        for at in 0..FIRST_STORE {
+            assert_eq!(status(&mut fleet, at, end("job")), Some(200), "seed {seed}: at {at}");
+        }
+    }
+}
+
+#[test]
+fn given_a_dispatcher_cut_off_when_batch_jobs_come_to_it_then_nothing_is_refused_for_good() {
+    let mut fleet = settled(3, 1, 4, 40);
+    assert_eq!(status(&mut fleet, 0, submit("known")), Some(202));
+    cut_off(&mut fleet, 3);
+    fleet.pass(2.0);
+    let read = Call::Read { lot: "known".to_owned(), since: 0, wait: 0 };
+    for call in [submit("job"), submit("known"), end("known"), end("no-such"), read] {
+        let since = fleet.now;
+        let answered = status(&mut fleet, 3, call.clone()).expect("an answer");
+        assert!(answered >= 500, "{answered} to {call:?}");
+        assert!(fleet.now - since < rainlug::SECOND / 2, "soon");
+    }
+    fleet.heal();
+    fleet.pass(3.0);
+    assert_eq!(status(&mut fleet, 3, submit("known")), Some(202));
+    assert_eq!(status(&mut fleet, 3, end("no-such")), Some(404));
+}
+
+#[test]
+fn given_a_parts_leader_just_cut_off_when_an_end_comes_to_a_dispatcher_of_its_side_then_it_is_not_refused() {
+    for seed in 0..6 {
+        let mut fleet = settled(3, 1, 4, 50 + seed);
+        let old = leader(&fleet);
+        let rest: Vec<usize> = (0..fleet.machines.len()).filter(|other| ![old, 3].contains(other)).collect();
+        // Submitted on the other side, where another leader takes it.
+        fleet.cut(&[old, 3], &rest);
+        let late = fleet.call(3, end("job"));
+        assert_eq!(until_clear(&mut fleet, 0, &submit("job")), 202);
+        fleet.pass(3.0);
+        let answer = fleet.answers.get(&late).map(|(_, answer)| answer.status);
+        assert_eq!(answer, Some(503), "seed {seed}");
+    }
+}
--- a/crates/coordinator/tests/operators/main.rs
+++ b/crates/coordinator/tests/operators/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod batch_stories;
 mod checker_stories;
 mod courses;
 mod history;
--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -1,9 +1,9 @@
 //! Named stories of operators, and what each must be answered.
 
 use rainlug::{SECOND, Time};
-use rainlug_coordinator::{CONTROL, Call, Now};
+use rainlug_coordinator::{CONTROL, Call, Now, PARTS};
 
-use crate::common::MS;
+use crate::common::{Fleet, MS, address};
 use crate::history::Response;
 use crate::operator::{Campaign, Habits};
 use crate::trouble::{Trouble, VICTIMS, befall, core, cut, pick};
@@ -36,6 +36,16 @@
     (0..campaign.fleet.machines.len()).filter(|at| *at != of).collect()
 }
 
+/// How many groups of batch jobs count on a machine, as their leaders know.
+fn seats_of(fleet: &Fleet, store: usize) -> usize {
+    let holds = |part: u16| {
+        let leader = fleet.leader(part).expect("a leader");
+        let coordinator = fleet.machines[leader].coordinator.as_ref().expect("it runs");
+        coordinator.leads(part).2.iter().any(|member| member.at == address(store))
+    };
+    (1..=PARTS).filter(|part| holds(*part)).count()
+}
+
 fn ready(campaign: &Campaign, at: usize) -> bool {
     let steady = campaign.fleet.now;
     let coordinator = campaign.fleet.machines[at].coordinator.as_ref().expect("it runs");
@@ -266,3 +276,27 @@
         assert_eq!(campaign.judge(), Ok(()), "seed {seed}");
     }
 }
+
+#[test]
+fn given_a_store_to_be_retired_when_it_comes_back_with_an_empty_disk_then_the_order_still_holds() {
+    for seed in 0..6 {
+        let mut campaign = fleet_with_stores(140 + seed);
+        let name = campaign.fleet.machines[FIRST_STORE].name.clone();
+        assert_eq!(campaign.fleet.ask(1, retire(&name), 1.0).map(|a| a.status), Some(200));
+        campaign.fleet.wipe(FIRST_STORE);
+        campaign.fleet.pass(0.2 * seed as f64);
+        campaign.fleet.start(FIRST_STORE, false);
+        let begun = campaign.fleet.now;
+        let asked = Call::Retiring { store: name.clone() };
+        while campaign.fleet.ask(2, asked.clone(), 1.0).is_none_or(|a| a.body != "{\"state\":\"complete\"}") {
+            assert!(campaign.fleet.now - begun < 10 * SECOND, "seed {seed}: it is emptied");
+            campaign.fleet.pass(0.05);
+        }
+        assert_eq!(
+            seats_of(&campaign.fleet, FIRST_STORE),
+            0,
+            "seed {seed}: complete means that none counts on it"
+        );
+        assert_eq!(campaign.fleet.ask(0, retire(&name), 1.0).map(|a| a.status), Some(200));
+    }
+}
