A worker's end that no other machine has acknowledged is not confirmed

Cause: a machine that hears the others but is not heard confirmed draining and goodbye after 0.2 s though nobody else knew. Change: where no peer has acknowledged the news by then the answer is 503, so that the worker calls another dispatcher. Result: the story of the machine that nobody hears failed before (200 instead of 503); it passes.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -635,8 +635,12 @@
                 News::Configuration(version) => self.gossip.spread(gossip::CONFIGURATION, *version),
                 News::Worker(id) => self.gossip.worker_spread(id),
             };
-            if has >= all || now >= waits.until {
+            if has >= all {
                 self.reply(waits.origin, waits.answer);
+            } else if now >= waits.until {
+                // Of a worker's end nobody else has said to know: it is to be told elsewhere too.
+                let alone = has == 0 && matches!(waits.news, News::Worker(_));
+                self.reply(waits.origin, if alone { Answer::later(503, SECOND / 5) } else { waits.answer });
             } else {
                 self.held.push(waits);
             }
--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -300,3 +300,28 @@
         assert_eq!(campaign.fleet.ask(0, retire(&name), 1.0).map(|a| a.status), Some(200));
     }
 }
+
+#[test]
+fn given_seeds_that_begin_with_a_machine_cut_off_when_others_restart_then_orders_at_them_are_taken_soon() {
+    for (seed, trouble) in
+        [(160, Trouble::CutWhole), (161, Trouble::CutFromCore), (162, Trouble::CutOutbound)]
+    {
+        let mut campaign = busy(seed);
+        cut(&mut campaign, trouble, 0);
+        campaign.pass(1.0);
+        for at in [3, 4] {
+            campaign.fleet.kill(at, true);
+            campaign.fleet.start(at, false);
+        }
+        campaign.fleet.pass(2.0);
+        assert!(ready(&campaign, 3) && ready(&campaign, 4), "{trouble:?}");
+        let order = campaign.order(1_000_000, 1_000_001);
+        let since = campaign.fleet.now;
+        assert_eq!(campaign.put(3, order), Response::Conflict, "{trouble:?}: a clear answer");
+        assert!(campaign.fleet.now - since < SECOND);
+        campaign.pass(CUT);
+        campaign.heal();
+        campaign.pass(3.0);
+        assert_eq!(campaign.judge(), Ok(()), "{trouble:?}");
+    }
+}
--- a/crates/coordinator/tests/operators/worker_stories.rs
+++ b/crates/coordinator/tests/operators/worker_stories.rs
@@ -105,6 +105,27 @@
     assert!(phases(&fleet, "w3").iter().all(|phase| *phase == Some(Phase::Ready)));
 }
 
+#[test]
+fn given_a_machine_that_nobody_hears_when_a_worker_says_that_it_leaves_then_it_is_sent_on() {
+    let mut fleet = settled(3, 3, 0, 4);
+    fleet.ask(0, beat("w1", "notary", "ready", 1), 1.0);
+    fleet.ask(0, beat("w2", "notary", "ready", 1), 1.0);
+    fleet.pass(1.0);
+    let rest = others(&fleet, 4);
+    fleet.cut_one_way(&[4], &rest);
+    fleet.pass(5.0);
+    for call in [beat("w1", "notary", "draining", 2), goodbye("w2")] {
+        let since = fleet.now;
+        assert_eq!(fleet.ask(4, call.clone(), 1.0).map(|a| a.status), Some(503));
+        assert!(fleet.now - since <= 300 * MS);
+        assert_eq!(fleet.ask(5, call, 1.0).map(|a| a.status), Some(200));
+    }
+    for at in rest {
+        assert_eq!(fleet.machines[at].workers["w1"].phase, Phase::Draining, "machine {at}");
+        assert_eq!(fleet.machines[at].workers["w2"].phase, Phase::Gone, "machine {at}");
+    }
+}
+
 #[test]
 fn given_a_worker_that_beats_at_one_machine_when_that_is_cut_off_then_no_other_calls_it_silent() {
     for seed in 0..8 {
