--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -197,9 +197,10 @@
     /// Whether a store that retires may be taken away: every part's leader knows that it retires, and has handed over to a group
     /// without it.
     pub fn may_go(&self, store: &Store) -> bool {
-        let without_it = |group: &Group| {
-            group.retirements >= store.retirement && group.members.iter().all(|m| m.id != store.member.id)
-        };
+        // By name too: a group may still count on a disk that this machine has lost.
+        let is_it = |member: &Member| member.id == store.member.id || member.name == store.member.name;
+        let without_it =
+            |group: &Group| group.retirements >= store.retirement && !group.members.iter().any(is_it);
         store.is_retiring() && self.groups.values().all(without_it)
     }
 
--- a/crates/registry/src/gossip/merge.rs
+++ b/crates/registry/src/gossip/merge.rs
@@ -40,7 +40,13 @@
         self.next_sweep = next;
     }
 
-    pub(super) fn merge(&mut self, now: Time, mut theirs: Entry, remote: bool, out: &mut dyn Outgoing) -> Merged {
+    pub(super) fn merge(
+        &mut self,
+        now: Time,
+        mut theirs: Entry,
+        remote: bool,
+        out: &mut dyn Outgoing,
+    ) -> Merged {
         let mut merged = Merged::default();
         let Some(mine) = self.workers.get_mut(&theirs.worker.id) else {
             if theirs.shown(now) {
