--- /dev/null
+++ b/crates/consensus/src/replica/entries.rs
@@ -0,0 +1,137 @@
+//! Entries: appended, saved, committed, and replaced by those of a newer leader.
+
+use super::{Replica, Role};
+use crate::log::{Entry, Kind};
+use crate::wire::{self, Body};
+use crate::{Index, Member, Term};
+use bytes::Bytes;
+
+impl Replica {
+    pub(super) fn save(&mut self, record: Bytes) -> u64 {
+        if !std::mem::replace(&mut self.founded, true) && !self.snapshot.group.is_empty() {
+            self.ticket += 1;
+            let founding = wire::snapshot_record(0, 0, &self.snapshot.group, &[]);
+            self.output.save.push((self.ticket, founding));
+        }
+        self.ticket += 1;
+        self.output.save.push((self.ticket, record));
+        self.ticket
+    }
+    pub(super) fn push(&mut self, entry: Entry) -> Index {
+        let index = self.log.last() + 1;
+        let record = wire::entry_record(index, &entry);
+        self.log.push(entry);
+        let ticket = self.save(record);
+        self.unsaved.push_back((ticket, index));
+        index
+    }
+    pub(super) fn append(&mut self, kind: Kind, data: Bytes) -> Index {
+        self.push(Entry { term: self.term, kind, data })
+    }
+    pub(super) fn truncate(&mut self, index: Index) {
+        self.log.truncate(index);
+        self.stable = self.stable.min(index);
+        for (_, last) in &mut self.unsaved {
+            *last = (*last).min(index);
+        }
+    }
+    pub(super) fn rewrite(&mut self) {
+        let snapshot = &self.snapshot;
+        let mut records = vec![
+            wire::snapshot_record(snapshot.index, snapshot.term, &snapshot.group, &snapshot.state),
+            wire::hard_state_record(self.term, self.voted),
+        ];
+        for index in snapshot.index + 1..=self.log.last() {
+            records.extend(self.log.get(index).map(|entry| wire::entry_record(index, entry)));
+        }
+        if self.settled > snapshot.index {
+            records.push(wire::settled_record(self.settled));
+        }
+        self.founded = true;
+        self.ticket += 1;
+        self.output.save.clear();
+        self.output.rewrite = Some((self.ticket, records));
+        self.unsaved.push_back((self.ticket, self.log.last()));
+    }
+    /// A group entry is known to be committed.
+    pub(super) fn settle(&mut self, index: Index) {
+        if self.settled < index {
+            self.settled = index;
+            self.settled_ticket = self.save(wire::settled_record(index));
+        }
+    }
+
+    /// Whether the newest group is known to be committed, on the disk too.
+    pub(super) fn has_saved_settled(&self) -> bool {
+        self.is_settled() && self.settled_ticket <= self.saved
+    }
+    pub(super) fn appended(&self, round: u64, matched: Index) -> Body {
+        Body::Appended { round, matched, settled: u8::from(self.has_saved_settled()) }
+    }
+
+    pub(super) fn advance(&mut self) {
+        while self.role == Role::Leader {
+            let commit = self.saved_by_enough();
+            if commit <= self.commit || self.log.term(commit) != Some(self.term) {
+                break;
+            }
+            self.commit_to(commit);
+        }
+    }
+    pub(super) fn commit_to(&mut self, commit: Index) {
+        self.commit = self.commit.max(commit.min(self.log.last()));
+        let group = self.log.group().index;
+        if group <= self.settled || group > self.commit || group <= self.snapshot.index {
+            return;
+        }
+        self.settle(group);
+        if self.role != Role::Leader {
+            return;
+        }
+        // Who leaves learns of it now or never.
+        self.beat = true;
+        self.flush();
+        let members = &self.log.group().after;
+        self.progress.retain(|id, _| members.iter().any(|member| member.id == *id));
+        if members.iter().all(|member| member.id != self.me.id) {
+            self.step_down();
+        }
+    }
+
+    pub(super) fn append_requested(
+        &mut self,
+        from: &Member,
+        round: u64,
+        prev: (Index, Term),
+        commit: Index,
+        entries: Vec<Entry>,
+    ) {
+        let (prev_index, prev_term) = prev;
+        // What is committed is the same everywhere.
+        if prev_index > self.commit && self.log.term(prev_index) != Some(prev_term) {
+            let hint_index = self.log.common(prev_index, prev_term).max(self.commit);
+            let hint_term = self.log.term(hint_index).unwrap_or_default();
+            let body = Body::Rejected { round, prev_index, hint_index, hint_term };
+            self.hold(self.hard_ticket, from, body);
+            return;
+        }
+        let bulky = !entries.is_empty();
+        let last = prev_index + entries.len() as u64;
+        for (index, entry) in (prev_index + 1..).zip(entries) {
+            if index <= self.commit || self.log.term(index) == Some(entry.term) {
+                continue;
+            }
+            if index <= self.log.last() {
+                self.truncate(index - 1);
+            }
+            self.push(entry);
+        }
+        self.commit_to(commit.min(last));
+        let last = last.max(self.commit);
+        if bulky && self.stable < last {
+            self.hold(self.ticket, from, self.appended(round, last));
+        } else {
+            self.hold(self.hard_ticket, from, self.appended(round, last.min(self.stable)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/sending.rs
@@ -0,0 +1,178 @@
+//! What goes to other members: answers that wait for the disk, and what each follower lacks.
+
+
+use bytes::Bytes;
+
+use super::{Flow, MOST_ENTRIES, MOST_IN_FLIGHT, Observed, Progress, Replica, Role};
+use crate::log::Snapshot;
+use crate::wire::{self, Body};
+use crate::{Index, Member, Term};
+
+impl Replica {
+    pub(super) fn encode(&self, to: &Member, body: Body, bulk: &[&[u8]]) -> (Member, Bytes) {
+        (to.clone(), wire::message(to.id, &self.me, self.term, body, bulk))
+    }
+    pub(super) fn send(&mut self, to: &Member, body: Body, bulk: &[&[u8]]) {
+        let message = self.encode(to, body, bulk);
+        self.output.messages.push(message);
+    }
+    /// Sends it once the ticket is saved.
+    pub(super) fn hold(&mut self, ticket: u64, to: &Member, body: Body) {
+        let (to, bytes) = self.encode(to, body, &[]);
+        if ticket <= self.saved {
+            self.output.messages.push((to, bytes));
+        } else {
+            let place = self.held.partition_point(|(earlier, _, _)| *earlier <= ticket);
+            self.held.insert(place, (ticket, to, bytes));
+        }
+    }
+    /// A follower has answered: a sign of life, and what it says.
+    pub(super) fn answered(
+        &mut self,
+        current: bool,
+        from: &Member,
+        round: u64,
+        then: impl FnOnce(&mut Progress, Index),
+    ) {
+        if !current || self.role != Role::Leader {
+            return;
+        }
+        let last = self.log.last();
+        if let Some(progress) = self.progress.get_mut(&from.id) {
+            progress.heard = self.now;
+            progress.round = progress.round.max(round.min(self.round));
+            then(progress, last);
+        }
+    }
+
+    /// Sends every follower what it lacks, as far as what is on its way allows.
+    pub(super) fn flush(&mut self) {
+        let beat = std::mem::take(&mut self.beat);
+        let mut messages = std::mem::take(&mut self.output.messages);
+        let mut all = std::mem::take(&mut self.progress);
+        let whole = self.has_state && self.snapshot.index >= self.log.base();
+        let lacks = |p: &Progress| !matches!(p.flow, Flow::Snapshot { .. }) && p.next <= self.log.base();
+        self.state_wanted |= !whole && all.values().any(lacks);
+        for progress in all.values_mut() {
+            self.feed(progress, beat, &mut messages);
+        }
+        self.progress = all;
+        self.output.messages = messages;
+    }
+    pub(super) fn feed(&self, progress: &mut Progress, beat: bool, messages: &mut Vec<(Member, Bytes)>) {
+        let before = messages.len();
+        if !matches!(progress.flow, Flow::Snapshot { .. }) && progress.next <= self.log.base() {
+            if !self.has_state || self.snapshot.index < self.log.base() {
+                // The state is asked for; until it is there this follower has signs of life.
+                if beat && let Some(term) = self.log.term(self.log.base()) {
+                    messages.push(self.empty_message(&progress.member, self.log.base(), term));
+                }
+                return;
+            }
+            progress.flow =
+                Flow::Snapshot { snapshot: self.snapshot.clone(), offset: 0, sent: false, moved: false };
+        }
+        let mut at = None;
+        match &mut progress.flow {
+            Flow::Probe { asked } => {
+                if !std::mem::replace(asked, true) {
+                    at = Some(progress.next - 1);
+                }
+            }
+            Flow::Replicate { in_flight } => {
+                while in_flight.len() < MOST_IN_FLIGHT && progress.next <= self.log.last() {
+                    let prev = progress.next - 1;
+                    let (message, last) = self.entries_message(&progress.member, prev);
+                    messages.push(message);
+                    progress.commit_sent = progress.commit_sent.max(self.commit.min(last));
+                    progress.next = last + 1;
+                    in_flight.push_back(last);
+                }
+                if progress.commit_sent < self.commit.min(progress.next - 1) {
+                    at = Some(progress.next - 1);
+                }
+            }
+            Flow::Snapshot { snapshot, offset, sent, .. } => {
+                // Bulk goes to those who live.
+                if self.now - progress.heard <= self.settings.election && !std::mem::replace(sent, true) {
+                    messages.push(self.chunk_message(&progress.member, snapshot, *offset));
+                }
+                // What is not installed yet is no ground to stand on: this one only gives a sign of life.
+                if beat {
+                    let (index, term) = (snapshot.index, snapshot.term);
+                    messages.push(self.empty_message(&progress.member, index, term));
+                }
+                return;
+            }
+        }
+        if at.is_none() && beat && messages.len() == before {
+            at = Some(progress.next - 1);
+        }
+        if let Some(prev) = at
+            && let Some(term) = self.log.term(prev)
+        {
+            messages.push(self.empty_message(&progress.member, prev, term));
+            progress.commit_sent = progress.commit_sent.max(self.commit.min(prev));
+        }
+    }
+    pub(super) fn empty_message(&self, to: &Member, prev_index: Index, prev_term: Term) -> (Member, Bytes) {
+        let body = Body::AppendEntries {
+            round: self.round,
+            prev_index,
+            prev_term,
+            commit: self.commit,
+            count: 0,
+            heads: vec![],
+        };
+        self.encode(to, body, &[])
+    }
+    /// With as many entries as fit, but one at least; and the last one's index.
+    pub(super) fn entries_message(&self, to: &Member, prev_index: Index) -> ((Member, Bytes), Index) {
+        let mut last = prev_index;
+        let mut bytes = 0;
+        let mut heads = vec![];
+        let mut bulk: Vec<&[u8]> = vec![];
+        while let Some(entry) = self.log.get(last + 1)
+            && (heads.is_empty()
+                || heads.len() < MOST_ENTRIES && bytes + entry.data.len() <= self.settings.most_bytes)
+        {
+            last += 1;
+            bytes += entry.data.len();
+            heads.push(wire::entry_head(entry));
+            bulk.push(&entry.data);
+        }
+        let body = Body::AppendEntries {
+            round: self.round,
+            prev_index,
+            prev_term: self.log.term(prev_index).unwrap_or_default(),
+            commit: self.commit,
+            count: u16::try_from(heads.len()).unwrap_or(u16::MAX),
+            heads,
+        };
+        (self.encode(to, body, &bulk), last)
+    }
+    pub(super) fn chunk_message(&self, to: &Member, snapshot: &Snapshot, offset: u64) -> (Member, Bytes) {
+        let group = wire::group(&[], &snapshot.group);
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(snapshot.state.len());
+        let end = start.saturating_add(self.settings.most_bytes.max(1)).min(snapshot.state.len());
+        let chunk = snapshot.state.get(start..end).unwrap_or_default();
+        let body = Body::InstallSnapshot {
+            round: self.round,
+            index: snapshot.index,
+            last_term: snapshot.term,
+            total: snapshot.state.len() as u64,
+            offset,
+            group_len: u32::try_from(group.len()).unwrap_or(u32::MAX),
+        };
+        self.encode(to, body, &[&group, chunk])
+    }
+
+    pub(super) fn observe(&self) -> Observed {
+        Observed {
+            leader: self.leader.as_ref().map(|leader| leader.id),
+            leads: self.leads(),
+            group: self.log.group().index,
+            settled: self.is_settled(),
+        }
+    }
+}
