A refusal after a try that may take effect yet is no promise: 504

Change: a call knows whether an earlier try had no answer, or was proposed by a leader that was replaced; a refusal of a later one is then 504, which promises nothing.

--- a/crates/consensus/src/replica/sending.rs
+++ b/crates/consensus/src/replica/sending.rs
@@ -1,6 +1,5 @@
 //! What goes to other members: answers that wait for the disk, and what each follower lacks.
 
-
 use bytes::Bytes;
 
 use super::{Flow, MOST_ENTRIES, MOST_IN_FLIGHT, Observed, Progress, Replica, Role};
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -21,6 +21,10 @@
 const PATIENCE: Time = 8 * SECOND / 10;
 /// How long a process that is cut off tries: its callers are better served elsewhere.
 const ISOLATED_PATIENCE: Time = SECOND / 4;
+/// Statuses that promise that a call has no effect.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// The answer to a call that cannot be repeated and may take effect yet.
+const MAYBE: u16 = 504;
 /// Batch jobs that are known to be in a part, at most.
 const MOST_FOUND: usize = 100_000;
 
@@ -50,6 +54,8 @@
     /// Who was tried last and did not answer in time: others may still name it as the leader.
     silent: Option<SocketAddr>,
     hops: usize,
+    /// An earlier try may take effect yet: it had no answer, or its leader was replaced.
+    is_unresolved: bool,
     /// What is answered where no time is left and it may have taken effect, or was never heard by a leader.
     unclear: u16,
 }
@@ -113,7 +119,7 @@
                 let request = Request::Submit { lot: lot.as_str().into(), route: route.as_str().into() };
                 let part = part_of(&route);
                 self.found_in(&lot, part);
-                self.ask(part, &request, body, Goal::Caller(ticket), 3 * SECOND, SECOND / 2, 504);
+                self.ask(part, &request, body, Goal::Caller(ticket), 3 * SECOND, SECOND / 2, MAYBE);
             }
             Call::Read { lot, since, wait } => {
                 let wait = wait.clamp(0, 2 * SECOND);
@@ -198,6 +204,7 @@
             to: None,
             silent: None,
             hops: 0,
+            is_unresolved: false,
             unclear,
         };
         self.asks.insert(nonce, ask);
@@ -263,6 +270,7 @@
                 self.hints.remove(&ask.part);
             }
             ask.hops = 0;
+            ask.is_unresolved |= ask.to.is_some();
             ask.silent = ask.to.or(ask.silent);
             self.attempt(nonce);
         }
@@ -271,6 +279,9 @@
     /// The answer to a call of this process.
     pub(crate) fn answered(&mut self, nonce: u64, answer: Answer) {
         let Some(ask) = self.asks.remove(&nonce) else { return };
+        // A later try's refusal would promise that the call never takes effect.
+        let breaks_promise = ask.is_unresolved && PROMISES.contains(&answer.status);
+        let answer = if breaks_promise && ask.unclear == MAYBE { Answer::of(MAYBE) } else { answer };
         if let Some(to) = ask.to.filter(|_| answer.status != ask.unclear) {
             self.hints.insert(ask.part, to);
         }
@@ -301,6 +312,7 @@
         let soon = self.now.steady + PAUSE;
         self.hints.retain(|_, hint| *hint != at);
         for ask in self.asks.values_mut().filter(|a| a.to == Some(at)) {
+            ask.is_unresolved = true;
             (ask.to, ask.hops) = (None, 0);
             ask.try_at = ask.try_at.min(soon);
         }
@@ -344,13 +356,33 @@
         }
     }
 
+    /// A call of this process may be committed, though it has no answer.
+    pub(crate) fn may_be_committed(&mut self, nonce: u64) {
+        if let Some(ask) = self.asks.get_mut(&nonce) {
+            ask.is_unresolved = true;
+        }
+    }
+
+    /// A call that was proposed here, by a leader that was replaced since.
+    pub(crate) fn send_proposed_elsewhere(&mut self, number: u16, origin: Origin) {
+        if let Origin::Own(nonce) = origin {
+            self.may_be_committed(nonce);
+        }
+        self.send_on(number, origin, true);
+    }
+
+    /// A call of which nothing was proposed here.
     pub(crate) fn send_elsewhere(&mut self, number: u16, origin: Origin) {
+        self.send_on(number, origin, false);
+    }
+
+    fn send_on(&mut self, number: u16, origin: Origin, proposed: bool) {
         let leader = self.parts.get(&number).and_then(|p| p.replica.leader()).map(|m| m.at);
         match origin {
             Origin::Own(nonce) => self.elsewhere(nonce, self.info.at, leader),
             Origin::Remote { to, nonce } => {
                 let leader = leader.map_or(Place { ip: [0; 4], port: 0 }, Place::from);
-                let head = Head::Elsewhere { nonce, leader };
+                let head = Head::Elsewhere { nonce, proposed: u8::from(proposed), leader };
                 self.effects.push(Effect::Frame { to, head: join(&head, &[]), tail: Bytes::new() });
             }
             Origin::Caller(ticket) => self.answer(ticket, Answer::later(503, SECOND / 5)),
@@ -410,7 +442,7 @@
         match part.replica.propose(self.now.steady, command.clone()) {
             Ok((index, _)) => {
                 if let Some((_, lost)) = part.waiting.insert(index, (command, origin)) {
-                    self.send_elsewhere(number, lost);
+                    self.send_proposed_elsewhere(number, lost);
                 }
                 self.drain(number);
             }
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -105,7 +105,12 @@
     Answer { nonce: u64, status: u16, retry_ms: u32, json: u8 },
     /// Its answer: another one leads, as far as is known (port 0: nobody).
     #[deku(id = "4")]
-    Elsewhere { nonce: u64, leader: Place },
+    Elsewhere {
+        nonce: u64,
+        /// Not 0 where it was proposed first, and may be committed yet.
+        proposed: u8,
+        leader: Place,
+    },
 }
 
 /// What is asked of a part's leader.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -523,7 +523,10 @@
                 let retry = (retry_ms > 0).then_some(Time::from(retry_ms) * 1000);
                 self.answered(nonce, Answer { status, retry, json: json > 0, body: tail });
             }
-            Head::Elsewhere { nonce, leader } => {
+            Head::Elsewhere { nonce, proposed, leader } => {
+                if proposed != 0 {
+                    self.may_be_committed(nonce);
+                }
                 self.elsewhere(nonce, from, (leader.port != 0).then(|| leader.into()));
             }
         }
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -109,7 +109,7 @@
         }
         let Some((own, origin)) = mine else { return };
         if !own {
-            return self.send_elsewhere(number, origin);
+            return self.send_proposed_elsewhere(number, origin);
         }
         let answer = match applied {
             Applied::Accepted | Applied::Known => Answer::json(202, "{}"),
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -215,7 +215,7 @@
                 let version = control.version;
                 let Some((own, origin)) = mine else { return };
                 let answer = match outcome {
-                    _ if !own => return self.send_elsewhere(number, origin),
+                    _ if !own => return self.send_proposed_elsewhere(number, origin),
                     Ok(Outcome::Done) => Answer::of(200),
                     Ok(Outcome::Conflict) => Answer::json(412, format!("{{\"version\":{version}}}")),
                     Ok(Outcome::Stale) => {
@@ -250,10 +250,12 @@
             }
         } else {
             part.schedule = None;
-            let mut origins: Vec<Origin> =
+            let proposed: Vec<Origin> =
                 std::mem::take(&mut part.waiting).into_values().map(|w| w.1).collect();
+            let mut origins: Vec<Origin> = Vec::new();
             origins.extend(std::mem::take(&mut part.reads).into_values().map(|r| r.0));
             origins.extend(std::mem::take(&mut part.polls).into_iter().map(|p| p.0));
+            proposed.into_iter().for_each(|origin| self.send_proposed_elsewhere(number, origin));
             origins.into_iter().for_each(|origin| self.send_elsewhere(number, origin));
             self.effects.push(Effect::Log("steps down", format!("part {number}, term {term}")));
         }
