Coordinator: random courses of troubles with changes all the while

Cause: the stories of catching up have one trouble each; several at once were not tried with changes going on. Change: given_random_troubles: four core machines killed, frozen, cut off or wiped (one disk at most within 5 s), changes in between; each is taken or left without a clear answer, the newest is read back and in force at all in the end, versions rise in each life. Its check fires on disks that forget all but their identity.

--- a/crates/coordinator/tests/catch_up.rs
+++ b/crates/coordinator/tests/catch_up.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use bytes::Bytes;
-use common::{Fleet, MS, configuration, settled};
+use common::{Fleet, MS, Machine, configuration, settled};
 use rainlug::{SECOND, Time};
 use rainlug_coordinator::{CONTROL, Call};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const CORE: usize = 3;
 const PLAIN: usize = 2;
@@ -81,6 +83,32 @@
         true
     }
 
+    /// The next version, sent once: whether it is acknowledged; nothing is clear otherwise. The status where it is refused.
+    fn try_change(&mut self) -> Result<bool, u16> {
+        let (base, text) = (self.version, self.text(self.version + 1));
+        let at = self.open(self.fleet.now as usize / MS as usize);
+        let answer = self.fleet.ask(at, Call::Configure { base, text }, 1.0);
+        match answer.map(|answer| answer.status) {
+            Some(200) => {
+                self.version += 1;
+                Ok(true)
+            }
+            Some(status) if status < 500 => Err(status),
+            _ => Ok(false),
+        }
+    }
+
+    fn end_troubles(&mut self) {
+        self.fleet.heal();
+        for at in 0..self.fleet.machines.len() {
+            if self.fleet.machines[at].coordinator.is_none() {
+                self.fleet.start(at, false);
+            } else if self.fleet.machines[at].frozen {
+                self.fleet.thaw(at);
+            }
+        }
+    }
+
     fn changes(&mut self, count: usize) {
         for _ in 0..count {
             assert!(self.change(), "version {} is acknowledged", self.version + 1);
@@ -340,6 +368,102 @@
     }
 }
 
+/// What happens to a core machine in a random course.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Kill,
+    Freeze,
+    Cut,
+    Wipe,
+}
+
+/// Whether disks hold what they said was synced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disks {
+    Keep,
+    /// After a kill all is lost but the disk's identity.
+    Forget,
+}
+
+/// A random course of troubles among four core machines, with changes all the while: whether each was taken or left without a clear
+/// answer, and the newest is read back in the end.
+fn course(seed: u64, disks: Disks) -> Result<u64, String> {
+    const CORE: usize = 4;
+    const STEPS: usize = 60;
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    let fleet = settled(CORE, PLAIN, STORES, seed);
+    let mut operated = Operated { fleet, version: 5, size: SMALL, slowest: 0 };
+    // Since when all have been there, as far as disks count.
+    let mut whole = operated.fleet.now;
+    for step in 0..STEPS {
+        for _ in 0..chance.random_range(1..8) {
+            operated.try_change().map_err(|status| format!("step {step}: refused with {status}"))?;
+            operated.fleet.pass(PAUSE);
+        }
+        let at = chance.random_range(0..CORE);
+        let runs = |machine: &Machine| machine.coordinator.is_some() && !machine.frozen;
+        let machines = &operated.fleet.machines;
+        let all_up = machines.iter().all(runs) && !operated.fleet.is_cut();
+        let calm = all_up && operated.fleet.now - whole > (SYNC * SECOND as f64) as Time;
+        let rest: Vec<usize> = (0..machines.len()).filter(|other| *other != at).collect();
+        let trouble =
+            [Trouble::Kill, Trouble::Freeze, Trouble::Cut, Trouble::Wipe][chance.random_range(0..4)];
+        match trouble {
+            _ if chance.random_bool(0.4) => {
+                operated.end_troubles();
+                whole = if all_up { whole } else { operated.fleet.now };
+            }
+            _ if !runs(&machines[at]) => {}
+            Trouble::Kill => {
+                operated.fleet.kill(at, true);
+                if disks == Disks::Forget {
+                    operated.fleet.machines[at].disk.as_mut().expect("it has one").synced.clear();
+                }
+            }
+            Trouble::Freeze => operated.fleet.freeze(at),
+            Trouble::Cut => operated.fleet.cut(&[at], &rest),
+            // No more disks than may be lost at once.
+            Trouble::Wipe if calm => operated.fleet.wipe(at),
+            Trouble::Wipe => {}
+        }
+        if chance.random_bool(0.3) {
+            operated.fleet.pass(SYNC);
+        }
+    }
+    operated.end_troubles();
+    operated.fleet.pass(SYNC);
+    operated.try_change().map_err(|status| format!("at the end: refused with {status}"))?;
+    if !operated.reads_the_newest() {
+        return Err(format!("version {} is not read back", operated.version));
+    }
+    if !operated.rises() {
+        return Err("a version goes back".to_owned());
+    }
+    let newest = operated.version;
+    match operated.fleet.machines.iter().position(|machine| machine.in_force.last() != Some(&newest)) {
+        Some(at) => Err(format!("version {newest} is not in force at {at}")),
+        None => Ok(newest - 5),
+    }
+}
+
+#[test]
+fn given_random_troubles_when_changes_go_on_then_none_is_lost_or_refused_and_all_follow() {
+    const SEEDS: u64 = 4;
+    let mut changes = 0;
+    for seed in 0..SEEDS {
+        changes += course(1_000 + seed, Disks::Keep).unwrap_or_else(|what| panic!("seed {seed}: {what}"));
+    }
+    println!("{changes} changes in {SEEDS} courses");
+    assert!(changes > 100 * SEEDS, "they are courses of something: {changes}");
+}
+
+#[test]
+fn the_checks_find_disks_that_forget() {
+    let found = (0..10).find_map(|seed| course(1_000 + seed, Disks::Forget).err());
+    println!("{found:?}");
+    assert!(found.is_some());
+}
+
 /// A disk that is an older one after a restart: what only it and the lost ones had is not read back.
 #[test]
 fn the_check_finds_a_core_machine_with_an_older_disk() {
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -219,6 +219,10 @@
         self.cut.extend(from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))));
     }
 
+    pub fn is_cut(&self) -> bool {
+        !self.cut.is_empty()
+    }
+
     pub fn heal(&mut self) {
         self.cut.clear();
     }
