Worker side: early answers, false promises, unframed answers and repeated items

Change: Link::post begins a message and Link::next writes on while it reads; a connection that owes a part of a body is never used again. Connections remember the last items they carried.

Test changed: requests::a_truncated_answer_never_looks_complete held that an unframed answer ended by FIN is no success. Its row moved to correlation::an_answer_without_length_is_whole_where_its_connection_ends_and_not_where_it_is_reset, which asks for the whole body after FIN and for none that looks whole after RST, for small, large and event answers.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -81,7 +81,7 @@
                 sealed: fields.get(SEAL).is_some_and(|seal| !seal.is_empty()),
                 not_run: fields.count(NOT_RUN) > 0,
                 events: content.eq_ignore_ascii_case("text/event-stream"),
-                keep: Keep { close: !fields.keeps(), timeout },
+                keep: Keep { close: !fields.keeps() || framing == Body::UntilEnd, timeout },
                 load: fields.get(LOAD).and_then(load),
                 instance: fields.get(INSTANCE).map(str::to_owned),
                 lines,
@@ -93,6 +93,11 @@
         (200..300).contains(&self.status)
     }
 
+    /// Whether a client reads from the status alone that the request has not run and never will.
+    pub fn promises(&self) -> bool {
+        matches!(self.status, 408 | 421 | 429 | 503)
+    }
+
     /// Whether the worker promises that it has not run and never will.
     pub fn turned_away(&self) -> bool {
         self.status == 421 || (self.not_run && !self.success() && self.status != 400)
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::millis;
+use crate::routing::hash;
 
 /// Without a word from the worker, an idle connection is used again for so long at most.
 const TRUSTED: Duration = Duration::from_secs(5);
@@ -20,14 +21,46 @@
 /// A worker that nothing is known of is given so few connections.
 const LEAST_CONNS: usize = 2;
 
+/// Items on a connection whose ids it remembers.
+const REMEMBERED: usize = 8;
+
+/// The last items that a connection carried, by hashes of their ids. An answer too many to one of them may come where the next
+/// one is due, and could not be told from the answer to the same id asked again.
+#[derive(Default)]
+struct Carried {
+    hashes: [Option<u64>; REMEMBERED],
+    next: usize,
+}
+
+impl Carried {
+    fn add(&mut self, id: &str) {
+        if let Some(place) = self.hashes.get_mut(self.next) {
+            *place = Some(hash(id));
+        }
+        self.next = (self.next + 1) % REMEMBERED;
+    }
+
+    fn holds(&self, id: &str) -> bool {
+        self.hashes.contains(&Some(hash(id)))
+    }
+}
+
 /// A connection to a worker. It counts as one of the worker's until it is dropped.
 pub(crate) struct Connection {
     pub link: Link,
     /// How long it had idled before this use.
     pub rested: Option<Duration>,
+    carried: Carried,
     _open: Open,
 }
 
+impl Connection {
+    /// An item of this id is written to it.
+    pub fn carries(&mut self, id: &str) {
+        self.carried.add(id);
+    }
+}
+
 /// What a worker says in an answer of the connection's future.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Keep {
@@ -89,12 +122,14 @@
         }
     }
 
-    /// The last used of a worker's idle connections that is sound and not too old.
-    pub fn idle(&self, worker: &Worker) -> Option<Connection> {
+    /// The last used of a worker's idle connections that is sound and not too old, and has not carried this item.
+    pub fn idle(&self, worker: &Worker, item: Option<&str>) -> Option<Connection> {
         let mut reaches = self.reaches.borrow_mut();
         let reach = reaches.get_mut(&worker.id).filter(|r| r.at == Some(worker.address))?;
         let now = Instant::now();
-        while let Some(mut one) = reach.idle.pop() {
+        let apart = |one: &Idle| !item.is_some_and(|id| one.connection.carried.holds(id));
+        while let Some(at) = reach.idle.iter().rposition(apart) {
+            let mut one = reach.idle.remove(at);
             // Several seconds were learned to be too long since it came to rest.
             let until = if one.told { one.until } else { one.until.min(one.since + self.trust.time()) };
             if now < until && one.connection.link.sound() {
@@ -131,7 +166,7 @@
         self.dialled.update(|n| n + 1);
         let mut link = Link::connect(worker.address, until, head::answer_body, &self.pool, seat).await?;
         link.in_parts();
-        Ok(Connection { link, rested: None, _open: open })
+        Ok(Connection { link, rested: None, carried: Carried::default(), _open: open })
     }
 
     /// Tells whether a connection that had idled had broken when it was used again.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// The id under which it may be sent once more by another exchange: that of an item. Clients give each try an id of its own.
+    fn repeated_id(&self) -> Option<&'a str> {
+        self.request.id.as_deref().filter(|_| self.client.is_none())
+    }
+
     /// The newest route of the request.
     fn route(&mut self) -> Option<Rc<Route>> {
         let configuration = self.gateway.configuration()?;
@@ -343,20 +348,17 @@
         }
         connection.link.bodiless(self.request.method == "HEAD");
         let completed = self.request.completed(&picked.worker.id, until - now, self.last);
-        let written = Cell::new(0);
-        let parts = [&self.request.lines[..], &completed, &self.request.body];
-        let sent = self.wait(connection.link.write(&parts, &written), until).await;
-        if written.get() == 0 && !matches!(sent, Ok(Ok(()))) {
-            self.gateway.connections.used(&connection, matches!(sent, Ok(Err(_))));
-            return match sent {
+        let parts = [self.request.lines.clone(), completed.into(), self.request.body.clone()];
+        let begun = self.wait(connection.link.post(parts), until).await;
+        if !matches!(begun, Ok(Ok(()))) {
+            self.gateway.connections.used(&connection, matches!(begun, Ok(Err(_))));
+            return match begun {
                 Err(stop) => Tried::Stopped(stop),
                 Ok(_) => Tried::NotSent(Ended::Unreachable),
             };
         }
         self.sent += 1;
-        if let Err(stop) = sent {
-            return Tried::Stopped(stop);
-        }
+        self.repeated_id().into_iter().for_each(|id| connection.carries(id));
         let tried = self.head(&mut connection, picked, route, until, silent).await;
         let broke = matches!(tried, Err(Tried::Lost(_)));
         self.gateway.connections.used(&connection, broke);
@@ -370,7 +372,7 @@
     /// A connection that idles, or a new one.
     async fn connection(&mut self, picked: &Picked, until: Instant) -> Result<Connection, Tried> {
         let connections = self.gateway.connections.clone();
-        let idle = if self.fresh { None } else { connections.idle(&picked.worker) };
+        let idle = if self.fresh { None } else { connections.idle(&picked.worker, self.repeated_id()) };
         if let Some(connection) = idle {
             return Ok(connection);
         }
@@ -397,7 +399,9 @@
     ) -> Result<Answer, Tried> {
         let lost = Err(Tried::Lost(Ended::Failed));
         let mut strays = 0;
-        let mut quiet = silent.map_or(until, |silent| until.min(Instant::now() + silent));
+        let patience = || silent.map_or(until, |silent| until.min(Instant::now() + silent));
+        let mut quiet = patience();
+        let mut unwritten = connection.link.unwritten();
         let mut ours = true;
         let id = self.request.id.as_deref().unwrap_or_default();
         loop {
@@ -409,6 +413,12 @@
                     continue;
                 }
                 Ok(_) => return lost,
+                // A worker that still takes the request is not silent.
+                Err(Stop::Over) if Instant::now() < until && connection.link.unwritten() < unwritten => {
+                    unwritten = connection.link.unwritten();
+                    quiet = patience();
+                    continue;
+                }
                 Err(Stop::Over) if Instant::now() < until && self.client.is_some() => {
                     if let Some(other) = self.other(picked, route) {
                         return Err(Tried::Silent(other));
@@ -477,7 +487,9 @@
             self.settle(answer, connection, picked.worker);
             return Err(None);
         }
-        let sound = !answer.success() || (answer.sealed && answer.framing != Body::UntilEnd);
+        // It may have run: a status that says it has not would be a false promise.
+        let false_promise = answer.promises() && !may_repeat;
+        let sound = (!answer.success() || answer.sealed) && !false_promise;
         if !sound || (self.began && !(answer.success() && answer.events)) {
             let ended =
                 if answer.success() || answer.status >= 500 { Ended::Failed } else { Ended::Finished };
@@ -662,6 +674,7 @@
         let gap =
             millis(if self.began { gap } else { gap.max(route.target_ms.saturating_mul(SILENT_TARGETS)) });
         let resumes = route.repeatable();
+        let ends_with_connection = answer.framing == Body::UntilEnd;
         // The head goes with the first event: until then another worker's answer may take its place.
         let mut head = (!self.began).then_some(answer.lines);
         if let Some(lines) = &mut head {
@@ -681,8 +694,8 @@
                 Ok(Ok(Piece::Body(piece))) => piece,
                 Ok(Ok(Piece::Last)) => {
                     let rest = events.rest();
-                    // An event that is not whole can be passed on only as what the worker's answer ends with.
-                    if joined && !rest.is_empty() {
+                    // An event that is not whole can be passed on only as what the worker's answer is said to end with.
+                    if (joined || ends_with_connection) && !rest.is_empty() {
                         return Passed::Broken(Ended::Failed);
                     }
                     return if self.end_of_stream(head, &rest, until).await {
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rainlug_placement::End as Ended;
-use rainlug_transport::{Body, Piece};
+use rainlug_transport::Piece;
 use tokio::time::Instant;
 
 use crate::answers::{ATTEMPT, Answer, DEADLINE, TARGET, Then, field};
@@ -62,7 +62,7 @@
         exchange.settle(answer, connection, picked.worker);
         return;
     }
-    if !answer.success() || !answer.sealed || answer.framing == Body::UntilEnd {
+    if !answer.success() || !answer.sealed {
         ran.end = match answer.status {
             500 => RanEnd::Failed,
             422 => RanEnd::Never,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -38,7 +38,7 @@
     pub prefix: Vec<(u64, u32)>,
     pub last_event: Option<String>,
     /// The opening line and the fields that go to every worker as they are.
-    pub lines: Vec<u8>,
+    pub lines: Bytes,
     pub body: Bytes,
     pub arrived: Instant,
     /// What chooses between the services of its route, 0 to 1.
@@ -104,7 +104,7 @@
                 out: out.trim().parse().unwrap_or(0),
                 prefix: fields.get("X-Rainlug-Prompt-Prefix").map(prefix).unwrap_or_default(),
                 last_event: fields.get(LAST_EVENT).map(str::to_owned),
-                lines,
+                lines: lines.into(),
                 body: Bytes::new(),
                 arrived,
                 draw,
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -123,8 +123,13 @@
     first.into_iter().chain(others.map(|(_, one)| one)).map(|(name, _)| name.as_str())
 }
 
-/// The class of a route's requests: the hash (FNV-1a) of its name.
+/// The class of a route's requests: the hash of its name.
 pub(crate) fn class(name: &str) -> u64 {
+    hash(name)
+}
+
+/// FNV-1a.
+pub(crate) fn hash(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, b| (hash ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -287,7 +287,8 @@
     then: Then,
 ) -> Outcome {
     if let Some(call) = lots::call(request, lots) {
-        return replied(link, request, call).await;
+        let until = request.arrived + request.deadline.unwrap_or(CALL + millis(request.wait_ms));
+        return replied(link, call, until).await;
     }
     let Some(configuration) = gateway.configuration() else {
         return Outcome::Own(Reply::refused(STARTING));
@@ -296,7 +297,8 @@
         return Outcome::Own(Reply::of(404));
     };
     if let Some(call) = lots::submit(request, route, lots) {
-        return replied(link, request, call).await;
+        let until = request.until(route);
+        return replied(link, call, until).await;
     }
     drop(configuration);
     if request.id.is_none() {
@@ -306,9 +308,8 @@
 }
 
 /// Waits for the answer to a call on batch jobs.
-async fn replied(link: &mut Link, request: &Request, call: Call) -> Outcome {
-    let most = request.deadline.unwrap_or(CALL + millis(request.wait_ms));
-    let (late, until) = (call.late(), request.arrived + most);
+async fn replied(link: &mut Link, call: Call, until: Instant) -> Outcome {
+    let late = call.late();
     match call {
         Call::Wrong(status) => Outcome::Own(Reply::of(status)),
         Call::Read(reply) => tokio::select! {
--- a/crates/gateway/tests/plane/main.rs
+++ b/crates/gateway/tests/plane/main.rs
@@ -1,6 +1,7 @@
 //! The data plane between stand-in workers and clients on real sockets.
 
 mod common;
+mod correlation;
 mod garbage;
 mod requests;
 mod stop;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod head;
 mod limits;
 mod link;
+mod outgoing;
 mod pool;
 mod trust;
 
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -1,10 +1,11 @@
 //! A connection that carries one message at a time in each direction. While it is idle it holds no buffer.
 
 use std::cell::Cell;
-use std::future::pending;
+use std::future::poll_fn;
 use std::io::{ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,19 +13,23 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::codec::Framed;
 
 use super::codec::{Body, Messages, Piece};
 use super::end::End;
 use super::limits::Seat;
+use super::outgoing::Outgoing;
 use super::pool::{Pool, Sizes};
 
 /// Parts that one call hands to the system.
 const MOST_PARTS: usize = 8;
+/// Where nothing more can be read, it is asked again after this time whether the peer has gone.
+const LOOK_AGAIN: Duration = Duration::from_millis(200);
 
 pub struct Link {
     framed: Framed<TcpStream, Messages>,
+    outgoing: Outgoing,
     pool: Pool,
     seat: Seat,
     most_body: usize,
@@ -38,7 +43,7 @@
         *framed.read_buffer_mut() = Default::default();
         *framed.write_buffer_mut() = Default::default();
         framed.set_backpressure_boundary(usize::MAX);
-        Link { framed, pool: pool.clone(), seat, most_body: pool.sizes().body }
+        Link { framed, outgoing: Outgoing::default(), pool: pool.clone(), seat, most_body: pool.sizes().body }
     }
 
     pub async fn connect(
@@ -63,19 +68,57 @@
             // Not `readable`, which may say so of a new connection that has carried nothing yet.
             let _ = self.framed.get_ref().peek(&mut [0]).await;
         }
+        self.take_buffer();
+    }
+
+    fn take_buffer(&mut self) {
         if self.framed.read_buffer().capacity() == 0 {
             *self.framed.read_buffer_mut() = self.pool.take();
         }
     }
 
-    /// The next piece of a message; `Closed` where the peer ended the connection between two messages.
+    /// The next piece of a message; `Closed` where the peer ended the connection between two messages. What is left of a message
+    /// that was posted is written on meanwhile: the peer may answer before it has read all of it.
     pub async fn next(&mut self) -> Result<Piece, End> {
+        if self.outgoing.pending() {
+            return self.write_and_read().await;
+        }
         if self.framed.read_buffer().capacity() == 0 {
             self.idle().await;
         }
         self.framed.next().await.unwrap_or(Err(End::Closed))
     }
 
+    async fn write_and_read(&mut self) -> Result<Piece, End> {
+        self.take_buffer();
+        let (framed, outgoing) = (&mut self.framed, &mut self.outgoing);
+        let piece = poll_fn(|context| {
+            // A peer that takes no more may have answered all the same.
+            while outgoing.pending() && outgoing.poll_write(framed.get_mut(), context).is_ready() {}
+            framed.poll_next_unpin(context)
+        });
+        piece.await.unwrap_or(Err(End::Closed))
+    }
+
+    /// Begins to write a message of these parts, and ends when its first bytes are handed over. [`Self::next`] writes on.
+    ///
+    /// # Errors
+    /// `Unwritten` where the connection broke before.
+    pub async fn post(&mut self, parts: impl IntoIterator<Item = Bytes>) -> Result<(), End> {
+        parts.into_iter().for_each(|part| self.outgoing.push(part));
+        let (framed, outgoing) = (&mut self.framed, &mut self.outgoing);
+        poll_fn(|context| match outgoing.poll_write(framed.get_mut(), context) {
+            Poll::Ready(first) => Poll::Ready(first.map(|_| ())),
+            Poll::Pending => Poll::Pending,
+        })
+        .await
+    }
+
+    /// How many bytes of a message that was posted are left to be written.
+    pub fn unwritten(&self) -> usize {
+        self.outgoing.left()
+    }
+
     /// What is left of a message whose head has been read: its body, whole.
     pub async fn body(&mut self) -> Result<Bytes, End> {
         let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
@@ -173,9 +216,9 @@
         quiet && matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Whether nothing has been read of a next message.
+    /// Whether nothing has been read of a next message, nor is anything of this side's left to be written.
     pub fn untouched(&self) -> bool {
-        self.framed.read_buffer().is_empty() && self.framed.codec().between()
+        self.framed.read_buffer().is_empty() && self.framed.codec().between() && self.outgoing.done()
     }
 
     /// Ends this side's sending and waits for the peer's end; once anything else comes, only for so long.
@@ -222,7 +265,7 @@
                 Ok(0) => return,
                 Err(error) if error.kind() != ErrorKind::WouldBlock => return,
                 _ if ready.is_read_closed() => return,
-                _ if full => pending().await,
+                _ if full => sleep(LOOK_AGAIN).await,
                 _ => {}
             }
         }
