Fuzz the worker side: scripted workers, and a checker of what clients and workers saw

Cause: the tests of the data plane show single cases; mixed-up answers and second runs come from interleavings.

Change: plane/worker_side. Workers play any script (early, partial, unframed, unnamed, unsealed, wrongly named and superfluous answers, statuses with and without X-Rainlug-Not-Run, garbage, silence, FIN and RST) for clients on kept connections with requests of all four kinds. The checker is a function of the recording; its own tests feed it recordings with one thing wrong.

--- a/crates/gateway/tests/plane/main.rs
+++ b/crates/gateway/tests/plane/main.rs
@@ -6,3 +6,4 @@
 mod requests;
 mod stop;
 mod streams;
+mod worker_side;
