--- a/crates/gateway/tests/plane/worker_side/mod.rs
+++ b/crates/gateway/tests/plane/worker_side/mod.rs
@@ -21,7 +21,9 @@
 /// Cases of each test; `RAINLUG_FUZZ_CASES` gives another number, and `RAINLUG_FUZZ_SEED` is added to the seeds.
 const CASES: u64 = 25;
 /// A body that the buffers of a connection do not always hold.
-const LARGE_BODY: usize = 250_000;
+const LARGE_BODY: usize = 6_000_000;
+const LARGE_LIMITS: &str =
+    r#"{"max_header_bytes":4096,"max_body_bytes":8000000,"header_timeout_ms":300,"idle_timeout_ms":5000}"#;
 
 /// What a client sends next on its connection.
 #[derive(Clone, Debug)]
@@ -34,10 +36,12 @@
 }
 
 fn calls() -> impl Strategy<Value = Call> {
-    let kind = prop::sample::select(Kind::ALL.to_vec());
+    let kind = prop_oneof![
+        2 => prop::sample::select(Kind::ALL.to_vec()), 1 => Just(Kind::ResumableStream)
+    ];
     let deadline = prop_oneof![14 => Just(150u64), 1 => Just(1300)];
     let leaves = prop::option::weighted(0.1, 0..40u64);
-    (kind, deadline, prop::bool::weighted(0.3), leaves)
+    (kind, deadline, prop::bool::weighted(0.15), leaves)
         .prop_map(|(kind, deadline_ms, large, leaves_ms)| Call { kind, deadline_ms, large, leaves_ms })
 }
 
@@ -100,7 +104,7 @@
 
 async fn play((scripts, calls): Case, recording: Rc<RefCell<Recording>>) {
     let bench = Rc::new(Bench::bare().await);
-    bench.gateway.configure(configuration(1, ROUTES, LIMITS));
+    bench.gateway.configure(configuration(1, ROUTES, LARGE_LIMITS));
     for (number, script) in scripts.into_iter().enumerate() {
         let id = format!("i-{number}");
         let at = scripted(id.clone(), script, recording.clone()).await;
--- a/crates/gateway/tests/plane/worker_side/scripted.rs
+++ b/crates/gateway/tests/plane/worker_side/scripted.rs
@@ -103,7 +103,7 @@
     let finish = prop_oneof![6 => Just(Finish::Keep), 1 => Just(Finish::Fin), 1 => Just(Finish::Reset)];
     let shape = (prop::bool::weighted(0.3), prop::sample::select(vec![0u64, 0, 3, 20]), 1..4usize);
     let flags = (prop::bool::weighted(0.9), prop::bool::weighted(0.2));
-    let cut = prop::option::weighted(0.25, any::<u8>());
+    let cut = prop::option::weighted(0.25, prop_oneof![any::<u8>(), 160..250u8]);
     (shape, reply, framing, echo, flags, cut, extra, finish).prop_map(
         |((early, pause_ms, pieces), reply, framing, echo, (sealed, large), cut, extra, finish)| Play {
             early,
