--- a/crates/gateway/tests/plane/main.rs
+++ b/crates/gateway/tests/plane/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod correlation;
+mod deadlines;
 mod garbage;
 mod requests;
 mod stop;
--- /dev/null
+++ b/crates/tier/tests/peers.rs
@@ -0,0 +1,102 @@
+//! The lines between processes, when one of them ends in the middle of a frame and another comes at its address.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use rainlug_tier::peers::{Peers, cut};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Mark and address, which a connection begins with.
+const HELLO: usize = 10;
+/// Frames of different sizes: small ones go together, tails of large ones by themselves.
+const SIZES: [usize; 4] = [10, 20_000, 300, 200_000];
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async { timeout(Duration::from_secs(15), test).await.unwrap() });
+}
+
+fn frame(number: u64) -> (Bytes, Bytes) {
+    let mut head = BytesMut::new();
+    head.put_u64_le(number);
+    let size = SIZES[number as usize % SIZES.len()];
+    (head.freeze(), Bytes::from(vec![number as u8; size]))
+}
+
+/// The number of a frame that is whole and as it was sent.
+fn number_of(bytes: &[u8]) -> u64 {
+    let number = u64::from_le_bytes(bytes[..8].try_into().unwrap());
+    let (head, tail) = frame(number);
+    assert_eq!(bytes, [&head[..], &tail[..]].concat(), "{number}");
+    number
+}
+
+/// Whole frames out of so many bytes of a connection; it is then reset.
+async fn some_of(mut stream: TcpStream, most: usize) -> Vec<u64> {
+    let mut buffer = BytesMut::new();
+    let mut taken = 0;
+    while taken < most {
+        let read = timeout(Duration::from_millis(300), stream.read_buf(&mut buffer)).await;
+        let Ok(Ok(read @ 1..)) = read else { break };
+        taken += read;
+    }
+    stream.set_zero_linger().unwrap();
+    let mut frames = buffer.split_off(HELLO);
+    let mut numbers = Vec::new();
+    while let Some(bytes) = cut(&mut frames).unwrap() {
+        numbers.push(number_of(&bytes));
+    }
+    numbers
+}
+
+#[test]
+fn a_frame_is_handed_over_once_at_most_and_only_whole_whoever_listens() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let me: SocketAddr = "127.0.0.1:9".parse().unwrap();
+        let peers = Peers::new(me);
+        let sender = peers.clone();
+        spawn_local(async move {
+            for number in 0.. {
+                let (head, tail) = frame(number);
+                sender.send(to, head, tail);
+                sleep(Duration::from_millis(1)).await;
+            }
+        });
+        let mut all = Vec::new();
+        for most in [15, 1000, 150_000, 400_000, 700_000] {
+            let (stream, _) = listener.accept().await.unwrap();
+            all.extend(some_of(stream, most).await);
+        }
+        assert!(all.len() > 3, "{all:?}");
+        assert!(all.is_sorted_by(|a, b| a < b), "one came twice, or late: {all:?}");
+    });
+}
+
+#[test]
+fn frames_are_told_with_the_address_where_their_sender_listens() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let me: SocketAddr = "127.0.0.1:9".parse().unwrap();
+        let (tell, mut told) = tokio::sync::mpsc::unbounded_channel();
+        let taken = Rc::new(move |from, bytes: Bytes| {
+            let _ = tell.send((from, number_of(&bytes)));
+        });
+        spawn_local(Peers::new(to).listen(listener, taken));
+        let peers = Peers::new(me);
+        for number in 0..4 {
+            let (head, tail) = frame(number);
+            peers.send(to, head, tail);
+        }
+        for number in 0..4 {
+            assert_eq!(told.recv().await.unwrap(), (me, number));
+        }
+    });
+}
