--- a/crates/coordinator/tests/operators/operator.rs
+++ b/crates/coordinator/tests/operators/operator.rs
@@ -16,6 +16,8 @@
 pub const STEP: Time = 20 * MS;
 /// After a cut, what was on its way still arrives.
 const ON_ITS_WAY: Time = 50 * MS;
+/// A small disk: a log of 4 MiB is replaced by a snapshot.
+const DISK: usize = 32 << 20;
 /// An order without a clear answer is sent again so often.
 const MOST_TRIES: usize = 12;
 
@@ -101,6 +103,7 @@
     pub fn new(core: usize, plain: usize, stores: usize, habits: Habits, seed: u64) -> Self {
         let mut fleet = Fleet::new(core, plain, stores, seed);
         fleet.tolerate = (core - 1) / 2;
+        fleet.disk_bytes = DISK;
         fleet.start_all();
         let first = Order { base: 0, version: 5, text: text(5, "first", 0) };
         let mut campaign = Campaign {
--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -1,5 +1,6 @@
 //! Named stories of operators, and what each must be answered.
 
+use bytes::Bytes;
 use rainlug::{SECOND, Time};
 use rainlug_coordinator::{CONTROL, Call, Now, PARTS};
 
@@ -229,13 +230,17 @@
 fn given_hundreds_of_versions_when_an_old_order_comes_again_after_snapshots_and_restarts_then_it_is_acknowledged()
  {
     const VERSIONS: usize = 400;
+    const PADDING: usize = 30_000;
     let mut campaign =
-        Campaign::new(3, 1, 0, Habits { operators: 0, padding: 30_000, ..Habits::default() }, 80);
+        Campaign::new(3, 1, 0, Habits { operators: 0, padding: PADDING, ..Habits::default() }, 80);
     let orders: Vec<usize> = (0..VERSIONS as u64).map(|n| campaign.order(5 + 2 * n, 7 + 2 * n)).collect();
     for order in &orders {
         assert_eq!(campaign.put(order % 4, *order), Response::Accepted);
     }
     for at in core(&campaign.fleet) {
+        let disk = campaign.fleet.machines[at].disk.as_ref().expect("a disk");
+        let kept: usize = disk.synced[&CONTROL].iter().map(Bytes::len).sum();
+        assert!(kept < VERSIONS * PADDING / 2, "there were snapshots: {kept}");
         campaign.fleet.kill(at, true);
         campaign.fleet.pass(1.0);
         campaign.fleet.start(at, false);
