A core of one that hears nobody is not cut off

Cause: since isolated machines are not ready and send workers on, the only machine of a core of one would have done so when all others were gone, though it is a quorum by itself. Change: who still leads the configuration's part is not isolated. Result: the story of a core of one fails without the change (not ready after 1.5 s) and passes.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -467,9 +467,11 @@
         self.told_news(workers, texts);
     }
 
-    /// Whether it knows of fellows and has heard nothing of anybody for a while: it is cut off, or the only one left.
+    /// Whether it knows of fellows and has heard nothing of anybody for a while: it is cut off, or the only one left. Who still leads
+    /// the configuration's part then is a quorum by itself.
     fn is_isolated(&self, now: Now) -> bool {
-        self.has_fellows && now.steady - self.heard > CUT_OFF
+        let silent = self.has_fellows && now.steady - self.heard > CUT_OFF;
+        silent && !self.parts.get(&CONTROL).is_some_and(|part| part.replica.leads())
     }
 
     /// A datagram's payload, from where it came.
@@ -717,8 +719,7 @@
     /// Whether it may be given clients: it knows a configuration, has heard of others or is alone, and is not cut off: who lives
     /// among others hears of them several times a second. After a cut it has compared what it knows with others first.
     pub fn ready(&self, now: Now) -> bool {
-        let silent = !self.living.is_empty() && now.steady - self.heard > CUT_OFF;
-        if silent || self.is_isolated(now) || now.steady < self.comparing {
+        if self.is_isolated(now) || now.steady < self.comparing {
             return false;
         }
         let now = now.steady;
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -66,6 +66,8 @@
     pub sync: Time,
     pub tolerate: usize,
     pub disk_bytes: usize,
+    /// So many of the first machines are told to each process as seeds.
+    pub seeds: usize,
     pub run_time: Time,
     pub bytes: u64,
 }
@@ -94,6 +96,7 @@
             sync: 2 * MS,
             tolerate: 1,
             disk_bytes: 256 << 20,
+            seeds: 3,
             run_time: 300 * MS,
             bytes: 0,
         };
@@ -140,7 +143,7 @@
 
     /// A process begins at a machine, with what its disk holds.
     pub fn start(&mut self, at: usize, first_boot: bool) {
-        let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
+        let seeds: Vec<SocketAddr> = (0..self.seeds).map(address).collect();
         let (seed, now, drawn) = (self.chance.random(), self.time(), self.chance.random::<u64>().max(1));
         let machine = &mut self.machines[at];
         assert!(machine.coordinator.is_none(), "{} runs", machine.name);
--- a/crates/coordinator/tests/operators/operator.rs
+++ b/crates/coordinator/tests/operators/operator.rs
@@ -104,6 +104,7 @@
         let mut fleet = Fleet::new(core, plain, stores, seed);
         fleet.tolerate = (core - 1) / 2;
         fleet.disk_bytes = DISK;
+        fleet.seeds = core.min(3);
         fleet.start_all();
         let first = Order { base: 0, version: 5, text: text(5, "first", 0) };
         let mut campaign = Campaign {
--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -4,7 +4,7 @@
 use rainlug::{SECOND, Time};
 use rainlug_coordinator::{CONTROL, Call, Now, PARTS};
 
-use crate::common::{Fleet, MS, address};
+use crate::common::{Fleet, MS, address, beat};
 use crate::history::Response;
 use crate::operator::{Campaign, Habits};
 use crate::trouble::{Trouble, VICTIMS, befall, core, cut, pick};
@@ -330,3 +330,18 @@
         assert_eq!(campaign.judge(), Ok(()), "{trouble:?}");
     }
 }
+
+#[test]
+fn given_a_core_of_one_when_all_others_are_gone_then_it_goes_on_as_before() {
+    let mut campaign = Campaign::new(1, 1, 0, Habits { operators: 0, ..Habits::default() }, 170);
+    campaign.fleet.kill(1, true);
+    for (nth, wait) in [1.5, 3.0, 30.0].into_iter().enumerate() {
+        campaign.fleet.pass(wait);
+        assert!(ready(&campaign, 0), "after {wait} s");
+        let told = beat("w1", "notary", "ready", 1 + nth as u64);
+        assert_eq!(campaign.fleet.ask(0, told, 1.0).map(|a| a.status), Some(200));
+        let base = 5 + 2 * nth as u64;
+        let order = campaign.order(base, base + 2);
+        assert_eq!(campaign.put(0, order), Response::Accepted);
+    }
+}
