--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -1,9 +1,10 @@
 //! Named stories of operators, and what each must be answered.
 
+use bytes::Bytes;
 use rainlug::{SECOND, Time};
 use rainlug_coordinator::{CONTROL, Call, Now, PARTS};
 
-use crate::common::{Fleet, MS, address};
+use crate::common::{Fleet, MS, address, beat};
 use crate::history::Response;
 use crate::operator::{Campaign, Habits};
 use crate::trouble::{Trouble, VICTIMS, befall, core, cut, pick};
@@ -229,13 +230,17 @@
 fn given_hundreds_of_versions_when_an_old_order_comes_again_after_snapshots_and_restarts_then_it_is_acknowledged()
  {
     const VERSIONS: usize = 400;
+    const PADDING: usize = 30_000;
     let mut campaign =
-        Campaign::new(3, 1, 0, Habits { operators: 0, padding: 30_000, ..Habits::default() }, 80);
+        Campaign::new(3, 1, 0, Habits { operators: 0, padding: PADDING, ..Habits::default() }, 80);
     let orders: Vec<usize> = (0..VERSIONS as u64).map(|n| campaign.order(5 + 2 * n, 7 + 2 * n)).collect();
     for order in &orders {
         assert_eq!(campaign.put(order % 4, *order), Response::Accepted);
     }
     for at in core(&campaign.fleet) {
+        let disk = campaign.fleet.machines[at].disk.as_ref().expect("a disk");
+        let kept: usize = disk.synced[&CONTROL].iter().map(Bytes::len).sum();
+        assert!(kept < VERSIONS * PADDING / 2, "there were snapshots: {kept}");
         campaign.fleet.kill(at, true);
         campaign.fleet.pass(1.0);
         campaign.fleet.start(at, false);
@@ -325,3 +330,18 @@
         assert_eq!(campaign.judge(), Ok(()), "{trouble:?}");
     }
 }
+
+#[test]
+fn given_a_core_of_one_when_all_others_are_gone_then_it_goes_on_as_before() {
+    let mut campaign = Campaign::new(1, 1, 0, Habits { operators: 0, ..Habits::default() }, 170);
+    campaign.fleet.kill(1, true);
+    for (nth, wait) in [1.5, 3.0, 30.0].into_iter().enumerate() {
+        campaign.fleet.pass(wait);
+        assert!(ready(&campaign, 0), "after {wait} s");
+        let told = beat("w1", "notary", "ready", 1 + nth as u64);
+        assert_eq!(campaign.fleet.ask(0, told, 1.0).map(|a| a.status), Some(200));
+        let base = 5 + 2 * nth as u64;
+        let order = campaign.order(base, base + 2);
+        assert_eq!(campaign.put(0, order), Response::Accepted);
+    }
+}
