--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -56,11 +56,23 @@
     /// The newest round that it has answered.
     round: u64,
     commit_sent: Index,
+    /// Bytes of entries kept for it beside `lag_bytes`: what may come while a snapshot is on its way, until it has those too.
+    allowance: usize,
 }
 
 impl Progress {
     fn new(member: Member, next: Index, flow: Flow, now: Time) -> Self {
-        Self { member, matched: 0, settled: 0, next, flow, heard: now, round: 0, commit_sent: 0 }
+        Self {
+            member,
+            matched: 0,
+            settled: 0,
+            next,
+            flow,
+            heard: now,
+            round: 0,
+            commit_sent: 0,
+            allowance: 0,
+        }
     }
 }
 
--- a/crates/consensus/src/replica/memory.rs
+++ b/crates/consensus/src/replica/memory.rs
@@ -19,7 +19,9 @@
         let lacking = self.progress.values().map(|p| p.matched).min().unwrap_or(Index::MAX);
         let had = if self.role == Role::Leader { self.applied.min(lacking) } else { self.applied };
         self.log.compact(had, self.settings.most_bytes);
-        self.log.compact(self.applied, self.settings.lag_bytes);
+        let living = self.progress.values().filter(|progress| self.is_alive(progress));
+        let allowance = living.map(|progress| progress.allowance).max();
+        self.log.compact(self.applied, self.settings.lag_bytes + allowance.unwrap_or_default());
         let sends = self.progress.values().any(|p| matches!(p.flow, Flow::Snapshot { .. }));
         // What is to be restored or written is in the output.
         if self.has_state && !sends {
--- a/crates/consensus/src/replica/sending.rs
+++ b/crates/consensus/src/replica/sending.rs
@@ -50,7 +50,9 @@
         let mut messages = std::mem::take(&mut self.output.messages);
         let mut all = std::mem::take(&mut self.progress);
         let whole = self.has_state && self.snapshot.index >= self.log.base();
-        let lacks = |p: &Progress| !matches!(p.flow, Flow::Snapshot { .. }) && p.next <= self.log.base();
+        let lacks = |p: &Progress| {
+            self.is_alive(p) && !matches!(p.flow, Flow::Snapshot { .. }) && p.next <= self.log.base()
+        };
         self.state_wanted |= !whole && all.values().any(lacks);
         for progress in all.values_mut() {
             self.feed(progress, beat, &mut messages);
@@ -58,16 +60,29 @@
         self.progress = all;
         self.output.messages = messages;
     }
+    /// Has been heard within an election time.
+    pub(super) fn is_alive(&self, progress: &Progress) -> bool {
+        self.now - progress.heard <= self.settings.election
+    }
     pub(super) fn feed(&self, progress: &mut Progress, beat: bool, messages: &mut Vec<(Member, Bytes)>) {
         let before = messages.len();
+        let is_alive = self.is_alive(progress);
+        if let Flow::Snapshot { snapshot, .. } = &progress.flow
+            && !is_alive
+            && snapshot.index < self.log.base()
+        {
+            // Once it is back it gets the newest one, not one that more would have to follow.
+            progress.flow = Flow::Probe { asked: true };
+        }
         if !matches!(progress.flow, Flow::Snapshot { .. }) && progress.next <= self.log.base() {
-            if !self.has_state || self.snapshot.index < self.log.base() {
+            if !is_alive || !self.has_state || self.snapshot.index < self.log.base() {
                 // The state is asked for; until it is there this follower has signs of life.
                 if beat && let Some(term) = self.log.term(self.log.base()) {
                     messages.push(self.empty_message(&progress.member, self.log.base(), term));
                 }
                 return;
             }
+            progress.allowance = self.snapshot.state.len();
             progress.flow =
                 Flow::Snapshot { snapshot: self.snapshot.clone(), offset: 0, sent: false, moved: false };
         }
@@ -87,13 +102,16 @@
                     progress.next = last + 1;
                     in_flight.push_back(last);
                 }
+                if progress.next > self.log.last() {
+                    progress.allowance = 0;
+                }
                 if progress.commit_sent < self.commit.min(progress.next - 1) {
                     at = Some(progress.next - 1);
                 }
             }
             Flow::Snapshot { snapshot, offset, sent, .. } => {
                 // Bulk goes to those who live.
-                if self.now - progress.heard <= self.settings.election && !std::mem::replace(sent, true) {
+                if is_alive && !std::mem::replace(sent, true) {
                     messages.push(self.chunk_message(&progress.member, snapshot, *offset));
                 }
                 // What is not installed yet is no ground to stand on: this one only gives a sign of life.
