Courses with batch jobs and workers; a goodbye said twice waits as the first one did

Cause: a worker's end that was said again at a machine that nobody heard was confirmed at once, as it was no news there; a restart of that machine then lost it. Change: draining and goodbye wait as long as their first word here is not known to all; callers of batch jobs and workers (errands.rs) join the random courses with four stores.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -496,7 +496,7 @@
 
     fn beat(&mut self, ticket: u64, worker: Worker) {
         let (id, service, phase) = (worker.id.clone(), worker.service.clone(), worker.phase);
-        let news = self.enter(worker);
+        self.enter(worker);
         if self.is_isolated(self.now) {
             return self.answer(ticket, Answer::later(503, SECOND / 5));
         }
@@ -511,7 +511,7 @@
         if phase >= Phase::Draining {
             self.beats.remove(&id);
         }
-        if news && phase >= Phase::Draining {
+        if phase >= Phase::Draining {
             self.hold(ticket, answer, id);
         } else {
             self.answer(ticket, answer);
@@ -521,27 +521,24 @@
     /// A worker's end is entered also where nothing is known of it: others may know it.
     fn goodbye(&mut self, ticket: u64, id: String) {
         let known = self.gossip.workers().find(|w| w.id == id).cloned();
-        let was = known.as_ref().map(|worker| worker.phase);
         let gone = match known {
             Some(worker) => Worker { phase: Phase::Gone, call_seq: worker.call_seq + 1, ..worker },
             None => Worker::tombstone(id.clone()),
         };
-        let news = self.enter(gone);
+        self.enter(gone);
         self.beats.remove(&id);
         if self.is_isolated(self.now) {
             return self.answer(ticket, Answer::later(503, SECOND / 5));
         }
-        let answer = Answer::json(200, "{}");
-        // Of one that drains all know already that it is to have no more requests.
-        if news && was.is_none_or(|phase| phase < Phase::Draining) {
-            self.hold(ticket, answer, id);
-        } else {
-            self.answer(ticket, answer);
-        }
+        self.hold(ticket, Answer::json(200, "{}"), id);
     }
 
-    /// Whoever is told that a worker's end is known may count on all knowing it.
+    /// Whoever is told that a worker's end is known may count on all knowing it. What is said again waits as the first word did, until
+    /// that has spread; what came from others is known to them.
     fn hold(&mut self, ticket: u64, answer: Answer, worker: String) {
+        if !self.gossip.is_worker_spreading(&worker) {
+            return self.answer(ticket, answer);
+        }
         let (origin, until) = (Origin::Caller(ticket), self.now.steady + SPREADING);
         self.held.push(Held { origin, answer, until, news: News::Worker(worker) });
     }
--- a/crates/coordinator/tests/operators/courses.rs
+++ b/crates/coordinator/tests/operators/courses.rs
@@ -1,12 +1,14 @@
 //! Random courses: operators at work, one trouble after the other, and the whole history checked.
 
 use crate::operator::{Campaign, Habits};
-use crate::trouble::{TROUBLES, VICTIMS, befall, pick};
+use crate::trouble::{TROUBLES, VICTIMS, Victim, befall, pick};
 
 /// How many courses are played; `RAINLUG_COURSES` sets another number.
 const COURSES: u64 = 200;
 /// The first course's seed; `RAINLUG_COURSE_SEED` sets another one.
 const SEED: u64 = 1;
+/// One course in so many has batch jobs and workers too: they take longer.
+const ERRANDS_SHARE: u64 = 5;
 /// A thread plays every so many'th course.
 const LANES: u64 = 4;
 
@@ -31,6 +33,32 @@
     assert_eq!(judged, Ok(()), "course {seed}");
 }
 
+/// The same with stores, batch jobs and workers, and fewer operators.
+fn course_with_errands(seed: u64) {
+    let habits = Habits { operators: 2, ..Habits::default() };
+    let mut campaign = Campaign::new(3, 1, 4, habits, seed);
+    campaign.fleet.pass(6.0);
+    campaign.add_errands(4);
+    for _ in 0..2 {
+        let trouble = TROUBLES[campaign.draw(TROUBLES.len())];
+        let victims = [Victim::Leader, Victim::Oldest, Victim::StoreLeader, Victim::StoreLeader];
+        let victim = victims[campaign.draw(victims.len())];
+        let seconds = 0.2 + campaign.draw(60) as f64 / 10.0;
+        campaign.pass(0.5);
+        let at = pick(&campaign.fleet, victim);
+        befall(&mut campaign, trouble, at, seconds);
+        campaign.pass(4.0);
+    }
+    let judged = campaign.judge();
+    assert_eq!(judged, Ok(()), "course {seed}");
+}
+
+#[test]
+fn given_batch_jobs_and_workers_when_machines_are_in_trouble_then_what_was_acknowledged_is_never_refused() {
+    let (first, count) = (figure("RAINLUG_COURSE_SEED", SEED), figure("RAINLUG_COURSES", COURSES));
+    (first..first + count / ERRANDS_SHARE).for_each(course_with_errands);
+}
+
 fn lane(nth: u64) {
     let (first, count) = (figure("RAINLUG_COURSE_SEED", SEED), figure("RAINLUG_COURSES", COURSES));
     (first..first + count).filter(|seed| seed % LANES == nth).for_each(course);
--- a/crates/coordinator/tests/operators/main.rs
+++ b/crates/coordinator/tests/operators/main.rs
@@ -7,6 +7,7 @@
 mod batch_stories;
 mod checker_stories;
 mod courses;
+mod errands;
 mod history;
 mod operator;
 mod stories;
--- a/crates/coordinator/tests/operators/operator.rs
+++ b/crates/coordinator/tests/operators/operator.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::common::{Fleet, MS};
+use crate::errands::Errands;
 use crate::history::{CALLER_PATIENCE, Invocation, Operation, OrderId, Response, Violation, check};
 
 /// Between two looks of the operators at their answers.
@@ -84,6 +85,8 @@
     /// No operator begins anything any more.
     closed: bool,
     pub history: Vec<Operation>,
+    /// Callers beside the operators, where there are any.
+    errands: Option<Errands>,
     seen_in_force: usize,
     known_in_force: BTreeSet<OrderId>,
     /// Machines that cannot exchange messages with a majority of the core, and since when.
@@ -116,6 +119,7 @@
             operators: Vec::new(),
             closed: false,
             history: Vec::new(),
+            errands: None,
             seen_in_force: 0,
             known_in_force: BTreeSet::new(),
             without_quorum: BTreeMap::new(),
@@ -250,6 +254,21 @@
             for at in 0..self.operators.len() {
                 self.step(at);
             }
+            if !self.closed {
+                self.run_errands();
+            }
+        }
+    }
+
+    /// So many callers of batch jobs and workers go about their business from now on.
+    pub fn add_errands(&mut self, callers: usize) {
+        self.errands = Some(Errands::new(callers, self.fleet.now));
+    }
+
+    fn run_errands(&mut self) {
+        let running = self.running();
+        if let Some(errands) = &mut self.errands {
+            errands.step(&mut self.fleet, &running, &mut self.chance);
         }
     }
 
@@ -402,6 +421,10 @@
             let response = self.get(machine);
             assert!(matches!(response, Response::Value(Some(_))), "at {machine}: {response:?}");
         }
+        let running = self.running();
+        if let Some(errands) = &mut self.errands {
+            errands.judge(&mut self.fleet, &running);
+        }
         self.fleet.pass(2.0);
         self.note_in_force();
         assert_eq!(self.unexpected, [], "statuses or texts that no page names");
--- a/crates/coordinator/tests/operators/trouble.rs
+++ b/crates/coordinator/tests/operators/trouble.rs
@@ -1,5 +1,7 @@
 //! What befalls a fleet's machines while operators work: cuts of every kind, stops and losses, never more at once than is tolerated.
 
+use rainlug_coordinator::{CONTROL, part_of};
+
 use crate::common::Fleet;
 use crate::operator::Campaign;
 
@@ -47,6 +49,8 @@
     /// The disk that has lasted longest; it is a seed too.
     Oldest,
     Follower,
+    /// The store that leads the batch jobs of the configuration's route, where there are stores.
+    StoreLeader,
 }
 
 pub const VICTIMS: [Victim; 3] = [Victim::Leader, Victim::Oldest, Victim::Follower];
@@ -68,10 +72,11 @@
 /// The machine that is meant now.
 pub fn pick(fleet: &Fleet, victim: Victim) -> usize {
     let core = core(fleet);
-    let leader = fleet.leader(rainlug_coordinator::CONTROL).unwrap_or(core[0]);
+    let leader = fleet.leader(CONTROL).unwrap_or(core[0]);
     match victim {
         Victim::Leader => leader,
         Victim::Oldest => core[0],
+        Victim::StoreLeader => fleet.leader(part_of("lots")).unwrap_or(core[0]),
         Victim::Follower => core.into_iter().rfind(|at| *at != leader).unwrap_or(leader),
     }
 }
--- a/crates/coordinator/tests/operators/worker_stories.rs
+++ b/crates/coordinator/tests/operators/worker_stories.rs
@@ -118,6 +118,7 @@
         let since = fleet.now;
         assert_eq!(fleet.ask(4, call.clone(), 1.0).map(|a| a.status), Some(503));
         assert!(fleet.now - since <= 300 * MS);
+        assert_eq!(fleet.ask(4, call.clone(), 1.0).map(|a| a.status), Some(503), "said there again");
         assert_eq!(fleet.ask(5, call, 1.0).map(|a| a.status), Some(200));
     }
     for at in rest {
--- a/crates/registry/src/gossip.rs
+++ b/crates/registry/src/gossip.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// Whether a worker's last news was first told here and not all peers are known to have it.
+    pub fn is_worker_spreading(&self, id: &str) -> bool {
+        self.pending.get(&Subject::Worker(hash(id))).is_some_and(|news| !news.done)
+    }
+
     /// Messages, or entries in them, that could not be read.
     pub fn garbage(&self) -> u64 {
         self.garbage
