--- a/crates/gateway/tests/plane/worker_side/mod.rs
+++ b/crates/gateway/tests/plane/worker_side/mod.rs
@@ -60,18 +60,18 @@
 }
 
 #[test]
-fn whatever_workers_play_no_answer_is_mixed_up_and_nothing_runs_twice() {
+fn whatever_workers_play_no_answer_is_mixed_up_and_nothing_runs_twice_seed_18() {
     fuzz(18);
 }
 
-/// The same with other seeds, at the same time.
+/// The same with other seeds: the test runner plays them at the same time.
 #[test]
-fn whatever_else_workers_play_no_answer_is_mixed_up_and_nothing_runs_twice() {
+fn whatever_workers_play_no_answer_is_mixed_up_and_nothing_runs_twice_seed_19() {
     fuzz(19);
 }
 
 #[test]
-fn and_whatever_more_workers_play_no_answer_is_mixed_up_and_nothing_runs_twice() {
+fn whatever_workers_play_no_answer_is_mixed_up_and_nothing_runs_twice_seed_20() {
     fuzz(20);
 }
 
