A full, slow or refusing disk holds up what is to be kept, and ends no process

A file found after a kill was trusted before it was synced. A batch job sent again before it was agreed on was proposed and logged again. Change: the log's thread tries again until the disk takes what it refused, and tells of that once. A rewrite of what the log holds is put off unless it pays and has room; logs of one disk share a ledger of its room. Opening syncs file and folder. A leader refuses new batch jobs (503) that would not fit once all is listed, or while its disk is stalled; the same job sent again waits for the first proposal. lag_bytes up to 16 MB. Tests: power lost or process killed at each disk operation, with three broken variants that the checker finds; full, refusing and stalled disks. the_thread_tells_of_failures_and_goes_on asked that a failed rewrite be given up; it is replaced by one that asks that it is made in its turn. Result: tests of wal, batch, coordinator and tier pass.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use command::{Command, Item, State};
 use quick_error::quick_error;
-pub use register::{Applied, Register};
+pub use register::{Applied, Register, Totals};
 pub use schedule::{Next, RunEnd, Schedule};
 pub use submission::read_requests;
 
--- a/crates/batch/src/register.rs
+++ b/crates/batch/src/register.rs
@@ -27,6 +27,31 @@
     Ended,
 }
 
+/// How many items a register holds, and the bytes of their outputs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Items still to be listed.
+    pub open: u64,
+    /// Items that are listed.
+    pub listed: u64,
+    /// Bytes of the listed items' outputs.
+    pub output_bytes: u64,
+}
+
+impl Totals {
+    fn add(&mut self, other: Totals) {
+        self.open += other.open;
+        self.listed += other.listed;
+        self.output_bytes += other.output_bytes;
+    }
+
+    fn subtract(&mut self, other: Totals) {
+        self.open -= other.open;
+        self.listed -= other.listed;
+        self.output_bytes -= other.output_bytes;
+    }
+}
+
 /// The state machine of a part. The same commands in the same order give the same register.
 #[derive(Default)]
 pub struct Register {
@@ -36,6 +61,7 @@
     /// Tokens by route, where any wait. As `u128`, so that no sum of `u64` is too large.
     waiting: BTreeMap<String, u128>,
     size: usize,
+    totals: Totals,
 }
 
 #[derive(DekuRead, DekuWrite)]
@@ -140,6 +166,13 @@
         self.items.iter().filter(|kept| !kept.is_listed).map(|kept| u128::from(kept.item.token_count)).sum()
     }
 
+    fn totals(&self) -> Totals {
+        let listed = self.outputs.len() as u64;
+        let open = if self.is_ended { 0 } else { self.items.len() as u64 - listed };
+        let output_bytes = self.outputs.iter().map(|output| output.text.len() as u64).sum();
+        Totals { open, listed, output_bytes }
+    }
+
     fn size(&self) -> usize {
         let item = |kept: &Kept| {
             let Item { id, path, headers, body, .. } = &kept.item;
@@ -165,11 +198,12 @@
             }
             Command::End { lot, at: _ } => self.end(lot),
             Command::Forget { before } => {
-                let size = &mut self.size;
+                let (size, totals) = (&mut self.size, &mut self.totals);
                 self.lots.retain(|_, lot| {
                     let is_kept = lot.sent >= *before || !lot.is_ended && lot.outputs.len() < lot.items.len();
                     if !is_kept {
                         *size -= lot.size();
+                        totals.subtract(lot.totals());
                     }
                     is_kept
                 });
@@ -217,6 +251,7 @@
             *self.waiting.entry(lot.route.clone()).or_default() += tokens;
         }
         self.size += lot.size();
+        self.totals.add(lot.totals());
         self.lots.insert(lot.id.clone(), lot);
     }
 
@@ -232,6 +267,9 @@
         kept.is_listed = true;
         kept.free();
         subtract(&mut self.waiting, &lot.route, u128::from(kept.item.token_count));
+        self.totals.open -= 1;
+        self.totals.listed += 1;
+        self.totals.output_bytes += text.len() as u64;
         let position = lot.outputs.len() as u64;
         lot.outputs.push(output);
         self.size += lot.size();
@@ -245,6 +283,7 @@
         if !lot.is_ended {
             subtract(&mut self.waiting, &lot.route, lot.waiting());
             self.size -= lot.size();
+            self.totals.open -= lot.totals().open;
             lot.is_ended = true;
             lot.items.iter_mut().for_each(Kept::free);
             self.size += lot.size();
@@ -326,6 +365,11 @@
         self.waiting.get(route).map_or(0, |tokens| u64::try_from(*tokens).unwrap_or(u64::MAX))
     }
 
+    /// Its items and outputs.
+    pub fn totals(&self) -> Totals {
+        self.totals
+    }
+
     /// Bytes of memory that it holds, about.
     pub fn size(&self) -> usize {
         self.size
--- a/crates/coordinator/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -367,7 +367,7 @@
                 });
             }
             Event::Saved { part, ticket, .. } => {
-                self.act(at, |coordinator| coordinator.saved(now, part, ticket))
+                self.act(at, |coordinator| coordinator.saved(now, part, ticket, 0))
             }
             Event::Wake { .. } => {
                 self.members[at].wakes = Time::MAX;
@@ -406,7 +406,7 @@
                     self.push(due, Event::Frame { to, life, from, head, tail });
                 }
                 Effect::Save { part, ticket, records } => self.save(at, part, ticket, &records, false),
-                Effect::Rewrite { part, ticket, records } => self.save(at, part, ticket, &records, true),
+                Effect::Rewrite { part, ticket, records, .. } => self.save(at, part, ticket, &records, true),
                 Effect::Answer { ticket, answer } => self.answered(ticket, answer),
                 Effect::Configuration { version, .. } => {
                     let watch = self.configurations.entry(version).or_default();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod listing;
 mod lots_part;
 mod part;
+pub mod room;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -136,11 +137,13 @@
         ticket: u64,
         records: Vec<Bytes>,
     },
-    /// In place of all that the log holds; then [`Coordinator::saved`].
+    /// In place of all that the log holds; then [`Coordinator::saved`]. The first `implied` follow from what it holds: the others,
+    /// appended, do as well.
     Rewrite {
         part: u16,
         ticket: u64,
         records: Vec<Bytes>,
+        implied: usize,
     },
     Answer {
         ticket: u64,
@@ -289,7 +292,8 @@
         copies: info.tolerate + 1,
         most_bytes: 256 << 10,
         compact_bytes: (info.disk_bytes / 8).clamp(4 << 20, 256 << 20),
-        lag_bytes: 4 << 20,
+        // A snapshot instead takes the room of a second copy at who lags.
+        lag_bytes: (info.disk_bytes / 8).clamp(4 << 20, 16 << 20),
     }
 }
 
@@ -511,10 +515,11 @@
         if founder { control::members(&group.founding).ok() } else { Some(Vec::new()) }
     }
 
-    /// All records of a part up to this ticket are on the disk.
-    pub fn saved(&mut self, now: Now, number: u16, ticket: u64) {
+    /// All of a part's records up to a ticket are on the disk, in a file of this length.
+    pub fn saved(&mut self, now: Now, number: u16, ticket: u64, length: u64) {
         self.now = now;
         if let Some(part) = self.parts.get_mut(&number) {
+            part.disk.saved(ticket, length);
             part.replica.saved(now.steady, ticket);
             self.drain(number);
         }
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -5,8 +5,8 @@
 use rainlug_batch::{Applied, Command, RunEnd, read_requests};
 use rainlug_registry::Kind;
 
-use crate::part::{Machine, Wanted};
-use crate::{Answer, Coordinator, Effect, Origin};
+use crate::part::{Machine, Submitting, Wanted};
+use crate::{Answer, Coordinator, Effect, Origin, room};
 
 /// Items that a leader has running, at most; which of them find room at workers is decided by each pick.
 const RUNNING: usize = 512;
@@ -16,13 +16,21 @@
 const BETWEEN: Time = SECOND / 500;
 /// Between two looks at what is overdue.
 const SWEEP: Time = SECOND / 4;
+/// When to come back with a batch job that the disk does not write now.
+const STALL_RETRY: Time = SECOND;
+/// When to come back with a batch job that has no room.
+const FULL_RETRY: Time = 2 * SECOND;
 /// Between two orders to forget.
 const FORGET: Time = 20 * SECOND;
 
 impl Coordinator {
     pub(crate) fn submit(&mut self, number: u16, origin: Origin, lot: String, route: String, body: Bytes) {
         let wall = self.now.wall;
-        let Some(part) = self.parts.get(&number) else { return };
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        // The same one again, before the first is agreed on: one answer for both, and its bytes but once.
+        if let Some(submitting) = part.submitting.get_mut(&lot) {
+            return submitting.others.push(origin);
+        }
         let Some(register) = part.register() else { return };
         // What is in the register is agreed on, whoever leads now.
         if register.knows(&lot) {
@@ -47,6 +55,10 @@
         if most > 0 && register.waiting(&route.name) + tokens > most {
             return self.reply(origin, Answer::later(429, SECOND / 2));
         }
+        let bytes = room::job_bytes(body.len(), items.len(), part.log_use().mean_output());
+        if let Err(retry) = self.has_room(number, bytes) {
+            return self.reply(origin, Answer::later(503, retry));
+        }
         let command = Command::Submit {
             lot,
             route: route.name.clone(),
@@ -58,7 +70,23 @@
             most,
             items,
         };
-        self.propose(number, origin, command.encode());
+        let encoded = command.encode();
+        let Command::Submit { lot, .. } = command else { return };
+        if let Some(part) = self.parts.get_mut(&number).filter(|part| part.replica.leads()) {
+            part.submitting.insert(lot, Submitting { bytes, others: Vec::new() });
+        }
+        self.propose(number, origin, encoded);
+    }
+
+    /// Whether the disk is writing and has room for another batch job; otherwise when to come back.
+    fn has_room(&self, number: u16, bytes: u64) -> Result<(), Time> {
+        let Some(part) = self.parts.get(&number) else { return Ok(()) };
+        if part.disk.is_stalled(self.now.steady) {
+            return Err(STALL_RETRY);
+        }
+        let proposed: u64 = self.parts.values().flat_map(|p| p.submitting.values()).map(|s| s.bytes).sum();
+        let logs = self.parts.values().map(|part| part.log_use());
+        if room::fits(self.info.disk_bytes as u64, logs, proposed + bytes) { Ok(()) } else { Err(FULL_RETRY) }
     }
 
     pub(crate) fn end(&mut self, number: u16, origin: Origin, lot: String) {
@@ -90,6 +118,10 @@
             return self.effects.push(Effect::Log("garbage", format!("a command of part {number}")));
         };
         let applied = register.apply(&command);
+        let others = match &command {
+            Command::Submit { lot, .. } => part.submitting.remove(lot).map_or(Vec::new(), |s| s.others),
+            _ => Vec::new(),
+        };
         if let Some(schedule) = &mut part.schedule {
             schedule.applied(register, &command, applied);
         }
@@ -107,17 +139,18 @@
                 self.reply(origin, Answer::json(200, text));
             }
         }
-        let Some((own, origin)) = mine else { return };
-        if !own {
-            return self.send_elsewhere(number, origin);
-        }
         let answer = match applied {
             Applied::Accepted | Applied::Known => Answer::json(202, "{}"),
             Applied::OverQuota => Answer::later(429, SECOND / 2),
             Applied::Ended | Applied::Listed { .. } => Answer::json(200, "{}"),
             Applied::Nothing => Answer::of(if matches!(command, Command::End { .. }) { 404 } else { 200 }),
         };
-        self.reply(origin, answer);
+        others.into_iter().for_each(|other| self.reply(other, answer.clone()));
+        match mine {
+            Some((true, origin)) => self.reply(origin, answer),
+            Some((false, origin)) => self.send_elsewhere(number, origin),
+            None => {}
+        }
     }
 
     /// Reads that waited for an output long enough are answered without one.
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -10,6 +10,7 @@
 
 use crate::control::{Control, Outcome};
 use crate::frame::{Head, join};
+use crate::room::{LogUse, PartDisk};
 use crate::{Answer, CONTROL, Coordinator, Effect, Held, News, Origin, SPREADING};
 
 pub(crate) enum Machine {
@@ -40,6 +41,27 @@
     /// No item is begun before.
     pub pause: Time,
     pub swept: Time,
+    pub disk: PartDisk,
+    /// A snapshot of the machine is asked for.
+    pub compact_wanted: bool,
+    /// Batch jobs that are proposed and not agreed on, and who else asked for the same one.
+    pub submitting: BTreeMap<String, Submitting>,
+}
+
+/// A batch job that is proposed.
+pub(crate) struct Submitting {
+    /// Bytes that it and its outputs will take on the disk.
+    pub bytes: u64,
+    pub others: Vec<Origin>,
+}
+
+impl Machine {
+    fn snapshot(&self) -> Bytes {
+        match self {
+            Machine::Control(control) => control.snapshot(),
+            Machine::Lots(register) => register.snapshot(),
+        }
+    }
 }
 
 impl Part {
@@ -70,6 +92,9 @@
             schedule: None,
             pause: 0,
             swept: now,
+            disk: PartDisk::of(records),
+            compact_wanted: false,
+            submitting: BTreeMap::new(),
         })
     }
 
@@ -93,6 +118,15 @@
         }
     }
 
+    /// Its log's part of the disk.
+    pub fn log_use(&self) -> LogUse {
+        let length = self.disk.length;
+        match self.register() {
+            Some(register) => LogUse { length, rewritten: register.size() as u64, totals: register.totals() },
+            None => LogUse { length, rewritten: length, ..LogUse::default() },
+        }
+    }
+
     pub fn figures(&self) -> Vec<(String, f64)> {
         let name = |what: &str| format!("part_{}_{what}", self.number);
         let mut figures = vec![
@@ -102,6 +136,7 @@
         ];
         if let Some(register) = self.register() {
             figures.push((name("bytes"), register.size() as f64));
+            figures.push((name("file_bytes"), self.disk.length as f64));
         }
         if let Some(schedule) = &self.schedule {
             figures.push((name("items_running"), schedule.running() as f64));
@@ -125,9 +160,15 @@
                 && output.reads.is_empty()
                 && !output.changed
                 && !output.compact;
-            if quiet {
+            if quiet && !std::mem::take(&mut part.compact_wanted) {
                 break;
             }
+            if quiet {
+                // Nothing is on its way to the disk but what it was handed: the rewrite may be put off and nothing is missing.
+                let state = part.machine.snapshot();
+                part.replica.snapshot(self.now.steady, state);
+                continue;
+            }
             self.carry_out(number, output);
         }
         self.leading(number);
@@ -142,10 +183,14 @@
             });
         }
         if let Some((ticket, records)) = output.rewrite {
-            self.effects.push(Effect::Rewrite { part: number, ticket, records });
+            // All of it is in the log already, unless the snapshot is a leader's.
+            let implied = if output.restore.is_none() { records.len() } else { 0 };
+            self.saving(number, ticket);
+            self.effects.push(Effect::Rewrite { part: number, ticket, records, implied });
         }
         if let Some((ticket, _)) = output.save.last() {
             let ticket = *ticket;
+            self.saving(number, ticket);
             let records = output.save.into_iter().map(|(_, record)| record).collect();
             self.effects.push(Effect::Save { part: number, ticket, records });
         }
@@ -171,17 +216,20 @@
         if output.compact
             && let Some(part) = self.parts.get_mut(&number)
         {
-            let state = match &part.machine {
-                Machine::Control(control) => control.snapshot(),
-                Machine::Lots(register) => register.snapshot(),
-            };
-            part.replica.snapshot(self.now.steady, state);
+            part.compact_wanted = true;
         }
         if output.changed && number == CONTROL {
             self.post();
         }
     }
 
+    fn saving(&mut self, number: u16, ticket: u64) {
+        let now = self.now.steady;
+        if let Some(part) = self.parts.get_mut(&number) {
+            part.disk.saving(now, ticket);
+        }
+    }
+
     fn restore(&mut self, number: u16, state: &Bytes) {
         let Some(part) = self.parts.get_mut(&number) else { return };
         let restored = match &mut part.machine {
@@ -242,6 +290,7 @@
                 std::mem::take(&mut part.waiting).into_values().map(|w| w.1).collect();
             origins.extend(std::mem::take(&mut part.reads).into_values().map(|r| r.0));
             origins.extend(std::mem::take(&mut part.polls).into_iter().map(|p| p.0));
+            origins.extend(std::mem::take(&mut part.submitting).into_values().flat_map(|s| s.others));
             origins.into_iter().for_each(|origin| self.send_elsewhere(number, origin));
             self.effects.push(Effect::Log("steps down", format!("part {number}, term {term}")));
         }
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -304,7 +304,7 @@
                         keep(&mut disk.synced, part, whole, records);
                     }
                 }
-                coordinator.saved(now, part, ticket);
+                coordinator.saved(now, part, ticket, 0);
             }
             Event::Wake { .. } => {
                 machine.wakes = Time::MAX;
@@ -350,7 +350,14 @@
                     self.push(due, Event::Frame { to, life, from, bytes });
                 }
                 Effect::Save { part, ticket, records } => self.write(at, part, ticket, false, records),
-                Effect::Rewrite { part, ticket, records } => self.write(at, part, ticket, true, records),
+                Effect::Rewrite { part, ticket, mut records, implied } => {
+                    // A disk may put off every rewrite whose first records only repeat what it holds.
+                    let is_put_off = implied > 0 && ticket % 2 == 1;
+                    if is_put_off {
+                        records.drain(..implied);
+                    }
+                    self.write(at, part, ticket, !is_put_off, records);
+                }
                 Effect::Answer { ticket, answer } => {
                     self.answers.insert(ticket, (self.now, answer));
                 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use rainlug_fleet::envelope::{Envelope, MOST};
 use rainlug_gateway::{Gateway, Item, RanEnd, Reply, Replying};
 use rainlug_registry::{Configuration, Route};
+use rainlug_wal::Report;
 use rand::TryRngCore;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -24,7 +26,7 @@
 
 use crate::clock::Clock;
 use crate::control;
-use crate::disk::{Disk, Saved};
+use crate::disk::{Disk, PartLog, Told};
 use crate::log;
 use crate::peers::Peers;
 use crate::settings::{self, Settings};
@@ -34,6 +36,9 @@
 /// The largest request body at the control address, in bytes: a configuration.
 pub const MOST_CONTROL: usize = 8 << 20;
 
+/// Between two tries to open a disk that refuses calls.
+const DISK_PAUSE: Duration = Duration::from_millis(250);
+
 quick_error! {
     /// Why a process could not start or go on.
     #[derive(Debug)]
@@ -69,8 +74,6 @@
     rings: Cell<Time>,
     sooner: Notify,
     pumping: Cell<bool>,
-    /// The disk failed: what cannot be kept must not be promised.
-    failed: Notify,
 }
 
 /// Chance that no other process has.
@@ -82,6 +85,27 @@
     TcpListener::bind(at).await.map_err(|e| Error::Listen(at, e))
 }
 
+/// Opens the disk; one that refuses calls is tried again until it does not.
+async fn open_disk(
+    dir: &Path,
+    capacity: u64,
+    drawn: u64,
+    told: mpsc::UnboundedSender<Told>,
+) -> Result<(Disk, u64, Vec<PartLog>), Error> {
+    let mut is_failing = false;
+    loop {
+        match Disk::open(dir, capacity, drawn, told.clone()) {
+            Err(error @ rainlug_wal::Error::Io(..)) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    log::error("disk", &format!("waits: {error}"));
+                }
+                sleep(DISK_PAUSE).await;
+            }
+            opened => return Ok(opened?),
+        }
+    }
+}
+
 impl Node {
     /// Starts a process in a role and serves until it is told to end.
     ///
@@ -89,14 +113,15 @@
     /// Where settings, sockets or disk cannot be used.
     pub async fn run(role: Role, settings: Settings) -> Result<(), Error> {
         let clock = Clock::start();
-        let (saved, mut on_disk) = mpsc::unbounded_channel::<Saved>();
+        let (saved, mut on_disk) = mpsc::unbounded_channel::<Told>();
         let peer = settings.peer();
         let seeds = settings.seed_peers();
         let founds = settings.first_boot && role == Role::Gateway && seeds.contains(&peer);
         let drawn = if founds { founding_id(peer) } else { draw().max(1) };
+        let disk_bytes = (settings.limits.disk_mb.max(1.0) * 1e6) as u64;
         let (disk, id, logs) = match &settings.data_dir {
             Some(dir) => {
-                let (disk, id, logs) = Disk::open(dir, drawn, saved)?;
+                let (disk, id, logs) = open_disk(dir, disk_bytes, drawn, saved).await?;
                 (Some(disk), Some(id), logs)
             }
             None => (None, None, Vec::new()),
@@ -113,7 +138,7 @@
             seeds,
             tolerate: settings.tolerate.machines as usize,
             beat: settings.beat_ms as Time * 1000,
-            disk_bytes: (settings.limits.disk_mb.max(1.0) * 1e6) as usize,
+            disk_bytes: disk_bytes as usize,
             keep_lots: ((settings.bounds.status_s + 60.0) * 1e6) as Time,
             seed: draw(),
         };
@@ -144,7 +169,6 @@
             rings: Cell::new(0),
             sooner: Notify::new(),
             pumping: Cell::new(false),
-            failed: Notify::new(),
         });
         log::event("start", &format!("{:?}, peers at {peer}", role));
         let taken = node.clone();
@@ -165,14 +189,8 @@
         spawn_local(node.gateway.clone().run());
         let keeps = node.clone();
         spawn_local(async move {
-            while let Some((part, ticket, result)) = on_disk.recv().await {
-                match result {
-                    Ok(()) => keeps.with(|coordinator, now| coordinator.saved(now, part, ticket)),
-                    Err(error) => {
-                        log::error("disk", &error.to_string());
-                        keeps.failed.notify_one();
-                    }
-                }
+            while let Some((part, report)) = on_disk.recv().await {
+                keeps.disk_told(part, report);
             }
         });
         if let Some(at) = control_at {
@@ -199,9 +217,6 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                () = self.failed.notified() => {
-                    return Err(Error::Io(std::io::Error::other("the disk does not keep what is written")));
-                }
                 _ = hangup.recv() => match Settings::from_environment() {
                     Ok(_) => log::event("settings", "read again"),
                     Err(error) => log::error("settings", &error.to_string()),
@@ -251,12 +266,14 @@
             }
             Effect::Frame { to, head, tail } => self.peers.send(to, head, tail),
             Effect::Save { part, ticket, records } => {
-                let kept = self.disk.borrow_mut().as_mut().map(|d| d.save(part, ticket, records));
-                self.kept(kept);
+                if let Some(disk) = self.disk.borrow_mut().as_mut() {
+                    disk.save(part, ticket, records);
+                }
             }
-            Effect::Rewrite { part, ticket, records } => {
-                let kept = self.disk.borrow_mut().as_mut().map(|d| d.rewrite(part, ticket, records));
-                self.kept(kept);
+            Effect::Rewrite { part, ticket, records, implied } => {
+                if let Some(disk) = self.disk.borrow_mut().as_mut() {
+                    disk.compact(part, ticket, records, implied);
+                }
             }
             Effect::Answer { ticket, answer } => {
                 if let Some(waits) = self.answers.borrow_mut().remove(&ticket) {
@@ -280,10 +297,18 @@
         }
     }
 
-    fn kept(&self, kept: Option<Result<(), rainlug_wal::Error>>) {
-        if let Some(Err(error)) = kept {
-            log::error("disk", &error.to_string());
-            self.failed.notify_one();
+    /// A part's log is further, or the disk holds it up. That ends nothing: what is not saved is not acknowledged.
+    fn disk_told(self: &Rc<Self>, part: u16, report: Report) {
+        match report {
+            Report::Done(done) => {
+                if let Some(compaction) = done.compaction {
+                    let (length, took) = (done.length, done.took.as_millis());
+                    log::event("disk", &format!("part {part}: {compaction:?}, {length} bytes, {took} ms"));
+                }
+                self.with(|coordinator, now| coordinator.saved(now, part, done.ticket, done.length));
+            }
+            Report::Failing(error) => log::error("disk", &format!("part {part} waits: {error}")),
+            Report::Recovered => log::event("disk", &format!("part {part} is written again")),
         }
     }
 
--- /dev/null
+++ b/crates/wal/src/files.rs
@@ -0,0 +1,69 @@
+//! The file operations that a log needs, behind a trait so that tests can lose power between any two of them.
+
+use std::fs::{self, File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+/// Files of one disk. What was written lasts once the file was synced; which names exist lasts once their folder was.
+pub trait Files: Send + 'static {
+    type File: Send;
+
+    /// Opens a file for reading and writing, made if it is missing, emptied if `truncate`.
+    fn open(&self, path: &Path, truncate: bool) -> io::Result<Self::File>;
+    fn length(&self, file: &Self::File) -> io::Result<u64>;
+    /// Reads up to the buffer's length; 0 at the end of the file.
+    fn read_at(&self, file: &Self::File, buffer: &mut [u8], offset: u64) -> io::Result<usize>;
+    fn write_all_at(&self, file: &Self::File, bytes: &[u8], offset: u64) -> io::Result<()>;
+    fn set_length(&self, file: &Self::File, length: u64) -> io::Result<()>;
+    /// Makes the file's bytes and length last.
+    fn sync(&self, file: &Self::File) -> io::Result<()>;
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()>;
+    fn remove(&self, path: &Path) -> io::Result<()>;
+    /// Makes the names in a folder last.
+    fn sync_folder(&self, folder: &Path) -> io::Result<()>;
+}
+
+/// The operating system's files.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemFiles;
+
+impl Files for SystemFiles {
+    type File = File;
+
+    fn open(&self, path: &Path, truncate: bool) -> io::Result<File> {
+        OpenOptions::new().read(true).write(true).create(true).truncate(truncate).open(path)
+    }
+
+    fn length(&self, file: &File) -> io::Result<u64> {
+        Ok(file.metadata()?.len())
+    }
+
+    fn read_at(&self, file: &File, buffer: &mut [u8], offset: u64) -> io::Result<usize> {
+        file.read_at(buffer, offset)
+    }
+
+    fn write_all_at(&self, file: &File, bytes: &[u8], offset: u64) -> io::Result<()> {
+        file.write_all_at(bytes, offset)
+    }
+
+    fn set_length(&self, file: &File, length: u64) -> io::Result<()> {
+        file.set_len(length)
+    }
+
+    fn sync(&self, file: &File) -> io::Result<()> {
+        file.sync_data()
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        fs::rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        fs::remove_file(path)
+    }
+
+    fn sync_folder(&self, folder: &Path) -> io::Result<()> {
+        File::open(folder)?.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/wal/tests/faults/main.rs
@@ -0,0 +1,5 @@
+//! Logs on a disk that loses power, fills up, refuses or stalls.
+
+mod files;
+mod power_loss;
+mod refusals;
--- /dev/null
+++ b/crates/wal/tests/faults/refusals.rs
@@ -0,0 +1,268 @@
+//! A full, refusing or stalled disk holds up what is to be kept, and loses nothing that was acknowledged.
+
+use std::path::Path;
+use std::sync::{Arc, mpsc};
+
+use bytes::Bytes;
+use rainlug_wal::{Compaction, Done, Report, Room, Wal, Writer};
+
+use crate::files::TestFiles;
+
+const CAPACITY: usize = 4096;
+/// Bytes before the payload of a record.
+const HEADER: usize = 20;
+
+type Records = Vec<Bytes>;
+
+fn record(fill: u8, length: usize) -> Records {
+    vec![Bytes::from(vec![fill; length])]
+}
+
+fn limited() -> TestFiles {
+    let files = TestFiles::default();
+    files.set_capacity(Some(CAPACITY));
+    files
+}
+
+fn room() -> Arc<Room> {
+    Arc::new(Room::new(CAPACITY as u64))
+}
+
+fn open(files: &TestFiles, room: &Arc<Room>, name: &str) -> (Wal<TestFiles>, Records) {
+    Wal::open_in(files.clone(), room.clone(), Path::new("/data"), name).expect("a disk that works")
+}
+
+/// What is found after every outcome of a loss of power, if that is the same.
+fn survivors(files: &TestFiles, name: &str) -> Records {
+    let mut all: Vec<Records> =
+        files.after_power_loss().iter().map(|disk| open(disk, &room(), name).1).collect();
+    all.dedup();
+    assert_eq!(all.len(), 1, "{all:?}");
+    all.remove(0)
+}
+
+fn started(wal: Wal<TestFiles>) -> (Writer, mpsc::Receiver<Report>) {
+    let (told, reports) = mpsc::channel();
+    (Writer::start(wal, move |report| told.send(report).expect("the test listens")), reports)
+}
+
+fn done(reports: &mpsc::Receiver<Report>) -> Done {
+    match reports.recv().expect("the thread lives") {
+        Report::Done(done) => done,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn failing(reports: &mpsc::Receiver<Report>) {
+    let report = reports.recv().expect("the thread lives");
+    assert!(matches!(report, Report::Failing(_)), "{report:?}");
+}
+
+fn recovered(reports: &mpsc::Receiver<Report>) {
+    let report = reports.recv().expect("the thread lives");
+    assert!(matches!(report, Report::Recovered), "{report:?}");
+}
+
+#[test]
+fn an_append_waits_for_room_and_is_told_of_once() {
+    let files = limited();
+    let (wal, _) = open(&files, &room(), "wal");
+    let (writer, reports) = started(wal);
+    writer.append(1, record(1, 1000));
+    assert_eq!(done(&reports).ticket, 1);
+    writer.append(2, record(2, 4000));
+    failing(&reports);
+    // Later ones do not overtake it, and nothing is told of before it is kept.
+    writer.append(3, record(3, 10));
+    assert_eq!(survivors(&files, "wal"), record(1, 1000));
+    files.set_capacity(None);
+    recovered(&reports);
+    let mut last = done(&reports).ticket;
+    if last == 2 {
+        last = done(&reports).ticket;
+    }
+    assert_eq!(last, 3);
+    assert_eq!(survivors(&files, "wal"), [record(1, 1000), record(2, 4000), record(3, 10)].concat());
+}
+
+#[test]
+fn what_does_not_fit_leaves_no_bytes_behind() {
+    let files = limited();
+    let (mut wal, _) = open(&files, &room(), "wal");
+    wal.append(&record(1, 1000)).unwrap();
+    let used = files.used();
+    assert!(wal.append(&record(2, 4000)).is_err());
+    assert_eq!(files.used(), used);
+    wal.append(&record(3, 2000)).unwrap();
+    assert_eq!(survivors(&files, "wal"), [record(1, 1000), record(3, 2000)].concat());
+}
+
+#[test]
+fn a_rewrite_without_room_is_put_off_and_its_new_records_are_appended() {
+    let files = limited();
+    let (mut wal, _) = open(&files, &room(), "wal");
+    wal.append(&record(1, 3000)).unwrap();
+    // It pays, but the copy has no room beside the file.
+    let records = [record(9, 1200), record(2, 50)].concat();
+    assert_eq!(wal.compact(&records, 1).unwrap(), Compaction::Postponed);
+    assert_eq!(survivors(&files, "wal"), [record(1, 3000), record(2, 50)].concat());
+    assert_eq!(files.used(), 3050 + 2 * HEADER);
+}
+
+#[test]
+fn a_disk_smaller_than_told_puts_a_rewrite_off_too() {
+    let files = limited();
+    let room = Arc::new(Room::new(1 << 20));
+    let (mut wal, _) = open(&files, &room, "wal");
+    wal.append(&record(1, 3000)).unwrap();
+    let records = [record(9, 1200), record(2, 50)].concat();
+    assert_eq!(wal.compact(&records, 1).unwrap(), Compaction::Postponed);
+    assert_eq!(files.used(), 3050 + 2 * HEADER, "half a rewrite takes no room");
+    assert_eq!(room.free(), (1 << 20) - files.used() as u64, "its reservation is given back");
+}
+
+#[test]
+fn a_rewrite_that_does_not_pay_is_put_off() {
+    let files = limited();
+    let (mut wal, _) = open(&files, &room(), "wal");
+    wal.append(&record(1, 500)).unwrap();
+    let records = [record(9, 400), record(2, 50)].concat();
+    assert_eq!(wal.compact(&records, 1).unwrap(), Compaction::Postponed);
+    assert_eq!(wal.length(), 550 + 2 * HEADER as u64);
+    let records = [record(9, 100), record(2, 50)].concat();
+    assert_eq!(wal.compact(&records, 1).unwrap(), Compaction::Rewritten);
+    assert_eq!(survivors(&files, "wal"), records);
+}
+
+#[test]
+fn two_logs_of_a_disk_rewrite_only_with_room_for_both() {
+    let files = limited();
+    let room = room();
+    let (mut one, _) = open(&files, &room, "one");
+    let (mut two, _) = open(&files, &room, "two");
+    one.append(&record(1, 1400)).unwrap();
+    two.append(&record(2, 1400)).unwrap();
+    assert_eq!(room.free(), (CAPACITY - files.used()) as u64);
+    // 1256 bytes are free, of which 128 are kept back.
+    assert!(one.rewrite(&record(3, 1300)).is_err());
+    assert_eq!(one.compact(&[record(3, 1150), record(4, 10)].concat(), 1).unwrap(), Compaction::Postponed);
+    assert_eq!(one.compact(&[record(3, 600), record(4, 10)].concat(), 1).unwrap(), Compaction::Rewritten);
+    // What the first one freed is the second one's.
+    assert_eq!(two.compact(&[record(5, 700), record(6, 10)].concat(), 1).unwrap(), Compaction::Rewritten);
+    assert_eq!(room.free(), (CAPACITY - files.used()) as u64);
+    assert_eq!(survivors(&files, "one"), [record(3, 600), record(4, 10)].concat());
+    assert_eq!(survivors(&files, "two"), [record(5, 700), record(6, 10)].concat());
+}
+
+#[test]
+fn room_that_one_log_frees_lets_another_go_on() {
+    let files = limited();
+    let room = room();
+    let (mut one, _) = open(&files, &room, "one");
+    let (two, _) = open(&files, &room, "two");
+    one.append(&record(1, 3000)).unwrap();
+    let (writer, reports) = started(two);
+    writer.append(1, record(2, 2000));
+    failing(&reports);
+    one.rewrite(&record(3, 100)).unwrap();
+    recovered(&reports);
+    assert_eq!(done(&reports).ticket, 1);
+    assert_eq!(survivors(&files, "two"), record(2, 2000));
+}
+
+#[test]
+fn a_later_rewrite_makes_room_for_itself_where_appends_wait() {
+    let files = limited();
+    let (mut wal, _) = open(&files, &room(), "wal");
+    wal.append(&record(1, 2500)).unwrap();
+    let (writer, reports) = started(wal);
+    writer.append(2, record(2, 2000));
+    failing(&reports);
+    let whole = [record(9, 300), record(3, 50)].concat();
+    writer.compact(3, whole.clone(), 1);
+    recovered(&reports);
+    let told = done(&reports);
+    assert_eq!((told.ticket, told.compaction), (3, Some(Compaction::Rewritten)));
+    assert_eq!(survivors(&files, "wal"), whole);
+}
+
+#[test]
+fn a_stalled_disk_holds_up_no_caller_and_is_told_of_nothing_early() {
+    let files = limited();
+    let (wal, _) = open(&files, &room(), "wal");
+    let (writer, reports) = started(wal);
+    files.set_stalled(true);
+    writer.append(1, record(1, 10));
+    writer.append(2, record(2, 10));
+    assert!(reports.try_recv().is_err());
+    assert!(survivors(&files, "wal").is_empty());
+    files.set_stalled(false);
+    while done(&reports).ticket < 2 {}
+    assert_eq!(survivors(&files, "wal"), [record(1, 10), record(2, 10)].concat());
+}
+
+#[test]
+fn a_log_is_made_once_the_disk_lets_it() {
+    let files = limited();
+    files.set_refusing(true);
+    let (told, reports) = mpsc::channel();
+    let (disk, shared) = (files.clone(), room());
+    let open_it = move || Ok(Wal::open_in(disk.clone(), shared.clone(), Path::new("/data"), "wal")?.0);
+    let writer = Writer::open(room(), open_it, move |report| told.send(report).expect("the test listens"));
+    writer.append(1, record(1, 10));
+    failing(&reports);
+    files.set_refusing(false);
+    recovered(&reports);
+    assert_eq!(done(&reports).ticket, 1);
+    assert_eq!(survivors(&files, "wal"), record(1, 10));
+}
+
+#[test]
+fn a_thread_that_nobody_waits_for_ends_on_a_disk_that_refuses() {
+    let files = limited();
+    let (wal, _) = open(&files, &room(), "wal");
+    let (writer, reports) = started(wal);
+    files.set_refusing(true);
+    writer.append(1, record(1, 10));
+    failing(&reports);
+    drop(writer);
+    assert!(reports.recv().is_err());
+}
+
+/// Full during an append, during a rewrite and between, at every size of disk; power goes after each.
+#[test]
+fn no_size_of_disk_loses_what_was_acknowledged() {
+    for capacity in 0..600 {
+        let files = TestFiles::default();
+        let room = Arc::new(Room::new(1 << 20));
+        let (mut wal, _) = open(&files, &room, "wal");
+        files.set_capacity(Some(capacity));
+        let mut held = Records::new();
+        for step in 0..12_u8 {
+            let fresh = record(step, 40);
+            let before = held.clone();
+            let kept = if step % 4 == 3 {
+                let whole = [record(100 + step, 60), fresh.clone()].concat();
+                let compacted = wal.compact(&whole, 1);
+                match compacted {
+                    Ok(Compaction::Rewritten) => held = whole,
+                    Ok(Compaction::Postponed) => held.extend(fresh),
+                    Err(_) => {}
+                }
+                compacted.is_ok()
+            } else {
+                let appended = wal.append(&fresh);
+                if appended.is_ok() {
+                    held.extend(fresh);
+                }
+                appended.is_ok()
+            };
+            assert!(kept || held == before);
+            assert_eq!(survivors(&files, "wal"), held, "{capacity} bytes, step {step}");
+        }
+        files.set_capacity(None);
+        wal.append(&record(200, 40)).unwrap();
+        held.extend(record(200, 40));
+        assert_eq!(survivors(&files, "wal"), held, "{capacity} bytes, room again");
+    }
+}
--- a/crates/wal/tests/records.rs
+++ b/crates/wal/tests/records.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rainlug_wal::{Done, Error, Wal, Writer};
+use rainlug_wal::{Compaction, Done, Error, Report, Wal, Writer};
 
 /// Bytes before the payload of a record.
 const HEADER: usize = 20;
@@ -20,6 +20,13 @@
     Wal::open(dir, "wal").expect("a wal")
 }
 
+fn kept(report: Report) -> Done {
+    match report {
+        Report::Done(done) => done,
+        other => panic!("{other:?}"),
+    }
+}
+
 fn records(dir: &Path) -> Vec<Bytes> {
     open(dir).1
 }
@@ -218,7 +225,8 @@
     let (wal, _) = open(dir.path());
     let (done, finished) = mpsc::channel();
     let (go, gate) = mpsc::channel::<()>();
-    let writer = Writer::start(wal, move |one: Done| {
+    let writer = Writer::start(wal, move |report| {
+        let one = kept(report);
         let is_first = one.ticket == 1;
         done.send(one).unwrap();
         if is_first {
@@ -230,33 +238,44 @@
     // The thread is held up now.
     writer.append(2, texts(&["b"]));
     writer.append(3, texts(&["c", "d"]));
-    writer.rewrite(4, texts(&["abcd"]));
+    writer.compact(4, texts(&["abcd"]), 0);
     writer.append(5, texts(&["e"]));
     writer.append(6, texts(&["f"]));
     go.send(()).unwrap();
     drop(writer);
     let all: Vec<Done> = finished.iter().collect();
-    assert!(all.iter().all(|one| one.result.is_ok()));
+    let compactions: Vec<_> = all.iter().map(|one| one.compaction).collect();
+    assert_eq!(compactions, [None, Some(Compaction::Rewritten), None]);
     let header = HEADER as u64;
     let told: Vec<_> = all.iter().map(|one| (one.ticket, one.length)).collect();
     assert_eq!(told, [(3, 4 * header + 4), (4, header + 4), (6, 3 * header + 6)]);
     assert_eq!(records(dir.path()), texts(&["abcd", "e", "f"]));
 }
 
+/// A rewrite of what the log does not hold cannot be put off: the thread tries again until it is made, and then goes on.
 #[test]
-fn the_thread_tells_of_failures_and_goes_on() {
+fn the_thread_tells_of_failures_and_tries_again() {
     let dir = tempfile::tempdir().unwrap();
     let (wal, _) = open(dir.path());
     let fresh = dir.path().join("wal.new");
     fs::create_dir(&fresh).unwrap();
     let (done, finished) = mpsc::channel();
     let writer = Writer::start(wal, move |one| done.send(one).unwrap());
-    writer.rewrite(1, texts(&["a"]));
+    writer.compact(1, texts(&["a"]), 0);
     let failed = finished.recv().unwrap();
-    assert!(failed.ticket == 1 && failed.length == 0 && failed.result.is_err());
+    assert!(matches!(&failed, Report::Failing(Error::Io(named, _)) if *named == fresh), "{failed:?}");
     writer.append(2, texts(&["b"]));
-    let kept = finished.recv().unwrap();
-    assert!(kept.ticket == 2 && kept.length == (HEADER + 1) as u64 && kept.result.is_ok());
+    assert!(
+        fs::read(dir.path().join("wal")).unwrap().is_empty(),
+        "nothing is kept yet, and nothing out of turn"
+    );
+    fs::remove_dir(&fresh).unwrap();
+    assert!(matches!(finished.recv().unwrap(), Report::Recovered));
+    let first = kept(finished.recv().unwrap());
+    assert_eq!((first.ticket, first.length), (1, (HEADER + 1) as u64));
+    let second = kept(finished.recv().unwrap());
+    assert_eq!((second.ticket, second.length), (2, 2 * (HEADER + 1) as u64));
+    assert_eq!(records(dir.path()), texts(&["a", "b"]));
 }
 
 proptest! {
