--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -1,30 +1,62 @@
 //! The process's disk: its identity, and a log for each part that it has a replica of, each written by a thread of its own.
 
 use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use rainlug_coordinator::{CONTROL, PARTS};
-use rainlug_wal::{Error, Wal, Writer};
+use rainlug_wal::{Error, Report, Room, SystemFiles, Wal, Writer};
 use tokio::sync::mpsc;
 
-/// A part's ticket that is on the disk, or why nothing more is.
-pub struct Saved {
-    pub part: u16,
-    pub ticket: u64,
-    pub result: Result<(), Error>,
-    /// The identity of the disk that it was meant for.
+/// What the thread of a part's log tells of.
+pub struct Told {
+    /// The identity that the disk had when the log was begun.
     pub disk: u64,
+    pub part: u16,
+    pub report: Report,
 }
 
+/// A part's records, in order.
+pub type PartLog = (u16, Vec<Bytes>);
+
 pub struct Disk {
     dir: PathBuf,
+    identity: Identity,
+    room: Arc<Room>,
+    writers: BTreeMap<u16, Writer>,
+    told: mpsc::UnboundedSender<Told>,
+}
+
+/// Which disk this is, on the disk itself.
+struct Identity {
+    wal: Wal,
     id: u64,
-    /// How often the disk was given another identity.
+    /// How often it was given another one.
     renewals: usize,
-    identity: Wal,
-    writers: BTreeMap<u16, Writer>,
-    saved: mpsc::UnboundedSender<Saved>,
+}
+
+impl Identity {
+    /// The identity that the disk has, or is given now; it is on the disk when this returns.
+    fn open(dir: &Path, drawn: u64) -> Result<Self, Error> {
+        let (mut wal, records) = Wal::open(dir, "identity")?;
+        let renewals = records.len().saturating_sub(1);
+        let known = records.last().and_then(|r| r.get(..8)?.try_into().ok()).map(u64::from_le_bytes);
+        if let Some(id) = known {
+            return Ok(Identity { wal, id, renewals });
+        }
+        wal.append(&[Bytes::copy_from_slice(&drawn.to_le_bytes())])?;
+        Ok(Identity { wal, id: drawn, renewals: 0 })
+    }
+
+    /// Where the disk refuses it, it holds until the process ends; what was kept under it is then lost, as with a lost disk.
+    fn renew(&mut self, id: u64) -> Result<(), Error> {
+        self.id = id;
+        self.renewals += 1;
+        self.wal.append(&[Bytes::copy_from_slice(&id.to_le_bytes())])
+    }
 }
 
 /// The file of a part. One that the disk had under an earlier identity has another name: its thread may still write it.
@@ -36,72 +68,56 @@
 }
 
 fn remove(path: &Path) -> Result<(), Error> {
-    match std::fs::remove_file(path) {
-        Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(Error::Io(path.to_owned(), e)),
+    match fs::remove_file(path) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(Error::Io(path.to_owned(), e)),
+        _ => Ok(()),
+    }
+}
+
+/// Makes the folder if it is missing, and makes its name last. The folder above may be none of this process's: only where the
+/// folder was made just now does a failed sync of that count.
+fn make_folder(dir: &Path) -> Result<(), Error> {
+    let is_new = !dir.exists();
+    fs::create_dir_all(dir).map_err(|e| Error::Io(dir.to_owned(), e))?;
+    let Some(above) = dir.parent() else { return Ok(()) };
+    let synced: io::Result<()> = File::open(above).and_then(|folder| folder.sync_all());
+    match synced {
+        Err(error) if is_new => Err(Error::Io(above.to_owned(), error)),
         _ => Ok(()),
     }
 }
 
 impl Disk {
-    /// The identity that the disk has, or is given now; and the records of the parts that are there.
+    /// A disk of so many bytes, with the identity that it has or is given now; and the records of the parts that are there.
     ///
     /// # Errors
     /// Where files cannot be used, or are damaged.
-    #[allow(clippy::type_complexity)]
     pub fn open(
         dir: &Path,
+        capacity: u64,
         drawn: u64,
-        saved: mpsc::UnboundedSender<Saved>,
-    ) -> Result<(Self, u64, Vec<(u16, Vec<Bytes>)>), Error> {
-        std::fs::create_dir_all(dir).map_err(|e| Error::Io(dir.to_owned(), e))?;
-        let (mut own, records) = Wal::open(dir, "identity")?;
-        let renewals = records.len().saturating_sub(1);
-        let known = records.last().and_then(|r| r.get(..8)?.try_into().ok()).map(u64::from_le_bytes);
-        let id = match known {
-            Some(id) => id,
-            None => {
-                own.append(&[Bytes::copy_from_slice(&drawn.to_le_bytes())])?;
-                drawn
-            }
-        };
-        let mut disk =
-            Disk { dir: dir.to_owned(), id, renewals, identity: own, writers: BTreeMap::new(), saved };
+        told: mpsc::UnboundedSender<Told>,
+    ) -> Result<(Self, Vec<PartLog>), Error> {
+        make_folder(dir)?;
+        let identity = Identity::open(dir, drawn)?;
+        let room = Arc::new(Room::new(capacity));
+        let mut disk = Disk { dir: dir.to_owned(), identity, room, writers: BTreeMap::new(), told };
         let mut logs = Vec::new();
         for part in CONTROL..=PARTS {
-            for earlier in 0..renewals {
-                remove(&dir.join(name(part, earlier)))?;
-            }
-            let name = name(part, renewals);
+            disk.remove_earlier(part)?;
+            let name = name(part, disk.identity.renewals);
             if dir.join(&name).exists() {
-                let (wal, records) = Wal::open(dir, &name)?;
-                disk.start(part, wal);
+                let (wal, records) = Wal::open_in(SystemFiles, disk.room.clone(), dir, &name)?;
+                disk.writers.insert(part, Writer::start(wal, disk.reports(part)));
                 logs.push((part, records));
             }
         }
-        Ok((disk, id, logs))
-    }
-
-    fn start(&mut self, part: u16, wal: Wal) {
-        let (saved, disk) = (self.saved.clone(), self.id);
-        let writer = Writer::start(wal, move |done| {
-            let _ = saved.send(Saved { part, ticket: done.ticket, result: done.result, disk });
-        });
-        self.writers.insert(part, writer);
-    }
-
-    fn writer(&mut self, part: u16) -> Result<&Writer, Error> {
-        if !self.writers.contains_key(&part) {
-            let (wal, _) = Wal::open(&self.dir, &name(part, self.renewals))?;
-            self.start(part, wal);
-        }
-        self.writers
-            .get(&part)
-            .ok_or_else(|| Error::Io(self.dir.clone(), std::io::ErrorKind::NotFound.into()))
+        Ok((disk, logs))
     }
 
     /// The identity that the disk has now.
     pub fn id(&self) -> u64 {
-        self.id
+        self.identity.id
     }
 
     /// Gives the disk another identity, and drops the parts that it holds.
@@ -109,32 +125,42 @@
     /// # Errors
     /// Where files cannot be written or removed.
     pub fn renew(&mut self, id: u64) -> Result<(), Error> {
-        // The identity first: parts of another disk's name hold nothing that anybody counts on.
-        self.identity.append(&[Bytes::copy_from_slice(&id.to_le_bytes())])?;
+        // The identity first: nobody counts on parts under an earlier one.
         self.writers.clear();
-        for part in CONTROL..=PARTS {
-            remove(&self.dir.join(name(part, self.renewals)))?;
+        self.identity.renew(id)?;
+        (CONTROL..=PARTS).try_for_each(|part| self.remove_earlier(part))
+    }
+
+    /// Removes what a part had under earlier identities.
+    fn remove_earlier(&self, part: u16) -> Result<(), Error> {
+        (0..self.identity.renewals).try_for_each(|earlier| remove(&self.dir.join(name(part, earlier))))
+    }
+
+    fn reports(&self, part: u16) -> impl Fn(Report) + Send + 'static {
+        let (told, disk) = (self.told.clone(), self.id());
+        move |report| {
+            let _ = told.send(Told { disk, part, report });
         }
-        self.id = id;
-        self.renewals += 1;
-        Ok(())
+    }
+
+    /// The thread of a part's log; it makes the log if there is none.
+    fn writer(&mut self, part: u16) -> &Writer {
+        let (dir, room) = (self.dir.clone(), self.room.clone());
+        let (reports, name) = (self.reports(part), name(part, self.identity.renewals));
+        self.writers.entry(part).or_insert_with(|| {
+            let shared = room.clone();
+            let open = move || Ok(Wal::open_in(SystemFiles, shared.clone(), &dir, &name)?.0);
+            Writer::open(room, open, reports)
+        })
     }
 
     /// Appends records; told through the channel when they are synced.
-    ///
-    /// # Errors
-    /// Where the part's log cannot be begun.
-    pub fn save(&mut self, part: u16, ticket: u64, records: Vec<Bytes>) -> Result<(), Error> {
-        self.writer(part)?.append(ticket, records);
-        Ok(())
+    pub fn save(&mut self, part: u16, ticket: u64, records: Vec<Bytes>) {
+        self.writer(part).append(ticket, records);
     }
 
-    /// Puts records in place of all that are there.
-    ///
-    /// # Errors
-    /// As [`Disk::save`].
-    pub fn rewrite(&mut self, part: u16, ticket: u64, records: Vec<Bytes>) -> Result<(), Error> {
-        self.writer(part)?.rewrite(ticket, records);
-        Ok(())
+    /// Puts records in place of all that are there, or, without the first `implied` of them, behind.
+    pub fn compact(&mut self, part: u16, ticket: u64, records: Vec<Bytes>, implied: usize) {
+        self.writer(part).compact(ticket, records, implied);
     }
 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use rainlug_fleet::envelope::{Envelope, MOST};
 use rainlug_gateway::{Gateway, Item, RanEnd, Reply, Replying};
 use rainlug_registry::{Configuration, Route};
+use rainlug_wal::Report;
 use rand::TryRngCore;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -24,7 +26,7 @@
 
 use crate::clock::Clock;
 use crate::control;
-use crate::disk::{Disk, Saved};
+use crate::disk::{Disk, PartLog, Told};
 use crate::log;
 use crate::peers::Peers;
 use crate::settings::{self, Settings};
@@ -34,6 +36,9 @@
 /// The largest request body at the control address, in bytes: a configuration.
 pub const MOST_CONTROL: usize = 8 << 20;
 
+/// Between two tries to open a disk that refuses calls.
+const DISK_PAUSE: Duration = Duration::from_millis(250);
+
 quick_error! {
     /// Why a process could not start or go on.
     #[derive(Debug)]
@@ -69,8 +74,6 @@
     rings: Cell<Time>,
     sooner: Notify,
     pumping: Cell<bool>,
-    /// The disk failed: what cannot be kept must not be promised.
-    failed: Notify,
 }
 
 /// Chance that no other process has.
@@ -82,6 +85,27 @@
     TcpListener::bind(at).await.map_err(|e| Error::Listen(at, e))
 }
 
+/// Opens the disk; one that refuses calls is tried again until it does not.
+async fn open_disk(
+    dir: &Path,
+    capacity: u64,
+    drawn: u64,
+    told: mpsc::UnboundedSender<Told>,
+) -> Result<(Disk, Vec<PartLog>), Error> {
+    let mut is_failing = false;
+    loop {
+        match Disk::open(dir, capacity, drawn, told.clone()) {
+            Err(error @ rainlug_wal::Error::Io(..)) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    log::error("disk", &format!("waits: {error}"));
+                }
+                sleep(DISK_PAUSE).await;
+            }
+            opened => return Ok(opened?),
+        }
+    }
+}
+
 impl Node {
     /// Starts a process in a role and serves until it is told to end.
     ///
@@ -89,17 +113,18 @@
     /// Where settings, sockets or disk cannot be used.
     pub async fn run(role: Role, settings: Settings) -> Result<(), Error> {
         let clock = Clock::start();
-        let (saved, mut on_disk) = mpsc::unbounded_channel::<Saved>();
+        let (saved, mut on_disk) = mpsc::unbounded_channel::<Told>();
         let peer = settings.peer();
         let seeds = settings.seed_peers();
         let founds = settings.first_boot && role == Role::Gateway && seeds.contains(&peer);
         let drawn = if founds { founding_id(peer) } else { draw().max(1) };
-        let (disk, id, logs) = match &settings.data_dir {
+        let disk_bytes = (settings.limits.disk_mb.max(1.0) * 1e6) as u64;
+        let (disk, logs) = match &settings.data_dir {
             Some(dir) => {
-                let (disk, id, logs) = Disk::open(dir, drawn, saved)?;
-                (Some(disk), Some(id), logs)
+                let (disk, logs) = open_disk(dir, disk_bytes, drawn, saved).await?;
+                (Some(disk), logs)
             }
-            None => (None, None, Vec::new()),
+            None => (None, Vec::new()),
         };
         let control_at = settings.listen.control;
         let told = NodeInfo {
@@ -108,12 +133,12 @@
             at: peer,
             control: control_at,
             gateway: role == Role::Gateway,
-            disk: id,
+            disk: disk.as_ref().map(Disk::id),
             first_boot: settings.first_boot,
             seeds,
             tolerate: settings.tolerate.machines as usize,
             beat: settings.beat_ms as Time * 1000,
-            disk_bytes: (settings.limits.disk_mb.max(1.0) * 1e6) as usize,
+            disk_bytes: disk_bytes as usize,
             keep_lots: ((settings.bounds.status_s + 60.0) * 1e6) as Time,
             seed: draw(),
         };
@@ -144,7 +169,6 @@
             rings: Cell::new(0),
             sooner: Notify::new(),
             pumping: Cell::new(false),
-            failed: Notify::new(),
         });
         log::event("start", &format!("{:?}, peers at {peer}", role));
         let taken = node.clone();
@@ -165,16 +189,10 @@
         spawn_local(node.gateway.clone().run());
         let keeps = node.clone();
         spawn_local(async move {
-            while let Some(Saved { part, ticket, result, disk }) = on_disk.recv().await {
-                if keeps.disk.borrow().as_ref().is_some_and(|d| d.id() != disk) {
-                    continue;
-                }
-                match result {
-                    Ok(()) => keeps.with(|coordinator, now| coordinator.saved(now, part, ticket)),
-                    Err(error) => {
-                        log::error("disk", &error.to_string());
-                        keeps.failed.notify_one();
-                    }
+            while let Some(told) = on_disk.recv().await {
+                let is_current = keeps.disk.borrow().as_ref().is_some_and(|disk| disk.id() == told.disk);
+                if is_current {
+                    keeps.disk_told(told.part, told.report);
                 }
             }
         });
@@ -202,9 +220,6 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                () = self.failed.notified() => {
-                    return Err(Error::Io(std::io::Error::other("the disk does not keep what is written")));
-                }
                 _ = hangup.recv() => match Settings::from_environment() {
                     Ok(_) => log::event("settings", "read again"),
                     Err(error) => log::error("settings", &error.to_string()),
@@ -254,16 +269,19 @@
             }
             Effect::Frame { to, head, tail } => self.peers.send(to, head, tail),
             Effect::Save { part, ticket, records } => {
-                let kept = self.disk.borrow_mut().as_mut().map(|d| d.save(part, ticket, records));
-                self.kept(kept);
+                if let Some(disk) = self.disk.borrow_mut().as_mut() {
+                    disk.save(part, ticket, records);
+                }
             }
-            Effect::Rewrite { part, ticket, records } => {
-                let kept = self.disk.borrow_mut().as_mut().map(|d| d.rewrite(part, ticket, records));
-                self.kept(kept);
+            Effect::Rewrite { part, ticket, records, implied } => {
+                if let Some(disk) = self.disk.borrow_mut().as_mut() {
+                    disk.compact(part, ticket, records, implied);
+                }
             }
             Effect::Renew { disk } => {
-                let renewed = self.disk.borrow_mut().as_mut().map(|d| d.renew(disk));
-                self.kept(renewed);
+                if let Some(Err(error)) = self.disk.borrow_mut().as_mut().map(|d| d.renew(disk)) {
+                    log::error("disk", &error.to_string());
+                }
             }
             Effect::Answer { ticket, answer } => {
                 if let Some(waits) = self.answers.borrow_mut().remove(&ticket) {
@@ -287,10 +305,18 @@
         }
     }
 
-    fn kept(&self, kept: Option<Result<(), rainlug_wal::Error>>) {
-        if let Some(Err(error)) = kept {
-            log::error("disk", &error.to_string());
-            self.failed.notify_one();
+    /// A part's log is further, or the disk holds it up. That ends nothing: what is not saved is not acknowledged.
+    fn disk_told(self: &Rc<Self>, part: u16, report: Report) {
+        match report {
+            Report::Done(done) => {
+                if let Some(compaction) = done.compaction {
+                    let (length, took) = (done.length, done.took.as_millis());
+                    log::event("disk", &format!("part {part}: {compaction:?}, {length} bytes, {took} ms"));
+                }
+                self.with(|coordinator, now| coordinator.saved(now, part, done.ticket, done.length));
+            }
+            Report::Failing(error) => log::error("disk", &format!("part {part} waits: {error}")),
+            Report::Recovered => log::event("disk", &format!("part {part} is written again")),
         }
     }
 
