A reset that the writer hears of is not an orderly end to the reader; items in the fuzz

The system tells of a reset once, here to the write that was under way; the read then found an end, and the cut answer passed for a whole success. Change: after a failed write the codec takes no end for an orderly one. The fuzz also runs items, over and over, and its checker judges their events and ends.

--- a/crates/gateway/tests/plane/correlation.rs
+++ b/crates/gateway/tests/plane/correlation.rs
@@ -262,3 +262,20 @@
         assert_eq!((*worker.left.borrow(), bench.figure("in_hand")), (1, 0.0));
     });
 }
+
+#[test]
+fn an_answer_without_length_that_is_reset_while_the_body_is_written_is_not_whole() {
+    run(async {
+        let (at, taken) = raw_worker(|mut stream, taken, nth| async move {
+            read_some(&mut stream, &taken, nth).await;
+            let answer = format!("HTTP/1.1 200 OK\r\nX-Rainlug-Attempt-Id: a\r\n{SEAL}\r\nhalf of it");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            sleep(Duration::from_millis(20)).await;
+            stream.set_zero_linger().unwrap();
+        })
+        .await;
+        let bench = bench_for_large_bodies(&[at]).await;
+        let got = bench.client().await.ask(&post("/m/1", "a", "", &"x".repeat(LARGE))).await;
+        assert_eq!((got.status(), taken.borrow().len()), (502, 1));
+    });
+}
--- a/crates/gateway/tests/plane/worker_side/checker.rs
+++ b/crates/gateway/tests/plane/worker_side/checker.rs
@@ -1,6 +1,8 @@
 //! The checker fires where a rule is broken: recordings that are sound, and the same with one thing wrong.
 
-use super::recording::{EVENTS, Kind, Received, Recording, Run, Sent, Violation, write_event};
+use rainlug_gateway::RanEnd;
+
+use super::recording::{EVENTS, ItemRun, Kind, Received, Recording, Run, Sent, Violation, write_event};
 
 fn run_of(id: &str, kind: Kind, last_event: u64, answer: &str) -> Run {
     Run {
@@ -38,10 +40,11 @@
     numbers.map(|number| write_event(number, run)).collect()
 }
 
-/// Two requests that run once and a stream that was taken up at a second worker, all well.
+/// Two requests that run once, a stream that was taken up at a second worker and an item that was run twice, all well.
 fn sound() -> Recording {
     let mut recording = Recording::default();
-    for (id, kind) in [("a", Kind::Once), ("b", Kind::Once), ("s", Kind::ResumableStream)] {
+    for (id, kind) in [("a", Kind::Once), ("b", Kind::Once), ("s", Kind::ResumableStream), ("i", Kind::Item)]
+    {
         let sent = Sent { kind, deadline_ms: 100, body: b"body".to_vec() };
         recording.sent.insert(id.into(), sent);
     }
@@ -50,6 +53,24 @@
         run_of("b", Kind::Once, 0, "of b"),
         run_of("s", Kind::ResumableStream, 0, ""),
         run_of("s", Kind::ResumableStream, 2, ""),
+        run_of("i", Kind::Item, 0, ""),
+        run_of("i", Kind::Item, 2, ""),
+    ];
+    recording.items = vec![
+        ItemRun {
+            id: "i".into(),
+            before: 4,
+            last_event: 0,
+            events: vec![(1, 4), (2, 4)],
+            end: RanEnd::Again,
+        },
+        ItemRun {
+            id: "i".into(),
+            before: 5,
+            last_event: 2,
+            events: (3..=EVENTS).map(|event| (event, 5)).collect(),
+            end: RanEnd::Complete,
+        },
     ];
     let stream = events(1..=2, 2) + &events(3..=EVENTS, 3);
     recording.received =
@@ -143,3 +164,15 @@
     };
     assert_eq!(after(not_resumable), disordered, "joined though it may not be resumed");
 }
+
+#[test]
+fn items_that_are_told_wrongly_are_found() {
+    let of = |violation: fn(String) -> Violation| Err(violation("i".into()));
+    assert_eq!(after(|r| r.items[0].end = RanEnd::Failed), of(Violation::WrongEnd), "no worker said 500");
+    assert_eq!(after(|r| r.items[0].end = RanEnd::Never), of(Violation::WrongEnd), "no worker said 422");
+    assert_eq!(after(|r| r.items[0].end = RanEnd::Complete), of(Violation::NotTheWhole));
+    assert_eq!(after(|r| r.runs[5].has_end = false), of(Violation::NotTheWhole));
+    assert_eq!(after(|r| r.items[1].events[0].0 = 4), of(Violation::Disordered), "one is missing");
+    assert_eq!(after(|r| r.items[0].events[1].1 = 5), of(Violation::Disordered), "of another run");
+    assert_eq!(after(|r| r.items[1].before = 6), of(Violation::WrongEnd), "no worker got it");
+}
--- a/crates/gateway/tests/plane/worker_side/mod.rs
+++ b/crates/gateway/tests/plane/worker_side/mod.rs
@@ -15,7 +15,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::common::*;
-use recording::{Kind, Received, Recording, Sent};
+use bytes::Bytes;
+use rainlug_gateway::{Item, RanEnd};
+use recording::{ItemRun, Kind, Received, Recording, Sent};
 use scripted::{Play, plays, scripted};
 
 /// Cases of each test; `RAINLUG_FUZZ_CASES` gives another number, and `RAINLUG_FUZZ_SEED` is added to the seeds.
@@ -25,6 +27,10 @@
 const LARGE_LIMITS: &str =
     r#"{"max_header_bytes":4096,"max_body_bytes":8000000,"header_timeout_ms":300,"idle_timeout_ms":5000}"#;
 
+/// Runs of an item that does not come to its end, and the time of each.
+const ITEM_RUNS: usize = 6;
+const ITEM_MS: u64 = 150;
+
 /// What a client sends next on its connection.
 #[derive(Clone, Debug)]
 struct Call {
@@ -45,13 +51,14 @@
         .prop_map(|(kind, deadline_ms, large, leaves_ms)| Call { kind, deadline_ms, large, leaves_ms })
 }
 
-/// The scripts of some workers, and the calls of some clients.
-type Case = (Vec<Vec<Play>>, Vec<Vec<Call>>);
+/// The scripts of some workers, the calls of some clients, and how many items there are.
+type Case = (Vec<Vec<Play>>, Vec<Vec<Call>>, usize);
 
 fn cases() -> impl Strategy<Value = Case> {
     (
         prop::collection::vec(prop::collection::vec(plays(), 1..6), 1..4),
         prop::collection::vec(prop::collection::vec(calls(), 1..6), 1..4),
+        0..3usize,
     )
 }
 
@@ -91,7 +98,8 @@
             let recording = recording.borrow();
             let whole = recording.received.iter().filter(|got| got.whole && got.status == 200).count();
             seen.borrow_mut().0 += recording.sent.len();
-            seen.borrow_mut().1 += whole;
+            let complete = recording.items.iter().filter(|run| run.end == RanEnd::Complete).count();
+            seen.borrow_mut().1 += whole + complete;
             seen.borrow_mut().2 += recording.runs.len();
             prop_assert_eq!(recording.check(), Ok(()), "{}", recording.brief());
             Ok(())
@@ -102,7 +110,7 @@
     assert!(whole * 4 > sent && runs > whole, "too little goes well for the rest to mean much");
 }
 
-async fn play((scripts, calls): Case, recording: Rc<RefCell<Recording>>) {
+async fn play((scripts, calls, items): Case, recording: Rc<RefCell<Recording>>) {
     let bench = Rc::new(Bench::bare().await);
     bench.gateway.configure(configuration(1, ROUTES, LARGE_LIMITS));
     for (number, script) in scripts.into_iter().enumerate() {
@@ -114,8 +122,9 @@
         .into_iter()
         .enumerate()
         .map(|(number, calls)| spawn_local(client(bench.clone(), number, calls, recording.clone())));
-    for client in clients.collect::<Vec<_>>() {
-        client.await.unwrap();
+    let items = (0..items).map(|number| spawn_local(item(bench.clone(), number, recording.clone())));
+    for caller in clients.chain(items).collect::<Vec<_>>() {
+        caller.await.unwrap();
     }
     // What was written last is read.
     sleep(Duration::from_millis(10)).await;
@@ -157,3 +166,36 @@
     recording.borrow_mut().unasked.extend_from_slice(&client.buffer);
     read.is_err()
 }
+
+/// Runs of an item, the next one where the last one ended, and at once: the same worker may get it again on the same connection.
+async fn item(bench: Rc<Bench>, number: usize, recording: Rc<RefCell<Recording>>) {
+    let id = format!("item{number}");
+    let sent = Sent { kind: Kind::Item, deadline_ms: ITEM_MS, body: b"body".to_vec() };
+    recording.borrow_mut().sent.insert(id.clone(), sent);
+    let configuration = configuration(1, ROUTES, LARGE_LIMITS);
+    let route = configuration.routes.iter().find(|route| route.name == "jobs").unwrap().clone();
+    let mut last_event = 0;
+    for _ in 0..ITEM_RUNS {
+        let before = recording.borrow().runs.len();
+        let item = Item {
+            id: id.clone(),
+            route: route.clone(),
+            path: format!("/b/{id}"),
+            headers: Vec::new(),
+            body: Bytes::from_static(b"body"),
+            last_event,
+            deadline_ms: ITEM_MS,
+            tried: Vec::new(),
+        };
+        let ran = bench.gateway.item(item).await;
+        let number = |data: &Bytes| std::str::from_utf8(data).unwrap().parse().unwrap();
+        let events: Vec<(u64, usize)> = ran.events.iter().map(|(id, data)| (*id, number(data))).collect();
+        let last = events.last().map_or(last_event, |(id, _)| *id);
+        let run = ItemRun { id: id.clone(), before, last_event, events, end: ran.end };
+        recording.borrow_mut().items.push(run);
+        last_event = last;
+        if matches!(ran.end, RanEnd::Complete | RanEnd::Never) {
+            return;
+        }
+    }
+}
--- a/crates/gateway/tests/plane/worker_side/recording.rs
+++ b/crates/gateway/tests/plane/worker_side/recording.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use rainlug_gateway::RanEnd;
+
 use crate::common::field;
 
 /// Events of a whole stream.
@@ -14,9 +16,12 @@
     Once,
     ResumableStream,
     OnceStream,
+    /// Of a batch job.
+    Item,
 }
 
 impl Kind {
+    /// Those that clients send.
     pub const ALL: [Kind; 4] = [Kind::Repeatable, Kind::Once, Kind::ResumableStream, Kind::OnceStream];
 
     /// The prefix of its route, of `common::ROUTES`.
@@ -26,16 +31,21 @@
             Kind::Once => "/m/",
             Kind::ResumableStream => "/s/",
             Kind::OnceStream => "/n/",
+            Kind::Item => "/b/",
         }
     }
 
     /// The `max_tries` of its route.
     fn most_runs(self) -> usize {
-        if self == Kind::Repeatable { 2 } else { 3 }
+        match self {
+            Kind::Repeatable => 2,
+            Kind::Item => usize::MAX,
+            _ => 3,
+        }
     }
 
     pub fn streams(self) -> bool {
-        matches!(self, Kind::ResumableStream | Kind::OnceStream)
+        matches!(self, Kind::ResumableStream | Kind::OnceStream | Kind::Item)
     }
 
     fn runs_once(self) -> bool {
@@ -84,11 +94,24 @@
     }
 }
 
+/// A run of an item as it was told to whoever asked for it.
+#[derive(Clone, Debug)]
+pub struct ItemRun {
+    pub id: String,
+    /// The runs that there were before it.
+    pub before: usize,
+    pub last_event: u64,
+    /// Numbers of events, and of the runs that they name.
+    pub events: Vec<(u64, usize)>,
+    pub end: RanEnd,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct Recording {
     pub sent: BTreeMap<String, Sent>,
     pub received: Vec<Received>,
+    pub items: Vec<ItemRun>,
     /// A run's place is its number, which its seal and its answer name.
     pub runs: Vec<Run>,
     /// Bytes that clients got while they waited for nothing.
@@ -117,6 +140,8 @@
     NotTheWhole(String),
     /// Events are missing, come twice or are of runs that did not go on where the last one ended.
     Disordered(String),
+    /// A run of an item is said to have failed, or that it never can be done, and no worker said so.
+    WrongEnd(String),
 }
 
 impl Recording {
@@ -133,6 +158,7 @@
         }
         self.runs.iter().try_for_each(|run| self.check_run(run))?;
         self.sent.iter().try_for_each(|(id, sent)| self.check_count(id, sent))?;
+        self.items.iter().try_for_each(|item| self.check_item(item))?;
         self.received.iter().try_for_each(|received| self.check_received(received))
     }
 
@@ -199,6 +225,29 @@
         if sound { Ok(()) } else { Err(Violation::NotTheWhole(id)) }
     }
 
+    fn check_item(&self, item: &ItemRun) -> Result<(), Violation> {
+        let runs = self.runs.iter().enumerate().skip(item.before);
+        let own = runs.filter(|(_, run)| run.id == item.id && run.last_event() == item.last_event);
+        // It is sent to a worker once, and the next run begins after this one's end.
+        let Some((number, run)) = own.min_by_key(|(number, _)| *number) else {
+            let nothing = item.events.is_empty() && matches!(item.end, RanEnd::Again | RanEnd::NoRoom);
+            return if nothing { Ok(()) } else { Err(Violation::WrongEnd(item.id.clone())) };
+        };
+        let mut expected = (item.last_event + 1..).map(|event| (event, number));
+        if !item.events.iter().all(|event| Some(*event) == expected.next()) {
+            return Err(Violation::Disordered(item.id.clone()));
+        }
+        let last = item.events.last().map_or(item.last_event, |(event, _)| *event);
+        if item.end == RanEnd::Complete && (last != EVENTS || run.status != 200 || !run.has_end) {
+            return Err(Violation::NotTheWhole(item.id.clone()));
+        }
+        match item.end {
+            RanEnd::Failed if run.status != 500 => Err(Violation::WrongEnd(item.id.clone())),
+            RanEnd::Never if run.status != 422 => Err(Violation::WrongEnd(item.id.clone())),
+            _ => Ok(()),
+        }
+    }
+
     fn run_of_seal(&self, seal: &str) -> Option<&Run> {
         self.runs.get(seal.strip_prefix("s.")?.parse::<usize>().ok()?)
     }
--- a/crates/gateway/tests/plane/worker_side/scripted.rs
+++ b/crates/gateway/tests/plane/worker_side/scripted.rs
@@ -86,7 +86,7 @@
         8 => Just(Reply::Success),
         2 => Just(Reply::Status(503, true)),
         1 => Just(Reply::Status(421, true)),
-        2 => prop::sample::select(vec![408, 429, 500, 503, 504]).prop_map(|s| Reply::Status(s, false)),
+        2 => prop::sample::select(vec![408, 422, 429, 500, 503, 504]).prop_map(|s| Reply::Status(s, false)),
         1 => prop::sample::select(vec![
             "HTTP/1.1 999 Eh\r\n\r\n", "\0\0\0", "hello\r\n\r\n",
             "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
--- a/crates/transport/src/codec.rs
+++ b/crates/transport/src/codec.rs
@@ -47,12 +47,13 @@
     sizes: Sizes,
     in_parts: bool,
     bodiless: bool,
+    reset: bool,
 }
 
 impl Messages {
     /// Heads and whole bodies are no larger than `sizes` says.
     pub fn new(body_of: fn(&[u8]) -> Result<Body, End>, sizes: Sizes) -> Self {
-        Messages { at: At::Head, searched: 0, body_of, sizes, in_parts: false, bodiless: false }
+        Messages { at: At::Head, searched: 0, body_of, sizes, in_parts: false, bodiless: false, reset: false }
     }
 
     /// Other sizes from now on.
@@ -70,6 +71,12 @@
         self.bodiless = bodiless;
     }
 
+    /// The connection was reset: an end that is read from now on is no orderly one. The system tells of a reset once, and to who
+    /// writes if that comes first; who reads then finds an end.
+    pub fn reset(&mut self) {
+        self.reset = true;
+    }
+
     /// True between two messages.
     pub fn between(&self) -> bool {
         self.at == At::Head && self.searched == 0
@@ -187,7 +194,7 @@
     fn decode_eof(&mut self, from: &mut BytesMut) -> Result<Option<Piece>, End> {
         match self.decode(from)? {
             Some(piece) => Ok(Some(piece)),
-            None if self.at == At::UntilEnd => {
+            None if self.at == At::UntilEnd && !self.reset => {
                 self.at = At::Head;
                 Ok(Some(Piece::Last))
             }
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -94,7 +94,13 @@
         let (framed, outgoing) = (&mut self.framed, &mut self.outgoing);
         let piece = poll_fn(|context| {
             // A peer that takes no more may have answered all the same.
-            while outgoing.pending() && outgoing.poll_write(framed.get_mut(), context).is_ready() {}
+            while outgoing.pending() {
+                match outgoing.poll_write(framed.get_mut(), context) {
+                    Poll::Ready(Ok(_)) => {}
+                    Poll::Ready(Err(_)) => framed.codec_mut().reset(),
+                    Poll::Pending => break,
+                }
+            }
             framed.poll_next_unpin(context)
         });
         piece.await.unwrap_or(Err(End::Closed))
