--- a/crates/coordinator/tests/operators/stories.rs
+++ b/crates/coordinator/tests/operators/stories.rs
@@ -233,6 +233,7 @@
     const PADDING: usize = 30_000;
     let mut campaign =
         Campaign::new(3, 1, 0, Habits { operators: 0, padding: PADDING, ..Habits::default() }, 80);
+    campaign.fleet.rewrites_put_off = 0.0;
     let orders: Vec<usize> = (0..VERSIONS as u64).map(|n| campaign.order(5 + 2 * n, 7 + 2 * n)).collect();
     for order in &orders {
         assert_eq!(campaign.put(order % 4, *order), Response::Accepted);
