Tests of a leader's room, of a stalled disk and of a job sent again

Cause: the admission of batch jobs by room and by a stalled disk, and the one proposal for a job sent again, had no tests. Result: coordinator's tests pass.

--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -65,6 +65,8 @@
     pub tolerate: usize,
     pub run_time: Time,
     pub bytes: u64,
+    /// What each disk holds.
+    pub disk_bytes: usize,
 }
 
 pub fn address(place: usize) -> SocketAddr {
@@ -91,6 +93,7 @@
             tolerate: 1,
             run_time: 300 * MS,
             bytes: 0,
+            disk_bytes: 256 << 20,
         };
         (0..core).for_each(|n| {
             fleet.add(true, true, n);
@@ -158,7 +161,7 @@
             seeds,
             tolerate: self.tolerate,
             beat: 1200 * MS,
-            disk_bytes: 256 << 20,
+            disk_bytes: self.disk_bytes,
             keep_lots: 180 * SECOND,
             seed,
         };
@@ -304,7 +307,9 @@
                         keep(&mut disk.synced, part, whole, records);
                     }
                 }
-                coordinator.saved(now, part, ticket, 0);
+                let kept = machine.disk.as_ref().and_then(|disk| disk.synced.get(&part));
+                let length = kept.into_iter().flatten().map(|record| record.len() as u64).sum();
+                coordinator.saved(now, part, ticket, length);
             }
             Event::Wake { .. } => {
                 machine.wakes = Time::MAX;
@@ -449,10 +454,15 @@
 /// A fleet that has founded its parts and has the first configuration, version 5, in force everywhere.
 pub fn settled(core: usize, plain: usize, stores: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(core, plain, stores, seed);
+    settle(&mut fleet);
+    fleet
+}
+
+/// Starts a fleet, and brings it to where [`settled`] has it.
+pub fn settle(fleet: &mut Fleet) {
     fleet.start_all();
     fleet.pass(6.0);
     let answer = fleet.ask(0, Call::Configure { base: 0, text: configuration(5, "notary") }, 2.0);
     assert_eq!(answer.map(|a| a.status), Some(200));
     fleet.pass(1.0);
-    fleet
 }
--- a/crates/coordinator/tests/stories.rs
+++ b/crates/coordinator/tests/stories.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{MS, beat, configuration, lot, settled};
+use common::{Fleet, MS, beat, configuration, lot, settle, settled};
 use rainlug::SECOND;
 use rainlug_coordinator::{CONTROL, Call, part_of};
 use rainlug_registry::Phase;
@@ -361,3 +361,66 @@
         "a part without a group"
     );
 }
+
+#[test]
+fn given_a_small_disk_when_batch_jobs_would_not_fit_then_they_are_refused_until_outputs_are_known_to_be_short()
+ {
+    let mut fleet = Fleet::new(4, 6, 4, 61);
+    fleet.disk_bytes = 2 << 20;
+    fleet.run_time = 2 * SECOND;
+    settle(&mut fleet);
+    let mut accepted = Vec::new();
+    let refused = (0..20).find_map(|n| {
+        let id = format!("job-{n}");
+        let answer = fleet.ask(5, submit(&id, 100), 2.0).expect("an answer");
+        if answer.status == 202 {
+            accepted.push(id);
+            return None;
+        }
+        Some(answer)
+    });
+    let refused = refused.expect("20 jobs of 100 items do not fit as long as their outputs may be long");
+    assert_eq!(refused.status, 503);
+    assert!(refused.retry.is_some_and(|pause| pause > 0));
+    // 100 outputs of 4 KB and some each: four jobs.
+    assert_eq!(accepted.len(), 4);
+    for id in &accepted {
+        assert_eq!(fleet.ask(6, read(id, 0), 2.0).map(|a| a.status), Some(200), "{id}");
+    }
+    fleet.pass(20.0);
+    assert_eq!(fleet.ask(5, submit("later", 100), 2.0).map(|a| a.status), Some(202));
+}
+
+#[test]
+fn given_a_stalled_disk_when_a_batch_job_comes_then_it_is_refused_at_once_and_the_one_before_is_accepted_in_the_end()
+ {
+    let mut fleet = settled(4, 6, 4, 62);
+    let first = {
+        fleet.sync = 2 * SECOND;
+        fleet.call(5, submit("first", 3))
+    };
+    fleet.pass(1.2);
+    assert!(!fleet.answers.contains_key(&first), "nothing is acknowledged before it is saved");
+    let second = fleet.ask(6, submit("second", 3), 0.3).expect("an answer at once");
+    assert_eq!(second.status, 503);
+    assert!(second.retry.is_some_and(|pause| pause > 0));
+    fleet.sync = MS;
+    assert!(fleet.until(10.0, |fleet| fleet.answers.contains_key(&first)));
+    assert_eq!(fleet.answers[&first].1.status, 202);
+    assert_eq!(fleet.ask(6, submit("second", 3), 2.0).map(|a| a.status), Some(202));
+}
+
+#[test]
+fn given_a_batch_job_sent_again_before_it_is_agreed_on_then_its_bytes_are_logged_once_and_all_are_answered() {
+    let mut fleet = settled(4, 6, 4, 63);
+    let tickets: Vec<u64> = (4..8).map(|at| fleet.call(at, submit("twice", 50))).collect();
+    fleet.pass(2.0);
+    for ticket in tickets {
+        assert_eq!(fleet.answers.get(&ticket).map(|a| a.1.status), Some(202));
+    }
+    let leader = fleet.leader(part_of("lots")).expect("a leader");
+    let disk = fleet.machines[leader].disk.as_ref().expect("a store has a disk");
+    let log = &disk.synced[&part_of("lots")];
+    let bodies = log.iter().filter(|r| r.len() > 2000 && r.windows(8).any(|w| w == b"twice-49")).count();
+    assert_eq!(bodies, 1);
+}
