--- /dev/null
+++ b/crates/tier/tests/disk.rs
@@ -0,0 +1,55 @@
+//! The process's disk: its identity and the logs of its parts.
+
+use std::fs;
+
+use bytes::Bytes;
+use rainlug_tier::disk::Disk;
+use rainlug_wal::{Error, Report};
+use tokio::sync::mpsc;
+
+const CAPACITY: u64 = 1 << 20;
+
+#[test]
+fn an_identity_is_given_once_and_records_come_back() {
+    let above = tempfile::tempdir().unwrap();
+    let dir = above.path().join("data").join("store");
+    let (told, mut reports) = mpsc::unbounded_channel();
+    let (mut disk, id, logs) = Disk::open(&dir, CAPACITY, 7, told).unwrap();
+    assert_eq!((id, logs.len()), (7, 0));
+    disk.save(1, 1, vec![Bytes::from("a")]);
+    disk.save(1, 2, vec![Bytes::from("b")]);
+    loop {
+        match reports.blocking_recv() {
+            Some((1, Report::Done(done))) if done.ticket == 2 => break,
+            Some((1, Report::Done(_))) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    drop(disk);
+    let (told, _reports) = mpsc::unbounded_channel();
+    let (_, id, logs) = Disk::open(&dir, CAPACITY, 8, told).unwrap();
+    assert_eq!(id, 7, "the disk's, and not what was drawn now");
+    assert_eq!(logs, [(1, vec![Bytes::from("a"), Bytes::from("b")])]);
+}
+
+#[test]
+fn an_identity_that_lost_its_record_with_the_power_is_given_anew() {
+    let dir = tempfile::tempdir().unwrap();
+    fs::write(dir.path().join("identity"), b"").unwrap();
+    let (told, _reports) = mpsc::unbounded_channel();
+    let (_, id, _) = Disk::open(dir.path(), CAPACITY, 9, told).unwrap();
+    assert_eq!(id, 9);
+}
+
+#[test]
+fn a_folder_that_cannot_be_made_is_named() {
+    let above = tempfile::tempdir().unwrap();
+    let dir = above.path().join("data");
+    fs::write(&dir, b"a file").unwrap();
+    let (told, _reports) = mpsc::unbounded_channel();
+    match Disk::open(&dir, CAPACITY, 9, told) {
+        Err(Error::Io(named, _)) => assert_eq!(named, dir),
+        Err(other) => panic!("{other}"),
+        Ok(_) => panic!("a file is no folder"),
+    }
+}
