Links are not filled by entries on their way, nor by jobs sent to members that do not lead

Change: bytes on their way to a follower are bounded, not only messages; a call with a long tail first asks who leads. Both tests fail without it.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -37,8 +37,8 @@
 enum Flow {
     /// Asks where the logs part, by messages without entries.
     Probe { asked: bool },
-    /// The newest index of each message on its way.
-    Replicate { in_flight: VecDeque<Index> },
+    /// The newest index of each message on its way, and its bytes.
+    Replicate { in_flight: VecDeque<(Index, usize)> },
     /// A piece at a time.
     Snapshot { snapshot: Arc<Snapshot>, offset: u64, sent: bool, moved: bool },
 }
--- a/crates/consensus/src/replica/receiving.rs
+++ b/crates/consensus/src/replica/receiving.rs
@@ -123,7 +123,7 @@
                 }
             }
             Flow::Replicate { in_flight } => {
-                while in_flight.front().is_some_and(|&index| index <= matched) {
+                while in_flight.front().is_some_and(|&(index, _)| index <= matched) {
                     in_flight.pop_front();
                 }
             }
--- a/crates/consensus/src/replica/sending.rs
+++ b/crates/consensus/src/replica/sending.rs
@@ -1,5 +1,7 @@
 //! What goes to other members: answers that wait for the disk, and what each follower lacks.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 
 use super::{Flow, MOST_ENTRIES, MOST_IN_FLIGHT, Observed, Progress, Replica, Role};
@@ -7,6 +9,13 @@
 use crate::wire::{self, Body};
 use crate::{Index, Member, Term};
 
+/// Whether one more message may go to a follower beside those that it has not acknowledged: no more than a few, and few bytes, so
+/// that signs of life do not wait behind them.
+fn has_room(in_flight: &VecDeque<(Index, usize)>, most_bytes: usize) -> bool {
+    let bytes: usize = in_flight.iter().map(|(_, bytes)| bytes).sum();
+    in_flight.len() < MOST_IN_FLIGHT && bytes < most_bytes
+}
+
 impl Replica {
     pub(super) fn encode(&self, to: &Member, body: Body, bulk: &[&[u8]]) -> (Member, Bytes) {
         (to.clone(), wire::message(to.id, &self.me, self.term, body, bulk))
@@ -94,13 +103,13 @@
                 }
             }
             Flow::Replicate { in_flight } => {
-                while in_flight.len() < MOST_IN_FLIGHT && progress.next <= self.log.last() {
+                while has_room(in_flight, self.settings.most_bytes) && progress.next <= self.log.last() {
                     let prev = progress.next - 1;
                     let (message, last) = self.entries_message(&progress.member, prev);
+                    in_flight.push_back((last, message.1.len()));
                     messages.push(message);
                     progress.commit_sent = progress.commit_sent.max(self.commit.min(last));
                     progress.next = last + 1;
-                    in_flight.push_back(last);
                 }
                 if progress.next > self.log.last() {
                     progress.allowance = 0;
--- a/crates/consensus/tests/transfer.rs
+++ b/crates/consensus/tests/transfer.rs
@@ -61,3 +61,22 @@
 fn given_a_large_state_when_one_is_back_then_it_gets_the_newest_snapshot_and_no_older_one() {
     one_snapshot_is_enough(Settings { lag_bytes: 6_400, compact_bytes: 6_400, ..settings(2) }, 1_000, 200);
 }
+
+#[test]
+fn given_a_follower_that_acknowledges_late_when_much_is_proposed_then_few_bytes_are_on_their_way_to_it() {
+    let settings = Settings { lag_bytes: 1_000_000, ..settings(2) };
+    let mut world = World::new(3, &[1, 2, 3], settings);
+    let leader = world.elect();
+    let slow: MemberId = (1..=3).find(|&id| id != leader).expect("a follower");
+    world.run_for(SECOND);
+    world.nodes.get_mut(&slow).expect("a node").disk_delay = 2 * SECOND;
+    world.traffic.remove(&slow);
+    for _ in 0..200 {
+        world.propose(leader, PADDING);
+    }
+    world.run_for(100 * MILLIS);
+    // One message may go beyond the bound.
+    let sent = world.traffic[&slow].bytes;
+    assert!(sent < 3 * settings.most_bytes + 2_000, "{sent} bytes on their way");
+    world.sound();
+}
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -25,6 +25,8 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// The answer to a call that cannot be repeated and may take effect yet.
 const MAYBE: u16 = 504;
+/// A longer tail is sent only to who is known to lead.
+const LONG_TAIL: usize = 4 << 10;
 /// Batch jobs that are known to be in a part, at most.
 const MOST_FOUND: usize = 100_000;
 
@@ -54,6 +56,8 @@
     /// Who was tried last and did not answer in time: others may still name it as the leader.
     silent: Option<SocketAddr>,
     hops: usize,
+    /// It was asked only whether it leads.
+    is_locating: bool,
     /// An earlier try may take effect yet: it had no answer, or its leader was replaced.
     is_unresolved: bool,
     /// What is answered where no time is left and it may have taken effect, or was never heard by a leader.
@@ -204,6 +208,7 @@
             to: None,
             silent: None,
             hops: 0,
+            is_locating: false,
             is_unresolved: false,
             unclear,
         };
@@ -235,14 +240,19 @@
         let Some(ask) = self.asks.get_mut(&nonce) else { return };
         let turn = ask.tries;
         let next = (!seats.is_empty()).then(|| seats[turn % seats.len()]);
-        let to = led.or(hint.filter(|_| turn == 0 || ask.hops > 0)).or(next);
+        let known = led.or(hint.filter(|_| turn == 0 || ask.hops > 0));
+        ask.is_locating = known.is_none() && ask.tail.len() > LONG_TAIL;
+        let to = known.or(next);
         ask.tries += 1;
         let Some(to) = to else {
             ask.try_at = now + PAUSE;
             return;
         };
         (ask.to, ask.try_at) = (Some(to), now + TRY + ask.slack);
-        let (request, tail) = (ask.request.clone(), ask.tail.clone());
+        let (request, tail) = match ask.is_locating {
+            true => (join(&Request::Locate, &[]), Bytes::new()),
+            false => (ask.request.clone(), ask.tail.clone()),
+        };
         if to == self.info.at {
             if let Ok((request, _)) = split(&request) {
                 self.serve(Origin::Own(nonce), number, request, tail);
@@ -270,7 +280,7 @@
                 self.hints.remove(&ask.part);
             }
             ask.hops = 0;
-            ask.is_unresolved |= ask.to.is_some();
+            ask.is_unresolved |= ask.to.is_some() && !ask.is_locating;
             ask.silent = ask.to.or(ask.silent);
             self.attempt(nonce);
         }
@@ -312,7 +322,7 @@
         let soon = self.now.steady + PAUSE;
         self.hints.retain(|_, hint| *hint != at);
         for ask in self.asks.values_mut().filter(|a| a.to == Some(at)) {
-            ask.is_unresolved = true;
+            ask.is_unresolved |= !ask.is_locating;
             (ask.to, ask.hops) = (None, 0);
             ask.try_at = ask.try_at.min(soon);
         }
@@ -327,7 +337,8 @@
         }
         let part = ask.part;
         ask.hops += 1;
-        match leader.filter(|l| *l != from && Some(*l) != ask.silent && ask.hops <= 3) {
+        let is_found = ask.is_locating && leader == Some(from);
+        match leader.filter(|l| is_found || *l != from && Some(*l) != ask.silent && ask.hops <= 3) {
             Some(leader) => {
                 self.hints.insert(part, leader);
                 self.attempt(nonce);
@@ -396,6 +407,7 @@
         }
         let name = |text: &Text| text.to_str().map(str::to_owned).unwrap_or_default();
         match (number, request) {
+            (_, Request::Locate) => self.send_elsewhere(number, origin),
             (CONTROL, Request::Configure { base }) => self.configure(origin, base, tail),
             (CONTROL, Request::Configuration) => self.read(number, origin, Wanted::Configuration),
             (CONTROL, Request::Retire { store }) => self.read(number, origin, Wanted::Retire(name(&store))),
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -143,6 +143,9 @@
         #[deku(count = "count")]
         seats: Vec<Seat>,
     },
+    /// Who leads the part: asked before a long tail is sent.
+    #[deku(id = "7")]
+    Locate,
     /// Of a part of batch jobs. The tail is the body as the client sent it.
     #[deku(id = "16")]
     Submit { lot: Text, route: Text },
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -314,7 +314,8 @@
         heartbeat: SECOND / 10,
         election: 4 * SECOND / 10,
         copies: info.tolerate + 1,
-        most_bytes: 256 << 10,
+        // Of this are a few copies on the leader's link at once, one for each follower.
+        most_bytes: 128 << 10,
         compact_bytes: (info.disk_bytes / 8).clamp(4 << 20, 256 << 20),
         // A snapshot instead takes the room of a second copy at who lags.
         lag_bytes: (info.disk_bytes / 8).clamp(4 << 20, 16 << 20),
--- a/crates/coordinator/tests/promises.rs
+++ b/crates/coordinator/tests/promises.rs
@@ -36,3 +36,22 @@
     }
     assert!(refused > 0, "no course had a refusal after an unresolved try");
 }
+
+#[test]
+fn given_a_part_without_a_leader_when_a_long_job_is_submitted_then_its_bytes_go_only_to_a_leader() {
+    let mut fleet = settled(3, 1, 3, 91);
+    let body = lot("long", 200).len() as u64;
+    assert!(body > 20_000);
+    // Given that two of three stores are without power, and the third is no majority.
+    let stores: Vec<usize> = (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect();
+    stores[1..].iter().for_each(|at| fleet.kill(*at, true));
+    fleet.pass(2.0);
+    let before = fleet.bytes;
+    let ticket = fleet.call(3, submit("long", 200));
+    fleet.pass(1.5);
+    assert!(fleet.bytes - before < body, "{} bytes for a job of {body}", fleet.bytes - before);
+    // When they are back, then the same call is accepted.
+    stores[1..].iter().for_each(|at| fleet.start(*at, false));
+    fleet.pass(1.5);
+    assert_eq!(fleet.answers.get(&ticket).map(|a| a.1.status), Some(202));
+}
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 /// What the thread of a part's log tells of.
+#[derive(Debug)]
 pub struct Told {
     /// The identity that the disk had when the log was begun.
     pub disk: u64,
--- a/crates/tier/tests/disk.rs
+++ b/crates/tier/tests/disk.rs
@@ -3,7 +3,7 @@
 use std::fs;
 
 use bytes::Bytes;
-use rainlug_tier::disk::Disk;
+use rainlug_tier::disk::{Disk, Told};
 use rainlug_wal::{Error, Report};
 use tokio::sync::mpsc;
 
@@ -14,21 +14,21 @@
     let above = tempfile::tempdir().unwrap();
     let dir = above.path().join("data").join("store");
     let (told, mut reports) = mpsc::unbounded_channel();
-    let (mut disk, id, logs) = Disk::open(&dir, CAPACITY, 7, told).unwrap();
-    assert_eq!((id, logs.len()), (7, 0));
+    let (mut disk, logs) = Disk::open(&dir, CAPACITY, 7, told).unwrap();
+    assert_eq!((disk.id(), logs.len()), (7, 0));
     disk.save(1, 1, vec![Bytes::from("a")]);
     disk.save(1, 2, vec![Bytes::from("b")]);
     loop {
         match reports.blocking_recv() {
-            Some((1, Report::Done(done))) if done.ticket == 2 => break,
-            Some((1, Report::Done(_))) => {}
+            Some(Told { disk: 7, part: 1, report: Report::Done(done) }) if done.ticket == 2 => break,
+            Some(Told { disk: 7, part: 1, report: Report::Done(_) }) => {}
             other => panic!("{other:?}"),
         }
     }
     drop(disk);
     let (told, _reports) = mpsc::unbounded_channel();
-    let (_, id, logs) = Disk::open(&dir, CAPACITY, 8, told).unwrap();
-    assert_eq!(id, 7, "the disk's, and not what was drawn now");
+    let (disk, logs) = Disk::open(&dir, CAPACITY, 8, told).unwrap();
+    assert_eq!(disk.id(), 7, "the disk's, and not what was drawn now");
     assert_eq!(logs, [(1, vec![Bytes::from("a"), Bytes::from("b")])]);
 }
 
@@ -37,8 +37,8 @@
     let dir = tempfile::tempdir().unwrap();
     fs::write(dir.path().join("identity"), b"").unwrap();
     let (told, _reports) = mpsc::unbounded_channel();
-    let (_, id, _) = Disk::open(dir.path(), CAPACITY, 9, told).unwrap();
-    assert_eq!(id, 9);
+    let (disk, _) = Disk::open(dir.path(), CAPACITY, 9, told).unwrap();
+    assert_eq!(disk.id(), 9);
 }
 
 #[test]
@@ -53,3 +53,21 @@
         Ok(_) => panic!("a file is no folder"),
     }
 }
+
+#[test]
+fn a_disk_that_gets_another_identity_has_nothing_of_the_earlier_one_and_keeps_the_new_one() {
+    let dir = tempfile::tempdir().unwrap();
+    let (told, mut reports) = mpsc::unbounded_channel();
+    let (mut disk, _) = Disk::open(dir.path(), CAPACITY, 7, told).unwrap();
+    disk.save(1, 5, vec![Bytes::from("earlier")]);
+    assert!(matches!(reports.blocking_recv(), Some(Told { disk: 7, .. })));
+    disk.renew(8).unwrap();
+    assert_eq!(disk.id(), 8);
+    disk.save(1, 1, vec![Bytes::from("later")]);
+    assert!(matches!(reports.blocking_recv(), Some(Told { disk: 8, part: 1, .. })));
+    drop(disk);
+    let (told, _reports) = mpsc::unbounded_channel();
+    let (disk, logs) = Disk::open(dir.path(), CAPACITY, 9, told).unwrap();
+    assert_eq!(disk.id(), 8);
+    assert_eq!(logs, [(1, vec![Bytes::from("later")])]);
+}
