A long job goes only to a member that has just said that it leads; a backlog refuses jobs

Change: who is elected and may not serve names nobody; a long tail is sent after the receiver has said that it leads; a call that was never sent itself is refused with 503; 512 entries without a commit refuse new jobs.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -466,6 +466,10 @@
     pub fn members(&self) -> (&[Member], bool) {
         (&self.log.group().after, self.is_settled())
     }
+    /// Entries that are in its log and not known to be committed.
+    pub fn uncommitted(&self) -> u64 {
+        self.log.last().saturating_sub(self.commit)
+    }
     /// The leader's knowledge of who is behind: entries that each other member lacks on its disk.
     pub fn behind(&self) -> Vec<(MemberId, u64)> {
         let last = self.log.last();
--- a/crates/consensus/tests/transfer.rs
+++ b/crates/consensus/tests/transfer.rs
@@ -75,8 +75,9 @@
         world.propose(leader, PADDING);
     }
     world.run_for(100 * MILLIS);
-    // One message may go beyond the bound.
+    // One message may go beyond the bound, and each has a head.
     let sent = world.traffic[&slow].bytes;
-    assert!(sent < 3 * settings.most_bytes + 2_000, "{sent} bytes on their way");
+    println!("{sent} bytes");
+    assert!(sent < 2 * (settings.most_bytes + PIECE_HEAD), "{sent} bytes on their way");
     world.sound();
 }
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -25,7 +25,7 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// The answer to a call that cannot be repeated and may take effect yet.
 const MAYBE: u16 = 504;
-/// A longer tail is sent only to who is known to lead.
+/// A longer tail is sent only to who has just said that it leads.
 const LONG_TAIL: usize = 4 << 10;
 /// Batch jobs that are known to be in a part, at most.
 const MOST_FOUND: usize = 100_000;
@@ -56,8 +56,12 @@
     /// Who was tried last and did not answer in time: others may still name it as the leader.
     silent: Option<SocketAddr>,
     hops: usize,
-    /// It was asked only whether it leads.
+    /// Who was asked last was asked only whether it leads.
     is_locating: bool,
+    /// The call itself was sent to somebody.
+    is_sent: bool,
+    /// Who has said that it leads.
+    confirmed: Option<SocketAddr>,
     /// An earlier try may take effect yet: it had no answer, or its leader was replaced.
     is_unresolved: bool,
     /// What is answered where no time is left and it may have taken effect, or was never heard by a leader.
@@ -209,6 +213,8 @@
             silent: None,
             hops: 0,
             is_locating: false,
+            is_sent: false,
+            confirmed: None,
             is_unresolved: false,
             unclear,
         };
@@ -240,15 +246,17 @@
         let Some(ask) = self.asks.get_mut(&nonce) else { return };
         let turn = ask.tries;
         let next = (!seats.is_empty()).then(|| seats[turn % seats.len()]);
-        let known = led.or(hint.filter(|_| turn == 0 || ask.hops > 0));
-        ask.is_locating = known.is_none() && ask.tail.len() > LONG_TAIL;
-        let to = known.or(next);
+        let to = led.or(ask.confirmed).or(hint.filter(|_| turn == 0 || ask.hops > 0)).or(next);
+        ask.is_locating = led.is_none() && ask.confirmed.is_none() && ask.tail.len() > LONG_TAIL;
         ask.tries += 1;
         let Some(to) = to else {
             ask.try_at = now + PAUSE;
             return;
         };
-        (ask.to, ask.try_at) = (Some(to), now + TRY + ask.slack);
+        ask.is_sent |= !ask.is_locating;
+        // To say who leads takes no time.
+        let slack = if ask.is_locating { 0 } else { ask.slack };
+        (ask.to, ask.try_at) = (Some(to), now + TRY + slack);
         let (request, tail) = match ask.is_locating {
             true => (join(&Request::Locate, &[]), Bytes::new()),
             false => (ask.request.clone(), ask.tail.clone()),
@@ -270,7 +278,7 @@
         for nonce in due {
             let Some(ask) = self.asks.get_mut(&nonce) else { continue };
             if ask.deadline <= now {
-                let status = if ask.tries == 0 { 503 } else { ask.unclear };
+                let status = if ask.is_sent { ask.unclear } else { 503 };
                 let answer = Answer { retry: (status == 503).then_some(SECOND / 5), ..Answer::of(status) };
                 self.answered(nonce, answer);
                 continue;
@@ -279,7 +287,7 @@
             if ask.to.is_some() && self.hints.get(&ask.part) == ask.to.as_ref() {
                 self.hints.remove(&ask.part);
             }
-            ask.hops = 0;
+            (ask.hops, ask.confirmed) = (0, None);
             ask.is_unresolved |= ask.to.is_some() && !ask.is_locating;
             ask.silent = ask.to.or(ask.silent);
             self.attempt(nonce);
@@ -323,7 +331,7 @@
         self.hints.retain(|_, hint| *hint != at);
         for ask in self.asks.values_mut().filter(|a| a.to == Some(at)) {
             ask.is_unresolved |= !ask.is_locating;
-            (ask.to, ask.hops) = (None, 0);
+            (ask.to, ask.hops, ask.confirmed) = (None, 0, None);
             ask.try_at = ask.try_at.min(soon);
         }
     }
@@ -338,6 +346,7 @@
         let part = ask.part;
         ask.hops += 1;
         let is_found = ask.is_locating && leader == Some(from);
+        ask.confirmed = leader.filter(|_| is_found);
         match leader.filter(|l| is_found || *l != from && Some(*l) != ask.silent && ask.hops <= 3) {
             Some(leader) => {
                 self.hints.insert(part, leader);
@@ -388,7 +397,9 @@
     }
 
     fn send_on(&mut self, number: u16, origin: Origin, proposed: bool) {
-        let leader = self.parts.get(&number).and_then(|p| p.replica.leader()).map(|m| m.at);
+        // One that is elected and may not serve yet does not name itself.
+        let replica = self.parts.get(&number).map(|part| &part.replica);
+        let leader = replica.filter(|r| r.leads() || !r.is_elected()).and_then(|r| r.leader()).map(|m| m.at);
         match origin {
             Origin::Own(nonce) => self.elsewhere(nonce, self.info.at, leader),
             Origin::Remote { to, nonce } => {
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -20,6 +20,8 @@
 const STALL_RETRY: Time = SECOND;
 /// When to come back with a batch job that has no room.
 const FULL_RETRY: Time = 2 * SECOND;
+/// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for more.
+const MOST_UNCOMMITTED: u64 = 512;
 /// Between two orders to forget.
 const FORGET: Time = 20 * SECOND;
 
@@ -81,7 +83,7 @@
     /// Whether the disk is writing and has room for another batch job; otherwise when to come back.
     fn has_room(&self, number: u16, bytes: u64) -> Result<(), Time> {
         let Some(part) = self.parts.get(&number) else { return Ok(()) };
-        if part.disk.is_stalled(self.now.steady) {
+        if part.disk.is_stalled(self.now.steady) || part.replica.uncommitted() > MOST_UNCOMMITTED {
             return Err(STALL_RETRY);
         }
         let proposed: u64 = self.parts.values().flat_map(|p| p.submitting.values()).map(|s| s.bytes).sum();
--- a/crates/coordinator/tests/promises.rs
+++ b/crates/coordinator/tests/promises.rs
@@ -42,7 +42,8 @@
     let mut fleet = settled(3, 1, 3, 91);
     let body = lot("long", 200).len() as u64;
     assert!(body > 20_000);
-    // Given that two of three stores are without power, and the third is no majority.
+    // Given that a job was accepted, so that the leader is known, and then two of three stores are without power.
+    assert_eq!(fleet.ask(3, submit("first", 200), 3.0).map(|a| a.status), Some(202));
     let stores: Vec<usize> = (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect();
     stores[1..].iter().for_each(|at| fleet.kill(*at, true));
     fleet.pass(2.0);
