--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -22,6 +22,8 @@
 const FULL_RETRY: Time = 2 * SECOND;
 /// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for more.
 const MOST_UNCOMMITTED: u64 = 512;
+/// By how much the times of day of two leaders may differ: no item is given up so much before its time by a later leader's clock.
+const CLOCK_SLACK: Time = 3 * SECOND;
 /// Between two orders to forget.
 const FORGET: Time = 20 * SECOND;
 
@@ -67,7 +69,7 @@
             host: route.host.clone(),
             sent: wall,
             due: wall + route.run_target_ms as Time * 1000,
-            retain: wall + (route.retain_s * SECOND as f64) as Time,
+            retain: wall + (route.retain_s * SECOND as f64) as Time + CLOCK_SLACK,
             max_tries: route.max_tries,
             most,
             items,
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -42,6 +42,8 @@
     pub frozen: bool,
     life: u32,
     wakes: Time,
+    /// By how much its time of day is ahead.
+    pub skew: Time,
     /// What it has in force, by version and text; every version that it ever acted on.
     pub in_force: Vec<u64>,
     pub workers: BTreeMap<String, Worker>,
@@ -132,6 +134,7 @@
             frozen: false,
             life: 0,
             wakes: Time::MAX,
+            skew: 0,
             in_force: Vec::new(),
             workers: BTreeMap::new(),
             log: Vec::new(),
@@ -143,14 +146,15 @@
         (0..self.machines.len()).for_each(|at| self.start(at, true));
     }
 
-    fn time(&self) -> Now {
-        Now { steady: self.now, wall: 1_700_000_000 * SECOND + self.now }
+    /// The clocks of a machine.
+    fn time(&self, at: usize) -> Now {
+        Now { steady: self.now, wall: 1_700_000_000 * SECOND + self.now + self.machines[at].skew }
     }
 
     /// A process begins at a machine, with what its disk holds.
     pub fn start(&mut self, at: usize, first_boot: bool) {
         let seeds: Vec<SocketAddr> = (0..self.seeds).map(address).collect();
-        let (seed, now, drawn) = (self.chance.random(), self.time(), self.chance.random::<u64>().max(1));
+        let (seed, now, drawn) = (self.chance.random(), self.time(at), self.chance.random::<u64>().max(1));
         let machine = &mut self.machines[at];
         assert!(machine.coordinator.is_none(), "{} runs", machine.name);
         let founds = first_boot && machine.gateway && seeds.contains(&machine.at);
@@ -246,7 +250,7 @@
     /// A call at a machine; its ticket.
     pub fn call(&mut self, at: usize, call: Call) -> u64 {
         self.tickets += 1;
-        let (ticket, now) = (self.tickets, self.time());
+        let (ticket, now) = (self.tickets, self.time(at));
         if let Some(coordinator) = &mut self.machines[at].coordinator {
             coordinator.call(now, ticket, call);
         }
@@ -295,13 +299,13 @@
     }
 
     fn happen(&mut self, event: Event) {
-        let now = self.time();
         let (at, life) = match &event {
             Event::Datagram { to, life, .. } | Event::Frame { to, life, .. } => (*to, *life),
             Event::Saved { at, life, .. } | Event::Wake { at, life } | Event::Ran { at, life, .. } => {
                 (*at, *life)
             }
         };
+        let now = self.time(at);
         let machine = &mut self.machines[at];
         if machine.life != life || machine.coordinator.is_none() {
             return;
