--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -82,6 +82,8 @@
     pub reads: Vec<(u64, Result<(), Refused>)>,
     /// Something about who leads, or who is a member, has changed.
     pub changed: bool,
-    /// The state machine should call `snapshot`.
+    /// The state machine should call `snapshot`; or `postpone_snapshot`, unless a member needs it.
     pub compact: bool,
+    /// A member needs the snapshot that is asked for.
+    pub is_state_wanted: bool,
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -403,6 +403,12 @@
         self.rewrite();
     }
 
+    /// The snapshot that was asked for does not pay now; it is asked for again after as many bytes.
+    pub fn postpone_snapshot(&mut self) {
+        self.compact_asked = false;
+        self.weight = 0;
+    }
+
     pub fn take(&mut self) -> Output {
         self.advance();
         if self.role == Role::Leader {
@@ -437,6 +443,7 @@
         if std::mem::take(&mut self.state_wanted) && !self.compact_asked {
             self.compact_asked = true;
             self.output.compact = true;
+            self.output.is_state_wanted = true;
         }
         self.trim();
         let observe = self.observe();
--- a/crates/consensus/src/replica/entries.rs
+++ b/crates/consensus/src/replica/entries.rs
@@ -1,7 +1,9 @@
 //! Entries: appended, saved, committed, and replaced by those of a newer leader.
 
+use std::sync::Arc;
+
 use super::{Replica, Role};
-use crate::log::{Entry, Kind};
+use crate::log::{Entry, Kind, Snapshot};
 use crate::wire::{self, Body};
 use crate::{Index, Member, Term};
 use bytes::Bytes;
@@ -36,11 +38,13 @@
         }
     }
     pub(super) fn rewrite(&mut self) {
+        let Snapshot { index, term, ref group, ref state } = *self.snapshot;
+        let record = wire::snapshot_record(index, term, group, state);
+        // The state is in memory once: as the end of its record.
+        let state = record.slice(record.len() - state.len()..);
+        self.snapshot = Arc::new(Snapshot { index, term, group: group.clone(), state });
         let snapshot = &self.snapshot;
-        let mut records = vec![
-            wire::snapshot_record(snapshot.index, snapshot.term, &snapshot.group, &snapshot.state),
-            wire::hard_state_record(self.term, self.voted),
-        ];
+        let mut records = vec![record, wire::hard_state_record(self.term, self.voted)];
         for index in snapshot.index + 1..=self.log.last() {
             records.extend(self.log.get(index).map(|entry| wire::entry_record(index, entry)));
         }
--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -18,6 +18,10 @@
 /// of these tells it of, is not expected.
 const FENCES: usize = 4096;
 
+/// Bytes of a snapshot for each version that was accepted, and for each store with its seats, about.
+const ACCEPTED_BYTES: usize = 16;
+const STORE_BYTES: usize = 256;
+
 /// A change, as it is agreed on.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "little")]
@@ -245,6 +249,11 @@
         Roster::new(seats(core), stores, groups, self.retirements, self.fenced.clone())
     }
 
+    /// Bytes of its snapshot, about.
+    pub fn size(&self) -> usize {
+        self.text.len() + ACCEPTED_BYTES * self.accepted.len() + STORE_BYTES * self.stores.len()
+    }
+
     pub fn snapshot(&self) -> Bytes {
         let accepted = self.accepted.iter().map(|(version, hash)| Pair { version: *version, hash: *hash });
         let accepted: Vec<Pair> = accepted.collect();
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -133,9 +133,13 @@
     /// Its log's part of the disk.
     pub fn log_use(&self) -> LogUse {
         let length = self.disk.length;
-        match self.register() {
-            Some(register) => LogUse { length, rewritten: register.size() as u64, totals: register.totals() },
-            None => LogUse { length, rewritten: length, ..LogUse::default() },
+        match &self.machine {
+            Machine::Lots(register) => {
+                LogUse { length, rewritten: register.size() as u64, totals: register.totals() }
+            }
+            Machine::Control(control) => {
+                LogUse { length, rewritten: control.size() as u64, ..LogUse::default() }
+            }
         }
     }
 
@@ -228,7 +232,11 @@
         if output.compact
             && let Some(part) = self.parts.get_mut(&number)
         {
-            part.compact_wanted = true;
+            if output.is_state_wanted || part.log_use().pays() {
+                part.compact_wanted = true;
+            } else {
+                part.replica.postpone_snapshot();
+            }
         }
         if output.changed && number == CONTROL {
             self.post();
--- a/crates/coordinator/src/room.rs
+++ b/crates/coordinator/src/room.rs
@@ -81,10 +81,14 @@
         self.totals.open.saturating_mul(self.mean_output())
     }
 
+    /// Whether a rewrite would be made.
+    pub fn pays(&self) -> bool {
+        self.length.saturating_sub(self.rewritten) >= self.length / LEAST_GAIN_SHARE
+    }
+
     /// What a rewrite would free; nothing where none would be made.
     fn gain(&self) -> u64 {
-        let gain = self.length.saturating_sub(self.rewritten);
-        if gain >= self.length / LEAST_GAIN_SHARE { gain } else { 0 }
+        if self.pays() { self.length.saturating_sub(self.rewritten) } else { 0 }
     }
 }
 
