--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -5,13 +5,10 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_consensus::Refused;
-use rainlug_registry::{Configuration, Phase, Worker};
+use rainlug_registry::Configuration;
 
-use crate::control::{Change, Store};
-use crate::frame::{Head, Place, Request, Text, join, split};
-use crate::part::Wanted;
-use crate::{Answer, CONTROL, Call, Coordinator, Effect, Held, News, Now, Origin, PARTS, SPREADING, part_of};
+use crate::frame::{Head, Place, Request, join, split};
+use crate::{Answer, CONTROL, Call, Coordinator, Effect, Now, Origin, PARTS, part_of};
 
 /// A try at a leader that is not answered in this time goes to another member.
 const TRY: Time = 4 * SECOND / 10;
@@ -147,7 +144,7 @@
         self.settle();
     }
 
-    fn answer(&mut self, ticket: u64, answer: Answer) {
+    pub(crate) fn answer(&mut self, ticket: u64, answer: Answer) {
         self.effects.push(Effect::Answer { ticket, answer });
     }
 
@@ -410,189 +407,4 @@
             Origin::Caller(ticket) => self.answer(ticket, Answer::later(503, SECOND / 5)),
         }
     }
-
-    /// A call that has come to this process as a part's leader.
-    pub(crate) fn serve(&mut self, origin: Origin, number: u16, request: Request, tail: Bytes) {
-        if !self.parts.get(&number).is_some_and(|p| p.replica.leads()) {
-            return self.send_elsewhere(number, origin);
-        }
-        let name = |text: &Text| text.to_str().map(str::to_owned).unwrap_or_default();
-        match (number, request) {
-            (_, Request::Locate) => self.send_elsewhere(number, origin),
-            (CONTROL, Request::Configure { base }) => self.configure(origin, base, tail),
-            (CONTROL, Request::Configuration) => self.read(number, origin, Wanted::Configuration),
-            (CONTROL, Request::Retire { store }) => self.read(number, origin, Wanted::Retire(name(&store))),
-            (CONTROL, Request::Retiring { store }) => {
-                self.read(number, origin, Wanted::Retiring(name(&store)))
-            }
-            (CONTROL, Request::Join { seat }) => {
-                if let Ok(member) = seat.member() {
-                    self.joiners.insert(member.id, (member, self.now.steady));
-                }
-                self.reply(origin, Answer::of(200));
-            }
-            (CONTROL, Request::Shelve { seat }) => {
-                let known = seat.member().ok().and_then(|m| {
-                    let control = self.parts.get(&CONTROL)?.control()?;
-                    Some(control.stores.get(&m.name)?.member == m)
-                });
-                match known {
-                    Some(true) => self.reply(origin, Answer::of(200)),
-                    _ => self.propose(number, origin, join(&Change::Store { seat }, &[])),
-                }
-            }
-            (CONTROL, Request::Seated { part, term, retirements, count, seats }) => {
-                let change = Change::Seated { part, term, retirements, count, seats };
-                self.propose(number, origin, join(&change, &[]));
-            }
-            (1.., Request::Submit { lot, route }) => {
-                self.submit(number, origin, name(&lot), name(&route), tail)
-            }
-            (1.., Request::Read { lot, since, wait_ms }) => {
-                let until = self.now.steady + Time::from(wait_ms.min(2000)) * 1000;
-                self.read(number, origin, Wanted::Lot { lot: name(&lot), since, until });
-            }
-            (1.., Request::Body { lot, item }) => {
-                self.read(number, origin, Wanted::Body { lot: name(&lot), item: name(&item) });
-            }
-            (1.., Request::End { lot }) => self.end(number, origin, name(&lot)),
-            _ => self.reply(origin, Answer::of(400)),
-        }
-    }
-
-    pub(crate) fn propose(&mut self, number: u16, origin: Origin, command: Bytes) {
-        let Some(part) = self.parts.get_mut(&number) else { return };
-        match part.replica.propose(self.now.steady, command.clone()) {
-            Ok((index, _)) => {
-                if let Some((_, lost)) = part.waiting.insert(index, (command, origin)) {
-                    self.send_proposed_elsewhere(number, lost);
-                }
-                self.drain(number);
-            }
-            Err(Refused::NotLeader(_) | Refused::Busy) => self.send_elsewhere(number, origin),
-        }
-    }
-
-    pub(crate) fn read(&mut self, number: u16, origin: Origin, wanted: Wanted) {
-        let Some(part) = self.parts.get_mut(&number) else { return };
-        part.tickets += 1;
-        part.reads.insert(part.tickets, (origin, wanted));
-        part.replica.read(self.now.steady, part.tickets);
-        self.drain(number);
-    }
-
-    fn configure(&mut self, origin: Origin, base: u64, text: Bytes) {
-        let Ok(read) = Configuration::read(&text) else { return self.reply(origin, Answer::of(400)) };
-        let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
-        let version = read.version;
-        // An accepted order stays accepted, so this copy may say so. Every refusal is agreed on first: a leader that was replaced
-        // without knowing it has an old copy.
-        if control.accepted(version, &text) {
-            return self.reply(origin, Answer::of(200));
-        }
-        self.propose(CONTROL, origin, join(&Change::Configure { base, version }, &text));
-    }
-
-    /// Retires a store, once a round has shown that this leader's copy is not old.
-    fn retire(&mut self, origin: Origin, store: String) {
-        let Some(control) = self.parts.get(&CONTROL).and_then(|p| p.control()) else { return };
-        let Some(entry) = control.stores.get(&store) else {
-            return self.reply(origin, Answer::of(404));
-        };
-        if entry.is_retiring() {
-            return self.reply(origin, Answer::of(200));
-        }
-        let stays = |other: &&Store| other.member.name != store && !other.is_retiring();
-        let (listed, living) =
-            control.stores.values().filter(stays).fold((0, 0), |(listed, living), other| {
-                (listed + 1, living + usize::from(self.living.contains_key(&other.member.at)))
-            });
-        // As many as a group must have for the loss of what is to be borne.
-        let least = self.info.fewest_members();
-        if listed < least {
-            return self.reply(origin, Answer::of(409));
-        }
-        if living < least {
-            // Those out of sight may be back soon: this is no final answer.
-            return self.reply(origin, Answer::later(503, SECOND / 5));
-        }
-        self.propose(CONTROL, origin, join(&Change::Retire { store: store.as_str().into() }, &[]));
-    }
-
-    /// A read whose round has come back is answered.
-    pub(crate) fn show(&mut self, number: u16, origin: Origin, wanted: Wanted) {
-        match wanted {
-            Wanted::Configuration => {
-                let Some(control) = self.parts.get(&number).and_then(|p| p.control()) else { return };
-                let text = control.text.clone();
-                let none = Answer::of(404);
-                self.reply(origin, if text.is_empty() { none } else { Answer::json(200, text) });
-            }
-            Wanted::Retire(store) => self.retire(origin, store),
-            Wanted::Retiring(store) => {
-                let Some(control) = self.parts.get(&number).and_then(|p| p.control()) else { return };
-                let Some(entry) = control.stores.get(&store) else {
-                    return self.reply(origin, Answer::of(404));
-                };
-                let state = if control.may_go(entry) { "complete" } else { "active" };
-                self.reply(origin, Answer::json(200, format!("{{\"state\":\"{state}\"}}")));
-            }
-            Wanted::Lot { lot, since, until } => self.show_lot(number, origin, lot, since, until),
-            Wanted::Body { lot, item } => {
-                let Some(register) = self.parts.get(&number).and_then(|p| p.register()) else { return };
-                let body = register.body(&lot, &item);
-                let answer = body.map_or(Answer::of(404), |body| Answer { body, ..Answer::of(200) });
-                self.reply(origin, answer);
-            }
-        }
-    }
-
-    fn beat(&mut self, ticket: u64, worker: Worker) {
-        let (id, service, phase) = (worker.id.clone(), worker.service.clone(), worker.phase);
-        self.enter(worker);
-        if self.is_isolated(self.now) {
-            return self.answer(ticket, Answer::later(503, SECOND / 5));
-        }
-        let registrar = self.registrar(&service);
-        let elsewhere = registrar.filter(|at| *at != self.info.at);
-        let control = elsewhere.and_then(|at| self.living.get(&at)).and_then(|(_, control)| *control);
-        if elsewhere.is_none() {
-            self.beats.insert(id.clone(), self.now.steady);
-        }
-        let body = control.map_or("{}".to_owned(), |at| format!("{{\"beat_addr\":\"{at}\"}}"));
-        let answer = Answer::json(200, body);
-        if phase >= Phase::Draining {
-            self.beats.remove(&id);
-        }
-        if phase >= Phase::Draining {
-            self.hold(ticket, answer, id);
-        } else {
-            self.answer(ticket, answer);
-        }
-    }
-
-    /// A worker's end is entered also where nothing is known of it: others may know it.
-    fn goodbye(&mut self, ticket: u64, id: String) {
-        let known = self.gossip.workers().find(|w| w.id == id).cloned();
-        let gone = match known {
-            Some(worker) => Worker { phase: Phase::Gone, call_seq: worker.call_seq + 1, ..worker },
-            None => Worker::tombstone(id.clone()),
-        };
-        self.enter(gone);
-        self.beats.remove(&id);
-        if self.is_isolated(self.now) {
-            return self.answer(ticket, Answer::later(503, SECOND / 5));
-        }
-        self.hold(ticket, Answer::json(200, "{}"), id);
-    }
-
-    /// Whoever is told that a worker's end is known may count on all knowing it. What is said again waits as the first word did, until
-    /// that has spread; what came from others is known to them.
-    fn hold(&mut self, ticket: u64, answer: Answer, worker: String) {
-        if !self.gossip.is_worker_spreading(&worker) {
-            return self.answer(ticket, answer);
-        }
-        let (origin, until) = (Origin::Caller(ticket), self.now.steady + SPREADING);
-        self.held.push(Held { origin, answer, until, news: News::Worker(worker) });
-    }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -2,32 +2,43 @@
 //! has a seat in, calls to the leaders of parts, and the duties that fall to it. Time, chance, bytes and what the disk has saved
 //! are handed in; [`Effect`]s are handed out. The same runs on sockets and in the in-memory fleet of the tests.
 
+mod api;
 mod calls;
 pub mod control;
 mod duties;
 pub mod frame;
+mod info;
 pub mod listing;
 mod lots_part;
+mod membership;
+mod news;
 mod part;
 pub mod room;
 pub mod roster;
 mod seats;
+mod serving;
+mod workers;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
 use rainlug_batch::RunEnd;
 use rainlug_consensus::{Member, MemberId, Settings};
-use rainlug_fleet::{Card, Process, Standing, View, Ways};
-use rainlug_registry::{Configuration, Gossip, Phase, Worker, gossip};
+use rainlug_fleet::{Card, View, Ways};
+use rainlug_registry::{Configuration, Gossip, gossip};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use frame::{DecodeError, Head, join, split};
+pub use api::{Answer, Call, Effect, Now};
+pub use info::NodeInfo;
+
+use frame::{DecodeError, Head, split};
+use membership::COMPARING;
+use news::{Held, News, Sink};
 use part::Part;
 use roster::Roster;
 
@@ -41,53 +52,9 @@
 const SPREADING: Time = SECOND / 5;
 /// Beats that may be missing before a worker is called silent.
 const MISSED: f64 = 3.2;
-/// Who has others, and has heard nothing of them for so long, is cut off.
-const CUT_OFF: Time = 12 * SECOND / 10;
-/// How long a process that was cut off, or stood still, compares what it knows with others before it takes clients again.
-const COMPARING: Time = 3 * SECOND / 10;
 /// A pause in this process's own time that means that it stood still.
 const STOOD_STILL: Time = SECOND;
 
-/// What the process is told of itself and the deployment.
-#[derive(Clone, Debug)]
-pub struct NodeInfo {
-    pub node: String,
-    pub zone: String,
-    /// Where it hears its peers, by datagrams and connections.
-    pub at: SocketAddr,
-    /// Where it serves workers and operators, if it does.
-    pub control: Option<SocketAddr>,
-    /// It takes requests; otherwise it keeps batch jobs.
-    pub gateway: bool,
-    /// Its disk's identity; nothing where it has no disk.
-    pub disk: Option<MemberId>,
-    pub first_boot: bool,
-    /// Where the seeds hear their peers.
-    pub seeds: Vec<SocketAddr>,
-    /// Machines with a disk that may be lost at once.
-    pub tolerate: usize,
-    /// Between two beats of a worker.
-    pub beat: Time,
-    /// What its disk holds, in bytes.
-    pub disk_bytes: usize,
-    /// How long batch jobs are kept after they were sent.
-    pub keep_lots: Time,
-    pub seed: u64,
-}
-
-impl NodeInfo {
-    /// The members of a group when nothing is lost: a majority is left where `tolerate` of them are.
-    pub fn target_members(&self) -> usize {
-        2 * self.tolerate + 1
-    }
-
-    /// The fewest members that a group may have: half of them are left where `tolerate` are lost, and each entry is on more than
-    /// those (`docs/control.md`, *Losses one after the other*).
-    pub fn fewest_members(&self) -> usize {
-        (2 * self.tolerate).max(self.tolerate + 1)
-    }
-}
-
 /// The identity of a seed's disk on first boot: all know it without a word.
 pub fn founding_id(at: SocketAddr) -> MemberId {
     xxh3_64_with_seed(at.to_string().as_bytes(), 0x666f_756e_6465_7273).max(1)
@@ -98,115 +65,6 @@
     1 + (xxh3_64_with_seed(route.as_bytes(), 0) % u64::from(PARTS)) as u16
 }
 
-/// A call of a client, worker or operator; answered by [`Effect::Answer`].
-#[derive(Clone, Debug)]
-pub enum Call {
-    Beat(Worker),
-    Goodbye(String),
-    Configure { base: u64, text: Bytes },
-    Configuration,
-    Retire { store: String },
-    Retiring { store: String },
-    Submit { lot: String, route: String, body: Bytes },
-    Read { lot: String, since: u64, wait: Time },
-    Body { lot: String, item: String },
-    End { lot: String },
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answer {
-    pub status: u16,
-    pub retry: Option<Time>,
-    pub json: bool,
-    pub body: Bytes,
-}
-
-impl Answer {
-    pub fn of(status: u16) -> Self {
-        Answer { status, retry: None, json: false, body: Bytes::new() }
-    }
-
-    pub fn json(status: u16, body: impl Into<Bytes>) -> Self {
-        Answer { status, retry: None, json: true, body: body.into() }
-    }
-
-    fn later(status: u16, retry: Time) -> Self {
-        Answer { status, retry: Some(retry), json: false, body: Bytes::new() }
-    }
-}
-
-/// What the process is to do.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    Datagram {
-        to: SocketAddr,
-        bytes: Bytes,
-    },
-    /// Over a connection: whole and in order, or not at all; the head's bytes and then the tail's.
-    Frame {
-        to: SocketAddr,
-        head: Bytes,
-        tail: Bytes,
-    },
-    /// Appended to the part's log and synced; then [`Coordinator::saved`].
-    Save {
-        part: u16,
-        ticket: u64,
-        records: Vec<Bytes>,
-    },
-    /// In place of all that the log holds; then [`Coordinator::saved`]. The first `implied` follow from what it holds: the others,
-    /// appended, do as well.
-    Rewrite {
-        part: u16,
-        ticket: u64,
-        records: Vec<Bytes>,
-        implied: usize,
-    },
-    /// The disk gets this identity, and what it held of parts of batch jobs is dropped.
-    Renew {
-        disk: MemberId,
-    },
-    Answer {
-        ticket: u64,
-        answer: Answer,
-    },
-    /// In force from now on.
-    Configuration {
-        version: u64,
-        text: Bytes,
-    },
-    Worker(Worker),
-    /// Others that send requests to workers.
-    Others(usize),
-    /// An item of a batch job to be run at a worker; then [`Coordinator::ran`].
-    Run {
-        part: u16,
-        next: rainlug_batch::Next,
-    },
-    /// Something that staff may want to know.
-    Log(&'static str, String),
-}
-
-/// A process's time: its own steady clock, and the time of day, both in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Now {
-    pub steady: Time,
-    pub wall: Time,
-}
-
-/// An answer that waits until its news has spread.
-struct Held {
-    origin: Origin,
-    answer: Answer,
-    until: Time,
-    news: News,
-}
-
-enum News {
-    Configuration(u64),
-    Worker(String),
-}
-
 /// Whom an answer goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
@@ -264,44 +122,6 @@
     effects: Vec<Effect>,
 }
 
-/// Where the effects of view and gossip go.
-struct Sink<'a> {
-    effects: &'a mut Vec<Effect>,
-    workers: Vec<Worker>,
-    texts: Vec<(u8, u64, Bytes)>,
-}
-
-impl<'a> Sink<'a> {
-    fn new(effects: &'a mut Vec<Effect>) -> Self {
-        Sink { effects, workers: Vec::new(), texts: Vec::new() }
-    }
-}
-
-impl rainlug_fleet::Outgoing for Sink<'_> {
-    fn send(&mut self, to: SocketAddr, payload: &[u8]) {
-        self.effects.push(Effect::Datagram { to, bytes: Bytes::copy_from_slice(payload) });
-    }
-
-    fn changed(&mut self, process: &Process) {
-        let (card, standing) = (&process.card, process.standing);
-        self.effects.push(Effect::Log("member", format!("{} at {} is {standing:?}", card.name, card.at)));
-    }
-}
-
-impl gossip::Outgoing for Sink<'_> {
-    fn send(&mut self, to: SocketAddr, bytes: Bytes) {
-        self.effects.push(Effect::Frame { to, head: join(&Head::Gossip, &[]), tail: bytes });
-    }
-
-    fn worker(&mut self, worker: &Worker) {
-        self.workers.push(worker.clone());
-    }
-
-    fn text(&mut self, kind: u8, version: u64, text: &Bytes) {
-        self.texts.push((kind, version, text.clone()));
-    }
-}
-
 /// The figures of a process's card: its role, and the port where it serves workers.
 fn figures(info: &NodeInfo) -> Vec<u8> {
     let mut figures = vec![u8::from(info.gateway)];
@@ -474,31 +294,6 @@
         self.settle();
     }
 
-    /// A peer is heard. After a cut what was missed is asked for at once.
-    fn hear(&mut self, now: Now) {
-        let was_isolated = self.is_isolated(now);
-        (self.now, self.heard) = (now, now.steady);
-        if was_isolated {
-            self.comparing = now.steady + COMPARING;
-            self.catch_up();
-        }
-    }
-
-    /// Compares what it knows with several others.
-    fn catch_up(&mut self) {
-        let mut sink = Sink::new(&mut self.effects);
-        self.gossip.catch_up(self.now.steady, &mut sink);
-        let (workers, texts) = (sink.workers, sink.texts);
-        self.told_news(workers, texts);
-    }
-
-    /// Whether it knows of fellows and has heard nothing of anybody for a while: it is cut off, or the only one left. Who still leads
-    /// the configuration's part then is a quorum by itself.
-    fn is_isolated(&self, now: Now) -> bool {
-        let silent = self.has_fellows && now.steady - self.heard > CUT_OFF;
-        silent && !self.parts.get(&CONTROL).is_some_and(|part| part.replica.leads())
-    }
-
     /// A datagram's payload, from where it came.
     pub fn datagram(&mut self, now: Now, from: SocketAddr, payload: &[u8]) {
         self.hear(now);
@@ -606,140 +401,6 @@
         self.view.leave(&mut sink);
     }
 
-    /// News of the gossip takes effect here.
-    fn told_news(&mut self, workers: Vec<Worker>, texts: Vec<(u8, u64, Bytes)>) {
-        for worker in workers {
-            if worker.phase >= Phase::Draining {
-                self.beats.remove(&worker.id);
-            }
-            self.effects.push(Effect::Worker(worker));
-        }
-        for (kind, version, text) in texts {
-            match kind {
-                gossip::CONFIGURATION => match Configuration::read(&text) {
-                    Ok(read) => {
-                        self.configuration = Some(read);
-                        self.effects.push(Effect::Configuration { version, text });
-                    }
-                    Err(findings) => {
-                        self.effects
-                            .push(Effect::Log("configuration", format!("version {version}: {findings}")));
-                    }
-                },
-                gossip::GROUPS => {
-                    if let Ok(roster) = Roster::decode(&text) {
-                        (self.roster, self.roster_version) = (roster, version);
-                        self.founded();
-                        self.fence_parts();
-                        self.renew_fenced_disk();
-                    }
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Enters a worker's word in the gossip; true where it is news.
-    fn enter(&mut self, worker: Worker) -> bool {
-        let mut sink = Sink::new(&mut self.effects);
-        let news = self.gossip.worker(self.now.steady, worker, &mut sink);
-        let (workers, texts) = (sink.workers, sink.texts);
-        self.told_news(workers, texts);
-        news
-    }
-
-    fn enter_text(&mut self, kind: u8, version: u64, text: Bytes) {
-        let mut sink = Sink::new(&mut self.effects);
-        self.gossip.text(self.now.steady, kind, version, text, &mut sink);
-        let (workers, texts) = (sink.workers, sink.texts);
-        self.told_news(workers, texts);
-    }
-
-    /// After each event: what members there are, answers whose news has spread, items to run.
-    fn settle(&mut self) {
-        if self.view.version() != self.seen {
-            self.seen = self.view.version();
-            self.members();
-        }
-        let now = self.now.steady;
-        let held = std::mem::take(&mut self.held);
-        for waits in held {
-            let (has, all) = match &waits.news {
-                News::Configuration(version) => self.gossip.spread(gossip::CONFIGURATION, *version),
-                News::Worker(id) => self.gossip.worker_spread(id),
-            };
-            if has >= all {
-                self.reply(waits.origin, waits.answer);
-            } else if now >= waits.until {
-                // Of a worker's end nobody else has said to know: it is to be told elsewhere too.
-                let alone = has == 0 && matches!(waits.news, News::Worker(_));
-                self.reply(waits.origin, if alone { Answer::later(503, SECOND / 5) } else { waits.answer });
-            } else {
-                self.held.push(waits);
-            }
-        }
-        self.run_items();
-    }
-
-    fn members(&mut self) {
-        let now = self.now.steady;
-        let mut living = BTreeMap::new();
-        self.has_fellows = false;
-        for member in self.view.members() {
-            for (card, standing, _) in member.processes {
-                if card.at == self.info.at || standing == Standing::Left {
-                    continue;
-                }
-                let (role, port) = match card.figures[..] {
-                    [role, high, low, ..] => (role == 1, u16::from_be_bytes([high, low])),
-                    _ => continue,
-                };
-                self.has_fellows |= role;
-                if standing > Standing::Suspect {
-                    continue;
-                }
-                let control = (port != 0).then(|| SocketAddr::new(card.at.ip(), port));
-                living.insert(card.at, (role, control));
-            }
-        }
-        for at in self.living.keys().filter(|at| !living.contains_key(at)) {
-            self.gone.insert(*at, now);
-        }
-        let newcomers: BTreeSet<SocketAddr> =
-            living.keys().filter(|at| !self.living.contains_key(at)).copied().collect();
-        self.gone.retain(|at, since| !living.contains_key(at) && now - *since < 600 * SECOND);
-        let gateways = living.values().filter(|(gateway, _)| *gateway).count();
-        let before = self.living.values().filter(|(gateway, _)| *gateway).count();
-        self.living = living;
-        self.registrars.borrow_mut().clear();
-        let peers: Vec<SocketAddr> = self.living.keys().copied().collect();
-        self.gossip.peers(now, &peers);
-        if gateways != before || self.caught_up.is_none() {
-            self.effects.push(Effect::Others(gateways));
-        }
-        // Who meets others again, after its start or a cut, compares with them at once.
-        let due = self.caught_up.is_none_or(|at| now - at > SECOND / 4) || now < self.comparing;
-        if !newcomers.is_empty() && due {
-            self.caught_up = Some(now);
-            self.catch_up();
-        }
-    }
-
-    /// Where the beats of a service's workers go: who takes requests and lives, by rendezvous hash.
-    fn registrar(&self, service: &str) -> Option<SocketAddr> {
-        if let Some(known) = self.registrars.borrow().get(service) {
-            return *known;
-        }
-        let weigh = |at: &SocketAddr| {
-            xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1))
-        };
-        let others = self.living.iter().filter(|(_, (gateway, control))| *gateway && control.is_some());
-        let all = others.map(|(at, _)| *at).chain(self.info.gateway.then_some(self.info.at));
-        let found = all.max_by_key(weigh);
-        self.registrars.borrow_mut().insert(service.to_owned(), found);
-        found
-    }
-
     /// A connection to a peer broke or did not come up: what was asked there is asked elsewhere at once.
     pub fn unreachable(&mut self, now: Now, at: SocketAddr) {
         self.now = now;
@@ -747,17 +408,6 @@
         self.settle();
     }
 
-    /// Whether it may be given clients: it knows a configuration, has heard of others or is alone, and is not cut off: who lives
-    /// among others hears of them several times a second. After a cut it has compared what it knows with others first.
-    pub fn ready(&self, now: Now) -> bool {
-        if self.is_isolated(now) || now.steady < self.comparing {
-            return false;
-        }
-        let now = now.steady;
-        let met = self.caught_up.is_some_and(|at| now - at > SECOND / 10) || now - self.begun > 3 * SECOND;
-        self.configuration.is_some() && met
-    }
-
     pub fn configuration(&self) -> Option<&Configuration> {
         self.configuration.as_ref()
     }
--- /dev/null
+++ b/crates/coordinator/src/membership.rs
@@ -0,0 +1,113 @@
+//! Who lives, whose duty a service's workers are, and whether this process is cut off from the others.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use rainlug::{SECOND, Time};
+use rainlug_fleet::Standing;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::news::Sink;
+use crate::{CONTROL, Coordinator, Effect, Now};
+
+/// Who has others, and has heard nothing of them for so long, is cut off.
+const CUT_OFF: Time = 12 * SECOND / 10;
+/// How long a process that was cut off, or stood still, compares what it knows with others before it takes clients again.
+pub(crate) const COMPARING: Time = 3 * SECOND / 10;
+
+impl Coordinator {
+    pub(crate) fn members(&mut self) {
+        let now = self.now.steady;
+        let mut living = BTreeMap::new();
+        self.has_fellows = false;
+        for member in self.view.members() {
+            for (card, standing, _) in member.processes {
+                if card.at == self.info.at || standing == Standing::Left {
+                    continue;
+                }
+                let (role, port) = match card.figures[..] {
+                    [role, high, low, ..] => (role == 1, u16::from_be_bytes([high, low])),
+                    _ => continue,
+                };
+                self.has_fellows |= role;
+                if standing > Standing::Suspect {
+                    continue;
+                }
+                let control = (port != 0).then(|| SocketAddr::new(card.at.ip(), port));
+                living.insert(card.at, (role, control));
+            }
+        }
+        for at in self.living.keys().filter(|at| !living.contains_key(at)) {
+            self.gone.insert(*at, now);
+        }
+        let newcomers: BTreeSet<SocketAddr> =
+            living.keys().filter(|at| !self.living.contains_key(at)).copied().collect();
+        self.gone.retain(|at, since| !living.contains_key(at) && now - *since < 600 * SECOND);
+        let gateways = living.values().filter(|(gateway, _)| *gateway).count();
+        let before = self.living.values().filter(|(gateway, _)| *gateway).count();
+        self.living = living;
+        self.registrars.borrow_mut().clear();
+        let peers: Vec<SocketAddr> = self.living.keys().copied().collect();
+        self.gossip.peers(now, &peers);
+        if gateways != before || self.caught_up.is_none() {
+            self.effects.push(Effect::Others(gateways));
+        }
+        // Who meets others again, after its start or a cut, compares with them at once.
+        let due = self.caught_up.is_none_or(|at| now - at > SECOND / 4) || now < self.comparing;
+        if !newcomers.is_empty() && due {
+            self.caught_up = Some(now);
+            self.catch_up();
+        }
+    }
+
+    /// Where the beats of a service's workers go: who takes requests and lives, by rendezvous hash.
+    pub(crate) fn registrar(&self, service: &str) -> Option<SocketAddr> {
+        if let Some(known) = self.registrars.borrow().get(service) {
+            return *known;
+        }
+        let weigh = |at: &SocketAddr| {
+            xxh3_64_with_seed(service.as_bytes(), xxh3_64_with_seed(at.to_string().as_bytes(), 1))
+        };
+        let others = self.living.iter().filter(|(_, (gateway, control))| *gateway && control.is_some());
+        let all = others.map(|(at, _)| *at).chain(self.info.gateway.then_some(self.info.at));
+        let found = all.max_by_key(weigh);
+        self.registrars.borrow_mut().insert(service.to_owned(), found);
+        found
+    }
+
+    /// A peer is heard. After a cut what was missed is asked for at once.
+    pub(crate) fn hear(&mut self, now: Now) {
+        let was_isolated = self.is_isolated(now);
+        (self.now, self.heard) = (now, now.steady);
+        if was_isolated {
+            self.comparing = now.steady + COMPARING;
+            self.catch_up();
+        }
+    }
+
+    /// Compares what it knows with several others.
+    pub(crate) fn catch_up(&mut self) {
+        let mut sink = Sink::new(&mut self.effects);
+        self.gossip.catch_up(self.now.steady, &mut sink);
+        let (workers, texts) = (sink.workers, sink.texts);
+        self.told_news(workers, texts);
+    }
+
+    /// Whether it knows of fellows and has heard nothing of anybody for a while: it is cut off, or the only one left. Who still leads
+    /// the configuration's part then is a quorum by itself.
+    pub(crate) fn is_isolated(&self, now: Now) -> bool {
+        let silent = self.has_fellows && now.steady - self.heard > CUT_OFF;
+        silent && !self.parts.get(&CONTROL).is_some_and(|part| part.replica.leads())
+    }
+
+    /// Whether it may be given clients: it knows a configuration, has heard of others or is alone, and is not cut off: who lives
+    /// among others hears of them several times a second. After a cut it has compared what it knows with others first.
+    pub fn ready(&self, now: Now) -> bool {
+        if self.is_isolated(now) || now.steady < self.comparing {
+            return false;
+        }
+        let now = now.steady;
+        let met = self.caught_up.is_some_and(|at| now - at > SECOND / 10) || now - self.begun > 3 * SECOND;
+        self.configuration.is_some() && met
+    }
+}
