--- /dev/null
+++ b/crates/coordinator/src/diagnostics.rs
@@ -0,0 +1,73 @@
+//! What staff need to see of each part to tell why nobody leads it: elections, terms, and members that lag.
+
+use std::collections::BTreeMap;
+
+use rainlug::{SECOND, Time};
+use rainlug_consensus::{MemberId, Term};
+
+use crate::{Coordinator, Effect};
+
+/// Between two reports on members that lag.
+const LAG_REPORT: Time = 5 * SECOND;
+/// Entries that a member may lack before it is reported.
+const LAG_WORTH_TELLING: u64 = 256;
+
+/// What was last reported.
+#[derive(Default)]
+pub(crate) struct Diagnostics {
+    elections: BTreeMap<u16, Election>,
+    lag_reported: Time,
+}
+
+/// The state of a part's election as seen here.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Election {
+    term: Term,
+    leader: Option<MemberId>,
+    is_elected: bool,
+}
+
+impl Coordinator {
+    /// Reports what has changed since the last call.
+    pub(crate) fn diagnose(&mut self) {
+        self.report_elections();
+        if self.now.steady - self.diagnostics.lag_reported >= LAG_REPORT {
+            self.diagnostics.lag_reported = self.now.steady;
+            self.report_lag();
+        }
+    }
+
+    fn report_elections(&mut self) {
+        for (number, part) in &self.parts {
+            let leader = part.replica.leader();
+            let election = Election {
+                term: part.replica.term(),
+                leader: leader.map(|member| member.id),
+                is_elected: part.replica.is_elected(),
+            };
+            if self.diagnostics.elections.insert(*number, election) == Some(election) {
+                continue;
+            }
+            let leader =
+                leader.map_or("nobody".to_owned(), |member| format!("{}@{}", member.name, member.at));
+            let uncommitted = part.replica.uncommitted();
+            let text = format!("part {number}, term {}: {leader}, {uncommitted} uncommitted", election.term);
+            self.effects.push(Effect::Log("election", text));
+        }
+    }
+
+    fn report_lag(&mut self) {
+        for (number, part) in self.parts.iter().filter(|(_, part)| part.replica.is_elected()) {
+            let behind = part.replica.behind();
+            let lagging: Vec<String> = behind
+                .iter()
+                .filter(|(_, lacks)| *lacks > LAG_WORTH_TELLING)
+                .map(|(member, lacks)| format!("{member:x} lacks {lacks}"))
+                .collect();
+            if !lagging.is_empty() {
+                let text = format!("part {number}: {}", lagging.join(", "));
+                self.effects.push(Effect::Log("lag", text));
+            }
+        }
+    }
+}
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -15,6 +15,7 @@
 impl Coordinator {
     pub(crate) fn duties(&mut self) {
         self.silent();
+        self.diagnose();
         if self.announce_at <= self.now.steady {
             self.announce_at = self.now.steady + ANNOUNCE;
             self.announce();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,6 +5,7 @@
 mod api;
 mod calls;
 pub mod control;
+mod diagnostics;
 mod duties;
 pub mod frame;
 mod info;
@@ -120,6 +121,7 @@
     /// Until when what it missed is compared with others.
     comparing: Time,
     effects: Vec<Effect>,
+    diagnostics: diagnostics::Diagnostics,
 }
 
 /// The figures of a process's card: its role, and the port where it serves workers.
@@ -193,6 +195,7 @@
             has_fellows: false,
             comparing: now.steady,
             effects: Vec::new(),
+            diagnostics: diagnostics::Diagnostics::default(),
             chance,
             info,
             now,
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -182,6 +182,7 @@
             if quiet {
                 // Nothing is on its way to the disk but what it was handed: the rewrite may be put off and nothing is missing.
                 let state = part.machine.snapshot();
+                self.effects.push(Effect::Log("snapshot", format!("part {number}: {} bytes", state.len())));
                 part.replica.snapshot(self.now.steady, state);
                 continue;
             }
@@ -252,6 +253,7 @@
 
     fn restore(&mut self, number: u16, state: &Bytes) {
         let Some(part) = self.parts.get_mut(&number) else { return };
+        self.effects.push(Effect::Log("restore", format!("part {number}: {} bytes", state.len())));
         let restored = match &mut part.machine {
             Machine::Control(control) => Control::restore(state).map(|c| *control = c).is_ok(),
             Machine::Lots(register) => register.restore(state).is_ok(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -192,7 +192,7 @@
             service.max_conns.set(told.max_conns);
             service.placement.borrow_mut().service(told.slots, told.kv_capacity_tokens);
         }
-        spdlog::info!("configuration {} is in force here", configuration.version);
+        spdlog::debug!("configuration {} is in force here", configuration.version);
         *self.configuration.borrow_mut() = Some(configuration);
     }
 
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod operator;
 pub mod peers;
 pub mod settings;
+mod step_times;
--- a/crates/tier/src/listings.rs
+++ b/crates/tier/src/listings.rs
@@ -227,6 +227,6 @@
     }
 
     async fn carry_out(self, node: Rc<Node>) -> Answer {
-        Answer::json(200, node.with(|coordinator, _| L::of(coordinator).serialize_json()))
+        Answer::json(200, node.with("listing", |coordinator, _| L::of(coordinator).serialize_json()))
     }
 }
--- a/crates/tier/src/log.rs
+++ b/crates/tier/src/log.rs
@@ -1,5 +1,7 @@
 //! Logs as JSON lines on standard error: each event once, with the same field names in every role.
 
+mod limit;
+
 use std::sync::Arc;
 
 use spdlog::formatter::JsonFormatter;
@@ -27,7 +29,12 @@
     }
 }
 
-pub fn event(what: &str, text: &str) {
+/// A line for staff; of one event only so many a second are written, and the next one tells how many were left out.
+pub fn event(what: &'static str, text: &str) {
+    let Some(left_out) = limit::admit(what) else { return };
+    if left_out > 0 {
+        spdlog::info!("{} more", left_out, kv: { event = what });
+    }
     spdlog::info!("{}", text, kv: { event = what });
 }
 
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -30,6 +30,7 @@
 use crate::log;
 use crate::peers::Peers;
 use crate::settings::{self, Settings};
+use crate::step_times::StepTimes;
 
 /// Datagrams read in one go.
 const BURST: usize = 32;
@@ -74,6 +75,7 @@
     rings: Cell<Time>,
     sooner: Notify,
     pumping: Cell<bool>,
+    steps: StepTimes,
 }
 
 /// Chance that no other process has.
@@ -169,18 +171,19 @@
             rings: Cell::new(0),
             sooner: Notify::new(),
             pumping: Cell::new(false),
+            steps: StepTimes::default(),
         });
         log::event("start", &format!("{:?}, peers at {peer}", role));
         let taken = node.clone();
         let frame = Rc::new(move |from, bytes: Bytes| {
-            taken.with(|coordinator, now| {
+            taken.with("frame", |coordinator, now| {
                 let _ = coordinator.frame(now, from, &bytes);
             });
         });
         let tells = Rc::downgrade(&node);
         node.peers.when_broke(Rc::new(move |at| {
             if let Some(node) = tells.upgrade() {
-                node.with(|coordinator, now| coordinator.unreachable(now, at));
+                node.with("unreachable", |coordinator, now| coordinator.unreachable(now, at));
             }
         }));
         spawn_local(node.peers.clone().listen(frames, frame));
@@ -208,7 +211,7 @@
             let ready = Rc::new(move || coordinator.coordinator.borrow().ready(coordinator.clock.now()));
             spawn_local(node.gateway.clone().readiness(listen(at).await?, ready));
         }
-        node.with(|_, _| ());
+        node.with("start", |_, _| ());
         node.until_told(settings.bounds.grace_s).await
     }
 
@@ -231,16 +234,19 @@
         if self.role == Role::Gateway {
             let _ = timeout(most, self.gateway.stop()).await;
         }
-        self.with(|coordinator, now| coordinator.leave(now));
+        self.with("leave", |coordinator, now| coordinator.leave(now));
         sleep(Duration::from_millis(50)).await;
         log::event("stop", "ended");
         Ok(())
     }
 
-    /// Hands something to the coordinator, and carries out what follows.
-    pub fn with<R>(self: &Rc<Self>, what: impl FnOnce(&mut Coordinator, Now) -> R) -> R {
+    /// Hands something to the coordinator, and carries out what follows. `step` names the kind of call in the log, should it
+    /// take long.
+    pub fn with<R>(self: &Rc<Self>, step: &'static str, what: impl FnOnce(&mut Coordinator, Now) -> R) -> R {
+        let begun = Instant::now();
         let result = what(&mut self.coordinator.borrow_mut(), self.clock.now());
         self.pump();
+        self.steps.ended(step, begun.elapsed());
         result
     }
 
@@ -313,7 +319,7 @@
                     let (length, took) = (done.length, done.took.as_millis());
                     log::event("disk", &format!("part {part}: {compaction:?}, {length} bytes, {took} ms"));
                 }
-                self.with(|coordinator, now| coordinator.saved(now, part, done.ticket, done.length));
+                self.with("saved", |coordinator, now| coordinator.saved(now, part, done.ticket, done.length));
             }
             Report::Failing(error) => log::error("disk", &format!("part {part} waits: {error}")),
             Report::Recovered => log::event("disk", &format!("part {part} is written again")),
@@ -326,7 +332,7 @@
         self.tickets.set(ticket);
         let (waits, answered) = oneshot::channel();
         self.answers.borrow_mut().insert(ticket, waits);
-        self.with(|coordinator, now| coordinator.call(now, ticket, call));
+        self.with("call", |coordinator, now| coordinator.call(now, ticket, call));
         answered.await.unwrap_or_else(|_| Answer::of(503))
     }
 
@@ -361,7 +367,7 @@
                 (ran.events, end)
             }
         };
-        self.with(|coordinator, now| coordinator.ran(now, part, &lot, &id, events, end));
+        self.with("ran", |coordinator, now| coordinator.ran(now, part, &lot, &id, events, end));
     }
 
     async fn datagrams(self: Rc<Self>) {
@@ -373,7 +379,7 @@
             for _ in 0..BURST {
                 let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) else { break };
                 if let Ok(payload) = self.envelope.open(&buffer[..length]) {
-                    self.with(|coordinator, now| coordinator.datagram(now, from, payload));
+                    self.with("datagram", |coordinator, now| coordinator.datagram(now, from, payload));
                 }
             }
             tokio::task::yield_now().await;
@@ -389,7 +395,7 @@
                 () = self.sooner.notified() => continue,
                 () = sleep_until(self.clock.instant(next)) => {}
             }
-            self.with(|coordinator, now| coordinator.due(now));
+            self.with("timer", |coordinator, now| coordinator.due(now));
         }
     }
 
@@ -398,6 +404,7 @@
         let mut all = self.coordinator.borrow().figures();
         all.extend(self.gateway.figures());
         let peers = &self.peers;
+        all.extend(self.steps.figures());
         all.push(("peer_bytes_sent".to_owned(), peers.sent.get() as f64));
         all.push(("peer_bytes_taken".to_owned(), peers.taken.get() as f64));
         all.push(("peer_frames_dropped".to_owned(), peers.dropped.get() as f64));
