--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -44,6 +44,8 @@
     wakes: Time,
     /// By how much its time of day is ahead.
     pub skew: Time,
+    /// It is at work on a step until then, and takes nothing in.
+    busy_until: Time,
     /// What it has in force, by version and text; every version that it ever acted on.
     pub in_force: Vec<u64>,
     pub workers: BTreeMap<String, Worker>,
@@ -76,6 +78,20 @@
     pub bytes: u64,
     /// Bytes that were sent to each machine's place.
     pub bytes_to: BTreeMap<usize, u64>,
+    /// Bytes of text in each event of an item's run, at least.
+    pub event_bytes: usize,
+    /// What steps cost; they take no time where there is none.
+    pub cost: Option<Cost>,
+    /// The most bytes that one step has allocated.
+    pub largest_step: u64,
+}
+
+/// The time that a step takes, by the bytes that it allocates: what it decodes, copies and encodes.
+#[derive(Clone, Copy)]
+pub struct Cost {
+    /// Bytes that this thread has allocated so far.
+    pub allocated: fn() -> u64,
+    pub bytes_per_second: u64,
 }
 
 pub fn address(place: usize) -> SocketAddr {
@@ -107,6 +123,9 @@
             run_time: 300 * MS,
             bytes: 0,
             bytes_to: BTreeMap::new(),
+            event_bytes: 0,
+            cost: None,
+            largest_step: 0,
         };
         (0..core).for_each(|n| {
             fleet.add(true, true, n);
@@ -135,6 +154,7 @@
             life: 0,
             wakes: Time::MAX,
             skew: 0,
+            busy_until: 0,
             in_force: Vec::new(),
             workers: BTreeMap::new(),
             log: Vec::new(),
@@ -317,6 +337,12 @@
             }
             return;
         }
+        if machine.busy_until > self.now {
+            let until = machine.busy_until;
+            self.push(until, event);
+            return;
+        }
+        let allocated_before = self.cost.map(|cost| (cost.allocated)());
         let Some(coordinator) = machine.coordinator.as_mut() else { return };
         match event {
             Event::Datagram { from, bytes, .. } => coordinator.datagram(now, from, &bytes),
@@ -343,9 +369,19 @@
                 coordinator.ran(now, part, &lot, &item, events, RunEnd::Complete);
             }
         }
+        if let (Some(cost), Some(before)) = (self.cost, allocated_before) {
+            self.charge(at, (cost.allocated)() - before, cost.bytes_per_second);
+        }
         self.after(at);
     }
 
+    /// A step has allocated so many bytes: the machine is at work until it is over.
+    fn charge(&mut self, at: usize, bytes: u64, bytes_per_second: u64) {
+        self.largest_step = self.largest_step.max(bytes);
+        let took = bytes as i128 * i128::from(SECOND) / i128::from(bytes_per_second);
+        self.machines[at].busy_until = self.now + took as Time;
+    }
+
     fn place(&self, at: SocketAddr) -> Option<usize> {
         self.machines.iter().position(|m| m.at == at)
     }
@@ -405,7 +441,8 @@
                 Effect::Run { part, next } => {
                     self.runs.push((at, next.lot.clone(), next.item.id.clone()));
                     let first = next.last_event + 1;
-                    let event = |n: u64| (n, Bytes::from(format!("{} {n}", next.item.id)));
+                    let padding = self.event_bytes;
+                    let event = |n: u64| (n, Bytes::from(format!("{} {n}{:padding$}", next.item.id, "")));
                     let events = (first..=3).map(event).collect();
                     let (lot, item) = (next.lot.clone(), next.item.id.clone());
                     self.push(self.now + self.run_time, Event::Ran { at, life, part, lot, item, events });
