wal: a rewrite takes its records from a source that makes them as they are written

Cause: a rewrite was handed as a list of all records, so the whole state was held once more while it was queued, written and tried again. Change: `RecordSource` tells the count and size of the records and makes one at a time; `rewrite`, `compact` and the thread take one. Lists of records are sources too. Room is reserved by the size told beforehand and set to what was written. A record is made anew for each try.

--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -8,6 +8,7 @@
 mod log;
 mod record;
 mod room;
+mod source;
 mod writer;
 
 use std::path::PathBuf;
@@ -17,6 +18,7 @@
 pub use files::{Files, SystemFiles};
 pub use log::{Compaction, Wal};
 pub use room::Room;
+pub use source::RecordSource;
 pub use writer::{Done, Report, Writer};
 
 quick_error! {
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 
 use crate::record::{self, HEADER};
-use crate::{Error, Files, Room, SystemFiles};
+use crate::source::{encoded_length, records_from};
+use crate::{Error, Files, RecordSource, Room, SystemFiles};
 
 /// Bytes that are collected before they are written, and read at once.
 const BUFFER: usize = 1 << 20;
@@ -92,7 +93,7 @@
         }
         self.is_tail_dirty = true;
         let start = self.length;
-        let written = write_records(&self.files, &self.file, start, records, |_| start)
+        let written = write_records(&self.files, &self.file, start, records_from(records, 0), |_| start)
             .and_then(|end| self.files.sync(&self.file).map(|()| end));
         match written {
             Ok(end) => {
@@ -114,7 +115,7 @@
     /// # Errors
     /// Where that fails or there is no room beside the old file, which then stands. Only where the folder's sync alone failed,
     /// the new one does, and that sync is tried again before the next append.
-    pub fn rewrite(&mut self, records: &[Bytes]) -> Result<(), Error> {
+    pub fn rewrite<S: RecordSource + ?Sized>(&mut self, records: &S) -> Result<(), Error> {
         self.rewrite_leaving(records, 0)
     }
 
@@ -123,16 +124,19 @@
     ///
     /// # Errors
     /// Where that cannot be appended either, or there are no implied records and [`Wal::rewrite`] fails.
-    pub fn compact(&mut self, records: &[Bytes], implied: usize) -> Result<Compaction, Error> {
+    pub fn compact<S: RecordSource + ?Sized>(
+        &mut self,
+        records: &S,
+        implied: usize,
+    ) -> Result<Compaction, Error> {
         if implied == 0 {
             return self.rewrite(records).map(|()| Compaction::Rewritten);
         }
-        if self.pays(record::encoded_length(records))
-            && self.rewrite_leaving(records, self.room.kept_back()).is_ok()
+        if self.pays(encoded_length(records)) && self.rewrite_leaving(records, self.room.kept_back()).is_ok()
         {
             return Ok(Compaction::Rewritten);
         }
-        self.append(records.get(implied..).unwrap_or_default())?;
+        self.append(&records_from(records, implied).collect::<Vec<_>>())?;
         Ok(Compaction::Postponed)
     }
 
@@ -144,14 +148,19 @@
         gain >= rewritten || is_disk_half_full && gain >= self.length / LEAST_GAIN_SHARE
     }
 
-    fn rewrite_leaving(&mut self, records: &[Bytes], left_free: u64) -> Result<(), Error> {
+    fn rewrite_leaving<S: RecordSource + ?Sized>(
+        &mut self,
+        records: &S,
+        left_free: u64,
+    ) -> Result<(), Error> {
         let fresh = fresh_path(&self.path);
-        let reserved = record::encoded_length(records);
+        let reserved = encoded_length(records);
         if !self.room.reserve(reserved, left_free) {
             return Err(Error::Io(fresh, io::ErrorKind::StorageFull.into()));
         }
         match self.put_in_place(&fresh, records) {
             Ok((file, length)) => {
+                self.room.settle(reserved, length);
                 self.room.release(self.length);
                 self.file = file;
                 self.length = length;
@@ -169,10 +178,14 @@
     }
 
     /// Writes and syncs a fresh file, and renames it over the log's.
-    fn put_in_place(&self, fresh: &Path, records: &[Bytes]) -> io::Result<(F::File, u64)> {
+    fn put_in_place<S: RecordSource + ?Sized>(
+        &self,
+        fresh: &Path,
+        records: &S,
+    ) -> io::Result<(F::File, u64)> {
         let file = self.files.open(fresh, true)?;
         // Each a batch of its own: as the file gets its name only once synced, none of them can be torn.
-        let length = write_records(&self.files, &file, 0, records, |offset| offset)?;
+        let length = write_records(&self.files, &file, 0, records_from(records, 0), |offset| offset)?;
         self.files.sync(&file)?;
         self.files.rename(fresh, &self.path)?;
         Ok((file, length))
@@ -219,28 +232,27 @@
     files: &F,
     file: &F::File,
     start: u64,
-    records: &[Bytes],
+    records: impl Iterator<Item = Bytes>,
     batch_at: impl Fn(u64) -> u64,
 ) -> io::Result<u64> {
     let mut written = start;
     let mut offset = start;
-    let total = usize::try_from(record::encoded_length(records)).unwrap_or(BUFFER);
-    let mut buffer = Vec::with_capacity(total.min(BUFFER));
+    let mut buffer = Vec::new();
     for payload in records {
         if buffer.len() + HEADER + payload.len() > BUFFER {
             files.write_all_at(file, &buffer, written)?;
             written = offset;
             buffer.clear();
         }
-        buffer.extend_from_slice(&record::header(offset, batch_at(offset), payload)?);
+        buffer.extend_from_slice(&record::header(offset, batch_at(offset), &payload)?);
         offset += (HEADER + payload.len()) as u64;
         if payload.len() < BUFFER {
-            buffer.extend_from_slice(payload);
+            buffer.extend_from_slice(&payload);
             continue;
         }
         // Too long to be worth a copy.
         files.write_all_at(file, &buffer, written)?;
-        files.write_all_at(file, payload, written + buffer.len() as u64)?;
+        files.write_all_at(file, &payload, written + buffer.len() as u64)?;
         written = offset;
         buffer.clear();
     }
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -10,11 +10,6 @@
 /// Bytes of a record before its payload.
 pub const HEADER: usize = 20;
 
-/// Bytes that these records take in a file.
-pub fn encoded_length(records: &[Bytes]) -> u64 {
-    records.iter().map(|record| (HEADER + record.len()) as u64).sum()
-}
-
 /// The header of a record at an offset of the file.
 pub fn header(offset: u64, batch: u64, payload: &[u8]) -> io::Result<[u8; HEADER]> {
     let length = u32::try_from(payload.len()).map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
--- a/crates/wal/src/room.rs
+++ b/crates/wal/src/room.rs
@@ -60,6 +60,14 @@
         fits
     }
 
+    /// What was reserved is in use; it has come to so many bytes.
+    pub(crate) fn settle(&self, reserved: u64, written: u64) {
+        match written.checked_sub(reserved) {
+            Some(more) => self.add(more),
+            None => self.release(reserved - written),
+        }
+    }
+
     /// Waits until something is released, at most so long.
     pub(crate) fn wait(&self, most: Duration) {
         // Both an early and a late end are fine: the caller tries again.
--- a/crates/wal/src/writer.rs
+++ b/crates/wal/src/writer.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::{Compaction, Error, Files, Room, Wal};
+use crate::{Compaction, Error, Files, RecordSource, Room, Wal};
 
 /// The pause after a first failure; it doubles with each one up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
@@ -37,7 +37,7 @@
 
 enum Job {
     Append { ticket: u64, records: Vec<Bytes> },
-    Compact { ticket: u64, records: Vec<Bytes>, implied: usize },
+    Compact { ticket: u64, records: Box<dyn RecordSource>, implied: usize },
 }
 
 /// A thread that owns a log: calls do not wait for the disk. Several waiting appends are written and synced as one. Once this is
@@ -75,8 +75,8 @@
     }
 
     /// Compacts as [`Wal::compact`] does, after all appends asked for before. The records have to stand for all of these.
-    pub fn compact(&self, ticket: u64, records: Vec<Bytes>, implied: usize) {
-        let _ = self.jobs.send(Job::Compact { ticket, records, implied });
+    pub fn compact(&self, ticket: u64, records: impl RecordSource + 'static, implied: usize) {
+        let _ = self.jobs.send(Job::Compact { ticket, records: Box::new(records), implied });
     }
 }
 
@@ -166,7 +166,7 @@
         if self.pause.is_some()
             && let Some(place) = place
             && let Some(Job::Compact { ticket, records, .. }) = self.pending.get(place)
-            && wal.rewrite(records).is_ok()
+            && wal.rewrite(&**records).is_ok()
         {
             let done = Done::of(*ticket, wal, started, Some(Compaction::Rewritten));
             self.pending.drain(..=place);
@@ -179,7 +179,7 @@
                 Done::of(*ticket, wal, started, None)
             }
             Some(Job::Compact { ticket, records, implied }) => {
-                let compaction = wal.compact(records, *implied)?;
+                let compaction = wal.compact(&**records, *implied)?;
                 Done::of(*ticket, wal, started, Some(compaction))
             }
         };
--- a/crates/wal/tests/faults/main.rs
+++ b/crates/wal/tests/faults/main.rs
@@ -3,3 +3,4 @@
 mod files;
 mod power_loss;
 mod refusals;
+mod sources;
