--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod log;
 mod quorum;
+mod records;
 mod replica;
+mod state;
 mod wire;
 
 use std::net::SocketAddr;
@@ -15,7 +17,9 @@
 use quick_error::quick_error;
 pub use quorum::Quorums;
 pub use rainlug::Time;
-pub use replica::Replica;
+pub use records::Records;
+pub use replica::{MOST_HANDED_BYTES, MOST_HANDED_ENTRIES, Replica};
+pub use state::{Restore, StateSource, WholeState};
 
 /// A disk's identity, drawn when it is first used.
 pub type MemberId = u64;
@@ -65,6 +69,16 @@
     }
 }
 
+/// Records that replace all earlier ones of a replica.
+#[derive(Clone, Debug)]
+pub struct Rewrite {
+    /// Once they are on the disk: `saved(ticket)`.
+    pub ticket: u64,
+    pub records: Records,
+    /// They follow from what the disk holds already: the rewrite may be left undone, and the ticket is saved with those before it.
+    pub is_implied: bool,
+}
+
 /// What a replica wants done. Taken with [`Replica::take`].
 #[derive(Clone, Debug, Default)]
 pub struct Output {
@@ -73,16 +87,18 @@
     /// Records to be appended to the disk and synced, in order; then `saved(ticket)`. Later tickets cover earlier ones.
     pub save: Vec<(u64, Bytes)>,
     /// Records to replace all earlier ones of this replica; then `saved(ticket)`. `save` in the same output comes after it.
-    pub rewrite: Option<(u64, Vec<Bytes>)>,
-    /// A snapshot of the state machine that replaces its whole state, as of this index.
-    pub restore: Option<(Index, Bytes)>,
-    /// Committed commands in order, each once.
+    pub rewrite: Option<Rewrite>,
+    /// Steps of replacing the whole state of the state machine, in order. The state in force goes on until the last of them, and
+    /// `committed` in an earlier output is for it.
+    pub restore: Vec<Restore>,
+    /// Committed commands in order, each once; they come after what is to be restored.
     pub committed: Vec<(Index, Bytes)>,
     /// Reads that may be answered from the state machine now (all committed before they were asked is in it), or not.
     pub reads: Vec<(u64, Result<(), Refused>)>,
     /// Something about who leads, or who is a member, has changed.
     pub changed: bool,
-    /// The state machine should call `snapshot`; or `postpone_snapshot`, unless a member needs it.
+    /// The state machine should call `snapshot`; or `postpone_snapshot`, unless a member needs it. Not before all that was taken
+    /// is applied, and nothing is left to be handed out.
     pub compact: bool,
     /// A member needs the snapshot that is asked for.
     pub is_state_wanted: bool,
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,9 +1,11 @@
 //! A replica's log in memory: entries behind a base, and the groups that they name.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::Bytes;
 
+use crate::state::StateSource;
 use crate::wire::read_group;
 use crate::{Index, Member, Term};
 
@@ -36,12 +38,21 @@
     pub after: Vec<Member>,
 }
 
-#[derive(Debug)]
+#[derive(Clone)]
 pub struct Snapshot {
     pub index: Index,
     pub term: Term,
     pub group: Vec<Member>,
-    pub state: Bytes,
+    /// While it is needed in memory: while it is sent.
+    pub state: Option<Source>,
+}
+
+/// A state to be sent.
+#[derive(Clone)]
+pub struct Source {
+    /// No two states that a replica sends in one life have the same: pieces of one are never taken for another's.
+    pub number: u64,
+    pub state: Arc<dyn StateSource>,
 }
 
 #[derive(Clone)]
--- /dev/null
+++ b/crates/consensus/src/records.rs
@@ -0,0 +1,101 @@
+//! The records of a snapshot and of what follows it, each encoded when it is asked for.
+
+use std::fmt;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::log::Entry;
+use crate::state::StateSource;
+use crate::{Index, wire};
+
+/// The pieces of a snapshot's state, as records.
+#[derive(Clone)]
+pub(crate) enum PieceRecords {
+    /// Encoded from the state of this process.
+    Encoded(Arc<dyn StateSource>),
+    /// As they came from a leader.
+    Received(Arc<[Bytes]>),
+}
+
+impl PieceRecords {
+    pub(crate) fn count(&self) -> usize {
+        match self {
+            PieceRecords::Encoded(state) => state.pieces(),
+            PieceRecords::Received(records) => records.len(),
+        }
+    }
+
+    fn record(&self, number: usize) -> Option<Bytes> {
+        match self {
+            PieceRecords::Encoded(state) if number < state.pieces() => {
+                Some(wire::piece_record(number, &state.piece(number)))
+            }
+            PieceRecords::Encoded(_) => None,
+            PieceRecords::Received(records) => records.get(number).cloned(),
+        }
+    }
+
+    fn size(&self) -> u64 {
+        match self {
+            PieceRecords::Encoded(state) => state.size() + (state.pieces() * wire::PIECE_RECORD_HEAD) as u64,
+            PieceRecords::Received(records) => records.iter().map(|record| record.len() as u64).sum(),
+        }
+    }
+}
+
+/// All records of a replica: its snapshot and what follows it. They can be walked over any number of times; one at a time is in
+/// memory beside what the state machine and the log hold.
+#[derive(Clone)]
+pub struct Records {
+    pub(crate) snapshot: Bytes,
+    pub(crate) pieces: PieceRecords,
+    pub(crate) hard_state: Bytes,
+    pub(crate) first: Index,
+    /// From `first` on.
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) settled: Option<Bytes>,
+}
+
+impl Records {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        2 + self.pieces.count() + self.entries.len() + usize::from(self.settled.is_some())
+    }
+
+    /// How many of the first stand for the snapshot: its head and its pieces.
+    pub fn snapshot_count(&self) -> usize {
+        1 + self.pieces.count()
+    }
+
+    /// A record, encoded now; none behind the last one.
+    pub fn record(&self, number: usize) -> Option<Bytes> {
+        let Some(place) = number.checked_sub(1) else { return Some(self.snapshot.clone()) };
+        let Some(place) = place.checked_sub(self.pieces.count()) else { return self.pieces.record(place) };
+        let Some(place) = place.checked_sub(1) else { return Some(self.hard_state.clone()) };
+        match self.entries.get(place) {
+            Some(entry) => Some(wire::entry_record(self.first + place as u64, entry)),
+            None => self.settled.clone().filter(|_| place == self.entries.len()),
+        }
+    }
+
+    /// All of them in order.
+    pub fn iter(&self) -> impl Iterator<Item = Bytes> + '_ {
+        (0..self.count()).filter_map(|number| self.record(number))
+    }
+
+    /// Bytes of all records together.
+    pub fn size(&self) -> u64 {
+        let entries: usize =
+            self.entries.iter().map(|entry| wire::ENTRY_RECORD_HEAD + entry.data.len()).sum();
+        let others =
+            self.snapshot.len() + self.hard_state.len() + self.settled.as_ref().map_or(0, Bytes::len);
+        self.pieces.size() + (entries + others) as u64
+    }
+}
+
+impl fmt::Debug for Records {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.debug_struct("Records").field("count", &self.count()).field("size", &self.size()).finish()
+    }
+}
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -3,9 +3,11 @@
 mod election;
 mod entries;
 mod group;
+mod handing_out;
 mod install;
 mod memory;
 mod receiving;
+mod recovery;
 mod sending;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -15,9 +17,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::log::{Kind, Log, Snapshot};
-use crate::wire::{self, Record};
-use crate::{DecodeError, Index, Member, MemberId, Output, Refused, Settings, Term, Time};
+pub use self::handing_out::{MOST_HANDED_BYTES, MOST_HANDED_ENTRIES};
+use crate::log::{Kind, Log, Snapshot, Source};
+use crate::records::PieceRecords;
+use crate::state::{Restore, StateSource};
+use crate::{Index, Member, MemberId, Output, Refused, Settings, Term, Time, wire};
 
 /// Messages with entries on their way to one follower, at most.
 const MOST_IN_FLIGHT: usize = 8;
@@ -40,7 +44,7 @@
     /// The newest index of each message on its way, and its bytes.
     Replicate { in_flight: VecDeque<(Index, usize)> },
     /// A piece at a time.
-    Snapshot { snapshot: Arc<Snapshot>, offset: u64, sent: bool, moved: bool },
+    Snapshot { snapshot: Arc<Snapshot>, source: Source, number: usize, sent: bool, moved: bool },
 }
 
 #[derive(Clone)]
@@ -83,13 +87,17 @@
     index: Index,
 }
 
+/// A snapshot that comes in pieces.
 #[derive(Clone)]
 struct Incoming {
     leader: MemberId,
     term: Term,
     index: Index,
-    total: u64,
-    bytes: Vec<u8>,
+    /// Which of the leader's states it is.
+    source: u64,
+    pieces: u32,
+    /// The records of the pieces so far: the bytes that came, which the state machine has been handed too.
+    records: Vec<Bytes>,
 }
 
 /// What [`Output::changed`] tells of.
@@ -122,8 +130,10 @@
     log: Log,
     snapshot: Arc<Snapshot>,
     commit: Index,
-    /// Given to the state machine, up to here.
+    /// Given to the state machine, up to here; where something is to be restored, once it has that.
     applied: Index,
+    /// To be given to the state machine first.
+    restoring: VecDeque<Restore>,
     /// Group entries up to here are known to be committed, also where `commit` is not yet.
     settled: Index,
     /// Of the newest record of that.
@@ -139,8 +149,8 @@
     /// Weight of the entries given to the state machine since the snapshot.
     weight: usize,
     compact_asked: bool,
-    /// The snapshot's state is in memory: it is, while a follower needs it.
-    has_state: bool,
+    /// States that were to be sent, so far.
+    sources: u64,
     /// A follower needs entries that are not in memory any more.
     state_wanted: bool,
     votes: BTreeSet<MemberId>,
@@ -168,7 +178,7 @@
     /// taken in.
     pub fn new(me: Member, founding: Vec<Member>, settings: Settings, seed: u64, now: Time) -> Self {
         let chance = ChaCha8Rng::seed_from_u64(seed ^ me.id.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let snapshot = Snapshot { index: 0, term: 0, group: founding.clone(), state: Bytes::new() };
+        let snapshot = Snapshot { index: 0, term: 0, group: founding.clone(), state: None };
         let mut replica = Self {
             me,
             settings,
@@ -185,6 +195,7 @@
             snapshot: Arc::new(snapshot),
             commit: 0,
             applied: 0,
+            restoring: VecDeque::new(),
             settled: 0,
             settled_ticket: 0,
             stable: 0,
@@ -194,7 +205,7 @@
             founded: false,
             weight: 0,
             compact_asked: false,
-            has_state: false,
+            sources: 0,
             state_wanted: false,
             votes: BTreeSet::new(),
             fenced: BTreeSet::new(),
@@ -216,54 +227,11 @@
         replica
     }
 
-    /// A member that has these records, all that it saved, in order. The state machine restarts from `take().restore` and
-    /// `committed`. The founding group counts only where there is no record.
-    ///
-    /// # Errors
-    /// Where a record cannot be read.
-    pub fn recover(
-        me: Member,
-        founding: Vec<Member>,
-        settings: Settings,
-        records: &[Bytes],
-        seed: u64,
-        now: Time,
-    ) -> Result<Self, DecodeError> {
-        let mut replica = Self::new(me, founding, settings, seed, now);
-        for record in records {
-            replica.founded = true;
-            match wire::read_record(record)? {
-                Record::HardState { term, voted } => {
-                    replica.term = term;
-                    replica.voted = voted;
-                }
-                Record::Entry { index, entry } => {
-                    if index <= replica.snapshot.index || index > replica.log.last() + 1 {
-                        return Err(DecodeError::Malformed("an entry's place"));
-                    }
-                    replica.log.truncate(index - 1);
-                    replica.log.push(entry);
-                }
-                Record::Snapshot { index, term, group, state } => {
-                    replica.log = Log::new(index, term, group.clone());
-                    replica.snapshot = Arc::new(Snapshot { index, term, group, state });
-                    replica.has_state = true;
-                }
-                Record::Settled { index } => replica.settled = replica.settled.max(index),
-            }
-        }
-        replica.stable = replica.log.last();
-        replica.commit = replica.snapshot.index;
-        replica.applied = replica.snapshot.index;
-        if replica.snapshot.index > 0 {
-            replica.output.restore = Some((replica.snapshot.index, replica.snapshot.state.clone()));
-        }
-        replica.seen = replica.observe();
-        Ok(replica)
-    }
-
     /// When `due` is to be called, at the latest.
     pub fn next(&self) -> Time {
+        if self.has_backlog() {
+            return self.now;
+        }
         if self.role == Role::Leader {
             self.heartbeat_due.min(self.quorum_due)
         } else {
@@ -382,25 +350,28 @@
         }
     }
 
-    /// The state machine's whole state as of all commands taken so far. Entries up to there are dropped.
-    pub fn snapshot(&mut self, now: Time, state: Bytes) {
+    /// The state machine's whole state as of all that was taken so far. Entries up to there are dropped.
+    pub fn snapshot(&mut self, now: Time, state: Arc<dyn StateSource>) {
         self.wake(now);
         self.compact_asked = false;
+        if !self.restoring.is_empty() {
+            // It is of an index that the state machine has not reached or has left.
+            return;
+        }
         let index = self.applied;
         self.state_wanted = false;
+        self.sources += 1;
+        let source = Some(Source { number: self.sources, state: state.clone() });
         if index == self.snapshot.index {
             // The disk has it.
-            let Snapshot { term, ref group, .. } = *self.snapshot;
-            self.snapshot = Arc::new(Snapshot { index, term, group: group.clone(), state });
-            self.has_state = true;
+            self.snapshot = Arc::new(Snapshot { state: source, ..Snapshot::clone(&self.snapshot) });
             return;
         }
         let Some(term) = self.log.term(index) else { return };
         let group = self.log.group_at(index).after.clone();
         self.weight = 0;
-        self.snapshot = Arc::new(Snapshot { index, term, group, state });
-        self.has_state = true;
-        self.rewrite();
+        self.snapshot = Arc::new(Snapshot { index, term, group, state: source });
+        self.rewrite(PieceRecords::Encoded(state), true);
     }
 
     /// The snapshot that was asked for does not pay now; it is asked for again after as many bytes.
@@ -409,6 +380,8 @@
         self.weight = 0;
     }
 
+    /// What it wants done. Of what the state machine has to do it hands out [`MOST_HANDED_BYTES`] and [`MOST_HANDED_ENTRIES`] at
+    /// most; where that is not all, [`Replica::next`] is now, and [`Replica::has_backlog`] holds.
     pub fn take(&mut self) -> Output {
         self.advance();
         if self.role == Role::Leader {
@@ -418,15 +391,7 @@
             }
             self.flush();
         }
-        while self.applied < self.commit
-            && let Some(entry) = self.log.get(self.applied + 1)
-        {
-            self.applied += 1;
-            self.weight += entry.weight();
-            if entry.kind == Kind::Command {
-                self.output.committed.push((self.applied, entry.data.clone()));
-            }
-        }
+        self.hand_out();
         if self.role == Role::Leader && !self.reads.is_empty() {
             let confirmed = self.reached_by_quorums(|progress| progress.round, self.round);
             let applied = self.applied;
@@ -440,7 +405,7 @@
             self.compact_asked = true;
             self.output.compact = true;
         }
-        if std::mem::take(&mut self.state_wanted) && !self.compact_asked {
+        if self.restoring.is_empty() && std::mem::take(&mut self.state_wanted) && !self.compact_asked {
             self.compact_asked = true;
             self.output.compact = true;
             self.output.is_state_wanted = true;
@@ -462,9 +427,9 @@
     pub fn is_elected(&self) -> bool {
         self.role == Role::Leader
     }
-    /// Leads, and has committed an entry of its own term.
+    /// Leads, has committed an entry of its own term, and has handed out all that earlier leaders committed.
     pub fn leads(&self) -> bool {
-        self.role == Role::Leader && self.commit >= self.first
+        self.role == Role::Leader && self.restoring.is_empty() && self.applied >= self.first
     }
     pub fn term(&self) -> Term {
         self.term
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -114,7 +114,7 @@
         if term > self.term {
             self.step_down();
             self.leader_heard = None;
-            self.incoming = None;
+            self.abandon_incoming();
         }
         self.term = term;
         self.voted = voted;
--- a/crates/consensus/src/replica/entries.rs
+++ b/crates/consensus/src/replica/entries.rs
@@ -1,18 +1,17 @@
 //! Entries: appended, saved, committed, and replaced by those of a newer leader.
 
-use std::sync::Arc;
-
 use super::{Replica, Role};
 use crate::log::{Entry, Kind, Snapshot};
+use crate::records::{PieceRecords, Records};
 use crate::wire::{self, Body};
-use crate::{Index, Member, Term};
+use crate::{Index, Member, Rewrite, Term};
 use bytes::Bytes;
 
 impl Replica {
     pub(super) fn save(&mut self, record: Bytes) -> u64 {
         if !std::mem::replace(&mut self.founded, true) && !self.snapshot.group.is_empty() {
             self.ticket += 1;
-            let founding = wire::snapshot_record(0, 0, &self.snapshot.group, &[]);
+            let founding = wire::snapshot_record(0, 0, &self.snapshot.group, 0);
             self.output.save.push((self.ticket, founding));
         }
         self.ticket += 1;
@@ -22,7 +21,9 @@
     pub(super) fn push(&mut self, entry: Entry) -> Index {
         let index = self.log.last() + 1;
         let record = wire::entry_record(index, &entry);
-        self.log.push(entry);
+        // Its content is in memory once: as the end of its record.
+        let data = record.slice(wire::ENTRY_RECORD_HEAD..);
+        self.log.push(Entry { data, ..entry });
         let ticket = self.save(record);
         self.unsaved.push_back((ticket, index));
         index
@@ -37,24 +38,22 @@
             *last = (*last).min(index);
         }
     }
-    pub(super) fn rewrite(&mut self) {
-        let Snapshot { index, term, ref group, ref state } = *self.snapshot;
-        let record = wire::snapshot_record(index, term, group, state);
-        // The state is in memory once: as the end of its record.
-        let state = record.slice(record.len() - state.len()..);
-        self.snapshot = Arc::new(Snapshot { index, term, group: group.clone(), state });
-        let snapshot = &self.snapshot;
-        let mut records = vec![record, wire::hard_state_record(self.term, self.voted)];
-        for index in snapshot.index + 1..=self.log.last() {
-            records.extend(self.log.get(index).map(|entry| wire::entry_record(index, entry)));
-        }
-        if self.settled > snapshot.index {
-            records.push(wire::settled_record(self.settled));
-        }
+    /// All records anew: the snapshot with these pieces, and what follows it.
+    pub(super) fn rewrite(&mut self, pieces: PieceRecords, is_implied: bool) {
+        let Snapshot { index, term, ref group, .. } = *self.snapshot;
+        let settled = (self.settled > index).then(|| wire::settled_record(self.settled));
+        let records = Records {
+            snapshot: wire::snapshot_record(index, term, group, pieces.count()),
+            pieces,
+            hard_state: wire::hard_state_record(self.term, self.voted),
+            first: index + 1,
+            entries: (index + 1..=self.log.last()).filter_map(|at| self.log.get(at).cloned()).collect(),
+            settled,
+        };
         self.founded = true;
         self.ticket += 1;
         self.output.save.clear();
-        self.output.rewrite = Some((self.ticket, records));
+        self.output.rewrite = Some(Rewrite { ticket: self.ticket, records, is_implied });
         self.unsaved.push_back((self.ticket, self.log.last()));
     }
     /// A group entry is known to be committed.
--- a/crates/consensus/src/replica/receiving.rs
+++ b/crates/consensus/src/replica/receiving.rs
@@ -2,6 +2,9 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
+
+use super::install::SnapshotPiece;
 use super::{Flow, Progress, Replica, Role};
 use crate::wire::{self, Body};
 use crate::{DecodeError, Index, Member, Term, Time};
@@ -17,13 +20,13 @@
     ///
     /// # Errors
     /// Where the bytes cannot be read; nothing has changed then.
-    pub fn heard(&mut self, now: Time, bytes: &[u8]) -> Result<(), DecodeError> {
+    pub fn heard(&mut self, now: Time, bytes: &Bytes) -> Result<(), DecodeError> {
         let message = wire::read_message(bytes)?;
         self.wake(now);
         if message.to != self.me.id || message.from.id == self.me.id {
             return Ok(());
         }
-        let wire::Message { from, term, body, entries, group, chunk, .. } = message;
+        let wire::Message { from, term, body, entries, group, piece, .. } = message;
         if let Body::RequestVote { pre, for_term, last_index, last_term } = body {
             self.vote_requested(&from, pre != 0, term, for_term, (last_term, last_index));
             return Ok(());
@@ -42,9 +45,11 @@
                     self.append_requested(&from, round, (prev_index, prev_term), commit, entries);
                 }
             }
-            Body::InstallSnapshot { round, index, last_term, total, offset, .. } => {
+            Body::InstallSnapshot { round, index, last_term, source, pieces, number, .. } => {
                 if self.follows(&from, term, round, index) {
-                    self.install_requested(&from, round, (index, last_term), total, offset, group, &chunk);
+                    let term = last_term;
+                    let piece = SnapshotPiece { index, term, group, source, pieces, number, record: piece };
+                    self.install_requested(&from, round, piece);
                 }
             }
             Body::Appended { round, matched, settled } => {
@@ -57,9 +62,9 @@
                 let refusal = Refusal { prev_index, common };
                 self.answered(term == self.term, &from, round, |progress, _| progress.rejected(&refusal));
             }
-            Body::SnapshotWanted { round, index, wanted } => {
+            Body::SnapshotWanted { round, source, wanted } => {
                 self.answered(term == self.term, &from, round, |progress, _| {
-                    progress.wants_piece(index, wanted);
+                    progress.wants_piece(source, wanted as usize);
                 });
             }
         }
@@ -153,14 +158,14 @@
         self.next = next;
     }
 
-    /// The follower waits for the piece of the snapshot at `wanted`.
-    fn wants_piece(&mut self, index: Index, wanted: u64) {
-        if let Flow::Snapshot { snapshot, offset, sent, moved } = &mut self.flow
-            && snapshot.index == index
-            && *offset != wanted
-            && wanted <= snapshot.state.len() as u64
+    /// The follower waits for a piece of the snapshot from this source.
+    fn wants_piece(&mut self, asked: u64, wanted: usize) {
+        if let Flow::Snapshot { source, number, sent, moved, .. } = &mut self.flow
+            && source.number == asked
+            && *number != wanted
+            && wanted < source.state.pieces()
         {
-            *offset = wanted;
+            *number = wanted;
             *sent = false;
             *moved = true;
         }
--- a/crates/consensus/src/replica/sending.rs
+++ b/crates/consensus/src/replica/sending.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::{Flow, MOST_ENTRIES, MOST_IN_FLIGHT, Observed, Progress, Replica, Role};
-use crate::log::Snapshot;
+use crate::log::{Snapshot, Source};
 use crate::wire::{self, Body};
 use crate::{Index, Member, Term};
 
@@ -58,7 +58,7 @@
         let beat = std::mem::take(&mut self.beat);
         let mut messages = std::mem::take(&mut self.output.messages);
         let mut all = std::mem::take(&mut self.progress);
-        let whole = self.has_state && self.snapshot.index >= self.log.base();
+        let whole = self.snapshot.state.is_some() && self.snapshot.index >= self.log.base();
         let lacks = |p: &Progress| {
             self.is_alive(p) && !matches!(p.flow, Flow::Snapshot { .. }) && p.next <= self.log.base()
         };
@@ -84,16 +84,18 @@
             progress.flow = Flow::Probe { asked: true };
         }
         if !matches!(progress.flow, Flow::Snapshot { .. }) && progress.next <= self.log.base() {
-            if !is_alive || !self.has_state || self.snapshot.index < self.log.base() {
+            let source = self.snapshot.state.clone();
+            let source = source.filter(|_| is_alive && self.snapshot.index >= self.log.base());
+            let Some(source) = source else {
                 // The state is asked for; until it is there this follower has signs of life.
                 if beat && let Some(term) = self.log.term(self.log.base()) {
                     messages.push(self.empty_message(&progress.member, self.log.base(), term));
                 }
                 return;
-            }
-            progress.allowance = self.snapshot.state.len();
-            progress.flow =
-                Flow::Snapshot { snapshot: self.snapshot.clone(), offset: 0, sent: false, moved: false };
+            };
+            progress.allowance = usize::try_from(source.state.size()).unwrap_or(usize::MAX);
+            let snapshot = self.snapshot.clone();
+            progress.flow = Flow::Snapshot { snapshot, source, number: 0, sent: false, moved: false };
         }
         let mut at = None;
         match &mut progress.flow {
@@ -118,10 +120,10 @@
                     at = Some(progress.next - 1);
                 }
             }
-            Flow::Snapshot { snapshot, offset, sent, .. } => {
+            Flow::Snapshot { snapshot, source, number, sent, .. } => {
                 // Bulk goes to those who live.
                 if is_alive && !std::mem::replace(sent, true) {
-                    messages.push(self.chunk_message(&progress.member, snapshot, *offset));
+                    messages.push(self.piece_message(&progress.member, snapshot, source, *number));
                 }
                 // What is not installed yet is no ground to stand on: this one only gives a sign of life.
                 if beat {
@@ -177,20 +179,32 @@
         };
         (self.encode(to, body, &bulk), last)
     }
-    pub(super) fn chunk_message(&self, to: &Member, snapshot: &Snapshot, offset: u64) -> (Member, Bytes) {
+    /// With a piece of a snapshot, which is encoded now.
+    fn piece_message(
+        &self,
+        to: &Member,
+        snapshot: &Snapshot,
+        source: &Source,
+        number: usize,
+    ) -> (Member, Bytes) {
         let group = wire::group(&[], &snapshot.group);
-        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(snapshot.state.len());
-        let end = start.saturating_add(self.settings.most_bytes.max(1)).min(snapshot.state.len());
-        let chunk = snapshot.state.get(start..end).unwrap_or_default();
+        let pieces = source.state.pieces();
+        let (head, piece) = if number < pieces {
+            (wire::piece_head(number), source.state.piece(number))
+        } else {
+            (vec![], Bytes::new())
+        };
+        let narrow = |figure: usize| u32::try_from(figure).unwrap_or(u32::MAX);
         let body = Body::InstallSnapshot {
             round: self.round,
             index: snapshot.index,
             last_term: snapshot.term,
-            total: snapshot.state.len() as u64,
-            offset,
-            group_len: u32::try_from(group.len()).unwrap_or(u32::MAX),
+            source: source.number,
+            pieces: narrow(pieces),
+            number: narrow(number),
+            group_len: narrow(group.len()),
         };
-        self.encode(to, body, &[&group, chunk])
+        self.encode(to, body, &[&group, &head, &piece])
     }
 
     pub(super) fn observe(&self) -> Observed {
--- a/crates/consensus/src/wire.rs
+++ b/crates/consensus/src/wire.rs
@@ -130,12 +130,21 @@
     /// What precedes the entries is not there; the follower's newest entry that may be common.
     #[deku(id = 5)]
     Rejected { round: u64, prev_index: u64, hint_index: u64, hint_term: u64 },
-    /// A piece of a snapshot; the group precedes it in the bulk.
+    /// The piece `number` of the `pieces` of a snapshot, as its record; the group precedes it in the bulk. `source` tells the
+    /// states of one leader apart.
     #[deku(id = 6)]
-    InstallSnapshot { round: u64, index: u64, last_term: u64, total: u64, offset: u64, group_len: u32 },
-    /// The follower waits for the piece at `wanted`.
+    InstallSnapshot {
+        round: u64,
+        index: u64,
+        last_term: u64,
+        source: u64,
+        pieces: u32,
+        number: u32,
+        group_len: u32,
+    },
+    /// The follower waits for the piece `wanted`.
     #[deku(id = 7)]
-    SnapshotWanted { round: u64, index: u64, wanted: u64 },
+    SnapshotWanted { round: u64, source: u64, wanted: u32 },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -157,8 +166,8 @@
     pub entries: Vec<Entry>,
     /// Of [`Body::InstallSnapshot`]: its group.
     pub group: Vec<Member>,
-    /// Of [`Body::InstallSnapshot`].
-    pub chunk: Bytes,
+    /// Of [`Body::InstallSnapshot`]: the record of its piece; none where the state is empty.
+    pub piece: Option<Bytes>,
 }
 
 fn joined(head: Vec<u8>, bulk: &[&[u8]]) -> Bytes {
@@ -199,7 +208,7 @@
     if figures.iter().all(|&figure| figure < MOST) { Ok(()) } else { Err(DecodeError::Malformed("a figure")) }
 }
 
-pub fn read_message(bytes: &[u8]) -> Result<Message, DecodeError> {
+pub fn read_message(bytes: &Bytes) -> Result<Message, DecodeError> {
     let ((rest, _), head) = Head::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed("a message"))?;
     let from = Member::try_from(head.from)?;
     believed(&[head.term])?;
@@ -210,7 +219,7 @@
         body: head.body,
         entries: vec![],
         group: vec![],
-        chunk: Bytes::new(),
+        piece: None,
     };
     match &message.body {
         Body::RequestVote { for_term, last_index, last_term, .. } => {
@@ -219,7 +228,7 @@
         Body::Vote { for_term, .. } => believed(&[*for_term])?,
         Body::AppendEntries { prev_index, prev_term, commit, heads, .. } => {
             believed(&[*prev_index, *prev_term, *commit])?;
-            let mut bulk = Bytes::copy_from_slice(rest);
+            let mut bulk = bytes.slice_ref(rest);
             let mut last = *prev_term;
             for head in heads {
                 let len = usize::try_from(head.len).unwrap_or(usize::MAX);
@@ -237,21 +246,37 @@
         Body::Rejected { prev_index, hint_index, hint_term, .. } => {
             believed(&[*prev_index, *hint_index, *hint_term])?;
         }
-        Body::InstallSnapshot { index, last_term, total, offset, group_len, .. } => {
-            believed(&[*index, *last_term, *total, *offset])?;
+        Body::InstallSnapshot { index, last_term, pieces, number, group_len, .. } => {
+            believed(&[*index, *last_term])?;
             let len = usize::try_from(*group_len).unwrap_or(usize::MAX);
             let group = rest.get(..len).ok_or(DecodeError::Malformed("a snapshot's group"))?;
             message.group = read_group(group)?.1;
-            message.chunk = Bytes::copy_from_slice(rest.get(len..).unwrap_or_default());
-            if *offset + message.chunk.len() as u64 > *total {
-                return Err(DecodeError::Malformed("a snapshot's piece"));
-            }
+            let record = bytes.slice_ref(rest.get(len..).unwrap_or_default());
+            message.piece = read_message_piece(record, *pieces, *number)?;
         }
-        Body::SnapshotWanted { index, wanted, .. } => believed(&[*index, *wanted])?,
+        Body::SnapshotWanted { .. } => {}
     }
     Ok(message)
 }
 
+/// The record of a piece that came in a message; an empty state has no pieces.
+fn read_message_piece(record: Bytes, pieces: u32, number: u32) -> Result<Option<Bytes>, DecodeError> {
+    const MALFORMED: DecodeError = DecodeError::Malformed("a snapshot's piece");
+    if pieces == 0 && number == 0 && record.is_empty() {
+        return Ok(None);
+    }
+    match read_record(&record)? {
+        Record::Piece { number: own, .. } if own == number && number < pieces => Ok(Some(record)),
+        _ => Err(MALFORMED),
+    }
+}
+
+/// Bytes of the record of a piece before the piece.
+pub const PIECE_RECORD_HEAD: usize = 1 + 4;
+/// Bytes of the record of an entry before its content.
+pub const ENTRY_RECORD_HEAD: usize = 1 + 8 + 8 + 1;
+
+/// The code 3 was that of a snapshot in one record; such a record cannot be read any more.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "little")]
 enum RecordHead {
@@ -259,10 +284,12 @@
     HardState { term: u64, has_voted: u8, voted: u64 },
     #[deku(id = 2)]
     Entry { index: u64, term: u64, kind: u8 },
-    #[deku(id = 3)]
-    Snapshot { index: u64, term: u64, group_len: u32 },
     #[deku(id = 4)]
     Settled { index: u64 },
+    #[deku(id = 5)]
+    Snapshot { index: u64, term: u64, pieces: u32, group_len: u32 },
+    #[deku(id = 6)]
+    Piece { number: u32 },
 }
 
 pub enum Record {
@@ -274,10 +301,15 @@
         index: Index,
         entry: Entry,
     },
+    /// So many pieces of its state follow at once.
     Snapshot {
         index: Index,
         term: Term,
         group: Vec<Member>,
+        pieces: u32,
+    },
+    Piece {
+        number: u32,
         state: Bytes,
     },
     /// The group entry at this index is committed.
@@ -303,10 +335,22 @@
     record(&RecordHead::Entry { index, term: entry.term, kind: entry.kind as u8 }, &[&entry.data])
 }
 
-pub fn snapshot_record(index: Index, term: Term, members: &[Member], state: &[u8]) -> Bytes {
+/// The record before those of so many pieces.
+pub fn snapshot_record(index: Index, term: Term, members: &[Member], pieces: usize) -> Bytes {
+    let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
     let group = group(&[], members);
     let group_len = u32::try_from(group.len()).unwrap_or(u32::MAX);
-    record(&RecordHead::Snapshot { index, term, group_len }, &[&group, state])
+    record(&RecordHead::Snapshot { index, term, pieces, group_len }, &[&group])
+}
+
+/// The beginning of a piece's record; the piece follows.
+pub fn piece_head(number: usize) -> Vec<u8> {
+    let number = u32::try_from(number).unwrap_or(u32::MAX);
+    RecordHead::Piece { number }.to_bytes().unwrap_or_default()
+}
+
+pub fn piece_record(number: usize, state: &[u8]) -> Bytes {
+    joined(piece_head(number), &[state])
 }
 
 pub fn settled_record(index: Index) -> Bytes {
@@ -325,13 +369,14 @@
             believed(&[index, term])?;
             Record::Entry { index, entry: entry(term, kind, bytes.slice_ref(rest))? }
         }
-        RecordHead::Snapshot { index, term, group_len } => {
+        RecordHead::Snapshot { index, term, pieces, group_len } => {
             believed(&[index, term])?;
-            let len = usize::try_from(group_len).unwrap_or(usize::MAX);
-            let group = rest.get(..len).ok_or(DecodeError::Malformed("a snapshot's group"))?;
-            let state = bytes.slice_ref(rest.get(len..).unwrap_or_default());
-            Record::Snapshot { index, term, group: read_group(group)?.1, state }
+            if usize::try_from(group_len).unwrap_or(usize::MAX) != rest.len() {
+                return Err(DecodeError::Malformed("a snapshot's group"));
+            }
+            Record::Snapshot { index, term, group: read_group(rest)?.1, pieces }
         }
+        RecordHead::Piece { number } => Record::Piece { number, state: bytes.slice_ref(rest) },
         RecordHead::Settled { index } => {
             believed(&[index])?;
             Record::Settled { index }
--- a/crates/consensus/tests/recovery.rs
+++ b/crates/consensus/tests/recovery.rs
@@ -166,6 +166,12 @@
     println!("{} of the crashes with torn rewrites are found; first: {}", broken.len(), broken[0]);
 }
 
+#[test]
+fn the_checker_finds_snapshots_that_are_not_whole() {
+    let (_, broken) = crashes(Role::Follower, Fault::TornSnapshot);
+    assert!(broken.iter().any(|what| what.contains("cannot read its own records")), "{broken:?}");
+}
+
 #[test]
 fn the_checker_finds_forgotten_terms_and_votes() {
     let found = (0..20).find_map(|seed| {
--- a/crates/coordinator/examples/hollow/mod.rs
+++ b/crates/coordinator/examples/hollow/mod.rs
@@ -406,7 +406,10 @@
                     self.push(due, Event::Frame { to, life, from, head, tail });
                 }
                 Effect::Save { part, ticket, records } => self.save(at, part, ticket, &records, false),
-                Effect::Rewrite { part, ticket, records, .. } => self.save(at, part, ticket, &records, true),
+                Effect::Rewrite { part, ticket, records, .. } => {
+                    let records: Vec<Bytes> = records.iter().collect();
+                    self.save(at, part, ticket, &records, true);
+                }
                 Effect::Renew { .. } => {}
                 Effect::Answer { ticket, answer } => self.answered(ticket, answer),
                 Effect::Configuration { version, .. } => {
--- a/crates/coordinator/examples/scale.rs
+++ b/crates/coordinator/examples/scale.rs
@@ -7,12 +7,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::Command;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hollow::{Fleet, KINDS, Kind, Role, Spent, configuration, settled, shape};
 use rainlug::{SECOND, Time};
-use rainlug_consensus::{Member, MemberId, Replica, Settings};
+use rainlug_consensus::{Member, MemberId, Replica, Settings, WholeState};
 use rainlug_coordinator::{CONTROL, Call, PARTS, part_of};
 
 /// Changes that a figure of spread is over (of the largest configuration: fewer, as all that they cost is reading them), and the
@@ -499,9 +500,14 @@
             let output = replica.take();
             committed += output.committed.len();
             if output.compact {
-                replica.snapshot(now, Bytes::from_static(b"state"));
+                let state = Bytes::from_static(b"state");
+                replica.snapshot(now, Arc::new(WholeState::new(state, 1 << 10)));
             }
-            let saved = output.save.last().map(|(t, _)| *t).max(output.rewrite.as_ref().map(|(t, _)| *t));
+            let saved = output
+                .save
+                .last()
+                .map(|(t, _)| *t)
+                .max(output.rewrite.as_ref().map(|rewrite| rewrite.ticket));
             if let Some(ticket) = saved {
                 replica.saved(now, ticket);
                 quiet = false;
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rainlug::Time;
-use rainlug_consensus::MemberId;
+use rainlug_consensus::{MemberId, Records};
 use rainlug_registry::Worker;
 
 /// A call of a client, worker or operator; answered by [`Effect::Answer`].
@@ -64,11 +64,11 @@
         records: Vec<Bytes>,
     },
     /// In place of all that the log holds; then [`Coordinator::saved`]. The first `implied` follow from what it holds: the others,
-    /// appended, do as well.
+    /// appended, do as well. The records are encoded while they are written.
     Rewrite {
         part: u16,
         ticket: u64,
-        records: Vec<Bytes>,
+        records: Records,
         implied: usize,
     },
     /// The disk gets this identity, and what it held of parts of batch jobs is dropped.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -10,6 +10,7 @@
 mod info;
 pub mod listing;
 mod lots_part;
+mod machine;
 mod membership;
 mod news;
 mod part;
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -5,21 +5,20 @@
 use bytes::Bytes;
 use rainlug::Time;
 use rainlug_batch::{Register, Schedule};
-use rainlug_consensus::{Index, Member, Output, Replica, Settings};
+use rainlug_consensus::{Index, Member, Output, Replica, Restore, Rewrite, Settings};
 use rainlug_registry::gossip;
 
 use crate::control::{Control, Outcome};
 use crate::frame::{Head, join};
+pub(crate) use crate::machine::Machine;
+use crate::machine::{RestoreError, Restoring};
 use crate::room::{LogUse, PartDisk};
 use crate::{Answer, CONTROL, Coordinator, Effect, Held, News, Origin, SPREADING};
 
 /// Versions of the roster that one term has, as a power of two: those of later leaders are newer.
 const ROSTERS_OF_A_TERM: u32 = 24;
-
-pub(crate) enum Machine {
-    Control(Control),
-    Lots(Register),
-}
+/// How often a replica is asked what it wants in one go.
+const MOST_TAKES: usize = 64;
 
 /// A read that waits for its round, or for something to read.
 pub(crate) enum Wanted {
@@ -42,6 +41,8 @@
     pub number: u16,
     pub replica: Replica,
     pub machine: Machine,
+    /// A state that is built beside the one in force.
+    pub restoring: Option<Restoring>,
     /// Proposals by index, with the command: another one committed there is not theirs.
     pub waiting: BTreeMap<Index, (Bytes, Origin)>,
     pub reads: BTreeMap<u64, (Origin, Wanted)>,
@@ -67,15 +68,6 @@
     pub others: Vec<Origin>,
 }
 
-impl Machine {
-    fn snapshot(&self) -> Bytes {
-        match self {
-            Machine::Control(control) => control.snapshot(),
-            Machine::Lots(register) => register.snapshot(),
-        }
-    }
-}
-
 impl Part {
     pub fn open(
         number: u16,
@@ -96,6 +88,7 @@
             number,
             replica,
             machine,
+            restoring: None,
             waiting: BTreeMap::new(),
             reads: BTreeMap::new(),
             polls: Vec::new(),
@@ -110,6 +103,22 @@
         })
     }
 
+    /// A step of replacing the state machine's whole state.
+    fn restore(&mut self, step: Restore) -> Result<(), RestoreError> {
+        match step {
+            Restore::Begin => self.restoring = Some(self.machine.restore_begin()),
+            Restore::Abandon => self.restoring = None,
+            Restore::Piece(piece) => {
+                self.restoring.as_mut().ok_or(RestoreError::NotBegun)?.take(&piece)?;
+            }
+            Restore::Finish(_) => {
+                let restoring = self.restoring.take().ok_or(RestoreError::NotBegun)?;
+                self.machine.restore_finish(restoring)?;
+            }
+        }
+        Ok(())
+    }
+
     pub fn next_poll(&self) -> Time {
         let polls = self.polls.iter().map(|p| p.3).min().unwrap_or(Time::MAX);
         let waits = self.schedule.as_ref().is_some_and(|s| s.waiting() > 0);
@@ -163,15 +172,16 @@
 }
 
 impl Coordinator {
-    /// Carries out what a part's replica wants, until it wants nothing more.
+    /// Carries out what a part's replica wants: until it wants nothing more, or the state machine has had a bounded part of what
+    /// it is to do. The replica's next time is now then, so that messages and signs of life of others come between.
     pub(crate) fn drain(&mut self, number: u16) {
-        for _ in 0..64 {
+        for _ in 0..MOST_TAKES {
             let Some(part) = self.parts.get_mut(&number) else { return };
             let output = part.replica.take();
             let quiet = output.messages.is_empty()
                 && output.save.is_empty()
                 && output.rewrite.is_none()
-                && output.restore.is_none()
+                && output.restore.is_empty()
                 && output.committed.is_empty()
                 && output.reads.is_empty()
                 && !output.changed
@@ -181,11 +191,13 @@
             }
             if quiet {
                 // Nothing is on its way to the disk but what it was handed: the rewrite may be put off and nothing is missing.
-                let state = part.machine.snapshot();
-                part.replica.snapshot(self.now.steady, state);
+                part.replica.snapshot(self.now.steady, part.machine.snapshot_source());
                 continue;
             }
             self.carry_out(number, output);
+            if self.parts.get(&number).is_none_or(|part| part.replica.has_backlog()) {
+                break;
+            }
         }
         self.leading(number);
     }
@@ -198,9 +210,8 @@
                 tail: bytes,
             });
         }
-        if let Some((ticket, records)) = output.rewrite {
-            // All of it is in the log already, unless the snapshot is a leader's.
-            let implied = if output.restore.is_none() { records.len() } else { 0 };
+        if let Some(Rewrite { ticket, records, is_implied }) = output.rewrite {
+            let implied = if is_implied { records.count() } else { 0 };
             self.saving(number, ticket);
             self.effects.push(Effect::Rewrite { part: number, ticket, records, implied });
         }
@@ -210,8 +221,8 @@
             let records = output.save.into_iter().map(|(_, record)| record).collect();
             self.effects.push(Effect::Save { part: number, ticket, records });
         }
-        if let Some((_, state)) = output.restore {
-            self.restore(number, &state);
+        for step in output.restore {
+            self.restore(number, step);
         }
         let agreed = !output.committed.is_empty();
         for (index, command) in output.committed {
@@ -250,14 +261,10 @@
         }
     }
 
-    fn restore(&mut self, number: u16, state: &Bytes) {
+    fn restore(&mut self, number: u16, step: Restore) {
         let Some(part) = self.parts.get_mut(&number) else { return };
-        let restored = match &mut part.machine {
-            Machine::Control(control) => Control::restore(state).map(|c| *control = c).is_ok(),
-            Machine::Lots(register) => register.restore(state).is_ok(),
-        };
-        if !restored {
-            self.effects.push(Effect::Log("garbage", format!("a snapshot of part {number}")));
+        if let Err(error) = part.restore(step) {
+            self.effects.push(Effect::Log("garbage", format!("a snapshot of part {number}: {error}")));
         }
     }
 
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -7,8 +7,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use rainlug_consensus::Records;
 use rainlug_coordinator::{CONTROL, PARTS};
-use rainlug_wal::{Error, Report, Room, SystemFiles, Wal, Writer};
+use rainlug_wal::{Error, RecordSource, Report, Room, SystemFiles, Wal, Writer};
 use tokio::sync::mpsc;
 
 /// What the thread of a part's log tells of.
@@ -88,6 +89,23 @@
     }
 }
 
+/// The records of a replica, encoded as they are written.
+struct ReplicaRecords(Records);
+
+impl RecordSource for ReplicaRecords {
+    fn count(&self) -> usize {
+        self.0.count()
+    }
+
+    fn record(&self, number: usize) -> Bytes {
+        self.0.record(number).unwrap_or_default()
+    }
+
+    fn size(&self) -> u64 {
+        self.0.size()
+    }
+}
+
 impl Disk {
     /// A disk of so many bytes, with the identity that it has or is given now; and the records of the parts that are there.
     ///
@@ -161,7 +179,8 @@
     }
 
     /// Puts records in place of all that are there, or, without the first `implied` of them, behind.
-    pub fn compact(&mut self, part: u16, ticket: u64, records: Vec<Bytes>, implied: usize) {
-        self.writer(part).compact(ticket, records, implied);
+    /// The part's thread encodes them while it writes.
+    pub fn compact(&mut self, part: u16, ticket: u64, records: Records, implied: usize) {
+        self.writer(part).compact(ticket, ReplicaRecords(records), implied);
     }
 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -390,6 +390,8 @@
                 () = sleep_until(self.clock.instant(next)) => {}
             }
             self.with(|coordinator, now| coordinator.due(now));
+            // Where the next time is now already, sockets come first.
+            tokio::task::yield_now().await;
         }
     }
 
