consensus: a leader's log is trimmed without a walk over what it keeps

Change: each entry in memory knows the weight of all up to it, so entries are dropped from the front until the rest is light enough, and nothing is summed up.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -55,13 +55,21 @@
     pub state: Arc<dyn StateSource>,
 }
 
+/// An entry in memory.
+#[derive(Clone)]
+struct Kept {
+    entry: Entry,
+    /// Weight of all entries that the log has had, up to this one: so no weight is ever summed up anew.
+    weight_to: usize,
+}
+
 #[derive(Clone)]
 pub struct Log {
     /// Index and term of the entry before the first in memory.
     base: (Index, Term),
-    entries: VecDeque<Entry>,
-    /// Of all entries in memory.
-    weight: usize,
+    /// Weight of all entries up to there.
+    base_weight: usize,
+    entries: VecDeque<Kept>,
     /// The newest is `group`; these are older ones that may come back, by index.
     older: Vec<Group>,
     group: Group,
@@ -70,11 +78,19 @@
 impl Log {
     pub fn new(index: Index, term: Term, group: Vec<Member>) -> Self {
         let group = Group { index, before: vec![], after: group };
-        Self { base: (index, term), entries: VecDeque::new(), weight: 0, older: vec![], group }
+        Self { base: (index, term), base_weight: 0, entries: VecDeque::new(), older: vec![], group }
     }
     /// Bytes that its entries take in memory.
     pub fn weight(&self) -> usize {
-        self.weight
+        self.weight_to(self.last()) - self.base_weight
+    }
+    /// Weight of all entries up to this one, also those that are not in memory any more.
+    fn weight_to(&self, index: Index) -> usize {
+        self.kept(index).map_or(self.base_weight, |kept| kept.weight_to)
+    }
+    fn kept(&self, index: Index) -> Option<&Kept> {
+        let place = index.checked_sub(self.base.0 + 1)?;
+        self.entries.get(usize::try_from(place).ok()?)
     }
     pub fn base(&self) -> Index {
         self.base.0
@@ -83,14 +99,13 @@
         self.base.0 + self.entries.len() as u64
     }
     pub fn last_term(&self) -> Term {
-        self.entries.back().map_or(self.base.1, |entry| entry.term)
+        self.entries.back().map_or(self.base.1, |kept| kept.entry.term)
     }
     pub fn group(&self) -> &Group {
         &self.group
     }
     pub fn get(&self, index: Index) -> Option<&Entry> {
-        let place = index.checked_sub(self.base.0 + 1)?;
-        self.entries.get(usize::try_from(place).ok()?)
+        self.kept(index).map(|kept| &kept.entry)
     }
     /// None where it is not in memory.
     pub fn term(&self, index: Index) -> Option<Term> {
@@ -111,17 +126,13 @@
             let group = Group { index: self.last() + 1, before, after };
             self.older.push(std::mem::replace(&mut self.group, group));
         }
-        self.weight += entry.weight();
-        self.entries.push_back(entry);
+        let weight_to = self.weight_to(self.last()) + entry.weight();
+        self.entries.push_back(Kept { entry, weight_to });
     }
     /// Drops what is behind `index`.
     pub fn truncate(&mut self, index: Index) {
         let kept = usize::try_from(index.saturating_sub(self.base.0)).unwrap_or(usize::MAX);
-        while self.entries.len() > kept
-            && let Some(entry) = self.entries.pop_back()
-        {
-            self.weight -= entry.weight();
-        }
+        self.entries.truncate(kept);
         while self.group.index > index
             && let Some(group) = self.older.pop()
         {
@@ -140,20 +151,13 @@
         if index <= self.base.0 {
             return;
         }
-        let mut keep = index;
-        let mut weight = 0;
-        while keep > self.base.0 {
-            weight += self.get(keep).map_or(0, Entry::weight);
-            if weight > tail {
-                break;
-            }
-            keep -= 1;
-        }
-        while self.base.0 < keep
-            && let Some(entry) = self.entries.pop_front()
+        let most = self.weight_to(index);
+        while self.base.0 < index
+            && most - self.base_weight > tail
+            && let Some(Kept { entry, weight_to }) = self.entries.pop_front()
         {
-            self.weight -= entry.weight();
             self.base = (self.base.0 + 1, entry.term);
+            self.base_weight = weight_to;
         }
         let current = self.group_at(index).index;
         self.older.retain(|group| group.index >= current);
