--- a/crates/consensus/tests/bounded_steps.rs
+++ b/crates/consensus/tests/bounded_steps.rs
@@ -359,6 +359,20 @@
     }
 }
 
+#[test]
+fn given_a_transfer_under_way_when_its_leader_is_replaced_then_what_was_begun_is_dropped_at_once() {
+    for seed in 0..10 {
+        transfer(seed, |world, leader, far| {
+            assert!(world.nodes[&far].building.is_some(), "seed {seed}");
+            let term = world.replica(far).term();
+            world.power_off(leader);
+            let is_replaced = |world: &World| world.replica(far).term() > term;
+            assert!(world.run_until(5 * SECOND, is_replaced), "seed {seed}");
+            assert!(world.nodes[&far].building.is_none(), "seed {seed}");
+        });
+    }
+}
+
 #[test]
 fn given_a_transfer_of_many_pieces_over_bad_links_when_a_new_snapshot_is_made_then_it_ends() {
     for seed in 0..10 {
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -58,7 +58,7 @@
     /// The state machine: all commands so far.
     pub applied: Vec<(Index, u64)>,
     /// A state that is begun beside it.
-    building: Option<Vec<u8>>,
+    pub building: Option<Vec<u8>>,
     /// Its state is still being read from its own disk.
     recovering: bool,
     pub lost: bool,
