--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,6 +11,7 @@
 mod info;
 pub mod listing;
 mod lots_part;
+mod machine;
 mod membership;
 mod news;
 mod part;
