--- a/crates/batch/src/command.rs
+++ b/crates/batch/src/command.rs
@@ -3,25 +3,33 @@
 use deku::prelude::*;
 use rainlug::Time;
 
-use crate::{DecodeError, wire};
+use crate::DecodeError;
+use crate::text::{self, StoredText};
+use crate::wire::{self, Source};
 
-/// An item as it was handed in.
+/// An item as it was handed in. Decoded, its body is a slice of the command.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
-#[deku(ctx = "endian: Endian", ctx_default = "Endian::Little", endian = "endian")]
+#[deku(ctx = "source: Source<'_>", ctx_default = "Source::default()", endian = "little")]
 pub struct Item {
     #[deku(
-        reader = "wire::read_text(deku::reader)",
+        reader = "wire::read_text(deku::reader, source)",
         writer = "wire::write_bytes(deku::writer, id.as_bytes())"
     )]
     pub id: String,
     #[deku(
-        reader = "wire::read_text(deku::reader)",
+        reader = "wire::read_text(deku::reader, source)",
         writer = "wire::write_bytes(deku::writer, path.as_bytes())"
     )]
     pub path: String,
-    #[deku(reader = "wire::read_pairs(deku::reader)", writer = "wire::write_pairs(deku::writer, headers)")]
+    #[deku(
+        reader = "wire::read_pairs(deku::reader, source)",
+        writer = "wire::write_pairs(deku::writer, headers)"
+    )]
     pub headers: Vec<(String, String)>,
-    #[deku(reader = "wire::read_bytes(deku::reader)", writer = "wire::write_bytes(deku::writer, body)")]
+    #[deku(
+        reader = "wire::read_bytes(deku::reader, source)",
+        writer = "wire::write_bytes(deku::writer, body)"
+    )]
     pub body: Bytes,
     /// Tokens of the prompt and the most out, added together.
     pub token_count: u64,
@@ -39,24 +47,24 @@
 
 /// A change of the register. Encoded by `deku`. Times are Unix time in microseconds.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
-#[deku(id_type = "u8", endian = "little")]
+#[deku(id_type = "u8", ctx = "source: Source<'_>", ctx_default = "Source::default()", endian = "little")]
 pub enum Command {
-    /// `sent` is when the leader first saw it, `due` when all results are, `retain` when items may be given up. `most` tokens may
-    /// wait on the route (0: no limit).
+    /// `sent` is when the leader first saw it, `due` when all results are, `retain` when items may be given
+    /// up. `most` tokens may wait on the route (0: no limit).
     #[deku(id = 0)]
     Submit {
         #[deku(
-            reader = "wire::read_text(deku::reader)",
+            reader = "wire::read_text(deku::reader, source)",
             writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
         )]
         lot: String,
         #[deku(
-            reader = "wire::read_text(deku::reader)",
+            reader = "wire::read_text(deku::reader, source)",
             writer = "wire::write_bytes(deku::writer, route.as_bytes())"
         )]
         route: String,
         #[deku(
-            reader = "wire::read_text(deku::reader)",
+            reader = "wire::read_text(deku::reader, source)",
             writer = "wire::write_bytes(deku::writer, host.as_bytes())"
         )]
         host: String,
@@ -65,53 +73,62 @@
         retain: Time,
         max_tries: u32,
         most: u64,
-        #[deku(reader = "wire::read_list(deku::reader)", writer = "wire::write_list(deku::writer, items)")]
+        #[deku(
+            reader = "wire::read_list(deku::reader, source)",
+            writer = "wire::write_list(deku::writer, items)"
+        )]
         items: Vec<Item>,
     },
-    /// The next position of the batch job; nothing where the item is listed already or the batch job is not known.
+    /// The next position of the batch job; nothing where the item is listed already or the batch job is not
+    /// known.
     #[deku(id = 1)]
     List {
         #[deku(
-            reader = "wire::read_text(deku::reader)",
+            reader = "wire::read_text(deku::reader, source)",
             writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
         )]
         lot: String,
         #[deku(
-            reader = "wire::read_text(deku::reader)",
+            reader = "wire::read_text(deku::reader, source)",
             writer = "wire::write_bytes(deku::writer, item.as_bytes())"
         )]
         item: String,
         state: State,
-        #[deku(reader = "wire::read_bytes(deku::reader)", writer = "wire::write_bytes(deku::writer, text)")]
-        text: Bytes,
+        /// Decoded, it is a slice of the command.
+        #[deku(reader = "text::read(deku::reader, source)", writer = "text::write(deku::writer, text)")]
+        text: StoredText,
     },
     #[deku(id = 2)]
     End {
         #[deku(
-            reader = "wire::read_text(deku::reader)",
+            reader = "wire::read_text(deku::reader, source)",
             writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
         )]
         lot: String,
         at: Time,
     },
-    /// Forgets batch jobs sent before, where all is listed or ended.
+    /// Forgets batch jobs sent before, where all is listed or ended; those sent first, and of many a bounded
+    /// number.
     #[deku(id = 3)]
     Forget { before: Time },
 }
 
 impl Command {
+    /// The bytes that [`Command::decode`] reads.
     pub fn encode(&self) -> Bytes {
         let about = match self {
             Command::Submit { items, .. } => items.iter().map(|i| 512 + i.body.len()).sum(),
-            Command::List { text, .. } => text.len(),
+            Command::List { text, .. } => text.stored().len(),
             Command::End { .. } | Command::Forget { .. } => 0,
         };
         wire::encode(self, 512 + about)
     }
 
+    /// Bodies and texts are slices of the bytes; all else is copied.
+    ///
     /// # Errors
     /// Where the bytes are not a command.
-    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+    pub fn decode(bytes: &Bytes) -> Result<Self, DecodeError> {
         wire::decode(bytes).map_err(|e| DecodeError::Malformed(format!("command: {e}")))
     }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -1,18 +1,26 @@
-//! Batch jobs. [`Register`] is the state machine of a part: what has been accepted, listed and ended, the same at every replica.
-//! [`Schedule`] is its owner's alone: which item runs next. No I/O.
+//! Batch jobs. [`Register`] is the state machine of a part: what has been accepted, listed and ended, the
+//! same at every replica. [`RegisterSnapshot`] is all of it at one moment, encoded piece by piece, and
+//! [`RegisterRestore`] takes these pieces. [`Schedule`] is its owner's alone: which item runs next. No I/O.
 
 mod command;
 mod json;
+mod lot;
 mod register;
+mod restore;
 mod schedule;
+mod snapshot;
 mod submission;
+mod text;
 mod wire;
 
 pub use command::{Command, Item, State};
 use quick_error::quick_error;
 pub use register::{Applied, Register, Totals};
+pub use restore::RegisterRestore;
 pub use schedule::{Next, RunEnd, Schedule};
+pub use snapshot::{PIECE_BYTES, RegisterSnapshot};
 pub use submission::read_requests;
+pub use text::{MOST_INFLATED, StoredText};
 
 quick_error! {
     /// Why bytes were not taken.
--- a/crates/batch/src/register.rs
+++ b/crates/batch/src/register.rs
@@ -1,16 +1,20 @@
-use std::collections::BTreeMap;
+//! The state machine of a part: what has been accepted, listed and ended.
+
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use bytes::Bytes;
-use deku::prelude::*;
 use rainlug::Time;
 
-use crate::{Command, DecodeError, Item, State, json, wire};
+use crate::lot::{Lot, LotHead, Sums};
+use crate::{Command, RegisterSnapshot, State, StoredText, json};
 
 /// Bytes that a read's answer has at most, unless one output alone is longer.
 const MOST_READ: usize = 1_000_000;
 
-/// Bytes of memory that a batch job, an item or an output has about, besides its texts.
-const OVERHEAD: usize = 128;
+/// Items that one command forgets, about: the last batch job is forgotten whole.
+const MOST_FORGOTTEN: usize = 8192;
 
 /// What a command did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,7 +38,7 @@
     pub open: u64,
     /// Items that are listed.
     pub listed: u64,
-    /// Bytes of the listed items' outputs.
+    /// Bytes of the listed items' outputs, as they are stored.
     pub output_bytes: u64,
 }
 
@@ -53,160 +57,33 @@
 }
 
 /// The state machine of a part. The same commands in the same order give the same register.
+///
+/// A change of a batch job makes a copy of it first where a [`RegisterSnapshot`] holds it; the copy shares
+/// its bulk.
 #[derive(Default)]
 pub struct Register {
-    pub(crate) lots: BTreeMap<String, Lot>,
+    pub(crate) lots: BTreeMap<Arc<str>, Arc<Lot>>,
     /// Batch jobs accepted so far.
-    accepted: u64,
+    pub(crate) accepted: u64,
     /// Tokens by route, where any wait. As `u128`, so that no sum of `u64` is too large.
     waiting: BTreeMap<String, u128>,
     size: usize,
     totals: Totals,
-}
-
-#[derive(DekuRead, DekuWrite)]
-#[deku(endian = "little")]
-pub(crate) struct Lot {
-    #[deku(
-        reader = "wire::read_text(deku::reader)",
-        writer = "wire::write_bytes(deku::writer, id.as_bytes())"
-    )]
-    pub id: String,
-    /// Batch jobs accepted before this one.
-    pub number: u64,
-    #[deku(
-        reader = "wire::read_text(deku::reader)",
-        writer = "wire::write_bytes(deku::writer, route.as_bytes())"
-    )]
-    pub route: String,
-    #[deku(
-        reader = "wire::read_text(deku::reader)",
-        writer = "wire::write_bytes(deku::writer, host.as_bytes())"
-    )]
-    pub host: String,
-    sent: Time,
-    pub due: Time,
-    pub retain: Time,
-    pub max_tries: u32,
-    pub is_ended: bool,
-    #[deku(reader = "wire::read_list(deku::reader)", writer = "wire::write_list(deku::writer, items)")]
-    pub items: Vec<Kept>,
-    #[deku(reader = "wire::read_list(deku::reader)", writer = "wire::write_list(deku::writer, outputs)")]
-    outputs: Vec<Output>,
-    /// Where in `items` an item stands.
-    #[deku(skip)]
-    places: BTreeMap<String, usize>,
-}
-
-/// An item; once it is listed or its batch job ended, only its id is left.
-#[derive(DekuRead, DekuWrite)]
-#[deku(endian = "little")]
-pub(crate) struct Kept {
-    pub is_listed: bool,
-    pub item: Item,
-}
-
-#[derive(DekuRead, DekuWrite)]
-#[deku(endian = "little")]
-struct Output {
-    place: u32,
-    state: State,
-    #[deku(reader = "wire::read_bytes(deku::reader)", writer = "wire::write_bytes(deku::writer, text)")]
-    text: Bytes,
-}
-
-#[derive(DekuRead, DekuWrite)]
-#[deku(endian = "little")]
-struct Snapshot {
-    accepted: u64,
-    #[deku(reader = "wire::read_list(deku::reader)", writer = "wire::write_list(deku::writer, lots)")]
-    lots: Vec<Lot>,
-}
-
-impl Kept {
-    fn free(&mut self) {
-        self.item.path = String::new();
-        self.item.headers = Vec::new();
-        self.item.body = Bytes::new();
-    }
-}
-
-impl Lot {
-    /// Finds items by id; nothing where one stands there twice.
-    fn index(mut self) -> Option<Self> {
-        self.places = self.items.iter().enumerate().map(|(i, kept)| (kept.item.id.clone(), i)).collect();
-        (self.places.len() == self.items.len()).then_some(self)
-    }
-
-    /// Whether all of it is such as commands make it.
-    fn is_sound(&self) -> bool {
-        let mut listed = vec![false; self.items.len()];
-        for output in &self.outputs {
-            match listed.get_mut(output.place as usize) {
-                Some(is_listed) if !*is_listed => *is_listed = true,
-                _ => return false,
-            }
-        }
-        self.items.iter().map(|kept| kept.is_listed).eq(listed)
-    }
-
-    pub(crate) fn place(&self, item: &str) -> Option<usize> {
-        self.places.get(item).copied()
-    }
-
-    /// Whether the item is still to be listed.
-    pub(crate) fn is_open(&self, place: usize) -> bool {
-        !self.is_ended && self.items.get(place).is_some_and(|kept| !kept.is_listed)
-    }
-
-    fn waiting(&self) -> u128 {
-        if self.is_ended {
-            return 0;
-        }
-        self.items.iter().filter(|kept| !kept.is_listed).map(|kept| u128::from(kept.item.token_count)).sum()
-    }
-
-    fn totals(&self) -> Totals {
-        let listed = self.outputs.len() as u64;
-        let open = if self.is_ended { 0 } else { self.items.len() as u64 - listed };
-        let output_bytes = self.outputs.iter().map(|output| output.text.len() as u64).sum();
-        Totals { open, listed, output_bytes }
-    }
-
-    fn size(&self) -> usize {
-        let item = |kept: &Kept| {
-            let Item { id, path, headers, body, .. } = &kept.item;
-            let headers: usize =
-                headers.iter().map(|(name, value)| OVERHEAD + name.len() + value.len()).sum();
-            2 * OVERHEAD + 2 * id.len() + path.len() + headers + body.len()
-        };
-        OVERHEAD
-            + self.id.len()
-            + self.route.len()
-            + self.host.len()
-            + self.items.iter().map(item).sum::<usize>()
-            + self.outputs.iter().map(|output| OVERHEAD + output.text.len()).sum::<usize>()
-    }
+    /// Batch jobs of which nothing is to come, by when they were sent.
+    closed: BTreeSet<(Time, Arc<str>)>,
 }
 
 impl Register {
+    /// Carries out a command. The cost is bounded by the command and the batch job that it is about.
     pub fn apply(&mut self, command: &Command) -> Applied {
         match command {
             Command::Submit { .. } => self.submit(command).unwrap_or(Applied::Nothing),
             Command::List { lot, item, state, text } => {
                 self.list(lot, item, *state, text).unwrap_or(Applied::Nothing)
             }
-            Command::End { lot, at: _ } => self.end(lot),
+            Command::End { lot, at: _ } => self.end(lot).unwrap_or(Applied::Nothing),
             Command::Forget { before } => {
-                let (size, totals) = (&mut self.size, &mut self.totals);
-                self.lots.retain(|_, lot| {
-                    let is_kept = lot.sent >= *before || !lot.is_ended && lot.outputs.len() < lot.items.len();
-                    if !is_kept {
-                        *size -= lot.size();
-                        totals.subtract(lot.totals());
-                    }
-                    is_kept
-                });
+                self.forget(*before);
                 Applied::Nothing
             }
         }
@@ -217,11 +94,11 @@
         else {
             return None;
         };
-        if self.lots.contains_key(id) {
+        if self.knows(id) {
             return Some(Applied::Known);
         }
-        let lot = Lot {
-            id: id.clone(),
+        let head = LotHead {
+            id: Arc::from(&**id),
             number: self.accepted,
             route: route.clone(),
             host: host.clone(),
@@ -229,112 +106,135 @@
             due: *due,
             retain: *retain,
             max_tries: *max_tries,
-            is_ended: false,
-            items: items.iter().map(|item| Kept { is_listed: false, item: item.clone() }).collect(),
-            outputs: Vec::new(),
-            places: BTreeMap::new(),
         };
-        let lot = lot.index()?;
-        let tokens = lot.waiting();
+        let lot = Lot::accepted(head, items)?;
         let waiting = self.waiting.get(route).copied().unwrap_or(0);
-        if *most > 0 && waiting + tokens > u128::from(*most) {
+        if *most > 0 && waiting + lot.sums().waiting > u128::from(*most) {
             return Some(Applied::OverQuota);
         }
-        self.add(lot);
+        self.insert(lot);
+        self.note_closed(id);
         self.accepted += 1;
         Some(Applied::Accepted)
     }
 
-    fn add(&mut self, lot: Lot) {
-        let tokens = lot.waiting();
-        if tokens > 0 {
-            *self.waiting.entry(lot.route.clone()).or_default() += tokens;
-        }
-        self.size += lot.size();
-        self.totals.add(lot.totals());
-        self.lots.insert(lot.id.clone(), lot);
+    fn list(&mut self, id: &str, item: &str, state: State, text: &StoredText) -> Option<Applied> {
+        let place = self.open_place(id, item)?;
+        let position = self.change(id, |lot| lot.list(place, state, text))??;
+        self.note_closed(id);
+        Some(Applied::Listed { position })
     }
 
-    fn list(&mut self, lot: &str, item: &str, state: State, text: &Bytes) -> Option<Applied> {
-        let lot = self.lots.get_mut(lot)?;
-        let place = lot.place(item)?;
-        if !lot.is_open(place) {
-            return None;
+    fn end(&mut self, id: &str) -> Option<Applied> {
+        if !self.lots.get(id)?.is_ended() {
+            self.change(id, Lot::end)?;
+            self.note_closed(id);
         }
-        let output = Output { place: u32::try_from(place).ok()?, state, text: text.clone() };
-        self.size -= lot.size();
-        let kept = lot.items.get_mut(place)?;
-        kept.is_listed = true;
-        kept.free();
-        subtract(&mut self.waiting, &lot.route, u128::from(kept.item.token_count));
-        self.totals.open -= 1;
-        self.totals.listed += 1;
-        self.totals.output_bytes += text.len() as u64;
-        let position = lot.outputs.len() as u64;
-        lot.outputs.push(output);
-        self.size += lot.size();
-        Some(Applied::Listed { position })
+        Some(Applied::Ended)
     }
 
-    fn end(&mut self, lot: &str) -> Applied {
-        let Some(lot) = self.lots.get_mut(lot) else {
-            return Applied::Nothing;
-        };
-        if !lot.is_ended {
-            subtract(&mut self.waiting, &lot.route, lot.waiting());
-            self.size -= lot.size();
-            self.totals.open -= lot.totals().open;
-            lot.is_ended = true;
-            lot.items.iter_mut().for_each(Kept::free);
-            self.size += lot.size();
+    /// Those sent first, until so many items are forgotten: the rest is for the next command.
+    fn forget(&mut self, before: Time) {
+        let mut items = 0;
+        while items < MOST_FORGOTTEN
+            && let Some((sent, _)) = self.closed.first()
+            && *sent < before
+            && let Some((_, id)) = self.closed.pop_first()
+            && let Some(lot) = self.lots.remove(&id)
+        {
+            items += lot.items().len().max(1);
+            self.subtract(&lot.head.route, lot.sums());
         }
-        Applied::Ended
     }
 
-    /// All of it as bytes; equal registers give equal bytes.
-    pub fn snapshot(&self) -> Bytes {
-        // Written one by one: a list of them all would need them in a row.
-        wire::encode(&Lots { accepted: self.accepted, lots: &self.lots }, self.size)
+    pub(crate) fn insert(&mut self, lot: Lot) {
+        self.add(&lot.head.route, lot.sums());
+        self.lots.insert(lot.head.id.clone(), Arc::new(lot));
+    }
+
+    /// Changes a batch job and the sums with it.
+    pub(crate) fn change<T>(&mut self, id: &str, change: impl FnOnce(&mut Lot) -> T) -> Option<T> {
+        let lot = Arc::make_mut(self.lots.get_mut(id)?);
+        let (head, before) = (lot.head.clone(), lot.sums());
+        let changed = change(lot);
+        let after = lot.sums();
+        self.subtract(&head.route, before);
+        self.add(&head.route, after);
+        Some(changed)
+    }
+
+    fn add(&mut self, route: &str, sums: Sums) {
+        self.size += sums.size;
+        self.totals.add(sums.totals);
+        if sums.waiting == 0 {
+            return;
+        }
+        match self.waiting.get_mut(route) {
+            Some(waiting) => *waiting += sums.waiting,
+            None => drop(self.waiting.insert(route.to_owned(), sums.waiting)),
+        }
     }
 
-    /// # Errors
-    /// Where the bytes are not a snapshot; nothing has changed then.
-    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), DecodeError> {
-        let odd = |what: &dyn std::fmt::Display| DecodeError::Malformed(format!("snapshot: {what}"));
-        let found: Snapshot = wire::decode(snapshot).map_err(|e| odd(&e))?;
-        let mut register = Register { accepted: found.accepted, ..Register::default() };
-        for lot in found.lots {
-            let lot = lot.index().ok_or_else(|| odd(&"an item twice"))?;
-            let is_in_order = register.lots.last_key_value().is_none_or(|(last, _)| *last < lot.id);
-            if !lot.is_sound() || !is_in_order || lot.number >= found.accepted {
-                return Err(odd(&"a batch job that cannot be"));
+    fn subtract(&mut self, route: &str, sums: Sums) {
+        self.size -= sums.size;
+        self.totals.subtract(sums.totals);
+        if let Some(waiting) = self.waiting.get_mut(route) {
+            *waiting -= sums.waiting;
+            if *waiting == 0 {
+                self.waiting.remove(route);
             }
-            register.add(lot);
         }
-        *self = register;
-        Ok(())
     }
 
-    /// The answer to a read from a position on (JSON, at most 1 MB of outputs, one at least); nothing where there is no such batch
-    /// job. And whether it holds an output.
+    fn note_closed(&mut self, id: &str) {
+        if let Some(lot) = self.lots.get(id).filter(|lot| lot.is_closed()) {
+            self.closed.insert((lot.head.sent, lot.head.id.clone()));
+        }
+    }
+
+    /// Finds all of which nothing is to come. For a register that is restored.
+    pub(crate) fn index_closed(&mut self) {
+        let closed = self.lots.values().filter(|lot| lot.is_closed());
+        self.closed = closed.map(|lot| (lot.head.sent, lot.head.id.clone())).collect();
+    }
+
+    /// The place of an item that is still to be listed.
+    fn open_place(&self, id: &str, item: &str) -> Option<usize> {
+        let lot = self.lots.get(id)?;
+        lot.place(item).filter(|place| lot.is_open(*place))
+    }
+
+    /// All of it as it is now; equal registers give equal pieces. The cost is in proportion to the batch
+    /// jobs, not to their contents.
+    pub fn snapshot(&self) -> RegisterSnapshot {
+        RegisterSnapshot::new(self.accepted, self.lots.values().cloned().collect())
+    }
+
+    /// The answer to a read from a position on (JSON, at most 1 MB of outputs, one at least); nothing where
+    /// there is no such batch job. And whether it holds an output.
     pub fn read(&self, lot: &str, since: u64) -> Option<(String, bool)> {
         let lot = self.lots.get(lot)?;
-        let from = usize::try_from(since).unwrap_or(usize::MAX).min(lot.outputs.len());
+        let from = usize::try_from(since).unwrap_or(usize::MAX).min(lot.outputs().len());
         let mut outputs = String::new();
         let mut count: u64 = 0;
-        for output in &lot.outputs[from..] {
+        for output in &lot.outputs()[from..] {
             let had = outputs.len();
-            if had + output.text.len() > MOST_READ && count > 0 {
+            if had + output.text.text_len() > MOST_READ && count > 0 {
                 break;
             }
-            let id = lot.items.get(output.place as usize).map_or("", |kept| &kept.item.id);
+            let id = lot.items().get(output.place as usize).map_or("", |kept| &kept.id);
             outputs.push_str(if count > 0 { ",{\"id\":" } else { "{\"id\":" });
             json::put_text(&mut outputs, id);
-            outputs.push_str(match output.state {
+            // Nothing else can be told of a text that is damaged; its checksum was right when it came.
+            let (state, text) = match output.text.text() {
+                Ok(text) => (output.state, text),
+                Err(_) => (State::Abandoned, Cow::default()),
+            };
+            outputs.push_str(match state {
                 State::Complete => ",\"state\":\"complete\",\"prompt\":",
                 State::Abandoned => ",\"state\":\"abandoned\",\"prompt\":",
             });
-            json::put_text(&mut outputs, &String::from_utf8_lossy(&output.text));
+            json::put_text(&mut outputs, &String::from_utf8_lossy(&text));
             outputs.push('}');
             if outputs.len() > MOST_READ - 128 && count > 0 {
                 outputs.truncate(had);
@@ -342,20 +242,30 @@
             }
             count += 1;
         }
-        let total = lot.items.len();
+        let total = lot.items().len();
         let next = since.saturating_add(count);
         let answer = format!("{{\"grand_total\":{total},\"next_token\":{next},\"outputs\":[{outputs}]}}");
         Some((answer, count > 0))
     }
 
+    /// Whether a read from a position on holds an output; nothing where there is no such batch job.
+    pub fn has_output(&self, lot: &str, since: u64) -> Option<bool> {
+        self.lots.get(lot).map(|lot| since < lot.sums().totals.listed)
+    }
+
+    /// The text of an output as it is stored.
+    pub fn output(&self, lot: &str, position: u64) -> Option<&StoredText> {
+        let output = self.lots.get(lot)?.outputs().get(usize::try_from(position).ok()?)?;
+        Some(&output.text)
+    }
+
     /// The body of an item that is not listed yet; nothing once its batch job is ended.
     pub fn body(&self, lot: &str, item: &str) -> Option<Bytes> {
         let lot = self.lots.get(lot)?;
-        let place = lot.place(item)?;
-        let kept = lot.items.get(place)?;
-        lot.is_open(place).then(|| kept.item.body.clone())
+        lot.body(lot.place(item)?)
     }
 
+    /// Whether a batch job is accepted and not forgotten.
     pub fn knows(&self, lot: &str) -> bool {
         self.lots.contains_key(lot)
     }
@@ -375,30 +285,3 @@
         self.size
     }
 }
-
-fn subtract(waiting: &mut BTreeMap<String, u128>, route: &str, tokens: u128) {
-    if let Some(left) = waiting.get_mut(route) {
-        *left -= tokens;
-        if *left == 0 {
-            waiting.remove(route);
-        }
-    }
-}
-
-/// Writes what [`Snapshot`] reads.
-struct Lots<'a> {
-    accepted: u64,
-    lots: &'a BTreeMap<String, Lot>,
-}
-
-impl DekuWriter for Lots<'_> {
-    fn to_writer<W: std::io::Write + std::io::Seek>(
-        &self,
-        writer: &mut Writer<W>,
-        (): (),
-    ) -> Result<(), DekuError> {
-        self.accepted.to_writer(writer, deku::ctx::Endian::Little)?;
-        wire::write_count(writer, self.lots.len())?;
-        self.lots.values().try_for_each(|lot| lot.to_writer(writer, ()))
-    }
-}
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
 
-use crate::register::Lot;
-use crate::{Applied, Command, Item, Register, State};
+use crate::lot::{Lot, LotHead};
+use crate::{Applied, Command, Item, Register, State, StoredText};
 
 /// A proposal that was not applied by then is taken as lost and made again: one by the time that is over, and one by a run.
 const OVERDUE_AGAIN: Time = SECOND;
@@ -98,12 +98,12 @@
     pub fn applied(&mut self, register: &Register, command: &Command, applied: Applied) {
         match command {
             Command::Submit { lot, .. } => {
-                if let (Applied::Accepted, Some(lot)) = (applied, register.lots.get(lot)) {
-                    self.drop_lot(&lot.id);
+                if let (Applied::Accepted, Some(lot)) = (applied, register.lots.get(&**lot)) {
+                    self.drop_lot(&lot.head.id);
                     self.add(lot);
                 }
             }
-            Command::List { lot, item, .. } => match register.lots.get(lot) {
+            Command::List { lot, item, .. } => match register.lots.get(&**lot) {
                 Some(found) => {
                     if let Some(place) = found.place(item).filter(|place| !found.is_open(*place)) {
                         self.drop_item(lot, place);
@@ -118,17 +118,17 @@
     }
 
     fn add(&mut self, lot: &Lot) {
-        let id: Arc<str> = lot.id.as_str().into();
-        let items: BTreeMap<_, _> = (0..lot.items.len())
+        if lot.is_closed() {
+            return;
+        }
+        let id = lot.head.id.clone();
+        let items: BTreeMap<_, _> = (0..lot.items().len())
             .filter(|place| lot.is_open(*place))
             .map(|place| (place, ItemPlan::default()))
             .collect();
-        if items.is_empty() {
-            return;
-        }
-        self.ready.extend(items.keys().map(|place| (lot.due, lot.number, *place, id.clone())));
-        self.retained.insert((lot.retain, id.clone()));
-        let Lot { number, due, retain, max_tries, .. } = *lot;
+        self.ready.extend(items.keys().map(|place| (lot.head.due, lot.head.number, *place, id.clone())));
+        self.retained.insert((lot.head.retain, id.clone()));
+        let LotHead { number, due, retain, max_tries, .. } = *lot.head;
         self.plans.insert(id, LotPlan { number, due, retain, max_tries, items });
     }
 
@@ -160,11 +160,12 @@
         self.ready.remove(&turn);
         let (due, _, place, id) = turn;
         let lot = register.lots.get(&*id)?;
-        let item = lot.items.get(place)?.item.clone();
+        let item = Item::clone(lot.request(place)?);
         let last_event = self.plans.get(&id)?.items.get(&place)?.last_event;
-        self.running.insert((lot.id.clone(), item.id.clone()));
-        let (route, host, until) = (lot.route.clone(), lot.host.clone(), lot.retain);
-        Some(Next { lot: lot.id.clone(), route, host, item, last_event, due, until })
+        self.running.insert((id.to_string(), item.id.clone()));
+        let LotHead { route, host, retain, .. } = &*lot.head;
+        let (route, host, until) = (route.clone(), host.clone(), *retain);
+        Some(Next { lot: id.to_string(), route, host, item, last_event, due, until })
     }
 
     /// A run has ended with these further events (id, data). Gives the command to propose where the item can be listed now; nothing
@@ -206,8 +207,8 @@
             return None;
         };
         let text = match state {
-            State::Complete => std::mem::take(&mut kept.events).join(&b'\n').into(),
-            State::Abandoned => Bytes::new(),
+            State::Complete => StoredText::new(&std::mem::take(&mut kept.events).join(&b'\n')),
+            State::Abandoned => StoredText::default(),
         };
         let command = Command::List { lot: lot.to_owned(), item: item.to_owned(), state, text };
         self.propose(&id, place, &command, now, ENDED_AGAIN);
@@ -239,11 +240,12 @@
                 .map(|(place, _)| *place)
                 .collect();
             for place in places {
-                let Some(item) = register.lots.get(&*id).and_then(|lot| lot.items.get(place)) else {
+                let Some(item) = register.lots.get(&*id).and_then(|lot| lot.items().get(place)) else {
                     continue;
                 };
-                let (lot, item) = (id.to_string(), item.item.id.clone());
-                let command = Command::List { lot, item, state: State::Abandoned, text: Bytes::new() };
+                let (lot, item) = (id.to_string(), item.id.to_string());
+                let command =
+                    Command::List { lot, item, state: State::Abandoned, text: StoredText::default() };
                 self.propose(&id, place, &command, now, OVERDUE_AGAIN);
                 commands.push(command);
             }
--- a/crates/batch/src/wire.rs
+++ b/crates/batch/src/wire.rs
@@ -1,14 +1,20 @@
-//! How `deku` reads and writes texts, bytes and lists: a count (`u32`, little-endian) and what is counted. Memory for a count is
-//! taken only as its contents arrive.
+//! How `deku` reads and writes texts, bytes and lists: a count (`u32`, little-endian) and what is counted.
+//! Bytes are read as slices of what is decoded, not copied; memory for a list is taken only as its contents
+//! arrive.
 
-use std::io::{Cursor, Read, Seek, Write};
+use std::io::{Cursor, Read, Seek, SeekFrom, Write};
+use std::sync::Arc;
 
 use bytes::Bytes;
-use deku::ctx::{Endian, Order};
+use deku::ctx::Endian;
 use deku::prelude::*;
 
-/// Read by this much at first, then by as much again as is there.
-const STEP: usize = 64 << 10;
+/// Bytes of a count.
+pub const COUNT: usize = 4;
+
+/// What is decoded, for readers that slice it. Writers have none.
+#[derive(Clone, Copy, Default)]
+pub struct Source<'a>(Option<&'a Bytes>);
 
 pub fn encode(what: &impl DekuWriter, about: usize) -> Bytes {
     let mut out = Cursor::new(Vec::with_capacity(about));
@@ -18,13 +24,13 @@
 }
 
 /// Reads all of the bytes as one `T`.
-pub fn decode<T: for<'a> DekuReader<'a>>(bytes: &[u8]) -> Result<T, DekuError> {
-    let mut reader = Reader::new(Cursor::new(bytes));
-    let found = T::from_reader_with_ctx(&mut reader, ())?;
+pub fn decode<'a, T: for<'r> DekuReader<'r, Source<'a>>>(bytes: &'a Bytes) -> Result<T, DekuError> {
+    let mut reader = Reader::new(Cursor::new(&bytes[..]));
+    let found = T::from_reader_with_ctx(&mut reader, Source(Some(bytes)))?;
     if reader.end() { Ok(found) } else { Err(malformed("more bytes than one")) }
 }
 
-fn malformed(what: &'static str) -> DekuError {
+pub fn malformed(what: &'static str) -> DekuError {
     DekuError::Parse(what.into())
 }
 
@@ -33,26 +39,20 @@
     usize::try_from(count).map_err(|_| malformed("a count"))
 }
 
-pub fn write_count<W: Write + Seek>(writer: &mut Writer<W>, count: usize) -> Result<(), DekuError> {
+fn write_count<W: Write + Seek>(writer: &mut Writer<W>, count: usize) -> Result<(), DekuError> {
     u32::try_from(count).map_err(|_| malformed("a count"))?.to_writer(writer, Endian::Little)
 }
 
-fn read_vec<R: Read + Seek>(reader: &mut Reader<R>) -> Result<Vec<u8>, DekuError> {
-    let mut left = read_count(reader)?;
-    let mut found = Vec::new();
-    while left > 0 {
-        let had = found.len();
-        let step = left.min(had.max(STEP));
-        found.reserve_exact(step);
-        found.resize(had + step, 0);
-        reader.read_bytes(step, &mut found[had..], Order::Lsb0)?;
-        left -= step;
-    }
-    Ok(found)
-}
-
-pub fn read_bytes<R: Read + Seek>(reader: &mut Reader<R>) -> Result<Bytes, DekuError> {
-    Ok(read_vec(reader)?.into())
+/// A slice of the source, past which the reader goes on.
+pub fn read_bytes<R: Read + Seek>(reader: &mut Reader<R>, source: Source) -> Result<Bytes, DekuError> {
+    let count = read_count(reader)?;
+    let Source(Some(source)) = source else { return Err(malformed("bytes of no source")) };
+    let start = reader.bits_read / 8;
+    let end = start.checked_add(count).filter(|end| *end <= source.len());
+    let end = end.ok_or_else(|| malformed("a length beyond the bytes"))?;
+    let step = i64::try_from(count).map_err(|_| malformed("a length"))?;
+    reader.seek(SeekFrom::Current(step)).map_err(|_| malformed("a length"))?;
+    Ok(source.slice(start..end))
 }
 
 pub fn write_bytes<W: Write + Seek>(writer: &mut Writer<W>, bytes: &[u8]) -> Result<(), DekuError> {
@@ -60,17 +60,29 @@
     writer.write_bytes(bytes)
 }
 
-pub fn read_text<R: Read + Seek>(reader: &mut Reader<R>) -> Result<String, DekuError> {
-    String::from_utf8(read_vec(reader)?).map_err(|_| malformed("a text that is not UTF-8"))
+/// A copy: a text does not keep the source in memory.
+pub fn read_text<R: Read + Seek>(reader: &mut Reader<R>, source: Source) -> Result<String, DekuError> {
+    let bytes = read_bytes(reader, source)?;
+    let text = str::from_utf8(&bytes).map_err(|_| malformed("a text that is not UTF-8"))?;
+    Ok(text.to_owned())
 }
 
-pub fn read_list<R: Read + Seek, T: for<'a> DekuReader<'a>>(
+/// A copy, as by [`read_text`].
+pub fn read_shared_text<R: Read + Seek>(
     reader: &mut Reader<R>,
+    source: Source,
+) -> Result<Arc<str>, DekuError> {
+    read_text(reader, source).map(Arc::from)
+}
+
+pub fn read_list<'a, R: Read + Seek, T: for<'r> DekuReader<'r, Source<'a>>>(
+    reader: &mut Reader<R>,
+    source: Source<'a>,
 ) -> Result<Vec<T>, DekuError> {
     let count = read_count(reader)?;
     let mut found = Vec::new();
     for _ in 0..count {
-        found.push(T::from_reader_with_ctx(reader, ())?);
+        found.push(T::from_reader_with_ctx(reader, source)?);
     }
     Ok(found)
 }
@@ -83,11 +95,14 @@
     list.iter().try_for_each(|one| one.to_writer(writer, ()))
 }
 
-pub fn read_pairs<R: Read + Seek>(reader: &mut Reader<R>) -> Result<Vec<(String, String)>, DekuError> {
+pub fn read_pairs<R: Read + Seek>(
+    reader: &mut Reader<R>,
+    source: Source,
+) -> Result<Vec<(String, String)>, DekuError> {
     let count = read_count(reader)?;
     let mut found = Vec::new();
     for _ in 0..count {
-        found.push((read_text(reader)?, read_text(reader)?));
+        found.push((read_text(reader, source)?, read_text(reader, source)?));
     }
     Ok(found)
 }
--- a/crates/batch/tests/common/mod.rs
+++ b/crates/batch/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use nanoserde::DeJson;
 use rainlug::{SECOND, Time};
-use rainlug_batch::{Command, Item, Register, State};
+use rainlug_batch::{Command, DecodeError, Item, Register, RegisterRestore, State, StoredText};
 
 pub const ROUTE: &str = "bulk";
 pub const DUE: Time = 60 * SECOND;
@@ -54,12 +54,12 @@
 }
 
 pub fn list(lot: &str, item: &str, text: &str) -> Command {
-    let text = Bytes::copy_from_slice(text.as_bytes());
+    let text = StoredText::new(text.as_bytes());
     Command::List { lot: lot.into(), item: item.into(), state: State::Complete, text }
 }
 
 pub fn abandon(lot: &str, item: &str) -> Command {
-    Command::List { lot: lot.into(), item: item.into(), state: State::Abandoned, text: Bytes::new() }
+    Command::List { lot: lot.into(), item: item.into(), state: State::Abandoned, text: StoredText::default() }
 }
 
 pub fn end(lot: &str) -> Command {
@@ -75,3 +75,15 @@
     assert_eq!(answer.next_token, since + answer.outputs.len() as u64);
     Some(answer)
 }
+
+/// All pieces of its snapshot.
+pub fn pieces(register: &Register) -> Vec<Bytes> {
+    let snapshot = register.snapshot();
+    (0..snapshot.pieces()).map(|number| snapshot.piece(number)).collect()
+}
+
+pub fn restore(pieces: &[Bytes]) -> Result<Register, DecodeError> {
+    let mut restore = RegisterRestore::default();
+    pieces.iter().try_for_each(|piece| restore.take(piece))?;
+    restore.finish()
+}
--- a/crates/batch/tests/register.rs
+++ b/crates/batch/tests/register.rs
@@ -5,11 +5,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use common::{ROUTE, abandon, end, item, list, read, submit, submit_within};
+use common::{ROUTE, abandon, end, item, list, pieces, read, restore, submit, submit_within};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug::SECOND;
-use rainlug_batch::{Applied, Command, Item, Register, State, read_requests};
+use rainlug_batch::{Applied, Command, Item, Register, State, StoredText, Totals, read_requests};
 
 fn after(commands: &[Command]) -> Register {
     let mut register = Register::default();
@@ -135,7 +135,7 @@
     let job = submit_within("l", 9, common::DUE, vec![item("a", 10)]);
     assert_eq!(register.apply(&job), Applied::OverQuota);
     assert!(!register.knows("l"));
-    assert_eq!(register.snapshot(), Register::default().snapshot());
+    assert_eq!(pieces(&register), pieces(&Register::default()));
 }
 
 #[test]
@@ -173,25 +173,60 @@
 }
 
 #[test]
-fn a_snapshot_that_is_none_changes_nothing() {
-    let mut register = after(&[submit("l", &["a", "b"]), list("l", "a", "text")]);
-    let whole = register.snapshot();
-    for cut in 0..whole.len() {
-        assert!(register.restore(&whole[..cut]).is_err(), "cut at {cut}");
+fn a_length_beyond_the_bytes_takes_no_memory() {
+    // A batch job's id of 4 GB.
+    assert!(Command::decode(&Bytes::from_static(&[2, 0xff, 0xff, 0xff, 0xff, b'l'])).is_err());
+    // Four thousand million items.
+    let mut submit = vec![0];
+    submit.extend([0; 12 + 3 * 8 + 4 + 8]);
+    submit.extend([0xff; 4]);
+    assert!(Command::decode(&submit.into()).is_err());
+    // Four thousand million records in the first piece of a snapshot.
+    assert!(restore(&[Bytes::from_static(&[0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff])]).is_err());
+}
+
+/// Batch jobs of 100 items each, all ended.
+fn many_ended(count: usize) -> Register {
+    let ids: Vec<String> = (0..100).map(|id| id.to_string()).collect();
+    let ids: Vec<&str> = ids.iter().map(|id| &**id).collect();
+    let mut register = Register::default();
+    for number in 0..count {
+        let id = format!("{number:05}");
+        register.apply(&submit(&id, &ids));
+        register.apply(&end(&id));
     }
-    let mut more = whole.to_vec();
-    more.push(0);
-    assert!(register.restore(&more).is_err());
-    assert_eq!(register.snapshot(), whole);
+    register
 }
 
 #[test]
-fn a_length_beyond_the_bytes_takes_no_memory() {
-    // A batch job's id of 4 GB.
-    assert!(Command::decode(&[2, 0xff, 0xff, 0xff, 0xff, b'l']).is_err());
-    // Four thousand million batch jobs.
-    let snapshot = [0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff];
-    assert!(Register::default().restore(&snapshot).is_err());
+fn one_command_forgets_a_bounded_number_and_the_next_ones_the_rest() {
+    let mut register = many_ended(200);
+    let known = |register: &Register| (0..200).filter(|id| register.knows(&format!("{id:05}"))).count();
+    let mut counts = vec![known(&register)];
+    while known(&register) > 0 {
+        register.apply(&Command::Forget { before: 2 * SECOND });
+        counts.push(known(&register));
+    }
+    // 82 batch jobs have the first 8192 items.
+    assert_eq!(counts, [200, 118, 36, 0]);
+    assert_eq!((register.size(), register.totals()), (0, Totals::default()));
+}
+
+#[test]
+fn those_sent_first_are_forgotten_first() {
+    let mut register = many_ended(100);
+    let mut older = submit("older", &["a"]);
+    if let Command::Submit { sent, .. } = &mut older {
+        *sent -= 1;
+    }
+    register.apply(&older);
+    register.apply(&end("older"));
+    let mut restored = restore(&pieces(&register)).unwrap();
+    for register in [&mut register, &mut restored] {
+        register.apply(&Command::Forget { before: 2 * SECOND });
+        assert!(!register.knows("older") && !register.knows("00000") && register.knows("00099"));
+    }
+    assert_eq!(pieces(&register), pieces(&restored));
 }
 
 fn request(field: &str, value: &str) -> String {
@@ -317,7 +352,7 @@
             lot: lot.to_owned(),
             item: item.to_owned(),
             state: if is_complete { State::Complete } else { State::Abandoned },
-            text: text.into(),
+            text: StoredText::new(&text),
         },
     );
     let end = lot.prop_map(|lot| Command::End { lot: lot.to_owned(), at: 0 });
@@ -332,6 +367,8 @@
     sent: i64,
     tokens: BTreeMap<String, u64>,
     listed: Vec<(String, State, String)>,
+    /// Bytes of outputs, as they are stored.
+    stored: u64,
     is_ended: bool,
 }
 
@@ -365,7 +402,12 @@
             if !job.open().any(|(id, _)| id == item) {
                 return Applied::Nothing;
             }
-            job.listed.push((item.clone(), *state, String::from_utf8_lossy(text).into_owned()));
+            job.stored += text.stored().len() as u64;
+            job.listed.push((
+                item.clone(),
+                *state,
+                String::from_utf8_lossy(&text.text().unwrap()).into_owned(),
+            ));
             Applied::Listed { position: job.listed.len() as u64 - 1 }
         }
         Command::End { lot, .. } => match jobs.get_mut(lot) {
@@ -398,7 +440,8 @@
     }
     ["r", "s"].iter().for_each(|route| assert_eq!(a.waiting(route), b.waiting(route)));
     assert_eq!(a.size(), b.size());
-    assert_eq!(a.snapshot(), b.snapshot());
+    assert_eq!(a.totals(), b.totals());
+    assert_eq!(pieces(a), pieces(b));
 }
 
 proptest! {
@@ -412,6 +455,12 @@
         let mut jobs = BTreeMap::new();
         for command in &commands {
             prop_assert_eq!(register.apply(command), step(&mut jobs, command));
+            let totals = Totals {
+                open: jobs.values().map(|job| job.open().count() as u64).sum(),
+                listed: jobs.values().map(|job| job.listed.len() as u64).sum(),
+                output_bytes: jobs.values().map(|job| job.stored).sum(),
+            };
+            prop_assert_eq!(register.totals(), totals);
             for route in ["r", "s"] {
                 prop_assert_eq!(register.waiting(route), waiting(&jobs, route));
             }
@@ -425,6 +474,9 @@
                 let known: Vec<_> = job.listed.iter().map(|(id, state, text)| (&**id, word(*state), &**text)).collect();
                 let found: Vec<_> = answer.outputs.iter().map(|o| (&*o.id, &*o.state, &*o.prompt)).collect();
                 prop_assert_eq!(found, known);
+                for since in 0..6 {
+                    prop_assert_eq!(register.has_output(lot, since), Some(register.read(lot, since).unwrap().1));
+                }
                 let distinct: BTreeSet<_> = answer.outputs.iter().map(|o| &o.id).collect();
                 prop_assert_eq!(distinct.len(), answer.outputs.len());
                 for item in ITEMS {
@@ -443,8 +495,7 @@
         prop_assert_eq!(&decoded, &commands);
         assert_same(&played, &after(&decoded));
         let cut = at.index(commands.len() + 1);
-        let mut restored = after(&[submit("other", &["a"])]);
-        restored.restore(&after(&commands[..cut]).snapshot()).unwrap();
+        let mut restored = restore(&pieces(&after(&commands[..cut]))).unwrap();
         for command in &commands[cut..] {
             restored.apply(command);
         }
@@ -484,35 +535,38 @@
         let _ = read_requests(&bytes);
         let _ = read_requests(json.as_bytes());
         let _ = read_requests(format!("{{\"requests\":[{{\"id\":{json}}}],\"more\":{json}}}").as_bytes());
-        let _ = Command::decode(&bytes);
-        let _ = Command::decode(&[&[tag], &bytes[..]].concat());
-        let mut register = after(&[submit("l", &["a"])]);
-        let before = register.snapshot();
-        if register.restore(&bytes).is_err() {
-            prop_assert_eq!(register.snapshot(), before);
-        }
+        let tagged = Bytes::from([&[tag], &bytes[..]].concat());
+        let _ = Command::decode(&bytes.clone().into());
+        let _ = Command::decode(&tagged);
+        let _ = StoredText::from_stored(tagged).map(|text| text.text().is_ok());
+        prop_assert!(restore(&[bytes.clone().into()]).is_err());
+        let header = pieces(&after(&[submit("l", &["a"])])).swap_remove(0);
+        // The number and count of a second piece before it.
+        let second = Bytes::from([&[1, 0, 0, 0, 1, 0, 0, 0, tag], &bytes[..]].concat());
+        prop_assert!(restore(&[header, second]).is_err());
     }
 
     /// What a harmed snapshot gives, if it is taken, can be used.
     #[test]
     fn a_harmed_snapshot_does_no_harm(commands in commands(), more in commands(), at in any::<prop::sample::Index>(), flip in 1_u8..) {
-        let mut bytes = after(&commands).snapshot().to_vec();
+        let mut harmed = pieces(&after(&commands));
+        let which = at.index(harmed.len());
+        let mut bytes = harmed[which].to_vec();
         let at = at.index(bytes.len());
         bytes[at] ^= flip;
-        let mut register = Register::default();
-        if register.restore(&bytes).is_ok() {
+        harmed[which] = bytes.into();
+        if let Ok(mut register) = restore(&harmed) {
             for command in &more {
                 register.apply(command);
             }
             LOTS.iter().for_each(|lot| drop(register.read(lot, 0)));
-            let snapshot = register.snapshot();
-            prop_assert!(Register::default().restore(&snapshot).is_ok());
+            prop_assert!(restore(&pieces(&register)).is_ok());
         }
         let mut bytes = more.first().map_or(Bytes::new(), Command::encode).to_vec();
         if !bytes.is_empty() {
             let at = at % bytes.len();
             bytes[at] ^= flip;
-            if let Ok(command) = Command::decode(&bytes) {
+            if let Ok(command) = Command::decode(&bytes.into()) {
                 Register::default().apply(&command);
             }
         }
--- a/crates/batch/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -93,6 +93,22 @@
     assert!(owner.overdue().is_empty());
 }
 
+#[test]
+fn a_long_text_is_proposed_compressed() {
+    let mut owner = Owner::of(&[submit("l", &["a"])]);
+    owner.next().unwrap();
+    let lines: Vec<(u64, String)> = (1..=50).map(|id| (id, format!("line {id} of some letters"))).collect();
+    let events: Vec<(u64, &str)> = lines.iter().map(|(id, line)| (*id, &**line)).collect();
+    let command = owner.ended("l", "a", &events, RunEnd::Complete).unwrap();
+    let text = lines.iter().map(|(_, line)| &**line).collect::<Vec<_>>().join("\n");
+    let Command::List { text: stored, .. } = &command else { panic!("{command:?}") };
+    assert!(stored.stored().len() < text.len() / 2);
+    assert!(command.encode().len() < text.len());
+    owner.apply(&command);
+    assert_eq!(owner.register.totals().output_bytes, stored.stored().len() as u64);
+    assert_eq!(read(&owner.register, "l", 0).unwrap().outputs[0].prompt, text);
+}
+
 #[test]
 fn a_run_broken_off_goes_on_after_its_last_event() {
     let mut owner = Owner::of(&[submit("l", &["a"])]);
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use rainlug::Time;
-use rainlug_batch::{Register, Schedule};
+use rainlug_batch::{Register, RegisterRestore, RegisterSnapshot, Schedule};
 use rainlug_consensus::{Index, Member, Output, Replica, Settings};
 use rainlug_registry::gossip;
 
@@ -71,11 +71,35 @@
     fn snapshot(&self) -> Bytes {
         match self {
             Machine::Control(control) => control.snapshot(),
-            Machine::Lots(register) => register.snapshot(),
+            Machine::Lots(register) => join_pieces(&register.snapshot()),
         }
     }
 }
 
+/// All pieces, each behind its length.
+fn join_pieces(snapshot: &RegisterSnapshot) -> Bytes {
+    let mut joined = Vec::new();
+    for piece in (0..snapshot.pieces()).map(|number| snapshot.piece(number)) {
+        joined.extend_from_slice(&(piece.len() as u64).to_le_bytes());
+        joined.extend_from_slice(&piece);
+    }
+    joined.into()
+}
+
+/// Reads what [`join_pieces`] made.
+fn restore_pieces(joined: &Bytes) -> Option<Register> {
+    let mut rest = joined.clone();
+    let mut restore = RegisterRestore::default();
+    while !rest.is_empty() {
+        let length = usize::try_from(rest.try_get_u64_le().ok()?).ok()?;
+        if length > rest.len() {
+            return None;
+        }
+        restore.take(&rest.split_to(length)).ok()?;
+    }
+    restore.finish().ok()
+}
+
 impl Part {
     pub fn open(
         number: u16,
@@ -254,7 +278,7 @@
         let Some(part) = self.parts.get_mut(&number) else { return };
         let restored = match &mut part.machine {
             Machine::Control(control) => Control::restore(state).map(|c| *control = c).is_ok(),
-            Machine::Lots(register) => register.restore(state).is_ok(),
+            Machine::Lots(register) => restore_pieces(state).map(|r| *register = r).is_some(),
         };
         if !restored {
             self.effects.push(Effect::Log("garbage", format!("a snapshot of part {number}")));
--- a/crates/coordinator/tests/room.rs
+++ b/crates/coordinator/tests/room.rs
@@ -1,8 +1,7 @@
 //! What counts as room on a disk, and when a disk counts as stalled.
 
-use bytes::Bytes;
 use rainlug::SECOND;
-use rainlug_batch::{Command, State, Totals};
+use rainlug_batch::{Command, State, StoredText, Totals};
 use rainlug_coordinator::room::{DISK_PATIENCE, LogUse, PartDisk, fits, job_bytes};
 
 const MEGABYTE: u64 = 1_000_000;
@@ -51,7 +50,7 @@
 
 #[test]
 fn an_output_takes_no_more_room_than_is_reckoned() {
-    let text = Bytes::from(vec![b'x'; 5000]);
+    let text = StoredText::plain(&[b'x'; 5000]);
     let (lot, item) = ("f28f2dda36c74a36".to_owned(), "f28f2dda36c74a36-000123".to_owned());
     let command = Command::List { lot, item, state: State::Complete, text }.encode();
     // Headers of a record in the file (20) and of an entry in the record (at most 32).
