--- /dev/null
+++ b/crates/batch/tests/snapshot.rs
@@ -0,0 +1,348 @@
+//! Snapshots: what their pieces are, that they never change, and what a register made from pieces is.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+use common::{DUE, abandon, end, item, list, pieces, read, restore, submit, submit_within};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rainlug_batch::{Applied, Command, Item, PIECE_BYTES, Register, RegisterRestore, State, StoredText};
+
+fn after(commands: &[Command]) -> Register {
+    let mut register = Register::default();
+    for command in commands {
+        register.apply(command);
+    }
+    register
+}
+
+/// An output of so many bytes, stored plain.
+fn list_plain(lot: &str, item: &str, length: usize) -> Command {
+    let text = StoredText::plain(&vec![b'x'; length]);
+    Command::List { lot: lot.into(), item: item.into(), state: State::Complete, text }
+}
+
+fn item_with_body(id: &str, length: usize) -> Item {
+    Item { body: vec![b'b'; length].into(), ..item(id, 1) }
+}
+
+/// Three batch jobs with bodies and outputs for several pieces.
+fn several_pieces() -> Register {
+    let mut register = Register::default();
+    for lot in ["k", "l", "m"] {
+        let items = (0..20).map(|id| item_with_body(&format!("{lot}{id}"), 10_000)).collect();
+        register.apply(&submit_within(lot, 0, DUE, items));
+        for id in 0..10 {
+            register.apply(&list_plain(lot, &format!("{lot}{id}"), 20_000));
+        }
+    }
+    register.apply(&end("m"));
+    register
+}
+
+/// Bytes that tell when nothing holds them any more.
+struct Counted {
+    bytes: Bytes,
+    freed: Arc<AtomicUsize>,
+}
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.freed.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// The same bytes, and how often their buffer was freed.
+fn counted(bytes: Bytes) -> (Bytes, Arc<AtomicUsize>) {
+    let freed = Arc::new(AtomicUsize::new(0));
+    (Bytes::from_owner(Counted { bytes, freed: freed.clone() }), freed)
+}
+
+#[test]
+fn an_empty_register_is_a_header() {
+    let register = Register::default();
+    assert_eq!(register.snapshot().pieces(), 1);
+    assert_eq!(register.snapshot().piece(1), Bytes::new());
+    assert_eq!(pieces(&restore(&pieces(&register)).unwrap()), pieces(&register));
+}
+
+#[test]
+fn small_batch_jobs_share_a_piece() {
+    let lots: Vec<Command> = (0..50).map(|lot| submit(&format!("{lot}"), &["a", "b"])).collect();
+    assert_eq!(after(&lots).snapshot().pieces(), 2);
+}
+
+#[test]
+fn only_what_is_alone_in_a_piece_is_over_the_bound() {
+    let mut register = several_pieces();
+    let items = vec![item_with_body("a", 100_000), item("b", 1), item_with_body("c", 70_000), item("d", 1)];
+    register.apply(&submit_within("long", 0, DUE, items));
+    let bodies = pieces(&register).iter().filter(|piece| piece.len() > PIECE_BYTES).count();
+    assert_eq!(bodies, 2);
+    register.apply(&list_plain("long", "a", 100));
+    register.apply(&list_plain("long", "c", 300_000));
+    register.apply(&list_plain("long", "d", 100));
+    let lengths: Vec<usize> = pieces(&register).iter().map(Bytes::len).collect();
+    let over: Vec<usize> = lengths.iter().copied().filter(|length| *length > PIECE_BYTES).collect();
+    assert_eq!(over.len(), 1, "{lengths:?}");
+    // The output, and the heads round it.
+    assert!((300_000..300_100).contains(&over[0]), "{over:?}");
+    assert_eq!(pieces(&restore(&pieces(&register)).unwrap()), pieces(&register));
+}
+
+#[test]
+fn pieces_are_about_as_long_as_they_may_be() {
+    let register = several_pieces();
+    let lengths: Vec<usize> = pieces(&register).iter().map(Bytes::len).collect();
+    let total: usize = lengths.iter().sum();
+    assert_eq!(register.snapshot().size(), total as u64);
+    assert!(total > 600_000 && lengths.len() <= 2 + 2 * total / PIECE_BYTES, "{lengths:?}");
+}
+
+#[test]
+fn a_snapshot_never_changes() {
+    let mut register = several_pieces();
+    let (snapshot, old) = (register.snapshot(), pieces(&register));
+    register.apply(&list_plain("k", "k15", 500));
+    register.apply(&end("l"));
+    register.apply(&submit("n", &["a"]));
+    register.apply(&Command::Forget { before: DUE });
+    let encoded: Vec<Bytes> = (0..snapshot.pieces()).map(|number| snapshot.clone().piece(number)).collect();
+    assert_eq!(encoded, old);
+    assert_ne!(pieces(&register), old);
+}
+
+#[test]
+fn an_output_touches_no_other() {
+    let mut register = several_pieces();
+    let before = register.snapshot();
+    let text = |register: &Register, position| register.output("k", position).unwrap().stored().as_ptr();
+    let texts: Vec<_> = (0..10).map(|position| text(&register, position)).collect();
+    let body = register.body("k", "k16").unwrap().as_ptr();
+    assert_eq!(register.snapshot().shared_lots(&before), 3);
+    assert_eq!(register.apply(&list_plain("k", "k15", 500)), Applied::Listed { position: 10 });
+    assert_eq!(register.snapshot().shared_lots(&before), 2);
+    // Nor are the bytes of its own batch job copied.
+    assert!((0..10).map(|position| text(&register, position)).eq(texts));
+    assert_eq!(register.body("k", "k16").unwrap().as_ptr(), body);
+}
+
+#[test]
+fn what_changes_nothing_copies_nothing() {
+    let mut register = several_pieces();
+    let before = register.snapshot();
+    for command in [list("k", "k0", "again"), list("k", "x", ""), end("m"), submit("k", &["a"]), end("x")] {
+        register.apply(&command);
+    }
+    assert_eq!(register.snapshot().shared_lots(&before), 3);
+}
+
+#[test]
+fn a_command_is_freed_with_its_last_item() {
+    let (encoded, freed) = counted(submit("l", &["a", "b", "c"]).encode());
+    let mut register = Register::default();
+    register.apply(&Command::decode(&encoded).unwrap());
+    drop(encoded);
+    let is_freed = || freed.load(Ordering::SeqCst) > 0;
+    register.apply(&list("l", "b", "text"));
+    register.apply(&abandon("l", "a"));
+    assert!(!is_freed());
+    assert_eq!(register.body("l", "c"), Some("body of c".into()));
+    register.apply(&list("l", "c", "text"));
+    assert!(is_freed());
+    assert_eq!(read(&register, "l", 0).unwrap().outputs.len(), 3);
+}
+
+#[test]
+fn a_command_is_freed_with_the_end_of_its_batch_job() {
+    let (encoded, freed) = counted(submit("l", &["a", "b"]).encode());
+    let mut register = Register::default();
+    register.apply(&Command::decode(&encoded).unwrap());
+    drop(encoded);
+    register.apply(&end("l"));
+    assert_eq!(freed.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn an_output_holds_its_own_command_and_no_other() {
+    let mut register = after(&[submit("l", &["a", "b"])]);
+    let encoded = ["a", "b"].map(|item| counted(list_plain("l", item, 1000).encode()));
+    let [a, b] = encoded.map(|(encoded, freed)| {
+        register.apply(&Command::decode(&encoded).unwrap());
+        // A slice of the command, not a copy.
+        let text = register.output("l", register.totals().listed - 1).unwrap().stored().as_ptr() as usize;
+        let start = encoded.as_ptr() as usize;
+        assert!((start..start + encoded.len()).contains(&text));
+        freed
+    });
+    assert_eq!((a.load(Ordering::SeqCst), b.load(Ordering::SeqCst)), (0, 0));
+    register.apply(&Command::Forget { before: DUE });
+    assert_eq!((a.load(Ordering::SeqCst), b.load(Ordering::SeqCst)), (1, 1));
+}
+
+#[test]
+fn what_is_restored_stays_in_its_pieces_until_it_is_freed() {
+    let (pieces, freed): (Vec<Bytes>, Vec<_>) = pieces(&several_pieces()).into_iter().map(counted).unzip();
+    let mut register = restore(&pieces).unwrap();
+    drop(pieces);
+    let held = || freed.iter().filter(|freed| freed.load(Ordering::SeqCst) == 0).count();
+    let all = held();
+    assert!(all > 10);
+    // Pieces of items whose bodies are gone are freed though all outputs are there.
+    register.apply(&end("k"));
+    register.apply(&end("l"));
+    let outputs = held();
+    assert!(outputs < all);
+    assert_eq!(read(&register, "k", 0).unwrap().outputs.len(), 10);
+    register.apply(&Command::Forget { before: DUE });
+    assert_eq!(held(), 0);
+}
+
+#[test]
+fn a_piece_that_is_cut_or_longer_is_refused() {
+    let whole = pieces(&after(&[submit("l", &["a", "b"]), list("l", "a", "text"), submit("m", &["c"])]));
+    for which in 0..whole.len() {
+        let mut harmed = whole.clone();
+        for cut in 0..whole[which].len() {
+            harmed[which] = whole[which].slice(..cut);
+            assert!(restore(&harmed).is_err(), "piece {which} cut at {cut}");
+        }
+        harmed[which] = [&whole[which][..], &[0]].concat().into();
+        assert!(restore(&harmed).is_err(), "piece {which}, a byte more");
+    }
+    assert!(restore(&whole).is_ok());
+}
+
+#[test]
+fn pieces_are_taken_in_their_order_and_all_of_them() {
+    let whole = pieces(&several_pieces());
+    for which in 0..whole.len() {
+        let mut missing = whole.clone();
+        missing.remove(which);
+        assert!(restore(&missing).is_err(), "piece {which} is missing");
+        let mut doubled = whole.clone();
+        doubled.insert(which, whole[which].clone());
+        assert!(restore(&doubled).is_err(), "piece {which} twice");
+        for other in 0..which {
+            let mut swapped = whole.clone();
+            swapped.swap(which, other);
+            assert!(restore(&swapped).is_err(), "pieces {which} and {other} swapped");
+        }
+        assert!(restore(&whole[..which]).is_err(), "up to piece {which}");
+    }
+}
+
+#[test]
+fn nothing_is_taken_after_an_error() {
+    let whole = pieces(&several_pieces());
+    let mut restore = RegisterRestore::default();
+    restore.take(&whole[0]).unwrap();
+    assert!(restore.take(&whole[2]).is_err());
+    assert!(whole[1..].iter().all(|piece| restore.take(piece).is_err()));
+    assert!(restore.finish().is_err());
+}
+
+#[test]
+fn a_damaged_text_is_refused() {
+    let text = "a text with some repetition ".repeat(20);
+    let command = list("l", "a", &text);
+    let Command::List { text: stored, .. } = &command else { panic!("a list") };
+    let is_stored = |bytes: &[u8]| bytes.windows(stored.stored().len()).position(|at| at == stored.stored());
+    let encoded = command.encode();
+    let start = is_stored(&encoded).unwrap();
+    let whole = pieces(&after(&[submit("l", &["a"]), command.clone()]));
+    let place = is_stored(&whole[1]).unwrap();
+    for at in 0..stored.stored().len() {
+        let harm = |bytes: &Bytes, at: usize| {
+            let mut harmed = bytes.to_vec();
+            harmed[at] ^= 0x55;
+            Bytes::from(harmed)
+        };
+        assert!(Command::decode(&harm(&encoded, start + at)).is_err(), "byte {at}");
+        assert!(restore(&[whole[0].clone(), harm(&whole[1], place + at)]).is_err(), "byte {at}");
+    }
+}
+
+const LOTS: [&str; 4] = ["k", "l", "m", "n"];
+const ITEMS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// With bodies and texts from none to more than a piece.
+fn commands() -> impl Strategy<Value = Vec<Command>> {
+    let length = prop_oneof![5 => 0_usize..100, 5 => 100_usize..30_000, 1 => 30_000_usize..100_000];
+    let lot = prop::sample::select(&LOTS);
+    let bodies = prop::collection::btree_map(prop::sample::select(&ITEMS), length.clone(), 0..6);
+    let submit = (lot.clone(), 0_i64..100, bodies).prop_map(|(lot, at, bodies)| {
+        let items = bodies.into_iter().map(|(id, length)| item_with_body(id, length)).collect();
+        let mut command = submit_within(lot, 0, DUE, items);
+        if let Command::Submit { sent, .. } = &mut command {
+            *sent = at;
+        }
+        command
+    });
+    let list = (lot.clone(), prop::sample::select(&ITEMS), length, any::<bool>()).prop_map(
+        |(lot, item, length, is_plain)| match is_plain {
+            true => list_plain(lot, item, length),
+            false => list(lot, item, &"text ".repeat(length / 5)),
+        },
+    );
+    let end = lot.prop_map(end);
+    let forget = (0_i64..100).prop_map(|before| Command::Forget { before });
+    prop::collection::vec(prop_oneof![4 => submit, 12 => list, 1 => end, 1 => forget], 0..60)
+}
+
+fn assert_same(a: &Register, b: &Register) {
+    for lot in LOTS {
+        assert_eq!(a.knows(lot), b.knows(lot));
+        (0..8).for_each(|since| assert_eq!(a.read(lot, since), b.read(lot, since)));
+        ITEMS.iter().for_each(|item| assert_eq!(a.body(lot, item), b.body(lot, item)));
+    }
+    assert_eq!(a.waiting(common::ROUTE), b.waiting(common::ROUTE));
+    assert_eq!((a.size(), a.totals()), (b.size(), b.totals()));
+    assert_eq!(pieces(a), pieces(b));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100, rng_seed: RngSeed::Fixed(28), failure_persistence: None, ..Default::default() })]
+
+    /// A register that goes on from a restored copy stays the same as one that played all, and a snapshot
+    /// stays what it was.
+    #[test]
+    fn a_restored_copy_is_the_same(commands in commands(), at in any::<prop::sample::Index>()) {
+        let cut = at.index(commands.len() + 1);
+        let mut played = after(&commands[..cut]);
+        let (snapshot, old) = (played.snapshot(), pieces(&played));
+        let mut restored = restore(&old).unwrap();
+        assert_same(&played, &restored);
+        for command in &commands[cut..] {
+            prop_assert_eq!(played.apply(command), restored.apply(command));
+        }
+        assert_same(&played, &restored);
+        let encoded: Vec<Bytes> = (0..snapshot.pieces()).map(|number| snapshot.piece(number)).collect();
+        prop_assert_eq!(encoded, old);
+    }
+
+    /// Its length is foretold, and a piece over the bound holds one record with one item or output.
+    #[test]
+    fn no_piece_is_over_the_bound_but_one_alone(commands in commands()) {
+        let register = after(&commands);
+        let pieces = pieces(&register);
+        prop_assert_eq!(register.snapshot().size(), pieces.iter().map(|piece| piece.len() as u64).sum::<u64>());
+        for piece in pieces.iter().filter(|piece| piece.len() > PIECE_BYTES) {
+            let count = |at: usize| u32::from_le_bytes(piece[at..at + 4].try_into().unwrap());
+            // Number, records, tag, length of the id, id, items or outputs.
+            prop_assert_eq!(count(4), 1);
+            prop_assert!([2, 3].contains(&piece[8]));
+            let id = count(9) as usize;
+            prop_assert_eq!(count(13 + id), 1);
+        }
+    }
+}
