--- /dev/null
+++ b/crates/batch/examples/costs.rs
@@ -0,0 +1,145 @@
+//! What texts and snapshots cost on this machine: `cargo run --release -p rainlug-batch --example costs`.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rainlug_batch::{Command, Item, Register, RegisterRestore, State, StoredText};
+
+/// Texts of each kind and length.
+const TEXTS: usize = 400;
+const LOTS: u64 = 300;
+const ITEMS: u64 = 100;
+
+/// A source of numbers in no order (xorshift).
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+
+    /// Lines of about a hundred letters in no order behind a few numbers.
+    fn letters(&mut self, length: usize) -> String {
+        let mut text = String::new();
+        for line in 1.. {
+            let count = 80 + self.next() % 40;
+            text += &format!("6.1ef.{line}.{:016x}.", self.next());
+            text.extend((0..count).map(|_| char::from(b'a' + (self.next() % 26) as u8)));
+            if text.len() >= length {
+                break;
+            }
+            text.push('\n');
+        }
+        text.truncate(length);
+        text
+    }
+}
+
+fn micros_of(mut work: impl FnMut()) -> f64 {
+    let start = Instant::now();
+    work();
+    start.elapsed().as_secs_f64() * 1e6
+}
+
+fn show_texts(name: &str, texts: &[String]) {
+    let kilobytes = texts.iter().map(String::len).sum::<usize>() as f64 / 1000.0;
+    let mut stored = Vec::new();
+    let compress = micros_of(|| stored = texts.iter().map(|text| StoredText::new(text.as_bytes())).collect());
+    let check = micros_of(|| {
+        stored.iter().for_each(|text| drop(black_box(StoredText::from_stored(text.stored().clone()))));
+    });
+    let decompress = micros_of(|| stored.iter().for_each(|text| drop(black_box(text.text()))));
+    let bytes = stored.iter().map(|text| text.stored().len()).sum::<usize>() as f64;
+    println!(
+        "{name}: stored {:.3}, compress {:.1}, check {:.2}, decompress {:.1} us/KB",
+        bytes / kilobytes / 1000.0,
+        compress / kilobytes,
+        check / kilobytes,
+        decompress / kilobytes,
+    );
+}
+
+/// With all items listed, each with a text of 3.3 KB.
+fn full_register(random: &mut Random) -> Register {
+    let mut register = Register::default();
+    for lot in 0..LOTS {
+        let item = |id: u64| Item {
+            id: format!("{lot:016x}-{id:06}"),
+            path: "/bulk/run".into(),
+            headers: Vec::new(),
+            body: Bytes::from(vec![b'x'; 500]),
+            token_count: 1,
+        };
+        let id = format!("{lot:016x}");
+        register.apply(&Command::Submit {
+            lot: id.clone(),
+            route: "bulk".into(),
+            host: "bulk.example".into(),
+            sent: 1,
+            due: 2,
+            retain: 3,
+            max_tries: 1,
+            most: 0,
+            items: (0..ITEMS).map(item).collect(),
+        });
+        for item in 0..ITEMS {
+            let text = StoredText::plain(random.letters(3300).as_bytes());
+            let item = format!("{lot:016x}-{item:06}");
+            register.apply(&Command::List { lot: id.clone(), item, state: State::Complete, text });
+        }
+    }
+    register
+}
+
+fn show_snapshot(register: &Register) {
+    let start = Instant::now();
+    let snapshot = register.snapshot();
+    let taken = start.elapsed();
+    let mut restore = RegisterRestore::default();
+    let (mut encode, mut take) = (Vec::new(), Vec::new());
+    for number in 0..snapshot.pieces() {
+        let start = Instant::now();
+        let piece = snapshot.piece(number);
+        encode.push(start.elapsed());
+        let start = Instant::now();
+        restore.take(&piece).expect("a piece of a snapshot");
+        take.push(start.elapsed());
+    }
+    let start = Instant::now();
+    let restored = restore.finish().expect("a whole snapshot");
+    let finish = start.elapsed();
+    assert_eq!(restored.size(), register.size());
+    println!(
+        "{} bytes in {} pieces; snapshot {taken:?}, finish {finish:?}",
+        snapshot.size(),
+        snapshot.pieces()
+    );
+    for (name, times) in [("encode", encode), ("restore", take)] {
+        let sum: Duration = times.iter().sum();
+        println!("{name}: all pieces {sum:?}, the longest {:?}", times.iter().max().unwrap_or(&sum));
+    }
+}
+
+fn main() {
+    let mut random = Random(88_172_645_463_325_252);
+    for length in [1000, 3300, 5000] {
+        let texts: Vec<String> = (0..TEXTS).map(|_| random.letters(length)).collect();
+        show_texts(&format!("letters, {length} bytes"), &texts);
+    }
+    let prose = include_str!("../../../docs/system.md");
+    for length in [1000, 3300] {
+        let texts: Vec<String> = prose
+            .as_bytes()
+            .chunks(length)
+            .cycle()
+            .take(TEXTS)
+            .map(|chunk| String::from_utf8_lossy(chunk).into_owned())
+            .collect();
+        show_texts(&format!("prose, {length} bytes"), &texts);
+    }
+    show_snapshot(&full_register(&mut random));
+}
