Batch: test the bound of a piece to the byte

Change: a story that fills a piece to its last byte, within a batch job and across two.

Result: it passes, and fails with the group's bound 20 bytes off.

--- a/crates/batch/tests/snapshot.rs
+++ b/crates/batch/tests/snapshot.rs
@@ -99,6 +99,29 @@
     assert_eq!(pieces(&restore(&pieces(&register)).unwrap()), pieces(&register));
 }
 
+#[test]
+fn a_piece_may_be_as_long_as_the_bound_to_the_byte() {
+    // Heads of the piece and its record (18), then of two outputs (10 each) and their texts.
+    let half = (PIECE_BYTES - 18) / 2 - 10;
+    let outputs_with = |second: usize| {
+        let texts = [list_plain("l", "a", half), list_plain("l", "b", second)];
+        let register = after(&[&[submit("l", &["a", "b"])], &texts[..]].concat());
+        pieces(&register).iter().map(Bytes::len).collect::<Vec<_>>()
+    };
+    assert_eq!(outputs_with(half)[2..], [PIECE_BYTES]);
+    // The first output has room behind the batch job's head then.
+    assert!(outputs_with(half + 1)[1..].iter().all(|length| *length < PIECE_BYTES));
+    // Records of two batch jobs, to the byte.
+    let records_with = |second: usize| {
+        let commands = [submit("l", &["a"]), submit("m", &["a"]), list_plain("l", "a", half)];
+        let register = after(&[&commands[..], &[list_plain("m", "a", second)]].concat());
+        pieces(&register).iter().map(Bytes::len).collect::<Vec<_>>()
+    };
+    let room = PIECE_BYTES - records_with(0)[1];
+    assert_eq!(records_with(room)[1..], [PIECE_BYTES]);
+    assert_eq!(records_with(room + 1).len(), 3);
+}
+
 #[test]
 fn pieces_are_about_as_long_as_they_may_be() {
     let register = several_pieces();
