--- a/crates/consensus/tests/bounded_steps.rs
+++ b/crates/consensus/tests/bounded_steps.rs
@@ -387,6 +387,45 @@
     }
 }
 
+#[test]
+fn given_a_snapshot_that_has_come_whole_when_the_disk_has_not_written_it_then_it_counts_for_nothing() {
+    const CHANGES: u64 = 500;
+    for seed in 0..10 {
+        let mut world = World::new(seed, &[1, 2, 3], Settings { compact_bytes: 2_000, ..settings(2) });
+        let leader = world.elect();
+        let (far, near) = (others(leader)[0], others(leader)[1]);
+        world.power_off(far);
+        for _ in 0..CHANGES {
+            world.propose(leader, PADDING);
+            world.run_for(2 * MILLIS);
+        }
+        world.run_for(SECOND);
+        let lacks = |world: &World| {
+            let behind = world.replica(leader).behind();
+            behind.iter().find(|(id, _)| *id == far).map_or(0, |(_, entries)| *entries)
+        };
+        // Given a disk that takes very long.
+        world.nodes.get_mut(&far).expect("a member").disk_delay = 10_000 * SECOND;
+        world.start(far);
+        assert!(world.run_until(10 * SECOND, |world| world.nodes[&far].restores == 1), "seed {seed}");
+        world.run_for(SECOND);
+        assert!(world.unsynced(far) > 0 && lacks(&world) >= CHANGES, "seed {seed}: {}", lacks(&world));
+        // Then it is none of a majority: nothing is committed with it alone.
+        world.power_off(near);
+        let command = world.propose(leader, PADDING).expect("it leads");
+        world.run_for(100 * MILLIS);
+        assert!(!world.is_committed(command), "seed {seed}");
+        // When it loses power, then it has what it had before.
+        world.power_off(far);
+        world.nodes.get_mut(&far).expect("a member").disk_delay = MILLIS;
+        world.start(far);
+        world.start(near);
+        let whole = |world: &World| world.nodes[&far].applied.len() == world.history.len();
+        assert!(world.run_until(10 * SECOND, |world| world.leader().is_some() && whole(world)));
+        world.sound();
+    }
+}
+
 #[test]
 fn given_a_transfer_of_many_pieces_when_the_member_crashes_in_the_middle_then_it_begins_again_and_ends() {
     for seed in 0..10 {
