--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -43,10 +43,15 @@
     Probe { asked: bool },
     /// The newest index of each message on its way, and its bytes.
     Replicate { in_flight: VecDeque<(Index, usize)> },
-    /// A piece at a time.
-    Snapshot { snapshot: Arc<Snapshot>, source: Source, number: usize, sent: bool, moved: bool },
+    /// A piece at a time: when the one under way was sent, and how long it may take before it is sent again.
+    Snapshot { snapshot: Arc<Snapshot>, source: Source, number: usize, sent: Option<Time>, patience: Time },
 }
 
+/// A piece of a snapshot is sent again after this many times what the one before has taken.
+const PATIENCE_FACTOR: Time = 4;
+/// A piece of a snapshot is sent again after this many election times at the latest.
+const MOST_PATIENCE: Time = 16;
+
 #[derive(Clone)]
 struct Progress {
     member: Member,
@@ -249,7 +254,13 @@
                 for progress in self.progress.values_mut() {
                     match &mut progress.flow {
                         Flow::Probe { asked } => *asked = false,
-                        Flow::Snapshot { sent, moved, .. } => *sent &= std::mem::take(moved),
+                        Flow::Snapshot { sent, patience, .. } => {
+                            // Over a link that others fill a piece takes long: repeated sooner it would fill the link itself.
+                            if sent.is_some_and(|at| self.now - at >= *patience) {
+                                *sent = None;
+                                *patience = (2 * *patience).min(MOST_PATIENCE * self.settings.election);
+                            }
+                        }
                         Flow::Replicate { .. } => {}
                     }
                 }
--- a/crates/consensus/src/replica/receiving.rs
+++ b/crates/consensus/src/replica/receiving.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::install::SnapshotPiece;
-use super::{Flow, Progress, Replica, Role};
+use super::{Flow, PATIENCE_FACTOR, Progress, Replica, Role};
 use crate::wire::{self, Body};
 use crate::{DecodeError, Index, Member, Term, Time};
 
@@ -160,14 +160,16 @@
 
     /// The follower waits for a piece of the snapshot from this source.
     fn wants_piece(&mut self, asked: u64, wanted: usize) {
-        if let Flow::Snapshot { source, number, sent, moved, .. } = &mut self.flow
+        let now = self.heard;
+        if let Flow::Snapshot { source, number, sent, patience, .. } = &mut self.flow
             && source.number == asked
             && *number != wanted
             && wanted < source.state.pieces()
         {
             *number = wanted;
-            *sent = false;
-            *moved = true;
+            if let Some(at) = sent.take() {
+                *patience = (*patience).max(PATIENCE_FACTOR * (now - at));
+            }
         }
     }
 }
--- a/crates/consensus/src/replica/sending.rs
+++ b/crates/consensus/src/replica/sending.rs
@@ -95,7 +95,8 @@
             };
             progress.allowance = usize::try_from(source.state.size()).unwrap_or(usize::MAX);
             let snapshot = self.snapshot.clone();
-            progress.flow = Flow::Snapshot { snapshot, source, number: 0, sent: false, moved: false };
+            let patience = self.settings.election;
+            progress.flow = Flow::Snapshot { snapshot, source, number: 0, sent: None, patience };
         }
         let mut at = None;
         match &mut progress.flow {
@@ -122,7 +123,8 @@
             }
             Flow::Snapshot { snapshot, source, number, sent, .. } => {
                 // Bulk goes to those who live.
-                if is_alive && !std::mem::replace(sent, true) {
+                if is_alive && sent.is_none() {
+                    *sent = Some(self.now);
                     messages.push(self.piece_message(&progress.member, snapshot, source, *number));
                 }
                 // What is not installed yet is no ground to stand on: this one only gives a sign of life.
