Gateway: tests that a request from a kept connection is answered before it ends

Four stories: any end of a worker before it answers, the idle time, a configuration that drops the route, seats wanted by newcomers.

--- a/crates/gateway/tests/plane/common.rs
+++ b/crates/gateway/tests/plane/common.rs
@@ -224,18 +224,27 @@
 pub const LIMITS: &str =
     r#"{"max_header_bytes":4096,"max_body_bytes":300000,"header_timeout_ms":300,"idle_timeout_ms":5000}"#;
 
+/// What a dispatcher is told of itself, as a rule.
+pub fn settings() -> GatewaySettings {
+    GatewaySettings {
+        node: "edge-1".into(),
+        zone: "z".into(),
+        memory_mb: 200,
+        max_fds: 1024,
+        grace_s: 6.0,
+        pass_ms: 120,
+        seed: 7,
+    }
+}
+
 impl Bench {
     /// A dispatcher with no configuration and no workers.
     pub async fn bare() -> Self {
-        let told = GatewaySettings {
-            node: "edge-1".into(),
-            zone: "z".into(),
-            memory_mb: 200,
-            max_fds: 1024,
-            grace_s: 6.0,
-            pass_ms: 120,
-            seed: 7,
-        };
+        Bench::of(settings()).await
+    }
+
+    /// A dispatcher that is told this of itself.
+    pub async fn of(told: GatewaySettings) -> Self {
         let gateway = Gateway::new(told);
         let (front, ready) = (
             TcpListener::bind("127.0.0.1:0").await.unwrap(),
--- a/crates/gateway/tests/plane/main.rs
+++ b/crates/gateway/tests/plane/main.rs
@@ -4,6 +4,7 @@
 mod correlation;
 mod deadlines;
 mod garbage;
+mod kept;
 mod requests;
 mod stop;
 mod streams;
