Gateway: services of a split get their shares by turns, not by independent draws

Change: each route has a sequence of turns, multiples of the golden ratio from a random start; an exchange takes one.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -90,6 +90,8 @@
     client: Option<&'a mut Link>,
     then: Then,
     timer: Pin<Box<Sleep>>,
+    /// What chooses between the services of its route, from 0 up to 1.
+    turn: Option<f64>,
     ask: Ask,
     /// Workers that the request was sent to, and that it was not.
     pub sent: u32,
@@ -124,6 +126,7 @@
             client,
             then,
             timer: Box::pin(sleep_until(request.arrived + Duration::from_secs(3600))),
+            turn: None,
             ask,
             sent: 0,
             unsent: 0,
--- a/crates/gateway/src/forward/pick.rs
+++ b/crates/gateway/src/forward/pick.rs
@@ -25,6 +25,12 @@
         &self.ask
     }
 
+    /// This request's turn among those of its route, which chooses between the route's services; it takes one only once.
+    pub fn turn(&mut self, route: &Route) -> f64 {
+        let gateway = self.gateway;
+        *self.turn.get_or_insert_with(|| gateway.split_turn(route))
+    }
+
     /// The newest route of the request.
     pub(super) fn route(&mut self) -> Option<Rc<Route>> {
         let configuration = self.gateway.configuration()?;
@@ -49,7 +55,7 @@
 
     /// A worker, for which it is waited a little.
     pub(super) async fn picked(&mut self, route: &Route, until: Instant) -> Result<Option<Picked>, Stop> {
-        let (gateway, draw) = (self.gateway, self.request.draw);
+        let (gateway, turn) = (self.gateway, self.turn(route));
         let most = if self.began {
             millis(route.gap_aim_ms).max(MOST_WAIT)
         } else {
@@ -57,11 +63,11 @@
         };
         let patience = until.min(Instant::now() + most);
         loop {
-            if let Some(picked) = gateway.pick(route, draw, self.ask(route, &[])) {
+            if let Some(picked) = gateway.pick(route, turn, self.ask(route, &[])) {
                 return Ok(Some(picked));
             }
             let mut waits =
-                services(route, draw).filter_map(|name| gateway.services.borrow().get(name).cloned());
+                services(route, turn).filter_map(|name| gateway.services.borrow().get(name).cloned());
             let Some(service) = waits.next() else { return Ok(None) };
             match self.wait(service.room(route.priority), patience).await {
                 Ok(()) => {}
@@ -76,9 +82,9 @@
         if self.sent >= route.max_tries {
             return None;
         }
-        let (gateway, draw) = (self.gateway, self.request.draw);
+        let (gateway, turn) = (self.gateway, self.turn(route));
         let ask = self.ask(route, std::slice::from_ref(&picked.worker.id));
-        let other = gateway.pick(route, draw, ask);
+        let other = gateway.pick(route, turn, ask);
         self.ask.tried.pop();
         other
     }
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -23,7 +23,7 @@
     let configuration = gateway.configuration();
     let newest = configuration.and_then(|c| c.routes.iter().find(|r| r.name == item.route.name).cloned());
     let Some(route) = newest else { return ran };
-    let Some(request) = request(gateway, &item, &route.host) else {
+    let Some(request) = request(&item, &route.host) else {
         ran.end = RanEnd::Failed;
         return ran;
     };
@@ -31,8 +31,9 @@
     let last = Some(item.last_event).filter(|last| *last > 0);
     let mut exchange = Exchange::new(gateway, &request, None, Then::Close);
     exchange.goes_on_after(last);
+    let turn = exchange.turn(&route);
     let ask = exchange.ask(&route, &item.tried);
-    let Some(picked) = gateway.pick(&route, request.draw, ask) else { return ran };
+    let Some(picked) = gateway.pick(&route, turn, ask) else { return ran };
     ran.worker = Some(picked.worker.id.clone());
     ran.end = RanEnd::Again;
     match exchange.attempt(&picked, &route, until, Some(SILENT)).await {
@@ -118,7 +119,7 @@
 }
 
 /// The request of an item; nothing where it cannot be written as one.
-fn request(gateway: &Gateway, item: &Item, host: &str) -> Option<Request> {
+fn request(item: &Item, host: &str) -> Option<Request> {
     let plain = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
     if !item.path.starts_with('/') || !plain(&item.path) || !plain(host) || !plain(&item.id) {
         return None;
@@ -145,7 +146,7 @@
         }
     }
     text.extend_from_slice(b"\r\n");
-    let mut request = Request::read(&text, Instant::now(), gateway.draw()).ok()?;
+    let mut request = Request::read(&text, Instant::now()).ok()?;
     request.body = item.body.clone();
     Some(request)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod request;
 mod routing;
 mod server;
+mod split;
 mod stopping;
 mod stream;
 
@@ -32,6 +33,7 @@
 use crate::connections::Connections;
 use crate::figures::Figures;
 use crate::routing::Service;
+use crate::split::SplitTurns;
 use crate::stopping::Stopping;
 
 pub use crate::stream::{Event, Events};
@@ -148,6 +150,7 @@
     workers: RefCell<HashMap<String, Worker>>,
     others: Cell<usize>,
     chance: Cell<u64>,
+    split_turns: SplitTurns,
     pool: Pool,
     bounds: Bounds,
     connections: Rc<Connections>,
@@ -170,6 +173,7 @@
             workers: RefCell::default(),
             others: Cell::new(0),
             chance: Cell::new(told.seed),
+            split_turns: SplitTurns::default(),
             pool,
             bounds,
             connections,
@@ -192,6 +196,7 @@
             service.max_conns.set(told.max_conns);
             service.placement.borrow_mut().service(told.slots, told.kv_capacity_tokens);
         }
+        self.split_turns.keep(&configuration.routes);
         spdlog::debug!("configuration {} is in force here", configuration.version);
         *self.configuration.borrow_mut() = Some(configuration);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -41,8 +41,6 @@
     pub lines: Bytes,
     pub body: Bytes,
     pub arrived: Instant,
-    /// What chooses between the services of its route, 0 to 1.
-    pub draw: f64,
 }
 
 /// Why a head is not a request.
@@ -65,7 +63,7 @@
     ///
     /// # Errors
     /// Where it is none that may be passed on.
-    pub fn read(text: &[u8], arrived: Instant, draw: f64) -> Result<Self, Unfit> {
+    pub fn read(text: &[u8], arrived: Instant) -> Result<Self, Unfit> {
         head::request(text, |method, target, fields| {
             if fields.old() {
                 return Err(Unfit::Version);
@@ -107,7 +105,6 @@
                 lines: lines.into(),
                 body: Bytes::new(),
                 arrived,
-                draw,
             })
         })?
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -107,19 +107,20 @@
     pub service: Rc<Service>,
 }
 
-/// The services of a route that take requests: the one drawn by their weights (`draw` in 0 to 1) before the others.
-pub(crate) fn services(route: &Route, draw: f64) -> impl Iterator<Item = &str> {
+/// The services of a route that take requests: the one whose weight's share `turn` falls in (0 up to 1) before
+/// the others.
+pub(crate) fn services(route: &Route, turn: f64) -> impl Iterator<Item = &str> {
     let weighed = || route.split.iter().filter(|(_, weight)| *weight > 0.0);
     let total: f64 = weighed().map(|(_, weight)| weight).sum();
-    let mut left = draw * total;
-    let drawn = weighed().position(|(_, weight)| {
+    let mut left = turn * total;
+    let chosen = weighed().position(|(_, weight)| {
         left -= weight;
         left < 0.0
     });
-    let first = weighed().nth(drawn.unwrap_or_default());
-    let others = weighed().enumerate().filter(move |(n, _)| Some(*n) != drawn && first.is_some());
-    // Without a draw the first stands in front, and is not to come twice.
-    let others = others.filter(move |(n, _)| drawn.is_some() || *n > 0);
+    let first = weighed().nth(chosen.unwrap_or_default());
+    let others = weighed().enumerate().filter(move |(n, _)| Some(*n) != chosen && first.is_some());
+    // Where none is chosen the first stands in front, and is not to come twice.
+    let others = others.filter(move |(n, _)| chosen.is_some() || *n > 0);
     first.into_iter().chain(others.map(|(_, one)| one)).map(|(name, _)| name.as_str())
 }
 
@@ -139,9 +140,17 @@
         self.workers.borrow().get(id).is_some_and(|worker| worker.phase < Phase::Draining)
     }
 
-    /// Picks a worker for a request of a route; `draw` chooses between its services.
-    pub(crate) fn pick(&self, route: &Route, draw: f64, ask: &Ask) -> Option<Picked> {
-        services(route, draw).find_map(|name| {
+    /// The next request's turn among those of a route; what has no split needs none.
+    pub(crate) fn split_turn(&self, route: &Route) -> f64 {
+        match route.split.len() {
+            0 | 1 => 0.0,
+            _ => self.split_turns.next(&route.name, self.draw()),
+        }
+    }
+
+    /// Picks a worker for a request of a route; `turn` chooses between its services.
+    pub(crate) fn pick(&self, route: &Route, turn: f64, ask: &Ask) -> Option<Picked> {
+        services(route, turn).find_map(|name| {
             let service = self.services.borrow().get(name).cloned()?;
             self.pick_of(&service, name, ask)
         })
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -152,7 +152,7 @@
         let in_hand = gateway.stopping.request();
         let arrived = Instant::now();
         let mut room = BodyRoom { gateway, bytes: 0 };
-        let request = match request(gateway, &mut link, &limits, arrived, &mut room).await {
+        let request = match request(&mut link, &limits, arrived, &mut room).await {
             Ok(request) => request,
             Err(Unread::Gone) => return,
             Err(Unread::Reply(reply)) => {
@@ -202,7 +202,6 @@
 
 /// Reads a request whole.
 async fn request(
-    gateway: &Gateway,
     link: &mut Link,
     limits: &Limits,
     arrived: Instant,
@@ -217,7 +216,7 @@
         Ok(_) => return no(400),
         Err(_) => return no(408),
     };
-    let mut request = match Request::read(&text, arrived, gateway.draw()) {
+    let mut request = match Request::read(&text, arrived) {
         Ok(request) => request,
         Err(Unfit::Malformed) => return no(400),
         Err(Unfit::TooLarge) => return no(413),
--- a/crates/gateway/tests/plane/main.rs
+++ b/crates/gateway/tests/plane/main.rs
@@ -6,6 +6,7 @@
 mod garbage;
 mod kept;
 mod requests;
+mod split;
 mod stop;
 mod streams;
 mod worker_side;
