Gateway: a stop waits for workers until the last sixth of the grace, and refuses late calls

Cause: a second was kept back of the grace, which is more than a sixth of it below 6 s; and what was asked on a kept connection more than 3 s after SIGTERM was passed on though it might be cut at the end. Change: a twelfth is kept back; half a second after idle connections are closed, requests that still come get 503 and the end of their connection.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -15,7 +15,7 @@
 use crate::forward::{Exchange, Outcome};
 use crate::lots::{self, Call};
 use crate::request::{Request, Unfit};
-use crate::stopping::Stage;
+use crate::stopping::{NEWCOMER, Stage};
 use crate::{BODIES, Gateway, Lots, Reply, SIZES, millis};
 
 /// The pause after a failure to accept that would come again at once.
@@ -25,8 +25,6 @@
 const CROSSED: Duration = Duration::from_millis(100);
 /// An answer that ends a connection, or an own one, must be taken in this time.
 const TAKEN: Duration = Duration::from_secs(5);
-/// When idle connections are closed, a new one has so long from its start to say what it wants.
-const NEWCOMER: Duration = Duration::from_millis(500);
 /// A call on batch jobs without a deadline is waited for so long, beyond what it says itself.
 const CALL: Duration = Duration::from_secs(10);
 /// Seconds after which a request that there was no room for may come again.
@@ -166,7 +164,10 @@
         gateway.figures.requests.up();
         let keeps = request.keeps && gateway.stopping.stage() == Stage::Serving;
         let then = if keeps { Then::Keep(idle) } else { Then::Close };
-        let outcome = serve(gateway, &mut link, &request, lots, then).await;
+        let outcome = match gateway.stopping.stage() {
+            Stage::Refusing => Outcome::Own(Reply::refused(PAUSE)),
+            _ => serve(gateway, &mut link, &request, lots, then).await,
+        };
         gateway.figures.ended(&outcome);
         let mut close = !keeps;
         match outcome {
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -11,9 +11,12 @@
 const NOTICED: Duration = Duration::from_millis(2500);
 const ASKED: u32 = 2;
 const ON_THE_WAY: Duration = Duration::from_millis(200);
-/// Of the time to stop, this part at most is for being noticed, and this is kept for the end.
+/// Of the time to stop, this part at most is for being noticed, and this part is kept for the end: workers are waited for until the
+/// last sixth begins, and the answers of those that end just before it have to go out.
 const NOTICED_PART: u32 = 3;
-const RESERVE: Duration = Duration::from_secs(1);
+const RESERVE_PART: u32 = 12;
+/// When idle connections are closed, a new one has so long from its start to say what it wants.
+pub(crate) const NEWCOMER: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Stage {
@@ -22,6 +25,8 @@
     Leaving,
     /// No connections are taken any more, and idle ones are closed.
     Closing,
+    /// Requests that come now might be cut at the end: they are refused.
+    Refusing,
 }
 
 pub(crate) struct Stopping {
@@ -111,10 +116,20 @@
         }
     }
 
+    /// Goes on to a stage, never back.
+    fn enter(&self, next: Stage) {
+        self.stage.send_if_modified(|stage| {
+            let is_later = next > *stage;
+            *stage = next.max(*stage);
+            is_later
+        });
+    }
+
+    /// Ends when all that was in hand is finished, or when so little of the time to stop is left that it has to end without.
     pub async fn stop(&self) {
         let begun = Instant::now();
-        let end = begun + self.grace.saturating_sub(RESERVE);
-        self.stage.send_if_modified(|stage| std::mem::replace(stage, Stage::Leaving.max(*stage)) != *stage);
+        let end = begun + self.grace - self.grace / RESERVE_PART;
+        self.enter(Stage::Leaving);
         spdlog::info!("stopping with {} requests in hand", self.in_hand());
         let noticed = begun + NOTICED.min(self.grace / NOTICED_PART);
         let asked = async {
@@ -122,8 +137,12 @@
             sleep(ON_THE_WAY).await;
         };
         let _ = timeout_at(noticed, asked).await;
-        self.stage.send_if_modified(|stage| std::mem::replace(stage, Stage::Closing) != *stage);
-        let _ = timeout_at(end, self.when(|| self.in_hand() + self.clients() == 0)).await;
+        self.enter(Stage::Closing);
+        let is_over = || self.in_hand() + self.clients() == 0;
+        if timeout_at(end.min(Instant::now() + NEWCOMER), self.when(is_over)).await.is_err() {
+            self.enter(Stage::Refusing);
+            let _ = timeout_at(end, self.when(is_over)).await;
+        }
         spdlog::info!("stopped with {} requests in hand", self.in_hand());
     }
 }
--- a/crates/gateway/tests/plane/stop.rs
+++ b/crates/gateway/tests/plane/stop.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::common::*;
+use rainlug_gateway::GatewaySettings;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -134,3 +135,87 @@
         tokio::join!(stopped, reads);
     });
 }
+
+/// A dispatcher with one worker, and so much time to stop.
+async fn bench_with_grace(worker: &Stand, grace_s: f64) -> Bench {
+    let bench = Bench::of(GatewaySettings { grace_s, ..settings() }).await;
+    bench.gateway.configure(configuration(1, ROUTES, LIMITS));
+    bench.gateway.worker(&crate::common::worker("i-0", worker.at));
+    bench
+}
+
+/// Only what a worker is still at work on in the last sixth of the time may be given up.
+#[test]
+fn a_worker_that_answers_before_the_last_sixth_of_the_time_to_stop_is_waited_for() {
+    run(async {
+        let grace = Duration::from_millis(3600);
+        let sixth = grace / 6;
+        let works = (grace - sixth).as_millis() as u64 - 20;
+        let worker = stand(move |_, _| vec![Act::Sleep(works), ok("late")]).await;
+        let bench = bench_with_grace(&worker, grace.as_secs_f64()).await;
+        let mut client = bench.client().await;
+        client.send(&post("/s/1", "a", "", "")).await;
+        while worker.runs() == 0 {
+            sleep(Duration::from_millis(2)).await;
+        }
+        let begun = Instant::now();
+        let stopped = async {
+            bench.gateway.stop().await;
+            assert_eq!(bench.figure("in_hand"), 0.0, "{:?}", begun.elapsed());
+            assert!(begun.elapsed() < grace, "{:?}", begun.elapsed());
+        };
+        let answered = async {
+            let got = client.got().await.expect("an answer");
+            assert_eq!((got.status(), got.text(), got.whole), (200, "late", true));
+            drop(client);
+        };
+        tokio::join!(stopped, answered);
+    });
+}
+
+/// Some of the time to stop is left for the process's own end, also where a worker never answers.
+#[test]
+fn who_never_answers_is_waited_for_until_shortly_before_the_time_to_stop_is_over() {
+    run(async {
+        let grace = Duration::from_millis(2400);
+        let worker = stand(|_, _| vec![Act::Hang]).await;
+        let bench = bench_with_grace(&worker, grace.as_secs_f64()).await;
+        let mut client = bench.client().await;
+        client.send(&post("/s/1", "a", "", "")).await;
+        while worker.runs() == 0 {
+            sleep(Duration::from_millis(2)).await;
+        }
+        let begun = Instant::now();
+        bench.gateway.stop().await;
+        let took = begun.elapsed();
+        assert!(took > grace * 5 / 6 && took < grace - Duration::from_millis(100), "{took:?}");
+    });
+}
+
+/// What is asked late on a connection that was kept could be cut at the end: it is turned away, with a promise and an answer.
+#[test]
+fn what_is_asked_late_in_a_stop_is_turned_away_with_an_answer() {
+    run(async {
+        let worker = stand(|_, _| vec![stream_head(), event(1), Act::Sleep(1300), event(2), last()]).await;
+        let bench = bench_with_grace(&worker, 1.8).await;
+        let mut client = bench.client().await;
+        client.send(&post("/s/1", "a", "", "")).await;
+        client.head().await.unwrap();
+        let stopped = bench.gateway.stop();
+        let asks = async {
+            sleep(Duration::from_millis(1150)).await;
+            client.send(&post("/s/1", "b", "", "")).await;
+            for _ in 0..2 {
+                client.chunk().await.unwrap();
+            }
+            assert_eq!(client.chunk().await.unwrap(), "");
+            let got = client.got().await.expect("an answer");
+            assert_eq!((got.status(), got.field("Connection").as_deref()), (503, Some("close")));
+            assert!(got.field("Retry-After").is_some());
+            assert_eq!(worker.runs(), 1);
+            assert!(client.ended().await);
+            drop(client);
+        };
+        tokio::join!(stopped, asks);
+    });
+}
