Tier: each role tells its figures as text at a port of its own

Cause: the users fetch figures at metrics = PORT/PATH of a role; a store had no address that is known outside, and the ports of control differ from site to site. Change: GET /metrics at port 9464 in both roles; a port that is taken is logged and nothing else.

--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -284,7 +284,7 @@
     }
 }
 
-async fn answer(link: &mut Link, answer: &Answer, close: bool) -> Result<(), End> {
+pub(crate) async fn answer(link: &mut Link, answer: &Answer, close: bool) -> Result<(), End> {
     let mut head = format!(
         "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
         answer.status,
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod listings;
 pub mod local;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod operator;
 pub mod peers;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -202,6 +202,7 @@
         if let Some(at) = control_at {
             spawn_local(control::serve(node.clone(), listen(at).await?));
         }
+        spawn_local(crate::metrics::start(node.clone(), settings.ip));
         if role == Role::Gateway {
             let front = settings.listen.front.ok_or(Error::Missing("listen.front"))?;
             spawn_local(node.gateway.clone().serve(listen(front).await?, Rc::new(Desk(node.clone()))));
