--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -15,7 +15,7 @@
 use crate::forward::{Exchange, Outcome};
 use crate::lots::{self, Call};
 use crate::request::{Request, Unfit};
-use crate::stopping::Stage;
+use crate::stopping::{NEWCOMER, Stage};
 use crate::{BODIES, Gateway, Lots, Reply, SIZES, millis};
 
 /// The pause after a failure to accept that would come again at once.
@@ -25,8 +25,6 @@
 const CROSSED: Duration = Duration::from_millis(100);
 /// An answer that ends a connection, or an own one, must be taken in this time.
 const TAKEN: Duration = Duration::from_secs(5);
-/// When idle connections are closed, a new one has so long from its start to say what it wants.
-const NEWCOMER: Duration = Duration::from_millis(500);
 /// A call on batch jobs without a deadline is waited for so long, beyond what it says itself.
 const CALL: Duration = Duration::from_secs(10);
 /// Seconds after which a request that there was no room for may come again.
@@ -152,7 +150,7 @@
         let in_hand = gateway.stopping.request();
         let arrived = Instant::now();
         let mut room = BodyRoom { gateway, bytes: 0 };
-        let request = match request(gateway, &mut link, &limits, arrived, &mut room).await {
+        let request = match request(&mut link, &limits, arrived, &mut room).await {
             Ok(request) => request,
             Err(Unread::Gone) => return,
             Err(Unread::Reply(reply)) => {
@@ -166,7 +164,10 @@
         gateway.figures.requests.up();
         let keeps = request.keeps && gateway.stopping.stage() == Stage::Serving;
         let then = if keeps { Then::Keep(idle) } else { Then::Close };
-        let outcome = serve(gateway, &mut link, &request, lots, then).await;
+        let outcome = match gateway.stopping.stage() {
+            Stage::Refusing => Outcome::Own(Reply::refused(PAUSE)),
+            _ => serve(gateway, &mut link, &request, lots, then).await,
+        };
         gateway.figures.ended(&outcome);
         let mut close = !keeps;
         match outcome {
@@ -202,7 +203,6 @@
 
 /// Reads a request whole.
 async fn request(
-    gateway: &Gateway,
     link: &mut Link,
     limits: &Limits,
     arrived: Instant,
@@ -217,7 +217,7 @@
         Ok(_) => return no(400),
         Err(_) => return no(408),
     };
-    let mut request = match Request::read(&text, arrived, gateway.draw()) {
+    let mut request = match Request::read(&text, arrived) {
         Ok(request) => request,
         Err(Unfit::Malformed) => return no(400),
         Err(Unfit::TooLarge) => return no(413),
