A worker's end is acknowledged once most of the core has it; a stop is bounded by the gateway

Cause: machines cut off together acknowledged draining after 0.2 s though the other side did not know (DRAIN binds out of touch, too); and the process ended its gateway's stop at grace_s - 1 s, before the last sixth where grace_s is under 6. Change: 200 only when a majority of the core is known to have the news, else 503; the gateway's own bound decides.

--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -112,6 +112,17 @@
         self.told_news(workers, texts);
     }
 
+    /// Whether a majority of the core has a worker's last news. Each process in contact with the core hears of it then; without this a
+    /// side that is cut off could acknowledge a worker's end that the other side does not know.
+    pub(crate) fn is_known_to_core(&self, worker: &str) -> bool {
+        let core = &self.roster.core;
+        let known = core.iter().filter(|seat| {
+            let at: SocketAddr = seat.at.into();
+            at == self.info.at || self.gossip.is_worker_known_to(worker, at)
+        });
+        core.is_empty() || 2 * known.count() > core.len()
+    }
+
     /// After each event: what members there are, answers whose news has spread, items to run.
     pub(crate) fn settle(&mut self) {
         if self.view.version() != self.seen {
@@ -125,12 +136,19 @@
                 News::Configuration(version) => self.gossip.spread(gossip::CONFIGURATION, *version),
                 News::Worker(id) => self.gossip.worker_spread(id),
             };
-            if has >= all {
+            let is_in_core = match &waits.news {
+                News::Configuration(_) => true,
+                News::Worker(id) => self.is_known_to_core(id),
+            };
+            if has >= all && is_in_core {
                 self.reply(waits.origin, waits.answer);
             } else if now >= waits.until {
                 // Of a worker's end nobody else has said to know: it is to be told elsewhere too.
-                let alone = has == 0 && matches!(waits.news, News::Worker(_));
-                self.reply(waits.origin, if alone { Answer::later(503, SECOND / 5) } else { waits.answer });
+                let alone = has == 0 && all > 0 && matches!(waits.news, News::Worker(_));
+                self.reply(
+                    waits.origin,
+                    if alone || !is_in_core { Answer::later(503, SECOND / 5) } else { waits.answer },
+                );
             } else {
                 self.held.push(waits);
             }
--- a/crates/registry/src/gossip.rs
+++ b/crates/registry/src/gossip.rs
@@ -145,6 +145,13 @@
         self.pending.get(&Subject::Worker(hash(id))).is_some_and(|news| !news.done)
     }
 
+    /// Whether a peer is known to have a worker's last news; what came from others is known to all peers that live.
+    pub fn is_worker_known_to(&self, id: &str, at: SocketAddr) -> bool {
+        let at = canonical(at);
+        let news = self.pending.get(&Subject::Worker(hash(id)));
+        self.peers.binary_search(&at).is_ok() && news.is_none_or(|news| news.done || news.have.contains(&at))
+    }
+
     /// Messages, or entries in them, that could not be read.
     pub fn garbage(&self) -> u64 {
         self.garbage
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -22,7 +22,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until};
 
 use crate::clock::Clock;
 use crate::control;
@@ -213,11 +213,11 @@
             spawn_local(node.gateway.clone().readiness(listen(at).await?, ready));
         }
         node.with("start", |_, _| ());
-        node.until_told(settings.bounds.grace_s).await
+        node.until_told().await
     }
 
     /// Serves until SIGTERM, then ends in order.
-    async fn until_told(self: Rc<Self>, grace_s: f64) -> Result<(), Error> {
+    async fn until_told(self: Rc<Self>) -> Result<(), Error> {
         let (mut terminate, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
         let mut interrupt = signal(SignalKind::interrupt())?;
         loop {
@@ -231,9 +231,9 @@
             }
         }
         log::event("stop", "told to end");
-        let most = Duration::from_secs_f64((grace_s - 1.0).max(0.5));
         if self.role == Role::Gateway {
-            let _ = timeout(most, self.gateway.stop()).await;
+            // Bounded by itself: it ends before the grace does.
+            self.gateway.stop().await;
         }
         self.with("leave", |coordinator, now| coordinator.leave(now));
         sleep(Duration::from_millis(50)).await;
