A ledger counts a route's waiting tokens over all parts

Cause: tokens were counted in the register of the one part that held all batch jobs of a route; so all of them, and their outputs, were on one group's disks and behind one leader's link.

Change: `Ledger` in crates/batch, with the commands `Reserve` (id 4) and `Settle` (id 5) of the same log.

--- a/crates/batch/src/command.rs
+++ b/crates/batch/src/command.rs
@@ -3,7 +3,7 @@
 use deku::prelude::*;
 use rainlug::Time;
 
-use crate::{DecodeError, wire};
+use crate::{DecodeError, OpenLot, ReportNumber, wire};
 
 /// An item as it was handed in.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
@@ -37,7 +37,7 @@
     Abandoned,
 }
 
-/// A change of the register. Encoded by `deku`. Times are Unix time in microseconds.
+/// A change of the register, or of the ledger beside it. Encoded by `deku`. Times are Unix time in microseconds.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", endian = "little")]
 pub enum Command {
@@ -97,6 +97,40 @@
     /// Forgets batch jobs sent before, where all is listed or ended.
     #[deku(id = 3)]
     Forget { before: Time },
+    /// Of the ledger: tokens of a batch job of `part`, before it is submitted there. `most` tokens may wait on the route (0: no
+    /// limit).
+    #[deku(id = 4)]
+    Reserve {
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, route.as_bytes())"
+        )]
+        route: String,
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
+        )]
+        lot: String,
+        part: u16,
+        tokens: u64,
+        most: u64,
+        at: Time,
+    },
+    /// Of the ledger: all unfinished batch jobs of a route in `part`, as that part's leader reports them, and those that have
+    /// finished since its last report.
+    #[deku(id = 5)]
+    Settle {
+        #[deku(
+            reader = "wire::read_text(deku::reader)",
+            writer = "wire::write_bytes(deku::writer, route.as_bytes())"
+        )]
+        route: String,
+        part: u16,
+        number: ReportNumber,
+        at: Time,
+        #[deku(reader = "wire::read_list(deku::reader)", writer = "wire::write_list(deku::writer, open)")]
+        open: Vec<OpenLot>,
+    },
 }
 
 impl Command {
@@ -104,7 +138,8 @@
         let about = match self {
             Command::Submit { items, .. } => items.iter().map(|i| 512 + i.body.len()).sum(),
             Command::List { text, .. } => text.len(),
-            Command::End { .. } | Command::Forget { .. } => 0,
+            Command::Settle { open, .. } => open.iter().map(|open| 16 + open.lot.len()).sum(),
+            Command::End { .. } | Command::Forget { .. } | Command::Reserve { .. } => 0,
         };
         wire::encode(self, 512 + about)
     }
--- a/crates/batch/src/register.rs
+++ b/crates/batch/src/register.rs
@@ -197,6 +197,8 @@
                 self.list(lot, item, *state, text).unwrap_or(Applied::Nothing)
             }
             Command::End { lot, at: _ } => self.end(lot),
+            // The ledger's.
+            Command::Reserve { .. } | Command::Settle { .. } => Applied::Nothing,
             Command::Forget { before } => {
                 let (size, totals) = (&mut self.size, &mut self.totals);
                 self.lots.retain(|_, lot| {
@@ -374,6 +376,19 @@
     pub fn size(&self) -> usize {
         self.size
     }
+
+    /// The batch jobs that have items to be listed: route, id, and tokens that wait.
+    pub fn open_lots(&self) -> impl Iterator<Item = (&str, &str, u64)> {
+        self.lots
+            .keys()
+            .filter_map(|id| self.open_lot(id).map(|(route, tokens)| (route, id.as_str(), tokens)))
+    }
+
+    /// The route of a batch job that has items to be listed, and its tokens that wait.
+    pub fn open_lot(&self, lot: &str) -> Option<(&str, u64)> {
+        let lot = self.lots.get(lot).filter(|lot| lot.totals().open > 0)?;
+        Some((&lot.route, u64::try_from(lot.waiting()).unwrap_or(u64::MAX)))
+    }
 }
 
 fn subtract(waiting: &mut BTreeMap<String, u128>, route: &str, tokens: u128) {
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -114,6 +114,8 @@
             Command::End { lot, .. } => self.drop_lot(lot),
             // What is forgotten was dropped when it was ended or listed.
             Command::Forget { .. } => {}
+            // The ledger's.
+            Command::Reserve { .. } | Command::Settle { .. } => {}
         }
     }
 
--- a/crates/batch/tests/register.rs
+++ b/crates/batch/tests/register.rs
@@ -375,6 +375,7 @@
             }
             None => Applied::Nothing,
         },
+        Command::Reserve { .. } | Command::Settle { .. } => Applied::Nothing,
         Command::Forget { before } => {
             jobs.retain(|_, job| job.sent >= *before || job.open().next().is_some());
             Applied::Nothing
