Seats go to the stores that have the fewest over all parts

Cause: each part's first group and each replacement was chosen by zone and identity alone, so some stores held seats of all parts and others none.

Change: within the zones with the fewest of the group's members the store with the fewest seats is taken, at founding and at a replacement; equals differ by part. The first seat of a founding group goes to who has the fewest of these. `Register::open_lot` walks no outputs.

--- a/crates/batch/src/register.rs
+++ b/crates/batch/src/register.rs
@@ -386,7 +386,7 @@
 
     /// The route of a batch job that has items to be listed, and its tokens that wait.
     pub fn open_lot(&self, lot: &str) -> Option<(&str, u64)> {
-        let lot = self.lots.get(lot).filter(|lot| lot.totals().open > 0)?;
+        let lot = self.lots.get(lot).filter(|lot| !lot.is_ended && lot.outputs.len() < lot.items.len())?;
         Some((&lot.route, u64::try_from(lot.waiting()).unwrap_or(u64::MAX)))
     }
 }
--- a/crates/coordinator/src/roster.rs
+++ b/crates/coordinator/src/roster.rs
@@ -102,6 +102,11 @@
         self.fenced.contains(&disk)
     }
 
+    /// How many seats a disk has in the groups of batch jobs.
+    pub fn seats_of(&self, disk: MemberId) -> usize {
+        self.groups.iter().filter(|group| group.members.iter().any(|seat| seat.id == disk)).count()
+    }
+
     /// The group of a part, where it is founded.
     pub fn group(&self, part: u16) -> Option<&PartGroup> {
         self.groups.iter().find(|group| group.part == part)
--- a/crates/coordinator/src/seats.rs
+++ b/crates/coordinator/src/seats.rs
@@ -1,12 +1,14 @@
 //! Who has a seat in which group: the leader of the configuration's part keeps its own group whole, founds the parts of batch
 //! jobs and fences disks; the leader of a part of batch jobs keeps that part's group whole.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
 use rainlug_consensus::{Member, MemberId};
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::calls::Goal;
 use crate::control::Change;
@@ -25,6 +27,46 @@
 /// Entries that a member may lack and still count as one that holds all: the leader goes on meanwhile.
 const NEARLY_ALL: u64 = 64;
 
+/// What disks have in the groups that are founded so far.
+#[derive(Default)]
+struct Founded {
+    seats: BTreeMap<MemberId, usize>,
+    /// Of those the first seats: who has one is the first to stand for election.
+    first_seats: BTreeMap<MemberId, usize>,
+}
+
+impl Founded {
+    fn add(&mut self, group: &[Member]) {
+        if let Some(first) = group.first() {
+            *self.first_seats.entry(first.id).or_default() += 1;
+        }
+        for member in group {
+            *self.seats.entry(member.id).or_default() += 1;
+        }
+    }
+
+    /// The first group of another part: zones in turn, in each of them who has the fewest seats. Equals are taken in an order that
+    /// is turned by the part's number. The first seat goes to who has the fewest of these.
+    fn next_group(&self, stores: &[Member], number: u16, target: usize) -> Vec<Member> {
+        let count = |counts: &BTreeMap<MemberId, usize>, m: &Member| counts.get(&m.id).copied().unwrap_or(0);
+        let turned: Vec<&Member> =
+            (0..stores.len()).map(|i| &stores[(i + usize::from(number)) % stores.len()]).collect();
+        let mut group: Vec<Member> = Vec::new();
+        while group.len() < target.min(stores.len()) {
+            let crowd = |zone: &str| group.iter().filter(|m| m.zone == zone).count();
+            let free = turned.iter().filter(|m| group.iter().all(|g| g.id != m.id));
+            let next = free.min_by_key(|m| (crowd(&m.zone), count(&self.seats, m)));
+            let Some(next) = next.map(|m| Member::clone(m)) else { break };
+            group.push(next);
+        }
+        let first = (0..group.len()).min_by_key(|place| count(&self.first_seats, &group[*place]));
+        if let Some(first) = first {
+            group.swap(0, first);
+        }
+        group
+    }
+}
+
 impl Coordinator {
     fn absent(&self, at: &SocketAddr) -> bool {
         self.absent_for(at) > ABSENT
@@ -38,10 +80,18 @@
         self.now.steady - self.gone.get(at).copied().unwrap_or(self.begun)
     }
 
-    /// Where a member would best be replaced by, or joined by, one of those: in a zone that has the fewest of the others.
-    fn best<'a>(&self, others: &[Member], from: impl Iterator<Item = &'a Member>) -> Option<Member> {
+    /// Where a member of a part's group would best be replaced by, or joined by, one of those: in a zone that has the fewest of
+    /// the others; there, who has the fewest seats over all parts of batch jobs.
+    fn best<'a>(
+        &self,
+        number: u16,
+        others: &[Member],
+        from: impl Iterator<Item = &'a Member>,
+    ) -> Option<Member> {
         let crowd = |zone: &str| others.iter().filter(|m| m.zone == zone).count();
-        from.min_by_key(|m| (crowd(&m.zone), m.id)).cloned()
+        // Leaders of several parts that look for a seat at once do not all find the same store.
+        let turn = |m: &Member| xxh3_64_with_seed(&m.id.to_le_bytes(), u64::from(number));
+        from.min_by_key(|m| (crowd(&m.zone), self.roster.seats_of(m.id), turn(m))).cloned()
     }
 
     /// The seats of the configuration's group.
@@ -72,10 +122,10 @@
             Some([without(&old), vec![new]].concat())
         } else if let Some(old) = gone {
             let rest = without(&old);
-            self.best(&rest, fresh.iter().filter(|f| !self.absent(&f.at)))
+            self.best(CONTROL, &rest, fresh.iter().filter(|f| !self.absent(&f.at)))
                 .map(|new| [rest, vec![new]].concat())
         } else if members.len() < target {
-            self.best(&members, fresh.iter()).map(|new| [members.clone(), vec![new]].concat())
+            self.best(CONTROL, &members, fresh.iter()).map(|new| [members.clone(), vec![new]].concat())
         } else {
             None
         };
@@ -108,17 +158,11 @@
         if stores.len() < target && now - since < GATHER {
             return;
         }
+        let mut founded = Founded::default();
+        control.groups.values().for_each(|group| founded.add(&group.members));
         for number in missing {
-            let mut group: Vec<Member> = Vec::new();
-            // Parts begin at different stores, so that their leaders differ.
-            let turned: Vec<&Member> =
-                (0..stores.len()).map(|i| &stores[(i + usize::from(number)) % stores.len()]).collect();
-            while group.len() < target.min(stores.len()) {
-                let crowd = |zone: &str| group.iter().filter(|m| m.zone == zone).count();
-                let free = turned.iter().filter(|m| group.iter().all(|g| g.id != m.id));
-                let Some(next) = free.min_by_key(|m| crowd(&m.zone)).map(|m| Member::clone(m)) else { break };
-                group.push(next);
-            }
+            let group = founded.next_group(&stores, number, target);
+            founded.add(&group);
             self.propose_duty(Change::seated(number, 0, 0, &group));
         }
     }
@@ -201,7 +245,7 @@
     }
 
     /// The seats of a part of batch jobs whose elected leader this is.
-    fn next_group(&self, members: &[Member]) -> Option<Vec<Member>> {
+    fn next_group(&self, number: u16, members: &[Member]) -> Option<Vec<Member>> {
         let listed: Vec<(Member, bool)> = self
             .roster
             .stores
@@ -225,7 +269,7 @@
         match lost.or(leaving).or(gone) {
             Some(out) => {
                 let rest: Vec<Member> = members.iter().filter(|m| m.id != out.id).cloned().collect();
-                match self.best(&rest, spare.iter().copied()) {
+                match self.best(number, &rest, spare.iter().copied()) {
                     Some(new) => Some([rest, vec![new]].concat()),
                     // Nobody can have its seat. A fenced one gives it up too, and comes back as a new disk.
                     None if may_leave(out) && rest.len() >= self.info.fewest_members() => Some(rest),
@@ -233,7 +277,7 @@
                 }
             }
             None if members.len() < self.info.target_members() => {
-                let new = self.best(members, spare.iter().copied())?;
+                let new = self.best(number, members, spare.iter().copied())?;
                 Some([members.to_vec(), vec![new]].concat())
             }
             None => None,
@@ -248,7 +292,7 @@
             return;
         }
         let members = members.to_vec();
-        match self.next_group(&members) {
+        match self.next_group(number, &members) {
             Some(next) => self.reseat(number, next),
             None => self.tell_group(number, &members),
         }
