Batch jobs are in four parts by their id; ledgers count routes' tokens

Change: `part_of_lot` by hash of the id; calls about a job go straight to its part, `Lookup` and `found` are gone. The leader of a job's part reserves its tokens at the route's ledger (part_of the route's name) and proposes only then: 429 over the quota, 503 and nothing proposed where the ledger does not answer in 0.8 s. Reports of what waits go to the ledger at most each 0.25 s on a change, each 5 s otherwise. The first of a new group has a head start of 0.2 s in its first election. Each log is compacted at half the former length, as a store may have twice as many.

Tests changed: a job's leader is that of `part_of_lot`; loops over parts go to PARTS; the small and the stalled disk's jobs are all of one part, and the stall begins once the tokens are reserved, as a stalled ledger refuses the job. Tokens of an ended job come back with a report, so that story waits 0.5 s, and then takes a job of the full size and refuses one more.

--- a/crates/coordinator/examples/scale.rs
+++ b/crates/coordinator/examples/scale.rs
@@ -13,7 +13,7 @@
 use hollow::{Fleet, KINDS, Kind, Role, Spent, configuration, settled, shape};
 use rainlug::{SECOND, Time};
 use rainlug_consensus::{Member, MemberId, Replica, Settings};
-use rainlug_coordinator::{CONTROL, Call, PARTS, part_of};
+use rainlug_coordinator::{CONTROL, Call, PARTS, part_of_lot};
 
 /// Changes that a figure of spread is over (of the largest configuration: fewer, as all that they cost is reading them), and the
 /// pause between two.
@@ -370,18 +370,20 @@
 fn item_rows(seed: u64) -> Vec<String> {
     const JOBS: usize = 25;
     const ITEMS: usize = 200;
+    const MEASURED: u16 = 1;
     let mut rows = Rows { what: "items", size: JOBS * ITEMS, rows: Vec::new(), info: false };
     for run in [1, 300, 1500] {
         let load = format!("runs of {run} ms");
         let mut fleet = settled(14, seed);
         fleet.run_time = run * hollow::MS;
         fleet.output = Bytes::from(vec![b'x'; 10_000]);
-        let Some(leader) = fleet.leader(part_of("lots")) else { continue };
+        let Some(leader) = fleet.leader(MEASURED) else { continue };
         let memory = resident();
         let (began, spent) = (fleet.now, fleet.members.iter().map(|m| m.spent).collect::<Vec<_>>());
         let mut tickets = Vec::new();
-        for job in 0..JOBS {
-            let (lot, route) = (format!("job-{job}"), "lots".to_owned());
+        let names = (0..).map(|nth| format!("job-{nth}")).filter(|name| part_of_lot(name) == MEASURED);
+        for (job, lot) in names.take(JOBS).enumerate() {
+            let route = "lots".to_owned();
             let body = batch_job(&lot, ITEMS, 3_000);
             tickets.push(fleet.call(4 + job % 8, Call::Submit { lot, route, body }));
             fleet.pass(0.01);
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -8,12 +8,15 @@
 use rainlug_registry::Configuration;
 
 use crate::frame::{Head, Place, Request, join, split};
-use crate::{Answer, CONTROL, Call, Coordinator, Effect, Now, Origin, PARTS, part_of};
+use crate::quota::Reserved;
+use crate::{Answer, CONTROL, Call, Coordinator, Effect, Now, Origin, part_of_lot};
 
 /// A try at a leader that is not answered in this time goes to another member.
 const TRY: Time = 4 * SECOND / 10;
 /// A pause between tries where nobody leads.
 const PAUSE: Time = SECOND / 20;
+/// How long a part's leader may take over a batch job: it waits for its tokens, and for its group.
+const SUBMIT_SLACK: Time = 8 * SECOND / 10;
 /// Callers of `control` move on after a second.
 const PATIENCE: Time = 8 * SECOND / 10;
 /// How long a process that is cut off tries: its callers are better served elsewhere.
@@ -24,14 +27,21 @@
 const MAYBE: u16 = 504;
 /// A longer tail is sent only to who has just said that it leads.
 const LONG_TAIL: usize = 4 << 10;
-/// Batch jobs that are known to be in a part, at most.
-const MOST_FOUND: usize = 100_000;
 
 /// Whom the answer of a call to a part goes to.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Goal {
     Caller(u64),
-    Lookup(u64),
+    /// A batch job of this part, which is proposed once its tokens are reserved.
+    Reservation {
+        part: u16,
+        lot: String,
+    },
+    /// This part's leader, which reports the tokens of a route.
+    Report {
+        part: u16,
+        route: String,
+    },
     /// Nobody: it is this process's own duty, which is done again until its effect is seen.
     Nobody,
 }
@@ -42,8 +52,6 @@
     request: Bytes,
     tail: Bytes,
     goal: Goal,
-    /// A batch job whose part is learnt by the answer.
-    lot: Option<String>,
     /// How long the leader itself may wait.
     slack: Time,
     deadline: Time,
@@ -71,14 +79,6 @@
     }
 }
 
-/// A call that any part may answer.
-pub(crate) struct Lookup {
-    caller: u64,
-    left: usize,
-    /// A part could not be asked: nobody can be sure.
-    unsure: bool,
-}
-
 impl Coordinator {
     /// A call of a client, worker or operator, answered by [`Effect::Answer`] with this ticket.
     pub fn call(&mut self, now: Now, ticket: u64, call: Call) {
@@ -122,23 +122,22 @@
             }
             Call::Submit { lot, route, body } => {
                 let request = Request::Submit { lot: lot.as_str().into(), route: route.as_str().into() };
-                let part = part_of(&route);
-                self.found_in(&lot, part);
-                self.ask(part, &request, body, Goal::Caller(ticket), 3 * SECOND, SECOND / 2, MAYBE);
+                let part = part_of_lot(&lot);
+                self.ask(part, &request, body, Goal::Caller(ticket), 3 * SECOND, SUBMIT_SLACK, MAYBE);
             }
             Call::Read { lot, since, wait } => {
                 let wait = wait.clamp(0, 2 * SECOND);
                 let request =
                     Request::Read { lot: lot.as_str().into(), since, wait_ms: (wait / 1000) as u32 };
-                self.look_up(ticket, &lot, &request, wait);
+                self.ask_lot(ticket, &lot, &request, wait);
             }
             Call::Body { lot, item } => {
                 let request = Request::Body { lot: lot.as_str().into(), item: item.as_str().into() };
-                self.look_up(ticket, &lot, &request, 0);
+                self.ask_lot(ticket, &lot, &request, 0);
             }
             Call::End { lot } => {
                 let request = Request::End { lot: lot.as_str().into() };
-                self.look_up(ticket, &lot, &request, 0);
+                self.ask_lot(ticket, &lot, &request, 0);
             }
         }
         self.settle();
@@ -148,35 +147,10 @@
         self.effects.push(Effect::Answer { ticket, answer });
     }
 
-    fn found_in(&mut self, lot: &str, part: u16) {
-        if self.found.len() >= MOST_FOUND {
-            self.found.clear();
-        }
-        self.found.insert(lot.to_owned(), part);
-    }
-
-    fn look_up(&mut self, ticket: u64, lot: &str, request: &Request, wait: Time) {
-        if let Some(part) = self.found.get(lot) {
-            return self.ask(
-                *part,
-                request,
-                Bytes::new(),
-                Goal::Caller(ticket),
-                2 * SECOND + wait,
-                wait,
-                503,
-            );
-        }
-        self.nonce += 1;
-        let lookup = self.nonce;
-        self.lookups.insert(lookup, Lookup { caller: ticket, left: usize::from(PARTS), unsure: false });
-        for part in 1..=PARTS {
-            self.ask(part, request, Bytes::new(), Goal::Lookup(lookup), 2 * SECOND + wait, wait, 503);
-            if let (Some(ask), nonce) = (self.asks.get_mut(&self.nonce), self.nonce) {
-                ask.lot = Some(lot.to_owned());
-                debug_assert!(nonce > lookup);
-            }
-        }
+    /// A call about a batch job goes to the part that it is in.
+    fn ask_lot(&mut self, ticket: u64, lot: &str, request: &Request, wait: Time) {
+        let (part, goal) = (part_of_lot(lot), Goal::Caller(ticket));
+        self.ask(part, request, Bytes::new(), goal, 2 * SECOND + wait, wait, 503);
     }
 
     /// Asks a part's leader; one try after the other until the deadline.
@@ -201,7 +175,6 @@
             request: join(request, &[]),
             tail,
             goal,
-            lot: None,
             slack,
             deadline: self.now.steady + within,
             try_at: 0,
@@ -303,22 +276,13 @@
         match ask.goal {
             Goal::Caller(ticket) => self.answer(ticket, answer),
             Goal::Nobody => {}
-            Goal::Lookup(id) => {
-                if answer.status == 200
-                    && let Some(lot) = &ask.lot
-                {
-                    self.found_in(lot, ask.part);
-                }
-                let Some(lookup) = self.lookups.get_mut(&id) else { return };
-                lookup.left -= 1;
-                lookup.unsure |= ![200, 404].contains(&answer.status);
-                let (caller, left, unsure) = (lookup.caller, lookup.left, lookup.unsure);
-                if answer.status == 200 || left == 0 {
-                    self.lookups.remove(&id);
-                    let none = if unsure { Answer::later(503, SECOND / 5) } else { Answer::of(404) };
-                    self.answer(caller, if answer.status == 200 { answer } else { none });
-                }
+            Goal::Reservation { part, lot } => {
+                // This process may have stood still: its reservation may be released by now.
+                let is_late = self.now.steady > ask.deadline;
+                let answer = if is_late { Answer::later(503, SECOND / 5) } else { answer };
+                self.reservations.push_back(Reserved { part, lot, answer });
             }
+            Goal::Report { part, route } => self.reported(part, &route, answer.status == 200),
         }
     }
 
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -30,6 +30,7 @@
                 self.seat_stores(number);
             }
         }
+        self.watch_routes();
     }
 
     /// Workers whose beats are this process's duty, and do not come.
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -155,6 +155,12 @@
     Body { lot: Text, item: Text },
     #[deku(id = "19")]
     End { lot: Text },
+    /// Of a route's ledger: tokens of a batch job of `part`, before it is proposed there.
+    #[deku(id = "20")]
+    Reserve { lot: Text, route: Text, part: u16, tokens: u64, most: u64 },
+    /// Of a route's ledger. The tail is the command that settles, but for its time.
+    #[deku(id = "21")]
+    Settle,
 }
 
 /// A head and its tail in one piece.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod news;
 mod part;
+mod quota;
 pub mod room;
 pub mod roster;
 mod seats;
@@ -20,7 +21,7 @@
 mod workers;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -40,14 +41,25 @@
 use membership::COMPARING;
 use news::{Held, News, Sink};
 use part::Part;
+use quota::Reserved;
 use roster::Roster;
 
 /// The part that holds the configuration.
 pub const CONTROL: u16 = 0;
 /// Parts of batch jobs, numbered from 1.
-pub const PARTS: u16 = 2;
+///
+/// Each has its own group and leader, so repair and load use the links of as many stores. Four groups of five seats use each of
+/// nine to twelve stores about twice; six would spread an emptied store's refill over more leaders yet. But each part costs
+/// heartbeats, and a sync of its own for what it writes, and the smallest deployments have three stores with three seats for
+/// each part: there six parts would only cost twice as much as three, and four are not much above.
+pub const PARTS: u16 = 4;
+/// A part's log is rewritten, at the earliest, at one in so many of the disk's bytes: where a store has a seat in each part, all
+/// logs together take a quarter of its disk before that.
+const LOGS_OF_A_DISK: usize = 4 * PARTS as usize;
 /// Between two looks at the duties.
 const BEAT: Time = SECOND / 5;
+/// The others of a new group stand for election so much later than its first one.
+const HEAD_START: Time = SECOND / 5;
 /// An answer that waits for its news to reach all waits no longer.
 const SPREADING: Time = SECOND / 5;
 /// Beats that may be missing before a worker is called silent.
@@ -60,11 +72,16 @@
     xxh3_64_with_seed(at.to_string().as_bytes(), 0x666f_756e_6465_7273).max(1)
 }
 
-/// The part that a route's batch jobs are in.
+/// The part that a route's ledger is in: there the tokens of its batch jobs are counted.
 pub fn part_of(route: &str) -> u16 {
     1 + (xxh3_64_with_seed(route.as_bytes(), 0) % u64::from(PARTS)) as u16
 }
 
+/// The part that a batch job is in.
+pub fn part_of_lot(lot: &str) -> u16 {
+    1 + (xxh3_64_with_seed(lot.as_bytes(), 1) % u64::from(PARTS)) as u16
+}
+
 /// Whom an answer goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
@@ -95,11 +112,10 @@
     configuration: Option<Configuration>,
     parts: BTreeMap<u16, Part>,
     asks: BTreeMap<u64, calls::Ask>,
-    lookups: BTreeMap<u64, calls::Lookup>,
     nonce: u64,
     hints: BTreeMap<u16, SocketAddr>,
-    /// In which part a batch job was found.
-    found: BTreeMap<String, u16>,
+    /// Answers of ledgers that are not acted on yet.
+    reservations: VecDeque<Reserved>,
     held: Vec<Held>,
     /// Whose duty a service's workers are, as long as the members are the same.
     registrars: RefCell<BTreeMap<String, Option<SocketAddr>>>,
@@ -136,9 +152,9 @@
         copies: info.tolerate + 1,
         // Of this are a few copies on the leader's link at once, one for each follower.
         most_bytes: 128 << 10,
-        compact_bytes: (info.disk_bytes / 8).clamp(4 << 20, 256 << 20),
+        compact_bytes: (info.disk_bytes / LOGS_OF_A_DISK).clamp(4 << 20, 256 << 20),
         // A snapshot instead takes the room of a second copy at who lags.
-        lag_bytes: (info.disk_bytes / 8).clamp(4 << 20, 16 << 20),
+        lag_bytes: (info.disk_bytes / LOGS_OF_A_DISK).clamp(4 << 20, 16 << 20),
     }
 }
 
@@ -176,10 +192,9 @@
             configuration: None,
             parts: BTreeMap::new(),
             asks: BTreeMap::new(),
-            lookups: BTreeMap::new(),
             nonce: chance.random::<u64>() >> 1,
             hints: BTreeMap::new(),
-            found: BTreeMap::new(),
+            reservations: VecDeque::new(),
             held: Vec::new(),
             registrars: RefCell::default(),
             beats: BTreeMap::new(),
@@ -238,7 +253,11 @@
     ) -> Result<(), rainlug_consensus::DecodeError> {
         let Some(me) = self.me() else { return Ok(()) };
         let (settings, seed) = (settings(&self.info), self.chance.random());
-        let mut part = Part::open(number, me, founding, settings, records, seed, self.now.steady)?;
+        // The first of a new group is to lead it: the leaders of the parts begin at different stores.
+        let is_to_lead = founding.first().is_none_or(|first| first.id == me.id);
+        let waits = number != CONTROL && records.is_empty() && !is_to_lead;
+        let begins = self.now.steady + if waits { HEAD_START } else { 0 };
+        let mut part = Part::open(number, me, founding, settings, records, seed, begins)?;
         if number != CONTROL {
             part.replica.fence(self.now.steady, self.roster.fenced.iter().copied());
         }
@@ -257,8 +276,9 @@
         let asks = self.asks.values().map(|a| a.next());
         let held = self.held.iter().map(|h| h.until);
         let polls = self.parts.values().map(|p| p.next_poll());
+        let reports = self.parts.values().filter_map(|p| p.reports.as_ref()).map(|r| r.next());
         let own = [self.view.next(), self.gossip.next(), self.duty_at];
-        parts.chain(asks).chain(held).chain(polls).chain(own).min().unwrap_or(Time::MAX)
+        parts.chain(asks).chain(held).chain(polls).chain(reports).chain(own).min().unwrap_or(Time::MAX)
     }
 
     /// Does what its time has come for.
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -5,8 +5,9 @@
 use rainlug_batch::{Applied, Command, RunEnd, read_requests};
 use rainlug_registry::Kind;
 
-use crate::part::{Machine, Submitting, Wanted};
-use crate::{Answer, Coordinator, Effect, Origin, room};
+use crate::part::{Machine, Wanted};
+use crate::quota::Submitting;
+use crate::{Answer, Coordinator, Effect, Origin, part_of_lot, room};
 
 /// Items that a leader has running, at most; which of them find room at workers is decided by each pick.
 const RUNNING: usize = 512;
@@ -31,9 +32,12 @@
     pub(crate) fn submit(&mut self, number: u16, origin: Origin, lot: String, route: String, body: Bytes) {
         let wall = self.now.wall;
         let Some(part) = self.parts.get_mut(&number) else { return };
+        if number != part_of_lot(&lot) {
+            return self.reply(origin, Answer::of(400));
+        }
         // The same one again, before the first is agreed on: one answer for both, and its bytes but once.
         if let Some(submitting) = part.submitting.get_mut(&lot) {
-            return submitting.others.push(origin);
+            return submitting.origins.push(origin);
         }
         let Some(register) = part.register() else { return };
         // What is in the register is agreed on, whoever leads now.
@@ -54,32 +58,26 @@
                 return self.reply(origin, Answer::json(400, format!("{{\"error\":\"{error}\"}}")));
             }
         };
-        let tokens: u64 = items.iter().map(|i| i.token_count).sum();
-        let most = route.max_queued_tokens;
-        if most > 0 && register.waiting(&route.name) + tokens > most {
-            return self.reply(origin, Answer::later(429, SECOND / 2));
-        }
+        let tokens = items.iter().fold(0, |sum: u64, item| sum.saturating_add(item.token_count));
         let bytes = room::job_bytes(body.len(), items.len(), part.log_use().mean_output());
         if let Err(retry) = self.has_room(number, bytes) {
             return self.reply(origin, Answer::later(503, retry));
         }
         let command = Command::Submit {
-            lot,
+            lot: lot.clone(),
             route: route.name.clone(),
             host: route.host.clone(),
             sent: wall,
             due: wall + route.run_target_ms as Time * 1000,
             retain: wall + (route.retain_s * SECOND as f64) as Time + CLOCK_SLACK,
             max_tries: route.max_tries,
-            most,
+            // The route's ledger judges its quota.
+            most: 0,
             items,
         };
-        let encoded = command.encode();
-        let Command::Submit { lot, .. } = command else { return };
-        if let Some(part) = self.parts.get_mut(&number).filter(|part| part.replica.leads()) {
-            part.submitting.insert(lot, Submitting { bytes, others: Vec::new() });
-        }
-        self.propose(number, origin, encoded);
+        let (route, most) = (route.name.clone(), route.max_queued_tokens);
+        let submitting = Submitting::new(route, tokens, bytes, origin, command.encode());
+        self.reserve_tokens(number, &lot, submitting, most);
     }
 
     /// Whether the disk is writing and has room for another batch job; otherwise when to come back.
@@ -121,11 +119,17 @@
         let Ok(command) = Command::decode(bytes) else {
             return self.effects.push(Effect::Log("garbage", format!("a command of part {number}")));
         };
+        if let Some(booked) = part.ledger.apply(&command) {
+            return self.booked(number, booked, mine);
+        }
         let applied = register.apply(&command);
         let others = match &command {
-            Command::Submit { lot, .. } => part.submitting.remove(lot).map_or(Vec::new(), |s| s.others),
+            Command::Submit { lot, .. } => part.submitting.remove(lot).map_or(Vec::new(), |s| s.origins),
             _ => Vec::new(),
         };
+        if let Some(reports) = &mut part.reports {
+            reports.applied(register, &command);
+        }
         if let Some(schedule) = &mut part.schedule {
             schedule.applied(register, &command, applied);
         }
@@ -145,6 +149,7 @@
         }
         let answer = match applied {
             Applied::Accepted | Applied::Known => Answer::json(202, "{}"),
+            // The ledger granted it: a submission here names no limit.
             Applied::OverQuota => Answer::later(429, SECOND / 2),
             Applied::Ended | Applied::Listed { .. } => Answer::json(200, "{}"),
             Applied::Nothing => Answer::of(if matches!(command, Command::End { .. }) { 404 } else { 200 }),
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -112,7 +112,7 @@
         self.told_news(workers, texts);
     }
 
-    /// After each event: what members there are, answers whose news has spread, items to run.
+    /// After each event: what members there are, answers whose news has spread, items to run, tokens to report.
     pub(crate) fn settle(&mut self) {
         if self.view.version() != self.seen {
             self.seen = self.view.version();
@@ -136,5 +136,7 @@
             }
         }
         self.run_items();
+        self.report_tokens();
+        self.finish_reservations();
     }
 }
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use rainlug::Time;
-use rainlug_batch::{Register, Schedule};
+use rainlug_batch::{Ledger, Register, Schedule};
 use rainlug_consensus::{Index, Member, Output, Replica, Settings};
 use rainlug_registry::gossip;
 
 use crate::control::{Control, Outcome};
 use crate::frame::{Head, join};
+use crate::quota::{Reports, Submitting};
 use crate::room::{LogUse, PartDisk};
 use crate::{Answer, CONTROL, Coordinator, Effect, Held, News, Origin, SPREADING};
 
@@ -42,6 +43,10 @@
     pub number: u16,
     pub replica: Replica,
     pub machine: Machine,
+    /// Tokens of the routes that this part counts.
+    pub ledger: Ledger,
+    /// What its leader reports to ledgers; none while it does not lead.
+    pub reports: Option<Reports>,
     /// Proposals by index, with the command: another one committed there is not theirs.
     pub waiting: BTreeMap<Index, (Bytes, Origin)>,
     pub reads: BTreeMap<u64, (Origin, Wanted)>,
@@ -56,17 +61,10 @@
     pub disk: PartDisk,
     /// A snapshot of the machine is asked for.
     pub compact_wanted: bool,
-    /// Batch jobs that are proposed and not agreed on, and who else asked for the same one.
+    /// Batch jobs that are judged or proposed and not agreed on.
     pub submitting: BTreeMap<String, Submitting>,
 }
 
-/// A batch job that is proposed.
-pub(crate) struct Submitting {
-    /// Bytes that it and its outputs will take on the disk.
-    pub bytes: u64,
-    pub others: Vec<Origin>,
-}
-
 impl Machine {
     fn snapshot(&self) -> Bytes {
         match self {
@@ -96,6 +94,8 @@
             number,
             replica,
             machine,
+            ledger: Ledger::default(),
+            reports: None,
             waiting: BTreeMap::new(),
             reads: BTreeMap::new(),
             polls: Vec::new(),
@@ -110,6 +110,37 @@
         })
     }
 
+    /// The state as bytes: of a part of batch jobs the ledger with its length, then the register.
+    fn snapshot(&self) -> Bytes {
+        let state = self.machine.snapshot();
+        match &self.machine {
+            Machine::Control(_) => state,
+            Machine::Lots(_) => {
+                let ledger = self.ledger.snapshot();
+                let length = u32::try_from(ledger.len()).unwrap_or(u32::MAX).to_le_bytes();
+                Bytes::from([&length[..], &ledger[..], &state[..]].concat())
+            }
+        }
+    }
+
+    /// Takes the state from a snapshot; false where the bytes are none.
+    fn restore(&mut self, state: &Bytes) -> bool {
+        match &mut self.machine {
+            Machine::Control(control) => Control::restore(state).map(|c| *control = c).is_ok(),
+            Machine::Lots(register) => {
+                let Some((length, rest)) = state.split_first_chunk::<4>() else { return false };
+                let length = u32::from_le_bytes(*length) as usize;
+                let Some((ledger, lots)) = rest.split_at_checked(length) else { return false };
+                let Ok(ledger) = Ledger::restore(ledger) else { return false };
+                let restored = register.restore(lots).is_ok();
+                if restored {
+                    self.ledger = ledger;
+                }
+                restored
+            }
+        }
+    }
+
     pub fn next_poll(&self) -> Time {
         let polls = self.polls.iter().map(|p| p.3).min().unwrap_or(Time::MAX);
         let waits = self.schedule.as_ref().is_some_and(|s| s.waiting() > 0);
@@ -153,6 +184,10 @@
         if let Some(register) = self.register() {
             figures.push((name("bytes"), register.size() as f64));
             figures.push((name("file_bytes"), self.disk.length as f64));
+            figures.push((name("tokens_counted"), self.ledger.total_tokens() as f64));
+        }
+        if let Some(reports) = &self.reports {
+            figures.push((name("tokens_waiting"), reports.tokens() as f64));
         }
         if let Some(schedule) = &self.schedule {
             figures.push((name("items_running"), schedule.running() as f64));
@@ -181,7 +216,7 @@
             }
             if quiet {
                 // Nothing is on its way to the disk but what it was handed: the rewrite may be put off and nothing is missing.
-                let state = part.machine.snapshot();
+                let state = part.snapshot();
                 part.replica.snapshot(self.now.steady, state);
                 continue;
             }
@@ -252,11 +287,7 @@
 
     fn restore(&mut self, number: u16, state: &Bytes) {
         let Some(part) = self.parts.get_mut(&number) else { return };
-        let restored = match &mut part.machine {
-            Machine::Control(control) => Control::restore(state).map(|c| *control = c).is_ok(),
-            Machine::Lots(register) => register.restore(state).is_ok(),
-        };
-        if !restored {
+        if !part.restore(state) {
             self.effects.push(Effect::Log("garbage", format!("a snapshot of part {number}")));
         }
     }
@@ -299,20 +330,23 @@
         if leads {
             if let Machine::Lots(register) = &part.machine {
                 part.schedule = Some(Schedule::new(register, self.now.wall));
+                part.reports = Some(Reports::new(register, term));
             }
             self.effects.push(Effect::Log("leads", format!("part {number}, term {term}")));
             if number == CONTROL {
                 self.post();
             }
         } else {
-            part.schedule = None;
-            let proposed: Vec<Origin> =
+            (part.schedule, part.reports) = (None, None);
+            let mut proposed: Vec<Origin> =
                 std::mem::take(&mut part.waiting).into_values().map(|w| w.1).collect();
             let mut origins: Vec<Origin> = Vec::new();
             origins.extend(std::mem::take(&mut part.reads).into_values().map(|r| r.0));
             origins.extend(std::mem::take(&mut part.polls).into_iter().map(|p| p.0));
-            let others = std::mem::take(&mut part.submitting).into_values().flat_map(|s| s.others);
-            let proposed: Vec<Origin> = proposed.into_iter().chain(others).collect();
+            for submitting in std::mem::take(&mut part.submitting).into_values() {
+                if submitting.is_proposed() { &mut proposed } else { &mut origins }
+                    .extend(submitting.origins);
+            }
             proposed.into_iter().for_each(|origin| self.send_proposed_elsewhere(number, origin));
             origins.into_iter().for_each(|origin| self.send_elsewhere(number, origin));
             self.effects.push(Effect::Log("steps down", format!("part {number}, term {term}")));
--- /dev/null
+++ b/crates/coordinator/src/quota.rs
@@ -0,0 +1,336 @@
+//! Quotas over all parts: a route's tokens are counted by the ledger in the part [`part_of`] its name. The leader of a batch
+//! job's part reserves the job's tokens there before it proposes the job, and reports what still waits.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use rainlug::{SECOND, Time};
+use rainlug_batch::{Booked, Command, OpenLot, Register, ReportNumber};
+use rainlug_registry::Kind;
+
+use crate::calls::Goal;
+use crate::frame::Request;
+use crate::{Answer, Coordinator, Origin, part_of};
+
+/// How long a batch job waits for its tokens. Less than its dispatcher waits for its part's leader, so that a refusal arrives.
+const RESERVE_WITHIN: Time = 8 * SECOND / 10;
+/// How long a ledger's leader may wait for its group.
+const COMMIT_SLACK: Time = SECOND / 5;
+/// Between two reports of the same route, where something has changed.
+const REPORT_EVERY: Time = SECOND / 4;
+/// Between two reports of the same route, where nothing has: reservations that came to nothing are released by one of them.
+const REPORT_AGAIN: Time = 5 * SECOND;
+/// How long a report is tried; then a newer one is made.
+const REPORT_WITHIN: Time = SECOND;
+/// Finished batch jobs of a route that are still to be told of, where its ledger cannot be reached. Those that are left out are
+/// released like reservations that came to nothing.
+const MOST_FINISHED: usize = 10_000;
+/// When to come back with a batch job that is over the quota, or whose ledger cannot be reached.
+const OVER_QUOTA_RETRY: Time = SECOND / 2;
+const NO_LEDGER_RETRY: Time = SECOND / 2;
+
+/// A batch job that is not agreed on yet.
+pub(crate) struct Submitting {
+    /// Bytes that it and its outputs will take on the disk.
+    pub bytes: u64,
+    /// Who waits for it, except for the one whose proposal it is.
+    pub origins: Vec<Origin>,
+    route: String,
+    tokens: u64,
+    stage: Stage,
+}
+
+enum Stage {
+    /// Its tokens are asked for; then the command is proposed.
+    Reserving {
+        command: Bytes,
+    },
+    Proposed,
+}
+
+impl Submitting {
+    pub fn new(route: String, tokens: u64, bytes: u64, origin: Origin, command: Bytes) -> Self {
+        Submitting { bytes, origins: vec![origin], route, tokens, stage: Stage::Reserving { command } }
+    }
+
+    /// Whether it may be committed yet.
+    pub fn is_proposed(&self) -> bool {
+        matches!(self.stage, Stage::Proposed)
+    }
+}
+
+/// A ledger's answer to a reservation.
+pub(crate) struct Reserved {
+    /// The part of the batch job.
+    pub part: u16,
+    pub lot: String,
+    pub answer: Answer,
+}
+
+/// What the leader of a part reports to the ledgers of its batch jobs' routes.
+pub(crate) struct Reports {
+    last: ReportNumber,
+    routes: BTreeMap<String, RouteReport>,
+}
+
+#[derive(Default)]
+struct RouteReport {
+    /// Unfinished batch jobs with the tokens that wait.
+    open: BTreeMap<String, u64>,
+    /// Batch jobs that have finished. Each is told of once: maybe no report has named it while it was unfinished.
+    finished: BTreeSet<String>,
+    /// Those of them that the last report told of.
+    told: Vec<String>,
+    /// There is something that no report has told.
+    is_changed: bool,
+    /// The last report is not answered yet.
+    is_under_way: bool,
+    sent_at: Time,
+}
+
+impl RouteReport {
+    fn finish(&mut self, lot: &str) {
+        if self.open.remove(lot).is_some() {
+            self.finished.insert(lot.to_owned());
+            if self.finished.len() > MOST_FINISHED {
+                self.finished.pop_first();
+            }
+            self.is_changed = true;
+        }
+    }
+
+    /// What a report tells now, but for what is proposed.
+    fn tell(&mut self, now: Time) -> BTreeMap<String, u64> {
+        (self.is_changed, self.is_under_way, self.sent_at) = (false, true, now);
+        self.told = self.finished.iter().cloned().collect();
+        let finished = self.finished.iter().map(|lot| (lot.clone(), 0));
+        finished.chain(self.open.clone()).collect()
+    }
+
+    /// The last report was answered, or had no answer in time.
+    fn told(&mut self, is_entered: bool) {
+        self.is_under_way = false;
+        self.is_changed |= !is_entered;
+        for lot in std::mem::take(&mut self.told).iter().filter(|_| is_entered) {
+            self.finished.remove(lot);
+        }
+    }
+
+    fn due_at(&self) -> Time {
+        match (self.is_under_way, self.is_changed) {
+            (true, _) => Time::MAX,
+            (false, true) => self.sent_at + REPORT_EVERY,
+            (false, false) => self.sent_at + REPORT_AGAIN,
+        }
+    }
+}
+
+impl Reports {
+    /// Of a leader that has just been elected: all is to be told.
+    pub fn new(register: &Register, term: u64) -> Self {
+        let mut reports = Reports { last: ReportNumber { term, sequence: 0 }, routes: BTreeMap::new() };
+        for (route, lot, tokens) in register.open_lots() {
+            reports.route(route).open.insert(lot.to_owned(), tokens);
+        }
+        reports
+    }
+
+    fn route(&mut self, route: &str) -> &mut RouteReport {
+        if !self.routes.contains_key(route) {
+            self.routes.insert(route.to_owned(), RouteReport { is_changed: true, ..RouteReport::default() });
+        }
+        self.routes.entry(route.to_owned()).or_default()
+    }
+
+    /// After a command was applied to the register.
+    pub fn applied(&mut self, register: &Register, command: &Command) {
+        let (Command::Submit { lot, .. } | Command::List { lot, .. } | Command::End { lot, .. }) = command
+        else {
+            return;
+        };
+        if let Some((route, tokens)) = register.open_lot(lot) {
+            let report = self.route(route);
+            report.is_changed |= report.open.insert(lot.clone(), tokens) != Some(tokens);
+            return;
+        }
+        for report in self.routes.values_mut() {
+            report.finish(lot);
+        }
+    }
+
+    /// Tokens that wait in the part.
+    pub fn tokens(&self) -> u64 {
+        self.routes
+            .values()
+            .flat_map(|route| route.open.values())
+            .fold(0, |sum, tokens| sum.saturating_add(*tokens))
+    }
+
+    /// When the next report is due.
+    pub fn next(&self) -> Time {
+        self.routes.values().map(RouteReport::due_at).min().unwrap_or(Time::MAX)
+    }
+
+    /// The reports that are due now, for each route.
+    fn take_due(
+        &mut self,
+        now: Time,
+        part: u16,
+        submitting: &BTreeMap<String, Submitting>,
+    ) -> Vec<(String, Command)> {
+        let mut due = Vec::new();
+        for (route, report) in self.routes.iter_mut().filter(|(_, report)| report.due_at() <= now) {
+            self.last.sequence += 1;
+            let mut open = report.tell(now);
+            // What is proposed may be committed yet, even if it takes longer than the reservation's grace.
+            let proposed = submitting.iter().filter(|(_, s)| s.is_proposed() && s.route == *route);
+            open.extend(proposed.map(|(lot, s)| (lot.clone(), s.tokens)));
+            let open = open.into_iter().map(|(lot, tokens)| OpenLot { lot, tokens }).collect();
+            let command = Command::Settle { route: route.clone(), part, number: self.last, at: 0, open };
+            due.push((route.clone(), command));
+        }
+        due
+    }
+}
+
+impl Coordinator {
+    /// Asks for a batch job's tokens; the job is proposed once they are reserved. At most `most` may wait on the route (0: no
+    /// limit, and no need to ask: the part's reports tell of the job).
+    pub(crate) fn reserve_tokens(&mut self, number: u16, lot: &str, submitting: Submitting, most: u64) {
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        let (route, tokens) = (submitting.route.clone(), submitting.tokens);
+        part.submitting.insert(lot.to_owned(), submitting);
+        if most == 0 {
+            let granted = Reserved { part: number, lot: lot.to_owned(), answer: Answer::of(200) };
+            return self.reservations.push_back(granted);
+        }
+        let request =
+            Request::Reserve { lot: lot.into(), route: route.as_str().into(), part: number, tokens, most };
+        let goal = Goal::Reservation { part: number, lot: lot.to_owned() };
+        self.ask(part_of(&route), &request, Bytes::new(), goal, RESERVE_WITHIN, COMMIT_SLACK, 503);
+    }
+
+    /// Acts on the answers of ledgers. Not where they arrive: that may be in the midst of another part's commands.
+    pub(crate) fn finish_reservations(&mut self) {
+        while let Some(Reserved { part, lot, answer }) = self.reservations.pop_front() {
+            if answer.status == 200 {
+                self.propose_reserved(part, &lot);
+            } else {
+                let refusal = if answer.status == 429 {
+                    Answer::later(429, OVER_QUOTA_RETRY)
+                } else {
+                    Answer::later(503, NO_LEDGER_RETRY)
+                };
+                self.refuse_submitting(part, &lot, &refusal);
+            }
+        }
+    }
+
+    fn propose_reserved(&mut self, number: u16, lot: &str) {
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        let Some(submitting) = part.submitting.get_mut(lot) else { return };
+        let Stage::Reserving { command } = std::mem::replace(&mut submitting.stage, Stage::Proposed) else {
+            return;
+        };
+        let origin = submitting.origins.remove(0);
+        if !self.propose(number, origin, command) {
+            self.send_submitting_elsewhere(number, lot);
+        }
+    }
+
+    /// Nothing was proposed: who waits for the batch job may rely on it.
+    fn refuse_submitting(&mut self, number: u16, lot: &str, refusal: &Answer) {
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        if part.submitting.get(lot).is_none_or(Submitting::is_proposed) {
+            return;
+        }
+        let origins = part.submitting.remove(lot).map_or(Vec::new(), |submitting| submitting.origins);
+        origins.into_iter().for_each(|origin| self.reply(origin, refusal.clone()));
+    }
+
+    fn send_submitting_elsewhere(&mut self, number: u16, lot: &str) {
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        let origins = part.submitting.remove(lot).map_or(Vec::new(), |submitting| submitting.origins);
+        origins.into_iter().for_each(|origin| self.send_elsewhere(number, origin));
+    }
+
+    /// A reservation, asked of this process as the leader of the ledger's part.
+    pub(crate) fn reserve(&mut self, number: u16, origin: Origin, command: Command) {
+        let Command::Reserve { route, lot, part, tokens, most, .. } = &command else { return };
+        let Some(counts) = self.parts.get(&number) else { return };
+        if part_of(route) != number {
+            return self.reply(origin, Answer::of(400));
+        }
+        // A refusal need not be agreed on: where this copy is old, the job fits when it comes again.
+        if !counts.ledger.has_room(route, lot, *part, *tokens, *most) {
+            return self.reply(origin, Answer::later(429, OVER_QUOTA_RETRY));
+        }
+        self.propose(number, origin, command.encode());
+    }
+
+    /// A report, made to this process as the leader of the ledger's part.
+    pub(crate) fn settle_tokens(&mut self, number: u16, origin: Origin, report: &Bytes) {
+        let wall = self.now.wall;
+        let Some(counts) = self.parts.get(&number) else { return };
+        let Ok(Command::Settle { route, part, number: nth, open, .. }) = Command::decode(report) else {
+            return self.reply(origin, Answer::of(400));
+        };
+        if part_of(&route) != number {
+            return self.reply(origin, Answer::of(400));
+        }
+        if !counts.ledger.would_change(&route, part, nth, &open, wall) {
+            return self.reply(origin, Answer::of(200));
+        }
+        let command = Command::Settle { route, part, number: nth, at: wall, open };
+        self.propose(number, origin, command.encode());
+    }
+
+    /// A command of a ledger is agreed on; `mine` is who waits for it, and whether it is what was proposed.
+    pub(crate) fn booked(&mut self, number: u16, booked: Booked, mine: Option<(bool, Origin)>) {
+        let answer = match booked {
+            Booked::Granted | Booked::Settled | Booked::Stale => Answer::of(200),
+            Booked::Refused => Answer::later(429, OVER_QUOTA_RETRY),
+        };
+        match mine {
+            Some((true, origin)) => self.reply(origin, answer),
+            Some((false, origin)) => self.send_proposed_elsewhere(number, origin),
+            None => {}
+        }
+    }
+
+    /// Parts that this process leads report on all routes, also where they have none of its batch jobs.
+    pub(crate) fn watch_routes(&mut self) {
+        let Some(configuration) = &self.configuration else { return };
+        for reports in self.parts.values_mut().filter_map(|part| part.reports.as_mut()) {
+            let routes = configuration.routes.iter().filter(|route| route.kind == Kind::Bulk);
+            routes.for_each(|route| {
+                reports.route(&route.name);
+            });
+        }
+    }
+
+    /// Sends the reports that are due.
+    pub(crate) fn report_tokens(&mut self) {
+        let now = self.now.steady;
+        let mut due = Vec::new();
+        for (number, part) in &mut self.parts {
+            if let Some(reports) = &mut part.reports {
+                let reports = reports.take_due(now, *number, &part.submitting);
+                due.extend(reports.into_iter().map(|(route, command)| (*number, route, command)));
+            }
+        }
+        for (part, route, command) in due {
+            let ledger = part_of(&route);
+            let (tail, goal) = (command.encode(), Goal::Report { part, route });
+            self.ask(ledger, &Request::Settle, tail, goal, REPORT_WITHIN, COMMIT_SLACK, 503);
+        }
+    }
+
+    /// A report was answered, or had no answer in time.
+    pub(crate) fn reported(&mut self, number: u16, route: &str, is_entered: bool) {
+        let reports = self.parts.get_mut(&number).and_then(|part| part.reports.as_mut());
+        if let Some(report) = reports.and_then(|reports| reports.routes.get_mut(route)) {
+            report.told(is_entered);
+        }
+    }
+}
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
+use rainlug_batch::Command;
 use rainlug_consensus::Refused;
 use rainlug_registry::Configuration;
 
@@ -38,7 +39,9 @@
                 });
                 match known {
                     Some(true) => self.reply(origin, Answer::of(200)),
-                    _ => self.propose(number, origin, join(&Change::Store { seat }, &[])),
+                    _ => {
+                        self.propose(number, origin, join(&Change::Store { seat }, &[]));
+                    }
                 }
             }
             (CONTROL, Request::Seated { part, term, retirements, count, seats }) => {
@@ -56,20 +59,30 @@
                 self.read(number, origin, Wanted::Body { lot: name(&lot), item: name(&item) });
             }
             (1.., Request::End { lot }) => self.end(number, origin, name(&lot)),
+            (1.., Request::Reserve { lot, route, part, tokens, most }) => {
+                let (route, lot, at) = (name(&route), name(&lot), self.now.wall);
+                self.reserve(number, origin, Command::Reserve { route, lot, part, tokens, most, at });
+            }
+            (1.., Request::Settle) => self.settle_tokens(number, origin, &tail),
             _ => self.reply(origin, Answer::of(400)),
         }
     }
 
-    pub(crate) fn propose(&mut self, number: u16, origin: Origin, command: Bytes) {
-        let Some(part) = self.parts.get_mut(&number) else { return };
+    /// Proposes a command; false where this process does not lead or cannot take it, and the call has gone elsewhere.
+    pub(crate) fn propose(&mut self, number: u16, origin: Origin, command: Bytes) -> bool {
+        let Some(part) = self.parts.get_mut(&number) else { return false };
         match part.replica.propose(self.now.steady, command.clone()) {
             Ok((index, _)) => {
                 if let Some((_, lost)) = part.waiting.insert(index, (command, origin)) {
                     self.send_proposed_elsewhere(number, lost);
                 }
                 self.drain(number);
+                true
+            }
+            Err(Refused::NotLeader(_) | Refused::Busy) => {
+                self.send_elsewhere(number, origin);
+                false
             }
-            Err(Refused::NotLeader(_) | Refused::Busy) => self.send_elsewhere(number, origin),
         }
     }
 
--- a/crates/coordinator/tests/clocks.rs
+++ b/crates/coordinator/tests/clocks.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Fleet, MS, lot, settled};
-use rainlug_coordinator::{Call, part_of};
+use rainlug_coordinator::{Call, part_of_lot};
 
 /// By how much a later leader's time of day is ahead.
 const SKEW: i64 = 2_500 * MS;
@@ -24,7 +24,7 @@
     assert_eq!(fleet.ask(0, submit, 3.0).map(|a| a.status), Some(202));
     let sent = fleet.now;
     let stores: Vec<usize> = (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect();
-    let leader = fleet.leader(part_of("lots")).expect("one leads");
+    let leader = fleet.leader(part_of_lot("slow")).expect("one leads");
     stores.iter().filter(|at| **at != leader).for_each(|at| fleet.machines[*at].skew = SKEW);
     fleet.kill(leader, true);
     let since = |fleet: &Fleet| (fleet.now - sent) as f64 / 1e6;
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
 use rainlug_batch::RunEnd;
-use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
+use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id, part_of_lot};
 use rainlug_registry::Worker;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -498,3 +498,9 @@
     assert_eq!(answer.map(|a| a.status), Some(200));
     fleet.pass(1.0);
 }
+
+/// The first so many names of batch jobs that are in a part.
+pub fn lots_of(part: u16, count: usize) -> Vec<String> {
+    let names = (0..).map(|nth| format!("job-{nth}"));
+    names.filter(|name| part_of_lot(name) == part).take(count).collect()
+}
--- a/crates/coordinator/tests/losses.rs
+++ b/crates/coordinator/tests/losses.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Fleet, configuration, lot, settled};
-use rainlug_coordinator::{Answer, Call};
+use rainlug_coordinator::{Answer, Call, PARTS};
 
 const MS: i64 = 1_000;
 /// After a machine is back with an empty disk, this long passes before another loss.
@@ -181,7 +181,7 @@
     assert!(is_retired(&mut fleet, 0, &name, 10.0));
     fleet.pass(10.0);
     let seats = |part| fleet.machines[0].coordinator.as_ref().map(|c| c.leads(part).2).unwrap_or_default();
-    assert!((1..=2).all(|part| seats(part).iter().all(|m| m.name != name)));
+    assert!((1..=PARTS).all(|part| seats(part).iter().all(|m| m.name != name)));
 }
 
 #[test]
--- a/crates/coordinator/tests/operators/batch_stories.rs
+++ b/crates/coordinator/tests/operators/batch_stories.rs
@@ -1,6 +1,6 @@
 //! Named stories of batch jobs that are submitted and ended more than once while machines are cut off.
 
-use rainlug_coordinator::{Call, part_of};
+use rainlug_coordinator::{Call, part_of_lot};
 
 use crate::common::{Fleet, lot, settled};
 
@@ -33,7 +33,7 @@
 }
 
 fn leader(fleet: &Fleet) -> usize {
-    fleet.leader(part_of("lots")).expect("a leader")
+    fleet.leader(part_of_lot("job")).expect("a leader")
 }
 
 fn cut_off(fleet: &mut Fleet, at: usize) {
--- a/crates/coordinator/tests/stories.rs
+++ b/crates/coordinator/tests/stories.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use bytes::Bytes;
-use common::{Fleet, MS, beat, configuration, lot, settle, settled};
+use common::{Fleet, MS, beat, configuration, lot, lots_of, settle, settled};
 use rainlug::SECOND;
-use rainlug_coordinator::{CONTROL, Call, part_of};
+use rainlug_coordinator::{CONTROL, Call, PARTS, part_of, part_of_lot};
 use rainlug_registry::Phase;
 
 fn configure(base: u64, version: u64) -> Call {
@@ -16,6 +16,13 @@
     Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
 }
 
+/// Tokens that a ledger's part has counted, as one of its members knows.
+fn counted(fleet: &Fleet, at: usize, part: u16) -> f64 {
+    let figures = fleet.machines[at].coordinator.as_ref().map(|c| c.figures()).unwrap_or_default();
+    let name = format!("part_{part}_tokens_counted");
+    figures.iter().find(|(found, _)| *found == name).map_or(0.0, |(_, value)| *value)
+}
+
 fn read(id: &str, since: u64) -> Call {
     Call::Read { lot: id.to_owned(), since, wait: 0 }
 }
@@ -26,7 +33,7 @@
     for machine in &fleet.machines {
         assert_eq!(machine.in_force, [5], "{}", machine.name);
     }
-    for part in 0..=2 {
+    for part in CONTROL..=PARTS {
         let leader = fleet.leader(part).expect("a leader");
         let members = fleet.machines[leader].coordinator.as_ref().unwrap().leads(part).2;
         let zones: std::collections::BTreeSet<&str> =
@@ -157,7 +164,10 @@
     let refused = fleet.ask(2, submit("one-more", 1), 3.0).expect("an answer");
     assert!(refused.status == 429 && refused.retry.is_some(), "{refused:?}");
     assert_eq!(fleet.ask(1, Call::End { lot: "job3".to_owned() }, 3.0).map(|a| a.status), Some(200));
-    assert_eq!(fleet.ask(2, submit("one-more", 1), 3.0).map(|a| a.status), Some(202));
+    // The part of the ended job tells the route's ledger.
+    fleet.pass(0.5);
+    assert_eq!(fleet.ask(2, submit("one-more", 200), 3.0).map(|a| a.status), Some(202));
+    assert_eq!(fleet.ask(2, submit("two-more", 1), 3.0).map(|a| a.status), Some(429));
 }
 
 #[test]
@@ -243,7 +253,7 @@
     let mut fleet = settled(3, 2, 4, 10);
     assert_eq!(fleet.ask(3, submit("job", 100), 3.0).map(|a| a.status), Some(202));
     fleet.pass(0.4);
-    let part = part_of("lots");
+    let part = part_of_lot("job");
     let leader = fleet.leader(part).expect("a leader");
     fleet.freeze(leader);
     fleet.pass(3.0);
@@ -334,7 +344,7 @@
     for seed in 0..40 {
         let mut fleet = settled(3, 2, 3, 700 + seed);
         fleet.pass(1.0);
-        for part in 1..=2 {
+        for part in 1..=PARTS {
             for store in 5..8 {
                 let members = fleet.machines[store].coordinator.as_ref().unwrap().leads(part).2;
                 assert_eq!(members.len(), 3, "seed {seed}: part {part} at {store}");
@@ -370,8 +380,7 @@
     fleet.run_time = 2 * SECOND;
     settle(&mut fleet);
     let mut accepted = Vec::new();
-    let refused = (0..20).find_map(|n| {
-        let id = format!("job-{n}");
+    let refused = lots_of(1, 20).into_iter().find_map(|id| {
         let answer = fleet.ask(5, submit(&id, 100), 2.0).expect("an answer");
         if answer.status == 202 {
             accepted.push(id);
@@ -395,19 +404,24 @@
 fn given_a_stalled_disk_when_a_batch_job_comes_then_it_is_refused_at_once_and_the_one_before_is_accepted_in_the_end()
  {
     let mut fleet = settled(4, 6, 4, 62);
-    let first = {
-        fleet.sync = 2 * SECOND;
-        fleet.call(5, submit("first", 3))
-    };
+    // Its tokens are reserved and it is on its way to its own leader's disk when that and all others stall.
+    let ledger = part_of("lots");
+    let counts = fleet.leader(ledger).expect("a leader");
+    let elsewhere = |part: &u16| fleet.leader(*part).is_some_and(|leader| leader != counts);
+    let part = (1..=PARTS).find(elsewhere).expect("another store leads a part");
+    let [ref first, ref second] = lots_of(part, 2)[..] else { panic!("two names") };
+    let ticket = fleet.call(5, submit(first, 3));
+    assert!(fleet.until(1.0, |fleet| counted(fleet, counts, ledger) == 300.0));
+    fleet.sync = 2 * SECOND;
     fleet.pass(1.2);
-    assert!(!fleet.answers.contains_key(&first), "nothing is acknowledged before it is saved");
-    let second = fleet.ask(6, submit("second", 3), 0.3).expect("an answer at once");
-    assert_eq!(second.status, 503);
-    assert!(second.retry.is_some_and(|pause| pause > 0));
+    assert!(!fleet.answers.contains_key(&ticket), "nothing is acknowledged before it is saved");
+    let refused = fleet.ask(6, submit(second, 3), 0.3).expect("an answer at once");
+    assert_eq!(refused.status, 503);
+    assert!(refused.retry.is_some_and(|pause| pause > 0));
     fleet.sync = MS;
-    assert!(fleet.until(10.0, |fleet| fleet.answers.contains_key(&first)));
-    assert_eq!(fleet.answers[&first].1.status, 202);
-    assert_eq!(fleet.ask(6, submit("second", 3), 2.0).map(|a| a.status), Some(202));
+    assert!(fleet.until(10.0, |fleet| fleet.answers.contains_key(&ticket)));
+    assert_eq!(fleet.answers[&ticket].1.status, 202);
+    assert_eq!(fleet.ask(6, submit(second, 3), 2.0).map(|a| a.status), Some(202));
 }
 
 #[test]
@@ -418,9 +432,9 @@
     for ticket in tickets {
         assert_eq!(fleet.answers.get(&ticket).map(|a| a.1.status), Some(202));
     }
-    let leader = fleet.leader(part_of("lots")).expect("a leader");
+    let leader = fleet.leader(part_of_lot("twice")).expect("a leader");
     let disk = fleet.machines[leader].disk.as_ref().expect("a store has a disk");
-    let log = &disk.synced[&part_of("lots")];
+    let log = &disk.synced[&part_of_lot("twice")];
     let bodies = log.iter().filter(|r| r.len() > 2000 && r.windows(8).any(|w| w == b"twice-49")).count();
     assert_eq!(bodies, 1);
 }
