--- a/crates/batch/src/command.rs
+++ b/crates/batch/src/command.rs
@@ -3,9 +3,9 @@
 use deku::prelude::*;
 use rainlug::Time;
 
-use crate::DecodeError;
 use crate::text::{self, StoredText};
 use crate::wire::{self, Source};
+use crate::{DecodeError, OpenLot, ReportNumber};
 
 /// An item as it was handed in. Decoded, its body is a slice of the command.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
@@ -45,7 +45,7 @@
     Abandoned,
 }
 
-/// A change of the register. Encoded by `deku`. Times are Unix time in microseconds.
+/// A change of the register, or of the ledger beside it. Encoded by `deku`. Times are Unix time in microseconds.
 #[derive(Clone, Debug, PartialEq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8", ctx = "source: Source<'_>", ctx_default = "Source::default()", endian = "little")]
 pub enum Command {
@@ -111,6 +111,43 @@
     /// number.
     #[deku(id = 3)]
     Forget { before: Time },
+    /// Of the ledger: tokens of a batch job of `part`, before it is submitted there. `most` tokens may wait on the route (0: no
+    /// limit).
+    #[deku(id = 4)]
+    Reserve {
+        #[deku(
+            reader = "wire::read_text(deku::reader, source)",
+            writer = "wire::write_bytes(deku::writer, route.as_bytes())"
+        )]
+        route: String,
+        #[deku(
+            reader = "wire::read_text(deku::reader, source)",
+            writer = "wire::write_bytes(deku::writer, lot.as_bytes())"
+        )]
+        lot: String,
+        part: u16,
+        tokens: u64,
+        most: u64,
+        at: Time,
+    },
+    /// Of the ledger: all unfinished batch jobs of a route in `part`, as that part's leader reports them, and those that have
+    /// finished since its last report.
+    #[deku(id = 5)]
+    Settle {
+        #[deku(
+            reader = "wire::read_text(deku::reader, source)",
+            writer = "wire::write_bytes(deku::writer, route.as_bytes())"
+        )]
+        route: String,
+        part: u16,
+        number: ReportNumber,
+        at: Time,
+        #[deku(
+            reader = "wire::read_list(deku::reader, source)",
+            writer = "wire::write_list(deku::writer, open)"
+        )]
+        open: Vec<OpenLot>,
+    },
 }
 
 impl Command {
@@ -119,7 +156,8 @@
         let about = match self {
             Command::Submit { items, .. } => items.iter().map(|i| 512 + i.body.len()).sum(),
             Command::List { text, .. } => text.stored().len(),
-            Command::End { .. } | Command::Forget { .. } => 0,
+            Command::Settle { open, .. } => open.iter().map(|open| 16 + open.lot.len()).sum(),
+            Command::End { .. } | Command::Forget { .. } | Command::Reserve { .. } => 0,
         };
         wire::encode(self, 512 + about)
     }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -1,9 +1,11 @@
 //! Batch jobs. [`Register`] is the state machine of a part: what has been accepted, listed and ended, the
 //! same at every replica. [`RegisterSnapshot`] is all of it at one moment, encoded piece by piece, and
-//! [`RegisterRestore`] takes these pieces. [`Schedule`] is its owner's alone: which item runs next. No I/O.
+//! [`RegisterRestore`] takes these pieces. [`Ledger`] counts a route's tokens over all parts, in the log of one
+//! of them. [`Schedule`] is its owner's alone: which item runs next. No I/O.
 
 mod command;
 mod json;
+mod ledger;
 mod lot;
 mod register;
 mod restore;
@@ -14,6 +16,7 @@
 mod wire;
 
 pub use command::{Command, Item, State};
+pub use ledger::{Booked, Ledger, MOST_LOTS, OpenLot, RESERVATION_GRACE, ReportNumber};
 use quick_error::quick_error;
 pub use register::{Applied, Register, Totals};
 pub use restore::RegisterRestore;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use quick_error::quick_error;
-use rainlug_batch::{Register, RegisterRestore, RegisterSnapshot};
+use rainlug_batch::{Ledger, Register, RegisterRestore, RegisterSnapshot};
 use rainlug_consensus::{StateSource, WholeState};
 
 use crate::control::Control;
@@ -33,32 +33,41 @@
 pub(crate) enum Restoring {
     /// Small enough to be read at once, when all of it is there.
     Control(BytesMut),
-    Lots(RegisterRestore),
+    /// The first piece is the ledger, the others are the register's.
+    Lots(Option<Ledger>, RegisterRestore),
 }
 
-/// A register's snapshot as the replica reads it.
-struct RegisterSource(RegisterSnapshot);
+/// The state of a part of batch jobs as the replica reads it: the ledger in one piece, and the register's pieces.
+struct LotsSource {
+    ledger: Bytes,
+    register: RegisterSnapshot,
+}
 
-impl StateSource for RegisterSource {
+impl StateSource for LotsSource {
     fn pieces(&self) -> usize {
-        self.0.pieces()
+        1 + self.register.pieces()
     }
 
     fn piece(&self, number: usize) -> Bytes {
-        self.0.piece(number)
+        match number.checked_sub(1) {
+            None => self.ledger.clone(),
+            Some(number) => self.register.piece(number),
+        }
     }
 
     fn size(&self) -> u64 {
-        self.0.size()
+        self.ledger.len() as u64 + self.register.size()
     }
 }
 
 impl Machine {
-    /// Its state as of now, to be read piece by piece later on.
-    pub fn snapshot_source(&self) -> Arc<dyn StateSource> {
+    /// Its state and the ledger's as of now, to be read piece by piece later on.
+    pub fn snapshot_source(&self, ledger: &Ledger) -> Arc<dyn StateSource> {
         match self {
             Machine::Control(control) => Arc::new(WholeState::new(control.snapshot(), PIECE_BYTES)),
-            Machine::Lots(register) => Arc::new(RegisterSource(register.snapshot())),
+            Machine::Lots(register) => {
+                Arc::new(LotsSource { ledger: ledger.snapshot(), register: register.snapshot() })
+            }
         }
     }
 
@@ -66,24 +75,9 @@
     pub fn restore_begin(&self) -> Restoring {
         match self {
             Machine::Control(_) => Restoring::Control(BytesMut::new()),
-            Machine::Lots(_) => Restoring::Lots(RegisterRestore::default()),
+            Machine::Lots(_) => Restoring::Lots(None, RegisterRestore::default()),
         }
     }
-
-    /// Puts a state that was built in place of this one.
-    ///
-    /// # Errors
-    /// Where it is none of such a state machine's; this one stands then.
-    pub fn restore_finish(&mut self, restoring: Restoring) -> Result<(), RestoreError> {
-        *self = match restoring {
-            Restoring::Control(bytes) => {
-                let state = bytes.freeze();
-                Machine::Control(Control::restore(&state).map_err(|_| RestoreError::Malformed)?)
-            }
-            Restoring::Lots(restore) => Machine::Lots(restore.finish().map_err(|_| RestoreError::Malformed)?),
-        };
-        Ok(())
-    }
 }
 
 impl Restoring {
@@ -94,8 +88,31 @@
     pub fn take(&mut self, piece: &Bytes) -> Result<(), RestoreError> {
         match self {
             Restoring::Control(bytes) => bytes.extend_from_slice(piece),
-            Restoring::Lots(restore) => restore.take(piece).map_err(|_| RestoreError::Malformed)?,
+            Restoring::Lots(ledger @ None, _) => {
+                *ledger = Some(Ledger::restore(piece).map_err(|_| RestoreError::Malformed)?);
+            }
+            Restoring::Lots(Some(_), register) => {
+                register.take(piece).map_err(|_| RestoreError::Malformed)?;
+            }
         }
         Ok(())
     }
+
+    /// The state that was built, to be put in place of the one in force.
+    ///
+    /// # Errors
+    /// Where the pieces are none of such a state machine's.
+    pub fn finish(self) -> Result<(Machine, Ledger), RestoreError> {
+        match self {
+            Restoring::Control(bytes) => {
+                let control = Control::restore(&bytes.freeze()).map_err(|_| RestoreError::Malformed)?;
+                Ok((Machine::Control(control), Ledger::default()))
+            }
+            Restoring::Lots(ledger, register) => {
+                let ledger = ledger.ok_or(RestoreError::Malformed)?;
+                let register = register.finish().map_err(|_| RestoreError::Malformed)?;
+                Ok((Machine::Lots(register), ledger))
+            }
+        }
+    }
 }
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -123,7 +123,7 @@
         core.is_empty() || 2 * known.count() > core.len()
     }
 
-    /// After each event: what members there are, answers whose news has spread, items to run.
+    /// After each event: what members there are, answers whose news has spread, items to run, tokens to report.
     pub(crate) fn settle(&mut self) {
         if self.view.version() != self.seen {
             self.seen = self.view.version();
@@ -154,5 +154,7 @@
             }
         }
         self.run_items();
+        self.report_tokens();
+        self.finish_reservations();
     }
 }
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rainlug::Time;
-use rainlug_batch::{Register, Schedule};
+use rainlug_batch::{Ledger, Register, Schedule};
 use rainlug_consensus::{Index, Member, Output, Replica, Restore, Rewrite, Settings};
 use rainlug_registry::gossip;
 
@@ -12,6 +12,7 @@
 use crate::frame::{Head, join};
 pub(crate) use crate::machine::Machine;
 use crate::machine::{RestoreError, Restoring};
+use crate::quota::{Reports, Submitting};
 use crate::room::{LogUse, PartDisk};
 use crate::{Answer, CONTROL, Coordinator, Effect, Held, News, Origin, SPREADING};
 
@@ -43,6 +44,10 @@
     pub machine: Machine,
     /// A state that is built beside the one in force.
     pub restoring: Option<Restoring>,
+    /// Tokens of the routes that this part counts.
+    pub ledger: Ledger,
+    /// What its leader reports to ledgers; none while it does not lead.
+    pub reports: Option<Reports>,
     /// Proposals by index, with the command: another one committed there is not theirs.
     pub waiting: BTreeMap<Index, (Bytes, Origin)>,
     pub reads: BTreeMap<u64, (Origin, Wanted)>,
@@ -57,17 +62,10 @@
     pub disk: PartDisk,
     /// A snapshot of the machine is asked for.
     pub compact_wanted: bool,
-    /// Batch jobs that are proposed and not agreed on, and who else asked for the same one.
+    /// Batch jobs that are judged or proposed and not agreed on.
     pub submitting: BTreeMap<String, Submitting>,
 }
 
-/// A batch job that is proposed.
-pub(crate) struct Submitting {
-    /// Bytes that it and its outputs will take on the disk.
-    pub bytes: u64,
-    pub others: Vec<Origin>,
-}
-
 impl Part {
     pub fn open(
         number: u16,
@@ -89,6 +87,8 @@
             replica,
             machine,
             restoring: None,
+            ledger: Ledger::default(),
+            reports: None,
             waiting: BTreeMap::new(),
             reads: BTreeMap::new(),
             polls: Vec::new(),
@@ -113,7 +113,9 @@
             }
             Restore::Finish(_) => {
                 let restoring = self.restoring.take().ok_or(RestoreError::NotBegun)?;
-                self.machine.restore_finish(restoring)?;
+                let (machine, ledger) = restoring.finish()?;
+                self.machine = machine;
+                self.ledger = ledger;
             }
         }
         Ok(())
@@ -162,6 +164,10 @@
         if let Some(register) = self.register() {
             figures.push((name("bytes"), register.size() as f64));
             figures.push((name("file_bytes"), self.disk.length as f64));
+            figures.push((name("tokens_counted"), self.ledger.total_tokens() as f64));
+        }
+        if let Some(reports) = &self.reports {
+            figures.push((name("tokens_waiting"), reports.tokens() as f64));
         }
         if let Some(schedule) = &self.schedule {
             figures.push((name("items_running"), schedule.running() as f64));
@@ -191,7 +197,7 @@
             }
             if quiet {
                 // Nothing is on its way to the disk but what it was handed: the rewrite may be put off and nothing is missing.
-                let state = part.machine.snapshot_source();
+                let state = part.machine.snapshot_source(&part.ledger);
                 let size = state.size();
                 part.replica.snapshot(self.now.steady, state);
                 self.effects.push(Effect::Log("snapshot", format!("part {number}: {size} bytes")));
@@ -312,20 +318,23 @@
         if leads {
             if let Machine::Lots(register) = &part.machine {
                 part.schedule = Some(Schedule::new(register, self.now.wall));
+                part.reports = Some(Reports::new(register, term));
             }
             self.effects.push(Effect::Log("leads", format!("part {number}, term {term}")));
             if number == CONTROL {
                 self.post();
             }
         } else {
-            part.schedule = None;
-            let proposed: Vec<Origin> =
+            (part.schedule, part.reports) = (None, None);
+            let mut proposed: Vec<Origin> =
                 std::mem::take(&mut part.waiting).into_values().map(|w| w.1).collect();
             let mut origins: Vec<Origin> = Vec::new();
             origins.extend(std::mem::take(&mut part.reads).into_values().map(|r| r.0));
             origins.extend(std::mem::take(&mut part.polls).into_iter().map(|p| p.0));
-            let others = std::mem::take(&mut part.submitting).into_values().flat_map(|s| s.others);
-            let proposed: Vec<Origin> = proposed.into_iter().chain(others).collect();
+            for submitting in std::mem::take(&mut part.submitting).into_values() {
+                if submitting.is_proposed() { &mut proposed } else { &mut origins }
+                    .extend(submitting.origins);
+            }
             proposed.into_iter().for_each(|origin| self.send_proposed_elsewhere(number, origin));
             origins.into_iter().for_each(|origin| self.send_elsewhere(number, origin));
             self.effects.push(Effect::Log("steps down", format!("part {number}, term {term}")));
