Admission of batch jobs bounded by memory, disk and the time of a refill

Cause: only the leader's disk bounded what is accepted. What a rewrite might free counted as free before it was made; a copy that outputs have taken the room of cannot be made any more (file 55, state 40 of 100: 50 more were accepted, and came). Change: room.rs has Bounds, Usage and Refusal as pure functions; admission.rs decides and refuses (503 at once, Retry-After 1 or 2 s), forgets what may go by then, and asks for rewrites that pay before files reach half of what they may. NodeInfo has memory, link and sync_time. Outputs stay status_s + 20 s (before: + 60 s). Figures of the bounds and of refusals by reason.

--- /dev/null
+++ b/crates/coordinator/src/admission.rs
@@ -0,0 +1,120 @@
+//! Which new batch jobs are taken: the bounds of [`crate::room`] at this process, and what follows where one would be passed.
+
+use rainlug::{SECOND, Time};
+use rainlug_batch::Command;
+
+use crate::part::Part;
+use crate::room::{Bounds, PartUse, Refusal, Refusals, Usage};
+use crate::{Answer, CONTROL, Coordinator, Origin};
+
+/// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for more.
+const MOST_UNCOMMITTED: u64 = 512;
+/// When to come back with a batch job that waits for a stall to end or for a rewrite.
+const SHORT_RETRY: Time = SECOND;
+
+/// Between two orders to forget while batch jobs are refused.
+const FORGET_WHEN_FULL: Time = 2 * SECOND;
+
+/// What became of batch jobs that had no room.
+#[derive(Default)]
+pub(crate) struct Admission {
+    refusals: Refusals,
+    /// When old batch jobs were last forgotten to make room.
+    forgot_at: Option<Time>,
+}
+
+fn part_use(part: &Part) -> PartUse {
+    PartUse { log: part.log_use(), is_led: part.replica.leads() }
+}
+
+impl Coordinator {
+    /// What this process has in use.
+    fn usage(&self) -> Usage {
+        let submitting = self.parts.values().flat_map(|part| part.submitting.values());
+        Usage {
+            parts: self.parts.values().map(part_use).collect(),
+            proposed: submitting.map(|submitting| submitting.bytes).sum(),
+        }
+    }
+
+    /// Whether another batch job of so many bytes can be kept in a part that is led here, and written now.
+    pub(crate) fn has_room(&self, number: u16, bytes: u64) -> Result<(), Refusal> {
+        let Some(part) = self.parts.get(&number) else { return Ok(()) };
+        if part.disk.is_stalled(self.now.steady) {
+            return Err(Refusal::Stall);
+        }
+        if part.replica.uncommitted() > MOST_UNCOMMITTED {
+            return Err(Refusal::Links);
+        }
+        Bounds::of(&self.info).admit(&self.usage(), bytes)
+    }
+
+    /// Answers a batch job that is not taken, and makes room if a rewrite does.
+    pub(crate) fn refuse(&mut self, origin: Origin, refusal: Refusal) {
+        self.admission.refusals.count(refusal);
+        if !refusal.is_temporary() {
+            self.forget_when_full();
+        }
+        let is_rewriting = self.rewrite_where_due();
+        self.reply(origin, Answer::later(503, self.retry_after(refusal, is_rewriting)));
+    }
+
+    /// When there may be room again: after a stall or a rewrite, or else once batch jobs are forgotten.
+    fn retry_after(&self, refusal: Refusal, is_rewriting: bool) -> Time {
+        if refusal.is_temporary() || is_rewriting && refusal != Refusal::Refill {
+            return SHORT_RETRY;
+        }
+        FORGET_WHEN_FULL
+    }
+
+    /// Proposes to forget what may go by now, in each part that is led here. The entry also makes a rewrite possible that the disk has
+    /// put off: a replica writes no snapshot twice.
+    fn forget_when_full(&mut self) {
+        let (now, before) = (self.now.steady, self.now.wall - self.info.keep_lots);
+        if self.admission.forgot_at.is_some_and(|forgot_at| now - forgot_at < FORGET_WHEN_FULL) {
+            return;
+        }
+        self.admission.forgot_at = Some(now);
+        let leads = |(number, part): (&u16, &Part)| part.schedule.is_some().then_some(*number);
+        let led: Vec<u16> = self.parts.iter().filter_map(leads).collect();
+        for number in led {
+            self.propose_quietly(number, Command::Forget { before });
+        }
+    }
+
+    /// Asks for the rewrites of logs that make room; whether one was asked for.
+    pub(crate) fn rewrite_where_due(&mut self) -> bool {
+        let (bounds, usage, now) = (Bounds::of(&self.info), self.usage(), self.now.steady);
+        let numbers: Vec<u16> = self.parts.keys().copied().filter(|number| *number != CONTROL).collect();
+        let mut is_asked = false;
+        for number in numbers {
+            let Some(part) = self.parts.get_mut(&number) else { continue };
+            if bounds.is_rewrite_due(&usage, &part.log_use()) && part.disk.may_ask_rewrite(now) {
+                part.compact_wanted = true;
+                is_asked = true;
+                self.drain(number);
+            }
+        }
+        is_asked
+    }
+
+    /// What is in use of the bounds, and the batch jobs that were not taken.
+    pub(crate) fn room_figures(&self) -> Vec<(String, f64)> {
+        let (bounds, usage) = (Bounds::of(&self.info), self.usage());
+        let seconds = |time: Time| time as f64 / SECOND as f64;
+        let of = |name: &str, value: f64| (format!("room_{name}"), value);
+        let mut figures = vec![
+            of("memory_bytes", usage.memory_bytes() as f64),
+            of("memory_limit_bytes", bounds.memory_limit(usage.parts.len()) as f64),
+            of("disk_bytes", usage.file_bytes().saturating_add(usage.to_come()) as f64),
+            of("disk_limit_bytes", bounds.disk_limit() as f64),
+            of("refill_seconds", seconds(bounds.refill_time(&usage))),
+            of("refill_limit_seconds", seconds(bounds.sync_time)),
+        ];
+        let refused = |(refusal, count): (Refusal, u64)| {
+            (format!("batch_jobs_refused_{}", refusal.name()), count as f64)
+        };
+        figures.extend(self.admission.refusals.counts().map(refused));
+        figures
+    }
+}
--- a/crates/coordinator/src/info.rs
+++ b/crates/coordinator/src/info.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 
-use rainlug::Time;
+use rainlug::{SECOND, Time};
 use rainlug_consensus::MemberId;
 
+/// How long batch jobs are kept beyond the time for which they can be asked for: times of day of two leaders that differ, a read under
+/// way, and a margin (`docs/control-bounds.md`, *How long outputs stay*).
+pub const KEEP_SLACK: Time = 20 * SECOND;
+
 /// What the process is told of itself and the deployment.
 #[derive(Clone, Debug)]
 pub struct NodeInfo {
@@ -27,6 +31,12 @@
     pub beat: Time,
     /// What its disk holds, in bytes.
     pub disk_bytes: usize,
+    /// The memory that it may take, in bytes.
+    pub memory_bytes: usize,
+    /// What its machine's link carries; all processes of the machine share it.
+    pub link_bytes_per_second: u64,
+    /// How soon after its start a machine with an empty disk has to have all of its parts again.
+    pub sync_time: Time,
     /// How long batch jobs are kept after they were sent.
     pub keep_lots: Time,
     pub seed: u64,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -2,6 +2,7 @@
 //! has a seat in, calls to the leaders of parts, and the duties that fall to it. Time, chance, bytes and what the disk has saved
 //! are handed in; [`Effect`]s are handed out. The same runs on sockets and in the in-memory fleet of the tests.
 
+mod admission;
 mod api;
 mod calls;
 pub mod control;
@@ -34,7 +35,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 pub use api::{Answer, Call, Effect, Now};
-pub use info::NodeInfo;
+pub use info::{KEEP_SLACK, NodeInfo};
 
 use frame::{DecodeError, Head, split};
 use membership::COMPARING;
@@ -119,6 +120,7 @@
     has_fellows: bool,
     /// Until when what it missed is compared with others.
     comparing: Time,
+    admission: admission::Admission,
     effects: Vec<Effect>,
 }
 
@@ -138,7 +140,7 @@
         most_bytes: 128 << 10,
         compact_bytes: (info.disk_bytes / 8).clamp(4 << 20, 256 << 20),
         // A snapshot instead takes the room of a second copy at who lags.
-        lag_bytes: (info.disk_bytes / 8).clamp(4 << 20, 16 << 20),
+        lag_bytes: room::lag_bytes(info.disk_bytes),
     }
 }
 
@@ -192,6 +194,7 @@
             heard: now.steady,
             has_fellows: false,
             comparing: now.steady,
+            admission: admission::Admission::default(),
             effects: Vec::new(),
             chance,
             info,
@@ -289,6 +292,7 @@
         if self.duty_at <= now.steady {
             self.duty_at = now.steady + BEAT;
             self.duties();
+            self.rewrite_where_due();
         }
         self.retry();
         self.settle();
@@ -426,6 +430,9 @@
         for part in self.parts.values() {
             figures.extend(part.figures());
         }
+        if !self.info.gateway {
+            figures.extend(self.room_figures());
+        }
         figures
     }
 
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -16,12 +16,6 @@
 const BETWEEN: Time = SECOND / 500;
 /// Between two looks at what is overdue.
 const SWEEP: Time = SECOND / 4;
-/// When to come back with a batch job that the disk does not write now.
-const STALL_RETRY: Time = SECOND;
-/// When to come back with a batch job that has no room.
-const FULL_RETRY: Time = 2 * SECOND;
-/// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for more.
-const MOST_UNCOMMITTED: u64 = 512;
 /// By how much the times of day of two leaders may differ: no item is given up so much before its time by a later leader's clock.
 const CLOCK_SLACK: Time = 3 * SECOND;
 /// Between two orders to forget.
@@ -59,9 +53,9 @@
         if most > 0 && register.waiting(&route.name) + tokens > most {
             return self.reply(origin, Answer::later(429, SECOND / 2));
         }
-        let bytes = room::job_bytes(body.len(), items.len(), part.log_use().mean_output());
-        if let Err(retry) = self.has_room(number, bytes) {
-            return self.reply(origin, Answer::later(503, retry));
+        let bytes = room::job_bytes(body.len(), &items, part.log_use().mean_output());
+        if let Err(refusal) = self.has_room(number, bytes) {
+            return self.refuse(origin, refusal);
         }
         let command = Command::Submit {
             lot,
@@ -82,17 +76,6 @@
         self.propose(number, origin, encoded);
     }
 
-    /// Whether the disk is writing and has room for another batch job; otherwise when to come back.
-    fn has_room(&self, number: u16, bytes: u64) -> Result<(), Time> {
-        let Some(part) = self.parts.get(&number) else { return Ok(()) };
-        if part.disk.is_stalled(self.now.steady) || part.replica.uncommitted() > MOST_UNCOMMITTED {
-            return Err(STALL_RETRY);
-        }
-        let proposed: u64 = self.parts.values().flat_map(|p| p.submitting.values()).map(|s| s.bytes).sum();
-        let logs = self.parts.values().map(|part| part.log_use());
-        if room::fits(self.info.disk_bytes as u64, logs, proposed + bytes) { Ok(()) } else { Err(FULL_RETRY) }
-    }
-
     pub(crate) fn end(&mut self, number: u16, origin: Origin, lot: String) {
         let wall = self.now.wall;
         let Some(register) = self.parts.get(&number).and_then(|p| p.register()) else { return };
@@ -207,7 +190,7 @@
         }
     }
 
-    fn propose_quietly(&mut self, number: u16, command: Command) {
+    pub(crate) fn propose_quietly(&mut self, number: u16, command: Command) {
         let Some(part) = self.parts.get_mut(&number) else { return };
         if part.replica.propose(self.now.steady, command.encode()).is_ok() {
             self.drain(number);
--- a/crates/coordinator/src/room.rs
+++ b/crates/coordinator/src/room.rs
@@ -1,14 +1,16 @@
-//! Whether another batch job fits on the disk of its part's leader.
+//! Whether another batch job can be kept: in this process's memory, on its disk, and so that an empty disk is filled again in time.
 //!
-//! A job that was accepted must never be held up by one accepted later. So what counts is not what the logs hold now but what they
-//! will hold once each accepted item is listed. A rewrite is never needed for that; where one can be made, what it frees counts
-//! as free.
+//! A job that was accepted must never be held up by one accepted later. So what counts is not what the parts hold now but what they
+//! will hold once each accepted item is listed. A rewrite is never needed for that: what one would free counts once it is made.
+//! The reasons for the figures: `docs/control-bounds.md`.
 
 use std::collections::VecDeque;
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_batch::Totals;
+use rainlug_batch::{Item, Totals};
+
+use crate::NodeInfo;
 
 /// A disk that takes longer than this to write something is stalled.
 pub const DISK_PATIENCE: Time = SECOND;
@@ -22,6 +24,37 @@
 const KEPT_BACK_SHARE: u64 = 32;
 /// A rewrite is made only where it shortens the file by one part in so many.
 const LEAST_GAIN_SHARE: u64 = 5;
+/// Once logs take more than one part in so many of what they may, rewrites that pay are asked for.
+const CROWDED_SHARE: u64 = 2;
+/// Between two rewrites of a part that are asked for to make room: each writes the whole state.
+const REWRITE_PAUSE: Time = 5 * SECOND;
+
+/// Bytes of memory that a batch job has beside its items: its id, route and host.
+const JOB_MEMORY: u64 = 512;
+/// Bytes of memory that an item has beside its texts: places and vectors in the register.
+const ITEM_MEMORY: u64 = 256;
+/// Bytes of memory that a header has beside its text.
+const HEADER_MEMORY: u64 = 128;
+/// Memory of a process that keeps nothing: program, membership, gossip, connections with their buffers, frames on their way (eight
+/// of 128 KiB at most for each follower and connection).
+const BASE_MEMORY: u64 = 40_000_000;
+/// Of the memory that is left, one part in so many is for what the allocator does not give back.
+const ALLOCATOR_SHARE: u64 = 5;
+/// Where the memory is smaller than what a process needs anyhow, the state has one part in so many of it.
+const LEAST_MEMORY_SHARE: u64 = 32;
+
+/// From the start of a process with an empty disk to the first bytes of its state: its word to the configuration's part (each
+/// second), the fence and the seat (a round of two groups each).
+const REFILL_START: Time = 3 * SECOND / 2;
+/// Where the time for a refill is so short that this leaves little of it, the copy is reckoned with one part in so many.
+const LEAST_COPY_SHARE: Time = 4;
+/// Of a link, three parts in four are for copies; the rest for new entries, runs of items, signs of life and headers.
+const REFILL_SHARE: (u64, u64) = (3, 4);
+
+/// Entries that a leader keeps in memory for members that lag, in bytes: a snapshot instead takes the room of a second copy there.
+pub fn lag_bytes(disk_bytes: usize) -> usize {
+    (disk_bytes / 8).clamp(4 << 20, 16 << 20)
+}
 
 /// A part's log on this process's disk.
 #[derive(Debug, Default)]
@@ -30,13 +63,15 @@
     pub length: u64,
     /// Tickets that are to be saved, and since when.
     unsaved: VecDeque<(u64, Time)>,
+    /// When a rewrite was asked for to make room.
+    rewrite_asked: Option<Time>,
 }
 
 impl PartDisk {
     /// A log that holds these records.
     pub fn of(records: &[Bytes]) -> Self {
         let length = records.iter().map(|record| record.len() as u64).sum();
-        PartDisk { length, unsaved: VecDeque::new() }
+        PartDisk { length, ..PartDisk::default() }
     }
 
     /// Records up to a ticket are handed to the disk.
@@ -56,6 +91,17 @@
     pub fn is_stalled(&self, now: Time) -> bool {
         self.unsaved.front().is_some_and(|(_, since)| now - since > DISK_PATIENCE)
     }
+
+    /// Whether a rewrite may be asked for to make room: not soon after another one, and not while the disk is behind. It then counts
+    /// as asked for.
+    pub fn may_ask_rewrite(&mut self, now: Time) -> bool {
+        let is_soon = self.rewrite_asked.is_some_and(|asked| now - asked < REWRITE_PAUSE);
+        if is_soon || self.is_stalled(now) {
+            return false;
+        }
+        self.rewrite_asked = Some(now);
+        true
+    }
 }
 
 /// What a part's log holds, and what the accepted items will add to it.
@@ -63,7 +109,7 @@
 pub struct LogUse {
     /// Bytes of the file.
     pub length: u64,
-    /// Bytes that it would have if it were rewritten, about.
+    /// Bytes that the state takes in memory, about; it takes no more on a disk after a rewrite, nor on the way to an empty one.
     pub rewritten: u64,
     pub totals: Totals,
 }
@@ -83,35 +129,226 @@
 
     /// Whether a rewrite would be made.
     pub fn pays(&self) -> bool {
-        self.length.saturating_sub(self.rewritten) >= self.length / LEAST_GAIN_SHARE
+        self.gain() >= self.length / LEAST_GAIN_SHARE
     }
 
-    /// What a rewrite would free; nothing where none would be made.
+    /// What a rewrite would free.
     fn gain(&self) -> u64 {
-        if self.pays() { self.length.saturating_sub(self.rewritten) } else { 0 }
+        self.length.saturating_sub(self.rewritten)
     }
+
+    /// Whether the disk makes a rewrite that it is asked for, as far as that rests on lengths: one that halves the file, or one that
+    /// pays while more than half of the disk is in use.
+    fn is_rewrite_made(&self, is_disk_half_full: bool) -> bool {
+        self.gain() > 0 && (self.gain() >= self.rewritten || is_disk_half_full && self.pays())
+    }
+}
+
+/// Bytes that a batch job will take at most, in the log as well as in memory: its request, and an output for each item.
+pub fn job_bytes(request: usize, items: &[Item], mean_output: u64) -> u64 {
+    let headers: u64 = items.iter().map(|item| item.headers.len() as u64 * HEADER_MEMORY).sum();
+    // An item's id is kept twice, to find its place by it.
+    let ids: u64 = items.iter().map(|item| item.id.len() as u64).sum();
+    let outputs = (items.len() as u64).saturating_mul(mean_output.saturating_add(ITEM_MEMORY));
+    JOB_MEMORY + request as u64 + headers + ids + outputs
 }
 
-/// Bytes that a batch job will take in the log: its request, and an output for each item.
-pub fn job_bytes(request: usize, items: usize, mean_output: u64) -> u64 {
-    RECORD + request as u64 + (items as u64).saturating_mul(mean_output)
+/// Why a new batch job is not taken now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// The disk does not write.
+    Stall,
+    /// Too much waits for the disks of other members: links or disks are too slow for more.
+    Links,
+    /// It would not fit in memory, now or after a restart.
+    Memory,
+    /// It would not fit on the disk.
+    Disk,
+    /// An empty disk would not be filled again in time.
+    Refill,
 }
 
-/// Whether so many more bytes fit on a disk with these logs, once all that is accepted is listed.
-pub fn fits(capacity: u64, logs: impl IntoIterator<Item = LogUse>, needed: u64) -> bool {
-    let mut logs: Vec<LogUse> = logs.into_iter().collect();
-    let usable = capacity - capacity / KEPT_BACK_SHARE;
-    let mut used: u64 = logs.iter().map(|log| log.length).sum();
-    let to_come: u64 = logs.iter().map(LogUse::outputs_to_come).sum();
-    // The shortest first: what it frees may make room for the next one's copy.
-    logs.sort_by_key(|log| log.rewritten);
-    for log in logs {
-        if used + to_come + needed <= usable {
-            return true;
+impl Refusal {
+    pub const ALL: [Refusal; 5] =
+        [Refusal::Stall, Refusal::Links, Refusal::Memory, Refusal::Disk, Refusal::Refill];
+
+    /// Whether it ends without anything being forgotten or rewritten.
+    pub fn is_temporary(self) -> bool {
+        matches!(self, Refusal::Stall | Refusal::Links)
+    }
+
+    /// Its name in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::Stall => "stall",
+            Refusal::Links => "links",
+            Refusal::Memory => "memory",
+            Refusal::Disk => "disk",
+            Refusal::Refill => "refill",
         }
-        if used + log.rewritten <= usable {
-            used -= log.gain();
+    }
+}
+
+/// What one part on this process has in use.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PartUse {
+    pub log: LogUse,
+    /// It is led here: members with an empty disk are filled from here.
+    pub is_led: bool,
+}
+
+/// What is in use of a process's bounds.
+#[derive(Clone, Debug, Default)]
+pub struct Usage {
+    pub parts: Vec<PartUse>,
+    /// Bytes of batch jobs that are proposed, with their outputs to come.
+    pub proposed: u64,
+}
+
+impl Usage {
+    fn sum(&self, bytes: impl Fn(&LogUse) -> u64) -> u64 {
+        self.parts.iter().fold(0, |sum, part| sum.saturating_add(bytes(&part.log)))
+    }
+
+    /// Bytes of all files.
+    pub fn file_bytes(&self) -> u64 {
+        self.sum(|log| log.length)
+    }
+
+    /// Bytes of the state of all parts.
+    pub fn state_bytes(&self) -> u64 {
+        self.sum(|log| log.rewritten)
+    }
+
+    /// Bytes that will come for what is accepted or proposed.
+    pub fn to_come(&self) -> u64 {
+        self.sum(LogUse::outputs_to_come).saturating_add(self.proposed)
+    }
+
+    /// Bytes of memory that are taken once all accepted is listed: by the state as it is kept, or by the files that a restart reads,
+    /// whichever is more.
+    pub fn memory_bytes(&self) -> u64 {
+        self.state_bytes().max(self.file_bytes()).saturating_add(self.to_come())
+    }
+
+    /// Bytes of the state of parts led here, once all accepted is listed. Proposals are made by leaders only.
+    fn led_bytes(&self) -> u64 {
+        let led = self.parts.iter().filter(|part| part.is_led);
+        let bytes = led.map(|part| part.log.rewritten.saturating_add(part.log.outputs_to_come()));
+        bytes.fold(self.proposed, u64::saturating_add)
+    }
+}
+
+/// What a process has to keep batch jobs with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Bytes of memory of the whole process.
+    pub memory_bytes: u64,
+    /// Bytes of the disk.
+    pub disk_bytes: u64,
+    pub link_bytes_per_second: u64,
+    /// How soon a machine with an empty disk has to have all of its parts again.
+    pub sync_time: Time,
+    /// Members of a part that may be empty at once, and are filled by one leader.
+    pub copies: u64,
+}
+
+impl Bounds {
+    pub fn of(info: &NodeInfo) -> Self {
+        Bounds {
+            memory_bytes: info.memory_bytes as u64,
+            disk_bytes: info.disk_bytes as u64,
+            link_bytes_per_second: info.link_bytes_per_second,
+            sync_time: info.sync_time,
+            copies: info.tolerate.max(1) as u64,
         }
     }
-    used + to_come + needed <= usable
+
+    /// Bytes of memory that the state of so many parts may take.
+    pub fn memory_limit(&self, parts: usize) -> u64 {
+        let tails = (parts as u64).saturating_mul(lag_bytes(self.disk_bytes as usize) as u64);
+        let free = self.memory_bytes.saturating_sub(BASE_MEMORY).saturating_sub(tails);
+        (free - free / ALLOCATOR_SHARE).max(self.memory_bytes / LEAST_MEMORY_SHARE)
+    }
+
+    /// Bytes of the disk that logs may take.
+    pub fn disk_limit(&self) -> u64 {
+        self.disk_bytes - self.disk_bytes / KEPT_BACK_SHARE
+    }
+
+    /// Bytes a second that copies of the state have of the link.
+    fn refill_rate(&self) -> u64 {
+        self.link_bytes_per_second / REFILL_SHARE.1 * REFILL_SHARE.0
+    }
+
+    /// The time before the first bytes of a refill.
+    fn refill_start(&self) -> Time {
+        REFILL_START.min(self.sync_time - self.sync_time / LEAST_COPY_SHARE)
+    }
+
+    /// Bytes that can be copied over a link in time.
+    pub fn refill_limit(&self) -> u64 {
+        let time = u128::try_from(self.sync_time - self.refill_start()).unwrap_or(0);
+        let bytes = u128::from(self.refill_rate()) * time / SECOND as u128;
+        u64::try_from(bytes).unwrap_or(u64::MAX)
+    }
+
+    /// Bytes that a refill brings over the busiest link: to the empty disk all its parts, about those that are here; from a leader
+    /// its parts, as often as disks may be empty at once.
+    fn refill_bytes(&self, usage: &Usage, job: u64) -> u64 {
+        let taken = usage.state_bytes().saturating_add(usage.to_come()).saturating_add(job);
+        let sent = usage.led_bytes().saturating_add(job).saturating_mul(self.copies);
+        taken.max(sent)
+    }
+
+    /// How long a refill would take, once all accepted is listed.
+    pub fn refill_time(&self, usage: &Usage) -> Time {
+        let micros = u128::from(self.refill_bytes(usage, 0)) * SECOND as u128;
+        let time = micros / u128::from(self.refill_rate().max(1));
+        Time::try_from(time).unwrap_or(Time::MAX).saturating_add(self.refill_start())
+    }
+
+    /// Whether a batch job of so many bytes, for a part that is led here, can be kept beside all that is accepted.
+    ///
+    /// # Errors
+    /// The first bound that it would pass.
+    pub fn admit(&self, usage: &Usage, job: u64) -> Result<(), Refusal> {
+        let on_disk = usage.file_bytes().saturating_add(usage.to_come()).saturating_add(job);
+        if usage.memory_bytes().saturating_add(job) > self.memory_limit(usage.parts.len()) {
+            return Err(Refusal::Memory);
+        }
+        if on_disk > self.disk_limit() {
+            return Err(Refusal::Disk);
+        }
+        if self.refill_bytes(usage, job) > self.refill_limit() {
+            return Err(Refusal::Refill);
+        }
+        Ok(())
+    }
+
+    /// Whether a rewrite of one of the logs makes room that may be needed: files take a good part of what they may, the disk would
+    /// make the rewrite, and its copy fits beside all files.
+    pub fn is_rewrite_due(&self, usage: &Usage, log: &LogUse) -> bool {
+        let files = usage.file_bytes();
+        let limit = self.disk_limit().min(self.memory_limit(usage.parts.len()));
+        let is_crowded = files.saturating_add(usage.to_come()) > limit / CROWDED_SHARE;
+        let fits = files.saturating_add(log.rewritten) <= self.disk_limit();
+        is_crowded && fits && log.is_rewrite_made(files > self.disk_bytes / 2)
+    }
+}
+
+/// How many batch jobs were not taken, by the reason.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Refusals([u64; Refusal::ALL.len()]);
+
+impl Refusals {
+    pub fn count(&mut self, refusal: Refusal) {
+        if let Some(count) = self.0.get_mut(refusal as usize) {
+            *count += 1;
+        }
+    }
+
+    pub fn counts(&self) -> impl Iterator<Item = (Refusal, u64)> + '_ {
+        Refusal::ALL.into_iter().zip(self.0)
+    }
 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -12,7 +12,7 @@
 use quick_error::quick_error;
 use rainlug::Time;
 use rainlug_batch::{Next, RunEnd};
-use rainlug_coordinator::{Answer, Call, Coordinator, Effect, NodeInfo, Now, founding_id};
+use rainlug_coordinator::{Answer, Call, Coordinator, Effect, KEEP_SLACK, NodeInfo, Now, founding_id};
 use rainlug_fleet::envelope::{Envelope, MOST};
 use rainlug_gateway::{Gateway, Item, RanEnd, Reply, Replying};
 use rainlug_registry::{Configuration, Route};
@@ -139,7 +139,10 @@
             tolerate: settings.tolerate.machines as usize,
             beat: settings.beat_ms as Time * 1000,
             disk_bytes: disk_bytes as usize,
-            keep_lots: ((settings.bounds.status_s + 60.0) * 1e6) as Time,
+            memory_bytes: (settings.limits.memory_mb * 1e6) as usize,
+            link_bytes_per_second: settings.limits.link_bytes_per_second(),
+            sync_time: settings.bounds.sync_time(),
+            keep_lots: (settings.bounds.status_s * 1e6) as Time + KEEP_SLACK,
             seed: draw(),
         };
         let socket = UdpSocket::bind(peer).await.map_err(|e| Error::Listen(peer, e))?;
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use quick_error::quick_error;
+use rainlug::{SECOND, Time};
 use serde::Deserialize;
 
 quick_error! {
@@ -68,6 +69,9 @@
     pub max_fds: u64,
     #[serde(default)]
     pub disk_mb: f64,
+    /// What the machine's link carries, in millions of bits a second (0: not known).
+    #[serde(default)]
+    pub link_mbps: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -86,6 +90,30 @@
     pub pass_ms: f64,
     #[serde(default = "status")]
     pub status_s: f64,
+    /// How soon after its start a machine counts as whole again, with an empty disk too, in seconds (0: not known).
+    #[serde(default)]
+    pub sync_s: f64,
+}
+
+/// Where the settings do not tell what the link carries.
+const DEFAULT_LINK_MBPS: f64 = 1000.0;
+/// Where the settings do not tell when a machine counts as whole again.
+const DEFAULT_SYNC_S: f64 = 5.0;
+
+impl Limits {
+    /// What the machine's link carries, in bytes a second.
+    pub fn link_bytes_per_second(&self) -> u64 {
+        let mbps = if self.link_mbps > 0.0 { self.link_mbps } else { DEFAULT_LINK_MBPS };
+        (mbps * 1e6 / 8.0) as u64
+    }
+}
+
+impl Bounds {
+    /// How soon after its start a machine counts as whole again.
+    pub fn sync_time(&self) -> Time {
+        let seconds = if self.sync_s > 0.0 { self.sync_s } else { DEFAULT_SYNC_S };
+        (seconds * SECOND as f64) as Time
+    }
 }
 
 fn pass() -> f64 {
--- a/crates/tier/src/settings/fields.rs
+++ b/crates/tier/src/settings/fields.rs
@@ -30,7 +30,7 @@
 use Sort::{Address, Addresses, Flag, Ip, Number, OneOf, Ports, Text, Texts, Whole};
 
 /// All known fields: the place, whether the field must be there, what it may hold.
-const FIELDS: [(&str, bool, Sort); 24] = [
+const FIELDS: [(&str, bool, Sort); 26] = [
     ("node", true, Text(1, 64)),
     ("zone", true, Text(1, 64)),
     ("region", false, Text(0, 256)),
@@ -48,12 +48,14 @@
     ("limits.memory_mb", true, Number(16.0, false)),
     ("limits.max_fds", true, Whole(64, i64::MAX)),
     ("limits.disk_mb", false, Number(0.0, false)),
+    ("limits.link_mbps", false, Number(0.0, false)),
     ("tolerate.machines", true, Whole(0, 16)),
     ("tolerate.zones", false, Whole(0, u32::MAX as i64)),
     ("tolerate.regions", false, Whole(0, u32::MAX as i64)),
     ("bounds.grace_s", true, Number(0.0, true)),
     ("bounds.pass_ms", false, Number(0.0, false)),
     ("bounds.status_s", false, Number(0.0, false)),
+    ("bounds.sync_s", false, Number(0.0, false)),
     ("log_level", false, OneOf(&["error", "warn", "info", "debug"])),
 ];
 
--- a/crates/tier/tests/check.rs
+++ b/crates/tier/tests/check.rs
@@ -103,6 +103,23 @@
     );
 }
 
+#[test]
+fn link_and_time_to_be_whole_are_read_and_have_defaults_where_the_file_does_not_tell() {
+    let of = |text: &str| {
+        let settings = Settings::read(text).unwrap();
+        (settings.limits.link_bytes_per_second(), settings.bounds.sync_time())
+    };
+    let slow =
+        SOUND.replace("link_mbps = 1000.0", "link_mbps = 60").replace("grace_s", "sync_s = 5.1\ngrace_s");
+    assert_eq!(of(&slow), (7_500_000, 5_100_000));
+    let without = SOUND.replace("link_mbps = 1000.0\n", "");
+    assert_eq!(of(&without), (125_000_000, 5_000_000));
+    let zero = SOUND.replace("link_mbps = 1000.0", "link_mbps = 0").replace("grace_s", "sync_s = 0\ngrace_s");
+    assert_eq!(of(&zero), of(&without));
+    let odd = slow.replace("link_mbps = 60", "link_mbps = -60").replace("sync_s = 5.1", "sync_s = \"soon\"");
+    assert_eq!(places(&checked("node.toml", &odd).1), ["limits.link_mbps", "bounds.sync_s"]);
+}
+
 #[test]
 fn each_of_ten_faults_of_a_settings_file_is_named_with_its_place_and_what_was_expected() {
     let (code, lines) = checked("node.toml", TEN_FAULTS);
