--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -1,4 +1,5 @@
-//! Which new batch jobs are taken: the bounds of [`crate::room`] at this process, and what follows where one would be passed.
+//! Which new batch jobs are taken: the bounds of [`crate::room`] at this process, and what follows where one
+//! would be passed.
 
 use rainlug::{SECOND, Time};
 use rainlug_batch::Command;
@@ -7,7 +8,8 @@
 use crate::room::{Bounds, PartUse, Refusal, Refusals, Usage};
 use crate::{Answer, CONTROL, Coordinator, Origin};
 
-/// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for more.
+/// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for
+/// more.
 const MOST_UNCOMMITTED: u64 = 512;
 /// When to come back with a batch job that waits for a stall to end or for a rewrite.
 const SHORT_RETRY: Time = SECOND;
@@ -67,8 +69,8 @@
         FORGET_WHEN_FULL
     }
 
-    /// Proposes to forget what may go by now, in each part that is led here. The entry also makes a rewrite possible that the disk has
-    /// put off: a replica writes no snapshot twice.
+    /// Proposes to forget what may go by now, in each part that is led here. The entry also makes a rewrite
+    /// possible that the disk has put off: a replica writes no snapshot twice.
     fn forget_when_full(&mut self) {
         let (now, before) = (self.now.steady, self.now.wall - self.info.keep_lots);
         if self.admission.forgot_at.is_some_and(|forgot_at| now - forgot_at < FORGET_WHEN_FULL) {
--- a/crates/coordinator/src/room.rs
+++ b/crates/coordinator/src/room.rs
@@ -1,8 +1,9 @@
-//! Whether another batch job can be kept: in this process's memory, on its disk, and so that an empty disk is filled again in time.
+//! Whether another batch job can be kept: in this process's memory, on its disk, and so that an empty disk is
+//! filled again in time.
 //!
-//! A job that was accepted must never be held up by one accepted later. So what counts is not what the parts hold now but what they
-//! will hold once each accepted item is listed. A rewrite is never needed for that: what one would free counts once it is made.
-//! The reasons for the figures: `docs/control-bounds.md`.
+//! A job that was accepted must never be held up by one accepted later. So what counts is not what the parts
+//! hold now but what they will hold once each accepted item is listed. A rewrite is never needed for that:
+//! what one would free counts once it is made. The reasons for the figures: `docs/control-bounds.md`.
 
 use std::collections::VecDeque;
 
@@ -35,23 +36,26 @@
 const ITEM_MEMORY: u64 = 256;
 /// Bytes of memory that a header has beside its text.
 const HEADER_MEMORY: u64 = 128;
-/// Memory of a process that keeps nothing: program, membership, gossip, connections with their buffers, frames on their way (eight
-/// of 128 KiB at most for each follower and connection).
+/// Memory of a process that keeps nothing: program, membership, gossip, connections with their buffers,
+/// frames on their way (eight of 128 KiB at most for each follower and connection).
 const BASE_MEMORY: u64 = 40_000_000;
 /// Of the memory that is left, one part in so many is for what the allocator does not give back.
 const ALLOCATOR_SHARE: u64 = 5;
 /// Where the memory is smaller than what a process needs anyhow, the state has one part in so many of it.
 const LEAST_MEMORY_SHARE: u64 = 32;
 
-/// From the start of a process with an empty disk to the first bytes of its state: its word to the configuration's part (each
-/// second), the fence and the seat (a round of two groups each).
+/// From the start of a process with an empty disk to the first bytes of its state: its word to the
+/// configuration's part (each second), the fence and the seat (a round of two groups each).
 const REFILL_START: Time = 3 * SECOND / 2;
-/// Where the time for a refill is so short that this leaves little of it, the copy is reckoned with one part in so many.
+/// Where the time for a refill is so short that this leaves little of it, the copy is reckoned with one part
+/// in so many.
 const LEAST_COPY_SHARE: Time = 4;
-/// Of a link, three parts in four are for copies; the rest for new entries, runs of items, signs of life and headers.
+/// Of a link, three parts in four are for copies; the rest for new entries, runs of items, signs of life and
+/// headers.
 const REFILL_SHARE: (u64, u64) = (3, 4);
 
-/// Entries that a leader keeps in memory for members that lag, in bytes: a snapshot instead takes the room of a second copy there.
+/// Entries that a leader keeps in memory for members that lag, in bytes: a snapshot instead takes the room of
+/// a second copy there.
 pub fn lag_bytes(disk_bytes: usize) -> usize {
     (disk_bytes / 8).clamp(4 << 20, 16 << 20)
 }
@@ -92,8 +96,8 @@
         self.unsaved.front().is_some_and(|(_, since)| now - since > DISK_PATIENCE)
     }
 
-    /// Whether a rewrite may be asked for to make room: not soon after another one, and not while the disk is behind. It then counts
-    /// as asked for.
+    /// Whether a rewrite may be asked for to make room: not soon after another one, and not while the disk is
+    /// behind. It then counts as asked for.
     pub fn may_ask_rewrite(&mut self, now: Time) -> bool {
         let is_soon = self.rewrite_asked.is_some_and(|asked| now - asked < REWRITE_PAUSE);
         if is_soon || self.is_stalled(now) {
@@ -109,7 +113,8 @@
 pub struct LogUse {
     /// Bytes of the file.
     pub length: u64,
-    /// Bytes that the state takes in memory, about; it takes no more on a disk after a rewrite, nor on the way to an empty one.
+    /// Bytes that the state takes in memory, about; it takes no more on a disk after a rewrite, nor on the
+    /// way to an empty one.
     pub rewritten: u64,
     pub totals: Totals,
 }
@@ -137,14 +142,15 @@
         self.length.saturating_sub(self.rewritten)
     }
 
-    /// Whether the disk makes a rewrite that it is asked for, as far as that rests on lengths: one that halves the file, or one that
-    /// pays while more than half of the disk is in use.
+    /// Whether the disk makes a rewrite that it is asked for, as far as that rests on lengths: one that
+    /// halves the file, or one that pays while more than half of the disk is in use.
     fn is_rewrite_made(&self, is_disk_half_full: bool) -> bool {
         self.gain() > 0 && (self.gain() >= self.rewritten || is_disk_half_full && self.pays())
     }
 }
 
-/// Bytes that a batch job will take at most, in the log as well as in memory: its request, and an output for each item.
+/// Bytes that a batch job will take at most, in the log as well as in memory: its request, and an output for
+/// each item.
 pub fn job_bytes(request: usize, items: &[Item], mean_output: u64) -> u64 {
     let headers: u64 = items.iter().map(|item| item.headers.len() as u64 * HEADER_MEMORY).sum();
     // An item's id is kept twice, to find its place by it.
@@ -225,8 +231,8 @@
         self.sum(LogUse::outputs_to_come).saturating_add(self.proposed)
     }
 
-    /// Bytes of memory that are taken once all accepted is listed: by the state as it is kept, or by the files that a restart reads,
-    /// whichever is more.
+    /// Bytes of memory that are taken once all accepted is listed: by the state as it is kept, or by the
+    /// files that a restart reads, whichever is more.
     pub fn memory_bytes(&self) -> u64 {
         self.state_bytes().max(self.file_bytes()).saturating_add(self.to_come())
     }
@@ -293,8 +299,8 @@
         u64::try_from(bytes).unwrap_or(u64::MAX)
     }
 
-    /// Bytes that a refill brings over the busiest link: to the empty disk all its parts, about those that are here; from a leader
-    /// its parts, as often as disks may be empty at once.
+    /// Bytes that a refill brings over the busiest link: to the empty disk all its parts, about those that
+    /// are here; from a leader its parts, as often as disks may be empty at once.
     fn refill_bytes(&self, usage: &Usage, job: u64) -> u64 {
         let taken = usage.state_bytes().saturating_add(usage.to_come()).saturating_add(job);
         let sent = usage.led_bytes().saturating_add(job).saturating_mul(self.copies);
@@ -308,7 +314,8 @@
         Time::try_from(time).unwrap_or(Time::MAX).saturating_add(self.refill_start())
     }
 
-    /// Whether a batch job of so many bytes, for a part that is led here, can be kept beside all that is accepted.
+    /// Whether a batch job of so many bytes, for a part that is led here, can be kept beside all that is
+    /// accepted.
     ///
     /// # Errors
     /// The first bound that it would pass.
@@ -326,8 +333,8 @@
         Ok(())
     }
 
-    /// Whether a rewrite of one of the logs makes room that may be needed: files take a good part of what they may, the disk would
-    /// make the rewrite, and its copy fits beside all files.
+    /// Whether a rewrite of one of the logs makes room that may be needed: files take a good part of what
+    /// they may, the disk would make the rewrite, and its copy fits beside all files.
     pub fn is_rewrite_due(&self, usage: &Usage, log: &LogUse) -> bool {
         let files = usage.file_bytes();
         let limit = self.disk_limit().min(self.memory_limit(usage.parts.len()));
--- a/crates/coordinator/tests/admission.rs
+++ b/crates/coordinator/tests/admission.rs
@@ -72,8 +72,8 @@
     assert!(leaders.any(|at| is_within_bounds(fleet, at)), "no leader had room for what was taken");
 }
 
-/// No store's state takes more of memory, or longer to copy, than it may. Files of those that do not lead may be longer than the
-/// leader's until they are rewritten.
+/// No store's state takes more of memory, or longer to copy, than it may. Files of those that do not lead may
+/// be longer than the leader's until they are rewritten.
 fn assert_state_within_bounds(fleet: &Fleet) {
     for at in stores(fleet) {
         let of = |name: &str| figure(fleet, at, name).unwrap_or(0.0);
@@ -192,8 +192,8 @@
     among.iter().copied().filter(|at| !has_all(*at)).collect()
 }
 
-/// Two of five stores lose their disks at once, while all have as much as they may by the link that they are told of: how many seconds
-/// after their start they have all again.
+/// Two of five stores lose their disks at once, while all have as much as they may by the link that they are
+/// told of: how many seconds after their start they have all again.
 fn refill_takes(seed: u64, with_leader: bool, told_link: u64) -> f64 {
     let mut fleet = Fleet::new(5, 2, 5, seed);
     fleet.tolerate = 2;
@@ -254,8 +254,8 @@
 /// How long outputs have to be there in the stories of clocks, in seconds.
 const STATUS: i64 = 20;
 
-/// The time after which a finished job is not found any more, where the leader that took it is killed and the others' times of day are
-/// ahead by so much.
+/// The time after which a finished job is not found any more, where the leader that took it is killed and the
+/// others' times of day are ahead by so much.
 fn kept_for(seed: u64, skew_ms: i64) -> i64 {
     let mut fleet = Fleet::new(3, 1, 3, seed);
     fleet.status_time = STATUS * SECOND;
