--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -6,6 +6,7 @@
 mod api;
 mod calls;
 pub mod control;
+mod diagnostics;
 mod duties;
 pub mod frame;
 mod info;
@@ -122,6 +123,7 @@
     comparing: Time,
     admission: admission::Admission,
     effects: Vec<Effect>,
+    diagnostics: diagnostics::Diagnostics,
 }
 
 /// The figures of a process's card: its role, and the port where it serves workers.
@@ -196,6 +198,7 @@
             comparing: now.steady,
             admission: admission::Admission::default(),
             effects: Vec::new(),
+            diagnostics: diagnostics::Diagnostics::default(),
             chance,
             info,
             now,
