--- a/crates/coordinator/tests/admission.rs
+++ b/crates/coordinator/tests/admission.rs
@@ -207,12 +207,17 @@
 /// Two of five stores lose their disks at once, while all have as much as they may by the link that they are
 /// told of: how many seconds after their start they have all again. They lead as many parts as any two do, or as few.
 fn refill_takes(seed: u64, with_leader: bool, told_link: u64) -> f64 {
+    refill_over_takes(LINK, 35_000, seed, with_leader, told_link)
+}
+
+/// The same over links of so many bytes a second, with outputs of so many bytes an event.
+fn refill_over_takes(link: u64, output_padding: usize, seed: u64, with_leader: bool, told_link: u64) -> f64 {
     let mut fleet = Fleet::new(5, 2, 5, seed);
     fleet.tolerate = 2;
     fleet.seeds = 5;
-    fleet.link = Some(LINK);
+    fleet.link = Some(link);
     fleet.link_bytes_per_second = told_link;
-    fleet.output_padding = 35_000;
+    fleet.output_padding = output_padding;
     settle(&mut fleet);
     let mut refused = 0;
     for nth in 0..200 {
@@ -268,6 +273,18 @@
     assert!(took > 5.0, "the story would find nothing: {took} s");
 }
 
+/// Bytes a second of a link over which two pieces of a snapshot take longer than the pause between heartbeats.
+const SLOW_LINK: u64 = 2_000_000;
+
+#[test]
+fn given_links_on_which_a_piece_takes_longer_than_a_heartbeat_when_two_disks_are_lost_then_they_are_filled_in_time()
+ {
+    for seed in 87..90 {
+        let took = refill_over_takes(SLOW_LINK, 3_000, seed, false, SLOW_LINK);
+        assert!(took <= 5.0, "seed {seed}: {took} s");
+    }
+}
+
 /// How long outputs have to be there in the stories of clocks, in seconds.
 const STATUS: i64 = 20;
 
