Invariants that are checked in the code, counted, and end the tests at the first violation

Change: coordinator/src/invariants.rs: restored state and committed commands can be read, steps are bounded, a leader has all of its state, what is kept leaves the process its memory; figures invariant_violations_*; the in-memory fleet ends at the first one.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -100,6 +100,12 @@
         is_asked
     }
 
+    /// Bytes of memory that the state takes, or the files at a restart, and how much they may take at the very most.
+    pub(crate) fn kept_memory(&self) -> (u64, u64) {
+        let (bounds, usage) = (Bounds::of(&self.info), self.usage());
+        (usage.state_bytes().max(usage.file_bytes()), bounds.most_memory())
+    }
+
     /// What is in use of the bounds, and the batch jobs that were not taken.
     pub(crate) fn room_figures(&self) -> Vec<(String, f64)> {
         let (bounds, usage) = (Bounds::of(&self.info), self.usage());
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -16,6 +16,7 @@
     pub(crate) fn duties(&mut self) {
         self.silent();
         self.diagnose();
+        self.check_memory();
         if self.announce_at <= self.now.steady {
             self.announce_at = self.now.steady + ANNOUNCE;
             self.announce();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -10,6 +10,7 @@
 mod duties;
 pub mod frame;
 mod info;
+pub mod invariants;
 pub mod listing;
 mod lots_part;
 mod machine;
@@ -141,6 +142,7 @@
     admission: admission::Admission,
     effects: Vec<Effect>,
     diagnostics: diagnostics::Diagnostics,
+    violations: invariants::Violations,
 }
 
 /// The figures of a process's card: its role, and the port where it serves workers.
@@ -215,6 +217,7 @@
             admission: admission::Admission::default(),
             effects: Vec::new(),
             diagnostics: diagnostics::Diagnostics::default(),
+            violations: invariants::Violations::default(),
             chance,
             info,
             now,
@@ -457,6 +460,7 @@
         if !self.info.gateway {
             figures.extend(self.room_figures());
         }
+        figures.extend(self.invariant_figures());
         figures
     }
 
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -5,6 +5,7 @@
 use rainlug_batch::{Applied, Command, RunEnd, read_requests};
 use rainlug_registry::Kind;
 
+use crate::invariants::Invariant;
 use crate::part::{Machine, Wanted};
 use crate::quota::Submitting;
 use crate::{Answer, Coordinator, Effect, Origin, part_of_lot, room};
@@ -100,7 +101,7 @@
         let Some(part) = self.parts.get_mut(&number) else { return };
         let Machine::Lots(register) = &mut part.machine else { return };
         let Ok(command) = Command::decode(bytes) else {
-            return self.effects.push(Effect::Log("garbage", format!("a command of part {number}")));
+            return self.violated(Invariant::CommandRead, &format_args!("part {number}"));
         };
         if let Some(booked) = part.ledger.apply(&command) {
             return self.booked(number, booked, mine);
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -10,6 +10,7 @@
 
 use crate::control::{Control, Outcome};
 use crate::frame::{Head, join};
+use crate::invariants::Invariant;
 pub(crate) use crate::machine::Machine;
 use crate::machine::{RestoreError, Restoring};
 use crate::quota::{Reports, Submitting};
@@ -212,6 +213,7 @@
     }
 
     fn carry_out(&mut self, number: u16, output: Output) {
+        self.check_step(&output);
         for (to, bytes) in output.messages {
             self.effects.push(Effect::Frame {
                 to: to.at,
@@ -276,7 +278,7 @@
             self.effects.push(Effect::Log("restore", format!("part {number}: as of entry {index}")));
         }
         if let Err(error) = part.restore(step) {
-            self.effects.push(Effect::Log("garbage", format!("a snapshot of part {number}: {error}")));
+            self.violated(Invariant::StateRestored, &format_args!("part {number}: {error}"));
         }
     }
 
@@ -314,6 +316,7 @@
             return;
         }
         part.led = leads;
+        let is_whole = !leads || part.restoring.is_none();
         let term = part.replica.term();
         if leads {
             if let Machine::Lots(register) = &part.machine {
@@ -321,6 +324,7 @@
                 part.reports = Some(Reports::new(register, term));
             }
             self.effects.push(Effect::Log("leads", format!("part {number}, term {term}")));
+            self.check(Invariant::LeaderWhole, is_whole, || format!("part {number}, term {term}"));
             if number == CONTROL {
                 self.post();
             }
--- a/crates/coordinator/src/room.rs
+++ b/crates/coordinator/src/room.rs
@@ -282,6 +282,11 @@
         (free - free / ALLOCATOR_SHARE).max(self.memory_bytes / LEAST_MEMORY_SHARE)
     }
 
+    /// Bytes of memory that the state may take at the very most: what is left beside a process that keeps nothing.
+    pub fn most_memory(&self) -> u64 {
+        self.memory_bytes.saturating_sub(BASE_MEMORY).max(self.memory_bytes / LEAST_MEMORY_SHARE)
+    }
+
     /// Bytes of the disk that logs may take.
     pub fn disk_limit(&self) -> u64 {
         self.disk_bytes - self.disk_bytes / KEPT_BACK_SHARE
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -415,6 +415,9 @@
     fn after(&mut self, at: usize) {
         let Some(coordinator) = self.machines[at].coordinator.as_mut() else { return };
         let effects = coordinator.take();
+        for (invariant, count) in coordinator.violations().counts() {
+            assert_eq!(count, 0, "{at} violates {}: {effects:?}", invariant.name());
+        }
         let (from, life) = (self.machines[at].at, self.machines[at].life);
         for effect in effects {
             match effect {
