Wal: a log given up leaves the disk's room; waiting appends are merged up to 1 MB

All appends that waited for a disk went as one, so none was written unless all fitted, and a short record waited behind tens of megabytes. Change: a log counts in the room while it is open; Writer::remove drops what is queued and removes the file, and Disk::renew asks for it. Appends are merged up to 1 MB; where that fails the first one is tried alone, and the amount doubles with each success.

--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -139,13 +139,18 @@
         self.identity.id
     }
 
+    /// The room of the disk's logs.
+    pub fn room(&self) -> &Arc<Room> {
+        &self.room
+    }
+
     /// Gives the disk another identity, and drops the parts that it holds.
     ///
     /// # Errors
     /// Where files cannot be written or removed.
     pub fn renew(&mut self, id: u64) -> Result<(), Error> {
         // The identity first: nobody counts on parts under an earlier one.
-        self.writers.clear();
+        std::mem::take(&mut self.writers).into_values().for_each(Writer::remove);
         self.identity.renew(id)?;
         (CONTROL..=PARTS).try_for_each(|part| self.remove_earlier(part))
     }
--- a/crates/tier/tests/disk.rs
+++ b/crates/tier/tests/disk.rs
@@ -71,3 +71,19 @@
     assert_eq!(disk.id(), 8);
     assert_eq!(logs, [(1, vec![Bytes::from("later")])]);
 }
+
+#[test]
+fn a_disk_that_gets_another_identity_has_all_its_room_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let (told, mut reports) = mpsc::unbounded_channel();
+    let (mut disk, _) = Disk::open(dir.path(), CAPACITY, 7, told).unwrap();
+    disk.save(1, 1, vec![Bytes::from(vec![1; 1000])]);
+    assert!(matches!(reports.blocking_recv(), Some(Told { disk: 7, .. })));
+    let room = disk.room().clone();
+    assert!(room.free() <= CAPACITY - 1000);
+    disk.renew(8).unwrap();
+    drop(disk);
+    while reports.blocking_recv().is_some() {}
+    assert_eq!(room.free(), CAPACITY, "once the earlier log's thread has ended");
+    assert!(!dir.path().join("part-1").exists());
+}
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -24,7 +24,7 @@
     Postponed,
 }
 
-/// A file of records, open for appending. One process at a time may have it.
+/// A file of records, open for appending. One process at a time may have it. Its bytes count in the disk's room until it is dropped.
 pub struct Wal<F: Files = SystemFiles> {
     files: F,
     room: Arc<Room>,
@@ -191,6 +191,17 @@
         Ok((file, length))
     }
 
+    /// Removes the file. Its bytes leave the room, as those of any log that is dropped.
+    ///
+    /// # Errors
+    /// Where the file cannot be removed. One that is no longer there is none.
+    pub fn remove(self) -> Result<(), Error> {
+        match self.files.remove(&self.path) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(self.failed(error)),
+            _ => Ok(()),
+        }
+    }
+
     /// Bytes of the file.
     pub fn length(&self) -> u64 {
         self.length
@@ -220,6 +231,13 @@
     }
 }
 
+/// A log counts in its disk's room for as long as it is open.
+impl<F: Files> Drop for Wal<F> {
+    fn drop(&mut self) {
+        self.room.release(self.length);
+    }
+}
+
 /// Where a rewrite is written before it gets the log's name.
 fn fresh_path(path: &Path) -> PathBuf {
     let mut name = path.as_os_str().to_os_string();
--- a/crates/wal/src/writer.rs
+++ b/crates/wal/src/writer.rs
@@ -6,11 +6,14 @@
 
 use bytes::Bytes;
 
+use crate::record::HEADER;
 use crate::{Compaction, Error, Files, RecordSource, Room, Wal};
 
 /// The pause after a first failure; it doubles with each one up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_millis(320);
+/// Bytes of the waiting appends that are written as one, at most: all of them wait for the last byte, and need room at once.
+const MOST_MERGED: u64 = 1 << 20;
 
 /// What the thread tells of.
 #[derive(Debug)]
@@ -36,11 +39,13 @@
 }
 
 enum Job {
-    Append { ticket: u64, records: Vec<Bytes> },
+    Append { ticket: u64, records: Vec<Bytes>, bytes: u64 },
     Compact { ticket: u64, records: Box<dyn RecordSource>, implied: usize },
+    Remove,
 }
 
-/// A thread that owns a log: calls do not wait for the disk. Several waiting appends are written and synced as one. Once this is
+/// A thread that owns a log: calls do not wait for the disk. Several waiting appends are written and synced as one, up to 1 MB; where
+/// they do not fit together, the first one is tried alone. Once this is
 /// dropped, the thread writes what is queued, or gives up where the disk refuses it, and ends.
 pub struct Writer {
     jobs: mpsc::Sender<Job>,
@@ -71,13 +76,20 @@
     /// Appends as [`Wal::append`] does. Tickets go up.
     pub fn append(&self, ticket: u64, records: Vec<Bytes>) {
         // The thread ends before this only if `report` panicked; nobody hears of tickets then.
-        let _ = self.jobs.send(Job::Append { ticket, records });
+        let bytes = records.iter().map(|record| (HEADER + record.len()) as u64).sum();
+        let _ = self.jobs.send(Job::Append { ticket, records, bytes });
     }
 
     /// Compacts as [`Wal::compact`] does, after all appends asked for before. The records have to stand for all of these.
     pub fn compact(&self, ticket: u64, records: impl RecordSource + 'static, implied: usize) {
         let _ = self.jobs.send(Job::Compact { ticket, records: Box::new(records), implied });
     }
+
+    /// Gives the log up: what is queued is dropped, its file is removed and its bytes leave the room, as soon as the disk lets the
+    /// thread. Nothing more is told of then.
+    pub fn remove(self) {
+        let _ = self.jobs.send(Job::Remove);
+    }
 }
 
 enum Source<F: Files> {
@@ -104,28 +116,48 @@
     pending: VecDeque<Job>,
     /// The pause after the next failure; nothing while the disk takes all.
     pause: Option<Duration>,
+    /// Bytes of appends that are tried as one now: grows with what is written up to [`MOST_MERGED`].
+    merged: u64,
+    is_given_up: bool,
     report: R,
 }
 
 impl<F: Files, R: Fn(Report)> Worker<F, R> {
     fn new(source: Source<F>, room: Arc<Room>, jobs: mpsc::Receiver<Job>, report: R) -> Self {
-        Worker { source, room, jobs, pending: VecDeque::new(), pause: None, report }
+        Worker {
+            source,
+            room,
+            jobs,
+            pending: VecDeque::new(),
+            pause: None,
+            merged: MOST_MERGED,
+            is_given_up: false,
+            report,
+        }
     }
 
     fn run(mut self) {
         while let Ok(first) = self.jobs.recv() {
-            self.pending.push_back(first);
+            self.take(first);
             if !self.write_pending() {
-                return;
+                break;
             }
         }
+        if self.is_given_up
+            && let Source::Open(wal) = self.source
+        {
+            // A file that stays is removed when the disk is next opened.
+            let _ = wal.remove();
+        }
     }
 
-    /// Writes all that waits; false where the disk refuses and nobody waits for it any more.
+    /// Writes all that waits; false where the log is given up, or the disk refuses and nobody waits for it any more.
     fn write_pending(&mut self) -> bool {
         loop {
             let is_orphaned = self.collect();
-            self.merge_appends();
+            if self.is_given_up {
+                return false;
+            }
             match self.attempt() {
                 Ok(None) => return true,
                 Ok(Some(done)) => self.succeeded(done),
@@ -139,21 +171,62 @@
     fn collect(&mut self) -> bool {
         loop {
             match self.jobs.try_recv() {
-                Ok(job) => self.pending.push_back(job),
+                Ok(job) => self.take(job),
                 Err(error) => return error == mpsc::TryRecvError::Disconnected,
             }
         }
     }
 
-    /// Makes one job of the appends at the front.
-    fn merge_appends(&mut self) {
-        while let [Job::Append { .. }, Job::Append { .. }, ..] = self.pending.make_contiguous()
-            && let Some(Job::Append { records: mut all, .. }) = self.pending.pop_front()
-            && let Some(Job::Append { records, .. }) = self.pending.front_mut()
-        {
-            all.append(records);
-            *records = all;
+    fn take(&mut self, job: Job) {
+        match job {
+            Job::Remove => self.is_given_up = true,
+            job => self.pending.push_back(job),
+        }
+    }
+
+    /// How many appends at the front are tried as one: one at least, if there is one.
+    fn count_merged(&self) -> usize {
+        let mut total = 0_u64;
+        let mut count = 0;
+        for job in &self.pending {
+            let Job::Append { bytes, .. } = job else { break };
+            total = total.saturating_add(*bytes);
+            if count > 0 && total > self.merged {
+                break;
+            }
+            count += 1;
+        }
+        count
+    }
+
+    /// Writes the appends at the front as one; where that fails, the first one alone, as a disk that is almost full may take it.
+    fn append_first(&mut self) -> Result<Done, Error> {
+        let count = self.count_merged();
+        match self.append_merged(count) {
+            Err(_) if count > 1 => self.append_merged(1),
+            result => result,
+        }
+    }
+
+    fn append_merged(&mut self, count: usize) -> Result<Done, Error> {
+        let started = Instant::now();
+        let (mut all, mut written, mut last) = (Vec::new(), 0_u64, 0);
+        for job in self.pending.iter().take(count) {
+            if let Job::Append { ticket, records, bytes } = job {
+                all.extend_from_slice(records);
+                written = written.saturating_add(*bytes);
+                last = *ticket;
+            }
+        }
+        let wal = self.source.wal()?;
+        if let Err(error) = wal.append(&all) {
+            self.merged = 0;
+            return Err(error);
         }
+        let done = Done::of(last, wal, started, None);
+        self.merged = self.merged.max(written.saturating_mul(2)).min(MOST_MERGED);
+        self.pending.drain(..count);
+        Ok(done)
     }
 
     /// Tries the first job, if there is one. Where the disk has refused before, a request to compact further back comes first: it stands for all
@@ -172,19 +245,16 @@
             self.pending.drain(..=place);
             return Ok(Some(done));
         }
-        let done = match self.pending.front() {
-            None => return Ok(None),
-            Some(Job::Append { ticket, records }) => {
-                wal.append(records)?;
-                Done::of(*ticket, wal, started, None)
-            }
+        match self.pending.front() {
+            Some(Job::Append { .. }) => self.append_first().map(Some),
             Some(Job::Compact { ticket, records, implied }) => {
                 let compaction = wal.compact(&**records, *implied)?;
-                Done::of(*ticket, wal, started, Some(compaction))
+                let done = Done::of(*ticket, wal, started, Some(compaction));
+                self.pending.pop_front();
+                Ok(Some(done))
             }
-        };
-        self.pending.pop_front();
-        Ok(Some(done))
+            Some(Job::Remove) | None => Ok(None),
+        }
     }
 
     fn succeeded(&mut self, done: Done) {
--- a/crates/wal/tests/faults/refusals.rs
+++ b/crates/wal/tests/faults/refusals.rs
@@ -229,6 +229,121 @@
     assert!(reports.recv().is_err());
 }
 
+#[test]
+fn a_log_that_is_removed_gives_its_room_back() {
+    let files = limited();
+    let room = room();
+    let (mut earlier, _) = open(&files, &room, "earlier");
+    earlier.append(&record(1, 2500)).unwrap();
+    let (mut later, _) = open(&files, &room, "later");
+    assert!(later.compact(&record(2, 2500), 0).is_err());
+    earlier.remove().unwrap();
+    assert_eq!(room.free(), CAPACITY as u64);
+    assert_eq!(later.compact(&record(2, 2500), 0).unwrap(), Compaction::Rewritten);
+    assert_eq!(room.free(), (CAPACITY - files.used()) as u64);
+}
+
+#[test]
+fn a_log_that_is_opened_again_counts_once() {
+    let files = limited();
+    let room = room();
+    let (mut wal, _) = open(&files, &room, "wal");
+    wal.append(&record(1, 1000)).unwrap();
+    drop(wal);
+    assert_eq!(room.free(), CAPACITY as u64);
+    let (_wal, records) = open(&files, &room, "wal");
+    assert_eq!(records, record(1, 1000));
+    assert_eq!(room.free(), (CAPACITY - files.used()) as u64);
+}
+
+/// Also where its thread is in the middle of something and has more to do.
+#[test]
+fn a_log_given_up_leaves_neither_file_nor_room_behind() {
+    let files = limited();
+    let room = room();
+    let (mut wal, _) = open(&files, &room, "wal");
+    wal.append(&record(1, 1000)).unwrap();
+    let (writer, reports) = started(wal);
+    files.set_stalled(true);
+    writer.append(1, record(2, 100));
+    writer.compact(2, record(3, 500), 0);
+    writer.remove();
+    files.set_stalled(false);
+    while reports.recv().is_ok() {}
+    assert_eq!((files.used(), room.free()), (0, CAPACITY as u64));
+}
+
+#[test]
+fn a_log_given_up_on_a_disk_that_refuses_lets_its_thread_end() {
+    let files = limited();
+    let room = room();
+    let (wal, _) = open(&files, &room, "wal");
+    let (writer, reports) = started(wal);
+    files.set_refusing(true);
+    writer.append(1, record(1, 10));
+    failing(&reports);
+    writer.remove();
+    assert!(reports.recv().is_err());
+    assert_eq!(room.free(), CAPACITY as u64);
+}
+
+/// A disk that refused and has a little room takes what fits, in order, though far more waits.
+#[test]
+fn appends_that_fit_are_written_though_more_waits_than_fits() {
+    const EACH: usize = 100 + HEADER;
+    const FIT: u64 = (CAPACITY / EACH) as u64;
+    let files = limited();
+    let (wal, _) = open(&files, &room(), "wal");
+    let (writer, reports) = started(wal);
+    files.set_refusing(true);
+    for ticket in 1..=2 * FIT {
+        writer.append(ticket, record(ticket as u8, 100));
+    }
+    failing(&reports);
+    files.set_refusing(false);
+    recovered(&reports);
+    let (mut written, mut writes) = (0, 0);
+    while written < FIT {
+        let told = done(&reports);
+        writes += 1;
+        assert!(told.ticket > written && told.ticket <= FIT, "{told:?}");
+        assert_eq!(told.length, told.ticket * EACH as u64);
+        written = told.ticket;
+    }
+    assert!(writes <= 10, "it takes twice as many at once after each success: {writes} writes");
+    failing(&reports);
+    files.set_capacity(None);
+    recovered(&reports);
+    while written < 2 * FIT {
+        written = done(&reports).ticket;
+    }
+    let all: Records = (1..=2 * FIT).flat_map(|ticket| record(ticket as u8, 100)).collect();
+    assert_eq!(survivors(&files, "wal"), all);
+}
+
+/// What waits is written in parts: a short record is not held up by many megabytes behind it.
+#[test]
+fn no_append_is_merged_with_more_than_a_megabyte() {
+    const EACH: usize = 300_000;
+    const COUNT: u64 = 20;
+    let files = TestFiles::default();
+    let room = Arc::new(Room::new(1 << 30));
+    let (wal, _) = open(&files, &room, "wal");
+    let (writer, reports) = started(wal);
+    files.set_stalled(true);
+    for ticket in 1..=COUNT {
+        writer.append(ticket, record(ticket as u8, EACH));
+    }
+    files.set_stalled(false);
+    let (mut written, mut length) = (0, 0);
+    while written < COUNT {
+        let told = done(&reports);
+        assert!(told.length - length <= 1 << 20, "{told:?} after {length} bytes");
+        (written, length) = (told.ticket, told.length);
+    }
+    assert_eq!(length, COUNT * (EACH + HEADER) as u64);
+}
+
 /// Full during an append, during a rewrite and between, at every size of disk; power goes after each.
 #[test]
 fn no_size_of_disk_loses_what_was_acknowledged() {
