--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -17,7 +17,7 @@
 use quick_error::quick_error;
 pub use register::{Applied, Register, Totals};
 pub use restore::RegisterRestore;
-pub use schedule::{Next, RunEnd, Schedule};
+pub use schedule::{MOST_OVERDUE, Next, RunEnd, Schedule};
 pub use snapshot::{PIECE_BYTES, RegisterSnapshot};
 pub use submission::read_requests;
 pub use text::{MOST_INFLATED, StoredText};
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -1,15 +1,16 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use bytes::Bytes;
-use rainlug::{SECOND, Time};
+use rainlug::Time;
 
 use crate::lot::{Lot, LotHead};
 use crate::{Applied, Command, Item, Register, State, StoredText};
 
-/// A proposal that was not applied by then is taken as lost and made again: one by the time that is over, and one by a run.
-const OVERDUE_AGAIN: Time = SECOND;
-const ENDED_AGAIN: Time = 5 * SECOND;
+/// Commands that one call of [`Schedule::overdue`] gives, at most: its caller proposes them all in one step.
+pub const MOST_OVERDUE: usize = 256;
+/// Items whose time is over that one call of [`Schedule::next`] passes over, at most.
+const MOST_PASSED_OVER: usize = 1024;
 
 /// An item to run now.
 #[derive(Clone, Debug)]
@@ -41,18 +42,26 @@
     NoRoom,
 }
 
+/// Items whose batch jobs one call plans, but for the last one's.
+const MOST_PLANNED: usize = 1024;
+
 /// Items in the order in which they run: due time, number of the batch job, place in it. The id at the end finds the plan.
 type Turn = (Time, u64, usize, Arc<str>);
 
 /// The owner's plan. It is made anew from the register by whoever becomes the owner. Times are Unix time in microseconds.
+///
+/// Each command is given to be proposed once: what a leader has in its log stays there until another leader replaces it, and that
+/// one has a plan of its own. Only a command that was [refused](Schedule::refused) is given again.
 pub struct Schedule {
+    /// Batch jobs that the register had when the plan was begun and that are still to be planned, the one due first at the front.
+    unplanned: VecDeque<Arc<str>>,
     plans: BTreeMap<Arc<str>, LotPlan>,
     ready: BTreeSet<Turn>,
     /// Runs that have not ended, by batch job and item; also of items dropped since.
     running: BTreeSet<(String, String)>,
-    /// When each proposal is made again.
-    proposed: BTreeSet<Turn>,
-    /// Batch jobs whose time is not over.
+    /// Commands that were refused, to be proposed again; one an item.
+    refused: BTreeMap<Turn, Command>,
+    /// Batch jobs that may have items to abandon when their time is over.
     retained: BTreeSet<(Time, Arc<str>)>,
 }
 
@@ -71,29 +80,53 @@
     events: Vec<Bytes>,
     last_event: u64,
     failed: u32,
-    proposal: Option<Proposal>,
+    /// A command that lists it was given to be proposed.
+    is_proposed: bool,
 }
 
-struct Proposal {
-    command: Command,
-    again: Time,
-    pause: Time,
+impl LotPlan {
+    fn turn(&self, lot: &Arc<str>, place: usize) -> Turn {
+        (self.due, self.number, place, lot.clone())
+    }
+
+    /// Places of items that no command lists yet.
+    fn unproposed(&self) -> impl Iterator<Item = usize> {
+        self.items.iter().filter(|(_, item)| !item.is_proposed).map(|(place, _)| *place)
+    }
 }
 
 impl Schedule {
-    /// All that the register has still to list, with no event had.
+    /// All that the register has still to list, with no event had. A large plan is made over the next calls, in the order in which
+    /// items run.
     pub fn new(register: &Register, _now: Time) -> Self {
+        let mut open: Vec<&Lot> =
+            register.lots.values().map(|lot| &**lot).filter(|lot| !lot.is_closed()).collect();
+        open.sort_unstable_by_key(|lot| (lot.head.due, lot.head.number));
         let mut schedule = Schedule {
+            unplanned: open.into_iter().map(|lot| lot.head.id.clone()).collect(),
             plans: BTreeMap::new(),
             ready: BTreeSet::new(),
             running: BTreeSet::new(),
-            proposed: BTreeSet::new(),
+            refused: BTreeMap::new(),
             retained: BTreeSet::new(),
         };
-        register.lots.values().for_each(|lot| schedule.add(lot));
+        schedule.plan_more(register);
         schedule
     }
 
+    /// Plans further batch jobs as the register has them now.
+    fn plan_more(&mut self, register: &Register) {
+        let mut planned = 0;
+        while planned < MOST_PLANNED
+            && let Some(id) = self.unplanned.pop_front()
+        {
+            if let Some(lot) = register.lots.get(&id).filter(|_| !self.plans.contains_key(&id)) {
+                planned += lot.items().len().max(1);
+                self.add(lot);
+            }
+        }
+    }
+
     /// After a command was applied to the register.
     pub fn applied(&mut self, register: &Register, command: &Command, applied: Applied) {
         match command {
@@ -142,23 +175,23 @@
         let Some((id, _)) = self.plans.get_key_value(lot) else { return };
         let id = id.clone();
         let Some(plan) = self.plans.get_mut(lot) else { return };
-        let Some(item) = plan.items.remove(&place) else { return };
-        self.ready.remove(&(plan.due, plan.number, place, id.clone()));
-        if let Some(proposal) = item.proposal {
-            self.proposed.remove(&(proposal.again, plan.number, place, id.clone()));
+        if plan.items.remove(&place).is_none() {
+            return;
         }
+        let turn = plan.turn(&id, place);
+        self.ready.remove(&turn);
+        self.refused.remove(&turn);
         if plan.items.is_empty() {
             self.retained.remove(&(plan.retain, id));
             self.plans.remove(lot);
         }
     }
 
-    /// The next item to run, the one due first; it counts as running until `ended`. Nothing is run whose time is over.
+    /// The next item to run, the one due first; it counts as running until `ended`. Nothing is run whose time is over. None also
+    /// where many items have to be passed over; the next call goes on behind them.
     pub fn next(&mut self, register: &Register, now: Time) -> Option<Next> {
-        let is_in_time = |turn: &&Turn| self.plans.get(&turn.3).is_some_and(|plan| plan.retain > now);
-        let turn = self.ready.iter().find(is_in_time)?.clone();
-        self.ready.remove(&turn);
-        let (due, _, place, id) = turn;
+        self.plan_more(register);
+        let (due, _, place, id) = self.pop_in_time(now)?;
         let lot = register.lots.get(&*id)?;
         let item = Item::clone(lot.request(place)?);
         let last_event = self.plans.get(&id)?.items.get(&place)?.last_event;
@@ -168,12 +201,22 @@
         Some(Next { lot: id.to_string(), route, host, item, last_event, due, until })
     }
 
+    /// Takes the first ready item whose time is not over, and drops those before it, which `overdue` abandons.
+    fn pop_in_time(&mut self, now: Time) -> Option<Turn> {
+        for _ in 0..MOST_PASSED_OVER {
+            let turn = self.ready.pop_first()?;
+            if self.plans.get(&turn.3).is_some_and(|plan| plan.retain > now) {
+                return Some(turn);
+            }
+        }
+        None
+    }
+
     /// A run has ended with these further events (id, data). Gives the command to propose where the item can be listed now; nothing
     /// where it was listed or its batch job ended meanwhile. Only events with an id over the last one had are taken.
     pub fn ended(
         &mut self,
         register: &Register,
-        now: Time,
         lot: &str,
         item: &str,
         events: Vec<(u64, Bytes)>,
@@ -185,7 +228,7 @@
         let place = register.lots.get(lot)?.place(item)?;
         let id = self.plans.get_key_value(lot)?.0.clone();
         let plan = self.plans.get_mut(lot)?;
-        let turn = (plan.due, plan.number, place, id.clone());
+        let turn = plan.turn(&id, place);
         let kept = plan.items.get_mut(&place)?;
         for (event, data) in events {
             if event > kept.last_event {
@@ -201,7 +244,7 @@
             RunEnd::Failed | RunEnd::Again | RunEnd::NoRoom => None,
         };
         let Some(state) = state else {
-            if kept.proposal.is_none() {
+            if !kept.is_proposed {
                 self.ready.insert(turn);
             }
             return None;
@@ -210,60 +253,67 @@
             State::Complete => StoredText::new(&std::mem::take(&mut kept.events).join(&b'\n')),
             State::Abandoned => StoredText::default(),
         };
-        let command = Command::List { lot: lot.to_owned(), item: item.to_owned(), state, text };
-        self.propose(&id, place, &command, now, ENDED_AGAIN);
-        Some(command)
+        self.mark_proposed(&id, place);
+        Some(Command::List { lot: lot.to_owned(), item: item.to_owned(), state, text })
+    }
+
+    /// A command given to be proposed did not get into the log. `overdue` gives it again, unless a later one lists its item.
+    pub fn refused(&mut self, register: &Register, command: Command) {
+        let Command::List { lot, item, .. } = &command else { return };
+        let Some(place) = register.lots.get(&**lot).and_then(|lot| lot.place(item)) else { return };
+        let Some((id, plan)) = self.plans.get_key_value(&**lot) else { return };
+        if plan.items.contains_key(&place) {
+            self.refused.insert(plan.turn(id, place), command);
+        }
     }
 
-    /// Items whose time (`retain`) is over, to be listed as abandoned; and again what was proposed and not applied for a while.
+    /// Commands to propose, [`MOST_OVERDUE`] at most: those that were refused, and one for each item whose time (`retain`) is over,
+    /// to list it as abandoned.
     pub fn overdue(&mut self, register: &Register, now: Time) -> Vec<Command> {
+        self.plan_more(register);
         let mut commands = Vec::new();
-        while let Some((again, number, place, id)) =
-            self.proposed.first().filter(|turn| turn.0 <= now).cloned()
+        while commands.len() < MOST_OVERDUE
+            && let Some((_, command)) = self.refused.pop_first()
         {
-            self.proposed.remove(&(again, number, place, id.clone()));
-            let kept = self.plans.get(&id).and_then(|plan| plan.items.get(&place));
-            if let Some((command, pause)) =
-                kept.and_then(|kept| kept.proposal.as_ref()).map(|p| (p.command.clone(), p.pause))
-            {
-                self.propose(&id, place, &command, now, pause);
-                commands.push(command);
-            }
+            commands.push(command);
         }
-        while let Some((retain, id)) = self.retained.first().filter(|(retain, _)| *retain <= now).cloned() {
-            self.retained.remove(&(retain, id.clone()));
-            let Some(plan) = self.plans.get(&id) else { continue };
-            let places: Vec<_> = plan
-                .items
-                .iter()
-                .filter(|(_, kept)| kept.proposal.is_none())
-                .map(|(place, _)| *place)
-                .collect();
-            for place in places {
-                let Some(item) = register.lots.get(&*id).and_then(|lot| lot.items().get(place)) else {
-                    continue;
-                };
-                let (lot, item) = (id.to_string(), item.id.to_string());
-                let command =
-                    Command::List { lot, item, state: State::Abandoned, text: StoredText::default() };
-                self.propose(&id, place, &command, now, OVERDUE_AGAIN);
-                commands.push(command);
+        while commands.len() < MOST_OVERDUE
+            && let Some((retain, id)) = self.retained.first().filter(|(retain, _)| *retain <= now).cloned()
+        {
+            let most = MOST_OVERDUE - commands.len();
+            let abandoned = self.abandon(register, &id, most);
+            if abandoned.len() < most {
+                self.retained.remove(&(retain, id));
             }
+            commands.extend(abandoned);
         }
         commands
     }
 
-    /// The item does not run again; its command is kept, to be made again after a pause unless it is applied.
-    fn propose(&mut self, lot: &Arc<str>, place: usize, command: &Command, now: Time, pause: Time) {
+    /// Commands that abandon items of a batch job which none lists yet, so many at most.
+    fn abandon(&mut self, register: &Register, id: &Arc<str>, most: usize) -> Vec<Command> {
+        let Some(lot) = register.lots.get(id) else { return Vec::new() };
+        let Some(plan) = self.plans.get(id) else { return Vec::new() };
+        let places: Vec<usize> = plan.unproposed().take(most).collect();
+        places
+            .into_iter()
+            .filter_map(|place| {
+                let item = lot.items().get(place)?.id.to_string();
+                self.mark_proposed(id, place);
+                let (state, text) = (State::Abandoned, StoredText::default());
+                Some(Command::List { lot: id.to_string(), item, state, text })
+            })
+            .collect()
+    }
+
+    /// The item does not run again. What was refused before of it is not proposed again.
+    fn mark_proposed(&mut self, lot: &Arc<str>, place: usize) {
         let Some(plan) = self.plans.get_mut(lot) else { return };
-        let Some(kept) = plan.items.get_mut(&place) else { return };
-        self.ready.remove(&(plan.due, plan.number, place, lot.clone()));
-        let again = now.saturating_add(pause);
-        let proposal = Proposal { command: command.clone(), again, pause };
-        if let Some(before) = kept.proposal.replace(proposal) {
-            self.proposed.remove(&(before.again, plan.number, place, lot.clone()));
-        }
-        self.proposed.insert((again, plan.number, place, lot.clone()));
+        let turn = plan.turn(lot, place);
+        let Some(item) = plan.items.get_mut(&place) else { return };
+        item.is_proposed = true;
+        self.ready.remove(&turn);
+        self.refused.remove(&turn);
     }
 
     /// Runs that have not ended.
@@ -271,7 +321,7 @@
         self.running.len()
     }
 
-    /// Items that could run now.
+    /// Items that could run now, of those planned so far.
     pub fn waiting(&self) -> usize {
         self.ready.len()
     }
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -200,18 +200,26 @@
                 if forget && register.size() > 0 {
                     commands.push(Command::Forget { before: wall - self.info.keep_lots });
                 }
-                for command in commands {
-                    self.propose_quietly(number, command);
-                }
+                self.propose_quietly(number, commands);
             }
         }
     }
 
-    fn propose_quietly(&mut self, number: u16, command: Command) {
+    /// Proposes commands that nobody waits for. The schedule keeps those that are refused.
+    fn propose_quietly(&mut self, number: u16, commands: Vec<Command>) {
         let Some(part) = self.parts.get_mut(&number) else { return };
-        if part.replica.propose(self.now.steady, command.encode()).is_ok() {
-            self.drain(number);
+        if commands.is_empty() {
+            return;
+        }
+        for command in commands {
+            let proposed = part.replica.propose(self.now.steady, command.encode());
+            if proposed.is_err()
+                && let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut())
+            {
+                schedule.refused(register, command);
+            }
         }
+        self.drain(number);
     }
 
     pub(crate) fn item_ran(
@@ -222,7 +230,7 @@
         events: Vec<(u64, Bytes)>,
         end: RunEnd,
     ) {
-        let (now, wall) = (self.now.steady, self.now.wall);
+        let now = self.now.steady;
         let Some(part) = self.parts.get_mut(&number) else { return };
         let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
             return;
@@ -230,8 +238,8 @@
         if end == RunEnd::NoRoom {
             part.pause = now + NO_ROOM;
         }
-        if let Some(command) = schedule.ended(register, wall, lot, item, events, end) {
-            self.propose_quietly(number, command);
+        if let Some(command) = schedule.ended(register, lot, item, events, end) {
+            self.propose_quietly(number, vec![command]);
         }
     }
 }
