--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -20,7 +20,7 @@
 use quick_error::quick_error;
 pub use register::{Applied, Register, Totals};
 pub use restore::RegisterRestore;
-pub use schedule::{Next, RunEnd, Schedule};
+pub use schedule::{MOST_OVERDUE, Next, RunEnd, Schedule};
 pub use snapshot::{PIECE_BYTES, RegisterSnapshot};
 pub use submission::read_requests;
 pub use text::{MOST_INFLATED, StoredText};
--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -80,7 +80,7 @@
         let leads = |(number, part): (&u16, &Part)| part.schedule.is_some().then_some(*number);
         let led: Vec<u16> = self.parts.iter().filter_map(leads).collect();
         for number in led {
-            self.propose_quietly(number, Command::Forget { before });
+            self.propose_quietly(number, vec![Command::Forget { before }]);
         }
     }
 
