--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -217,6 +217,26 @@
     assert_eq!(bench.worker_of("cheap"), None);
 }
 
+/// The first tasks of a process, held while nothing was known of running times, were passed by all that came after it was.
+#[test]
+fn a_task_that_waits_is_not_passed_by_later_ones_that_are_worth_as_much() {
+    let mut bench = Bench::with_workers(1, &["a"]);
+    for id in ["r0", "r1", "r2", "r3"] {
+        bench.task(id, 0);
+        bench.start_job(id, 0);
+    }
+    ["first", "second"].iter().for_each(|id| bench.task(id, 0));
+    assert_eq!((bench.worker_of("first").as_deref(), bench.worker_of("second")), (Some("a"), None));
+    bench.pass(MS);
+    // Now it is known that tasks are short, and each is worth more for it.
+    bench.end("r0", 0, Outcome::Finished);
+    bench.task("later", 0);
+    assert!(!bench.out.sent.iter().any(|(_, sent)| matches!(sent, Sent::Bounce(_))));
+    assert_eq!((bench.worker_of("second"), bench.worker_of("later")), (None, None));
+    bench.start_job("first", 0);
+    assert_eq!((bench.worker_of("second").as_deref(), bench.worker_of("later")), (Some("a"), None));
+}
+
 fn report(busy: f64, rate: f64) -> Report {
     Report { utilisation: Some(busy), rate: Some(rate), ..Report::default() }
 }
