A stopping process looks whether it is followed before it closes idle connections

Cause: connections without an answer in the takeover test were not lost with the listener. A run with times shows it: the new process listens (977561 us), SIGTERM reaches the old one (988360), and only its next look at the others (998957) finds that it is followed. Until then it acts as one that nobody follows and closes idle connections at once; a client that kept its connection asked at 988314 and found it closed at 989208. All such failures seen were clients' kept connections in that window, of 25 ms at most, and supervisors that wait for the new one's yes hit it often.

Change: the word to stop is preceded by a look at the others, so its stance is right from the start.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -289,6 +289,11 @@
 ) {
     let begun = Instant::now();
     log!("stopping: all answers within {within} us");
+    // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
+    // must not be closed at once, as they are where nobody follows.
+    if let Some(others) = beside {
+        stances.followed(others.followed());
+    }
     stances.stop();
     beside.iter().for_each(|others| others.stops());
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
