--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -6,7 +6,7 @@
 
 use crate::part::Part;
 use crate::room::{Bounds, PartUse, Refusal, Refusals, Usage};
-use crate::{Answer, CONTROL, Coordinator, Origin};
+use crate::{Answer, CONTROL, Coordinator, Effect, Origin};
 
 /// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for
 /// more.
@@ -54,6 +54,7 @@
     /// Answers a batch job that is not taken, and makes room if a rewrite does.
     pub(crate) fn refuse(&mut self, origin: Origin, refusal: Refusal) {
         self.admission.refusals.count(refusal);
+        self.effects.push(Effect::Log("job refused", refusal.name().to_owned()));
         if !refusal.is_temporary() {
             self.forget_when_full();
         }
