A store that lost its seat in a part gives up its state, log and file

Cause: a store that lost its seat kept replica, state and file for good. Nobody tells it anything, no order to forget reaches it, and its bounds count it: up to four stale copies of a part.

Change: the roster tells of each group as of which entry of the part's log it is. Where that group is without the disk, and no older than the newest group entry in the replica's own log, and no leader was heard for 4 s, the replica is vacated: state and log go, and a file of some 60 bytes stays. That holds what a group may still build on: term, vote, and the end of the log (a record of its own), which it votes for no shorter log than. Without the end of the log, a member that missed the change of its group could be elected by one that has given it up; without any file, founders would found the group again. A vacant replica counts in neither figures nor bounds. A member without a seat no longer keeps naming a leader that it does not hear.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -84,6 +84,10 @@
     pub fn weight(&self) -> usize {
         self.weight_to(self.last()) - self.base_weight
     }
+    /// Weight of the entries behind this one.
+    pub fn weight_after(&self, index: Index) -> usize {
+        self.weight_to(self.last()) - self.weight_to(index.min(self.last()))
+    }
     /// Weight of all entries up to this one, also those that are not in memory any more.
     fn weight_to(&self, index: Index) -> usize {
         self.kept(index).map_or(self.base_weight, |kept| kept.weight_to)
--- a/crates/consensus/src/records.rs
+++ b/crates/consensus/src/records.rs
@@ -55,12 +55,19 @@
     /// From `first` on.
     pub(crate) entries: Vec<Entry>,
     pub(crate) settled: Option<Bytes>,
+    /// Where this member gave up a log.
+    pub(crate) vote_floor: Option<Bytes>,
 }
 
 impl Records {
     /// How many there are.
     pub fn count(&self) -> usize {
-        2 + self.pieces.count() + self.entries.len() + usize::from(self.settled.is_some())
+        2 + self.pieces.count() + self.entries.len() + self.last_records().count()
+    }
+
+    /// What follows the entries.
+    fn last_records(&self) -> impl Iterator<Item = &Bytes> {
+        self.settled.iter().chain(&self.vote_floor)
     }
 
     /// How many of the first stand for the snapshot: its head and its pieces.
@@ -75,7 +82,7 @@
         let Some(place) = place.checked_sub(1) else { return Some(self.hard_state.clone()) };
         match self.entries.get(place) {
             Some(entry) => Some(wire::entry_record(self.first + place as u64, entry)),
-            None => self.settled.clone().filter(|_| place == self.entries.len()),
+            None => self.last_records().nth(place - self.entries.len()).cloned(),
         }
     }
 
@@ -88,8 +95,8 @@
     pub fn size(&self) -> u64 {
         let entries: usize =
             self.entries.iter().map(|entry| wire::ENTRY_RECORD_HEAD + entry.data.len()).sum();
-        let others =
-            self.snapshot.len() + self.hard_state.len() + self.settled.as_ref().map_or(0, Bytes::len);
+        let last: usize = self.last_records().map(Bytes::len).sum();
+        let others = self.snapshot.len() + self.hard_state.len() + last;
         self.pieces.size() + (entries + others) as u64
     }
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -9,6 +9,7 @@
 mod receiving;
 mod recovery;
 mod sending;
+mod vacating;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -130,6 +131,8 @@
     deadline: Time,
     term: Term,
     voted: Option<MemberId>,
+    /// Term and index of the end of a log that it gave up; it votes for none that ends before.
+    vote_floor: (Term, Index),
     /// Of the newest record of term and vote.
     hard_ticket: u64,
     log: Log,
@@ -195,6 +198,7 @@
             deadline: now,
             term: 0,
             voted: None,
+            vote_floor: (0, 0),
             hard_ticket: 0,
             log: Log::new(0, 0, founding),
             snapshot: Arc::new(snapshot),
@@ -449,6 +453,14 @@
     pub fn members(&self) -> (&[Member], bool) {
         (&self.log.group().after, self.is_settled())
     }
+    /// The index of the entry that names the newest group that it knows, or of a snapshot that does.
+    pub fn group_index(&self) -> Index {
+        self.log.group().index
+    }
+    /// Bytes of the entries that are in its log and not known to be committed.
+    pub fn uncommitted_bytes(&self) -> usize {
+        self.log.weight_after(self.commit)
+    }
     /// Entries that are in its log and not known to be committed.
     pub fn uncommitted(&self) -> u64 {
         self.log.last().saturating_sub(self.commit)
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -40,11 +40,11 @@
 
     pub(super) fn stand(&mut self) {
         self.restart_timer();
+        self.leader = None;
         if !self.has_seat() {
             return;
         }
         self.role = Role::PreCandidate;
-        self.leader = None;
         // To ask disturbs nobody, so it asks again soon.
         self.deadline = self.draw(self.settings.election / 4);
         self.votes = BTreeSet::from([self.me.id]);
@@ -147,7 +147,7 @@
         if !has_leader && term > self.term {
             self.set_term(term, None);
         }
-        let complete = last >= (self.log.last_term(), self.log.last());
+        let complete = last >= (self.log.last_term(), self.log.last()).max(self.vote_floor);
         let granted = !has_leader
             && complete
             && if pre {
--- a/crates/consensus/src/replica/entries.rs
+++ b/crates/consensus/src/replica/entries.rs
@@ -42,6 +42,7 @@
     pub(super) fn rewrite(&mut self, pieces: PieceRecords, is_implied: bool) {
         let Snapshot { index, term, ref group, .. } = *self.snapshot;
         let settled = (self.settled > index).then(|| wire::settled_record(self.settled));
+        let floor = (self.vote_floor > (0, 0)).then_some(self.vote_floor);
         let records = Records {
             snapshot: wire::snapshot_record(index, term, group, pieces.count()),
             pieces,
@@ -49,6 +50,7 @@
             first: index + 1,
             entries: (index + 1..=self.log.last()).filter_map(|at| self.log.get(at).cloned()).collect(),
             settled,
+            vote_floor: floor.map(|(term, index)| wire::vote_floor_record(term, index)),
         };
         self.founded = true;
         self.ticket += 1;
--- a/crates/consensus/src/replica/recovery.rs
+++ b/crates/consensus/src/replica/recovery.rs
@@ -66,6 +66,7 @@
                 self.log.push(entry);
             }
             Record::Settled { index } => self.settled = self.settled.max(index),
+            Record::VoteFloor { term, index } => self.vote_floor = self.vote_floor.max((term, index)),
             Record::Snapshot { index, term, group, pieces } => {
                 self.log = Log::new(index, term, group.clone());
                 self.snapshot = Arc::new(Snapshot { index, term, group, state: None });
--- a/crates/consensus/src/wire.rs
+++ b/crates/consensus/src/wire.rs
@@ -292,6 +292,8 @@
     Snapshot { index: u64, term: u64, pieces: u32, group_len: u32 },
     #[deku(id = 6)]
     Piece { number: u32 },
+    #[deku(id = 7)]
+    VoteFloor { term: u64, index: u64 },
 }
 
 pub enum Record {
@@ -318,6 +320,11 @@
     Settled {
         index: Index,
     },
+    /// The end of a log that this member gave up: it votes for no log that ends before.
+    VoteFloor {
+        term: Term,
+        index: Index,
+    },
 }
 
 fn record(head: &RecordHead, bulk: &[&[u8]]) -> Bytes {
@@ -359,6 +366,10 @@
     record(&RecordHead::Settled { index }, &[])
 }
 
+pub fn vote_floor_record(term: Term, index: Index) -> Bytes {
+    record(&RecordHead::VoteFloor { term, index }, &[])
+}
+
 pub fn read_record(bytes: &Bytes) -> Result<Record, DecodeError> {
     let ((rest, _), head) =
         RecordHead::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed("a record"))?;
@@ -383,5 +394,9 @@
             believed(&[index])?;
             Record::Settled { index }
         }
+        RecordHead::VoteFloor { term, index } => {
+            believed(&[term, index])?;
+            Record::VoteFloor { term, index }
+        }
     })
 }
--- /dev/null
+++ b/crates/consensus/tests/vacating.rs
@@ -0,0 +1,154 @@
+//! A member that gives up its log and state: what it keeps of them.
+
+mod common;
+
+use bytes::Bytes;
+use common::{MILLIS, member, members, settings};
+use rainlug_consensus::{Member, Replica, Time};
+
+/// A replica with a disk that saves at once.
+struct Node {
+    replica: Replica,
+    disk: Vec<Bytes>,
+}
+
+impl Node {
+    fn new(id: u64, founding: &[u64]) -> Self {
+        Node { replica: Replica::new(member(id), members(founding), settings(1), id, 0), disk: Vec::new() }
+    }
+
+    /// Carries out what it wants; its messages.
+    fn carry_out(&mut self, now: Time) -> Vec<(Member, Bytes)> {
+        let output = self.replica.take();
+        let mut ticket = None;
+        if let Some(rewrite) = output.rewrite {
+            self.disk = rewrite.records.iter().collect();
+            ticket = Some(rewrite.ticket);
+        }
+        for (saved, record) in output.save {
+            self.disk.push(record);
+            ticket = Some(saved);
+        }
+        if let Some(ticket) = ticket {
+            self.replica.saved(now, ticket);
+        }
+        output.messages
+    }
+
+    /// Its process starts again with what the disk holds.
+    fn restart(&mut self, founding: &[u64], now: Time) {
+        let me = self.replica.me().clone();
+        self.replica = Replica::recover(me, members(founding), settings(1), &self.disk, 9, now).unwrap();
+    }
+}
+
+/// Time passes for those that are there; who is not there hears nothing.
+fn run(nodes: &mut [&mut Node], now: &mut Time, time: Time) {
+    let end = *now + time;
+    while *now < end {
+        *now += 5 * MILLIS;
+        for node in nodes.iter_mut() {
+            node.replica.due(*now);
+        }
+        loop {
+            let sent: Vec<(Member, Bytes)> = nodes.iter_mut().flat_map(|node| node.carry_out(*now)).collect();
+            if sent.is_empty() {
+                break;
+            }
+            for (to, bytes) in sent {
+                if let Some(node) = nodes.iter_mut().find(|node| node.replica.me().id == to.id) {
+                    node.replica.heard(*now, &bytes).unwrap();
+                }
+            }
+        }
+    }
+}
+
+const GROUP: [u64; 3] = [1, 2, 3];
+
+/// A group of three, of which the last one has missed what the others have committed.
+fn with_one_left_behind(now: &mut Time) -> [Node; 3] {
+    let [mut first, mut second, third] = GROUP.map(|id| Node::new(id, &GROUP));
+    run(&mut [&mut first, &mut second], now, 2_000 * MILLIS);
+    let leader = if first.replica.leads() { &mut first } else { &mut second };
+    leader.replica.propose(*now, Bytes::from_static(&[7; 100])).unwrap();
+    run(&mut [&mut first, &mut second], now, 500 * MILLIS);
+    [first, second, third]
+}
+
+/// The follower of the first two gives up what it holds.
+fn vacated(first: Node, second: Node, now: Time) -> Node {
+    let mut follower = if first.replica.leads() { second } else { first };
+    assert!(follower.replica.vacate(now));
+    follower.carry_out(now);
+    follower
+}
+
+#[test]
+fn a_member_that_gave_up_its_log_elects_nobody_who_lacks_what_it_held() {
+    for restarts in [false, true] {
+        let mut now = 0;
+        let [first, second, mut third] = with_one_left_behind(&mut now);
+        let mut vacant = vacated(first, second, now);
+        if restarts {
+            vacant.restart(&GROUP, now);
+        }
+        run(&mut [&mut vacant, &mut third], &mut now, 10_000 * MILLIS);
+        assert!(!third.replica.is_elected(), "restarted: {restarts}");
+    }
+}
+
+#[test]
+fn a_founder_that_gave_up_its_log_does_not_found_the_group_again() {
+    let mut now = 0;
+    let [first, second, _] = with_one_left_behind(&mut now);
+    let mut vacant = vacated(first, second, now);
+    vacant.restart(&GROUP, now);
+    assert!(vacant.replica.is_vacant());
+    run(&mut [&mut vacant], &mut now, 5_000 * MILLIS);
+    assert!(vacant.replica.members().0.is_empty());
+}
+
+#[test]
+fn a_member_that_gave_up_its_log_keeps_its_term_on_a_short_file() {
+    let mut now = 0;
+    let [first, second, _] = with_one_left_behind(&mut now);
+    let term = first.replica.term();
+    let mut vacant = vacated(first, second, now);
+    vacant.restart(&GROUP, now);
+    assert_eq!(vacant.replica.term(), term);
+    let length: usize = vacant.disk.iter().map(Bytes::len).sum();
+    assert!(length < 100, "{length} bytes");
+}
+
+#[test]
+fn a_leader_gives_up_nothing() {
+    let mut now = 0;
+    let [first, second, _] = with_one_left_behind(&mut now);
+    let mut leader = if first.replica.leads() { first } else { second };
+    assert!(!leader.replica.vacate(now));
+    assert!(leader.replica.leads());
+}
+
+#[test]
+fn a_member_that_gave_up_its_log_is_filled_again() {
+    let mut now = 0;
+    let [first, second, _] = with_one_left_behind(&mut now);
+    let (mut leader, follower) = if first.replica.leads() { (first, second) } else { (second, first) };
+    let mut third = Node::new(3, &GROUP);
+    run(&mut [&mut leader, &mut third], &mut now, 500 * MILLIS);
+    let id = follower.replica.me().id;
+    let rest: Vec<u64> = GROUP.into_iter().filter(|other| *other != id).collect();
+    leader.replica.change(now, members(&rest)).unwrap();
+    run(&mut [&mut leader, &mut third], &mut now, 500 * MILLIS);
+    let mut vacant = follower;
+    assert!(vacant.replica.vacate(now));
+    vacant.carry_out(now);
+
+    leader.replica.change(now, members(&[rest[0], rest[1], id])).unwrap();
+    run(&mut [&mut leader, &mut third, &mut vacant], &mut now, 500 * MILLIS);
+
+    assert_eq!(vacant.replica.members(), leader.replica.members());
+    assert_eq!(vacant.replica.uncommitted(), 0);
+    assert!(!vacant.replica.is_vacant());
+}
--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -33,8 +33,9 @@
     /// What this process has in use.
     fn usage(&self) -> Usage {
         let submitting = self.parts.values().flat_map(|part| part.submitting.values());
+        let kept = self.parts.values().filter(|part| !part.replica.is_vacant());
         Usage {
-            parts: self.parts.values().map(part_use).collect(),
+            parts: kept.map(part_use).collect(),
             proposed: submitting.map(|submitting| submitting.bytes).sum(),
         }
     }
--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -38,6 +38,8 @@
     Seated {
         part: u16,
         term: u64,
+        /// The group is as of this entry of the part's log, or a later one; 0 for the first group.
+        index: u64,
         /// How many retirements its leader knew of.
         retirements: u32,
         count: u16,
@@ -65,6 +67,8 @@
 pub struct Group {
     pub founding: Vec<Member>,
     pub term: u64,
+    /// The group is as of this entry of the part's log, or a later one.
+    pub index: u64,
     /// Its leader had taken so many retirements into account when it told of this group.
     pub retirements: u32,
     pub members: Vec<Member>,
@@ -116,10 +120,10 @@
 }
 
 impl Change {
-    /// A part's group, to be agreed on.
-    pub fn seated(part: u16, term: u64, retirements: u32, members: &[Member]) -> Self {
+    /// A part's first group, to be agreed on.
+    pub fn founded(part: u16, members: &[Member]) -> Self {
         let seats = seats(members);
-        Change::Seated { part, term, retirements, count: seats.len() as u16, seats }
+        Change::Seated { part, term: 0, index: 0, retirements: 0, count: seats.len() as u16, seats }
     }
 }
 
@@ -134,8 +138,8 @@
                 Outcome::Done
             }
             Change::Retire { store } => self.retire(store.to_str()?),
-            Change::Seated { part, term, retirements, seats, .. } => {
-                self.seat(part, term, retirements, members(&seats)?);
+            Change::Seated { part, term, index, retirements, seats, .. } => {
+                self.seat(part, (term, index), retirements, members(&seats)?);
                 Outcome::Done
             }
             Change::Fence { disk } => {
@@ -168,15 +172,19 @@
         Outcome::Done
     }
 
-    fn seat(&mut self, part: u16, term: u64, retirements: u32, members: Vec<Member>) {
+    fn seat(&mut self, part: u16, at: (u64, u64), retirements: u32, members: Vec<Member>) {
+        let (term, index) = at;
         match self.groups.get_mut(&part) {
             None => {
                 let founding = members.clone();
-                self.groups.insert(part, Group { founding, term, retirements, members });
+                self.groups.insert(part, Group { founding, term, index, retirements, members });
             }
             // A founding that came twice, or word of a leader before.
             Some(group) if term <= group.term && (term == 0 || term < group.term) => {}
-            Some(group) => (group.term, group.retirements, group.members) = (term, retirements, members),
+            Some(group) => {
+                (group.term, group.index) = (term, index);
+                (group.retirements, group.members) = (retirements, members);
+            }
         }
     }
 
@@ -239,7 +247,7 @@
         let listed = |(part, group): (&u16, &Group)| {
             PartGroup::new(
                 *part,
-                group.term,
+                (group.term, group.index),
                 group.retirements,
                 seats(&group.founding),
                 seats(&group.members),
@@ -274,8 +282,9 @@
         }
         for group in &image.roster.groups {
             let (founding, seated) = (members(&group.founding)?, members(&group.members)?);
-            let (term, retirements) = (group.term, group.retirements);
-            control.groups.insert(group.part, Group { founding, term, retirements, members: seated });
+            let (term, index, retirements) = (group.term, group.index, group.retirements);
+            let seated = Group { founding, term, index, retirements, members: seated };
+            control.groups.insert(group.part, seated);
         }
         control.retirements = image.roster.retirements;
         control.fenced = image.roster.fenced;
--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -31,6 +31,7 @@
                 self.seat_stores(number);
             }
         }
+        self.vacate_lost_seats();
         self.watch_routes();
     }
 
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -137,6 +137,8 @@
     Seated {
         part: u16,
         term: u64,
+        /// The group is as of this entry of the part's log, or a later one.
+        index: u64,
         /// How many retirements its leader knows of.
         retirements: u32,
         count: u16,
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod roster;
 mod seats;
 mod serving;
+mod vacating;
 mod workers;
 
 use std::cell::RefCell;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -7,6 +7,7 @@
 use rainlug_batch::{Ledger, Register, RegisterRestore, RegisterSnapshot};
 use rainlug_consensus::{StateSource, WholeState};
 
+use crate::CONTROL;
 use crate::control::Control;
 
 /// Bytes of a piece of the configuration part's snapshot: as much as a message of a group has.
@@ -61,6 +62,15 @@
 }
 
 impl Machine {
+    /// A part's state machine that has applied nothing.
+    pub fn empty(part: u16) -> Self {
+        if part == CONTROL {
+            Machine::Control(Control::default())
+        } else {
+            Machine::Lots(Register::default())
+        }
+    }
+
     /// Its state and the ledger's as of now, to be read piece by piece later on.
     pub fn snapshot_source(&self, ledger: &Ledger) -> Arc<dyn StateSource> {
         match self {
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -59,6 +59,8 @@
     /// No item is begun before.
     pub pause: Time,
     pub swept: Time,
+    /// Since when it may be given up: nobody leads it, and its group is told to be without this disk.
+    pub seatless_since: Option<Time>,
     pub disk: PartDisk,
     /// A snapshot of the machine is asked for.
     pub compact_wanted: bool,
@@ -77,15 +79,10 @@
         now: Time,
     ) -> Result<Self, rainlug_consensus::DecodeError> {
         let replica = Replica::recover(me, founding, settings, records, seed, now)?;
-        let machine = if number == CONTROL {
-            Machine::Control(Control::default())
-        } else {
-            Machine::Lots(Register::default())
-        };
         Ok(Part {
             number,
             replica,
-            machine,
+            machine: Machine::empty(number),
             restoring: None,
             ledger: Ledger::default(),
             reports: None,
@@ -97,6 +94,7 @@
             schedule: None,
             pause: 0,
             swept: now,
+            seatless_since: None,
             disk: PartDisk::of(records),
             compact_wanted: false,
             submitting: BTreeMap::new(),
@@ -155,6 +153,9 @@
     }
 
     pub fn figures(&self) -> Vec<(String, f64)> {
+        if self.replica.is_vacant() {
+            return Vec::new();
+        }
         let name = |what: &str| format!("part_{}_{what}", self.number);
         let mut figures = vec![
             (name("leads"), f64::from(u8::from(self.led))),
--- a/crates/coordinator/src/roster.rs
+++ b/crates/coordinator/src/roster.rs
@@ -50,6 +50,8 @@
 pub struct PartGroup {
     pub part: u16,
     pub term: u64,
+    /// The group is as of this entry of the part's log, or a later one; 0 for the first group.
+    pub index: u64,
     /// Its leader had taken so many retirements into account.
     pub retirements: u32,
     founding_count: u16,
@@ -61,9 +63,11 @@
 }
 
 impl PartGroup {
-    pub fn new(part: u16, term: u64, retirements: u32, founding: Vec<Seat>, members: Vec<Seat>) -> Self {
+    /// `at` are term and index.
+    pub fn new(part: u16, at: (u64, u64), retirements: u32, founding: Vec<Seat>, members: Vec<Seat>) -> Self {
+        let (term, index) = at;
         let (founding_count, member_count) = (founding.len() as u16, members.len() as u16);
-        Self { part, term, retirements, founding_count, founding, member_count, members }
+        Self { part, term, index, retirements, founding_count, founding, member_count, members }
     }
 }
 
@@ -102,6 +106,12 @@
         self.fenced.contains(&disk)
     }
 
+    /// Whether the group that is told of a part, as of an entry no older than this one, is without this disk.
+    pub fn is_without(&self, part: u16, disk: MemberId, index: u64) -> bool {
+        let is_seat = |seat: &Seat| seat.id == disk;
+        self.group(part).is_some_and(|group| group.index >= index && !group.members.iter().any(is_seat))
+    }
+
     /// How many seats a disk has in the groups of batch jobs.
     pub fn seats_of(&self, disk: MemberId) -> usize {
         self.groups.iter().filter(|group| group.members.iter().any(|seat| seat.id == disk)).count()
--- a/crates/coordinator/src/seats.rs
+++ b/crates/coordinator/src/seats.rs
@@ -163,7 +163,7 @@
         for number in missing {
             let group = founded.next_group(&stores, number, target);
             founded.add(&group);
-            self.propose_duty(Change::seated(number, 0, 0, &group));
+            self.propose_duty(Change::founded(number, &group));
         }
     }
 
@@ -303,7 +303,7 @@
         let Some(part) = self.parts.get(&number).filter(|p| p.led && p.replica.is_handed_over()) else {
             return;
         };
-        let term = part.replica.term();
+        let (term, index) = (part.replica.term(), part.replica.group_index());
         let behind = part.replica.behind();
         let holds_all = |m: &Member| {
             m.at == self.info.at
@@ -313,14 +313,14 @@
         let retirements = self.roster.retirements;
         let is_known = self.roster.group(number).is_some_and(|told| {
             let same = told.members.iter().map(|s| s.id).eq(group.iter().map(|m| m.id));
-            same && told.retirements == retirements
+            same && told.retirements == retirements && told.index >= index
         });
         if is_known || !group.iter().all(holds_all) {
             return;
         }
         let seats: Vec<Seat> = group.iter().map(Seat::from).collect();
         let count = seats.len() as u16;
-        let request = Request::Seated { part: number, term, retirements, count, seats };
+        let request = Request::Seated { part: number, term, index, retirements, count, seats };
         self.ask(CONTROL, &request, Bytes::new(), Goal::Nobody, SECOND / 2, 0, 503);
     }
 }
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -44,8 +44,8 @@
                     }
                 }
             }
-            (CONTROL, Request::Seated { part, term, retirements, count, seats }) => {
-                let change = Change::Seated { part, term, retirements, count, seats };
+            (CONTROL, Request::Seated { part, term, index, retirements, count, seats }) => {
+                let change = Change::Seated { part, term, index, retirements, count, seats };
                 self.propose(number, origin, join(&change, &[]));
             }
             (1.., Request::Submit { lot, route }) => {
--- /dev/null
+++ b/crates/coordinator/src/vacating.rs
@@ -0,0 +1,64 @@
+//! A store that has lost its seat in a part gives up what it holds of it: state, log and file.
+//!
+//! Nobody sends it anything any more, so it can only be told by the roster. A replica is given up where all of this holds:
+//!
+//! - The roster's group of the part does not list this disk. A part's leader tells of a group once that is committed and handed
+//!   over. The group of a change that is under way, and a store that is being added, are not told of yet.
+//! - That group is as of an entry no older than the newest group entry in the log here. A roster may be old: it then says nothing
+//!   of a store that was added later, whose log has a newer group entry, committed or not.
+//! - No leader has been heard for some time. A store that is being added hears its leader ten times a second, also before it has
+//!   the entry that adds it.
+//! - It neither leads nor stands for election here.
+//!
+//! What others may still build on stays in a file of some 60 bytes, see [`rainlug_consensus::Replica::vacate`]: without its vote a
+//! member could vote twice in a term, without the end of its log it could elect the leader of a group that has ended, and founders
+//! without a file would found the group once more. When the store is given a seat again it begins with that.
+
+use rainlug::{SECOND, Time};
+
+use crate::part::Machine;
+use crate::{Coordinator, Effect, PARTS};
+
+/// How long no leader must have been heard: longer than the elections, starts and cuts after which a change goes on.
+const QUIET: Time = 4 * SECOND;
+
+impl Coordinator {
+    /// Gives up the replicas that no group counts on any more.
+    pub(crate) fn vacate_lost_seats(&mut self) {
+        for number in 1..=PARTS {
+            let may_go = self.has_lost_seat(number);
+            let now = self.now.steady;
+            let Some(part) = self.parts.get_mut(&number) else { continue };
+            if !may_go {
+                part.seatless_since = None;
+                continue;
+            }
+            if now - *part.seatless_since.get_or_insert(now) >= QUIET {
+                self.vacate(number);
+            }
+        }
+    }
+
+    fn has_lost_seat(&self, number: u16) -> bool {
+        let (Some(part), Some(disk)) = (self.parts.get(&number), self.info.disk) else { return false };
+        let replica = &part.replica;
+        !replica.is_vacant()
+            && !replica.has_backlog()
+            && replica.leader().is_none()
+            && self.roster.is_without(number, disk, replica.group_index())
+    }
+
+    fn vacate(&mut self, number: u16) {
+        let now = self.now.steady;
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        if !part.replica.vacate(now) {
+            return;
+        }
+        part.seatless_since = None;
+        part.restoring = None;
+        part.compact_wanted = false;
+        (part.machine, part.ledger) = (Machine::empty(number), Default::default());
+        self.effects.push(Effect::Log("vacated", format!("part {number}: another store has the seat")));
+        self.drain(number);
+    }
+}
