--- a/crates/coordinator/src/duties.rs
+++ b/crates/coordinator/src/duties.rs
@@ -32,6 +32,7 @@
                 self.seat_stores(number);
             }
         }
+        self.vacate_lost_seats();
         self.watch_routes();
     }
 
