A damaged state is given up; tokens of jobs that came to nothing or have finished come back

Change: the store counts its disk as lost and is filled again; such jobs are told as finished for 3 s; a new leader tells of jobs that closed lately.

--- a/crates/batch/src/register.rs
+++ b/crates/batch/src/register.rs
@@ -292,6 +292,12 @@
         self.lots.keys().filter_map(|id| self.open_lot(id).map(|(route, tokens)| (route, &**id, tokens)))
     }
 
+    /// The batch jobs sent since a time of which nothing is to come any more: route and id.
+    pub fn closed_lots_since(&self, sent: Time) -> impl Iterator<Item = (&str, &str)> {
+        let closed = self.closed.iter().rev().take_while(move |(at, _)| *at >= sent);
+        closed.filter_map(|(_, id)| self.lots.get(id).map(|lot| (lot.head.route.as_str(), &**id)))
+    }
+
     /// The route of a batch job that has items to be listed, and its tokens that wait.
     pub fn open_lot(&self, lot: &str) -> Option<(&str, u64)> {
         let lot = self.lots.get(lot).filter(|lot| !lot.is_closed())?;
--- a/crates/coordinator/src/machine.rs
+++ b/crates/coordinator/src/machine.rs
@@ -35,7 +35,7 @@
     /// Small enough to be read at once, when all of it is there.
     Control(BytesMut),
     /// The first piece is the ledger, the others are the register's.
-    Lots(Option<Ledger>, RegisterRestore),
+    Lots(Option<Ledger>, Box<RegisterRestore>),
 }
 
 /// The state of a part of batch jobs as the replica reads it: the ledger in one piece, and the register's pieces.
@@ -85,7 +85,7 @@
     pub fn restore_begin(&self) -> Restoring {
         match self {
             Machine::Control(_) => Restoring::Control(BytesMut::new()),
-            Machine::Lots(_) => Restoring::Lots(None, RegisterRestore::default()),
+            Machine::Lots(_) => Restoring::Lots(None, Box::default()),
         }
     }
 }
--- a/crates/coordinator/src/part.rs
+++ b/crates/coordinator/src/part.rs
@@ -280,6 +280,7 @@
         }
         if let Err(error) = part.restore(step) {
             self.violated(Invariant::StateRestored, &format_args!("part {number}: {error}"));
+            self.give_up_disk(number);
         }
     }
 
@@ -322,7 +323,7 @@
         if leads {
             if let Machine::Lots(register) = &part.machine {
                 part.schedule = Some(Schedule::new(register, self.now.wall));
-                part.reports = Some(Reports::new(register, term));
+                part.reports = Some(Reports::new(register, term, self.now.wall));
             }
             self.effects.push(Effect::Log("leads", format!("part {number}, term {term}")));
             self.check(Invariant::LeaderWhole, is_whole, || format!("part {number}, term {term}"));
--- a/crates/coordinator/src/quota.rs
+++ b/crates/coordinator/src/quota.rs
@@ -1,11 +1,11 @@
 //! Quotas over all parts: a route's tokens are counted by the ledger in the part [`part_of`] its name. The leader of a batch
 //! job's part reserves the job's tokens there before it proposes the job, and reports what still waits.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_batch::{Booked, Command, OpenLot, Register, ReportNumber};
+use rainlug_batch::{Booked, Command, OpenLot, RESERVATION_GRACE, Register, ReportNumber};
 use rainlug_registry::Kind;
 
 use crate::calls::Goal;
@@ -25,6 +25,8 @@
 /// Finished batch jobs of a route that are still to be told of, where its ledger cannot be reached. Those that are left out are
 /// released like reservations that came to nothing.
 const MOST_FINISHED: usize = 10_000;
+/// How long a batch job is told of as finished whose reservation was not answered: it may be entered late.
+const LATE_RESERVATION: Time = 3 * SECOND;
 /// When to come back with a batch job that is over the quota, or whose ledger cannot be reached.
 const OVER_QUOTA_RETRY: Time = SECOND / 2;
 const NO_LEDGER_RETRY: Time = SECOND / 2;
@@ -77,8 +79,9 @@
 struct RouteReport {
     /// Unfinished batch jobs with the tokens that wait.
     open: BTreeMap<String, u64>,
-    /// Batch jobs that have finished. Each is told of once: maybe no report has named it while it was unfinished.
-    finished: BTreeSet<String>,
+    /// Batch jobs that have finished, or came to nothing, and until when each is told of, once at least: maybe no report has named
+    /// it while it was unfinished, or its reservation is still on its way.
+    finished: BTreeMap<String, Time>,
     /// Those of them that the last report told of.
     told: Vec<String>,
     /// There is something that no report has told.
@@ -91,19 +94,24 @@
 impl RouteReport {
     fn finish(&mut self, lot: &str) {
         if self.open.remove(lot).is_some() {
-            self.finished.insert(lot.to_owned());
-            if self.finished.len() > MOST_FINISHED {
-                self.finished.pop_first();
-            }
-            self.is_changed = true;
+            self.tell_finished(lot, 0);
+        }
+    }
+
+    fn tell_finished(&mut self, lot: &str, until: Time) {
+        self.finished.insert(lot.to_owned(), until);
+        if self.finished.len() > MOST_FINISHED {
+            self.finished.pop_first();
         }
+        self.is_changed = true;
     }
 
     /// What a report tells now, but for what is proposed.
     fn tell(&mut self, now: Time) -> BTreeMap<String, u64> {
         (self.is_changed, self.is_under_way, self.sent_at) = (false, true, now);
-        self.told = self.finished.iter().cloned().collect();
-        let finished = self.finished.iter().map(|lot| (lot.clone(), 0));
+        self.told =
+            self.finished.iter().filter(|(_, until)| **until <= now).map(|(lot, _)| lot.clone()).collect();
+        let finished = self.finished.keys().map(|lot| (lot.clone(), 0));
         finished.chain(self.open.clone()).collect()
     }
 
@@ -114,6 +122,7 @@
         for lot in std::mem::take(&mut self.told).iter().filter(|_| is_entered) {
             self.finished.remove(lot);
         }
+        self.is_changed |= !self.finished.is_empty();
     }
 
     fn due_at(&self) -> Time {
@@ -126,15 +135,29 @@
 }
 
 impl Reports {
-    /// Of a leader that has just been elected: all is to be told.
-    pub fn new(register: &Register, term: u64) -> Self {
+    /// Of a leader that has just been elected: all is to be told, also of batch jobs that finished under the leader before and that
+    /// no report may have named.
+    pub fn new(register: &Register, term: u64, wall: Time) -> Self {
         let mut reports = Reports { last: ReportNumber { term, sequence: 0 }, routes: BTreeMap::new() };
         for (route, lot, tokens) in register.open_lots() {
             reports.route(route).open.insert(lot.to_owned(), tokens);
         }
+        for (route, lot) in register.closed_lots_since(wall - 2 * RESERVATION_GRACE) {
+            reports.route(route).tell_finished(lot, 0);
+        }
         reports
     }
 
+    /// Nothing was proposed of a batch job whose tokens were asked for; the ledger may enter the reservation yet.
+    fn came_to_nothing(&mut self, route: &str, lot: &str, now: Time) {
+        self.route(route).tell_finished(lot, now + LATE_RESERVATION);
+    }
+
+    /// A batch job's tokens are asked for.
+    fn is_reserving(&mut self, route: &str, lot: &str) {
+        self.route(route).finished.remove(lot);
+    }
+
     fn route(&mut self, route: &str) -> &mut RouteReport {
         if !self.routes.contains_key(route) {
             self.routes.insert(route.to_owned(), RouteReport { is_changed: true, ..RouteReport::default() });
@@ -200,6 +223,9 @@
         let Some(part) = self.parts.get_mut(&number) else { return };
         let (route, tokens) = (submitting.route.clone(), submitting.tokens);
         part.submitting.insert(lot.to_owned(), submitting);
+        if let Some(reports) = &mut part.reports {
+            reports.is_reserving(&route, lot);
+        }
         if most == 0 {
             let granted = Reserved { part: number, lot: lot.to_owned(), answer: Answer::of(200) };
             return self.reservations.push_back(granted);
@@ -240,12 +266,18 @@
 
     /// Nothing was proposed: who waits for the batch job may rely on it.
     fn refuse_submitting(&mut self, number: u16, lot: &str, refusal: &Answer) {
+        let now = self.now.steady;
         let Some(part) = self.parts.get_mut(&number) else { return };
         if part.submitting.get(lot).is_none_or(Submitting::is_proposed) {
             return;
         }
-        let origins = part.submitting.remove(lot).map_or(Vec::new(), |submitting| submitting.origins);
-        origins.into_iter().for_each(|origin| self.reply(origin, refusal.clone()));
+        let Some(submitting) = part.submitting.remove(lot) else { return };
+        if refusal.status != 429
+            && let Some(reports) = &mut part.reports
+        {
+            reports.came_to_nothing(&submitting.route, lot, now);
+        }
+        submitting.origins.into_iter().for_each(|origin| self.reply(origin, refusal.clone()));
     }
 
     fn send_submitting_elsewhere(&mut self, number: u16, lot: &str) {
--- a/crates/coordinator/src/seats.rs
+++ b/crates/coordinator/src/seats.rs
@@ -237,6 +237,11 @@
         if (1..=PARTS).any(has_seat) {
             return;
         }
+        self.renew_disk(disk);
+    }
+
+    /// The store is one with an empty disk from now on.
+    fn renew_disk(&mut self, disk: MemberId) {
         self.parts.clear();
         let new: MemberId = self.chance.random::<u64>().max(1);
         self.info.disk = Some(new);
@@ -244,6 +249,17 @@
         self.effects.push(Effect::Renew { disk: new });
     }
 
+    /// What the disk holds of a part cannot be read, so this process must neither serve nor vote by it. A store counts its disk as
+    /// lost and is filled again; a member of the configuration's part takes no part in it until it is replaced.
+    pub(crate) fn give_up_disk(&mut self, number: u16) {
+        if number == CONTROL {
+            self.parts.remove(&CONTROL);
+            self.info.disk = None;
+        } else if let Some(disk) = self.info.disk {
+            self.renew_disk(disk);
+        }
+    }
+
     /// The seats of a part of batch jobs whose elected leader this is.
     fn next_group(&self, number: u16, members: &[Member]) -> Option<Vec<Member>> {
         let listed: Vec<(Member, bool)> = self
