Uncommitted work is bounded by bytes; no item is begun above that or with a stalled disk

Cause: only the count of uncommitted entries was bounded, for new batch jobs. Items went on being run while nothing was committed, and their outputs waited in log, writer and frames without a bound.

Change: entries that wait for their disks over all parts led here, and batch jobs that wait for their tokens, may be 8 MB. Above that no batch job is taken (503 with retry) and no item is begun; none is begun either while the leader's disk stalls. What is running then still ends.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -5,12 +5,17 @@
 use rainlug_batch::Command;
 
 use crate::part::Part;
+use crate::quota::Submitting;
 use crate::room::{Bounds, PartUse, Refusal, Refusals, Usage};
 use crate::{Answer, CONTROL, Coordinator, Origin};
 
 /// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for
 /// more.
 const MOST_UNCOMMITTED: u64 = 512;
+/// Bytes that wait for their disks, over all parts led here, from on which no batch job is taken and no item is
+/// begun. Each is in memory up to twice, in the log and on its way, of some 300 MB; and a link of 60 Mbit/s
+/// takes about a second for them.
+const MOST_UNCOMMITTED_BYTES: usize = 8 << 20;
 /// When to come back with a batch job that waits for a stall to end or for a rewrite.
 const SHORT_RETRY: Time = SECOND;
 
@@ -46,12 +51,29 @@
         if part.disk.is_stalled(self.now.steady) {
             return Err(Refusal::Stall);
         }
-        if part.replica.uncommitted() > MOST_UNCOMMITTED {
+        if part.replica.uncommitted() > MOST_UNCOMMITTED || self.uncommitted_bytes() > MOST_UNCOMMITTED_BYTES
+        {
             return Err(Refusal::Links);
         }
         Bounds::of(&self.info).admit(&self.usage(), bytes)
     }
 
+    /// Bytes that are proposed, or about to be, and not committed, over all parts that are led here.
+    fn uncommitted_bytes(&self) -> usize {
+        let led = self.parts.values().filter(|part| part.replica.is_elected());
+        let bytes = led.map(|part| {
+            let reserving: usize = part.submitting.values().map(Submitting::bytes_to_propose).sum();
+            part.replica.uncommitted_bytes() + reserving
+        });
+        bytes.sum()
+    }
+
+    /// Whether outputs of a part led here wait too long or are too many already for more items to be run.
+    pub(crate) fn holds_items_back(&self, number: u16) -> bool {
+        let is_stalled = |part: &Part| part.disk.is_stalled(self.now.steady);
+        self.parts.get(&number).is_some_and(is_stalled) || self.uncommitted_bytes() > MOST_UNCOMMITTED_BYTES
+    }
+
     /// Answers a batch job that is not taken, and makes room if a rewrite does.
     pub(crate) fn refuse(&mut self, origin: Origin, refusal: Refusal) {
         self.admission.refusals.count(refusal);
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -167,13 +167,16 @@
         self.poll();
         let (now, wall) = (self.now.steady, self.now.wall);
         for number in self.parts.keys().copied().collect::<Vec<u16>>() {
+            let is_held_back = self.holds_items_back(number);
             let Some(part) = self.parts.get_mut(&number) else { continue };
             let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
                 continue;
             };
             if part.pause <= now {
                 part.pause = 0;
-                if schedule.running() < RUNNING
+                // What is held back goes on with the next word of a disk or a member.
+                if !is_held_back
+                    && schedule.running() < RUNNING
                     && let Some(next) = schedule.next(register, wall)
                 {
                     self.effects.push(Effect::Run { part: number, next });
--- a/crates/coordinator/src/quota.rs
+++ b/crates/coordinator/src/quota.rs
@@ -53,6 +53,14 @@
         Submitting { bytes, origins: vec![origin], route, tokens, stage: Stage::Reserving { command } }
     }
 
+    /// Bytes that it holds until it is proposed.
+    pub fn bytes_to_propose(&self) -> usize {
+        match &self.stage {
+            Stage::Reserving { command } => command.len(),
+            Stage::Proposed => 0,
+        }
+    }
+
     /// Whether it may be committed yet.
     pub fn is_proposed(&self) -> bool {
         matches!(self.stage, Stage::Proposed)
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -75,6 +75,8 @@
     chance: ChaCha8Rng,
     pub loss: f64,
     pub sync: Time,
+    /// How long disks take that are not like the others.
+    pub slow_disks: BTreeMap<usize, Time>,
     pub tolerate: usize,
     pub disk_bytes: usize,
     pub memory_bytes: usize,
@@ -133,6 +135,7 @@
             chance: ChaCha8Rng::seed_from_u64(seed),
             loss: 0.002,
             sync: 2 * MS,
+            slow_disks: BTreeMap::new(),
             tolerate: 1,
             disk_bytes: 256 << 20,
             memory_bytes: 300_000_000,
@@ -491,7 +494,8 @@
     }
 
     fn write(&mut self, at: usize, part: u16, ticket: u64, whole: bool, records: Vec<Bytes>) {
-        let (sync, life) = (self.sync, self.machines[at].life);
+        let sync = self.slow_disks.get(&at).copied().unwrap_or(self.sync);
+        let life = self.machines[at].life;
         if let Some(disk) = &mut self.machines[at].disk {
             disk.writing.entry(part).or_default().push((ticket, whole, records));
         }
