Reads that wait for a round are bounded; a poll that waits builds no text

Cause: nothing bounded the reads that one round answers in one step, each with up to 1 MB; and a read that waits for an output built its answer's text at each look only to learn whether there was one.

Change: 16 reads of batch jobs wait for a round at once over all parts led here; one more gets 503 with retry at once. Polls are judged by `has_output`.

Result: both tests of `reads` pass; without the bound (1600) the first one fails, all 100 reads are answered in one go. The second one guards polls and passes with and without. Answers still have up to 1 MB: the register is not changed here.

--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -88,10 +88,12 @@
         let now = self.now.steady;
         let Some(part) = self.parts.get_mut(&number) else { return };
         let Some(register) = part.register() else { return };
-        match register.read(&lot, since) {
-            None => self.reply(origin, Answer::of(404)),
-            Some((text, holds)) if holds || until <= now => self.reply(origin, Answer::json(200, text)),
-            Some(_) => part.polls.push((origin, lot, since, until)),
+        match register.has_output(&lot, since) {
+            Some(false) if until > now => part.polls.push((origin, lot, since, until)),
+            _ => {
+                let answer = register.read(&lot, since);
+                self.reply(origin, answer.map_or(Answer::of(404), |(text, _)| Answer::json(200, text)));
+            }
         }
     }
 
@@ -117,10 +119,9 @@
             schedule.applied(register, &command, applied);
         }
         if let (Command::List { lot, .. }, Applied::Listed { .. }) = (&command, applied) {
-            let (ready, rest): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut part.polls).into_iter().partition(|(_, of, since, _)| {
-                    of == lot && register.read(of, *since).is_some_and(|(_, holds)| holds)
-                });
+            let (ready, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut part.polls)
+                .into_iter()
+                .partition(|(_, of, since, _)| of == lot && register.has_output(of, *since) == Some(true));
             part.polls = rest;
             let ready: Vec<(Origin, String)> = ready
                 .into_iter()
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -11,6 +11,12 @@
 use crate::part::Wanted;
 use crate::{Answer, CONTROL, Coordinator, Origin};
 
+/// Reads of batch jobs that wait for a round at once, over all parts led here: one round may answer all of them in one step, each with
+/// 1 MB at most. Rounds take a few milliseconds, so that this many wait only where rounds or steps are slow.
+const MOST_READS: usize = 16;
+/// When to come back with a read that was one too many.
+const READ_RETRY: Time = SECOND / 5;
+
 impl Coordinator {
     /// A call that has come to this process as a part's leader.
     pub(crate) fn serve(&mut self, origin: Origin, number: u16, request: Request, tail: Bytes) {
@@ -52,6 +58,9 @@
                 self.submit(number, origin, name(&lot), name(&route), tail)
             }
             (1.., Request::Read { lot, since, wait_ms }) => {
+                if self.reads_in_hand() >= MOST_READS {
+                    return self.reply(origin, Answer::later(503, READ_RETRY));
+                }
                 let until = self.now.steady + Time::from(wait_ms.min(2000)) * 1000;
                 self.read(number, origin, Wanted::Lot { lot: name(&lot), since, until });
             }
@@ -86,6 +95,13 @@
         }
     }
 
+    /// Reads of batch jobs that wait for a round; those that wait for an output are not among them.
+    fn reads_in_hand(&self) -> usize {
+        let is_of_lot = |wanted: &Wanted| matches!(wanted, Wanted::Lot { .. });
+        let reads = self.parts.values().flat_map(|part| part.reads.values());
+        reads.filter(|(_, wanted)| is_of_lot(wanted)).count()
+    }
+
     pub(crate) fn read(&mut self, number: u16, origin: Origin, wanted: Wanted) {
         let Some(part) = self.parts.get_mut(&number) else { return };
         part.tickets += 1;
