The longest frame passes on a line between processes

Cause: a line took 12 MB of waiting bytes but frames of up to 16 MB: an entry between the two was dropped by each line for ever and blocked its part.

Change: a line takes the longest frame and 4 MB beside it.

Result: the 3 tests of `peers` pass, one of them new: a frame of 16 MB between two others. That it fails with 12 MB was not run.

--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -24,8 +24,9 @@
 const HEAD: usize = 8;
 /// The longest frame that is taken, in bytes.
 const MOST_FRAME: usize = 16 << 20;
-/// Bytes that may wait for a peer; what comes beyond is dropped, as if lost on the way.
-const MOST_WAITING: usize = 12 << 20;
+/// Bytes that may wait for a peer; what comes beyond is dropped, as if lost on the way. The longest frame passes beside others: one
+/// that never does, an entry of a part's log, would hold up its part for good.
+const MOST_WAITING: usize = MOST_FRAME + (4 << 20);
 /// Bytes of the newest frames that are kept for a peer that cannot be reached.
 const MOST_KEPT: usize = 64 << 10;
 /// Bytes that are written in one go, about, and from where on a tail is not copied.
--- a/crates/tier/tests/peers.rs
+++ b/crates/tier/tests/peers.rs
@@ -100,3 +100,28 @@
         }
     });
 }
+
+#[test]
+fn the_longest_frame_passes_beside_others() {
+    const LONGEST: usize = 16 << 20;
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let lengths = Rc::new(std::cell::RefCell::new(Vec::new()));
+        let taken = lengths.clone();
+        let hears = Peers::new(to);
+        spawn_local(hears.listen(
+            listener,
+            Rc::new(move |_: SocketAddr, bytes: Bytes| taken.borrow_mut().push(bytes.len())),
+        ));
+        let sends = Peers::new("127.0.0.1:1".parse().unwrap());
+        for length in [100_000, LONGEST - 8, 100_000] {
+            sends.send(to, Bytes::from_static(&[0; 8]), Bytes::from(vec![1; length]));
+        }
+        while lengths.borrow().len() < 3 {
+            sleep(Duration::from_millis(5)).await;
+            assert_eq!(sends.dropped.get(), 0);
+        }
+        assert_eq!(*lengths.borrow(), [100_008, LONGEST, 100_008]);
+    });
+}
