Stand-in workers: so many words for each token, and the text of an answer told

Cause: a soak needs outputs of a few KB without thousands of events, and a checker that knows the right text. Change: Shape::words_per_token (1: as before), token_texts() gives the texts of an answer's tokens. The engine test's constant names the new field.

--- a/crates/sim-worker/src/engine.rs
+++ b/crates/sim-worker/src/engine.rs
@@ -22,6 +22,8 @@
     /// Tokens of prompts that are read in one step at most, and nanoseconds that one of them adds to the step.
     pub piece: u64,
     pub read_ns: Time,
+    /// Words in the text of one token.
+    pub words_per_token: u64,
 }
 
 impl Default for Shape {
@@ -34,6 +36,7 @@
             step_more: 2_000,
             piece: 512,
             read_ns: 40_000,
+            words_per_token: 1,
         }
     }
 }
--- a/crates/sim-worker/src/lib.rs
+++ b/crates/sim-worker/src/lib.rs
@@ -23,6 +23,7 @@
 use beats::Callees;
 pub use beats::beat_addr;
 use engine::{Engine, Event, Shape, Time};
+pub use serve::token_texts;
 
 /// The model that stand-ins have, and the version of its weights.
 pub const MODEL: &str = "m";
--- a/crates/sim-worker/src/serve.rs
+++ b/crates/sim-worker/src/serve.rs
@@ -100,6 +100,24 @@
     }
 }
 
+/// The text that a token stands for, of so many words.
+fn text(seed: u64, number: u64, words: u64) -> String {
+    let first = number.wrapping_mul(words);
+    let all: Vec<&str> = (0..words).map(|nth| word(seed, first.wrapping_add(nth))).collect();
+    all.join(" ")
+}
+
+/// What the text of an answer is drawn from.
+fn seed(target: &str, body: &[u8]) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64(target.as_bytes()))
+}
+
+/// The texts of all tokens of an answer: the same at every worker.
+pub fn token_texts(target: &str, body: &[u8], tokens: u64, words_per_token: u64) -> Vec<String> {
+    let seed = seed(target, body);
+    (1..=tokens).map(|number| text(seed, number, words_per_token.max(1))).collect()
+}
+
 /// An answer, told in one go.
 struct Answer {
     status: u16,
@@ -313,7 +331,8 @@
         body: &Bytes,
         place: &mut Place<'_>,
     ) -> Result<Option<Answer>, End> {
-        let seed = xxh3_64_with_seed(body, xxh3_64(asked.target.as_bytes()));
+        let seed = seed(&asked.target, body);
+        let words = self.told.shape.words_per_token.max(1);
         let mut begun = false;
         loop {
             let (number, last) = match self.event(link, place).await? {
@@ -328,7 +347,7 @@
                 out.push_str(&self.lines(asked, 200, close));
                 out.push_str("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
             }
-            let event = format!("id: {number}\ndata: {}\n\n", word(seed, number));
+            let event = format!("id: {number}\ndata: {}\n\n", text(seed, number, words));
             out.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
             if last {
                 out.push_str("0\r\n\r\n");
--- a/crates/sim-worker/tests/engine.rs
+++ b/crates/sim-worker/tests/engine.rs
@@ -10,6 +10,7 @@
     step_more: 2_000,
     piece: 100,
     read_ns: 10_000,
+    words_per_token: 1,
 };
 
 fn job(id: u64, parts: &[(u64, u64)], out: u64) -> Job {
