--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod node;
 pub mod operator;
 pub mod peers;
+pub mod roles;
 pub mod settings;
--- a/crates/tier/src/local.rs
+++ b/crates/tier/src/local.rs
@@ -138,6 +138,21 @@
         u8::from(self.gateways >= 3 && self.stores >= 3)
     }
 
+    /// Where a machine serves clients.
+    pub fn front(&self, machine: &Machine) -> SocketAddr {
+        self.at(machine, FRONT)
+    }
+
+    /// Where a machine serves operators, figures and workers.
+    pub fn control(&self, machine: &Machine) -> SocketAddr {
+        self.at(machine, CONTROL)
+    }
+
+    /// Where a machine hears its peers.
+    pub fn peer(&self, machine: &Machine) -> SocketAddr {
+        self.at(machine, PEERS.0)
+    }
+
     fn at(&self, machine: &Machine, port: u16) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(machine.ip), self.base_port + port)
     }
@@ -159,11 +174,16 @@
         self.gateways().iter().map(|m| self.at(m, READY)).collect()
     }
 
-    fn settings_file(&self, name: &str) -> PathBuf {
+    pub fn settings_file(&self, name: &str) -> PathBuf {
         self.dir.join("settings").join(format!("{name}.toml"))
     }
 
-    fn log_file(&self, name: &str) -> PathBuf {
+    /// A gateway's or store's disk.
+    pub fn data_folder(&self, name: &str) -> PathBuf {
+        self.dir.join("data").join(name)
+    }
+
+    pub fn log_file(&self, name: &str) -> PathBuf {
         self.dir.join("logs").join(format!("{name}.log"))
     }
 
@@ -200,7 +220,7 @@
             ("port_range", Value::Array(ports.to_vec())),
             ("seeds", Value::Array(seeds)),
             ("first_boot", Value::Boolean(first_boot)),
-            ("data_dir", text(&self.dir.join("data").join(&machine.name).to_string_lossy())),
+            ("data_dir", text(&self.data_folder(&machine.name).to_string_lossy())),
             ("beat_ms", Value::Integer(BEAT_MS as i64)),
             ("serves", Value::Array(serves)),
             ("listen", Value::Table(listen)),
@@ -258,8 +278,11 @@
         Ok(())
     }
 
-    /// Whether all addresses are free.
-    fn free(&self) -> Result<(), Error> {
+    /// Finds that all addresses are free.
+    ///
+    /// # Errors
+    /// The first one that is not.
+    pub fn free(&self) -> Result<(), Error> {
         for machine in self.machines() {
             let ports = match machine.role {
                 Role::Gateway => vec![FRONT, READY, CONTROL, PEERS.0],
@@ -273,7 +296,8 @@
         Ok(())
     }
 
-    fn arguments(&self, machine: &Machine) -> Vec<String> {
+    /// What the program is started with for a machine.
+    pub fn arguments(&self, machine: &Machine) -> Vec<String> {
         let settings = self.settings_file(&machine.name).to_string_lossy().into_owned();
         let mut all: Vec<String> = match machine.role {
             Role::Gateway => vec!["gateway".into(), "--settings".into(), settings],
@@ -299,6 +323,24 @@
     }
 }
 
+/// Starts a process whose output goes to the end of a log. It has a group of its own: Ctrl-C is for this process, which ends the
+/// others in order. With `--tied` it ends by itself should this process be killed, as its standard input ends with it.
+///
+/// # Errors
+/// Where the log cannot be opened or the program not started.
+pub fn spawn(program: &Path, arguments: &[String], log: &Path) -> std::io::Result<Child> {
+    let output = OpenOptions::new().create(true).append(true).open(log)?;
+    let errors = output.try_clone()?;
+    Command::new(program)
+        .args(arguments)
+        .env_remove("RAINLUG_SETTINGS")
+        .stdin(Stdio::piped())
+        .stdout(output)
+        .stderr(errors)
+        .process_group(0)
+        .spawn()
+}
+
 /// A process that was started here.
 struct Started {
     machine: Machine,
@@ -310,22 +352,9 @@
 impl Started {
     fn start(plan: &Plan, machine: Machine) -> Result<Self, Error> {
         let log = plan.log_file(&machine.name);
-        let file =
-            OpenOptions::new().create(true).append(true).open(&log).map_err(|e| Error::Files(log, e))?;
         let failed = |e| Error::Start(machine.name.clone(), e);
         let program = std::env::current_exe().map_err(failed)?;
-        let second = file.try_clone().map_err(failed)?;
-        // A group of its own: Ctrl-C is for this process, which ends the others in order. They end by themselves should it be
-        // killed, as their standard input ends with it.
-        let child = Command::new(program)
-            .args(plan.arguments(&machine))
-            .env_remove("RAINLUG_SETTINGS")
-            .stdin(Stdio::piped())
-            .stdout(file)
-            .stderr(second)
-            .process_group(0)
-            .spawn()
-            .map_err(failed)?;
+        let child = spawn(&program, &plan.arguments(&machine), &log).map_err(failed)?;
         Ok(Started { machine, child, over: None })
     }
 
--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -1,18 +1,16 @@
 //! `rainlug`: the serving tier. Each role of a process is a subcommand, and so is each thing that an operator asks for.
 
-use std::io::Read;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use rainlug_sim_worker::{SimWorker, WorkerSettings, engine::Shape};
+use rainlug_tier::check;
 use rainlug_tier::listings::{Members, Parts, Stores, Workers};
 use rainlug_tier::local::{self, Plan, plan};
-use rainlug_tier::node::{Node, Role};
+use rainlug_tier::node::Role;
 use rainlug_tier::operator::{self, Retire};
-use rainlug_tier::{check, log, settings::Settings};
+use rainlug_tier::roles::{self, Started, Worker, failed, started, worker};
 
 /// A serving tier with a batch interface
 #[derive(Clone, Debug, Bpaf)]
@@ -87,16 +85,6 @@
     },
 }
 
-#[derive(Clone, Debug, Bpaf)]
-struct Started {
-    /// The settings file, in place of the one that RAINLUG_SETTINGS names
-    #[bpaf(long, argument("FILE"))]
-    settings: Option<PathBuf>,
-    /// Ends when standard input does
-    #[bpaf(long, hide)]
-    tied: bool,
-}
-
 #[derive(Clone, Debug, Bpaf)]
 struct Asked {
     /// Whom to ask
@@ -132,123 +120,6 @@
     },
 }
 
-#[derive(Clone, Debug, Bpaf)]
-struct Worker {
-    /// What its id begins with; the rest is drawn at each start
-    #[bpaf(long, argument("NAME"), fallback("worker".to_owned()), display_fallback)]
-    name: String,
-    /// The service that it is of
-    #[bpaf(long, argument("NAME"))]
-    service: String,
-    #[bpaf(long, argument("NAME"), fallback("north".to_owned()), display_fallback)]
-    zone: String,
-    /// Where it serves
-    #[bpaf(long, argument("IP:PORT"))]
-    at: SocketAddr,
-    /// Whom it tells of itself; may be given several times
-    #[bpaf(long, argument("IP:PORT"), some("a --control is expected"))]
-    control: Vec<SocketAddr>,
-    #[bpaf(long, argument("MS"), fallback(1000), display_fallback)]
-    beat_ms: u64,
-    /// Time that it serves on for after its drain was heard
-    #[bpaf(long, argument("MS"), fallback(2000), display_fallback)]
-    drain_ms: u64,
-    /// Requests that it runs at once
-    #[bpaf(long, argument("N"), fallback(8), display_fallback)]
-    slots: usize,
-    /// Tokens that its memory holds
-    #[bpaf(long, argument("TOKENS"), fallback(60_000), display_fallback)]
-    kv_tokens: u64,
-    /// Time of one step with one request, and what each further one adds
-    #[bpaf(long, argument("MS"), fallback(12.0), display_fallback)]
-    step_ms: f64,
-    #[bpaf(long, argument("MS"), fallback(2.0), display_fallback)]
-    step_more_ms: f64,
-    /// Ends when standard input does
-    #[bpaf(long, hide)]
-    tied: bool,
-}
-
-/// Asks this process to end in order once standard input does: who started it has ended.
-fn tie() {
-    std::thread::spawn(|| {
-        let mut input = std::io::stdin().lock();
-        let mut bytes = [0; 64];
-        while matches!(input.read(&mut bytes), Ok(1..)) {}
-        let _ = nix::sys::signal::raise(nix::sys::signal::Signal::SIGTERM);
-    });
-}
-
-fn runs<T, E: From<std::io::Error>>(what: impl Future<Output = Result<T, E>>) -> Result<T, E> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, what)
-}
-
-fn serve(role: Role, started: Started) -> ExitCode {
-    let settings = match started.settings {
-        Some(path) => Settings::from_file(&path),
-        None => Settings::from_environment(),
-    };
-    let settings = match settings {
-        Ok(settings) => settings,
-        Err(error) => return failed(2, &error),
-    };
-    if started.tied {
-        tie();
-    }
-    log::start(&settings.node, &settings.log_level);
-    match runs(Node::run(role, settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error("stop", &error.to_string());
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn work(worker: Worker) -> ExitCode {
-    let drawn = match rand::TryRngCore::try_next_u32(&mut rand::rngs::OsRng) {
-        Ok(drawn) => drawn,
-        Err(_) => std::process::id(),
-    };
-    if worker.tied {
-        tie();
-    }
-    log::start(&worker.name, "info");
-    let micros = |ms: f64| (ms.clamp(0.01, 60_000.0) * 1000.0) as rainlug::Time;
-    let told = WorkerSettings {
-        id: format!("{}-{drawn:08x}", worker.name),
-        service: worker.service,
-        zone: worker.zone,
-        at: worker.at,
-        controls: worker.control,
-        beat: Duration::from_millis(worker.beat_ms.max(10)),
-        drain: Duration::from_millis(worker.drain_ms),
-        max_conns: worker.slots.saturating_mul(8).clamp(16, 4096),
-        health_path: "/liveness".to_owned(),
-        shape: Shape {
-            slots: worker.slots,
-            queue: worker.slots,
-            kv_tokens: worker.kv_tokens,
-            step: micros(worker.step_ms),
-            step_more: micros(worker.step_more_ms),
-            ..Shape::default()
-        },
-    };
-    match runs(SimWorker::run(told)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error("stop", &error.to_string());
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn failed(code: u8, error: &dyn std::error::Error) -> ExitCode {
-    eprintln!("rainlug: {error}");
-    ExitCode::from(code)
-}
-
 /// Prints what an operator asked for.
 fn show(what: impl Future<Output = Result<String, operator::Error>>) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
@@ -268,10 +139,10 @@
 
 fn main() -> ExitCode {
     match rainlug().run() {
-        Rainlug::Gateway(started) => serve(Role::Gateway, started),
-        Rainlug::Store(started) => serve(Role::Store, started),
-        Rainlug::Worker(worker) => work(worker),
-        Rainlug::Local(plan) => match runs(local::run(plan)) {
+        Rainlug::Gateway(started) => roles::serve(Role::Gateway, started),
+        Rainlug::Store(started) => roles::serve(Role::Store, started),
+        Rainlug::Worker(worker) => roles::work(worker),
+        Rainlug::Local(plan) => match roles::runs(local::run(plan)) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => failed(1, &error),
         },
--- /dev/null
+++ b/crates/tier/src/roles.rs
@@ -0,0 +1,156 @@
+//! The roles of a process as subcommands of a program: `gateway`, `store` and `worker`.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use rainlug_sim_worker::{SimWorker, WorkerSettings, engine::Shape};
+
+use crate::log;
+use crate::node::{Node, Role};
+use crate::settings::Settings;
+
+/// How a gateway or a store is started.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct Started {
+    /// The settings file, in place of the one that RAINLUG_SETTINGS names
+    #[bpaf(long, argument("FILE"))]
+    settings: Option<PathBuf>,
+    /// Ends when standard input does
+    #[bpaf(long, hide)]
+    tied: bool,
+}
+
+/// How a stand-in worker is started.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct Worker {
+    /// What its id begins with; the rest is drawn at each start
+    #[bpaf(long, argument("NAME"), fallback("worker".to_owned()), display_fallback)]
+    name: String,
+    /// The service that it is of
+    #[bpaf(long, argument("NAME"))]
+    service: String,
+    #[bpaf(long, argument("NAME"), fallback("north".to_owned()), display_fallback)]
+    zone: String,
+    /// Where it serves
+    #[bpaf(long, argument("IP:PORT"))]
+    at: SocketAddr,
+    /// Whom it tells of itself; may be given several times
+    #[bpaf(long, argument("IP:PORT"), some("a --control is expected"))]
+    control: Vec<SocketAddr>,
+    #[bpaf(long, argument("MS"), fallback(1000), display_fallback)]
+    beat_ms: u64,
+    /// Time that it serves on for after its drain was heard
+    #[bpaf(long, argument("MS"), fallback(2000), display_fallback)]
+    drain_ms: u64,
+    /// Requests that it runs at once
+    #[bpaf(long, argument("N"), fallback(8), display_fallback)]
+    slots: usize,
+    /// Tokens that its memory holds
+    #[bpaf(long, argument("TOKENS"), fallback(60_000), display_fallback)]
+    kv_tokens: u64,
+    /// Time of one step with one request, and what each further one adds
+    #[bpaf(long, argument("MS"), fallback(12.0), display_fallback)]
+    step_ms: f64,
+    #[bpaf(long, argument("MS"), fallback(2.0), display_fallback)]
+    step_more_ms: f64,
+    /// Words in the text of one token
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    words_per_token: u64,
+    /// Ends when standard input does
+    #[bpaf(long, hide)]
+    tied: bool,
+}
+
+/// Asks this process to end in order once standard input does: who started it has ended.
+fn tie() {
+    std::thread::spawn(|| {
+        let mut input = std::io::stdin().lock();
+        let mut bytes = [0; 64];
+        while matches!(input.read(&mut bytes), Ok(1..)) {}
+        let _ = nix::sys::signal::raise(nix::sys::signal::Signal::SIGTERM);
+    });
+}
+
+/// Runs something to its end on this thread, with what it starts beside itself.
+///
+/// # Errors
+/// Its own, and where no runtime can be had.
+pub fn runs<T, E: From<std::io::Error>>(what: impl Future<Output = Result<T, E>>) -> Result<T, E> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, what)
+}
+
+/// Serves as a gateway or a store until the process is told to end.
+pub fn serve(role: Role, started: Started) -> ExitCode {
+    let settings = match started.settings {
+        Some(path) => Settings::from_file(&path),
+        None => Settings::from_environment(),
+    };
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(error) => return failed(2, &error),
+    };
+    if started.tied {
+        tie();
+    }
+    log::start(&settings.node, &settings.log_level);
+    match runs(Node::run(role, settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error("stop", &error.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves as a stand-in worker until the process is told to end.
+pub fn work(worker: Worker) -> ExitCode {
+    let drawn = match rand::TryRngCore::try_next_u32(&mut rand::rngs::OsRng) {
+        Ok(drawn) => drawn,
+        Err(_) => std::process::id(),
+    };
+    if worker.tied {
+        tie();
+    }
+    log::start(&worker.name, "info");
+    let micros = |ms: f64| (ms.clamp(0.01, 60_000.0) * 1000.0) as rainlug::Time;
+    let told = WorkerSettings {
+        id: format!("{}-{drawn:08x}", worker.name),
+        service: worker.service,
+        zone: worker.zone,
+        at: worker.at,
+        controls: worker.control,
+        beat: Duration::from_millis(worker.beat_ms.max(10)),
+        drain: Duration::from_millis(worker.drain_ms),
+        max_conns: worker.slots.saturating_mul(8).clamp(16, 4096),
+        health_path: "/liveness".to_owned(),
+        shape: Shape {
+            slots: worker.slots,
+            queue: worker.slots,
+            kv_tokens: worker.kv_tokens,
+            step: micros(worker.step_ms),
+            step_more: micros(worker.step_more_ms),
+            words_per_token: worker.words_per_token,
+            ..Shape::default()
+        },
+    };
+    match runs(SimWorker::run(told)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error("stop", &error.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Prints an error, and gives the code that the process ends with.
+pub fn failed(code: u8, error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("rainlug: {error}");
+    ExitCode::from(code)
+}
