Tier: a fault file for drills cuts a process off from peers

Cause: processes talk to each other directly, so a soak on one machine cannot cut them apart from outside without privileges. Change: setting fault_file (off unless set): peers that nothing is sent to or heard from, and resets; frames wait, and the connection breaks after the time that one without acknowledgements lives. Hooks in peers.rs, and for datagrams in node.rs.

--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod control;
 pub mod disk;
+pub mod faults;
 pub mod listings;
 pub mod local;
 pub mod log;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -183,6 +183,9 @@
                 node.with(|coordinator, now| coordinator.unreachable(now, at));
             }
         }));
+        if let Some(file) = settings.fault_file {
+            spawn_local(node.peers.faults.clone().watch(file));
+        }
         spawn_local(node.peers.clone().listen(frames, frame));
         spawn_local(node.clone().datagrams());
         spawn_local(node.clone().timer());
@@ -264,6 +267,7 @@
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
             // What the socket does not take now is lost, as any datagram may be.
+            Effect::Datagram { to, .. } if !self.peers.faults.may_send(to) => {}
             Effect::Datagram { to, bytes } => {
                 let _ = self.socket.try_send_to(&self.envelope.seal(&bytes), to);
             }
@@ -372,6 +376,9 @@
             }
             for _ in 0..BURST {
                 let Ok((length, from)) = self.socket.try_recv_from(&mut buffer) else { break };
+                if !self.peers.faults.may_hear(from) {
+                    continue;
+                }
                 if let Ok(payload) = self.envelope.open(&buffer[..length]) {
                     self.with(|coordinator, now| coordinator.datagram(now, from, payload));
                 }
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -17,6 +17,8 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::faults::{self, Faults};
+
 /// What a connection begins with: the tier, and the version of its frames.
 const MARK: [u8; 4] = *b"rlt1";
 const HELLO: usize = MARK.len() + 6;
@@ -60,6 +62,8 @@
     me: SocketAddr,
     lines: RefCell<HashMap<SocketAddr, Line>>,
     broke: RefCell<Option<Broke>>,
+    /// Cuts for drills.
+    pub faults: Rc<Faults>,
     /// Bytes sent and taken, frames dropped for want of room.
     pub sent: Cell<u64>,
     pub taken: Cell<u64>,
@@ -72,6 +76,7 @@
             me,
             lines: RefCell::default(),
             broke: RefCell::default(),
+            faults: Rc::default(),
             sent: Cell::new(0),
             taken: Cell::new(0),
             dropped: Cell::new(0),
@@ -134,6 +139,10 @@
         queue: &mut mpsc::UnboundedReceiver<Frame>,
         waiting: &Cell<usize>,
     ) -> io::Result<()> {
+        if !self.faults.may_send(to) {
+            sleep(DIAL).await;
+            return Err(io::ErrorKind::TimedOut.into());
+        }
         let mut stream = timeout(DIAL, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT))?;
@@ -153,6 +162,7 @@
                 waiting.update(|n| n.saturating_sub(length(&next)));
                 put(&mut out, &next);
             }
+            passable(|| self.faults.may_send(to)).await?;
             let tail: &[u8] = if next.1.len() < LARGE { &[] } else { &next.1 };
             self.sent.update(|n| n + (out.len() + tail.len()) as u64);
             timeout(2 * SILENT, stream.write_all(&out)).await??;
@@ -173,6 +183,7 @@
                 }
                 // A peer says nothing here: what can be read is the end.
                 _ = stream.read(&mut none) => return Err(io::ErrorKind::ConnectionReset.into()),
+                () = self.faults.until_reset() => return Err(io::ErrorKind::ConnectionReset.into()),
                 () = sleep(IDLE) => return Ok(()),
             }
         }
@@ -212,7 +223,11 @@
                 taken(from, frame);
             }
             buffer.reserve(4096);
-            let read = stream.read_buf(&mut buffer).await?;
+            let read = tokio::select! {
+                read = stream.read_buf(&mut buffer) => read?,
+                () = self.faults.until_reset() => return Err(io::ErrorKind::ConnectionReset.into()),
+            };
+            passable(|| self.faults.may_hear(from)).await?;
             if read == 0 {
                 return Ok(());
             }
@@ -221,6 +236,19 @@
     }
 }
 
+/// Waits while a drill cuts a peer off, as long as a connection lives without an acknowledgement.
+async fn passable(is_open: impl Fn() -> bool) -> io::Result<()> {
+    let mut waited = Duration::ZERO;
+    while !is_open() {
+        if waited >= SILENT {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        sleep(faults::LOOK).await;
+        waited += faults::LOOK;
+    }
+    Ok(())
+}
+
 fn check(head: &[u8], tail: &[u8]) -> u32 {
     let mut sum = Xxh3Default::new();
     sum.update(head);
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -38,6 +38,8 @@
     #[serde(default)]
     pub first_boot: bool,
     pub data_dir: Option<PathBuf>,
+    /// For drills only: names the peers that this process is cut off from ([`crate::faults`]).
+    pub fault_file: Option<PathBuf>,
     pub beat_ms: u64,
     #[serde(default)]
     pub zones: BTreeMap<String, String>,
--- a/crates/tier/src/settings/fields.rs
+++ b/crates/tier/src/settings/fields.rs
@@ -30,7 +30,7 @@
 use Sort::{Address, Addresses, Flag, Ip, Number, OneOf, Ports, Text, Texts, Whole};
 
 /// All known fields: the place, whether the field must be there, what it may hold.
-const FIELDS: [(&str, bool, Sort); 24] = [
+const FIELDS: [(&str, bool, Sort); 25] = [
     ("node", true, Text(1, 64)),
     ("zone", true, Text(1, 64)),
     ("region", false, Text(0, 256)),
@@ -39,6 +39,7 @@
     ("seeds", true, Addresses),
     ("first_boot", false, Flag),
     ("data_dir", false, Text(1, 4096)),
+    ("fault_file", false, Text(1, 4096)),
     ("beat_ms", true, Whole(1, 3_600_000)),
     ("zones", false, Texts),
     ("listen.front", false, Address),
