Soak: a tier of real processes under load and random faults, with a checker

Change: crates/soak with rainlug-soak, a checker that shares no code with the tier, and a short form as a test.

--- /dev/null
+++ b/crates/soak/src/options.rs
@@ -0,0 +1,111 @@
+//! What a run is told.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+/// A soak of one or several seeds
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Decides the troubles, and what clients ask
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Seeds to run, one after the other, from this one on
+    #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+    pub seeds: u64,
+    /// Seconds of load and troubles; the tier comes up before, and settles after
+    #[bpaf(long, argument("S"), fallback(90), display_fallback)]
+    pub seconds: u64,
+    /// Machines that may be lost at once
+    #[bpaf(long("tolerate"), argument("F"), fallback(1), display_fallback)]
+    pub tolerate: u8,
+    /// Processes that keep batch jobs
+    #[bpaf(long, argument("N"), fallback(5), display_fallback)]
+    pub stores: u8,
+    /// Troubles at once, at most
+    #[bpaf(long, argument("N"), fallback(3), display_fallback)]
+    pub overlap: u8,
+    /// Batch jobs that each of the clients submits in a second, about
+    #[bpaf(long, argument("N"), fallback(6.0), display_fallback)]
+    pub rate: f64,
+    /// A disk's room, and the memory that a process may use
+    #[bpaf(long, argument("MB"), fallback(32), display_fallback)]
+    pub disk_mb: u32,
+    #[bpaf(long, argument("MB"), fallback(80), display_fallback)]
+    pub memory_mb: u32,
+    /// Seconds that results are kept for, less the minute that the tier adds
+    #[bpaf(long, argument("S"), fallback(20), display_fallback)]
+    pub status_s: u32,
+    /// Seconds in which a wiped disk must be whole again
+    #[bpaf(long, argument("S"), fallback(5), display_fallback)]
+    pub sync_s: u64,
+    /// Seconds after which an item is given up
+    #[bpaf(long, argument("S"), fallback(20), display_fallback)]
+    pub retain_s: u64,
+    /// Words in the text of each token of an answer
+    #[bpaf(long, argument("N"), fallback(24), display_fallback)]
+    pub words_per_token: u32,
+    /// Where settings, disks and logs are
+    #[bpaf(long, argument("DIR"), fallback(PathBuf::from("target/soak")), debug_fallback)]
+    pub dir: PathBuf,
+    /// The program of the tier, in place of this one
+    #[bpaf(long, argument("FILE"))]
+    pub program: Option<PathBuf>,
+}
+
+/// What the processes are told of their room and times.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: u32,
+    pub disk_mb: u32,
+    pub status_s: u32,
+    pub tolerate: u8,
+    pub words_per_token: u32,
+}
+
+/// What the tier adds to `status_s` before it forgets a lot.
+const KEPT_LONGER: Duration = Duration::from_secs(60);
+
+impl Options {
+    /// Whether there can be such a run: enough machines, few enough processes, and an end.
+    pub fn is_sound(&self) -> bool {
+        let needed = 2 * u32::from(self.tolerate) + 1;
+        let processes = u32::from(self.gateways()) + u32::from(self.stores) + u32::from(WORKERS);
+        (1..=2).contains(&self.tolerate)
+            && u32::from(self.stores) >= needed
+            && processes <= MOST_PROCESSES
+            && (1..=MOST_SECONDS).contains(&self.seconds)
+            && (1..=MOST_SEEDS).contains(&self.seeds)
+            && (1..=4).contains(&self.overlap)
+            && self.rate > 0.0
+            && self.rate <= 100.0
+            && self.memory_mb * processes <= MOST_MEMORY_MB
+    }
+
+    /// Enough for the group of the configuration.
+    pub fn gateways(&self) -> u8 {
+        (2 * self.tolerate + 1).max(3)
+    }
+
+    pub fn limits(&self) -> Limits {
+        Limits {
+            memory_mb: self.memory_mb,
+            disk_mb: self.disk_mb,
+            status_s: self.status_s,
+            tolerate: self.tolerate,
+            words_per_token: self.words_per_token,
+        }
+    }
+
+    pub fn keep(&self) -> Duration {
+        Duration::from_secs(self.status_s.into()) + KEPT_LONGER
+    }
+}
+
+/// Stand-in workers of a run.
+pub const WORKERS: u8 = 3;
+const MOST_PROCESSES: u32 = 40;
+const MOST_SECONDS: u64 = 3600;
+const MOST_SEEDS: u64 = 1000;
+const MOST_MEMORY_MB: u32 = 8192;
