--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -123,7 +123,7 @@
     let mut random = soak.random(task);
     let between = 2.0 / soak.options.rate;
     let mut number = 0;
-    while soak.stage() == Stage::Load {
+    while soak.stage() <= Stage::Closing {
         number += 1;
         let route = if random.random_bool(0.5) { 'a' } else { 'b' };
         let lot = draw_lot(&soak, &mut random, format!("s{}-{task}-{number}{route}", soak.seed));
@@ -145,7 +145,7 @@
         if send(soak, at, lot).await == Some(202) {
             break;
         }
-        if soak.stage() != Stage::Load {
+        if soak.stage() > Stage::Closing {
             return;
         }
         sleep(RETRY).await;
@@ -227,7 +227,7 @@
                 body(&soak, &mut random, &id).await;
                 read(&soak, at, &id, known, "0").await;
             }
-            _ if soak.stage() == Stage::Load => end(&soak, &mut random, &id).await,
+            _ if soak.stage() <= Stage::Closing => end(&soak, &mut random, &id).await,
             _ => {}
         }
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod options;
 pub mod run;
 pub mod soak;
+pub mod throttle;
 pub mod tier;
 pub mod trouble;
--- a/crates/soak/src/losses.rs
+++ b/crates/soak/src/losses.rs
@@ -29,6 +29,11 @@
         self.tolerate.saturating_sub(self.counted.len())
     }
 
+    /// Whether no disk counts as lost.
+    pub fn is_empty(&self) -> bool {
+        self.counted.is_empty()
+    }
+
     /// A disk is wiped.
     pub fn wiped(&mut self, machine: &str) {
         self.counted.retain(|loss| loss.machine != machine);
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -161,7 +161,7 @@
         }
         sleep(LOOK).await;
     }
-    if is_taken {
+    if is_taken && Instant::now() >= until {
         soak.note(&format!("{name} was not retired within {} s", RETIRES.as_secs()));
         soak.count("retire late");
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -26,6 +26,9 @@
     /// Troubles at once, at most
     #[bpaf(long, argument("N"), fallback(3), display_fallback)]
     pub overlap: u8,
+    /// Clients that submit batch jobs, and as many that read them
+    #[bpaf(long, argument("N"), fallback(4), display_fallback)]
+    pub clients: u16,
     /// Batch jobs that each of the clients submits in a second, about
     #[bpaf(long, argument("N"), fallback(6.0), display_fallback)]
     pub rate: f64,
@@ -34,6 +37,9 @@
     pub disk_mb: u32,
     #[bpaf(long, argument("MB"), fallback(80), display_fallback)]
     pub memory_mb: u32,
+    /// Processor share that each gateway and store may use; without this, all there is
+    #[bpaf(long, argument("SHARE"))]
+    pub cpu_share: Option<f64>,
     /// Seconds that results are kept for, less the minute that the tier adds
     #[bpaf(long, argument("S"), fallback(20), display_fallback)]
     pub status_s: u32,
@@ -78,6 +84,8 @@
             && (1..=MOST_SECONDS).contains(&self.seconds)
             && (1..=MOST_SEEDS).contains(&self.seeds)
             && (1..=4).contains(&self.overlap)
+            && self.cpu_share.is_none_or(|share| (0.05..=4.0).contains(&share))
+            && (1..=100).contains(&self.clients)
             && self.rate > 0.0
             && self.rate <= 100.0
             && self.memory_mb * processes <= MOST_MEMORY_MB
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,10 +18,15 @@
 use crate::operator::{change, configures, retires};
 use crate::options::{Options, WORKERS};
 use crate::soak::{Soak, Stage};
+use crate::throttle::throttles;
 use crate::tier::{Error, Tier};
-use crate::trouble::troubles;
+use crate::trouble::{closing_fault, troubles};
 
-const CLIENTS: u64 = 4;
+/// First numbers of tasks of a kind: each draws from a generator of its own.
+const SUBMITTERS: u64 = 1000;
+const READERS: u64 = 2000;
+const OPERATORS: u64 = 3000;
+const TROUBLES: u64 = 4000;
 /// The tier must be up in this time.
 const UP: Duration = Duration::from_secs(30);
 /// After all troubles, the tier has this time beyond that of its youngest items to finish all.
@@ -115,16 +120,21 @@
     come_up(soak).await?;
     soak.enter(Stage::Load);
     let mut all = Vec::new();
-    for client in 0..CLIENTS {
-        all.push(spawn_local(submits(soak.clone(), 10 + client)));
-        all.push(spawn_local(reads(soak.clone(), 20 + client)));
+    if let Some(share) = soak.options.cpu_share {
+        all.push(spawn_local(throttles(soak.clone(), share)));
     }
-    all.push(spawn_local(configures(soak.clone(), 30)));
-    all.push(spawn_local(retires(soak.clone(), 31)));
+    for client in 0..u64::from(soak.options.clients) {
+        all.push(spawn_local(submits(soak.clone(), SUBMITTERS + client)));
+        all.push(spawn_local(reads(soak.clone(), READERS + client)));
+    }
+    all.push(spawn_local(configures(soak.clone(), OPERATORS)));
+    all.push(spawn_local(retires(soak.clone(), OPERATORS + 1)));
     for row in 0..u64::from(soak.options.overlap) {
-        all.push(spawn_local(troubles(soak.clone(), 40 + row)));
+        all.push(spawn_local(troubles(soak.clone(), TROUBLES + row)));
     }
     sleep(Duration::from_secs(soak.options.seconds)).await;
+    soak.enter(Stage::Closing);
+    closing_fault(soak, &mut soak.random(2)).await?;
     soak.enter(Stage::Settle);
     settle(soak).await;
     soak.enter(Stage::Over);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -22,6 +22,8 @@
 pub enum Stage {
     /// Load and troubles.
     Load,
+    /// Load, and no troubles but the closing one.
+    Closing,
     /// No new jobs and no troubles: all must come to its end.
     Settle,
     Over,
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -49,6 +49,8 @@
     pub running: Running,
     /// A trouble has it in hand.
     pub is_busy: bool,
+    /// It has used its processor time of this period.
+    is_throttled: bool,
     child: Option<Child>,
 }
 
@@ -64,6 +66,17 @@
         }
     }
 
+    /// Stops the process, or lets it go on unless it is paused.
+    pub fn throttle(&mut self, is_throttled: bool) {
+        if self.is_throttled == is_throttled {
+            return;
+        }
+        self.is_throttled = is_throttled;
+        if self.running == Running::Up {
+            self.signal(if is_throttled { Signal::SIGSTOP } else { Signal::SIGCONT });
+        }
+    }
+
     /// Kills the process, also a paused one, and waits for its end.
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -100,7 +113,13 @@
             let folder = plan.dir.join(folder);
             std::fs::create_dir_all(&folder).map_err(|e| Error::Files(folder.clone(), e))?;
         }
-        let host = |machine| Host { machine, running: Running::Down, is_busy: false, child: None };
+        let host = |machine| Host {
+            machine,
+            running: Running::Down,
+            is_busy: false,
+            is_throttled: false,
+            child: None,
+        };
         let hosts = plan.machines().into_iter().map(host).collect();
         let tier =
             Tier { plan, program, limits, hosts, network: Network::default(), later: 0, first_boot: true };
@@ -179,6 +198,7 @@
         let child = spawn(&self.program, &arguments, &log).map_err(|e| Error::Start(machine.name, e))?;
         host.child = Some(child);
         host.running = Running::Up;
+        host.is_throttled = false;
         Ok(())
     }
 
@@ -200,8 +220,10 @@
 
     pub fn resume(&mut self, index: usize) {
         if let Some(host) = self.hosts.get_mut(index).filter(|host| host.running == Running::Paused) {
-            host.signal(Signal::SIGCONT);
             host.running = Running::Up;
+            if !host.is_throttled {
+                host.signal(Signal::SIGCONT);
+            }
         }
     }
 
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -16,6 +16,8 @@
 
 /// Quiet between two troubles of one row, in seconds.
 const BETWEEN: std::ops::Range<f64> = 0.5..5.0;
+/// All troubles end in this time once no new ones begin.
+const CLOSING: Duration = Duration::from_secs(5);
 const LOOK: Duration = Duration::from_millis(100);
 const KEEPERS: [Role; 2] = [Role::Gateway, Role::Store];
 
@@ -123,6 +125,30 @@
     }
 }
 
+/// The closing fault, under load: once all earlier losses had their time, all are killed, and as many disks of stores are wiped as
+/// may be lost at once.
+///
+/// # Errors
+/// Where disks or processes cannot be handled.
+pub async fn closing_fault(soak: &Soak, random: &mut SmallRng) -> Result<(), Error> {
+    let until = soak.now() + CLOSING + Duration::from_secs(soak.options.sync_s);
+    while soak.now() < until && !is_calm(soak) {
+        sleep(LOOK).await;
+    }
+    let machines = soak.tier.borrow().of(&KEEPERS);
+    let mut wiped = soak.tier.borrow().of(&[Role::Store]);
+    wiped.retain(|index| !soak.losses.borrow().counts(&soak.tier.borrow().name(*index)));
+    wiped.shuffle(random);
+    wiped.truncate(soak.losses.borrow().allowed());
+    carry_out(soak, Trouble::Wipe { machines, wiped, down: Duration::ZERO }).await
+}
+
+/// Whether no trouble is in force, and no disk counts as lost.
+fn is_calm(soak: &Soak) -> bool {
+    let is_busy = soak.tier.borrow().hosts.iter().any(|host| host.is_busy);
+    !is_busy && soak.tier.borrow().away().is_empty() && soak.losses.borrow().is_empty()
+}
+
 /// Waits for a time, or until the load is over.
 async fn lasts(soak: &Soak, time: Duration) {
     let until = soak.now() + time;
