Soak: what is unfinished is read at the end, and no trouble begins after its time

Cause: readers that draw at random lag behind thousands of jobs, so settling waited for its whole time; a row of troubles that slept began one more after the load; one part that cannot be read left no time for the others. Change: settle() reads each unfinished job; rows look at the stage after their sleep; each job is tried at least once.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,7 +31,7 @@
 const UP: Duration = Duration::from_secs(30);
 /// After all troubles, the tier has this time beyond that of its youngest items to finish all.
 const SETTLES: Duration = Duration::from_secs(25);
-/// All accepted lots are read once more within this time.
+/// All accepted lots are read once more; this long after the last one that could be, another one is tried but once.
 const READ_ALL: Duration = Duration::from_secs(30);
 const RETRY: Duration = Duration::from_millis(200);
 /// First ports that are tried: below those that the system gives away by itself.
@@ -182,24 +182,33 @@
 async fn settle(soak: &Soak) {
     heal(soak);
     let until = soak.now() + Duration::from_secs(soak.options.retain_s) + SETTLES;
-    // Troubles in hand end by themselves, and heal once more what they left.
+    let mut random = soak.random(1);
+    // Troubles in hand end by themselves, and what they left is healed once more.
     while soak.now() < until {
         sleep(RETRY).await;
         heal(soak);
-        if soak.checker.borrow().unfinished(soak.now()).is_empty() {
+        let unfinished = owned(soak.checker.borrow().unfinished(soak.now()));
+        if unfinished.is_empty() {
             break;
         }
+        for id in unfinished {
+            let known = soak.checker.borrow().known(&id);
+            read(soak, soak.any_front(&mut random), &id, known, "0").await;
+        }
     }
     soak.note("all is read once more");
-    let ids: Vec<String> =
-        soak.checker.borrow().readable(soak.now()).into_iter().map(str::to_owned).collect();
-    let mut random = soak.random(1);
-    let until = soak.now() + READ_ALL;
+    let ids = owned(soak.checker.borrow().readable(soak.now()));
+    let last = soak.now() + READ_ALL * 4;
+    let mut until = soak.now() + READ_ALL;
     for id in ids {
         let mut is_read = false;
-        while !is_read && soak.now() < until {
+        while !is_read && soak.now() < last {
             is_read = read(soak, soak.any_front(&mut random), &id, 0, "0").await;
-            if !is_read {
+            if is_read {
+                until = soak.now() + READ_ALL;
+            } else if soak.now() >= until {
+                break;
+            } else {
                 sleep(RETRY).await;
             }
         }
@@ -208,14 +217,17 @@
             soak.violated(format!("lot {id}: accepted, and cannot be read at the end"));
         }
     }
-    let unfinished: Vec<String> =
-        soak.checker.borrow().unfinished(soak.now()).into_iter().map(str::to_owned).collect();
+    let unfinished = owned(soak.checker.borrow().unfinished(soak.now()));
     for id in unfinished {
         let known = soak.checker.borrow().known(&id);
         soak.violated(format!("lot {id}: accepted, and not finished at the end: {known} results"));
     }
 }
 
+fn owned(ids: Vec<&str>) -> Vec<String> {
+    ids.into_iter().map(str::to_owned).collect()
+}
+
 fn heal(soak: &Soak) {
     let mut tier = soak.tier.borrow_mut();
     tier.network.heal_all();
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -118,6 +118,9 @@
     let mut random = soak.random(task);
     while soak.stage() == Stage::Load {
         sleep(Duration::from_secs_f64(random.random_range(BETWEEN))).await;
+        if soak.stage() != Stage::Load {
+            return;
+        }
         let Some(trouble) = draw(&soak, &mut random) else { continue };
         if let Err(error) = carry_out(&soak, trouble).await {
             soak.violated(format!("the soak itself: {error}"));
