Soak: how long routes are not served after the closing fault

Cause: a part that elects leaders again and again serves late though no rule is broken in the end. Change: a figure in the closing lines; no rule. Result: cargo test -p rainlug-soak: passed.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 
 use rainlug_sim_worker::client::{self, Ask};
 use rainlug_tier::local::{Plan, Role};
+use rand::rngs::SmallRng;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -183,6 +184,7 @@
     heal(soak);
     let until = soak.now() + Duration::from_secs(soak.options.retain_s) + SETTLES;
     let mut random = soak.random(1);
+    back_after(soak, &mut random, until).await;
     // Troubles in hand end by themselves, and what they left is healed once more.
     while soak.now() < until {
         sleep(RETRY).await;
@@ -224,6 +226,20 @@
     }
 }
 
+/// Counts how long it takes until each route's part serves again: a lot that nobody sent is not found.
+async fn back_after(soak: &Soak, random: &mut SmallRng, until: Duration) {
+    let begun = soak.now();
+    for host in HOSTS {
+        let fields = [("Host", host)];
+        let ask = Ask { method: "GET", path: "/v1/lots/none", fields: &fields, body: b"" };
+        while status(soak.any_front(random), ask).await != Some(404) && soak.now() < until {
+            sleep(RETRY).await;
+        }
+        let millis = u64::try_from((soak.now() - begun).as_millis()).unwrap_or(u64::MAX);
+        soak.most("ms until all routes served after the closing fault", millis);
+    }
+}
+
 fn owned(ids: Vec<&str>) -> Vec<String> {
     ids.into_iter().map(str::to_owned).collect()
 }
