Soak: what could be read when troubles ended must be read, also after its time

Change: settle() keeps the list of its beginning; each lot on it must be read with all results, or be answered 404 after its time. Nothing is asked any more once no lot could be read for 30 s.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -174,10 +174,12 @@
 
     /// Readable lots that have neither all their results nor an end.
     pub fn unfinished(&self, now: Duration) -> Vec<&str> {
-        let is_open = |id: &&str| {
-            self.lots.get(*id).is_some_and(|lot| !lot.is_end_asked && lot.outputs.len() < lot.items.len())
-        };
-        self.readable(now).into_iter().filter(is_open).collect()
+        self.readable(now).into_iter().filter(|id| !self.is_finished(id)).collect()
+    }
+
+    /// Whether all results of a lot are known, or its end was asked for.
+    pub fn is_finished(&self, id: &str) -> bool {
+        self.lots.get(id).is_some_and(|lot| lot.is_end_asked || lot.outputs.len() == lot.items.len())
     }
 
     /// How many results of a lot are known.
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -156,28 +156,28 @@
     }
 }
 
-/// Reads a lot from a position on; whether there was a page.
-pub async fn read(soak: &Soak, at: SocketAddr, id: &str, since: usize, wait_ms: &str) -> bool {
-    let Some(begun) = soak.checker.borrow().read_begins(id) else { return false };
+/// Reads a lot from a position on; the answer's status where there was one.
+pub async fn read(soak: &Soak, at: SocketAddr, id: &str, since: usize, wait_ms: &str) -> Option<u16> {
+    let begun = soak.checker.borrow().read_begins(id)?;
     let fields = [("Host", host_of(id)), ("X-Rainlug-Wait-Ms", wait_ms)];
     let path = format!("/v1/lots/{id}?since_item={since}");
     let ask = Ask { method: "GET", path: &path, fields: &fields, body: b"" };
     let Ok(told) = client::call(at, ask, ANSWER).await else {
         soak.count("read -");
-        return false;
+        return None;
     };
     soak.count(format!("read {}", told.status));
     let now = soak.now();
     let mut checker = soak.checker.borrow_mut();
     if told.status != 200 {
         checker.read_refused(now, id, &begun, told.status);
-        return false;
+        return Some(told.status);
     }
     match serde_json::from_slice::<Page>(&told.body) {
         Ok(page) => checker.read(now, id, since, &begun, &page),
         Err(error) => checker.violated(now, format!("lot {id}: a read's answer is none: {error}")),
     }
-    true
+    Some(told.status)
 }
 
 async fn body(soak: &Soak, random: &mut SmallRng, id: &str) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -32,7 +32,7 @@
 const UP: Duration = Duration::from_secs(30);
 /// After all troubles, the tier has this time beyond that of its youngest items to finish all.
 const SETTLES: Duration = Duration::from_secs(25);
-/// All accepted lots are read once more; this long after the last one that could be, another one is tried but once.
+/// All accepted lots are read once more, until none could be for so long.
 const READ_ALL: Duration = Duration::from_secs(30);
 const RETRY: Duration = Duration::from_millis(200);
 /// First ports that are tried: below those that the system gives away by itself.
@@ -179,8 +179,10 @@
     Ok(())
 }
 
-/// Ends all troubles, waits until all lots are finished, and reads them all.
+/// Ends all troubles, waits until all lots are finished, and reads them all. What is to be read is what could be read when that
+/// began: a lot that the tier does not serve any more must not pass because its time is over meanwhile.
 async fn settle(soak: &Soak) {
+    let ids = owned(soak.checker.borrow().readable(soak.now()));
     heal(soak);
     let until = soak.now() + Duration::from_secs(soak.options.retain_s) + SETTLES;
     let mut random = soak.random(1);
@@ -189,41 +191,51 @@
     while soak.now() < until {
         sleep(RETRY).await;
         heal(soak);
-        let unfinished = owned(soak.checker.borrow().unfinished(soak.now()));
+        let unfinished: Vec<&String> =
+            ids.iter().filter(|id| !soak.checker.borrow().is_finished(id)).collect();
         if unfinished.is_empty() {
             break;
         }
         for id in unfinished {
-            let known = soak.checker.borrow().known(&id);
-            read(soak, soak.any_front(&mut random), &id, known, "0").await;
+            let known = soak.checker.borrow().known(id);
+            if soak.now() < until {
+                read(soak, soak.any_front(&mut random), id, known, "0").await;
+            }
         }
     }
     soak.note("all is read once more");
-    let ids = owned(soak.checker.borrow().readable(soak.now()));
-    let last = soak.now() + READ_ALL * 4;
+    read_all(soak, &mut random, &ids).await;
+}
+
+/// Reads all of these lots from their beginning; each must be there, with all its results.
+async fn read_all(soak: &Soak, random: &mut SmallRng, ids: &[String]) {
     let mut until = soak.now() + READ_ALL;
     for id in ids {
-        let mut is_read = false;
-        while !is_read && soak.now() < last {
-            is_read = read(soak, soak.any_front(&mut random), &id, 0, "0").await;
-            if is_read {
-                until = soak.now() + READ_ALL;
-            } else if soak.now() >= until {
-                break;
-            } else {
-                sleep(RETRY).await;
-            }
+        let status = read_patiently(soak, random, id, until).await;
+        let is_finished = soak.checker.borrow().is_finished(id);
+        let known = soak.checker.borrow().known(id);
+        match status {
+            Some(200) => until = soak.now() + READ_ALL,
+            // Its time is over, or the checker has said so.
+            Some(404) => {}
+            _ => soak.violated(format!("lot {id}: accepted, and cannot be read at the end")),
         }
-        let is_kept = soak.checker.borrow().readable(soak.now()).contains(&id.as_str());
-        if !is_read && is_kept {
-            soak.violated(format!("lot {id}: accepted, and cannot be read at the end"));
+        if status == Some(200) && !is_finished {
+            soak.violated(format!("lot {id}: accepted, and not finished at the end: {known} results"));
         }
     }
-    let unfinished = owned(soak.checker.borrow().unfinished(soak.now()));
-    for id in unfinished {
-        let known = soak.checker.borrow().known(&id);
-        soak.violated(format!("lot {id}: accepted, and not finished at the end: {known} results"));
+}
+
+/// Reads a lot until there is a page or it is not found; nothing is asked once the time is over.
+async fn read_patiently(soak: &Soak, random: &mut SmallRng, id: &str, until: Duration) -> Option<u16> {
+    while soak.now() < until {
+        let status = read(soak, soak.any_front(random), id, 0, "0").await;
+        if matches!(status, Some(200 | 404)) {
+            return status;
+        }
+        sleep(RETRY).await;
     }
+    None
 }
 
 /// Counts how long it takes until each route's part serves again: a lot that nobody sent is not found.
