Soak: seeds that are not judged, parts that must serve in time, reading with an end

Cause: an interrupted seed passed; nothing bounded the time until all parts serve again, nor the last reading; the checker took jobs for kept status_s and 60 s, while the tier promises status_s from the first send and keeps them 20 s more.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -7,10 +7,6 @@
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A lot is read for this much less than it is kept: the tier's clock starts at the submission, and orders to forget are early by
-/// what a call takes.
-const KEEP_SLACK: Duration = Duration::from_secs(8);
-
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
@@ -92,7 +88,7 @@
 /// What must hold for how long.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
-    /// A lot can be read for so long after it was accepted.
+    /// A lot can be read for so long after it was first sent.
     pub keep: Duration,
     /// No item may be given up sooner than this after its lot was sent.
     pub retain: Duration,
@@ -163,7 +159,7 @@
 
     /// Whether a lot must still be there.
     fn is_kept(&self, now: Duration, lot: &Lot) -> bool {
-        now + KEEP_SLACK < lot.first_sent + self.terms.keep
+        now < lot.first_sent + self.terms.keep
     }
 
     /// Accepted lots that must still be there, the newest last.
@@ -172,6 +168,11 @@
         self.order.iter().filter(is_kept).map(String::as_str).collect()
     }
 
+    /// Whether a lot must still be there at a time.
+    pub fn is_owed(&self, at: Duration, id: &str) -> bool {
+        self.lots.get(id).is_some_and(|lot| lot.accepted.is_some() && self.is_kept(at, lot))
+    }
+
     /// Readable lots that have neither all their results nor an end.
     pub fn unfinished(&self, now: Duration) -> Vec<&str> {
         self.readable(now).into_iter().filter(|id| !self.is_finished(id)).collect()
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,6 +6,7 @@
 use rainlug_soak::options::{Options, options};
 use rainlug_soak::run::run;
 use rainlug_soak::tier::Error;
+use rainlug_soak::verdict::{Tally, Verdict};
 use rainlug_tier::node::Role;
 use rainlug_tier::roles::{self, Started, Worker, started, worker};
 
@@ -29,28 +30,30 @@
 }
 
 async fn soak(options: Options) -> Result<ExitCode, Error> {
-    let (mut passed, mut failed) = (0, 0);
-    let mut code = ExitCode::SUCCESS;
+    let mut tally = Tally::default();
+    let mut is_interrupted = false;
     for seed in options.seed..options.seed.saturating_add(options.seeds) {
-        let outcome = run(options.clone(), seed).await;
-        match outcome {
-            Ok(outcome) if outcome.is_interrupted => {
-                code = ExitCode::from(INTERRUPTED);
-                break;
+        match run(options.clone(), seed).await {
+            Ok(outcome) => {
+                tally.add(outcome.verdict());
+                is_interrupted = outcome.is_interrupted;
             }
-            Ok(outcome) if outcome.violations.is_empty() => passed += 1,
-            Ok(_) => failed += 1,
             Err(error) => {
                 println!("seed {seed}: {error}");
-                failed += 1;
+                tally.add(Verdict::Failed);
             }
         }
+        if is_interrupted {
+            break;
+        }
     }
-    println!("{passed} seeds passed, {failed} failed");
-    if failed > 0 {
-        code = ExitCode::FAILURE;
-    }
-    Ok(code)
+    tally.complete_to(options.seeds);
+    println!("{tally}");
+    Ok(match tally {
+        tally if tally.is_success() => ExitCode::SUCCESS,
+        Tally { failed: 0, .. } if is_interrupted => ExitCode::from(INTERRUPTED),
+        _ => ExitCode::FAILURE,
+    })
 }
 
 fn main() -> ExitCode {
--- a/crates/soak/src/monitor.rs
+++ b/crates/soak/src/monitor.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::soak::{Soak, Stage};
-use crate::tier::Running;
+use crate::tier::{Host, Running};
 
 const LOOK: Duration = Duration::from_millis(100);
 const ANSWER: Duration = Duration::from_secs(1);
@@ -28,6 +28,9 @@
         sleep(LOOK).await;
         exits(&soak);
         memory(&soak, &mut over_memory);
+        if soak.options.kill_over_memory {
+            kill_over_memory(&soak);
+        }
         let passed = before.elapsed();
         before = Instant::now();
         let away = soak.tier.borrow().away();
@@ -54,10 +57,10 @@
     }
 }
 
-/// The peak of a process's memory in KiB, as the system counts it.
-fn peak_kib(process: u32) -> Option<u64> {
+/// A figure of a process's memory in KiB, as the system counts it: `VmHWM:` is the peak, `VmRSS:` what is used now.
+fn memory_kib(process: u32, figure: &str) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix(figure))?;
     line.trim().strip_suffix("kB")?.trim().parse().ok()
 }
 
@@ -66,7 +69,7 @@
     let mut found = Vec::new();
     for host in &soak.tier.borrow().hosts {
         let Some(process) = host.process() else { continue };
-        let Some(peak) = peak_kib(process) else { continue };
+        let Some(peak) = memory_kib(process, "VmHWM:") else { continue };
         soak.most(format!("peak KiB of a {:?}", host.machine.role), peak);
         if host.machine.role != Role::Worker && peak > limit && over.insert(process) {
             found.push(format!("{}: {peak} KiB of memory, {limit} are its limit", host.machine.name));
@@ -75,6 +78,22 @@
     found.into_iter().for_each(|what| soak.violated(what));
 }
 
+/// Kills gateways and stores that use more than their memory; [`exits`] starts them again.
+fn kill_over_memory(soak: &Soak) {
+    let limit = u64::from(soak.options.memory_mb) * 1024;
+    let mut tier = soak.tier.borrow_mut();
+    for index in tier.of(&[Role::Gateway, Role::Store]) {
+        let process =
+            tier.hosts.get(index).filter(|host| host.running == Running::Up).and_then(Host::process);
+        let used = process.and_then(|process| memory_kib(process, "VmRSS:"));
+        if used.is_some_and(|used| used > limit) {
+            soak.note(&format!("{}: killed over its memory", tier.name(index)));
+            soak.count("killed over memory");
+            tier.kill_by_limit(index);
+        }
+    }
+}
+
 /// Reads the figures of all gateways and stores until the run is over.
 pub async fn figures(soak: Rc<Soak>) {
     let mut told = BTreeSet::new();
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -37,11 +37,17 @@
     pub disk_mb: u32,
     #[bpaf(long, argument("MB"), fallback(80), display_fallback)]
     pub memory_mb: u32,
+    /// Kill a gateway or store that uses more than its memory, as an out-of-memory killer would, and start it again
+    #[bpaf(long)]
+    pub kill_over_memory: bool,
     /// Processor share that each gateway and store may use; without this, all there is
     #[bpaf(long, argument("SHARE"))]
     pub cpu_share: Option<f64>,
-    /// Seconds that results are kept for, less the minute that the tier adds
-    #[bpaf(long, argument("S"), fallback(20), display_fallback)]
+    /// What each machine's link carries, as the tier is told; nothing holds the loopback to it
+    #[bpaf(long, argument("MBPS"))]
+    pub link_mbps: Option<u32>,
+    /// Seconds that a job can be asked for after it was first sent
+    #[bpaf(long, argument("S"), fallback(120), display_fallback)]
     pub status_s: u32,
     /// Seconds in which a wiped disk must be whole again
     #[bpaf(long, argument("S"), fallback(5), display_fallback)]
@@ -66,13 +72,12 @@
     pub memory_mb: u32,
     pub disk_mb: u32,
     pub status_s: u32,
+    pub sync_s: u64,
+    pub link_mbps: Option<u32>,
     pub tolerate: u8,
     pub words_per_token: u32,
 }
 
-/// What the tier adds to `status_s` before it forgets a lot.
-const KEPT_LONGER: Duration = Duration::from_secs(60);
-
 impl Options {
     /// Whether there can be such a run: enough machines, few enough processes, and an end.
     pub fn is_sound(&self) -> bool {
@@ -88,6 +93,7 @@
             && (1..=100).contains(&self.clients)
             && self.rate > 0.0
             && self.rate <= 100.0
+            && self.sync_s <= MOST_SECONDS
             && self.memory_mb * processes <= MOST_MEMORY_MB
     }
 
@@ -101,13 +107,15 @@
             memory_mb: self.memory_mb,
             disk_mb: self.disk_mb,
             status_s: self.status_s,
+            sync_s: self.sync_s,
+            link_mbps: self.link_mbps,
             tolerate: self.tolerate,
             words_per_token: self.words_per_token,
         }
     }
 
     pub fn keep(&self) -> Duration {
-        Duration::from_secs(self.status_s.into()) + KEPT_LONGER
+        Duration::from_secs(self.status_s.into())
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,21 +7,22 @@
 use std::time::Duration;
 
 use rainlug_sim_worker::client::{self, Ask};
-use rainlug_tier::local::{Plan, Role};
-use rand::rngs::SmallRng;
+use rainlug_tier::local::Plan;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use crate::checker::{Checker, Terms, Violation};
-use crate::client::{HOSTS, read, reads, submits};
+use crate::client::{reads, submits};
 use crate::monitor;
 use crate::operator::{change, configures, retires};
 use crate::options::{Options, WORKERS};
+use crate::settle::{probes, settle};
 use crate::soak::{Soak, Stage};
 use crate::throttle::throttles;
 use crate::tier::{Error, Tier};
 use crate::trouble::{closing_fault, troubles};
+use crate::verdict::Verdict;
 
 /// First numbers of tasks of a kind: each draws from a generator of its own.
 const SUBMITTERS: u64 = 1000;
@@ -30,10 +31,6 @@
 const TROUBLES: u64 = 4000;
 /// The tier must be up in this time.
 const UP: Duration = Duration::from_secs(30);
-/// After all troubles, the tier has this time beyond that of its youngest items to finish all.
-const SETTLES: Duration = Duration::from_secs(25);
-/// All accepted lots are read once more, until none could be for so long.
-const READ_ALL: Duration = Duration::from_secs(30);
 const RETRY: Duration = Duration::from_millis(200);
 /// First ports that are tried: below those that the system gives away by itself.
 const FIRST_PORTS: std::ops::Range<u16> = 30_000..32_000;
@@ -44,6 +41,14 @@
     pub violations: Vec<Violation>,
     /// A signal ended it early.
     pub is_interrupted: bool,
+    /// All that had to be read at the end was read, or is among the violations.
+    pub is_whole: bool,
+}
+
+impl Outcome {
+    pub fn verdict(&self) -> Verdict {
+        Verdict::of(self.violations.len(), self.is_whole && !self.is_interrupted)
+    }
 }
 
 /// Runs one seed.
@@ -54,19 +59,17 @@
     let (soak, folder) = prepare(options, seed)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let is_interrupted = tokio::select! {
-        played = play(&soak) => {
-            played?;
-            false
-        }
-        _ = terminate.recv() => true,
-        _ = interrupt.recv() => true,
+    let (is_interrupted, is_whole) = tokio::select! {
+        played = play(&soak) => (false, played?),
+        _ = terminate.recv() => (true, false),
+        _ = interrupt.recv() => (true, false),
     };
     soak.enter(Stage::Over);
     soak.tier.borrow_mut().hosts.clear();
-    close(&soak, &folder);
     let violations = soak.checker.borrow().violations().to_vec();
-    Ok(Outcome { violations, is_interrupted })
+    let outcome = Outcome { violations, is_interrupted, is_whole };
+    close(&soak, &folder, outcome.verdict());
+    Ok(outcome)
 }
 
 /// Where everything of a seed goes, made anew.
@@ -112,7 +115,8 @@
     Err(taken.map_or(Error::Unready("no ports"), Error::Plan))
 }
 
-async fn play(soak: &Rc<Soak>) -> Result<(), Error> {
+/// Plays the run; whether all was read at its end that had to be.
+async fn play(soak: &Rc<Soak>) -> Result<bool, Error> {
     let watch = [spawn_local(monitor::processes(soak.clone())), spawn_local(monitor::figures(soak.clone()))];
     let count = soak.tier.borrow().hosts.len();
     for index in 0..count {
@@ -137,17 +141,17 @@
     soak.enter(Stage::Closing);
     closing_fault(soak, &mut soak.random(2)).await?;
     soak.enter(Stage::Settle);
-    settle(soak).await;
+    let is_whole = settle(soak).await;
     soak.enter(Stage::Over);
     for task in all.into_iter().chain(watch) {
         if task.await.is_err_and(|error| error.is_panic()) {
             soak.violated("the soak itself: a task panicked".to_owned());
         }
     }
-    Ok(())
+    Ok(is_whole)
 }
 
-async fn status(at: SocketAddr, ask: Ask<'_>) -> Option<u16> {
+pub async fn status(at: SocketAddr, ask: Ask<'_>) -> Option<u16> {
     client::call(at, ask, Duration::from_millis(1500)).await.ok().map(|told| told.status)
 }
 
@@ -160,9 +164,9 @@
     }
     let fronts = soak.tier.borrow().plan.fronts();
     for at in fronts {
-        for host in HOSTS {
+        for (host, path) in probes() {
             let fields = [("Host", host)];
-            let ask = Ask { method: "GET", path: "/v1/lots/none", fields: &fields, body: b"" };
+            let ask = Ask { method: "GET", path: &path, fields: &fields, body: b"" };
             while status(at, ask).await != Some(404) {
                 wait(until, "the stores do not keep batch jobs").await?;
             }
@@ -179,105 +183,12 @@
     Ok(())
 }
 
-/// Ends all troubles, waits until all lots are finished, and reads them all. What is to be read is what could be read when that
-/// began: a lot that the tier does not serve any more must not pass because its time is over meanwhile.
-async fn settle(soak: &Soak) {
-    let ids = owned(soak.checker.borrow().readable(soak.now()));
-    heal(soak);
-    let until = soak.now() + Duration::from_secs(soak.options.retain_s) + SETTLES;
-    let mut random = soak.random(1);
-    back_after(soak, &mut random, until).await;
-    // Troubles in hand end by themselves, and what they left is healed once more.
-    while soak.now() < until {
-        sleep(RETRY).await;
-        heal(soak);
-        let unfinished: Vec<&String> =
-            ids.iter().filter(|id| !soak.checker.borrow().is_finished(id)).collect();
-        if unfinished.is_empty() {
-            break;
-        }
-        for id in unfinished {
-            let known = soak.checker.borrow().known(id);
-            if soak.now() < until {
-                read(soak, soak.any_front(&mut random), id, known, "0").await;
-            }
-        }
-    }
-    soak.note("all is read once more");
-    read_all(soak, &mut random, &ids).await;
-}
-
-/// Reads all of these lots from their beginning; each must be there, with all its results.
-async fn read_all(soak: &Soak, random: &mut SmallRng, ids: &[String]) {
-    let mut until = soak.now() + READ_ALL;
-    for id in ids {
-        let status = read_patiently(soak, random, id, until).await;
-        let is_finished = soak.checker.borrow().is_finished(id);
-        let known = soak.checker.borrow().known(id);
-        match status {
-            Some(200) => until = soak.now() + READ_ALL,
-            // Its time is over, or the checker has said so.
-            Some(404) => {}
-            _ => soak.violated(format!("lot {id}: accepted, and cannot be read at the end")),
-        }
-        if status == Some(200) && !is_finished {
-            soak.violated(format!("lot {id}: accepted, and not finished at the end: {known} results"));
-        }
-    }
-}
-
-/// Reads a lot until there is a page or it is not found; nothing is asked once the time is over.
-async fn read_patiently(soak: &Soak, random: &mut SmallRng, id: &str, until: Duration) -> Option<u16> {
-    while soak.now() < until {
-        let status = read(soak, soak.any_front(random), id, 0, "0").await;
-        if matches!(status, Some(200 | 404)) {
-            return status;
-        }
-        sleep(RETRY).await;
-    }
-    None
-}
-
-/// Counts how long it takes until each route's part serves again: a lot that nobody sent is not found.
-async fn back_after(soak: &Soak, random: &mut SmallRng, until: Duration) {
-    let begun = soak.now();
-    for host in HOSTS {
-        let fields = [("Host", host)];
-        let ask = Ask { method: "GET", path: "/v1/lots/none", fields: &fields, body: b"" };
-        while status(soak.any_front(random), ask).await != Some(404) && soak.now() < until {
-            sleep(RETRY).await;
-        }
-        let millis = u64::try_from((soak.now() - begun).as_millis()).unwrap_or(u64::MAX);
-        soak.most("ms until all routes served after the closing fault", millis);
-    }
-}
-
-fn owned(ids: Vec<&str>) -> Vec<String> {
-    ids.into_iter().map(str::to_owned).collect()
-}
-
-fn heal(soak: &Soak) {
-    let mut tier = soak.tier.borrow_mut();
-    tier.network.heal_all();
-    let mut failed = tier.write_faults().err();
-    for index in tier.of(&[Role::Gateway, Role::Store, Role::Worker]) {
-        tier.resume(index);
-        if !tier.hosts[index].is_busy {
-            failed = failed.or(tier.start(index).err());
-        }
-    }
-    drop(tier);
-    if let Some(error) = failed {
-        soak.violated(format!("the soak itself: {error}"));
-    }
-}
-
 /// Writes what was counted, and removes disks of runs that went well.
-fn close(soak: &Soak, folder: &std::path::Path) {
+fn close(soak: &Soak, folder: &std::path::Path, verdict: Verdict) {
     let (accepted, results) = soak.checker.borrow().counts();
     let broken = soak.checker.borrow().violations().len();
     let line = format!(
-        "seed {}: {accepted} lots accepted, {results} results read, {broken} violations, {:.0} s; logs in {}",
+        "seed {}: {accepted} lots accepted, {results} results read, {broken} violations, {verdict:?}, {:.0} s; logs in {}",
         soak.seed,
         soak.now().as_secs_f64(),
         folder.display()
@@ -287,7 +198,7 @@
     let counts: Vec<String> = soak.counts().iter().map(|(what, count)| format!("{what}: {count}")).collect();
     println!("  {}", counts.join(", "));
     soak.note(&counts.join("\n"));
-    if broken == 0 {
+    if verdict == Verdict::Passed {
         let _ = std::fs::remove_dir_all(folder.join("data"));
     }
 }
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -153,16 +153,20 @@
         let mut all: Table = text.parse().map_err(|e: toml::de::Error| wrong(e.message()))?;
         let fault_file = self.fault_file(&machine.name).to_string_lossy().into_owned();
         all.insert("fault_file".to_owned(), Value::String(fault_file));
-        let Limits { memory_mb, disk_mb, status_s, tolerate, .. } = self.limits;
+        let Limits { memory_mb, disk_mb, status_s, sync_s, link_mbps, tolerate, .. } = self.limits;
         let numbers = [
-            ("limits", "memory_mb", memory_mb),
-            ("limits", "disk_mb", disk_mb),
-            ("tolerate", "machines", u32::from(tolerate)),
-            ("bounds", "status_s", status_s),
+            ("limits", "memory_mb", Some(memory_mb.into())),
+            ("limits", "disk_mb", Some(disk_mb.into())),
+            ("limits", "link_mbps", link_mbps.map(i64::from)),
+            ("tolerate", "machines", Some(tolerate.into())),
+            ("bounds", "status_s", Some(status_s.into())),
+            ("bounds", "sync_s", i64::try_from(sync_s).ok()),
         ];
         for (table, name, number) in numbers {
             let table = all.get_mut(table).and_then(Value::as_table_mut).ok_or_else(|| wrong(table))?;
-            table.insert(name.to_owned(), Value::Integer(number.into()));
+            if let Some(number) = number {
+                table.insert(name.to_owned(), Value::Integer(number));
+            }
         }
         // A store tells its figures there.
         let listen = all.get_mut("listen").and_then(Value::as_table_mut).ok_or_else(|| wrong("listen"))?;
@@ -210,6 +214,14 @@
         }
     }
 
+    /// Kills a machine's process that broke a limit; the machine starts it again.
+    pub fn kill_by_limit(&mut self, index: usize) {
+        if let Some(host) = self.hosts.get_mut(index) {
+            host.kill();
+            host.running = Running::Gone;
+        }
+    }
+
     /// Stops a machine's process until it is resumed.
     pub fn pause(&mut self, index: usize) {
         if let Some(host) = self.hosts.get_mut(index).filter(|host| host.running == Running::Up) {
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -87,14 +87,23 @@
     let mut checker = accepted();
     let begun = checker.read_begins(LOT).unwrap();
     checker.read_refused(at(2), LOT, &begun, 503);
-    checker.read_refused(at(99), LOT, &begun, 404);
+    checker.read_refused(at(100), LOT, &begun, 404);
     assert_eq!(faults(&checker), Vec::<String>::new(), "the time it is kept for is over");
-    checker.read_refused(at(2), LOT, &begun, 404);
+    checker.read_refused(at(99), LOT, &begun, 404);
     checker.submitted(at(3), LOT, true, 429);
     checker.ended(at(4), LOT, 404);
     assert_eq!(faults(&checker).len(), 3);
 }
 
+#[test]
+fn a_job_is_owed_from_its_submission_on_and_only_once_it_was_accepted() {
+    let mut checker = accepted();
+    checker.sent(at(0), "other", Vec::new());
+    assert!(checker.is_owed(at(99), LOT));
+    assert!(!checker.is_owed(at(100), LOT), "the time it is kept for begins when it is sent");
+    assert!(!checker.is_owed(at(2), "other"));
+}
+
 #[test]
 fn a_body_that_is_gone_before_its_result_is_there_is_found() {
     let mut checker = accepted();
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -11,7 +11,7 @@
     let dir = tempfile::tempdir().unwrap();
     let begun = Instant::now();
     let output = Command::new(env!("CARGO_BIN_EXE_rainlug-soak"))
-        .args(["--seed", "3", "--seconds", "12", "--overlap", "2", "--rate", "4", "--retain-s", "8"])
+        .args(["--seed", "3", "--seconds", "16", "--overlap", "2", "--rate", "4", "--retain-s", "8"])
         .arg("--dir")
         .arg(dir.path())
         .output()
@@ -19,7 +19,7 @@
     let text = String::from_utf8_lossy(&output.stdout);
     let journal = std::fs::read_to_string(dir.path().join("seed-3").join("journal.log")).unwrap_or_default();
     assert!(output.status.success(), "{text}\n{journal}");
-    assert!(text.ends_with("1 seeds passed, 0 failed\n"), "{text}");
+    assert!(text.ends_with("1 seeds passed, 0 failed, 0 not judged\n"), "{text}");
     assert!(begun.elapsed() < MOST, "{:?}", begun.elapsed());
 }
 
