Soak: a seed whose soak itself failed, or that shows nothing, is not judged

Change: failures of the soak itself, and a route without a job that is still kept when the load ends, make a seed not judged in place of failed; the exit status is not 0 as before, and what it broke counts as failed as before.

--- a/crates/soak/src/monitor.rs
+++ b/crates/soak/src/monitor.rs
@@ -52,7 +52,7 @@
         .collect();
     for index in gone {
         if let Err(error) = tier.start(index) {
-            soak.violated(format!("the soak itself: {error}"));
+            soak.flawed(&error.to_string());
         }
     }
 }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -175,6 +175,6 @@
     let replaced = soak.tier.borrow_mut().replace(index);
     match replaced {
         Ok(next) => soak.note(&format!("{name} is retired and taken away, {next} comes")),
-        Err(error) => soak.violated(format!("the soak itself: {error}")),
+        Err(error) => soak.flawed(&error.to_string()),
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -67,6 +67,7 @@
     soak.enter(Stage::Over);
     soak.tier.borrow_mut().hosts.clear();
     let violations = soak.checker.borrow().violations().to_vec();
+    let is_whole = is_whole && !soak.is_flawed();
     let outcome = Outcome { violations, is_interrupted, is_whole };
     close(&soak, &folder, outcome.verdict());
     Ok(outcome)
@@ -145,7 +146,7 @@
     soak.enter(Stage::Over);
     for task in all.into_iter().chain(watch) {
         if task.await.is_err_and(|error| error.is_panic()) {
-            soak.violated("the soak itself: a task panicked".to_owned());
+            soak.flawed("a task panicked");
         }
     }
     Ok(is_whole)
--- a/crates/soak/src/settle.rs
+++ b/crates/soak/src/settle.rs
@@ -65,7 +65,7 @@
     soak.most("lots read at the end", ids.len() as u64);
     for host in HOSTS {
         if !ids.iter().any(|id| host_of(id) == host) {
-            soak.violated(format!("{host}: no job that is kept was accepted by the end of the load"));
+            soak.flawed(&format!("{host}: no job was accepted that is still kept when the load ends"));
         }
     }
 }
@@ -186,6 +186,6 @@
     }
     drop(tier);
     if let Some(error) = failed {
-        soak.violated(format!("the soak itself: {error}"));
+        soak.flawed(&error.to_string());
     }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -36,6 +36,7 @@
     pub checker: RefCell<Checker>,
     pub losses: RefCell<Losses>,
     stage: Cell<Stage>,
+    is_flawed: Cell<bool>,
     begun: Instant,
     journal: RefCell<File>,
     counts: RefCell<BTreeMap<String, u64>>,
@@ -52,6 +53,7 @@
             checker: RefCell::new(checker),
             losses: RefCell::new(losses),
             stage: Cell::new(Stage::Load),
+            is_flawed: Cell::new(false),
             begun: Instant::now(),
             journal: RefCell::new(journal),
             counts: RefCell::default(),
@@ -104,6 +106,18 @@
         self.checker.borrow_mut().violated(self.now(), what);
     }
 
+    /// The soak itself failed, or shows nothing: a seed without violations is not judged then.
+    pub fn flawed(&self, what: &str) {
+        let line = format!("seed {}, {:.3} s: the soak itself: {what}", self.seed, self.now().as_secs_f64());
+        println!("{line}");
+        self.note(&line);
+        self.is_flawed.set(true);
+    }
+
+    pub fn is_flawed(&self) -> bool {
+        self.is_flawed.get()
+    }
+
     /// Writes violations that were not written yet, and prints them; `shown` of them were.
     pub fn show_violations(&self, shown: usize) -> usize {
         let checker = self.checker.borrow();
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -123,7 +123,7 @@
         }
         let Some(trouble) = draw(&soak, &mut random) else { continue };
         if let Err(error) = carry_out(&soak, trouble).await {
-            soak.violated(format!("the soak itself: {error}"));
+            soak.flawed(&error.to_string());
         }
     }
 }
