Admission reckons with the parts that come from lost stores

Change: memory and disk are bounded as if this store had as many parts as the fullest of those left once as many as may be are lost.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -6,8 +6,8 @@
 
 use crate::part::Part;
 use crate::quota::Submitting;
-use crate::room::{Bounds, PartUse, Refusal, Refusals, Usage};
-use crate::{Answer, CONTROL, Coordinator, Effect, Origin};
+use crate::room::{self, Bounds, PartUse, Refusal, Refusals, Usage};
+use crate::{Answer, CONTROL, Coordinator, Effect, Origin, PARTS};
 
 /// Entries that wait for their disks, from which on no batch job is taken: links or disks are too slow for
 /// more.
@@ -42,9 +42,17 @@
         Usage {
             parts: kept.map(part_use).collect(),
             proposed: submitting.map(|submitting| submitting.bytes).sum(),
+            parts_to_bear: self.parts_to_bear(),
         }
     }
 
+    /// Parts that this store may come to have if as many others are lost as may be.
+    fn parts_to_bear(&self) -> u64 {
+        let stores = self.roster.stores.iter().filter(|store| !store.is_retiring()).count() as u64;
+        let members = self.info.target_members() as u64;
+        room::parts_to_bear(u64::from(PARTS), members, stores, self.info.tolerate as u64)
+    }
+
     /// Whether another batch job of so many bytes can be kept in a part that is led here, and written now.
     pub(crate) fn has_room(&self, number: u16, bytes: u64) -> Result<(), Refusal> {
         let Some(part) = self.parts.get(&number) else { return Ok(()) };
--- a/crates/coordinator/src/room.rs
+++ b/crates/coordinator/src/room.rs
@@ -209,6 +209,8 @@
     pub parts: Vec<PartUse>,
     /// Bytes of batch jobs that are proposed, with their outputs to come.
     pub proposed: u64,
+    /// Parts that this process may come to have once stores are lost and their seats move; no fewer than it has.
+    pub parts_to_bear: u64,
 }
 
 impl Usage {
@@ -226,6 +228,14 @@
         self.sum(|log| log.rewritten)
     }
 
+    /// So many bytes of the parts that are here, if this process had all that it may come to have, each as large as these in the
+    /// mean.
+    fn borne(&self, bytes: u64) -> u64 {
+        let here = (self.parts.len() as u64).max(1);
+        let scaled = u128::from(bytes) * u128::from(self.parts_to_bear.max(here)) / u128::from(here);
+        u64::try_from(scaled).unwrap_or(u64::MAX)
+    }
+
     /// Bytes of the state of the largest part.
     fn largest_state(&self) -> u64 {
         self.parts.iter().map(|part| part.log.rewritten).max().unwrap_or(0)
@@ -330,10 +340,11 @@
     /// # Errors
     /// The first bound that it would pass.
     pub fn admit(&self, usage: &Usage, job: u64) -> Result<(), Refusal> {
-        let on_disk = usage.file_bytes().saturating_add(usage.to_come()).saturating_add(job);
+        let on_disk = usage.borne(usage.file_bytes().saturating_add(usage.to_come()).saturating_add(job));
         // A member that lags takes a leader's snapshot beside its old file, as a rewrite does.
         let on_disk = on_disk.saturating_add(usage.largest_state());
-        if usage.memory_bytes().saturating_add(job) > self.memory_limit(usage.parts.len()) {
+        let parts = usage.parts.len().max(usage.parts_to_bear as usize);
+        if usage.borne(usage.memory_bytes().saturating_add(job)) > self.memory_limit(parts) {
             return Err(Refusal::Memory);
         }
         if on_disk > self.disk_limit() {
@@ -356,6 +367,12 @@
     }
 }
 
+/// Parts that the fullest of so many stores has once `lost` of them are lost, where seats go to those that have the fewest.
+pub fn parts_to_bear(parts: u64, members: u64, stores: u64, lost: u64) -> u64 {
+    let left = stores.saturating_sub(lost).max(1);
+    (parts * members).div_ceil(left).min(parts)
+}
+
 /// How many batch jobs were not taken, by the reason.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Refusals([u64; Refusal::ALL.len()]);
--- a/crates/coordinator/tests/room.rs
+++ b/crates/coordinator/tests/room.rs
@@ -6,6 +6,7 @@
 use rainlug_batch::{Applied, Command, Item, Register, State, StoredText, Totals};
 use rainlug_coordinator::room::{
     Bounds, DISK_PATIENCE, LogUse, PartDisk, PartUse, Refusal, Refusals, Usage, job_bytes, lag_bytes,
+    parts_to_bear,
 };
 
 const MEGABYTE: u64 = 1_000_000;
@@ -33,7 +34,7 @@
 }
 
 fn usage(logs: &[LogUse]) -> Usage {
-    Usage { parts: logs.iter().map(|log| PartUse { log: *log, is_led: true }).collect(), proposed: 0 }
+    Usage { parts: logs.iter().map(|log| PartUse { log: *log, is_led: true }).collect(), ..Usage::default() }
 }
 
 #[test]
@@ -67,6 +68,27 @@
     assert_eq!(disk_of(CAPACITY).admit(&usage(&[third, third]), MEGABYTE), Err(Refusal::Disk));
 }
 
+#[test]
+fn parts_that_may_come_from_lost_stores_have_room_too() {
+    let held = |parts_to_bear| Usage { parts_to_bear, ..usage(&[log(10 * MEGABYTE, 10 * MEGABYTE, 0)]) };
+    let left = |parts: u64| (USABLE - 10 * MEGABYTE) / parts - 10 * MEGABYTE;
+    for parts in 1..=4 {
+        assert_eq!(disk_of(CAPACITY).admit(&held(parts), left(parts)), Ok(()));
+        assert_eq!(disk_of(CAPACITY).admit(&held(parts), left(parts) + 1), Err(Refusal::Disk));
+    }
+}
+
+#[test]
+fn seats_of_lost_stores_are_reckoned_where_they_go() {
+    // Four parts of five members each: on nine stores, and on five of eight that are left.
+    assert_eq!(parts_to_bear(4, 5, 9, 2), 3);
+    assert_eq!(parts_to_bear(4, 5, 7, 2), 4);
+    assert_eq!(parts_to_bear(4, 3, 4, 1), 4);
+    assert_eq!(parts_to_bear(4, 5, 12, 2), 2);
+    // Never more than there are, also where no store would be left.
+    assert_eq!(parts_to_bear(4, 3, 1, 1), 4);
+}
+
 #[test]
 fn the_largest_part_has_room_for_a_second_copy() {
     let (small, large) = (log(10 * MEGABYTE, 10 * MEGABYTE, 0), log(40 * MEGABYTE, 30 * MEGABYTE, 0));
