Story of a small disk: room is kept for a part that may come from a lost store

Cause: admission reckons with four parts on each of three stores that are left; the store of the story has three of them. Change: three jobs are taken where four were; the count is as exact as before.

--- a/crates/coordinator/tests/stories.rs
+++ b/crates/coordinator/tests/stories.rs
@@ -391,8 +391,8 @@
     let refused = refused.expect("20 jobs of 100 items do not fit as long as their outputs may be long");
     assert_eq!(refused.status, 503);
     assert!(refused.retry.is_some_and(|pause| pause > 0));
-    // 100 outputs of 4 KB and some each: four jobs.
-    assert_eq!(accepted.len(), 4);
+    // 100 outputs of 4 KB and some each: four jobs on the disk, of which a quarter is kept for the part that may come from a lost store.
+    assert_eq!(accepted.len(), 3);
     for id in &accepted {
         assert_eq!(fleet.ask(6, read(id, 0), 2.0).map(|a| a.status), Some(200), "{id}");
     }
