--- a/src/logic.rs
+++ b/src/logic.rs
@@ -238,9 +238,9 @@
 
     /// Room may have appeared: held tasks move on, the best first, until one finds none.
     fn move_on(&mut self, m: &mut Moment) {
-        while let Some(n) = self.first_held(m.now) {
+        while let Some(n) = self.desk.first_held() {
             self.down(m, n);
-            if self.first_held(m.now) == Some(n) {
+            if self.desk.first_held() == Some(n) {
                 return;
             }
         }
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -1,7 +1,5 @@
 //! Admission: what a task is worth, how long it may wait here, and when it is answered instead.
 
-use std::cmp::Ordering;
-
 use super::placement::UNSEEN;
 use super::{Dispatcher, SOLVE, Step};
 use crate::state::{Task, micros, seconds, worst};
@@ -11,8 +9,6 @@
 const BACK: Time = 4;
 /// Running times before its due time at which a task must have started, if it is worth as much as the mean.
 const HOPE: f64 = 1.5;
-/// Steps by which tasks of one workload that wait are told apart in what each brings with it.
-const CLAIM_STEPS: f64 = 1e6;
 
 impl Dispatcher {
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
@@ -23,7 +19,7 @@
             return Step::End;
         }
         if task.held.is_none() {
-            let first = u64::MAX - (self.claim(task) * CLAIM_STEPS) as u64;
+            let first = u64::MAX - (self.worth(m.now, task) * 1e6) as u64;
             self.desk.hold(n, first);
             m.out.wake(latest, n);
         }
@@ -31,7 +27,7 @@
         let flying: usize = self.part.workers.iter().map(|&j| self.fleet.workers[j].in_flight).sum();
         let starts = self.seen.started.totals(m.now).1 / seconds(SOLVE / 5);
         let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
-        while let Some(last) = self.last_held(m.now) {
+        while let Some(last) = self.desk.last_held() {
             let delay = micros(self.desk.count_held() as f64 / pace.max(0.1));
             let latest = self.desk.get(last).map_or(m.now, |t| self.hope(m.now, t));
             if m.now + delay < latest {
@@ -69,35 +65,8 @@
         if worst(&self.seen.earned, now) == Some(i) {
             worth += w.worst_workload / self.seen.part(now, i).max(UNSEEN);
         }
-        worth * self.within(task) / (task.slots * self.seen.run(now, i)).max(1e-3)
-    }
-
-    /// The part of a task's worth that its customer's share leaves it.
-    fn within(&self, task: &Task) -> f64 {
-        task.within_share + (1.0 - task.within_share) * self.weights.beyond_share
-    }
-
-    /// What a task itself adds to what its workload is worth, the same as long as it lives.
-    fn claim(&self, task: &Task) -> f64 {
-        self.within(task) / task.slots
-    }
-
-    /// The task that waits and is worth most now; of equal ones the first to expire, then the first that came.
-    pub(super) fn first_held(&self, now: Time) -> Option<u64> {
-        self.desk.first_held().max_by(|a, b| self.held_order(now, *a, *b))
-    }
-
-    /// The task that waits and goes after all others.
-    fn last_held(&self, now: Time) -> Option<u64> {
-        self.desk.last_held().min_by(|a, b| self.held_order(now, *a, *b))
-    }
-
-    /// Which of two tasks that wait goes first, as of now: the greater.
-    fn held_order(&self, now: Time, a: u64, b: u64) -> Ordering {
-        let worth = |n| self.desk.get(n).map_or(0.0, |task| self.worth(now, task));
-        let expiry = |n| self.desk.get(n).map(|task| task.expiry);
-        let by_worth = worth(a).total_cmp(&worth(b));
-        by_worth.then_with(|| expiry(b).cmp(&expiry(a))).then_with(|| b.cmp(&a))
+        let within = task.within_share + (1.0 - task.within_share) * w.beyond_share;
+        worth * within / (task.slots * self.seen.run(now, i)).max(1e-3)
     }
 
     /// Until when a task may wait for its start; in parts the longer, the dearer it is or may be by its size.
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -23,7 +23,7 @@
         let (i, load) = (task.workload, &self.workloads[task.workload]);
         // A new task does not pass dearer ones that wait: it would take the room they wait for.
         let dearer = |f| self.desk.get(f).is_some_and(|f| self.worth(now, f) > self.worth(now, task));
-        if task.held.is_none() && self.first_held(now).is_some_and(dearer) {
+        if task.held.is_none() && self.desk.first_held().is_some_and(dearer) {
             return Step::Pass;
         }
         let (run, hope) = (self.seen.run(now, i), self.hope(now, task));
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,7 +20,7 @@
 use ring::alike;
 pub(crate) use ring::{Ring, worst};
 pub(crate) use seen::Seen;
-pub(crate) use task::{Assignment, HeldPlace, Task};
+pub(crate) use task::{Assignment, Task};
 pub(crate) use worker::{Cold, Worker};
 
 use crate::{SECOND, Time};
--- a/src/state/desk.rs
+++ b/src/state/desk.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::{HeldPlace, Task};
+use super::Task;
 use crate::{Outcome, Time};
 
 /// The tasks that are owed an answer or have assignments out, numbered from 1, and which of them wait here.
@@ -10,8 +10,7 @@
 pub(crate) struct Desk {
     tasks: BTreeMap<u64, Task>,
     numbers: HashMap<String, u64>,
-    /// Those that wait here, by workload: within one, only what each task brings with it decides their order.
-    held: BTreeMap<usize, BTreeSet<HeldPlace>>,
+    held: BTreeSet<(u64, Time, u64)>,
     last: u64,
     /// When the process ends.
     closes: Option<Time>,
@@ -57,35 +56,31 @@
         }
     }
 
-    /// Lets the task wait, at the place that `first` gives it in its workload: least first, then by expiry.
+    /// Lets the task wait, at the place that `first` gives it: least first, then by expiry.
     pub fn hold(&mut self, n: u64, first: u64) {
         if let Some(task) = self.tasks.get_mut(&n) {
             let place = (first, task.expiry, n);
             task.held = Some(place);
-            self.held.entry(task.workload).or_default().insert(place);
+            self.held.insert(place);
         }
     }
 
     pub fn release(&mut self, n: u64) {
-        let Some(task) = self.tasks.get_mut(&n) else { return };
-        let Some(place) = task.held.take() else { return };
-        if let Some(queue) = self.held.get_mut(&task.workload) {
-            queue.remove(&place);
+        if let Some(place) = self.tasks.get_mut(&n).and_then(|t| t.held.take()) {
+            self.held.remove(&place);
         }
     }
 
-    /// The first task that waits, of each workload that has one.
-    pub fn first_held(&self) -> impl Iterator<Item = u64> {
-        self.held.values().filter_map(|queue| queue.first()).map(|&(_, _, n)| n)
+    pub fn first_held(&self) -> Option<u64> {
+        self.held.first().map(|&(_, _, n)| n)
     }
 
-    /// The last task that waits, of each workload that has one.
-    pub fn last_held(&self) -> impl Iterator<Item = u64> {
-        self.held.values().filter_map(|queue| queue.last()).map(|&(_, _, n)| n)
+    pub fn last_held(&self) -> Option<u64> {
+        self.held.last().map(|&(_, _, n)| n)
     }
 
     pub fn count_held(&self) -> usize {
-        self.held.values().map(BTreeSet::len).sum()
+        self.held.len()
     }
 
     /// Takes a task for answered; gives its id and the numbers of the assignments still out.
--- a/src/state/task.rs
+++ b/src/state/task.rs
@@ -27,9 +27,6 @@
     }
 }
 
-/// A place among the tasks of a workload that wait, least first: by what the task brings with it, its expiry and its number.
-pub(crate) type HeldPlace = (u64, Time, u64);
-
 #[derive(Debug, Default)]
 pub(crate) struct Task {
     pub id: String,
@@ -41,8 +38,8 @@
     pub within_share: f64,
     pub assignments: Vec<Assignment>,
     pub answered: bool,
-    /// Its place among the tasks of its workload that wait here.
-    pub held: Option<HeldPlace>,
+    /// Its place among the tasks that wait here, least first.
+    pub held: Option<(u64, Time, u64)>,
 }
 
 impl Task {
