Coordinator: uncommitted bytes are summed only where an item may begin

Cause: read again, run_items summed what is uncommitted, over all parts, once for each part and after each event, also at gateways, at followers and during pauses; bounds and usage were put together in four places; a held answer's news was matched twice. Change: begin_item and list_overdue in place of one nested loop, the sum only behind the cheap conditions; one function for bounds and usage; one match. Behaviour is as before.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -35,6 +35,11 @@
 }
 
 impl Coordinator {
+    /// The bounds of this process, and what it has in use of them.
+    fn room(&self) -> (Bounds, Usage) {
+        (Bounds::of(&self.info), self.usage())
+    }
+
     /// What this process has in use.
     fn usage(&self) -> Usage {
         let submitting = self.parts.values().flat_map(|part| part.submitting.values());
@@ -63,7 +68,8 @@
         {
             return Err(Refusal::Links);
         }
-        Bounds::of(&self.info).admit(&self.usage(), bytes)
+        let (bounds, usage) = self.room();
+        bounds.admit(&usage, bytes)
     }
 
     /// Bytes that are proposed, or about to be, and not committed, over all parts that are led here.
@@ -118,7 +124,7 @@
 
     /// Asks for the rewrites of logs that make room; whether one was asked for.
     pub(crate) fn rewrite_where_due(&mut self) -> bool {
-        let (bounds, usage, now) = (Bounds::of(&self.info), self.usage(), self.now.steady);
+        let ((bounds, usage), now) = (self.room(), self.now.steady);
         let numbers: Vec<u16> = self.parts.keys().copied().filter(|number| *number != CONTROL).collect();
         let mut is_asked = false;
         for number in numbers {
@@ -134,13 +140,13 @@
 
     /// Bytes of memory that the state takes, or the files at a restart, and how much they may take at the very most.
     pub(crate) fn kept_memory(&self) -> (u64, u64) {
-        let (bounds, usage) = (Bounds::of(&self.info), self.usage());
+        let (bounds, usage) = self.room();
         (usage.state_bytes().max(usage.file_bytes()), bounds.most_memory())
     }
 
     /// What is in use of the bounds, and the batch jobs that were not taken.
     pub(crate) fn room_figures(&self) -> Vec<(String, f64)> {
-        let (bounds, usage) = (Bounds::of(&self.info), self.usage());
+        let (bounds, usage) = self.room();
         let seconds = |time: Time| time as f64 / SECOND as f64;
         let of = |name: &str, value: f64| (format!("room_{name}"), value);
         let mut figures = vec![
--- a/crates/coordinator/src/lots_part.rs
+++ b/crates/coordinator/src/lots_part.rs
@@ -167,35 +167,53 @@
     /// Begins items where this process leads, and lists what is overdue.
     pub(crate) fn run_items(&mut self) {
         self.poll();
-        let (now, wall) = (self.now.steady, self.now.wall);
         for number in self.parts.keys().copied().collect::<Vec<u16>>() {
-            let is_held_back = self.holds_items_back(number);
-            let Some(part) = self.parts.get_mut(&number) else { continue };
-            let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
-                continue;
-            };
-            if part.pause <= now {
-                part.pause = 0;
-                // What is held back goes on with the next word of a disk or a member.
-                if !is_held_back
-                    && schedule.running() < RUNNING
-                    && let Some(next) = schedule.next(register, wall)
-                {
-                    self.effects.push(Effect::Run { part: number, next });
-                    // One at a time: the next one is begun as soon as this one has found its worker.
-                    part.pause = now + BETWEEN;
-                }
-            }
-            if now - part.swept >= SWEEP {
-                let forget = now / FORGET != part.swept / FORGET;
-                part.swept = now;
-                let mut commands = schedule.overdue(register, wall);
-                if forget && register.size() > 0 {
-                    commands.push(Command::Forget { before: wall - self.info.keep_lots });
-                }
-                self.propose_quietly(number, commands);
-            }
+            self.begin_item(number);
+            self.list_overdue(number);
+        }
+    }
+
+    fn begin_item(&mut self, number: u16) {
+        let (now, wall) = (self.now.steady, self.now.wall);
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        // After each event: nothing is summed up for parts that are not led here, nor while a pause lasts.
+        if part.schedule.is_none() || part.pause > now {
+            return;
+        }
+        part.pause = 0;
+        // What is held back goes on with the next word of a disk or a member.
+        if self.holds_items_back(number) {
+            return;
+        }
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
+            return;
+        };
+        if schedule.running() < RUNNING
+            && let Some(next) = schedule.next(register, wall)
+        {
+            self.effects.push(Effect::Run { part: number, next });
+            // One at a time: the next one is begun as soon as this one has found its worker.
+            part.pause = now + BETWEEN;
+        }
+    }
+
+    fn list_overdue(&mut self, number: u16) {
+        let (now, wall) = (self.now.steady, self.now.wall);
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        let (Machine::Lots(register), Some(schedule)) = (&part.machine, part.schedule.as_mut()) else {
+            return;
+        };
+        if now - part.swept < SWEEP {
+            return;
+        }
+        let forget = now / FORGET != part.swept / FORGET;
+        part.swept = now;
+        let mut commands = schedule.overdue(register, wall);
+        if forget && register.size() > 0 {
+            commands.push(Command::Forget { before: wall - self.info.keep_lots });
         }
+        self.propose_quietly(number, commands);
     }
 
     /// Proposes commands that nobody waits for. The schedule keeps those that are refused.
--- a/crates/coordinator/src/news.rs
+++ b/crates/coordinator/src/news.rs
@@ -132,13 +132,9 @@
         let now = self.now.steady;
         let held = std::mem::take(&mut self.held);
         for waits in held {
-            let (has, all) = match &waits.news {
-                News::Configuration(version) => self.gossip.spread(gossip::CONFIGURATION, *version),
-                News::Worker(id) => self.gossip.worker_spread(id),
-            };
-            let is_in_core = match &waits.news {
-                News::Configuration(_) => true,
-                News::Worker(id) => self.is_known_to_core(id),
+            let ((has, all), is_in_core) = match &waits.news {
+                News::Configuration(version) => (self.gossip.spread(gossip::CONFIGURATION, *version), true),
+                News::Worker(id) => (self.gossip.worker_spread(id), self.is_known_to_core(id)),
             };
             if has >= all && is_in_core {
                 self.reply(waits.origin, waits.answer);
