Consensus: the wait before a piece is repeated keeps its bound

Cause: read again, the wait was bounded where it doubles, and not where it follows what a piece has taken: after one slow piece a lost one could have been waited for without bound, against the constant's own words. Change: one bound, used in both places. Result measured: consensus bounded_steps, catch_up, recovery: 32 of 32 pass; no test shows the wait itself.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -53,6 +53,13 @@
 /// A piece of a snapshot is sent again after this many election times at the latest.
 const MOST_PATIENCE: Time = 16;
 
+impl Settings {
+    /// The longest wait for the answer to a piece of a snapshot before it is sent again.
+    fn most_patience(&self) -> Time {
+        MOST_PATIENCE * self.election
+    }
+}
+
 #[derive(Clone)]
 struct Progress {
     member: Member,
@@ -262,7 +269,7 @@
                             // Over a link that others fill a piece takes long: repeated sooner it would fill the link itself.
                             if sent.is_some_and(|at| self.now - at >= *patience) {
                                 *sent = None;
-                                *patience = (2 * *patience).min(MOST_PATIENCE * self.settings.election);
+                                *patience = (2 * *patience).min(self.settings.most_patience());
                             }
                         }
                         Flow::Replicate { .. } => {}
--- a/crates/consensus/src/replica/receiving.rs
+++ b/crates/consensus/src/replica/receiving.rs
@@ -63,8 +63,9 @@
                 self.answered(term == self.term, &from, round, |progress, _| progress.rejected(&refusal));
             }
             Body::SnapshotWanted { round, source, wanted } => {
+                let most_patience = self.settings.most_patience();
                 self.answered(term == self.term, &from, round, |progress, _| {
-                    progress.wants_piece(source, wanted as usize);
+                    progress.wants_piece(source, wanted as usize, most_patience);
                 });
             }
         }
@@ -159,7 +160,7 @@
     }
 
     /// The follower waits for a piece of the snapshot from this source.
-    fn wants_piece(&mut self, asked: u64, wanted: usize) {
+    fn wants_piece(&mut self, asked: u64, wanted: usize, most_patience: Time) {
         let now = self.heard;
         if let Flow::Snapshot { source, number, sent, patience, .. } = &mut self.flow
             && source.number == asked
@@ -168,7 +169,7 @@
         {
             *number = wanted;
             if let Some(at) = sent.take() {
-                *patience = (*patience).max(PATIENCE_FACTOR * (now - at));
+                *patience = (*patience).max(PATIENCE_FACTOR * (now - at)).min(most_patience);
             }
         }
     }
