--- a/crates/gateway/tests/plane/stop.rs
+++ b/crates/gateway/tests/plane/stop.rs
@@ -144,6 +144,16 @@
     bench
 }
 
+/// A client whose request a worker has begun on.
+async fn client_at_work(bench: &Bench, worker: &Stand) -> Client {
+    let mut client = bench.client().await;
+    client.send(&post("/s/1", "a", "", "")).await;
+    while worker.runs() == 0 {
+        sleep(Duration::from_millis(2)).await;
+    }
+    client
+}
+
 /// Only what a worker is still at work on in the last sixth of the time may be given up.
 #[test]
 fn a_worker_that_answers_before_the_last_sixth_of_the_time_to_stop_is_waited_for() {
@@ -153,11 +163,7 @@
         let works = (grace - sixth).as_millis() as u64 - 20;
         let worker = stand(move |_, _| vec![Act::Sleep(works), ok("late")]).await;
         let bench = bench_with_grace(&worker, grace.as_secs_f64()).await;
-        let mut client = bench.client().await;
-        client.send(&post("/s/1", "a", "", "")).await;
-        while worker.runs() == 0 {
-            sleep(Duration::from_millis(2)).await;
-        }
+        let mut client = client_at_work(&bench, &worker).await;
         let begun = Instant::now();
         let stopped = async {
             bench.gateway.stop().await;
@@ -180,11 +186,7 @@
         let grace = Duration::from_millis(2400);
         let worker = stand(|_, _| vec![Act::Hang]).await;
         let bench = bench_with_grace(&worker, grace.as_secs_f64()).await;
-        let mut client = bench.client().await;
-        client.send(&post("/s/1", "a", "", "")).await;
-        while worker.runs() == 0 {
-            sleep(Duration::from_millis(2)).await;
-        }
+        let _client = client_at_work(&bench, &worker).await;
         let begun = Instant::now();
         bench.gateway.stop().await;
         let took = begun.elapsed();
