One rule for when a log is rewritten: for the log and for admission

Cause: read again, room.rs had the shares and conditions of wal's log and room a second time; where they differ, admission waits for rewrites that the disk never makes. Change: rainlug-wal::rewriting has them, both call it. Behaviour is as before.

--- a/crates/coordinator/src/room.rs
+++ b/crates/coordinator/src/room.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
 use rainlug_batch::{Item, Totals};
+use rainlug_wal::rewriting;
 
 use crate::{LOGS_OF_A_DISK, NodeInfo};
 
@@ -21,10 +22,6 @@
 const OUTPUT_GUESS: u64 = 4096;
 /// Outputs seen that are needed for a mean of their lengths.
 const OUTPUTS_NEEDED: u64 = 32;
-/// Of the disk's bytes, one in so many is kept back: lists and elections go on when no batch job is taken any more.
-const KEPT_BACK_SHARE: u64 = 32;
-/// A rewrite is made only where it shortens the file by one part in so many.
-const LEAST_GAIN_SHARE: u64 = 5;
 /// Once logs take more than one part in so many of what they may, rewrites that pay are asked for.
 const CROWDED_SHARE: u64 = 2;
 /// Between two rewrites of a part that are asked for to make room: each writes the whole state.
@@ -134,18 +131,13 @@
 
     /// Whether a rewrite would be made.
     pub fn pays(&self) -> bool {
-        self.gain() >= self.length / LEAST_GAIN_SHARE
+        rewriting::pays(self.length, self.rewritten)
     }
 
-    /// What a rewrite would free.
-    fn gain(&self) -> u64 {
-        self.length.saturating_sub(self.rewritten)
-    }
-
-    /// Whether the disk makes a rewrite that it is asked for, as far as that rests on lengths: one that
-    /// halves the file, or one that pays while more than half of the disk is in use.
+    /// Whether the disk makes a rewrite that it is asked for and that frees something, as far as that rests on lengths.
     fn is_rewrite_made(&self, is_disk_half_full: bool) -> bool {
-        self.gain() > 0 && (self.gain() >= self.rewritten || is_disk_half_full && self.pays())
+        let frees = self.length > self.rewritten;
+        frees && rewriting::is_worth(self.length, self.rewritten, is_disk_half_full)
     }
 }
 
@@ -299,7 +291,7 @@
 
     /// Bytes of the disk that logs may take.
     pub fn disk_limit(&self) -> u64 {
-        self.disk_bytes - self.disk_bytes / KEPT_BACK_SHARE
+        self.disk_bytes - rewriting::kept_back(self.disk_bytes)
     }
 
     /// Bytes a second that copies of the state have of the link.
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -7,6 +7,7 @@
 mod files;
 mod log;
 mod record;
+pub mod rewriting;
 mod room;
 mod source;
 mod writer;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -8,12 +8,10 @@
 
 use crate::record::{self, HEADER};
 use crate::source::{encoded_length, records_from};
-use crate::{Error, Files, RecordSource, Room, SystemFiles};
+use crate::{Error, Files, RecordSource, Room, SystemFiles, rewriting};
 
 /// Bytes that are collected before they are written, and read at once.
 const BUFFER: usize = 1 << 20;
-/// A rewrite that shortens the log by less than one part in so many is not worth its writes.
-const LEAST_GAIN_SHARE: u64 = 5;
 
 /// What became of a request to compact.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,12 +138,10 @@
         Ok(Compaction::Postponed)
     }
 
-    /// Whether a rewrite to so many bytes is worth its writes: it halves the log; or it shortens it by less while more than half
-    /// of the disk is in use, and room for the second copy may soon be gone.
+    /// Whether a rewrite to so many bytes is worth its writes.
     fn pays(&self, rewritten: u64) -> bool {
-        let gain = self.length.saturating_sub(rewritten);
         let is_disk_half_full = self.room.free() < self.room.capacity() / 2;
-        gain >= rewritten || is_disk_half_full && gain >= self.length / LEAST_GAIN_SHARE
+        rewriting::is_worth(self.length, rewritten, is_disk_half_full)
     }
 
     fn rewrite_leaving<S: RecordSource + ?Sized>(
--- a/crates/wal/src/room.rs
+++ b/crates/wal/src/room.rs
@@ -3,8 +3,7 @@
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Of the disk's bytes, one in so many is kept back from rewrites for the appends that come meanwhile.
-const KEPT_BACK_SHARE: u64 = 32;
+use crate::rewriting;
 
 /// A ledger of a disk's bytes: what its logs hold, and what rewrites under way are going to.
 #[derive(Debug)]
@@ -32,7 +31,7 @@
 
     /// Bytes that appends have to themselves.
     pub fn kept_back(&self) -> u64 {
-        self.capacity / KEPT_BACK_SHARE
+        rewriting::kept_back(self.capacity)
     }
 
     /// A log has become longer.
