One reader of a process's memory, for the tier and its soak

Cause: both read VmHWM from the system's status, each in its own way. Change: rainlug-tier::process_memory.

--- a/crates/soak/src/monitor.rs
+++ b/crates/soak/src/monitor.rs
@@ -7,6 +7,7 @@
 
 use rainlug_sim_worker::client::{self, Ask};
 use rainlug_tier::local::Role;
+use rainlug_tier::process_memory::{self, Figure};
 use tokio::time::{Instant, sleep};
 
 use crate::soak::{Soak, Stage};
@@ -57,11 +58,8 @@
     }
 }
 
-/// A figure of a process's memory in KiB, as the system counts it: `VmHWM:` is the peak, `VmRSS:` what is used now.
-fn memory_kib(process: u32, figure: &str) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix(figure))?;
-    line.trim().strip_suffix("kB")?.trim().parse().ok()
+fn memory_kib(process: u32, figure: Figure) -> Option<u64> {
+    process_memory::kibibytes(&process.to_string(), figure)
 }
 
 fn memory(soak: &Soak, over: &mut BTreeSet<u32>) {
@@ -69,7 +67,7 @@
     let mut found = Vec::new();
     for host in &soak.tier.borrow().hosts {
         let Some(process) = host.process() else { continue };
-        let Some(peak) = memory_kib(process, "VmHWM:") else { continue };
+        let Some(peak) = memory_kib(process, Figure::Peak) else { continue };
         soak.most(format!("peak KiB of a {:?}", host.machine.role), peak);
         if host.machine.role != Role::Worker && peak > limit && over.insert(process) {
             found.push(format!("{}: {peak} KiB of memory, {limit} are its limit", host.machine.name));
@@ -85,7 +83,7 @@
     for index in tier.of(&[Role::Gateway, Role::Store]) {
         let process =
             tier.hosts.get(index).filter(|host| host.running == Running::Up).and_then(Host::process);
-        let used = process.and_then(|process| memory_kib(process, "VmRSS:"));
+        let used = process.and_then(|process| memory_kib(process, Figure::Used));
         if used.is_some_and(|used| used > limit) {
             soak.note(&format!("{}: killed over its memory", tier.name(index)));
             soak.count("killed over memory");
--- a/crates/tier/src/step_times.rs
+++ b/crates/tier/src/step_times.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::log;
+use crate::process_memory::{self, Figure};
 
 /// A step that takes longer is logged: a quarter of the time after which followers take a silent leader for dead.
 const LONG_STEP: Duration = Duration::from_millis(100);
@@ -38,7 +39,5 @@
 
 /// The most memory that this process has had at once; 0 where the system does not tell.
 fn peak_memory_kilobytes() -> u64 {
-    let Ok(status) = std::fs::read_to_string("/proc/self/status") else { return 0 };
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    line.and_then(|rest| rest.split_whitespace().next()).and_then(|text| text.parse().ok()).unwrap_or(0)
+    process_memory::kibibytes("self", Figure::Peak).unwrap_or(0)
 }
