Coordinator's stories share submit, stores and figure

Cause: eleven files had the same functions. Change: they are in tests/common; the stories and their assertions are as before.

--- a/crates/coordinator/tests/admission.rs
+++ b/crates/coordinator/tests/admission.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, MS, lot, settle};
+use common::{Fleet, MS, figure, settle, stores};
 use rainlug::SECOND;
 use rainlug_coordinator::room::lag_bytes;
 use rainlug_coordinator::{Answer, Call, PARTS};
@@ -12,22 +12,13 @@
 const ITEMS: usize = 20;
 
 fn submit(id: &str) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, ITEMS) }
+    common::submit(id, ITEMS)
 }
 
 fn read(id: &str) -> Call {
     Call::Read { lot: id.to_owned(), since: 0, wait: 0 }
 }
 
-fn stores(fleet: &Fleet) -> Vec<usize> {
-    (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect()
-}
-
-fn figure(fleet: &Fleet, at: usize, name: &str) -> Option<f64> {
-    let figures = fleet.machines[at].coordinator.as_ref()?.figures();
-    figures.into_iter().find(|(found, _)| found == name).map(|(_, value)| value)
-}
-
 fn sum(fleet: &Fleet, name: &str) -> f64 {
     stores(fleet).into_iter().filter_map(|at| figure(fleet, at, name)).sum()
 }
--- a/crates/coordinator/tests/cold_review.rs
+++ b/crates/coordinator/tests/cold_review.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use common::{Fleet, MS, lot, lots_of, settle};
+use common::{Fleet, MS, lots_of, settle, stores, submit};
 use rainlug::{SECOND, Time};
 use rainlug_coordinator::{Call, PARTS};
 use rand::seq::IndexedRandom;
@@ -17,18 +17,10 @@
 /// Bytes of noise in an output: a few of them are more than a leader keeps in memory for members that lag.
 const NOISE: usize = 30_000;
 
-fn submit(id: &str, items: usize) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
-}
-
 fn read(id: &str, since: u64) -> Call {
     Call::Read { lot: id.to_owned(), since, wait: 0 }
 }
 
-fn stores(fleet: &Fleet) -> Vec<usize> {
-    (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect()
-}
-
 fn log_count(fleet: &Fleet, what: &str) -> usize {
     fleet.machines.iter().flat_map(|machine| &machine.log).filter(|line| line.contains(what)).count()
 }
--- a/crates/coordinator/tests/cold_review_faults.rs
+++ b/crates/coordinator/tests/cold_review_faults.rs
@@ -2,27 +2,14 @@
 
 mod common;
 
-use common::{Fleet, MS, lot, lots_of, settle, settled};
+use common::{Fleet, MS, figure, lots_of, settle, settled, stores, submit};
 use rainlug::SECOND;
 use rainlug_coordinator::{Call, PARTS, part_of, part_of_lot};
 
-fn submit(id: &str, items: usize) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
-}
-
 fn read(id: &str) -> Call {
     Call::Read { lot: id.to_owned(), since: 0, wait: 0 }
 }
 
-fn figure(fleet: &Fleet, at: usize, name: &str) -> Option<f64> {
-    let figures = fleet.machines[at].coordinator.as_ref()?.figures();
-    figures.into_iter().find(|(found, _)| found == name).map(|(_, value)| value)
-}
-
-fn stores(fleet: &Fleet) -> Vec<usize> {
-    (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect()
-}
-
 /// The code of a snapshot's piece among records.
 const PIECE: u8 = 6;
 
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -566,6 +566,22 @@
     Bytes::from(format!(r#"{{"requests":[{}]}}"#, items.join(",")))
 }
 
+/// A batch job of so many items, submitted on the route for batch jobs.
+pub fn submit(id: &str, items: usize) -> Call {
+    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
+}
+
+/// Where the stores are.
+pub fn stores(fleet: &Fleet) -> Vec<usize> {
+    (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect()
+}
+
+/// A figure of the process at a machine.
+pub fn figure(fleet: &Fleet, at: usize, name: &str) -> Option<f64> {
+    let figures = fleet.machines[at].coordinator.as_ref()?.figures();
+    figures.into_iter().find(|(found, _)| found == name).map(|(_, value)| value)
+}
+
 pub fn beat(id: &str, service: &str, state: &str, seq: u64) -> Call {
     let body = format!(
         r#"{{"service":"{service}","address":"10.9.0.1:80","zone":"zone-0","version":"v1","slots":8,"state":"{state}",
--- a/crates/coordinator/tests/long_day.rs
+++ b/crates/coordinator/tests/long_day.rs
@@ -6,7 +6,7 @@
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
 
-use common::{Cost, Fleet, lot, settle};
+use common::{Cost, Fleet, lot, settle, stores};
 use rainlug_coordinator::Call;
 
 /// Counts the bytes that a thread allocates.
@@ -80,10 +80,6 @@
         .is_some_and(|answer| answer.status == 200 && String::from_utf8_lossy(&answer.body).contains(&whole))
 }
 
-fn stores(fleet: &Fleet) -> Vec<usize> {
-    (0..fleet.machines.len()).filter(|at| !fleet.machines[*at].gateway).collect()
-}
-
 /// Seven stores of which two may be lost, and batch jobs whose outputs take 36 MB in all.
 fn long_day(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(5, 2, 7, seed);
--- a/crates/coordinator/tests/losses.rs
+++ b/crates/coordinator/tests/losses.rs
@@ -2,17 +2,13 @@
 
 mod common;
 
-use common::{Fleet, configuration, lot, settled};
+use common::{Fleet, configuration, settled, submit};
 use rainlug_coordinator::{Answer, Call, PARTS};
 
 const MS: i64 = 1_000;
 /// After a machine is back with an empty disk, this long passes before another loss.
 const BETWEEN_LOSSES: f64 = 5.0;
 
-fn submit(id: &str, items: usize) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
-}
-
 fn read(id: &str) -> Call {
     Call::Read { lot: id.to_owned(), since: 0, wait: 0 }
 }
--- a/crates/coordinator/tests/promises.rs
+++ b/crates/coordinator/tests/promises.rs
@@ -5,13 +5,9 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
-use common::{Fleet, MS, lot, lots_of, settled};
+use common::{Fleet, MS, lots_of, settled, submit};
 use rainlug_coordinator::{Call, PARTS, part_of};
 
-fn submit(id: &str, items: usize) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
-}
-
 #[test]
 fn given_a_submission_that_waits_for_slow_disks_when_the_route_fills_meanwhile_then_it_is_not_refused_and_run()
  {
--- a/crates/coordinator/tests/quota.rs
+++ b/crates/coordinator/tests/quota.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use common::{Fleet, MS, lot, lots_of, settle, settled};
+use common::{Fleet, MS, lots_of, settle, settled, submit};
 use rainlug::SECOND;
 use rainlug_coordinator::{Call, PARTS, part_of, part_of_lot};
 use rand::{Rng, SeedableRng};
@@ -20,10 +20,6 @@
 /// A reservation is released after its grace, by the next report.
 const LEAK: f64 = 30.0 + 5.0 + 2.0;
 
-fn submit(id: &str, items: usize) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
-}
-
 fn read(id: &str) -> Call {
     Call::Read { lot: id.to_owned(), since: 0, wait: 0 }
 }
--- a/crates/coordinator/tests/restart.rs
+++ b/crates/coordinator/tests/restart.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, lot, settled};
+use common::{Fleet, settled};
 use rainlug_consensus::MOST_HANDED_BYTES;
 use rainlug_coordinator::Call;
 
@@ -15,7 +15,7 @@
 const STORES: std::ops::Range<usize> = 3..6;
 
 fn submit(id: &str) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, ITEMS) }
+    common::submit(id, ITEMS)
 }
 
 fn name(number: usize) -> String {
--- a/crates/coordinator/tests/stories.rs
+++ b/crates/coordinator/tests/stories.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{Fleet, MS, beat, configuration, lot, lots_of, settle, settled};
+use common::{Fleet, MS, beat, configuration, lots_of, settle, settled, submit};
 use rainlug::SECOND;
 use rainlug_coordinator::{CONTROL, Call, PARTS, part_of, part_of_lot};
 use rainlug_registry::Phase;
@@ -12,10 +12,6 @@
     Call::Configure { base, text: configuration(version, "notary") }
 }
 
-fn submit(id: &str, items: usize) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, items) }
-}
-
 /// Tokens that a ledger's part has counted, as one of its members knows.
 fn counted(fleet: &Fleet, at: usize, part: u16) -> f64 {
     let figures = fleet.machines[at].coordinator.as_ref().map(|c| c.figures()).unwrap_or_default();
--- a/crates/coordinator/tests/uncommitted.rs
+++ b/crates/coordinator/tests/uncommitted.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{Fleet, lot, lots_of, settled};
+use common::{Fleet, lots_of, settled};
 use rainlug::SECOND;
 use rainlug_coordinator::{Call, PARTS};
 
@@ -18,7 +18,7 @@
 const COMPRESSED: usize = 28_000;
 
 fn submit(id: &str) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, ITEMS) }
+    common::submit(id, ITEMS)
 }
 
 /// A fleet that has taken batch jobs and run few of their items.
--- a/crates/coordinator/tests/vacating.rs
+++ b/crates/coordinator/tests/vacating.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fleet, lot, lots_of, settled};
+use common::{Fleet, lots_of, settled};
 use rainlug_coordinator::{Answer, Call, PARTS};
 
 const PART: u16 = 1;
@@ -11,7 +11,7 @@
 const STORES: std::ops::Range<usize> = 5..9;
 
 fn submit(id: &str) -> Call {
-    Call::Submit { lot: id.to_owned(), route: "lots".to_owned(), body: lot(id, ITEMS) }
+    common::submit(id, ITEMS)
 }
 
 fn is_member(fleet: &Fleet, at: usize) -> bool {
