A process's first tasks keep their place while running times are guesses

Cause: a process that has learnt nothing takes a second for each task. Who began to wait in its first milliseconds had a place by that guess, was passed by a thousand later tasks once they were seen to take a millisecond, and was bounced when due; and the third in a queue was bounced at once, since the queue's pace rested on the guess.

Change: while over a tenth of a workload's running time is the guess, each run seen places the waiting tasks anew. While over half of the mean running time is guesses, four tasks a worker wait without being judged by the pace. What is in order once running times are known stays as it was.

--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -9,6 +9,10 @@
 const BACK: Time = 4;
 /// Running times before its due time at which a task must have started, if it is worth as much as the mean.
 const HOPE: f64 = 1.5;
+/// Steps of worth by which tasks that wait are told apart.
+const WORTH_STEPS: f64 = 1e6;
+/// Tasks for each worker that may wait here while running times are guessed: how fast the queue moves is not known yet.
+const WAITING_UNJUDGED: usize = 4;
 
 impl Dispatcher {
     /// A task that no worker can take now waits here, so long as it is likely to move on in time.
@@ -19,15 +23,22 @@
             return Step::End;
         }
         if task.held.is_none() {
-            let first = u64::MAX - (self.worth(m.now, task) * 1e6) as u64;
-            self.desk.hold(n, first);
+            let place = self.waiting_place(m.now, task);
+            self.desk.hold(n, place);
             m.out.wake(latest, n);
         }
-        // Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
+        self.reject_tail(m);
+        Step::Keep
+    }
+
+    /// Whoever is last in a queue that moves too slowly is told so at once, not when its time is up.
+    fn reject_tail(&mut self, m: &mut Moment) {
         let flying: usize = self.part.workers.iter().map(|&j| self.fleet.workers[j].in_flight).sum();
         let starts = self.seen.started.totals(m.now).1 / seconds(SOLVE / 5);
         let pace = starts.max(flying as f64 / self.seen.mean_run(m.now));
-        while let Some(last) = self.desk.last_held() {
+        let guessed = self.seen.mean_run_is_guessed(m.now);
+        let unjudged = if guessed { WAITING_UNJUDGED * self.part.workers.len() } else { 0 };
+        while let Some(last) = self.desk.last_held().filter(|_| self.desk.count_held() > unjudged) {
             let delay = micros(self.desk.count_held() as f64 / pace.max(0.1));
             let latest = self.desk.get(last).map_or(m.now, |t| self.hope(m.now, t));
             if m.now + delay < latest {
@@ -35,7 +46,19 @@
             }
             self.answer(m, last);
         }
-        Step::Keep
+    }
+
+    /// A task's place among those that wait, least first: by what it is worth now.
+    fn waiting_place(&self, now: Time, task: &Task) -> u64 {
+        u64::MAX - (self.worth(now, task) * WORTH_STEPS) as u64
+    }
+
+    /// Places those that wait anew. Who began to wait while a running time was a guess would else be passed by
+    /// all that came after it was known.
+    pub(super) fn reorder_waiting(&mut self, now: Time) {
+        let mut desk = std::mem::take(&mut self.desk);
+        desk.reorder_held(|task| self.waiting_place(now, task));
+        self.desk = desk;
     }
 
     /// The final answer, at once: a bounce where the ledger allows that promise, else an abandonment.
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -24,7 +24,9 @@
             Outcome::Finished => {
                 worker.answered(now, i, 0.0);
                 worker.bar = None;
-                a.started.iter().for_each(|s| self.seen.ran(now, i, seconds(now - s)));
+                if let Some(started) = a.started {
+                    self.learn_run(now, i, seconds(now - started));
+                }
             }
             Outcome::Failed => worker.answered(now, i, 1.0),
             // One job may be killed, or one connection break, at a sound worker: a dead one refuses the next.
@@ -39,6 +41,15 @@
         }
     }
 
+    /// Takes a running time, in seconds, of a workload. The first ones replace a guess, by which tasks wait in order.
+    fn learn_run(&mut self, now: Time, workload: usize, run: f64) {
+        let guessed = self.seen.run_is_guessed(now, workload);
+        self.seen.ran(now, workload, run);
+        if guessed {
+            self.reorder_waiting(now);
+        }
+    }
+
     /// What waits at a worker that tells of room is not heard there: an error. The connection of what runs
     /// without the progress that is due is dead. Both go elsewhere if they may.
     pub(super) fn watch(&mut self, m: &mut Moment, n: u64) {
--- a/src/state/desk.rs
+++ b/src/state/desk.rs
@@ -71,6 +71,17 @@
         }
     }
 
+    /// Gives each task that waits a new place: least first, then by expiry.
+    pub fn reorder_held(&mut self, first: impl Fn(&Task) -> u64) {
+        let tasks = &mut self.tasks;
+        let place = |&(_, expiry, n): &(u64, Time, u64)| {
+            let task = tasks.get_mut(&n)?;
+            task.held = Some((first(task), expiry, n));
+            task.held
+        };
+        self.held = self.held.iter().filter_map(place).collect();
+    }
+
     pub fn first_held(&self) -> Option<u64> {
         self.held.first().map(|&(_, _, n)| n)
     }
--- a/src/state/seen.rs
+++ b/src/state/seen.rs
@@ -5,6 +5,13 @@
 use super::{Ring, alike, micros, seconds};
 use crate::Time;
 
+/// How many runs the guess of a workload's running time counts for in the mean.
+const PRIOR_RUNS: f64 = 0.1;
+/// Part of a running time above which the guess in it decides the figure.
+const GUESSED: f64 = 0.1;
+/// Part of the mean running time of all tasks above which the guesses in it decide the figure.
+const MEAN_GUESSED: f64 = 0.5;
+
 /// What a dispatcher has measured of its own tasks.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Seen {
@@ -122,12 +129,32 @@
 
     /// Mean running time of a workload, seconds.
     pub fn run(&self, now: Time, workload: usize) -> f64 {
-        self.runs[workload].mean(now, self.priors[workload], 0.1)
+        self.runs[workload].mean(now, self.priors[workload], PRIOR_RUNS)
+    }
+
+    /// Seconds of a workload's mean running time that rest on the guess.
+    fn guess(&self, now: Time, workload: usize) -> f64 {
+        let (_, runs) = self.runs[workload].totals(now);
+        self.priors[workload] * PRIOR_RUNS / (runs + PRIOR_RUNS)
+    }
+
+    /// Whether the guess decides what a workload's mean running time is.
+    pub fn run_is_guessed(&self, now: Time, workload: usize) -> bool {
+        self.guess(now, workload) > GUESSED * self.run(now, workload)
+    }
+
+    /// Whether guesses decide what the mean running time of own tasks is.
+    pub fn mean_run_is_guessed(&self, now: Time) -> bool {
+        let arrivals = |workload: usize| self.arrived[workload].totals(now).1;
+        let sum = |seconds: &dyn Fn(usize) -> f64| -> f64 {
+            (0..self.arrived.len()).map(|workload| arrivals(workload) * seconds(workload)).sum()
+        };
+        sum(&|workload| self.guess(now, workload)) > MEAN_GUESSED * sum(&|workload| self.run(now, workload))
     }
 
     /// Mean running time of a workload over a long time, seconds.
     pub fn usual(&self, now: Time, workload: usize) -> f64 {
-        self.usual[workload].mean(now, self.priors[workload], 0.1)
+        self.usual[workload].mean(now, self.priors[workload], PRIOR_RUNS)
     }
 
     /// Mean running time of own tasks, seconds.
