In touch means answered: a gateway that only receives is not ready until somebody answers it

Cause: isolation was judged by what came in alone.

It ends with the first answer, after which state is compared before clients are taken.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -59,6 +59,8 @@
     pub started_at: Time,
     /// Anything came from a peer.
     pub last_received: Time,
+    /// A peer answered something that this process had sent to it.
+    pub last_answered: Time,
     /// Until then it compares what it missed with other processes, and takes no clients.
     pub comparing_until: Time,
     /// It last began to catch up on meeting others: after its start, a partition or a standstill.
@@ -152,6 +154,7 @@
             contact: Contact {
                 started_at: now.steady,
                 last_received: now.steady,
+                last_answered: now.steady,
                 comparing_until: now.steady,
                 caught_up_at: None,
             },
@@ -290,13 +293,17 @@
 
     /// Handles the payload of a datagram that came from a peer.
     pub fn receive_datagram(&mut self, now: Now, from: SocketAddr, payload: &[u8]) {
-        self.record_contact(now);
+        self.record_received(now);
         if report::is_report_datagram(payload) {
             return self.receive_reports(payload);
         }
+        let unanswered_before = self.peers.view.unanswered_probes();
         let mut outbox = Outbox::new(&mut self.effects);
         // What is malformed is dropped: datagrams may come from anywhere.
         let _ = self.peers.view.heard(now.steady, from, payload, &mut outbox);
+        if self.peers.view.unanswered_probes() < unanswered_before {
+            self.record_answered(unanswered_before);
+        }
         self.run_deferred_work();
     }
 
@@ -306,7 +313,10 @@
     /// Where it is not a frame of this tier. It then had no effect, but that the peer counts as heard if the frame's head is valid.
     pub fn receive_frame(&mut self, now: Now, from: SocketAddr, bytes: &Bytes) -> Result<(), DecodeError> {
         let (head, tail): (Head, Bytes) = split(bytes)?;
-        self.record_contact(now);
+        self.record_received(now);
+        if matches!(head, Head::Answer { .. } | Head::NotLeader { .. }) {
+            self.record_answered(self.peers.view.unanswered_probes());
+        }
         match head {
             Head::Gossip => {
                 let mut outbox = Outbox::new(&mut self.effects);
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -1,8 +1,8 @@
 //! Which peers are alive, which gateway is the registrar of a service's workers, and whether this process is isolated.
 //!
 //! The failure detector (SWIM, in `rainlug-fleet`) decides who is alive; here its view becomes what the rest of the coordinator
-//! asks for. An isolated process stops acting on what it knows: it refuses clients and workers' last calls until it has heard
-//! from a peer and has compared its state with others.
+//! asks for. An isolated process stops acting on what it knows: it refuses clients and workers' last calls until it is in touch
+//! with a peer again and has compared its state with others.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,6 +16,9 @@
 
 /// A process that knows peers and has received nothing from any of them for so long is isolated, in microseconds.
 const ISOLATION_TIMEOUT: Time = 12 * SECOND / 10;
+/// So many of its probes in a row must have had no answer, neither of their target nor of the helpers. Where one datagram in ten is
+/// lost each way, one probe that three helpers repeat goes unanswered once in some eight hundred times.
+const MAX_UNANSWERED_PROBES: u32 = 3;
 /// How long a process that was isolated, or whose own clock stood still, compares its state with others before it takes clients
 /// again, in microseconds.
 pub(crate) const COMPARING_PERIOD: Time = 3 * SECOND / 10;
@@ -120,11 +123,23 @@
     }
 
     /// Something came from a peer. Where that ends an isolation, what was missed is asked for at once.
-    pub(crate) fn record_contact(&mut self, now: Now) {
+    pub(crate) fn record_received(&mut self, now: Now) {
         let was_isolated = self.is_isolated(now);
         (self.now, self.contact.last_received) = (now, now.steady);
-        if was_isolated {
-            self.contact.comparing_until = now.steady + COMPARING_PERIOD;
+        self.end_isolation(was_isolated);
+    }
+
+    /// A peer answered what this process had sent, after so many of its probes had gone unanswered.
+    pub(crate) fn record_answered(&mut self, unanswered_probes: u32) {
+        let was_isolated = self.hears_nobody(self.now) || self.reaches_nobody(self.now, unanswered_probes);
+        self.contact.last_answered = self.now.steady;
+        self.end_isolation(was_isolated);
+    }
+
+    /// Where this process was isolated and is not any more, it compares what it knows with others before it takes clients.
+    fn end_isolation(&mut self, was_isolated: bool) {
+        if was_isolated && !self.is_isolated(self.now) {
+            self.contact.comparing_until = self.now.steady + COMPARING_PERIOD;
             self.catch_up();
         }
     }
@@ -137,12 +152,27 @@
         self.apply_updates(updates);
     }
 
-    /// Whether it knows other gateways and has received nothing from anybody for a while: a partition has cut it off, or it is
-    /// the only one left. A process that still leads the configuration's shard then is a quorum by itself, and not isolated.
+    /// Whether it is out of touch with the other gateways that it knows: a partition has cut it off, be it in one direction only, or
+    /// it is the only one left. A process that still leads the configuration's shard then is a quorum by itself, and not isolated.
     pub(crate) fn is_isolated(&self, now: Now) -> bool {
-        let hears_nobody =
-            self.peers.has_gateways && now.steady - self.contact.last_received > ISOLATION_TIMEOUT;
-        hears_nobody && !self.shards.get(&CONTROL).is_some_and(|shard| shard.replica.is_serving_leader())
+        let is_out_of_touch =
+            self.hears_nobody(now) || self.reaches_nobody(now, self.peers.view.unanswered_probes());
+        is_out_of_touch && !self.shards.get(&CONTROL).is_some_and(|shard| shard.replica.is_serving_leader())
+    }
+
+    /// Whether nothing has come from anybody for a while: among live peers something arrives several times a second.
+    fn hears_nobody(&self, now: Now) -> bool {
+        self.peers.has_gateways && now.steady - self.contact.last_received > ISOLATION_TIMEOUT
+    }
+
+    /// Whether nobody has answered this gateway for a while. It may receive all the same, where the partition is one-way: what it
+    /// knows is then current, and what it acknowledges is known to nobody else. A store is not asked: its datagrams are lost while
+    /// batch jobs fill its link.
+    fn reaches_nobody(&self, now: Now, unanswered_probes: u32) -> bool {
+        self.peers.has_gateways
+            && self.info.role.is_gateway()
+            && unanswered_probes >= MAX_UNANSWERED_PROBES
+            && now.steady - self.contact.last_answered > ISOLATION_TIMEOUT
     }
 
     /// Whether it may be given clients: it has a configuration, has met others or is alone, and is not isolated (among live
--- a/crates/coordinator/tests/common/fleet.rs
+++ b/crates/coordinator/tests/common/fleet.rs
@@ -209,6 +209,11 @@
         Now { steady: self.now, wall: 1_700_000_000 * SECOND + self.now + self.machines[at].skew }
     }
 
+    /// The clocks of a machine, for who asks its process.
+    pub fn clocks(&self, at: usize) -> Now {
+        self.time(at)
+    }
+
     /// A process begins at a machine, with what its disk holds.
     pub fn start(&mut self, at: usize, first_boot: bool) {
         let seeds: Vec<SocketAddr> = (0..self.seeds).map(address).collect();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -42,6 +42,8 @@
 const FAREWELLS: usize = 64;
 /// Seeds, those told later too.
 const MOST_SEEDS: usize = 256;
+/// An answer to one of so many newest own pings shows that they arrive.
+const OWN_NONCES: u32 = 64;
 /// A clock that jumped by more than a part of a period: this process stood still, and judges nobody by it.
 const JUMP: Time = 2;
 
@@ -115,6 +117,8 @@
     looked: Time,
     helping: VecDeque<Help>,
     nonce: u32,
+    /// Probes in a row that nobody answered: neither the process itself nor a helper.
+    unanswered: u32,
     /// Datagrams in which this process's own card is news.
     shout: u32,
     unequal: u32,
@@ -149,6 +153,7 @@
             knock: now,
             looked: now,
             helping: VecDeque::new(),
+            unanswered: 0,
             shout: 0,
             unequal: 0,
             equal: 0,
@@ -169,6 +174,12 @@
         self.health.score()
     }
 
+    /// How many probes in a row went without any answer, be it of the process or of a helper that could not reach it either. Where
+    /// these are several, what this process sends reaches nobody, though it may still receive.
+    pub fn unanswered_probes(&self) -> u32 {
+        self.unanswered
+    }
+
     /// All dispatchers by name, this one too, with those that are gone or left as long as they are remembered. A process whose
     /// place another one has taken is not named: a dispatcher restarted daily would else show a year of them.
     pub fn members(&self) -> Vec<Member<'_>> {
@@ -405,6 +416,7 @@
         if probe.asked > Some(0) && probe.nacks == 0 {
             self.health.worse(1);
         }
+        self.unanswered = if probe.nacks == 0 { self.unanswered.saturating_add(1) } else { 0 };
         if let Some(life) = self.table.get(probe.id).map(|p| p.life) {
             self.suspect(now, probe.id, life, self.me.id, out);
         }
@@ -742,6 +754,9 @@
 
     /// An answer to a try, this one's own or one on behalf of another.
     fn acked(&mut self, now: Time, nonce: u32, of: u64, out: &mut dyn Outgoing) {
+        if self.nonce.wrapping_sub(nonce) < OWN_NONCES {
+            self.unanswered = 0;
+        }
         if let Some(probe) = self.probe.take_if(|p| p.nonce == nonce) {
             self.health.better();
             if of != probe.id {
