Consensus: leadership is transferred on request, by TimeoutNow

Cause: a leader that ends or whose disk fails is replaced after an election timeout only.

Change: Replica::transfer_leadership (Raft 3.10): no proposals while the target gets the rest of the log, then one message on which it campaigns without a pre-vote; voters do not wait for the old leader to fall silent. Abandoned after an election timeout. New on the wire between replicas: body 8 and vote kind 2, which older programs drop or answer with no.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -7,6 +7,7 @@
 //! It follows Ongaro's thesis (*Consensus: Bridging Theory and Practice*, 2014; "Raft" with a section number in comments), with:
 //!
 //! - pre-votes (Raft 9.6), and a leader that steps down once it has no contact with a quorum (Raft 6.2);
+//! - leadership transfer (Raft 3.10);
 //! - reads that a round of heartbeats confirms (read index, Raft 6.4);
 //! - snapshots that are sent, written and restored chunk by chunk (Raft 5);
 //! - changes of the replica set in one entry, which needs quorums of the old and the new set (after Raft 4.3);
@@ -84,6 +85,21 @@
         NotLeader(leader: Option<Member>) { display("not the leader") }
         /// A change of the replica set is not committed yet, or the proposed one differs by more than one member.
         ChangeInProgress { display("a change of the group is under way") }
+        /// This leader is handing its post over; it takes proposals again should that fail.
+        TransferInProgress { display("leadership is being transferred") }
+    }
+}
+
+quick_error! {
+    /// Why leadership is not transferred now.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum TransferError {
+        /// This member does not lead, or has not committed an entry of its term yet.
+        NotLeader { display("not the leader") }
+        /// Another transfer, or a change of the replica set, is under way.
+        Busy { display("another change is under way") }
+        /// The target is no member, out of contact, or lacks too much of the log.
+        TargetBehind { display("the target is not up to date") }
     }
 }
 
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -33,12 +33,25 @@
     InstallSnapshot(SnapshotChunk),
     /// The follower waits for another chunk.
     SnapshotChunkWanted(SnapshotChunkWanted),
+    /// The leader asks a follower to campaign at once (Raft 3.10).
+    TimeoutNow,
 }
 
-/// Asks for a vote (Raft 3.4), or for a pre-vote (Raft 9.6): whether one would be granted.
+/// What a vote is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum VoteKind {
+    /// A vote (Raft 3.4). It is refused while a leader is active (Raft 4.2.3).
+    Vote,
+    /// A pre-vote (Raft 9.6): whether a vote would be granted.
+    PreVote,
+    /// A vote for a candidate that its leader has asked to campaign: that leader being active is no reason against it.
+    LeadershipTransfer,
+}
+
+/// Asks for a vote.
 pub(crate) struct VoteRequest {
-    /// Only asks whether a vote would be granted.
-    pub(crate) is_pre_vote: bool,
+    /// What is asked for.
+    pub(crate) kind: VoteKind,
     /// The term to be won.
     pub(crate) for_term: Term,
     /// Where the candidate's log ends.
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -6,6 +6,7 @@
 mod compaction;
 mod election;
 mod entries;
+mod leadership_transfer;
 mod membership;
 mod persistence;
 mod read_index;
@@ -25,6 +26,7 @@
 use self::apply::Application;
 pub use self::apply::{MAX_APPLY_BYTES, MAX_APPLY_ENTRIES};
 use self::compaction::Compaction;
+use self::leadership_transfer::LeadershipTransfer;
 use self::persistence::Persistence;
 use self::read_index::Reads;
 use self::snapshot_transfer::IncomingSnapshot;
@@ -92,6 +94,8 @@
 
     /// A leader's knowledge of the other members.
     progress: BTreeMap<MemberId, Progress>,
+    /// A leader hands its post over.
+    transfer: Option<LeadershipTransfer>,
     /// The index of a leader's first entry.
     first_index_of_term: Index,
     /// When a leader sends its next heartbeat.
@@ -143,6 +147,7 @@
             application: Application::default(),
             compaction: Compaction::default(),
             progress: BTreeMap::new(),
+            transfer: None,
             first_index_of_term: 0,
             heartbeat_deadline: now,
             quorum_deadline: now,
@@ -193,12 +198,15 @@
     /// Proposes a command: the index and term under which it is committed, unless this leader is replaced first.
     ///
     /// # Errors
-    /// [`ProposeError::NotLeader`].
+    /// [`ProposeError::NotLeader`]; or [`ProposeError::TransferInProgress`].
     pub fn propose(&mut self, now: Time, command: Bytes) -> Result<(Index, Term), ProposeError> {
         self.advance_clock(now);
         if self.role != Role::Leader {
             return Err(self.not_leader());
         }
+        if self.is_transferring_leadership() {
+            return Err(ProposeError::TransferInProgress);
+        }
         let index = self.append(EntryKind::Command, command);
         Ok((index, self.term))
     }
@@ -210,6 +218,7 @@
         if self.role == Role::Leader {
             self.is_broadcast_pending |= self.reads.begin_round();
             self.replicate();
+            self.advance_transfer();
         }
         self.apply();
         self.answer_reads();
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -7,7 +7,7 @@
 
 use super::{Replica, Role};
 use crate::entry::EntryKind;
-use crate::message::{Body, VoteRequest, VoteResponse};
+use crate::message::{Body, VoteKind, VoteRequest, VoteResponse};
 use crate::progress::{InFlight, Progress, ProgressState};
 use crate::{Member, MemberId, ProposeError, Term, Time};
 
@@ -17,6 +17,7 @@
         let now = now.max(self.now);
         let has_stood_still = now - self.now > self.settings.election_timeout;
         self.now = now;
+        self.abandon_late_transfer();
         if self.role == Role::Leader {
             if now >= self.quorum_deadline {
                 let quorum_contact = self.reached_by_quorums(|progress| progress.last_contact, now);
@@ -53,30 +54,32 @@
         self.election_deadline = self.random_deadline(self.settings.election_timeout / 4);
         self.votes = BTreeSet::from([self.local_member.id]);
         for member in self.other_members() {
-            let request = self.vote_request(true);
+            let request = self.vote_request(VoteKind::PreVote);
             self.send(&member, &request);
         }
         self.count_votes();
     }
 
-    fn vote_request(&self, is_pre_vote: bool) -> Body {
-        let for_term = self.term + u64::from(is_pre_vote);
-        Body::RequestVote(VoteRequest { is_pre_vote, for_term, last: self.log.last() })
+    fn vote_request(&self, kind: VoteKind) -> Body {
+        let for_term = self.term + u64::from(kind == VoteKind::PreVote);
+        Body::RequestVote(VoteRequest { kind, for_term, last: self.log.last() })
+    }
+
+    /// Campaigns in the next term. Its own vote counts once it is on the disk.
+    pub(super) fn start_election(&mut self, kind: VoteKind) {
+        self.set_term(self.term + 1, Some(self.local_member.id));
+        self.role = Role::Candidate;
+        self.votes.clear();
+        for member in self.other_members() {
+            self.send_after_hard_state(&member, &self.vote_request(kind));
+        }
     }
 
     /// Begins the next phase of the campaign, or leads, where the votes are enough.
     pub(super) fn count_votes(&mut self) {
         let is_elected = self.is_member() && self.is_elected_by_quorums();
         match self.role {
-            Role::PreCandidate if is_elected => {
-                self.set_term(self.term + 1, Some(self.local_member.id));
-                self.role = Role::Candidate;
-                // Its own vote counts once it is on the disk.
-                self.votes.clear();
-                for member in self.other_members() {
-                    self.send_after_hard_state(&member, &self.vote_request(false));
-                }
-            }
+            Role::PreCandidate if is_elected => self.start_election(VoteKind::Vote),
             Role::Candidate if is_elected => self.become_leader(),
             _ => {}
         }
@@ -105,6 +108,7 @@
         self.role = Role::Follower;
         self.leader = None;
         self.progress.clear();
+        self.transfer = None;
         self.votes.clear();
         self.is_broadcast_pending = false;
         self.fail_reads(&self.not_leader());
@@ -144,8 +148,9 @@
 
     /// Answers a candidate of this term.
     pub(super) fn handle_vote_request(&mut self, candidate: &Member, term: Term, request: &VoteRequest) {
-        let VoteRequest { is_pre_vote, for_term, last } = *request;
-        let has_active_leader = self.has_active_leader();
+        let VoteRequest { kind, for_term, last } = *request;
+        let is_pre_vote = kind == VoteKind::PreVote;
+        let has_active_leader = kind != VoteKind::LeadershipTransfer && self.has_active_leader();
         if !has_active_leader && term > self.term {
             self.set_term(term, None);
         }
--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -22,7 +22,7 @@
     ///
     /// # Errors
     /// [`ProposeError::NotLeader`]; or [`ProposeError::ChangeInProgress`], also where the sets differ by more, where the new one is
-    /// empty, or where an id is in it twice.
+    /// empty, where an id is in it twice, or where leadership is being transferred.
     pub fn change_replica_set(&mut self, now: Time, members: Vec<Member>) -> Result<Index, ProposeError> {
         self.advance_clock(now);
         if self.role != Role::Leader {
@@ -35,7 +35,7 @@
         // It need not have committed an entry of its own term, other than Raft 4.1 has it: where half of the replica set is fenced it
         // cannot before another member has joined. A change that was committed is on a quorum of the set that it replaced, so
         // whoever was elected has it.
-        if !self.is_replica_set_committed() || !is_valid {
+        if !self.is_replica_set_committed() || !is_valid || self.is_transferring_leadership() {
             return Err(ProposeError::ChangeInProgress);
         }
         let next_index = self.log.last_index() + 1;
--- a/crates/consensus/src/replica/receive.rs
+++ b/crates/consensus/src/replica/receive.rs
@@ -57,6 +57,7 @@
                     progress.handle_rejected(rejected.prev_index, common_index);
                 });
             }
+            Body::TimeoutNow => self.handle_timeout_now(from, term),
             Body::SnapshotChunkWanted(wanted) => {
                 let settings = self.settings;
                 self.handle_answer(from, term, wanted.read_round, |progress| {
--- a/crates/consensus/src/wire/message.rs
+++ b/crates/consensus/src/wire/message.rs
@@ -11,7 +11,7 @@
 use crate::entry::{Entry, LogPosition};
 use crate::message::{
     AppendAccepted, AppendEntries, AppendRejected, Body, Message, SnapshotChunk, SnapshotChunkWanted,
-    VoteRequest, VoteResponse,
+    VoteKind, VoteRequest, VoteResponse,
 };
 use crate::{DecodeError, Member, MemberId, Term};
 
@@ -38,7 +38,7 @@
 #[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
 enum BodyLayout {
     #[deku(id = 1)]
-    RequestVote { is_pre_vote: u8, for_term: u64, last_index: u64, last_term: u64 },
+    RequestVote { kind: u8, for_term: u64, last_index: u64, last_term: u64 },
     #[deku(id = 2)]
     Vote { is_pre_vote: u8, for_term: u64, is_granted: u8, committed_index: u64, committed_term: u64 },
     /// The entries' contents follow.
@@ -69,6 +69,8 @@
     },
     #[deku(id = 7)]
     SnapshotChunkWanted { read_round: u64, source: u64, number: u32 },
+    #[deku(id = 8)]
+    TimeoutNow,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -89,7 +91,7 @@
 pub(crate) fn encode_message(envelope: &Envelope<'_>, body: &Body) -> Bytes {
     let layout = match body {
         Body::RequestVote(request) => BodyLayout::RequestVote {
-            is_pre_vote: u8::from(request.is_pre_vote),
+            kind: encode_vote_kind(request.kind),
             for_term: request.for_term,
             last_index: request.last.index,
             last_term: request.last.term,
@@ -122,6 +124,7 @@
             source: wanted.source,
             number: wanted.number,
         },
+        Body::TimeoutNow => BodyLayout::TimeoutNow,
     };
     encode(envelope, layout, &[])
 }
@@ -188,10 +191,10 @@
     bulk: &[u8],
 ) -> Result<Body, DecodeError> {
     Ok(match layout {
-        BodyLayout::RequestVote { is_pre_vote, for_term, last_index, last_term } => {
+        BodyLayout::RequestVote { kind, for_term, last_index, last_term } => {
             check_bounds(&[for_term, last_index, last_term])?;
             let last = LogPosition { term: last_term, index: last_index };
-            Body::RequestVote(VoteRequest { is_pre_vote: is_pre_vote != 0, for_term, last })
+            Body::RequestVote(VoteRequest { kind: decode_vote_kind(kind)?, for_term, last })
         }
         BodyLayout::Vote { is_pre_vote, for_term, is_granted, committed_index, committed_term } => {
             check_bounds(&[for_term])?;
@@ -244,9 +247,27 @@
         BodyLayout::SnapshotChunkWanted { read_round, source, number } => {
             Body::SnapshotChunkWanted(SnapshotChunkWanted { read_round, source, number })
         }
+        BodyLayout::TimeoutNow => Body::TimeoutNow,
     })
 }
 
+fn encode_vote_kind(kind: VoteKind) -> u8 {
+    match kind {
+        VoteKind::Vote => 0,
+        VoteKind::PreVote => 1,
+        VoteKind::LeadershipTransfer => 2,
+    }
+}
+
+fn decode_vote_kind(kind: u8) -> Result<VoteKind, DecodeError> {
+    match kind {
+        0 => Ok(VoteKind::Vote),
+        1 => Ok(VoteKind::PreVote),
+        2 => Ok(VoteKind::LeadershipTransfer),
+        _ => Err(DecodeError::Malformed("a kind of vote")),
+    }
+}
+
 /// The entries of a message. Their terms do not fall, and none is newer than the message's.
 fn decode_entries(
     prev_term: Term,
--- a/crates/consensus/tests/common/cluster.rs
+++ b/crates/consensus/tests/common/cluster.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use rainlug_consensus::{
     InMemoryState, Index, Member, MemberId, ProposeError, Ready, Replica, RestoreStep, Settings, Term, Time,
+    TransferError,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -253,6 +254,13 @@
         changed
     }
 
+    pub fn transfer_leadership(&mut self, from: MemberId, to: MemberId) -> Result<(), TransferError> {
+        let now = self.now;
+        let begun = self.replica_mut(from).expect("it is up").transfer_leadership(now, to);
+        self.drive(from);
+        begun
+    }
+
     /// Gives a node these fences.
     pub fn fence(&mut self, id: MemberId, disks: &[MemberId]) {
         let now = self.now;
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -13,7 +13,7 @@
 };
 
 pub use self::cluster::{Cluster, Fault};
-pub use self::network::{Network, Trace, Traffic, body_code};
+pub use self::network::{Network, TIMEOUT_NOW, Trace, Traffic, body_code, timeout_now};
 pub use self::node::Node;
 
 pub const MILLIS: Time = 1_000;
--- a/crates/consensus/tests/common/network.rs
+++ b/crates/consensus/tests/common/network.rs
@@ -10,6 +10,9 @@
 /// The id of a snapshot's chunk among the bodies of messages.
 const INSTALL_SNAPSHOT: u8 = 6;
 
+/// The id of the request to campaign at once.
+pub const TIMEOUT_NOW: u8 = 8;
+
 /// Probabilities for each message.
 pub struct Network {
     pub loss: f64,
@@ -62,13 +65,25 @@
     pub records: Vec<Bytes>,
 }
 
-/// The id of a message's body, behind receiver, sender and term.
-pub fn body_code(bytes: &[u8]) -> u8 {
+/// Where a message's body begins: behind receiver, sender and term.
+fn body_offset(bytes: &[u8]) -> usize {
     let length = |offset: usize| usize::from(u16::from_le_bytes([bytes[offset], bytes[offset + 1]]));
     let zone_offset = 18 + length(16);
     let address_offset = zone_offset + 2 + length(zone_offset);
     let term_offset = address_offset + 1 + 16 + 2 + 4 + 4;
-    bytes[term_offset + 8]
+    term_offset + 8
+}
+
+/// The id of a message's body.
+pub fn body_code(bytes: &[u8]) -> u8 {
+    bytes[body_offset(bytes)]
+}
+
+/// The request to campaign at once, from the sender of a message to its receiver and in its term.
+pub fn timeout_now(message: &[u8]) -> Bytes {
+    let mut bytes = message[..body_offset(message)].to_vec();
+    bytes.push(TIMEOUT_NOW);
+    Bytes::from(bytes)
 }
 
 pub fn is_snapshot_chunk(message: &[u8]) -> bool {
--- a/crates/consensus/tests/exhaustive.rs
+++ b/crates/consensus/tests/exhaustive.rs
@@ -4,6 +4,8 @@
 //! A replica is determined by its inputs, so a state is identified by the inputs of each in turn: orders that differ only
 //! between members are one.
 
+mod common;
+
 use std::collections::HashSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -45,6 +47,18 @@
     proposals: u8,
     timeouts: u8,
     losses: u8,
+    transfers: u8,
+    flaw: Flaw,
+}
+
+/// What is wrong with transfers of leadership, for the search to bear or to find.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Flaw {
+    None,
+    /// The leader does not wait until the target has all.
+    TransferTooEarly,
+    /// That, and the target claims a log that it does not have.
+    ClaimedLog,
 }
 
 #[derive(Clone, Copy, Debug, Hash)]
@@ -53,6 +67,10 @@
     Sync(usize),
     Timeout(usize),
     Propose(usize),
+    /// The leader hands over to this one.
+    Transfer(usize),
+    /// The leader is broken and asks this one to campaign, whatever it lacks.
+    TransferTooEarly(usize),
     /// All lose power, and this one its disk.
     Loss(usize),
 }
@@ -82,6 +100,8 @@
             proposals: 1,
             timeouts: 1,
             losses: 1,
+            transfers: 0,
+            flaw: Flaw::None,
         }
     }
     fn key(&self) -> u64 {
@@ -92,7 +112,7 @@
         let mut messages = self.messages.clone();
         messages.sort_unstable();
         messages.hash(&mut hasher);
-        (self.proposals, self.timeouts, self.losses).hash(&mut hasher);
+        (self.proposals, self.timeouts, self.losses, self.transfers).hash(&mut hasher);
         hasher.finish()
     }
     fn actions(&self) -> Vec<Action> {
@@ -112,6 +132,12 @@
             if self.losses > 0 {
                 actions.push(Action::Loss(position));
             }
+            if self.transfers > 0 {
+                actions.push(match self.flaw {
+                    Flaw::None => Action::Transfer(position),
+                    Flaw::TransferTooEarly | Flaw::ClaimedLog => Action::TransferTooEarly(position),
+                });
+            }
         }
         actions
     }
@@ -142,10 +168,36 @@
                 self.drive(position)
             }
             Action::Timeout(position) => self.time_out(position),
+            Action::Transfer(target) => self.transfer(target),
+            Action::TransferTooEarly(target) => self.transfer_too_early(target),
             Action::Loss(position) => self.lose_power(position, disk_loss),
         }
     }
 
+    /// The serving leader, where there is one.
+    fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| node.replica.is_serving_leader())
+    }
+
+    fn transfer(&mut self, target: usize) -> Result<(), String> {
+        self.transfers -= 1;
+        let Some(leader) = self.leader() else { return Ok(()) };
+        let target = self.nodes[target].replica.local_member().id;
+        let node = &mut self.nodes[leader];
+        node.history_hash = chain(node.history_hash, ("transfer", target));
+        let _ = node.replica.transfer_leadership(node.now, target);
+        self.drive(leader)
+    }
+
+    fn transfer_too_early(&mut self, target: usize) -> Result<(), String> {
+        self.transfers -= 1;
+        let Some(leader) = self.leader() else { return Ok(()) };
+        if let Some(message) = timeout_now_message(&self.nodes[leader].replica, target as u64 + 1) {
+            self.messages.push((target, message));
+        }
+        Ok(())
+    }
+
     /// Time passes for one of them until it sends something, for three election timeouts at most.
     fn time_out(&mut self, position: usize) -> Result<(), String> {
         self.timeouts = self.timeouts.saturating_sub(1);
@@ -205,7 +257,10 @@
                 Some(known) => return Err(format!("{command:?} where {known:?} was committed")),
             }
         }
-        for (to, bytes) in output.messages {
+        for (to, mut bytes) in output.messages {
+            if self.flaw == Flaw::ClaimedLog && is_transfer_vote_request(&bytes) {
+                bytes = claim_long_log(&bytes);
+            }
             if let Some(position) = self.nodes.iter().position(|node| node.replica.local_member().id == to.id)
             {
                 self.messages.push((position, bytes));
@@ -215,6 +270,35 @@
     }
 }
 
+/// Bytes of a vote request's body: its id, its kind, the term, and the end of the candidate's log.
+const VOTE_REQUEST_BYTES: usize = 1 + 1 + 8 + LOG_END_BYTES;
+/// Bytes of the index and the term at which a candidate's log ends; they come last.
+const LOG_END_BYTES: usize = 8 + 8;
+/// The id of a vote request, and its kind where the candidate was asked to campaign.
+const TRANSFER_VOTE_REQUEST: [u8; 2] = [1, 2];
+
+/// What a leader sends to ask another member to campaign.
+fn timeout_now_message(leader: &Replica, target: MemberId) -> Option<Bytes> {
+    let mut heartbeat = leader.clone();
+    heartbeat.handle_timeout(heartbeat.next_timeout());
+    let sent = heartbeat.take_ready().messages;
+    let to_target = sent.into_iter().find(|(to, _)| to.id == target);
+    to_target.map(|(_, bytes)| common::timeout_now(&bytes))
+}
+
+fn is_transfer_vote_request(bytes: &Bytes) -> bool {
+    common::body_code(bytes) == TRANSFER_VOTE_REQUEST[0]
+        && bytes[bytes.len() - VOTE_REQUEST_BYTES..].starts_with(&TRANSFER_VOTE_REQUEST)
+}
+
+/// The vote request with a later end of the candidate's log.
+fn claim_long_log(bytes: &Bytes) -> Bytes {
+    let mut claimed = bytes[..bytes.len() - LOG_END_BYTES].to_vec();
+    claimed.extend(100u64.to_le_bytes());
+    claimed.extend(100u64.to_le_bytes());
+    Bytes::from(claimed)
+}
+
 fn chain(history_hash: u64, with: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     (history_hash, with).hash(&mut hasher);
@@ -331,3 +415,41 @@
     println!("{states} states: {violations:?}");
     assert!(violations.is_some());
 }
+
+/// That, and the leader may hand over, in the way of a flaw or of none; nothing else goes wrong, so that a search gets far.
+fn with_transfer(flaw: Flaw) -> State {
+    State { transfers: 1, losses: 0, timeouts: 0, flaw, ..acknowledged() }
+}
+
+/// No fewer states than those in which the search finds a target that claims entries which it lacks.
+const TRANSFER_STATES: usize = 60_000;
+
+#[test]
+fn given_a_leader_that_hands_over_when_events_come_in_any_order_then_all_agree() {
+    let (states, violations) = search(with_transfer(Flaw::None), TRANSFER_STATES, DiskLoss::NewId);
+    println!("{states} states");
+    assert_eq!(violations, None);
+}
+
+#[test]
+fn given_a_leader_that_hands_over_when_all_lose_power_and_one_its_disk_then_all_agree() {
+    let start = State { losses: 1, ..with_transfer(Flaw::None) };
+    let (states, violations) = search(start, TRANSFER_STATES, DiskLoss::NewId);
+    println!("{states} states");
+    assert_eq!(violations, None);
+}
+
+#[test]
+fn given_a_leader_that_hands_over_to_one_that_lacks_entries_when_events_come_in_any_order_then_all_agree() {
+    let start = with_transfer(Flaw::TransferTooEarly);
+    let (states, violations) = search(start, TRANSFER_STATES, DiskLoss::NewId);
+    println!("{states} states");
+    assert_eq!(violations, None);
+}
+
+#[test]
+fn given_a_target_that_claims_entries_it_lacks_when_events_come_in_any_order_then_the_search_finds_it() {
+    let (states, violations) = search(with_transfer(Flaw::ClaimedLog), TRANSFER_STATES, DiskLoss::NewId);
+    println!("{states} states: {violations:?}");
+    assert!(violations.is_some_and(|what| what.contains("was committed")));
+}
--- a/crates/consensus/tests/random_faults.rs
+++ b/crates/consensus/tests/random_faults.rs
@@ -14,6 +14,7 @@
     reads: usize,
     wipes: usize,
     replica_set_changes: usize,
+    transfers: usize,
     crashes: usize,
 }
 
@@ -58,7 +59,8 @@
         let Some(&two) = ids.choose(&mut cluster.rng) else { return Ok(()) };
         let leader = cluster.leader();
         match cluster.rng.random_range(0..100) {
-            0..40 => self.propose(one, leader),
+            0..36 => self.propose(one, leader),
+            36..40 => self.transfer_leadership(leader, one),
             40..60 => {
                 cluster.read(leader.unwrap_or(one));
                 cluster.read(one);
@@ -95,6 +97,11 @@
         }
     }
 
+    fn transfer_leadership(&mut self, leader: Option<MemberId>, one: MemberId) {
+        let Some(leader) = leader else { return };
+        self.counts.transfers += usize::from(self.cluster.transfer_leadership(leader, one).is_ok());
+    }
+
     /// No more disks at once than are tolerated: the newest replica set is committed, and has lost few.
     fn lose_disk(&mut self, one: MemberId, leader: Option<MemberId>) {
         let Some(leader) = leader else { return };
@@ -237,6 +244,7 @@
                 all.reads += counts.reads;
                 all.wipes += counts.wipes;
                 all.replica_set_changes += counts.replica_set_changes;
+                all.transfers += counts.transfers;
                 all.crashes += counts.crashes;
             }
             Err(what) => panic!("seed {seed}: {what}"),
@@ -245,7 +253,11 @@
     println!("{all:?}");
     // The schedules had some of each.
     assert!(
-        all.committed > 100 && all.reads > 100 && all.wipes > 0 && all.replica_set_changes > 0,
+        all.committed > 100
+            && all.reads > 100
+            && all.wipes > 0
+            && all.replica_set_changes > 0
+            && all.transfers > 100,
         "{all:?}"
     );
 }
--- a/crates/coordinator/src/calls/redirects.rs
+++ b/crates/coordinator/src/calls/redirects.rs
@@ -59,10 +59,10 @@
     }
 
     fn send_not_leader(&mut self, shard: u16, origin: Origin, is_proposed: bool) {
-        // One that is elected and may not serve yet does not name itself.
+        // One that is elected and may not serve yet does not name itself, nor does one that hands its post over.
         let replica = self.shards.get(&shard).map(|shard| &shard.replica);
         let leader = replica
-            .filter(|r| r.is_serving_leader() || !r.is_leader())
+            .filter(|r| r.is_serving_leader() && !r.is_transferring_leadership() || !r.is_leader())
             .and_then(|r| r.leader())
             .map(|m| m.address);
         match origin {
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -134,7 +134,11 @@
                 self.process_output(number);
                 true
             }
-            Err(ProposeError::NotLeader(_) | ProposeError::ChangeInProgress) => {
+            Err(
+                ProposeError::NotLeader(_)
+                | ProposeError::ChangeInProgress
+                | ProposeError::TransferInProgress,
+            ) => {
                 self.redirect(number, origin);
                 false
             }
