Leaders hand over: when they are told to end, when their disk stalls, and where they gather

Change: coordinator/leadership.rs. At SIGTERM a process stops starting items, waits for those that run (a third of grace_s, 2.5 s at most) and transfers each shard; a leader whose disk has stalled or is full for 1 s transfers it to a member that has all on its disk; a store that leads more than its share moves one shard at a time, 10 s after the last change of leaders. Who did not take over is not asked again for 30 s: without that a store with a stalled disk blocked a shard again and again, found by the story.

Stories of balance and of the stalled disk fail without their parts.

--- a/crates/consensus/tests/leadership_transfer.rs
+++ b/crates/consensus/tests/leadership_transfer.rs
@@ -28,7 +28,7 @@
         let (mut cluster, leader, target) = settled(seed);
         let last = cluster.propose(leader, 100).expect("it leads");
         cluster.transfer_leadership(leader, target).expect("the target is up to date");
-        assert!(matches!(cluster.propose(leader, 0), None), "no proposals while it hands over");
+        assert!(cluster.propose(leader, 0).is_none(), "no proposals while it hands over");
         without.push(time_without_leader(&mut cluster, leader));
         assert_eq!(cluster.leader(), Some(target), "seed {seed}");
         assert!(cluster.is_committed(last));
--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -99,10 +99,13 @@
         bytes.sum()
     }
 
-    /// Whether uncommitted outputs of a shard led here wait too long, or are too many, for more items to be started.
+    /// Whether a shard led here is about to be moved, or uncommitted outputs of it wait too long, or are too many, for more items to
+    /// be started.
     pub(crate) fn is_item_start_paused(&self, number: u16) -> bool {
         let is_stalled = |shard: &Shard| shard.disk.is_stalled(self.now.steady);
-        self.shards.get(&number).is_some_and(is_stalled) || self.uncommitted_bytes() > MAX_UNCOMMITTED_BYTES
+        self.is_about_to_move(number)
+            || self.shards.get(&number).is_some_and(is_stalled)
+            || self.uncommitted_bytes() > MAX_UNCOMMITTED_BYTES
     }
 
     /// Rejects a batch job, and frees capacity where that is possible.
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -17,6 +17,7 @@
 use crate::dissemination::{Outbox, PendingAcknowledgement};
 use crate::founding::{founding_id, founding_members};
 use crate::frame::{DecodeError, Head, Request, split};
+use crate::leadership::LeadershipMoves;
 use crate::membership::{COMPARING_PERIOD, LivePeer};
 use crate::quota::ReservationAnswer;
 use crate::replica_placement::JoinCandidate;
@@ -103,6 +104,7 @@
     /// Disks of gateways that want to be members of the configuration's shard, and when each asked last.
     pub(crate) join_candidates: BTreeMap<MemberId, JoinCandidate>,
     pub(crate) admission: admission::Admission,
+    pub(crate) leadership_moves: LeadershipMoves,
     pub(crate) reports: reports::ReportExchange,
     pub(crate) diagnostics: diagnostics::Diagnostics,
     pub(crate) violations: invariants::ViolationCounts,
@@ -174,6 +176,7 @@
             heartbeats: BTreeMap::new(),
             join_candidates: BTreeMap::new(),
             admission: admission::Admission::default(),
+            leadership_moves: LeadershipMoves::default(),
             reports: reports::ReportExchange::default(),
             diagnostics: diagnostics::Diagnostics::default(),
             violations: invariants::ViolationCounts::default(),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod frame;
 mod info;
 pub mod invariants;
+mod leadership;
 pub mod listing;
 mod lost_membership;
 mod maintenance;
--- a/crates/coordinator/src/maintenance.rs
+++ b/crates/coordinator/src/maintenance.rs
@@ -36,6 +36,7 @@
                 self.place_store_members(number);
             }
         }
+        self.move_leaderships();
         self.tombstone_lost_memberships();
         self.track_routes();
     }
--- a/crates/coordinator/tests/common/fleet.rs
+++ b/crates/coordinator/tests/common/fleet.rs
@@ -10,7 +10,7 @@
 use rainlug::{SECOND, Time};
 use rainlug_batch::RunOutcome;
 use rainlug_coordinator::{
-    Answer, Call, Coordinator, Effect, NodeInfo, Now, ProcessRole, RETENTION_SLACK, founding_id,
+    Answer, BATCH_SHARDS, Call, Coordinator, Effect, NodeInfo, Now, ProcessRole, RETENTION_SLACK, founding_id,
 };
 use rainlug_registry::{Worker, WorkerReport};
 use rand::{Rng, SeedableRng};
@@ -287,6 +287,15 @@
         self.push(self.now, Event::Wake { at, incarnation });
     }
 
+    /// A process is told to end, and waits two seconds at most for the items that it runs; it runs on until it is killed.
+    pub fn hand_over_leaderships(&mut self, at: usize) {
+        let (now, wait_until) = (self.time(at), self.now + 2 * SECOND);
+        if let Some(coordinator) = &mut self.machines[at].coordinator {
+            coordinator.hand_over_leaderships(now, wait_until);
+        }
+        self.after(at);
+    }
+
     /// Nothing passes between the two sides.
     pub fn partition(&mut self, one: &[usize], other: &[usize]) {
         for a in one {
@@ -580,6 +589,12 @@
         Some(members.iter().filter_map(|member| self.place(member.address)).collect())
     }
 
+    /// How many shards of batch jobs a machine leads.
+    pub fn led_shards(&self, at: usize) -> usize {
+        let Some(coordinator) = &self.machines[at].coordinator else { return 0 };
+        (1..=BATCH_SHARDS).filter(|shard| coordinator.shard_status(*shard).is_leader).count()
+    }
+
     /// Who leads a shard.
     pub fn leader(&self, shard: u16) -> Option<usize> {
         let leads = |m: &Machine| {
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -129,6 +129,11 @@
         self.coordinator.borrow().is_ready(self.clock.now())
     }
 
+    /// Whether this process leads any shard.
+    pub(crate) fn leads_any_shard(&self) -> bool {
+        self.coordinator.borrow().leads_any_shard()
+    }
+
     /// Hands something to the coordinator, and carries out the effects. `kind` names the step in the log, should it take long.
     pub(crate) fn step<R>(
         self: &Rc<Self>,
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -17,7 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::clock::Clock;
 use crate::disk::{Disk, ShardLog, WriterReport};
@@ -27,6 +27,14 @@
 
 /// Between two attempts to open a disk that refuses calls.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// A process that ends waits for the batch items that it runs, so that they are not run again: for this part of the time to stop, and
+/// for no longer than this.
+const ITEM_DRAIN_PART: u32 = 3;
+const MAX_ITEM_DRAIN_TIME: Duration = Duration::from_millis(2500);
+/// A process that ends waits no longer than this for others to lead its shards: the time of an election, which they then need anyway.
+const HAND_OVER_TIME: Duration = Duration::from_millis(400);
+/// Between two looks whether they do.
+const HAND_OVER_POLL: Duration = Duration::from_millis(10);
 /// A process that ends has this long to tell its peers.
 const LEAVE_TIME: Duration = Duration::from_millis(50);
 
@@ -160,7 +168,8 @@
     spawn_servers(&node, role, &settings).await?;
     node.step("start", |_, _| ());
     wait_for_stop().await?;
-    stop(&node, role).await;
+    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
+    stop(&node, role, grace).await;
     Ok(())
 }
 
@@ -200,12 +209,26 @@
     }
 }
 
-/// Shuts down in order: requests first, then the membership.
-async fn stop(node: &Rc<Node>, role: ProcessRole) {
+/// Hands over the shards that this process leads once the items that it runs have ended, and waits for that.
+async fn hand_over_leaderships(node: &Rc<Node>, grace: Duration) {
+    let drain_time = (grace / ITEM_DRAIN_PART).min(MAX_ITEM_DRAIN_TIME);
+    node.step("hand over", |coordinator, now| {
+        coordinator.hand_over_leaderships(now, now.steady + drain_time.as_micros() as Time)
+    });
+    let end = Instant::now() + drain_time + HAND_OVER_TIME;
+    while node.leads_any_shard() && Instant::now() < end {
+        sleep(HAND_OVER_POLL).await;
+    }
+}
+
+/// Shuts down in order: leaderships and requests first, then the membership.
+async fn stop(node: &Rc<Node>, role: ProcessRole, grace: Duration) {
     log::event("stop", "told to end");
     if role == ProcessRole::Gateway {
         // Bounded by itself: it ends before the grace period does.
-        node.gateway().stop().await;
+        tokio::join!(hand_over_leaderships(node, grace), node.gateway().stop());
+    } else {
+        hand_over_leaderships(node, grace).await;
     }
     node.step("leave", |coordinator, now| coordinator.leave(now));
     sleep(LEAVE_TIME).await;
