Tests: time to cancel across processes, two dispatchers that stop at once, a stop of three seconds

Change: tests only. A job whose items wait is ended while its leader is isolated, frozen, killed, hands over or is well; fifteen clients go on while two of three dispatchers stop; the last sixth at grace_s 3 beside 3.6. Without the end of the job its items are begun later, so the first one can fail.

--- a/crates/coordinator/tests/operators/batch_stories.rs
+++ b/crates/coordinator/tests/operators/batch_stories.rs
@@ -2,7 +2,7 @@
 
 use rainlug_coordinator::{Call, shard_of_job};
 
-use crate::common::{Fleet, job, settled};
+use crate::common::{Fleet, job, jobs_of, settled};
 
 /// Core and plain machines come first.
 const FIRST_STORE: usize = 4;
@@ -112,3 +112,68 @@
         assert_eq!(answer, Some(503), "seed {seed}");
     }
 }
+
+/// The time after which no item of an ended job may reach a worker (`cancel_ms`).
+const CANCEL: f64 = 3.0;
+/// Three such jobs fill all places in which a leader runs items at once.
+const ITEMS: usize = 190;
+
+/// What befalls the store that leads a job's shard when the end of the job is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AtTheEnd {
+    /// Nothing, and the job is not ended either.
+    NoEnd,
+    Nothing,
+    Isolated,
+    Frozen,
+    HandsOver,
+    Killed,
+}
+
+/// Items of a job that were begun, at any store and as often as they were.
+fn begun(fleet: &Fleet, id: &str) -> usize {
+    fleet.runs.iter().filter(|(_, job, _)| job == id).count()
+}
+
+/// A job whose items wait behind others is ended: how many of them were begun when the time to cancel was over, and at last.
+fn begun_after_the_end(at_the_end: AtTheEnd, seed: u64) -> (usize, usize) {
+    let mut fleet = settled(3, 1, 4, 70 + seed);
+    fleet.run_time = 6 * rainlug::SECOND;
+    let jobs = jobs_of(1, 4);
+    for id in &jobs {
+        let submission = Call::Submit { job: id.clone(), route: "lots".to_owned(), body: job(id, ITEMS) };
+        assert_eq!(status(&mut fleet, 0, submission), Some(202));
+    }
+    let old = fleet.leader(1).expect("a leader");
+    let ended = jobs.last().expect("one of four");
+    match at_the_end {
+        AtTheEnd::NoEnd | AtTheEnd::Nothing => {}
+        AtTheEnd::Isolated => fleet.isolate(old),
+        AtTheEnd::Frozen => fleet.freeze(old),
+        AtTheEnd::HandsOver => fleet.hand_over_leaderships(old),
+        AtTheEnd::Killed => fleet.kill(old, false),
+    }
+    if at_the_end != AtTheEnd::NoEnd {
+        assert_eq!(until_clear(&mut fleet, 1, &end(ended)), 200, "{at_the_end:?} seed {seed}");
+    }
+    fleet.pass(CANCEL);
+    let in_time = begun(&fleet, ended);
+    fleet.pass(CUT);
+    fleet.heal();
+    fleet.thaw(old);
+    fleet.pass(CUT);
+    (in_time, begun(&fleet, ended))
+}
+
+#[test]
+fn given_a_job_whose_items_wait_when_it_is_ended_then_no_process_begins_one_after_the_time_to_cancel() {
+    use AtTheEnd::{Frozen, HandsOver, Isolated, Killed, NoEnd, Nothing};
+    for seed in 0..4 {
+        for at_the_end in [Nothing, Isolated, Frozen, HandsOver, Killed] {
+            let (in_time, at_last) = begun_after_the_end(at_the_end, seed);
+            assert_eq!(in_time, at_last, "{at_the_end:?} seed {seed}");
+        }
+        let (in_time, at_last) = begun_after_the_end(NoEnd, seed);
+        assert!(at_last > in_time, "seed {seed}: they would be begun later: {in_time} {at_last}");
+    }
+}
--- a/crates/gateway/tests/plane/stop.rs
+++ b/crates/gateway/tests/plane/stop.rs
@@ -112,6 +112,90 @@
     });
 }
 
+/// A client that asks one dispatcher after the other for a while; the requests that were answered, and those that were lost.
+async fn ask_in_turn(benches: &[Rc<Bench>], client: usize, end: Instant) -> (usize, Vec<String>) {
+    let (mut answered, mut lost, mut kept) = (0, Vec::new(), None);
+    for turn in 0.. {
+        if Instant::now() >= end {
+            break;
+        }
+        sleep(Duration::from_millis(5 + client as u64)).await;
+        let connection = match kept.take() {
+            Some(connection) => Some(connection),
+            None => {
+                let connected = TcpStream::connect(benches[(client + turn) % benches.len()].front).await;
+                connected.ok().map(|stream| Client { stream, buffer: Vec::new() })
+            }
+        };
+        // One that has stopped takes no connections; the next one is asked.
+        let Some(mut connection) = connection else { continue };
+        use tokio::io::AsyncWriteExt;
+        let text = post("/m/1", &format!("{client}-{turn}"), "", "body");
+        if connection.stream.write_all(text.as_bytes()).await.is_err() {
+            continue;
+        }
+        let sent = Instant::now();
+        match connection.got().await {
+            Some(got) if got.whole && got.status() == 200 => {
+                answered += 1;
+                let is_last = got.field("Connection").as_deref() == Some("close");
+                kept = (!is_last && client.is_multiple_of(2)).then_some(connection);
+            }
+            // The end crossed the request, at once: it has not been read.
+            None if sent.elapsed() < Duration::from_millis(200) => {}
+            other => lost.push(format!("{client}-{turn}: {other:?}")),
+        }
+    }
+    (answered, lost)
+}
+
+#[test]
+fn two_dispatchers_that_stop_at_once_under_traffic_lose_no_request_and_are_unready_at_once() {
+    run(async {
+        let worker = stand(|_, _| vec![Act::Sleep(30), ok("done")]).await;
+        let mut benches = Vec::new();
+        for _ in 0..3 {
+            benches.push(Rc::new(Bench::with(&[&worker]).await));
+        }
+        let end = Instant::now() + Duration::from_millis(2500);
+        let clients: Vec<_> = (0..15)
+            .map(|client| {
+                let benches = benches.clone();
+                spawn_local(async move { ask_in_turn(&benches, client, end).await })
+            })
+            .collect();
+        sleep(Duration::from_millis(300)).await;
+        let stops: Vec<_> = benches[..2]
+            .iter()
+            .map(|bench| {
+                let bench = bench.clone();
+                spawn_local(async move { bench.gateway.stop().await })
+            })
+            .collect();
+        sleep(Duration::from_millis(20)).await;
+        for _ in 0..2 {
+            for (bench, status) in benches.iter().zip([503, 503, 200]) {
+                assert_eq!(ready(bench).await, status);
+            }
+        }
+        for stop in stops {
+            stop.await.unwrap();
+        }
+        assert!(Instant::now() < end, "both have stopped while clients still ask");
+        let mut answered = 0;
+        for client in clients {
+            let (count, lost) = client.await.unwrap();
+            answered += count;
+            assert_eq!(lost, Vec::<String>::new());
+        }
+        assert!(answered > 200, "{answered}");
+        for bench in &benches[..2] {
+            assert_eq!(bench.figure("in_hand"), 0.0);
+            assert!(TcpStream::connect(bench.front).await.is_err());
+        }
+    });
+}
+
 #[test]
 fn what_is_in_hand_is_finished() {
     run(async {
@@ -157,8 +241,17 @@
 /// Only what a worker is still at work on in the last sixth of the time may be given up.
 #[test]
 fn a_worker_that_answers_before_the_last_sixth_of_the_time_to_stop_is_waited_for() {
+    waits_until_the_last_sixth(Duration::from_millis(3600));
+}
+
+/// A second before the end, which the process once kept for itself, would be before the last sixth here.
+#[test]
+fn a_worker_is_waited_for_also_where_the_time_to_stop_is_three_seconds() {
+    waits_until_the_last_sixth(Duration::from_secs(3));
+}
+
+fn waits_until_the_last_sixth(grace: Duration) {
     run(async {
-        let grace = Duration::from_millis(3600);
         let sixth = grace / 6;
         let works = (grace - sixth).as_millis() as u64 - 20;
         let worker = stand(move |_, _| vec![Act::Sleep(works), ok("late")]).await;
