Admission sees followers: a store without room says so, and leaders refuse what it cannot hold

Cause: a leader judged a new batch job by its own memory and disk. A follower that holds other shards or has a smaller disk could be filled past its bounds.

Change: a store publishes with its membership card whether memory and disk bear more than what is accepted, its files counted as a rewrite leaves them; while a live member of the replica set says no, jobs are refused by the reason 'follower' (a new metric), with when to come back, and what is over is forgotten. The card's bytes are as before where there is room.

--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -7,6 +7,7 @@
 use rainlug_batch::Command;
 
 use crate::capacity::{self, CapacityLimits, CapacityUsage, RejectionCounts, RejectionReason, ShardUsage};
+use crate::membership::member_payload;
 use crate::quota::Submission;
 use crate::shard::Shard;
 use crate::{Answer, BATCH_SHARDS, CONTROL, Coordinator, Effect, Origin};
@@ -26,6 +27,8 @@
 #[derive(Default)]
 pub(crate) struct Admission {
     rejections: RejectionCounts,
+    /// The other processes know that this one has no room for more.
+    is_full_published: bool,
     /// When batch jobs were last forgotten to free capacity, by the steady clock in microseconds.
     forgot_at: Option<Time>,
 }
@@ -86,7 +89,32 @@
             return Err(RejectionReason::ReplicationBacklog);
         }
         let (limits, usage) = self.limits_and_usage();
-        limits.admit(&usage, bytes)
+        limits.admit(&usage, bytes)?;
+        if self.has_full_follower(shard) {
+            return Err(RejectionReason::FollowerFull);
+        }
+        Ok(())
+    }
+
+    /// Whether a live member of a shard's replica set has published that it has no room for more. It may hold other shards than the
+    /// leader does, or have a smaller disk.
+    fn has_full_follower(&self, shard: &Shard) -> bool {
+        let members = shard.replica.members().iter();
+        let mut live = members.filter_map(|member| self.peers.live.get(&member.address));
+        live.any(|peer| peer.is_full)
+    }
+
+    /// A store publishes through the membership whether it has room for more batch jobs; their leaders reject them while it has not.
+    pub(crate) fn publish_room(&mut self) {
+        if self.info.role.is_gateway() {
+            return;
+        }
+        let (limits, usage) = self.limits_and_usage();
+        let is_full = !limits.has_room(&usage);
+        if is_full != self.admission.is_full_published {
+            self.admission.is_full_published = is_full;
+            self.peers.view.attach(&member_payload(&self.info, is_full));
+        }
     }
 
     /// Bytes that are proposed, or about to be, and not committed, over all shards that are led here.
--- a/crates/coordinator/src/capacity.rs
+++ b/crates/coordinator/src/capacity.rs
@@ -170,16 +170,19 @@
     Disk,
     /// A machine with an empty disk would not recover in time.
     RecoveryTime,
+    /// Another member of the replica set has no memory or disk left for more.
+    FollowerFull,
 }
 
 impl RejectionReason {
     /// All reasons, in the order of the metrics.
-    pub const ALL: [RejectionReason; 5] = [
+    pub const ALL: [RejectionReason; 6] = [
         RejectionReason::DiskStalled,
         RejectionReason::ReplicationBacklog,
         RejectionReason::Memory,
         RejectionReason::Disk,
         RejectionReason::RecoveryTime,
+        RejectionReason::FollowerFull,
     ];
 
     /// Whether it passes without batch jobs being forgotten or logs rewritten.
@@ -195,6 +198,7 @@
             RejectionReason::Memory => "memory",
             RejectionReason::Disk => "disk",
             RejectionReason::RecoveryTime => "refill",
+            RejectionReason::FollowerFull => "follower",
         }
     }
 }
@@ -364,6 +368,17 @@
         Ok(())
     }
 
+    /// Whether this process has memory and disk for more than what is accepted, as a member of its shards' replica sets. Files count
+    /// with what a rewrite leaves of them: a member rewrites its own in its own time.
+    pub fn has_room(&self, usage: &CapacityUsage) -> bool {
+        let rewritten = |shard: &ShardUsage| ShardUsage {
+            log: LogUsage { length: shard.log.rewritten, ..shard.log },
+            ..*shard
+        };
+        let usage = CapacityUsage { shards: usage.shards.iter().map(rewritten).collect(), ..*usage };
+        !matches!(self.admit(&usage, 0), Err(RejectionReason::Memory | RejectionReason::Disk))
+    }
+
     /// Whether a rewrite of one of the logs frees capacity that may be needed: files take a good part of the limit, the disk would
     /// make the rewrite, and its copy fits besides all files.
     pub fn is_rewrite_due(&self, usage: &CapacityUsage, log: &LogUsage) -> bool {
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -18,7 +18,7 @@
 use crate::founding::{founding_id, founding_members};
 use crate::frame::{DecodeError, Head, Request, split};
 use crate::leadership::LeadershipMoves;
-use crate::membership::{COMPARING_PERIOD, LivePeer};
+use crate::membership::{COMPARING_PERIOD, LivePeer, member_payload};
 use crate::quota::ReservationAnswer;
 use crate::replica_placement::JoinCandidate;
 use crate::replica_settings::replica_settings;
@@ -112,13 +112,6 @@
     pub(crate) effects: Vec<Effect>,
 }
 
-/// The application bytes of a process's membership card: its role, and the port where it serves workers (big-endian; 0: none).
-fn member_payload(info: &NodeInfo) -> Vec<u8> {
-    let mut payload = vec![u8::from(info.role.is_gateway())];
-    payload.extend(info.control_address.map_or(0, |c| c.port()).to_be_bytes());
-    payload
-}
-
 impl Coordinator {
     /// A process that starts. `logs` are the records that its disk holds, by shard.
     ///
@@ -137,7 +130,7 @@
             at: info.peer_address,
             start: now.wall,
             edition: 0,
-            figures: member_payload(&info),
+            figures: member_payload(&info, false),
         };
         // The order of these draws is part of what a seed stands for.
         let view =
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::dissemination::Outbox;
-use crate::{CONTROL, Coordinator, Effect, Now};
+use crate::{CONTROL, Coordinator, Effect, NodeInfo, Now};
 
 /// A process that knows peers and has received nothing from any of them for so long is isolated, in microseconds.
 const ISOLATION_TIMEOUT: Time = 12 * SECOND / 10;
@@ -38,6 +38,17 @@
     pub is_gateway: bool,
     /// Where it serves workers and operators, if it does.
     pub control_address: Option<SocketAddr>,
+    /// A store that has no room for more batch jobs.
+    pub is_full: bool,
+}
+
+/// The application bytes of a process's membership card: its role, the port where it serves workers (big-endian; 0: none), and a last
+/// one where it has no room for more batch jobs.
+pub(crate) fn member_payload(info: &NodeInfo, is_full: bool) -> Vec<u8> {
+    let mut payload = vec![u8::from(info.role.is_gateway())];
+    payload.extend(info.control_address.map_or(0, |c| c.port()).to_be_bytes());
+    payload.extend(is_full.then_some(1));
+    payload
 }
 
 /// The peers that the failure detector's view lists.
@@ -90,17 +101,18 @@
                 if card.at == self.info.peer_address || standing == Standing::Left {
                     continue;
                 }
-                let (is_gateway, port) = match card.figures[..] {
-                    [role, high, low, ..] => (role == 1, u16::from_be_bytes([high, low])),
+                let (is_gateway, port, rest) = match &card.figures[..] {
+                    [role, high, low, rest @ ..] => (*role == 1, u16::from_be_bytes([*high, *low]), rest),
                     _ => continue,
                 };
+                let is_full = rest.first() == Some(&1);
                 known.has_gateways |= is_gateway;
                 if standing > Standing::Suspect {
                     continue;
                 }
                 known.zones.entry(card.zone.clone()).or_default().push(card.at);
                 let control_address = (port != 0).then(|| SocketAddr::new(card.at.ip(), port));
-                known.live.insert(card.at, LivePeer { is_gateway, control_address });
+                known.live.insert(card.at, LivePeer { is_gateway, control_address, is_full });
             }
         }
         known
--- a/crates/coordinator/tests/admission.rs
+++ b/crates/coordinator/tests/admission.rs
@@ -326,3 +326,54 @@
 fn given_clocks_further_apart_than_the_slack_then_the_story_finds_outputs_that_went_too_early() {
     assert!(kept_for(94, 45_000) < STATUS, "the story would find nothing");
 }
+
+/// A store comes back with a disk of so many bytes; the other two are as they were.
+fn give_small_disk(fleet: &mut Fleet, store: usize, bytes: usize) {
+    let usual = fleet.disk_bytes;
+    fleet.kill(store, false);
+    fleet.pass(0.5);
+    fleet.disk_bytes = bytes;
+    fleet.start(store, false);
+    fleet.disk_bytes = usual;
+    fleet.pass(3.0);
+}
+
+/// Submits for a minute: how many jobs were taken, and how many refused.
+fn submit_for_a_minute(fleet: &mut Fleet) -> (usize, usize) {
+    let (mut taken, mut refused) = (0, 0);
+    for nth in 0..240 {
+        let answer = fleet.ask(4, submit(&format!("minute-{nth}")), 3.5);
+        match answer.map(|answer| answer.status) {
+            Some(202) => taken += 1,
+            Some(503) => refused += 1,
+            other => panic!("job {nth}: {other:?}"),
+        }
+        fleet.pass(0.25);
+    }
+    (taken, refused)
+}
+
+#[test]
+fn given_a_follower_whose_disk_is_smaller_when_jobs_come_then_its_leaders_refuse_what_it_cannot_hold() {
+    for seed in 0..4 {
+        let mut fleet = three_stores(80 + seed, |_| {});
+        let small = stores(&fleet)[seed as usize % 3];
+        let (taken_before, refused_before) = submit_for_a_minute(&mut fleet);
+        assert!(taken_before > 200 && refused_before == 0, "seed {seed}: {taken_before} {refused_before}");
+        fleet.pass(40.0);
+        give_small_disk(&mut fleet, small, NARROW as usize);
+        // What the small one leads it bounds itself; here the others lead.
+        fleet.hand_over_leaderships(small);
+        fleet.pass(3.0);
+        assert_eq!(fleet.led_shards(small), 0, "seed {seed}");
+        let (taken, refused) = submit_for_a_minute(&mut fleet);
+        assert!(taken > 0 && refused > 0, "seed {seed}: {taken} taken, {refused} refused");
+        assert!(sum(&fleet, "batch_jobs_refused_follower") > 0.0, "seed {seed}");
+        let of = |name: &str| figure(&fleet, small, name).unwrap_or(f64::MAX);
+        let state: f64 = (1..=BATCH_SHARDS).map(|shard| of(&format!("part_{shard}_bytes"))).sum();
+        assert!(state <= of("room_disk_limit_bytes"), "seed {seed}: {state}");
+        // As outputs are forgotten there is room again.
+        fleet.pass(60.0);
+        assert_eq!(fleet.ask(4, submit("again"), 3.5).map(|a| a.status), Some(202), "seed {seed}");
+    }
+}
