--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -32,7 +32,7 @@
 pub use job_table::{Applied, JobTable, OpenJob, OutputPage};
 pub use quota_ledger::{JobUsage, MAX_JOBS, QuotaLedger, QuotaOutcome, RESERVATION_GRACE, UsageReportNumber};
 pub use restore::{JobTableRestore, RestoreError};
-pub use schedule::{ItemRun, MAX_PROPOSALS, RunOutcome, Schedule};
+pub use schedule::{ItemRun, MAX_OUTPUT_BYTES, MAX_PROPOSALS, RunOutcome, Schedule};
 pub use snapshot::{CHUNK_BYTES, JobTableSnapshot};
 pub use stored_text::{MAX_INFLATED_BYTES, StoredText, StoredTextError};
 pub use submission::{SubmissionError, parse_submission};
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -13,6 +13,9 @@
 use crate::job::{BatchJob, BatchJobHeader};
 use crate::{Applied, Command, Item, ItemOutcome, JobTable, StoredText};
 
+/// Bytes of an item's output above which the item is abandoned. A command must pass between processes as one message of 16 MiB at most: one
+/// that does not would hold up all that follows it in its shard's log.
+pub const MAX_OUTPUT_BYTES: usize = 8 << 20;
 /// Commands that one call of [`Schedule::take_proposals`] gives, at most: its caller proposes them all in one step.
 pub const MAX_PROPOSALS: usize = 256;
 /// Expired items that one call of [`Schedule::start_next`] skips, at most.
@@ -101,6 +104,8 @@
 struct ItemProgress {
     /// Data of the events.
     events: Vec<Bytes>,
+    /// Bytes of those, with what joins them.
+    output_bytes: usize,
     /// Id of the last event (0: none).
     last_event: u64,
     failed_attempts: u32,
@@ -125,6 +130,7 @@
         for (id, data) in events {
             if id > self.last_event {
                 self.last_event = id;
+                self.output_bytes += data.len() + 1;
                 self.events.push(data);
             }
         }
@@ -132,6 +138,9 @@
 
     /// How the item finishes now that a run ended; nothing where it is to run again.
     fn outcome_after(&mut self, run: &RunOutcome, max_attempts: u32) -> Option<ItemOutcome> {
+        if self.output_bytes > MAX_OUTPUT_BYTES {
+            return Some(ItemOutcome::Abandoned);
+        }
         match run {
             RunOutcome::Complete => Some(ItemOutcome::Complete),
             RunOutcome::Unprocessable => Some(ItemOutcome::Abandoned),
@@ -146,7 +155,10 @@
     fn take_text(&mut self, outcome: ItemOutcome) -> StoredText {
         match outcome {
             ItemOutcome::Complete => StoredText::new(&std::mem::take(&mut self.events).join(&b'\n')),
-            ItemOutcome::Abandoned => StoredText::default(),
+            ItemOutcome::Abandoned => {
+                self.events.clear();
+                StoredText::default()
+            }
         }
     }
 }
--- a/crates/batch/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -9,7 +9,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rainlug::{SECOND, Time};
-use rainlug_batch::{Applied, Command, ItemRun, JobTable, MAX_PROPOSALS, RunOutcome, Schedule};
+use rainlug_batch::{
+    Applied, Command, ItemRun, JobTable, MAX_OUTPUT_BYTES, MAX_PROPOSALS, RunOutcome, Schedule,
+};
 
 /// A shard's leader: each command is applied, and the schedule follows.
 struct Leader {
@@ -156,6 +158,25 @@
     assert_eq!(leader.finish_run("l", "a", &[], RunOutcome::Unprocessable), Some(abandon("l", "a")));
 }
 
+#[test]
+fn given_an_output_that_no_message_carries_then_its_item_is_abandoned_and_one_just_below_is_whole() {
+    for (bytes, is_whole) in [(MAX_OUTPUT_BYTES - 2, true), (MAX_OUTPUT_BYTES, false)] {
+        let mut leader = Leader::new(&[submit("l", &["a"])]);
+        // No run of it is too long by itself.
+        let half = "x".repeat(bytes / 2);
+        leader.start_next().unwrap();
+        assert_eq!(leader.finish_run("l", "a", &[(1, &half)], RunOutcome::Interrupted), None);
+        leader.start_next().unwrap();
+        let command = leader.finish_run("l", "a", &[(2, &half)], RunOutcome::Complete).unwrap();
+        if is_whole {
+            assert_eq!(command, finish("l", "a", &format!("{half}\n{half}")));
+            assert!(command.encode().len() < 16 << 20);
+        } else {
+            assert_eq!(command, abandon("l", "a"));
+        }
+    }
+}
+
 #[test]
 fn given_a_refused_proposal_then_it_is_made_again_until_applied() {
     let mut leader = Leader::new(&[submit("l", &["a"])]);
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -9,7 +9,7 @@
 use rainlug_registry::Configuration;
 
 use crate::control::{Change, Store};
-use crate::frame::{Head, Request, Text, join};
+use crate::frame::{Head, MemberRecord, Request, Text, join};
 use crate::replica_placement::JoinCandidate;
 use crate::waiting::{Poll, ReadQuery};
 use crate::{Answer, CONTROL, Coordinator, Effect};
@@ -38,6 +38,11 @@
     Caller(u64),
 }
 
+/// A name as text; empty where it is not UTF-8.
+fn name(text: &Text) -> String {
+    text.to_str().map(str::to_owned).unwrap_or_default()
+}
+
 impl Coordinator {
     /// Answers whoever waits for a request to a shard.
     pub(crate) fn reply(&mut self, origin: Origin, answer: Answer) {
@@ -59,66 +64,81 @@
         if !self.shards.get(&number).is_some_and(|p| p.replica.is_serving_leader()) {
             return self.redirect(number, origin);
         }
-        let name = |text: &Text| text.to_str().map(str::to_owned).unwrap_or_default();
         match (number, request) {
             (_, Request::Locate) => self.redirect(number, origin),
-            (CONTROL, Request::Configure { base }) => self.configure(origin, base, tail),
-            (CONTROL, Request::Configuration) => self.begin_read(number, origin, ReadQuery::Configuration),
-            (CONTROL, Request::Retire { store }) => {
-                self.begin_read(number, origin, ReadQuery::Retire(name(&store)))
-            }
-            (CONTROL, Request::RetirementStatus { store }) => {
-                self.begin_read(number, origin, ReadQuery::RetirementStatus(name(&store)))
-            }
-            (CONTROL, Request::Join { member }) => {
-                if let Ok(member) = member.to_member() {
-                    self.join_candidates
-                        .insert(member.id, JoinCandidate { member, asked_at: self.now.steady });
-                }
-                self.reply(origin, Answer::with_status(200));
-            }
-            (CONTROL, Request::RegisterStore { member }) => {
-                let known = member.to_member().ok().and_then(|m| {
-                    let control = self.shards.get(&CONTROL)?.control()?;
-                    Some(control.stores.get(&m.name)?.member == m)
-                });
-                match known {
-                    Some(true) => self.reply(origin, Answer::with_status(200)),
-                    _ => {
-                        self.propose(number, origin, join(&Change::RegisterStore { member }, &[]));
-                    }
-                }
-            }
-            (
-                CONTROL,
-                Request::ReportReplicaSet { shard, term, index, retirements, member_count, members },
-            ) => {
+            (CONTROL, request) => self.handle_control_request(origin, request, tail),
+            (number, request) => self.handle_batch_request(origin, number, request, tail),
+        }
+    }
+
+    /// Handles a request to the configuration's shard, which this process leads.
+    fn handle_control_request(&mut self, origin: Origin, request: Request, tail: Bytes) {
+        match request {
+            Request::Configure { base } => self.configure(origin, base, tail),
+            Request::Configuration => self.begin_read(CONTROL, origin, ReadQuery::Configuration),
+            Request::Retire { store } => self.begin_read(CONTROL, origin, ReadQuery::Retire(name(&store))),
+            Request::RetirementStatus { store } => {
+                self.begin_read(CONTROL, origin, ReadQuery::RetirementStatus(name(&store)))
+            }
+            Request::Join { member } => self.take_join_candidate(origin, &member),
+            Request::RegisterStore { member } => self.register_store(origin, member),
+            Request::ReportReplicaSet { shard, term, index, retirements, member_count, members } => {
                 let change = Change::SetReplicaSet { shard, term, index, retirements, member_count, members };
-                self.propose(number, origin, join(&change, &[]));
-            }
-            (1.., Request::Submit { job, route }) => {
-                self.submit(number, origin, name(&job), name(&route), tail)
+                self.propose(CONTROL, origin, join(&change, &[]));
             }
-            (1.., Request::Read { job, since, wait_ms }) => {
+            _ => self.reply(origin, Answer::with_status(400)),
+        }
+    }
+
+    /// A gateway's disk asks to be a member of the configuration's shard.
+    fn take_join_candidate(&mut self, origin: Origin, member: &MemberRecord) {
+        if let Ok(member) = member.to_member() {
+            let candidate = JoinCandidate { member, asked_at: self.now.steady };
+            self.join_candidates.insert(candidate.member.id, candidate);
+        }
+        self.reply(origin, Answer::with_status(200));
+    }
+
+    /// A store's disk asks to be listed.
+    fn register_store(&mut self, origin: Origin, member: MemberRecord) {
+        let is_listed = member.to_member().ok().is_some_and(|member| {
+            let control = self.shards.get(&CONTROL).and_then(|shard| shard.control());
+            let listed = control.and_then(|control| control.stores.get(&member.name));
+            listed.is_some_and(|store| store.member == member)
+        });
+        if is_listed {
+            return self.reply(origin, Answer::with_status(200));
+        }
+        self.propose(CONTROL, origin, join(&Change::RegisterStore { member }, &[]));
+    }
+
+    /// Handles a request to a shard of batch jobs, which this process leads.
+    fn handle_batch_request(&mut self, origin: Origin, number: u16, request: Request, tail: Bytes) {
+        match request {
+            Request::Submit { job, route } => self.submit(number, origin, name(&job), name(&route), tail),
+            Request::Read { job, since, wait_ms } => {
                 if self.pending_job_reads() >= MAX_PENDING_JOB_READS {
                     return self.reply(origin, Answer::retry_after(503, READ_RETRY));
                 }
                 let until = self.now.steady + Time::from(wait_ms.min(2000)) * 1000;
                 self.begin_read(number, origin, ReadQuery::BatchJob { job: name(&job), since, until });
             }
-            (1.., Request::Body { job, item }) => {
+            Request::Body { job, item } => {
                 self.begin_read(number, origin, ReadQuery::Body { job: name(&job), item: name(&item) });
             }
-            (1.., Request::End { job }) => self.end_job(number, origin, name(&job)),
-            (1.., Request::Reserve { job, route, shard, tokens, most }) => {
-                let (route, job, at) = (name(&route), name(&job), self.now.wall);
-                self.receive_reservation(
-                    number,
-                    origin,
-                    Command::Reserve { route, job, shard, tokens, max_waiting_tokens: most, timestamp: at },
-                );
+            Request::End { job } => self.end_job(number, origin, name(&job)),
+            Request::Reserve { job, route, shard, tokens, most } => {
+                let command = Command::Reserve {
+                    route: name(&route),
+                    job: name(&job),
+                    shard,
+                    tokens,
+                    max_waiting_tokens: most,
+                    timestamp: self.now.wall,
+                };
+                self.receive_reservation(number, origin, command);
             }
-            (1.., Request::ReportUsage) => self.receive_usage_report(number, origin, &tail),
+            Request::ReportUsage => self.receive_usage_report(number, origin, &tail),
             _ => self.reply(origin, Answer::with_status(400)),
         }
     }
--- a/crates/coordinator/tests/capacity.rs
+++ b/crates/coordinator/tests/capacity.rs
@@ -239,7 +239,7 @@
     refusals.count(RejectionReason::RecoveryTime);
     refusals.count(RejectionReason::RecoveryTime);
     let counts: Vec<u64> = refusals.counts().map(|(_, count)| count).collect();
-    assert_eq!(counts, [0, 0, 0, 1, 2]);
+    assert_eq!(counts, [0, 0, 0, 1, 2, 0]);
     assert!(refusals.counts().map(|(refusal, _)| refusal).eq(RejectionReason::ALL));
 }
 
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -50,6 +50,8 @@
 pub struct Peers {
     local_address: SocketAddr,
     senders: RefCell<HashMap<SocketAddr, FrameSender>>,
+    /// Bytes of the frames that are queued for all peers.
+    queued_bytes: Rc<Cell<usize>>,
     on_unreachable: RefCell<Option<UnreachableHandler>>,
     faults: Rc<Faults>,
     sent_bytes: Cell<u64>,
@@ -63,6 +65,7 @@
         Rc::new(Peers {
             local_address,
             senders: RefCell::default(),
+            queued_bytes: Rc::default(),
             on_unreachable: RefCell::default(),
             faults: Rc::default(),
             sent_bytes: Cell::new(0),
@@ -81,11 +84,11 @@
         *self.on_unreachable.borrow_mut() = Some(handler);
     }
 
-    /// Queues a frame for a peer; it is dropped where too much waits for that peer already.
+    /// Queues a frame for a peer; it is dropped where too much waits for that peer already, or for all of them.
     pub fn send(self: &Rc<Self>, to: SocketAddr, frame: Frame) {
         let mut senders = self.senders.borrow_mut();
         let sender = senders.entry(to).or_insert_with(|| {
-            let (sender, queue) = outgoing::frame_queue();
+            let (sender, queue) = outgoing::frame_queue(&self.queued_bytes);
             spawn_local(self.clone().run_sender(to, queue));
             sender
         });
@@ -99,6 +102,11 @@
         self.dropped_frames.get()
     }
 
+    /// Bytes of the frames that are queued for all peers.
+    pub fn queued_bytes(&self) -> usize {
+        self.queued_bytes.get()
+    }
+
     /// The metrics as (name, value).
     pub(crate) fn metrics(&self) -> Vec<(String, f64)> {
         vec![
--- a/crates/tier/src/peers/outgoing.rs
+++ b/crates/tier/src/peers/outgoing.rs
@@ -19,6 +19,12 @@
 /// Bytes that may be queued for a peer; what comes beyond is dropped, as if lost on the way. The longest frame passes beside
 /// others: one that never does, an entry of a shard's log, would hold up its shard for good.
 const MAX_QUEUED_BYTES: usize = MAX_FRAME_BYTES + (4 << 20);
+/// Bytes that may be queued for all peers together: two of the longest frames, a fifth of the smallest process's memory. Peers that stand
+/// still hold theirs until their connections break.
+pub(super) const MAX_TOTAL_QUEUED_BYTES: usize = 2 * MAX_FRAME_BYTES;
+/// Frames pass whatever is queued for others while no more than this is queued for their own peer: heartbeats, votes, pings and
+/// acknowledgements to those that read.
+const RESERVED_BYTES: usize = 64 << 10;
 /// Bytes of the newest frames that stay queued for a peer that cannot be reached.
 const MAX_KEPT_BYTES: usize = 64 << 10;
 /// Small frames are written together up to about so many bytes.
@@ -37,32 +43,45 @@
 pub(super) struct FrameSender {
     frames: mpsc::UnboundedSender<Frame>,
     queued_bytes: Rc<Cell<usize>>,
+    total_queued_bytes: Rc<Cell<usize>>,
 }
 
 /// The receiving end of a queue of frames.
 pub(super) struct FrameQueue {
     frames: mpsc::UnboundedReceiver<Frame>,
     queued_bytes: Rc<Cell<usize>>,
+    total_queued_bytes: Rc<Cell<usize>>,
 }
 
-/// A queue that is bounded by [`MAX_QUEUED_BYTES`].
-pub(super) fn frame_queue() -> (FrameSender, FrameQueue) {
+/// A queue that is bounded by [`MAX_QUEUED_BYTES`], and by [`MAX_TOTAL_QUEUED_BYTES`] together with the others that count their bytes in
+/// `total_queued_bytes`.
+pub(super) fn frame_queue(total_queued_bytes: &Rc<Cell<usize>>) -> (FrameSender, FrameQueue) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let queued_bytes = Rc::new(Cell::new(0));
     (
-        FrameSender { frames: sender, queued_bytes: queued_bytes.clone() },
-        FrameQueue { frames: receiver, queued_bytes },
+        FrameSender {
+            frames: sender,
+            queued_bytes: queued_bytes.clone(),
+            total_queued_bytes: total_queued_bytes.clone(),
+        },
+        FrameQueue { frames: receiver, queued_bytes, total_queued_bytes: total_queued_bytes.clone() },
     )
 }
 
 impl FrameSender {
-    /// Queues a frame; false where it is too long, or too much is queued.
+    /// Queues a frame; false where it is too long, or too much is queued for this peer or for all.
     pub(super) fn try_send(&self, frame: Frame) -> bool {
         let length = frame.payload_bytes();
-        if self.queued_bytes.get() + length > MAX_QUEUED_BYTES || length > MAX_FRAME_BYTES {
+        let queued_after = self.queued_bytes.get() + length;
+        if queued_after > MAX_QUEUED_BYTES || length > MAX_FRAME_BYTES {
             return false;
         }
-        self.queued_bytes.update(|n| n + length);
+        let total_after = self.total_queued_bytes.get() + length;
+        if total_after > MAX_TOTAL_QUEUED_BYTES && queued_after > RESERVED_BYTES {
+            return false;
+        }
+        self.queued_bytes.set(queued_after);
+        self.total_queued_bytes.set(total_after);
         let _ = self.frames.send(frame);
         true
     }
@@ -85,6 +104,7 @@
 
     fn count_out(&self, frame: &Frame) {
         self.queued_bytes.update(|n| n.saturating_sub(frame.payload_bytes()));
+        self.total_queued_bytes.update(|n| n.saturating_sub(frame.payload_bytes()));
     }
 
     /// Drops the oldest frames until [`MAX_KEPT_BYTES`] are left.
--- a/crates/tier/tests/peers.rs
+++ b/crates/tier/tests/peers.rs
@@ -123,3 +123,46 @@
         assert_eq!(*lengths.borrow(), [100_008, LONGEST, 100_008]);
     });
 }
+
+/// What may be queued for all peers together.
+const MOST_QUEUED: usize = 32 << 20;
+
+#[test]
+fn given_many_peers_that_do_not_read_when_large_frames_are_sent_then_they_are_bounded_together_and_small_ones_pass()
+ {
+    run(async {
+        let peers = Peers::new("127.0.0.1:9".parse().unwrap());
+        let mut silent = Vec::new();
+        for _ in 0..12 {
+            silent.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let large = Bytes::from(vec![1; 4 << 20]);
+        for _ in 0..4 {
+            for peer in &silent {
+                let to = peer.local_addr().unwrap();
+                peers.send(to, Frame { head: Bytes::from_static(b"large"), tail: large.clone() });
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let queued = peers.queued_bytes();
+        assert!(queued <= MOST_QUEUED && queued > MOST_QUEUED / 2, "{queued}");
+        assert!(peers.dropped_frames() > 0);
+        // Another peer reads, and gets what is small at once.
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (to, dropped) = (listener.local_addr().unwrap(), peers.dropped_frames());
+        for number in [0, 2, 4] {
+            peers.send(to, frame(number));
+        }
+        assert_eq!(peers.dropped_frames(), dropped);
+        let (stream, _) = listener.accept().await.unwrap();
+        assert_eq!(some_of(stream, 10_000).await, [0, 2, 4]);
+        // As connections to the silent ones break there is room again.
+        drop(silent);
+        while peers.queued_bytes() > MOST_QUEUED / 4 {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let dropped = peers.dropped_frames();
+        peers.send(to, Frame { head: Bytes::from_static(b"large"), tail: large });
+        assert_eq!(peers.dropped_frames(), dropped);
+    });
+}
