--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -104,8 +104,6 @@
 struct ItemProgress {
     /// Data of the events.
     events: Vec<Bytes>,
-    /// Bytes of those, with what joins them.
-    output_bytes: usize,
     /// Id of the last event (0: none).
     last_event: u64,
     failed_attempts: u32,
@@ -130,15 +128,19 @@
         for (id, data) in events {
             if id > self.last_event {
                 self.last_event = id;
-                self.output_bytes += data.len() + 1;
                 self.events.push(data);
             }
         }
     }
 
+    /// Bytes of the output so far, with what joins the events.
+    fn output_bytes(&self) -> usize {
+        self.events.iter().map(|data| data.len() + 1).sum()
+    }
+
     /// How the item finishes now that a run ended; nothing where it is to run again.
     fn outcome_after(&mut self, run: &RunOutcome, max_attempts: u32) -> Option<ItemOutcome> {
-        if self.output_bytes > MAX_OUTPUT_BYTES {
+        if self.output_bytes() > MAX_OUTPUT_BYTES {
             return Some(ItemOutcome::Abandoned);
         }
         match run {
--- a/crates/consensus/tests/format.rs
+++ b/crates/consensus/tests/format.rs
@@ -20,8 +20,18 @@
 /// How long a scenario goes on after each of its events.
 const EVENT_INTERVAL: Time = SECOND;
 
-const MESSAGE_KINDS: [&str; 7] =
-    ["RequestVote", "Vote", "AppendEntries", "Appended", "Rejected", "InstallSnapshot", "SnapshotWanted"];
+const MESSAGE_KINDS: [&str; 8] = [
+    "RequestVote",
+    "Vote",
+    "AppendEntries",
+    "Appended",
+    "Rejected",
+    "InstallSnapshot",
+    "SnapshotWanted",
+    TIMEOUT_NOW_KIND,
+];
+/// Only a transfer of leadership sends it.
+const TIMEOUT_NOW_KIND: &str = "TimeoutNow";
 /// By id less one; no kind has the id 3.
 const RECORD_KINDS: [&str; 7] = ["HardState", "Entry", "", "Settled", "Snapshot", "Piece", "VoteFloor"];
 
@@ -196,11 +206,32 @@
 fn given_a_fixed_seed_then_messages_of_each_kind_are_the_pinned_ones() {
     let all = scenario().1.messages.iter().map(message_line).collect();
     let committed = fixture::pin("messages", &fixture::first_of_each_kind(all, MAX_PER_KIND));
-    for kind in MESSAGE_KINDS {
+    for kind in MESSAGE_KINDS.into_iter().filter(|kind| *kind != TIMEOUT_NOW_KIND) {
         assert!(!fixture::of_kind(&committed, kind).is_empty(), "no {kind}");
     }
 }
 
+#[test]
+fn given_a_transfer_of_leadership_then_its_messages_are_the_pinned_ones() {
+    let mut cluster = Cluster::new(8, &FOUNDING, settings(2));
+    propose(&mut cluster, 3);
+    cluster.run_for(EVENT_INTERVAL);
+    let leader = cluster.wait_for_leader();
+    let target = FOUNDING.into_iter().find(|id| *id != leader).expect("a follower");
+    cluster.trace = Some(Trace::default());
+    cluster.transfer_leadership(leader, target).expect("the target is up to date");
+    cluster.run_for(20 * MILLIS);
+    assert_eq!(cluster.leader(), Some(target));
+    let trace = cluster.trace.take().expect("it was kept");
+    let is_of_transfer =
+        |line: &(String, Bytes)| ["RequestVote", "Vote", TIMEOUT_NOW_KIND].contains(&&*line.0);
+    let lines: Vec<_> = trace.messages.iter().map(message_line).filter(is_of_transfer).collect();
+    // One request to campaign, two requests for votes, two votes.
+    assert_eq!(lines.len(), 5, "{lines:?}");
+    let committed = fixture::pin("transfer", &lines);
+    assert!(committed.iter().any(|(kind, _)| kind == TIMEOUT_NOW_KIND));
+}
+
 #[test]
 fn given_a_fixed_seed_then_records_of_each_kind_are_the_pinned_ones() {
     let all = scenario().1.records.iter().map(record_line).collect();
@@ -235,7 +266,7 @@
 
 #[test]
 fn given_pinned_messages_when_a_replica_receives_them_then_it_reads_each() {
-    for (kind, bytes) in fixture::read("messages") {
+    for (kind, bytes) in ["messages", "transfer"].into_iter().flat_map(fixture::read) {
         let to = MemberId::from_le_bytes(bytes[..8].try_into().expect("a receiver"));
         let mut replica = Replica::new(member(to), members(&FOUNDING), settings(2), 1, 0);
         assert_eq!(replica.receive(1, &bytes), Ok(()), "{kind}");
--- a/crates/consensus/tests/leadership_transfer.rs
+++ b/crates/consensus/tests/leadership_transfer.rs
@@ -124,12 +124,11 @@
         let since = cluster.now;
         let is_served = |cluster: &Cluster| {
             let leader = cluster.leader().map(|id| cluster.replica(id));
-            leader.is_some_and(|replica| replica.term() > cluster.replica(third).term() - 1)
+            leader.is_some_and(|replica| replica.term() >= cluster.replica(third).term())
         };
         cluster.run_for(20 * MILLIS);
         assert_ne!(cluster.leader(), Some(target), "seed {seed}");
-        cluster.run_until(10 * SECOND, is_served);
-        cluster.run_until(10 * SECOND, |cluster| cluster.leader().is_some());
+        assert!(cluster.run_until(10 * SECOND, is_served), "seed {seed}");
         without.push(cluster.now - since);
         cluster.blocked_links.clear();
         cluster.run_for(SECOND);
--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -105,12 +105,12 @@
     }
 
     /// A store publishes through the membership whether it has room for more batch jobs; their leaders reject them while it has not.
-    pub(crate) fn publish_room(&mut self) {
+    pub(crate) fn publish_capacity(&mut self) {
         if self.info.role.is_gateway() {
             return;
         }
         let (limits, usage) = self.limits_and_usage();
-        let is_full = !limits.has_room(&usage);
+        let is_full = !limits.has_capacity(&usage);
         if is_full != self.admission.is_full_published {
             self.admission.is_full_published = is_full;
             self.peers.view.attach(&member_payload(&self.info, is_full));
--- a/crates/coordinator/src/capacity.rs
+++ b/crates/coordinator/src/capacity.rs
@@ -370,7 +370,7 @@
 
     /// Whether this process has memory and disk for more than what is accepted, as a member of its shards' replica sets. Files count
     /// with what a rewrite leaves of them: a member rewrites its own in its own time.
-    pub fn has_room(&self, usage: &CapacityUsage) -> bool {
+    pub fn has_capacity(&self, usage: &CapacityUsage) -> bool {
         let rewritten = |shard: &ShardUsage| ShardUsage {
             log: LogUsage { length: shard.log.rewritten, ..shard.log },
             ..*shard
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -293,12 +293,13 @@
         if report::is_report_datagram(payload) {
             return self.receive_reports(payload);
         }
-        let unanswered_before = self.peers.view.unanswered_probes();
+        let (unanswered_before, was_out_of_touch) =
+            (self.peers.view.unanswered_probes(), self.is_out_of_touch(now));
         let mut outbox = Outbox::new(&mut self.effects);
         // What is malformed is dropped: datagrams may come from anywhere.
         let _ = self.peers.view.heard(now.steady, from, payload, &mut outbox);
         if self.peers.view.unanswered_probes() < unanswered_before {
-            self.record_answered(unanswered_before);
+            self.record_answered(was_out_of_touch);
         }
         self.run_deferred_work();
     }
@@ -311,7 +312,7 @@
         let (head, tail): (Head, Bytes) = split(bytes)?;
         self.record_received(now);
         if matches!(head, Head::Answer { .. } | Head::NotLeader { .. }) {
-            self.record_answered(self.peers.view.unanswered_probes());
+            self.record_answered(self.is_out_of_touch(now));
         }
         match head {
             Head::Gossip => {
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -64,7 +64,7 @@
     /// Who leads the shards of batch jobs, as far as this process's replicas know.
     known_leaders: BTreeMap<u16, MemberId>,
     /// Since when (steady clock) that has not changed.
-    settled_since: Time,
+    unchanged_since: Time,
 }
 
 /// A shard's weight in the balance of leaders, in bytes.
@@ -80,7 +80,7 @@
 impl Coordinator {
     /// The process is about to end: hands over every shard that it leads, or comes to lead, once its items have ended. They are
     /// waited for until then, by the steady clock.
-    pub fn hand_over_leaderships(&mut self, now: Now, wait_until: Time) {
+    pub fn transfer_leaderships(&mut self, now: Now, wait_until: Time) {
         self.now = now;
         self.leadership_moves.stopping_until = Some(wait_until);
         self.move_leaderships();
@@ -100,31 +100,29 @@
 
     /// Hands over what this process should not lead. Part of the periodic maintenance.
     pub(crate) fn move_leaderships(&mut self) {
-        self.note_failed_transfers();
-        self.hand_over_unsuitable();
+        self.record_failed_transfers();
+        self.transfer_unsuitable();
         if self.leadership_moves.stopping_until.is_none() {
             self.balance_leaders();
         }
     }
 
     /// Hands over the shards that this process cannot lead well: all where it is about to end, else those whose disk has stalled.
-    fn hand_over_unsuitable(&mut self) {
+    fn transfer_unsuitable(&mut self) {
         let now = self.now.steady;
         let stopping_until = self.leadership_moves.stopping_until;
         let is_drained = |shard: &Shard, until: Time| running_items(shard) == 0 || now >= until;
         let reason = |shard: &Shard| {
-            let is_stopping = stopping_until.is_some_and(|until| is_drained(shard, until));
-            if is_stopping {
+            if stopping_until.is_some_and(|until| is_drained(shard, until)) {
                 return Some(MoveReason::Stopping);
             }
             shard.disk.is_stalled(now).then_some(MoveReason::DiskStalled)
         };
-        let is_led = |number: &u16, shard: &Shard| {
-            shard.replica.is_serving_leader() && !self.leadership_moves.begun.contains_key(number)
-        };
-        let led = self.shards.iter().filter(|(number, shard)| is_led(number, shard));
+        let begun = &self.leadership_moves.begun;
+        let led = self.shards.iter().filter(|(_, shard)| shard.replica.is_serving_leader());
+        let unmoved = led.filter(|(number, _)| !begun.contains_key(number));
         let unsuitable: Vec<(u16, MoveReason)> =
-            led.filter_map(|(number, shard)| Some((*number, reason(shard)?))).collect();
+            unmoved.filter_map(|(number, shard)| Some((*number, reason(shard)?))).collect();
         for (number, reason) in unsuitable {
             if let Some(target) = self.best_successor(number, reason) {
                 self.transfer_leadership(number, target);
@@ -132,8 +130,8 @@
         }
     }
 
-    /// Notes which transfers have been abandoned, so that their targets are not asked again soon.
-    fn note_failed_transfers(&mut self) {
+    /// Records which transfers have been abandoned, so that their targets are not asked again soon.
+    fn record_failed_transfers(&mut self) {
         let now = self.now.steady;
         let moves = &mut self.leadership_moves;
         moves.failed_targets.retain(|_, until| now < *until);
@@ -150,7 +148,7 @@
     /// Plans to move one shard to a store that leads less, or makes the move that is planned.
     fn balance_leaders(&mut self) {
         let now = self.now.steady;
-        self.note_leaders();
+        self.record_leaders();
         if let Some(planned) = self.leadership_moves.planned {
             if self.is_move_due(planned) {
                 self.leadership_moves.planned = None;
@@ -159,7 +157,7 @@
             return;
         }
         let is_moving = !self.leadership_moves.begun.is_empty();
-        if is_moving || now - self.leadership_moves.settled_since < SETTLING_TIME {
+        if is_moving || now - self.leadership_moves.unchanged_since < SETTLING_TIME {
             return;
         }
         let own_load = self.known_load(self.info.disk.unwrap_or_default());
@@ -171,14 +169,14 @@
         }
     }
 
-    /// Notes who leads the shards of batch jobs, and when that last changed.
-    fn note_leaders(&mut self) {
-        let shards = self.shards.iter().filter(|(number, _)| **number != CONTROL);
-        let leaders = shards.filter_map(|(number, shard)| Some((*number, shard.replica.leader()?.id)));
+    /// Records who leads the shards of batch jobs, and when that last changed.
+    fn record_leaders(&mut self) {
+        let leaders =
+            self.batch_shards().filter_map(|(number, shard)| Some((*number, shard.replica.leader()?.id)));
         let leaders: BTreeMap<u16, MemberId> = leaders.collect();
         if leaders != self.leadership_moves.known_leaders {
             self.leadership_moves.known_leaders = leaders;
-            self.leadership_moves.settled_since = self.now.steady;
+            self.leadership_moves.unchanged_since = self.now.steady;
         }
     }
 
@@ -203,14 +201,11 @@
         let has_all = |member: &Member| lags.iter().any(|lag| lag.member == member.id && lag.entries == 0);
         // What this disk does not write others must have written: where all disks stall, nothing is gained by a move.
         let is_disk_sound = |member: &Member| reason != MoveReason::DiskStalled || has_all(member);
-        let stores = &self.topology.stores;
-        let is_retiring =
-            |member: &Member| stores.iter().any(|store| store.member.id == member.id && store.is_retiring());
         let stays = |member: &&Member| {
             self.peers.live.contains_key(&member.address)
                 && !self.leadership_moves.failed_targets.contains_key(&member.id)
                 && !self.topology.is_fenced(member.id)
-                && !is_retiring(member)
+                && !self.topology.is_retiring(member.id)
                 && is_disk_sound(member)
         };
         let staying = targets.iter().filter(stays);
@@ -219,9 +214,13 @@
 
     /// What a store leads of the batch-job shards that this process has a replica of.
     fn known_load(&self, disk: MemberId) -> u64 {
-        let shards = self.shards.iter().filter(|(number, _)| **number != CONTROL).map(|(_, shard)| shard);
-        let led = shards.filter(|shard| shard.replica.leader().is_some_and(|leader| leader.id == disk));
-        led.map(leader_load).sum()
+        let is_led = |shard: &&Shard| shard.replica.leader().is_some_and(|leader| leader.id == disk);
+        self.batch_shards().map(|(_, shard)| shard).filter(is_led).map(leader_load).sum()
+    }
+
+    /// The shards of batch jobs that this process has a replica of.
+    fn batch_shards(&self) -> impl Iterator<Item = (&u16, &Shard)> {
+        self.shards.iter().filter(|(number, _)| **number != CONTROL)
     }
 
     fn transfer_leadership(&mut self, number: u16, target: MemberId) {
@@ -230,9 +229,8 @@
             return;
         }
         self.leadership_moves.begun.insert(number, target);
-        let members = shard.replica.members().iter();
-        let name = members.filter(|member| member.id == target).map(|member| member.name.as_str()).next();
-        let text = format!("shard {number} to {}", name.unwrap_or_default());
+        let member = shard.replica.members().iter().find(|member| member.id == target);
+        let text = format!("shard {number} to {}", member.map_or("", |member| &member.name));
         self.effects.push(Effect::Log("hands over", text));
         self.process_output(number);
     }
--- a/crates/coordinator/src/maintenance.rs
+++ b/crates/coordinator/src/maintenance.rs
@@ -20,7 +20,7 @@
     pub(crate) fn run_maintenance(&mut self) {
         self.mark_unresponsive_workers();
         self.diagnose();
-        self.publish_room();
+        self.publish_capacity();
         self.check_memory();
         if self.maintenance.announce_at <= self.now.steady {
             self.maintenance.announce_at = self.now.steady + ANNOUNCE_INTERVAL;
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -141,11 +141,10 @@
         self.end_isolation(was_isolated);
     }
 
-    /// A peer answered what this process had sent, after so many of its probes had gone unanswered.
-    pub(crate) fn record_answered(&mut self, unanswered_probes: u32) {
-        let was_isolated = self.hears_nobody(self.now) || self.reaches_nobody(self.now, unanswered_probes);
+    /// A peer answered what this process had sent.
+    pub(crate) fn record_answered(&mut self, was_out_of_touch: bool) {
         self.contact.last_answered = self.now.steady;
-        self.end_isolation(was_isolated);
+        self.end_isolation(was_out_of_touch);
     }
 
     /// Where this process was isolated and is not any more, it compares what it knows with others before it takes clients.
@@ -164,26 +163,30 @@
         self.apply_updates(updates);
     }
 
-    /// Whether it is out of touch with the other gateways that it knows: a partition has cut it off, be it in one direction only, or
-    /// it is the only one left. A process that still leads the configuration's shard then is a quorum by itself, and not isolated.
+    /// Whether it is out of touch with the other gateways. A process that still leads the configuration's shard then is a quorum by
+    /// itself, and not isolated.
     pub(crate) fn is_isolated(&self, now: Now) -> bool {
-        let is_out_of_touch =
-            self.hears_nobody(now) || self.reaches_nobody(now, self.peers.view.unanswered_probes());
-        is_out_of_touch && !self.shards.get(&CONTROL).is_some_and(|shard| shard.replica.is_serving_leader())
+        self.is_out_of_touch(now)
+            && !self.shards.get(&CONTROL).is_some_and(|shard| shard.replica.is_serving_leader())
+    }
+
+    /// Whether it knows other gateways and a partition has cut it off from them, be it in one direction only, or it is the only one
+    /// left.
+    pub(crate) fn is_out_of_touch(&self, now: Now) -> bool {
+        self.peers.has_gateways && (self.hears_nobody(now) || self.reaches_nobody(now))
     }
 
     /// Whether nothing has come from anybody for a while: among live peers something arrives several times a second.
     fn hears_nobody(&self, now: Now) -> bool {
-        self.peers.has_gateways && now.steady - self.contact.last_received > ISOLATION_TIMEOUT
+        now.steady - self.contact.last_received > ISOLATION_TIMEOUT
     }
 
     /// Whether nobody has answered this gateway for a while. It may receive all the same, where the partition is one-way: what it
     /// knows is then current, and what it acknowledges is known to nobody else. A store is not asked: its datagrams are lost while
     /// batch jobs fill its link.
-    fn reaches_nobody(&self, now: Now, unanswered_probes: u32) -> bool {
-        self.peers.has_gateways
-            && self.info.role.is_gateway()
-            && unanswered_probes >= MAX_UNANSWERED_PROBES
+    fn reaches_nobody(&self, now: Now) -> bool {
+        self.info.role.is_gateway()
+            && self.peers.view.unanswered_probes() >= MAX_UNANSWERED_PROBES
             && now.steady - self.contact.last_answered > ISOLATION_TIMEOUT
     }
 
--- a/crates/coordinator/src/replica_placement.rs
+++ b/crates/coordinator/src/replica_placement.rs
@@ -35,12 +35,6 @@
     pub asked_at: Time,
 }
 
-/// A store in the topology.
-struct ListedStore {
-    member: Member,
-    is_retiring: bool,
-}
-
 /// These members without one of them.
 fn without(members: &[Member], removed: &Member) -> Vec<Member> {
     members.iter().filter(|member| member.id != removed.id).cloned().collect()
@@ -146,30 +140,25 @@
         }
     }
 
-    fn listed_stores(&self) -> Vec<ListedStore> {
-        let stores = self.topology.stores.iter();
-        let listed = stores.filter_map(|store| {
-            Some(ListedStore { member: store.member.to_member().ok()?, is_retiring: store.is_retiring() })
-        });
-        listed.collect()
+    /// The stores in the topology.
+    fn listed_stores(&self) -> Vec<Member> {
+        self.topology.stores.iter().filter_map(|store| store.member.to_member().ok()).collect()
     }
 
     /// The next members of a batch-job shard, where they are to change. The first to be replaced are those that hold nothing any
     /// more (fenced or unlisted), then those that retire, then those that are absent and may come back.
     fn next_store_members(&self, number: u16, members: &[Member]) -> Option<Vec<Member>> {
         let listed = self.listed_stores();
-        let is_listed = |m: &Member| listed.iter().any(|store| store.member.id == m.id);
-        let is_retiring =
-            |m: &Member| listed.iter().any(|store| store.member.id == m.id && store.is_retiring);
+        let is_retiring = |m: &Member| self.topology.is_retiring(m.id);
         let is_fenced = |m: &Member| self.topology.is_fenced(m.id);
-        let could_join = |store: &&ListedStore| {
-            !store.is_retiring
-                && !is_fenced(&store.member)
-                && !contains(members, &store.member)
-                && self.peers.live.contains_key(&store.member.address)
+        let could_join = |store: &&Member| {
+            !is_retiring(store)
+                && !is_fenced(store)
+                && !contains(members, store)
+                && self.peers.live.contains_key(&store.address)
         };
-        let candidates = listed.iter().filter(could_join).map(|store| &store.member);
-        let lost = members.iter().find(|m| is_fenced(m) || !is_listed(m));
+        let candidates = listed.iter().filter(could_join);
+        let lost = members.iter().find(|m| is_fenced(m) || !contains(&listed, m));
         let retiring = members.iter().find(|m| is_retiring(m));
         let absent = members.iter().find(|m| self.is_absent(&m.address));
         if let Some(replaced) = lost.or(retiring).or(absent) {
--- a/crates/coordinator/src/topology.rs
+++ b/crates/coordinator/src/topology.rs
@@ -136,6 +136,11 @@
         self.fenced.contains(&disk)
     }
 
+    /// Whether the store with this disk is listed, and was ordered to give up its replicas.
+    pub fn is_retiring(&self, disk: MemberId) -> bool {
+        self.stores.iter().any(|store| store.member.id == disk && store.is_retiring())
+    }
+
     /// Whether the shard's replica set is known as of this entry of its log or a later one, and without this disk.
     pub fn excludes_disk(&self, shard: u16, disk: MemberId, index: u64) -> bool {
         self.replica_set(shard).is_some_and(|set| set.index >= index && !set.has_member(disk))
--- a/crates/coordinator/tests/admission.rs
+++ b/crates/coordinator/tests/admission.rs
@@ -363,7 +363,7 @@
         fleet.pass(40.0);
         give_small_disk(&mut fleet, small, NARROW as usize);
         // What the small one leads it bounds itself; here the others lead.
-        fleet.hand_over_leaderships(small);
+        fleet.transfer_leaderships(small);
         fleet.pass(3.0);
         assert_eq!(fleet.led_shards(small), 0, "seed {seed}");
         let (taken, refused) = submit_for_a_minute(&mut fleet);
--- a/crates/coordinator/tests/common/fleet.rs
+++ b/crates/coordinator/tests/common/fleet.rs
@@ -205,15 +205,10 @@
     }
 
     /// The clocks of a machine.
-    fn time(&self, at: usize) -> Now {
+    pub fn time(&self, at: usize) -> Now {
         Now { steady: self.now, wall: 1_700_000_000 * SECOND + self.now + self.machines[at].skew }
     }
 
-    /// The clocks of a machine, for who asks its process.
-    pub fn clocks(&self, at: usize) -> Now {
-        self.time(at)
-    }
-
     /// A process begins at a machine, with what its disk holds.
     pub fn start(&mut self, at: usize, first_boot: bool) {
         let seeds: Vec<SocketAddr> = (0..self.seeds).map(address).collect();
@@ -288,10 +283,10 @@
     }
 
     /// A process is told to end, and waits two seconds at most for the items that it runs; it runs on until it is killed.
-    pub fn hand_over_leaderships(&mut self, at: usize) {
+    pub fn transfer_leaderships(&mut self, at: usize) {
         let (now, wait_until) = (self.time(at), self.now + 2 * SECOND);
         if let Some(coordinator) = &mut self.machines[at].coordinator {
-            coordinator.hand_over_leaderships(now, wait_until);
+            coordinator.transfer_leaderships(now, wait_until);
         }
         self.after(at);
     }
--- a/crates/coordinator/tests/leadership.rs
+++ b/crates/coordinator/tests/leadership.rs
@@ -19,14 +19,12 @@
     let mut fleet = settled(3, 2, 4, 100 + seed);
     fleet.pass(2.0);
     let old = fleet.leader(shard).expect("a leader");
-    let since = fleet.now;
     if is_told {
-        fleet.hand_over_leaderships(old);
+        fleet.transfer_leaderships(old);
     } else {
         fleet.kill(old, false);
     }
-    time_until_led_by_another(&mut fleet, shard, old);
-    let took = fleet.now - since;
+    let took = time_until_led_by_another(&mut fleet, shard, old);
     if is_told {
         fleet.pass(0.1);
         fleet.kill(old, false);
@@ -53,10 +51,10 @@
         let mut fleet = settled(3, 2, 3, 200 + seed);
         let old = fleet.leader(CONTROL).expect("a leader");
         let job = jobs_of(1, 1).remove(0);
-        fleet.hand_over_leaderships(old);
+        fleet.transfer_leaderships(old);
         let order = fleet.call(4, Call::Configure { base: 5, text: configuration(6, "notary") });
         let old_store = fleet.leader(1).expect("a leader");
-        fleet.hand_over_leaderships(old_store);
+        fleet.transfer_leaderships(old_store);
         let submitted = fleet.call(3, submit(&job, 4));
         fleet.pass(3.0);
         assert_eq!(fleet.answers[&order].1.status, 200, "seed {seed}");
--- a/crates/coordinator/tests/network_partitions.rs
+++ b/crates/coordinator/tests/network_partitions.rs
@@ -110,7 +110,7 @@
 
 /// Whether a machine's process takes clients.
 fn is_ready(fleet: &Fleet, at: usize) -> bool {
-    let now = fleet.clocks(at);
+    let now = fleet.time(at);
     fleet.machines[at].coordinator.as_ref().is_some_and(|coordinator| coordinator.is_ready(now))
 }
 
--- a/crates/coordinator/tests/operators/batch_stories.rs
+++ b/crates/coordinator/tests/operators/batch_stories.rs
@@ -150,7 +150,7 @@
         AtTheEnd::NoEnd | AtTheEnd::Nothing => {}
         AtTheEnd::Isolated => fleet.isolate(old),
         AtTheEnd::Frozen => fleet.freeze(old),
-        AtTheEnd::HandsOver => fleet.hand_over_leaderships(old),
+        AtTheEnd::HandsOver => fleet.transfer_leaderships(old),
         AtTheEnd::Killed => fleet.kill(old, false),
     }
     if at_the_end != AtTheEnd::NoEnd {
--- a/crates/tier/src/peers/outgoing.rs
+++ b/crates/tier/src/peers/outgoing.rs
@@ -39,32 +39,53 @@
 /// The same for a large tail.
 const TAIL_WRITE_TIMEOUT: Duration = UNRESPONSIVE_TIMEOUT.saturating_mul(4);
 
+/// Bytes of the frames that are queued for a peer. They count among those for all peers.
+#[derive(Clone)]
+struct QueuedBytes {
+    peer: Rc<Cell<usize>>,
+    total: Rc<Cell<usize>>,
+}
+
+impl QueuedBytes {
+    /// Whether a frame of this length may be queued too.
+    fn admits(&self, length: usize) -> bool {
+        let (peer, total) = (self.peer.get() + length, self.total.get() + length);
+        length <= MAX_FRAME_BYTES
+            && peer <= MAX_QUEUED_BYTES
+            && (total <= MAX_TOTAL_QUEUED_BYTES || peer <= RESERVED_BYTES)
+    }
+
+    fn add(&self, length: usize) {
+        self.peer.update(|n| n + length);
+        self.total.update(|n| n + length);
+    }
+
+    fn remove(&self, length: usize) {
+        self.peer.update(|n| n.saturating_sub(length));
+        self.total.update(|n| n.saturating_sub(length));
+    }
+}
+
 /// The sending end of a queue of frames.
 pub(super) struct FrameSender {
     frames: mpsc::UnboundedSender<Frame>,
-    queued_bytes: Rc<Cell<usize>>,
-    total_queued_bytes: Rc<Cell<usize>>,
+    queued_bytes: QueuedBytes,
 }
 
 /// The receiving end of a queue of frames.
 pub(super) struct FrameQueue {
     frames: mpsc::UnboundedReceiver<Frame>,
-    queued_bytes: Rc<Cell<usize>>,
-    total_queued_bytes: Rc<Cell<usize>>,
+    queued_bytes: QueuedBytes,
 }
 
 /// A queue that is bounded by [`MAX_QUEUED_BYTES`], and by [`MAX_TOTAL_QUEUED_BYTES`] together with the others that count their bytes in
-/// `total_queued_bytes`.
-pub(super) fn frame_queue(total_queued_bytes: &Rc<Cell<usize>>) -> (FrameSender, FrameQueue) {
+/// `total`.
+pub(super) fn frame_queue(total: &Rc<Cell<usize>>) -> (FrameSender, FrameQueue) {
     let (sender, receiver) = mpsc::unbounded_channel();
-    let queued_bytes = Rc::new(Cell::new(0));
+    let queued_bytes = QueuedBytes { peer: Rc::default(), total: total.clone() };
     (
-        FrameSender {
-            frames: sender,
-            queued_bytes: queued_bytes.clone(),
-            total_queued_bytes: total_queued_bytes.clone(),
-        },
-        FrameQueue { frames: receiver, queued_bytes, total_queued_bytes: total_queued_bytes.clone() },
+        FrameSender { frames: sender, queued_bytes: queued_bytes.clone() },
+        FrameQueue { frames: receiver, queued_bytes },
     )
 }
 
@@ -72,18 +93,12 @@
     /// Queues a frame; false where it is too long, or too much is queued for this peer or for all.
     pub(super) fn try_send(&self, frame: Frame) -> bool {
         let length = frame.payload_bytes();
-        let queued_after = self.queued_bytes.get() + length;
-        if queued_after > MAX_QUEUED_BYTES || length > MAX_FRAME_BYTES {
-            return false;
+        let is_admitted = self.queued_bytes.admits(length);
+        if is_admitted {
+            self.queued_bytes.add(length);
+            let _ = self.frames.send(frame);
         }
-        let total_after = self.total_queued_bytes.get() + length;
-        if total_after > MAX_TOTAL_QUEUED_BYTES && queued_after > RESERVED_BYTES {
-            return false;
-        }
-        self.queued_bytes.set(queued_after);
-        self.total_queued_bytes.set(total_after);
-        let _ = self.frames.send(frame);
-        true
+        is_admitted
     }
 }
 
@@ -91,25 +106,20 @@
     /// Waits for the next frame; `None` once the sender is gone. Cancel safe.
     async fn recv(&mut self) -> Option<Frame> {
         let frame = self.frames.recv().await?;
-        self.count_out(&frame);
+        self.queued_bytes.remove(frame.payload_bytes());
         Some(frame)
     }
 
     /// The next frame, if one is queued.
     fn try_recv(&mut self) -> Option<Frame> {
         let frame = self.frames.try_recv().ok()?;
-        self.count_out(&frame);
+        self.queued_bytes.remove(frame.payload_bytes());
         Some(frame)
     }
 
-    fn count_out(&self, frame: &Frame) {
-        self.queued_bytes.update(|n| n.saturating_sub(frame.payload_bytes()));
-        self.total_queued_bytes.update(|n| n.saturating_sub(frame.payload_bytes()));
-    }
-
     /// Drops the oldest frames until [`MAX_KEPT_BYTES`] are left.
     fn drop_oldest(&mut self) {
-        while self.queued_bytes.get() > MAX_KEPT_BYTES && self.try_recv().is_some() {}
+        while self.queued_bytes.peer.get() > MAX_KEPT_BYTES && self.try_recv().is_some() {}
     }
 }
 
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -32,9 +32,9 @@
 const ITEM_DRAIN_PART: u32 = 3;
 const MAX_ITEM_DRAIN_TIME: Duration = Duration::from_millis(2500);
 /// A process that ends waits no longer than this for others to lead its shards: the time of an election, which they then need anyway.
-const HAND_OVER_TIME: Duration = Duration::from_millis(400);
+const TRANSFER_TIME: Duration = Duration::from_millis(400);
 /// Between two looks whether they do.
-const HAND_OVER_POLL: Duration = Duration::from_millis(10);
+const TRANSFER_POLL: Duration = Duration::from_millis(10);
 /// A process that ends has this long to tell its peers.
 const LEAVE_TIME: Duration = Duration::from_millis(50);
 
@@ -168,8 +168,7 @@
     spawn_servers(&node, role, &settings).await?;
     node.step("start", |_, _| ());
     wait_for_stop().await?;
-    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
-    stop(&node, role, grace).await;
+    stop(&node, role, settings.bounds.grace()).await;
     Ok(())
 }
 
@@ -210,14 +209,14 @@
 }
 
 /// Hands over the shards that this process leads once the items that it runs have ended, and waits for that.
-async fn hand_over_leaderships(node: &Rc<Node>, grace: Duration) {
+async fn transfer_leaderships(node: &Rc<Node>, grace: Duration) {
     let drain_time = (grace / ITEM_DRAIN_PART).min(MAX_ITEM_DRAIN_TIME);
     node.step("hand over", |coordinator, now| {
-        coordinator.hand_over_leaderships(now, now.steady + drain_time.as_micros() as Time)
+        coordinator.transfer_leaderships(now, now.steady + drain_time.as_micros() as Time)
     });
-    let end = Instant::now() + drain_time + HAND_OVER_TIME;
+    let end = Instant::now() + drain_time + TRANSFER_TIME;
     while node.leads_any_shard() && Instant::now() < end {
-        sleep(HAND_OVER_POLL).await;
+        sleep(TRANSFER_POLL).await;
     }
 }
 
@@ -226,9 +225,9 @@
     log::event("stop", "told to end");
     if role == ProcessRole::Gateway {
         // Bounded by itself: it ends before the grace period does.
-        tokio::join!(hand_over_leaderships(node, grace), node.gateway().stop());
+        tokio::join!(transfer_leaderships(node, grace), node.gateway().stop());
     } else {
-        hand_over_leaderships(node, grace).await;
+        transfer_leaderships(node, grace).await;
     }
     node.step("leave", |coordinator, now| coordinator.leave(now));
     sleep(LEAVE_TIME).await;
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use quick_error::quick_error;
 use rainlug::{SECOND, Time};
@@ -191,6 +192,11 @@
         let seconds = if self.sync_s > 0.0 { self.sync_s } else { DEFAULT_SYNC_S };
         (seconds * SECOND as f64) as Time
     }
+
+    /// Time for a graceful shutdown.
+    pub fn grace(&self) -> Duration {
+        Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
+    }
 }
 
 impl Settings {
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -56,9 +56,12 @@
     /// Places those that wait anew. Who began to wait while a running time was a guess would else be passed by
     /// all that came after it was known.
     pub(super) fn reorder_waiting(&mut self, now: Time) {
-        let mut desk = std::mem::take(&mut self.desk);
-        desk.reorder_held(|task| self.waiting_place(now, task));
-        self.desk = desk;
+        let places: Vec<(u64, u64)> =
+            self.desk.held().map(|(n, task)| (n, self.waiting_place(now, task))).collect();
+        for (n, place) in places {
+            self.desk.release(n);
+            self.desk.hold(n, place);
+        }
     }
 
     /// The final answer, at once: a bounce where the ledger allows that promise, else an abandonment.
--- a/src/state/desk.rs
+++ b/src/state/desk.rs
@@ -71,15 +71,9 @@
         }
     }
 
-    /// Gives each task that waits a new place: least first, then by expiry.
-    pub fn reorder_held(&mut self, first: impl Fn(&Task) -> u64) {
-        let tasks = &mut self.tasks;
-        let place = |&(_, expiry, n): &(u64, Time, u64)| {
-            let task = tasks.get_mut(&n)?;
-            task.held = Some((first(task), expiry, n));
-            task.held
-        };
-        self.held = self.held.iter().filter_map(place).collect();
+    /// The tasks that wait, with their numbers, in their order.
+    pub fn held(&self) -> impl Iterator<Item = (u64, &Task)> {
+        self.held.iter().filter_map(|&(_, _, n)| Some((n, self.tasks.get(&n)?)))
     }
 
     pub fn first_held(&self) -> Option<u64> {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -28,6 +28,15 @@
     assert!(bench.out.sent.iter().filter(|s| matches!(s, (0, Sent::Bounce(_)))).count() >= 15);
 }
 
+/// The tasks that were bounced.
+fn bounced(bench: &Bench) -> Vec<&str> {
+    let bounced = bench.out.sent.iter().filter_map(|(_, sent)| match sent {
+        Sent::Bounce(id) => Some(id.as_str()),
+        _ => None,
+    });
+    bounced.collect()
+}
+
 /// A process of the first milliseconds: with running times guessed at a second, the third task that waited was bounced at
 /// once, though the tasks took a millisecond each.
 #[test]
@@ -36,9 +45,7 @@
     let waiting = ["r0", "r1", "r2", "r3"];
     bench.task("first", 0);
     waiting.iter().for_each(|id| bench.task(id, 0));
-    let bounced =
-        |bench: &Bench| bench.out.sent.iter().filter(|(_, sent)| matches!(sent, Sent::Bounce(_))).count();
-    assert_eq!(bounced(&bench), 0);
+    assert!(bounced(&bench).is_empty());
     bench.pass(MS);
     bench.run("first", 0);
     for id in waiting {
@@ -46,7 +53,7 @@
         bench.pass(MS);
         bench.run(id, 0);
     }
-    assert_eq!(bounced(&bench), 0);
+    assert!(bounced(&bench).is_empty());
 }
 
 /// The guess spares a few tasks of each worker only: what is far too long a queue in any case is cut at once.
@@ -61,11 +68,7 @@
     }
     bench.pass(2 * SECOND);
     bench.tasks("t", 5, 0);
-    let bounces = bench.out.sent.iter().filter_map(|(_, sent)| match sent {
-        Sent::Bounce(id) => Some(id.as_str()),
-        _ => None,
-    });
-    assert_eq!(bounces.collect::<Vec<_>>(), ["t3", "t4"]);
+    assert_eq!(bounced(&bench), ["t3", "t4"]);
 }
 
 /// A side-effecting task that proved not to have run moves on at once; one that may have run never does.
