Upgrades: the next process takes the listening socket over, so no queue is closed

Cause: each process had its own listening socket at one address (SO_REUSEPORT). The old one emptied its queue and closed; handshakes that completed in between, or were half done, were reset with the socket.

Change: the old process passes its socket to the next one (SCM_RIGHTS, a datagram socket in TMPDIR). Both accept from one queue; the old one pauses at SIGTERM and accepts again where its follower dies. Where no socket can be passed, the processes listen beside one another as before.

--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -1,9 +1,11 @@
 //! The place of a process among those of its dispatcher: files in a directory that all of them have.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::fs::{self, File, TryLockError};
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result, bail};
@@ -12,6 +14,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::listener::{ListenerInbox, SocketId, pass_listener};
+use crate::phase::Follower;
 use crate::words::Words;
 
 /// More processes of one dispatcher than this do not run beside each other.
@@ -27,6 +31,15 @@
     pub stops: bool,
     /// The version of the words that it has applied.
     pub applied: u64,
+    /// The listening socket that it accepts from. A process that is older than this field passes none on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub listener: Option<SocketId>,
+}
+
+impl Status {
+    fn begun(started: Time) -> Self {
+        Status { started, serves: false, stops: false, applied: 0, listener: None }
+    }
 }
 
 /// What one process has learnt, for the next.
@@ -53,6 +66,8 @@
     _lock: File,
     /// Held by one process at a time.
     sole: RefCell<Option<File>>,
+    /// The processes that the listener has been passed to, by place and start.
+    passed: RefCell<BTreeSet<(usize, Time)>>,
 }
 
 /// Which file it is: a file that was replaced is another one.
@@ -93,12 +108,13 @@
                 name: name.to_owned(),
                 base,
                 number,
-                status: RefCell::new(Status { started, serves: false, stops: false, applied: 0 }),
+                status: RefCell::new(Status::begun(started)),
                 words: RefCell::default(),
                 file: Cell::default(),
                 left,
                 _lock: lock,
                 sole: RefCell::default(),
+                passed: RefCell::default(),
             };
             place.publish()?;
             let odd = place.news().err();
@@ -114,11 +130,14 @@
 
     /// The status of each other process that lives.
     pub fn others(&self) -> Vec<Status> {
+        self.numbered_others().map(|(_, status)| status).collect()
+    }
+
+    fn numbered_others(&self) -> impl Iterator<Item = (usize, Status)> {
         let others = (0..PLACES).filter(|n| *n != self.number && self.held(*n));
         let read = |n| serde_json::from_str(&fs::read_to_string(status_path(&self.base, n)).ok()?).ok();
         // One that has no status yet has only just begun.
-        let begun = Status { started: Time::MAX, serves: false, stops: false, applied: 0 };
-        others.map(|n| read(n).unwrap_or_else(|| begun.clone())).collect()
+        others.map(move |n| (n, read(n).unwrap_or_else(|| Status::begun(Time::MAX))))
     }
 
     /// Whether somebody holds that place. Only who holds a lock keeps others from sharing it.
@@ -131,11 +150,51 @@
         self.status.borrow().started
     }
 
-    pub fn serves(&self) -> io::Result<()> {
-        self.status.borrow_mut().serves = true;
+    /// Takes clients from now on, from that socket.
+    pub fn serves(&self, listener: Option<SocketId>) -> io::Result<()> {
+        let mut status = self.status.borrow_mut();
+        (status.serves, status.listener) = (true, listener);
+        drop(status);
         self.publish()
     }
 
+    /// Has closed its listening socket.
+    pub fn closed_listener(&self) -> io::Result<()> {
+        self.status.borrow_mut().listener = None;
+        self.publish()
+    }
+
+    /// Which newer process takes the clients, by the status of the others.
+    pub fn follower(&self, others: &[Status]) -> Follower {
+        let status = self.status.borrow();
+        let mut newer = others.iter().filter(|o| o.serves && o.started > status.started).peekable();
+        if newer.peek().is_none() {
+            return Follower::Absent;
+        }
+        let is_same = |other: &Status| other.listener.is_some() && other.listener == status.listener;
+        if newer.any(is_same) { Follower::SameSocket } else { Follower::OwnSocket }
+    }
+
+    /// Where other processes pass a listener to this one.
+    ///
+    /// # Errors
+    ///
+    /// Where it cannot be opened.
+    pub fn listener_inbox(&self) -> io::Result<ListenerInbox> {
+        ListenerInbox::bind(&inbox_path(&self.base, self.number))
+    }
+
+    /// Passes the listener to each process that does not serve yet and can take it. One that cannot yet is passed it at a
+    /// later call.
+    pub fn pass_listener(&self, listener: &impl AsFd) {
+        for (number, status) in self.numbered_others().filter(|(_, status)| !status.serves) {
+            let is_passed = self.passed.borrow().contains(&(number, status.started));
+            if !is_passed && pass_listener(listener, &inbox_path(&self.base, number)).is_ok() {
+                self.passed.borrow_mut().insert((number, status.started));
+            }
+        }
+    }
+
     pub fn stops(&self) -> io::Result<()> {
         self.status.borrow_mut().stops = true;
         self.publish()
@@ -241,6 +300,10 @@
     base.with_added_extension(format!("{number}.status"))
 }
 
+fn inbox_path(base: &Path, number: usize) -> PathBuf {
+    base.with_added_extension(format!("{number}.sock"))
+}
+
 fn learnt_path(base: &Path) -> PathBuf {
     base.with_added_extension("learnt")
 }
@@ -268,9 +331,9 @@
         let old = take(dir.path(), 1);
         assert!(old.others().is_empty());
         let new = take(dir.path(), 2);
-        new.serves().unwrap();
-        assert_eq!(old.others(), [Status { started: 2, serves: true, stops: false, applied: 0 }]);
-        assert_eq!(new.others(), [Status { started: 1, serves: false, stops: false, applied: 0 }]);
+        new.serves(None).unwrap();
+        assert_eq!(old.others(), [Status { serves: true, ..Status::begun(2) }]);
+        assert_eq!(new.others(), [Status::begun(1)]);
         assert!(new.outlived(), "one that serves on is not waited for");
         old.stops().unwrap();
         assert!(!new.outlived() && old.outlived());
@@ -278,7 +341,7 @@
         assert!(new.others().is_empty() && new.outlived());
         // A place that is free is taken again, whatever status was left there.
         let next = take(dir.path(), 3);
-        assert_eq!(new.others(), [Status { started: 3, serves: false, stops: false, applied: 0 }]);
+        assert_eq!(new.others(), [Status::begun(3)]);
         drop(next);
     }
 
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -14,7 +14,7 @@
 use anyhow::{Context, Result};
 use rainlug::logic::Dispatcher;
 use rainlug::{Moment, Time};
-use rainlug_handover::Stance;
+use rainlug_handover::{Follower, Listening, Stance};
 use serde_json::Value;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -183,12 +183,15 @@
         };
         if let Some(listener) = opened {
             log!("listening on {}", listener.local_addr()?);
-            spawn_local(accept(listener, Rc::new(door), stances.watch(), bounds.clone(), pool));
+            let listener = Rc::new(listener);
             stances.opened();
-            beside.iter().for_each(|others| others.serves());
+            beside.iter().for_each(|others| others.serves(&listener));
+            let newcomers =
+                Newcomers { door: Rc::new(door), stance: stances.watch(), bounds: bounds.clone(), pool };
+            spawn_local(accept(listener, newcomers, beside.clone()));
             stop.recv().await;
         }
-        let follows = || beside.as_deref().is_some_and(Beside::followed);
+        let follows = || beside.as_deref().is_some_and(|others| others.follower() != Follower::Absent);
         let leaves = async {
             if let Some(peers) = &peers {
                 peers.leave(follows, Duration::from_micros(closing as u64)).await;
@@ -207,12 +210,16 @@
 }
 
 /// Opens the clients' address. Where another process of this dispatcher serves there, not before the list has been heard,
-/// or that has been waited for; and beside that one's listener.
+/// or that has been waited for; and with that one's listener, or beside it where it passes none.
 async fn open(at: SocketAddr, beside: Option<&Beside>, heard: &Notify) -> Result<TcpListener> {
     let begun = Instant::now();
     if let Some(others) = beside.filter(|others| !others.alone()) {
         others.learn().await;
         let _ = timeout(FIRST_NEWS, heard.notified()).await;
+        if let Some(listener) = others.passed_listener(at).await {
+            log!("the listener is the one of the process before");
+            return Ok(listener);
+        }
     }
     loop {
         match listener(at, beside.is_some()) {
@@ -292,7 +299,7 @@
     // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
     // must not be closed at once, as they are where nobody follows.
     if let Some(others) = beside {
-        stances.followed(others.followed());
+        stances.followed(others.follower());
     }
     stances.stop();
     beside.iter().for_each(|others| others.stops());
@@ -335,8 +342,55 @@
     }
 }
 
-/// Closes a listener; gives the connections that stood in its queue, which would be lost with it.
-fn waiting(listener: TcpListener) -> Vec<TcpStream> {
+/// What those who connect are given.
+struct Newcomers {
+    door: Rc<Door>,
+    stance: watch::Receiver<Stance>,
+    bounds: Bounds,
+    pool: Pool,
+}
+
+/// Takes in clients, as long as they are this process's. A failure to accept ends neither this nor the process, and does not
+/// spin.
+async fn accept(listener: Rc<TcpListener>, newcomers: Newcomers, beside: Option<Rc<Beside>>) {
+    let mut watched = newcomers.stance.clone();
+    let mut is_paused = false;
+    loop {
+        let listening = watched.borrow_and_update().listening;
+        if listening == Listening::Paused && !is_paused {
+            log!("clients come to another process now, from the same listener");
+        }
+        is_paused = listening == Listening::Paused;
+        match listening {
+            Listening::Closes => break,
+            Listening::Paused => {
+                if watched.changed().await.is_err() {
+                    return;
+                }
+            }
+            Listening::Accepts => {
+                let stream = tokio::select! {
+                    biased;
+                    _ = watched.changed() => continue,
+                    stream = accepted(&listener) => stream,
+                };
+                if let Some(stream) = stream {
+                    newcomers.take_in(stream).await;
+                }
+            }
+        }
+    }
+    beside.iter().for_each(|others| others.closes_listener());
+    for stream in close(listener) {
+        newcomers.take_in(stream).await;
+    }
+}
+
+/// Closes a listener that the follower does not have; gives the connections that stood in its queue, which would be lost
+/// with it. A handshake that completes after the last look into the queue is lost.
+fn close(listener: Rc<TcpListener>) -> Vec<TcpStream> {
+    let listener =
+        Rc::into_inner(listener).expect("nothing else keeps the listener of a process that closes it");
     let Ok(listener) = listener.into_std() else { return Vec::new() };
     let next = || {
         listener.accept().and_then(|(stream, _)| {
@@ -350,52 +404,23 @@
     left
 }
 
-/// Takes in clients, until another process takes them. A failure to accept ends neither this nor the process, and does not
-/// spin.
-async fn accept(
-    listener: TcpListener,
-    door: Rc<Door>,
-    stance: watch::Receiver<Stance>,
-    bounds: Bounds,
-    pool: Pool,
-) {
-    let mut watched = stance.clone();
-    loop {
-        let stream = tokio::select! {
-            biased;
-            _ = watched.wait_for(|s| !s.listens) => break,
-            stream = accepted(&listener) => stream,
+impl Newcomers {
+    /// Gives a client a seat, or has it turned away.
+    async fn take_in(&self, stream: TcpStream) {
+        let (seat, turned_away) = match self.bounds.clients.seat() {
+            Some(seat) => (seat, false),
+            // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
+            // goes; whoever comes next must not have to wait until it has.
+            None => tokio::select! {
+                biased;
+                Some(seat) = self.bounds.clients.wait() => (seat, false),
+                Some(seat) = self.bounds.turned_away.wait() => (seat, true),
+                else => return,
+            },
         };
-        if let Some(stream) = stream {
-            take_in(stream, &door, &stance, &bounds, &pool).await;
-        }
-    }
-    for stream in waiting(listener) {
-        take_in(stream, &door, &stance, &bounds, &pool).await;
+        let link = Link::over(stream, head::request_body, &self.pool, seat);
+        spawn_local(client::serve(link, self.door.clone(), self.stance.clone(), turned_away));
+        // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
+        yield_now().await;
     }
 }
-
-/// Gives a client a seat, or has it turned away.
-async fn take_in(
-    stream: TcpStream,
-    door: &Rc<Door>,
-    stance: &watch::Receiver<Stance>,
-    bounds: &Bounds,
-    pool: &Pool,
-) {
-    let (seat, turned_away) = match bounds.clients.seat() {
-        Some(seat) => (seat, false),
-        // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
-        // goes; whoever comes next must not have to wait until it has.
-        None => tokio::select! {
-            biased;
-            Some(seat) = bounds.clients.wait() => (seat, false),
-            Some(seat) = bounds.turned_away.wait() => (seat, true),
-            else => return,
-        },
-    };
-    let link = Link::over(stream, head::request_body, pool, seat);
-    spawn_local(client::serve(link, door.clone(), stance.clone(), turned_away));
-    // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
-    yield_now().await;
-}
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -1,12 +1,14 @@
 //! The other processes of this dispatcher, in an upgrade: who lives, who follows, and the words that all hold.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rainlug::Lessons;
-use rainlug_handover::{Place, Status, Words};
+use rainlug_handover::{Follower, ListenerInbox, Place, SocketId, Status, Words};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
@@ -24,10 +26,16 @@
 const BUSY: Duration = Duration::from_millis(5);
 /// What the process before has learnt is waited for so long.
 const TAUGHT_BY: Duration = Duration::from_millis(500);
+/// The listener of a process that serves is waited for so long.
+const PASSED_BY: Duration = Duration::from_millis(500);
 
 pub struct Beside {
     /// Nothing where there is no directory that all processes have.
     place: Option<Place>,
+    /// Nothing where it cannot be opened: this process then has a listener of its own.
+    inbox: Option<ListenerInbox>,
+    /// What this process accepts clients from, until it closes it.
+    listener: RefCell<Option<Rc<TcpListener>>>,
     module: ToModule,
     stances: Rc<Stances>,
     bounds: Bounds,
@@ -62,7 +70,12 @@
                 None
             }
         };
-        Beside { place, module, stances, bounds, peers, others: Cell::new(0) }
+        let inbox = place.as_ref().and_then(|place| {
+            let opened = place.listener_inbox();
+            opened.inspect_err(|error| log!("no listener can be passed to this process: {error}")).ok()
+        });
+        let (listener, others) = (RefCell::default(), Cell::new(0));
+        Beside { place, inbox, listener, module, stances, bounds, peers, others }
     }
 
     /// Workers that are out by words said before. That clients are sent away holds on only where a process lives that
@@ -89,9 +102,11 @@
         self.count() == 0
     }
 
-    /// This process takes clients now.
-    pub fn serves(&self) {
-        let told = self.place.as_ref().map_or(Ok(()), Place::serves);
+    /// This process takes clients now, from that listener.
+    pub fn serves(&self, listener: &Rc<TcpListener>) {
+        *self.listener.borrow_mut() = Some(listener.clone());
+        let id = SocketId::of(&**listener).ok();
+        let told = self.place.as_ref().map_or(Ok(()), |place| place.serves(id));
         told.unwrap_or_else(|error| log!("others cannot be told that this process serves: {error}"));
     }
 
@@ -117,9 +132,46 @@
         self.place.as_ref().is_none_or(Place::outlived)
     }
 
-    /// Whether a newer process serves already, as of now.
-    pub fn followed(&self) -> bool {
-        self.place.as_ref().is_some_and(|place| follows(place, &place.others()))
+    /// The newer process that serves already, as of now.
+    pub fn follower(&self) -> Follower {
+        self.place.as_ref().map_or(Follower::Absent, |place| place.follower(&place.others()))
+    }
+
+    /// This process closes its listener and passes it to nobody any more.
+    pub fn closes_listener(&self) {
+        self.listener.take();
+        let told = self.place.as_ref().map_or(Ok(()), Place::closed_listener);
+        told.unwrap_or_else(|error| log!("others cannot be told that the listener is closed: {error}"));
+    }
+
+    /// The listener at `address` that a process which serves has passed to this one, if it does so in time.
+    pub async fn passed_listener(&self, address: SocketAddr) -> Option<TcpListener> {
+        let (place, inbox) = (self.place.as_ref()?, self.inbox.as_ref()?);
+        let begun = Instant::now();
+        loop {
+            match inbox.receive(address) {
+                Ok(Some(listener)) => {
+                    let listener = TcpListener::from_std(listener);
+                    return listener.inspect_err(|error| log!("a passed listener is not used: {error}")).ok();
+                }
+                Ok(None) => {}
+                Err(error) => log!("no listener is received: {error}"),
+            }
+            let passes = place.others().iter().any(|other| other.serves && other.listener.is_some());
+            if !passes || begun.elapsed() >= PASSED_BY {
+                return None;
+            }
+            sleep(LOOK_BESIDE).await;
+        }
+    }
+
+    /// Passes the listener to processes that begin, where this one is the newest that serves.
+    fn pass_listener(&self, place: &Place, others: &[Status]) {
+        if let Some(listener) = &*self.listener.borrow()
+            && place.follower(others) == Follower::Absent
+        {
+            place.pass_listener(listener.as_ref());
+        }
     }
 
     /// Looks at the others for good.
@@ -128,7 +180,8 @@
         loop {
             sleep(if self.alone() { LOOK_ALONE } else { LOOK_BESIDE }).await;
             let others = place.others();
-            self.stances.followed(follows(place, &others));
+            self.stances.followed(place.follower(&others));
+            self.pass_listener(place, &others);
             if others.len() > self.others.get() && self.stances.serves() {
                 self.teach(place).await;
             }
@@ -212,7 +265,3 @@
         }
     }
 }
-
-fn follows(place: &Place, others: &[Status]) -> bool {
-    others.iter().any(|o| o.serves && o.started > place.started())
-}
--- a/crates/rainlugd/src/routing/stances.rs
+++ b/crates/rainlugd/src/routing/stances.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 
 use rainlug::Time;
-use rainlug_handover::{Phase, Stance};
+use rainlug_handover::{Follower, Listening, Phase, Stance};
 use tokio::sync::watch;
 
 use crate::base::Clock;
@@ -40,7 +40,7 @@
 
     /// Whether clients still come, where they do for a while: not where another process takes them.
     pub fn comes(&self, for_now: bool) -> bool {
-        for_now && self.to.borrow().listens && self.serves()
+        for_now && self.to.borrow().listening == Listening::Accepts && self.serves()
     }
 
     /// The clients' address is open.
@@ -49,8 +49,8 @@
     }
 
     /// Whether a newer process of this dispatcher takes clients.
-    pub fn followed(&self, followed: bool) {
-        self.change(|phase, _| phase.followed(followed));
+    pub fn followed(&self, by: Follower) {
+        self.change(|phase, _| phase.followed(by));
     }
 
     /// Staff empty the dispatcher, or let clients in again.
--- /dev/null
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -0,0 +1,185 @@
+//! Upgrades in series and with crashes, under clients that open connections without a pause: none of them is reset or refused.
+
+#[path = "../../../tests/common/mod.rs"]
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, ScopedJoinHandle};
+
+use common::sockets::*;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_rainlugd");
+const CLIENTS: usize = 4;
+/// Upgrades in series.
+const UPGRADES: usize = 10;
+
+/// What the processes of one dispatcher have in common.
+struct Dispatcher {
+    directory: tempfile::TempDir,
+    name: String,
+    list: List,
+    worker: Worker,
+}
+
+impl Dispatcher {
+    fn new(name: &str) -> Self {
+        let directory = tempfile::tempdir().unwrap();
+        Dispatcher {
+            directory,
+            name: name.into(),
+            list: List::start(),
+            worker: Worker::start(|_| Act::Finish),
+        }
+    }
+
+    fn text(&self, listen: &str) -> String {
+        let listens = format!("\"management\":\"127.0.0.1:0\",\"listen\":\"{listen}\"");
+        let text = configuration(&self.list, &[("w1", self.worker.at)]);
+        let text = text.replace("\"listen\":\"127.0.0.1:0\"", &listens);
+        text.replace("\"name\":\"n0\"", &format!("\"name\":\"{}\"", self.name))
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(PROGRAM);
+        command.env("TMPDIR", self.directory.path());
+        command
+    }
+
+    fn first(&self) -> Program {
+        Program::start(self.command(), &self.text("127.0.0.1:0"))
+    }
+
+    /// The next process at that address; it has begun, and need not serve yet.
+    fn begin(&self, at: SocketAddr) -> Program {
+        Program::begin(self.command(), &self.text(&at.to_string()))
+    }
+
+    /// The next process at that address, which serves.
+    fn next(&self, at: SocketAddr) -> Program {
+        let mut next = self.begin(at);
+        next.opens();
+        next
+    }
+
+    fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+}
+
+/// Clients that open a connection for each task; the count of those that were answered, when it is over.
+fn clients<'scope>(
+    scope: &'scope thread::Scope<'scope, '_>,
+    at: SocketAddr,
+    over: &'scope AtomicBool,
+) -> Vec<ScopedJoinHandle<'scope, usize>> {
+    let client = move |number: usize| {
+        let mut asked = 0;
+        while !over.load(Ordering::Relaxed) {
+            let (status, ..) = Client::at(at).ask("/search", &format!("c{number}-{asked}"), "4000m");
+            assert_eq!(status, 200);
+            asked += 1;
+        }
+        asked
+    };
+    (0..CLIENTS).map(|number| scope.spawn(move || client(number))).collect()
+}
+
+fn all_answered(clients: Vec<ScopedJoinHandle<'_, usize>>, over: &AtomicBool) {
+    over.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| assert!(client.join().unwrap() > 0));
+}
+
+/// Each upgrade closed a listener, and reset the connections whose handshake completed in that moment.
+#[test]
+fn given_connections_without_a_pause_when_upgrades_follow_one_another_then_none_is_lost() {
+    let dispatcher = Dispatcher::new("n0");
+    let mut old = dispatcher.first();
+    let (at, over) = (old.at, AtomicBool::new(false));
+    thread::scope(|scope| {
+        let clients = clients(scope, at, &over);
+        for _ in 0..UPGRADES {
+            let new = dispatcher.next(at);
+            old.terminate();
+            assert!(old.ended().success());
+            old = new;
+        }
+        all_answered(clients, &over);
+    });
+}
+
+/// The newer process alone had a socket open, so with its death clients were refused until it was started again.
+#[test]
+fn given_a_stop_that_is_under_way_when_the_follower_is_killed_then_the_older_process_accepts_again() {
+    let dispatcher = Dispatcher::new("n0");
+    let old = dispatcher.first();
+    // Its connection keeps the older process until it is closed.
+    let mut open = Client::of(&old);
+    open.write("POST /search HTTP/1.1\r\n");
+    let new = dispatcher.next(old.at);
+    old.terminate();
+    old.logged("clients come to another process now, from the same listener");
+    drop(new);
+    assert_eq!(Client::of(&old).ask("/search", "after", "4000m").0, 200);
+    let rest = "X-Call-Id: open\r\nX-Budget: 4000m\r\nContent-Length: 0\r\n\r\n";
+    open.write(rest);
+    assert_eq!(open.hear().unwrap().0, 200);
+}
+
+#[test]
+fn given_three_processes_when_the_first_two_end_in_either_order_then_none_is_lost() {
+    for first_ends_first in [true, false] {
+        let dispatcher = Dispatcher::new("n0");
+        let mut first = dispatcher.first();
+        let (at, over) = (first.at, AtomicBool::new(false));
+        thread::scope(|scope| {
+            let clients = clients(scope, at, &over);
+            let mut second = dispatcher.next(at);
+            let _third = dispatcher.next(at);
+            let (one, other) =
+                if first_ends_first { (&mut first, &mut second) } else { (&mut second, &mut first) };
+            one.terminate();
+            other.terminate();
+            assert!(one.ended().success() && other.ended().success());
+            all_answered(clients, &over);
+        });
+    }
+}
+
+/// A planned restart whose next process has begun when the old one ends: its listener lives on in the next one.
+#[test]
+fn given_a_process_that_has_begun_when_the_one_before_ends_first_then_no_connection_is_refused() {
+    let dispatcher = Dispatcher::new("n0");
+    let mut old = dispatcher.first();
+    let at = old.at;
+    // No word of the list comes, so it waits for that after it has been passed the listener.
+    let mut new = dispatcher.begin(at);
+    new.logged("workers as the process before knows them");
+    old.terminate();
+    assert!(old.ended().success());
+    let mut client = Client::at(at);
+    assert_eq!(client.ask("/search", "between", "4000m").0, 200);
+    new.opens();
+}
+
+/// A process that stands still holds a listener of its own with connections in its queue; from a shared one others take them.
+#[test]
+fn given_an_older_process_that_is_killed_when_connections_wait_in_the_queue_then_the_newer_one_serves_them() {
+    let dispatcher = Dispatcher::new("n0");
+    let old = dispatcher.first();
+    let (at, over) = (old.at, AtomicBool::new(false));
+    let new = dispatcher.next(at);
+    old.stop();
+    thread::scope(|scope| {
+        let clients = clients(scope, at, &over);
+        until("twenty tasks at the newer one", |_| {
+            let (_, figures) = new.call("GET", "/stats");
+            let served = figures.lines().find_map(|line| line.strip_prefix("relay.replies.search.success:"));
+            served.and_then(|rest| rest.split('|').next()).is_some_and(|n| n.parse::<usize>().unwrap() > 20)
+        });
+        drop(old);
+        all_answered(clients, &over);
+    });
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -521,6 +521,11 @@
             self.signal("-TERM");
         }
 
+        /// It stands still.
+        pub fn stop(&self) {
+            self.signal("-STOP");
+        }
+
         /// Replaces its configuration, and tells it so.
         pub fn reload(&self, configuration: &str) {
             fs::write(&self.path, configuration).unwrap();
