Stop: a process with a listener of its own empties its queue before it ends

What callers saw: where two processes listen beside one another, the old one ended at SIGTERM without having looked into its queue, if it had no client at that moment: all that waited there were reset.

Cause: wind_up looked once at the seats of clients and ended, before the task that accepts had run.

Change: the end waits for that task where the listener is to be closed. The clients' listener and the stop have files of their own (program/clients.rs, program/stop.rs); code moved as it was.

Evidence: given_listeners_of_their_own_when_the_old_process_stops_without_clients_then_it_empties_its_queue_first failed on and on the commit before (the process ended without its line on the queue), and passes. All tests of rainlugd pass.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -1,11 +1,11 @@
 //! The program: what it is told, its start and its signals.
 
+mod clients;
+mod stop;
 mod told;
 
 use std::convert::Infallible;
 use std::future::pending;
-use std::io::{self, ErrorKind};
-use std::iter;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -14,41 +14,30 @@
 use anyhow::{Context, Result};
 use rainlug::logic::Dispatcher;
 use rainlug::{Moment, Time};
-use rainlug_handover::{Follower, Listening, Stance};
+use rainlug_handover::Follower;
 use serde_json::Value;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{LocalSet, spawn_local, yield_now};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::sleep;
+
+use self::clients::{Newcomers, accept, accepted, open};
+use self::stop::{InHand, wind_up};
 
 use crate::base::Clock;
 use crate::protocol::head;
 use crate::protocol::words::Entry;
-use crate::routing::client::{self, Door};
+use crate::routing::client::Door;
 use crate::routing::figures::Figures;
 use crate::routing::list::{self, Source};
 use crate::routing::management::{self, Office};
 use crate::routing::module::{self, Desk};
-use crate::routing::{Beside, Budgets, MAILBOX, Mail, Peers, Stances, ToModule};
-use crate::transport::{Bounds, Link, Pool, Room};
+use crate::routing::{Beside, Budgets, MAILBOX, Peers, Stances, ToModule};
+use crate::transport::{Bounds, Link, Pool};
 
-/// New connections still come for so long after the word to stop.
-const LAST_CLIENTS: Duration = Duration::from_millis(500);
-/// How often it is looked whether the last client has gone.
-const LOOK: Duration = Duration::from_millis(10);
-/// The pause after a failure to accept that would come again at once.
-const BREATH: Duration = Duration::from_millis(10);
-/// Where another process of this dispatcher serves, the list's first word is waited for so long: a new process that takes
-/// clients is due in 6 s.
-const FIRST_NEWS: Duration = Duration::from_secs(1);
 /// How often it is looked whether an older process has ended.
 const SOLE: Duration = Duration::from_millis(25);
-/// An address that is in use is tried again so often, for so long.
-const AGAIN: Duration = Duration::from_millis(50);
-const TAKEN: Duration = Duration::from_secs(4);
-/// Connections that may stand in a listener's queue.
-const BACKLOG: u32 = 1024;
 
 pub fn main() -> ExitCode {
     let done = told::read().and_then(|(path, all)| {
@@ -181,6 +170,7 @@
             _ = stop.recv() => None,
             listener = open(made.listen, beside.as_deref(), &made.heard) => Some(listener?),
         };
+        let mut accepting = None;
         if let Some(listener) = opened {
             log!("listening on {}", listener.local_addr()?);
             let listener = Rc::new(listener);
@@ -188,7 +178,7 @@
             beside.iter().for_each(|others| others.serves(&listener));
             let newcomers =
                 Newcomers { door: Rc::new(door), stance: stances.watch(), bounds: bounds.clone(), pool };
-            spawn_local(accept(listener, newcomers, beside.clone()));
+            accepting = Some(spawn_local(accept(listener, newcomers, beside.clone())));
             stop.recv().await;
         }
         let follows = || beside.as_deref().is_some_and(|others| others.follower() != Follower::Absent);
@@ -197,7 +187,8 @@
                 peers.leave(follows, Duration::from_micros(closing as u64)).await;
             }
         };
-        let winds_up = wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, bounds.clients);
+        let in_hand = InHand { clients: bounds.clients, accepting };
+        let winds_up = wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, in_hand);
         tokio::join!(leaves, winds_up);
         Ok(())
     };
@@ -209,44 +200,6 @@
     }
 }
 
-/// Opens the clients' address. Where another process of this dispatcher serves there, not before the list has been heard,
-/// or that has been waited for; and with that one's listener, or beside it where it passes none.
-async fn open(at: SocketAddr, beside: Option<&Beside>, heard: &Notify) -> Result<TcpListener> {
-    let begun = Instant::now();
-    if let Some(others) = beside.filter(|others| !others.alone()) {
-        others.learn().await;
-        let _ = timeout(FIRST_NEWS, heard.notified()).await;
-        if let Some(listener) = others.passed_listener(at).await {
-            log!("the listener is the one of the process before");
-            return Ok(listener);
-        }
-    }
-    loop {
-        match listener(at, beside.is_some()) {
-            Ok(listener) => return Ok(listener),
-            // One that shares the address with nobody may be on its way out.
-            Err(error)
-                if error.kind() == ErrorKind::AddrInUse && beside.is_some() && begun.elapsed() < TAKEN =>
-            {
-                log!("{at} is taken; tried again until it is free");
-                sleep(AGAIN).await;
-            }
-            Err(error) => return Err(error).with_context(|| format!("cannot listen on {at}")),
-        }
-    }
-}
-
-/// A listener, alone at its address or beside others of this dispatcher.
-fn listener(at: SocketAddr, beside: bool) -> io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    if beside {
-        socket.set_reuseport(true)?;
-    }
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
-
 /// At each SIGHUP reads the file again and moves to the list's source that it names now. A file that cannot be used
 /// changes nothing.
 async fn reload(
@@ -284,41 +237,6 @@
     }
 }
 
-/// After the word to stop: ends when every task has its answer and no client is left. Where another process takes the
-/// clients, none comes here any more.
-async fn wind_up(
-    stances: &Stances,
-    beside: Option<&Beside>,
-    clock: Clock,
-    module: ToModule,
-    within: Time,
-    clients: Room,
-) {
-    let begun = Instant::now();
-    log!("stopping: all answers within {within} us");
-    // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
-    // must not be closed at once, as they are where nobody follows.
-    if let Some(others) = beside {
-        stances.followed(others.follower());
-    }
-    stances.stop();
-    beside.iter().for_each(|others| others.stops());
-    let _ = module.send(Mail::Closing(clock.now() + within)).await;
-    while stances.comes(begun.elapsed() < LAST_CLIENTS) || !clients.empty() {
-        sleep(LOOK).await;
-    }
-    // An upgrade that is stopped in the middle: for whoever started both this one is the dispatcher, and with its end
-    // the older one would be ended too, before it has answered what it holds.
-    let by = begun + Duration::from_micros(within as u64);
-    let outlived = || beside.is_none_or(|others| others.outlived());
-    if !outlived() {
-        log!("waiting for an older process that still answers");
-    }
-    while !outlived() && Instant::now() < by {
-        sleep(LOOK).await;
-    }
-}
-
 /// Takes in calls at the second address. Who comes when all seats are taken waits until the oldest silent one has gone.
 async fn manage(listener: TcpListener, office: Rc<Office>, pool: Pool) {
     loop {
@@ -329,98 +247,3 @@
         yield_now().await;
     }
 }
-
-/// The next connection; nothing after a failure to accept, which would come again at once without a pause.
-async fn accepted(listener: &TcpListener) -> Option<TcpStream> {
-    match listener.accept().await {
-        Ok((stream, _)) => Some(stream),
-        Err(error) => {
-            log!("cannot accept a client: {error}");
-            sleep(BREATH).await;
-            None
-        }
-    }
-}
-
-/// What those who connect are given.
-struct Newcomers {
-    door: Rc<Door>,
-    stance: watch::Receiver<Stance>,
-    bounds: Bounds,
-    pool: Pool,
-}
-
-/// Takes in clients, as long as they are this process's. A failure to accept ends neither this nor the process, and does not
-/// spin.
-async fn accept(listener: Rc<TcpListener>, newcomers: Newcomers, beside: Option<Rc<Beside>>) {
-    let mut watched = newcomers.stance.clone();
-    let mut is_paused = false;
-    loop {
-        let listening = watched.borrow_and_update().listening;
-        if listening == Listening::Paused && !is_paused {
-            log!("clients come to another process now, from the same listener");
-        }
-        is_paused = listening == Listening::Paused;
-        match listening {
-            Listening::Closes => break,
-            Listening::Paused => {
-                if watched.changed().await.is_err() {
-                    return;
-                }
-            }
-            Listening::Accepts => {
-                let stream = tokio::select! {
-                    biased;
-                    _ = watched.changed() => continue,
-                    stream = accepted(&listener) => stream,
-                };
-                if let Some(stream) = stream {
-                    newcomers.take_in(stream).await;
-                }
-            }
-        }
-    }
-    beside.iter().for_each(|others| others.closes_listener());
-    for stream in close(listener) {
-        newcomers.take_in(stream).await;
-    }
-}
-
-/// Closes a listener that the follower does not have; gives the connections that stood in its queue, which would be lost
-/// with it. A handshake that completes after the last look into the queue is lost.
-fn close(listener: Rc<TcpListener>) -> Vec<TcpStream> {
-    let listener =
-        Rc::into_inner(listener).expect("nothing else keeps the listener of a process that closes it");
-    let Ok(listener) = listener.into_std() else { return Vec::new() };
-    let next = || {
-        listener.accept().and_then(|(stream, _)| {
-            stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
-        })
-    };
-    let left: Vec<TcpStream> = iter::from_fn(|| next().ok()).collect();
-    drop(listener);
-    log!("clients come to another process now; {} waited here", left.len());
-    left
-}
-
-impl Newcomers {
-    /// Gives a client a seat, or has it turned away.
-    async fn take_in(&self, stream: TcpStream) {
-        let (seat, turned_away) = match self.bounds.clients.seat() {
-            Some(seat) => (seat, false),
-            // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
-            // goes; whoever comes next must not have to wait until it has.
-            None => tokio::select! {
-                biased;
-                Some(seat) = self.bounds.clients.wait() => (seat, false),
-                Some(seat) = self.bounds.turned_away.wait() => (seat, true),
-                else => return,
-            },
-        };
-        let link = Link::over(stream, head::request_body, &self.pool, seat);
-        spawn_local(client::serve(link, self.door.clone(), self.stance.clone(), turned_away));
-        // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
-        yield_now().await;
-    }
-}
--- /dev/null
+++ b/crates/rainlugd/src/program/stop.rs
@@ -0,0 +1,66 @@
+//! The end of a process: all that it has taken on is answered first.
+
+use std::time::Duration;
+
+use rainlug::Time;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::base::Clock;
+use crate::routing::{Beside, Mail, Stances, ToModule};
+use crate::transport::Room;
+
+/// New connections still come for so long after the word to stop.
+const LAST_CLIENTS: Duration = Duration::from_millis(500);
+/// How often it is looked whether the last client has gone.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// What a process has taken on.
+pub struct InHand {
+    /// The seats of clients.
+    pub clients: Room,
+    /// The task that accepts clients; it ends when the listener is closed and all that waited there have seats.
+    pub accepting: Option<JoinHandle<()>>,
+}
+
+impl InHand {
+    fn is_empty(&self, stances: &Stances) -> bool {
+        let is_closed = self.accepting.as_ref().is_none_or(JoinHandle::is_finished);
+        self.clients.empty() && (is_closed || !stances.closes_listener())
+    }
+}
+
+/// After the word to stop: ends when every task has its answer and no client is left. Where another process takes the
+/// clients, none comes here any more.
+pub async fn wind_up(
+    stances: &Stances,
+    beside: Option<&Beside>,
+    clock: Clock,
+    module: ToModule,
+    within: Time,
+    in_hand: InHand,
+) {
+    let begun = Instant::now();
+    log!("stopping: all answers within {within} us");
+    // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
+    // must not be closed at once, as they are where nobody follows.
+    if let Some(others) = beside {
+        stances.followed(others.follower());
+    }
+    stances.stop();
+    beside.iter().for_each(|others| others.stops());
+    let _ = module.send(Mail::Closing(clock.now() + within)).await;
+    while stances.comes(begun.elapsed() < LAST_CLIENTS) || !in_hand.is_empty(stances) {
+        sleep(LOOK).await;
+    }
+    // An upgrade that is stopped in the middle: for whoever started both this one is the dispatcher, and with its end
+    // the older one would be ended too, before it has answered what it holds.
+    let by = begun + Duration::from_micros(within as u64);
+    let outlived = || beside.is_none_or(|others| others.outlived());
+    if !outlived() {
+        log!("waiting for an older process that still answers");
+    }
+    while !outlived() && Instant::now() < by {
+        sleep(LOOK).await;
+    }
+}
--- a/crates/rainlugd/src/routing/stances.rs
+++ b/crates/rainlugd/src/routing/stances.rs
@@ -43,6 +43,11 @@
         for_now && self.to.borrow().listening == Listening::Accepts && self.serves()
     }
 
+    /// Whether the listener is to be emptied and closed before the end.
+    pub fn closes_listener(&self) -> bool {
+        self.to.borrow().listening == Listening::Closes
+    }
+
     /// The clients' address is open.
     pub fn opened(&self) {
         self.serves.set(true);
--- a/crates/rainlugd/tests/upgrades.rs
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -164,6 +164,23 @@
     new.opens();
 }
 
+/// A process without clients ended before it had looked into the queue of its own listener. The name is too long for the path
+/// of an inbox: the processes listen beside one another, as older ones do.
+#[test]
+fn given_listeners_of_their_own_when_the_old_process_stops_without_clients_then_it_empties_its_queue_first() {
+    let dispatcher = Dispatcher::new(&"n".repeat(100));
+    let mut old = dispatcher.first();
+    let new = dispatcher.next(old.at);
+    old.terminate();
+    assert!(old.logged("clients come to another process now; ").ends_with(" waited here"));
+    assert!(old.ended().success());
+    assert_eq!(Client::of(&new).ask("/search", "s1", "4000m").0, 200);
+    assert!(dispatcher.directory().read_dir().unwrap().all(|file| {
+        let name = file.unwrap().file_name();
+        !name.to_string_lossy().ends_with(".sock")
+    }));
+}
+
 /// A process that stands still holds a listener of its own with connections in its queue; from a shared one others take them.
 #[test]
 fn given_an_older_process_that_is_killed_when_connections_wait_in_the_queue_then_the_newer_one_serves_them() {
