Stop: a whole call at the second address is answered before the process ends

What callers saw: a word at the second address (a worker out by hand) held, but its connection ended without an answer when the process that was asked was stopped while it waited for the other process.

Cause: only clients' seats kept a process that stops.

Change: calls that have come whole are counted, and the end waits for them, within the stop's time.

Evidence: given_a_word_that_waits_for_another_process_when_the_asked_one_is_stopped_then_its_caller_is_told: no answer with the sources before (stashed, same test), passes with the change.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -33,7 +33,7 @@
 use crate::routing::list::{self, Source};
 use crate::routing::management::{self, Office};
 use crate::routing::module::{self, Desk};
-use crate::routing::{Beside, Budgets, MAILBOX, Peers, Stances, ToModule};
+use crate::routing::{Beside, Budgets, MAILBOX, Peers, Stances, ToModule, UnderWay};
 use crate::transport::{Bounds, Link, Pool};
 
 /// How often it is looked whether an older process has ended.
@@ -114,6 +114,7 @@
     let Parts { bounds, pool, door, source, rev, known, asked, closing, mut desk, mut logic, .. } = made;
     let stances = Rc::new(Stances::new(clock));
     let mut beside = None;
+    let calls = UnderWay::default();
     let opened = |fleet| Peers::open(fleet, made.budgets, told::name(all)?, told::zone(all)?, clock);
     let peers = made.fleet.map(opened).transpose()?.map(Rc::new);
     let budgets = peers.as_ref().and_then(|peers| peers.budgets());
@@ -136,7 +137,15 @@
         logic.beside(others.count());
         log!("managed on {}", listener.local_addr()?);
         let (figures, room, beside_it) = (made.figures.clone(), bounds.management.clone(), others.clone());
-        let office = Office { module, figures, stances, beside: beside_it, peers: peers.clone(), room };
+        let office = Office {
+            module,
+            figures,
+            stances,
+            beside: beside_it,
+            peers: peers.clone(),
+            room,
+            calls: calls.clone(),
+        };
         spawn_local(manage(listener, Rc::new(office), Pool::within(0)));
         beside = Some(others);
     }
@@ -187,7 +196,7 @@
                 peers.leave(follows, Duration::from_micros(closing as u64)).await;
             }
         };
-        let in_hand = InHand { clients: bounds.clients, accepting };
+        let in_hand = InHand { clients: bounds.clients, accepting, calls };
         let winds_up = wind_up(&stances, beside.as_deref(), clock, mailbox.clone(), closing, in_hand);
         tokio::join!(leaves, winds_up);
         Ok(())
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::base::Clock;
-use crate::routing::{Beside, Mail, Stances, ToModule};
+use crate::routing::{Beside, Mail, Stances, ToModule, UnderWay};
 use crate::transport::Room;
 
 /// New connections still come for so long after the word to stop.
@@ -21,6 +21,8 @@
     pub clients: Room,
     /// The task that accepts clients; it ends when the listener is closed and all that waited there have seats.
     pub accepting: Option<JoinHandle<()>>,
+    /// Calls at the second address.
+    pub calls: UnderWay,
 }
 
 impl InHand {
@@ -53,9 +55,13 @@
     while stances.comes(begun.elapsed() < LAST_CLIENTS) || !in_hand.is_empty(stances) {
         sleep(LOOK).await;
     }
+    let by = begun + Duration::from_micros(within as u64);
+    // A word that binds and whose caller is not told so would be doubted.
+    while !in_hand.calls.is_empty() && Instant::now() < by {
+        sleep(LOOK).await;
+    }
     // An upgrade that is stopped in the middle: for whoever started both this one is the dispatcher, and with its end
     // the older one would be ended too, before it has answered what it holds.
-    let by = begun + Duration::from_micros(within as u64);
     let outlived = || beside.is_none_or(|others| others.outlived());
     if !outlived() {
         log!("waiting for an older process that still answers");
--- a/crates/rainlugd/src/routing/management.rs
+++ b/crates/rainlugd/src/routing/management.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::figures::Figures;
-use super::{Beside, Mail, Peers, Stances, ToModule};
+use super::{Beside, Mail, Peers, Stances, ToModule, UnderWay};
 
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
@@ -30,6 +30,8 @@
     /// The fleet's view, where it is kept.
     pub peers: Option<Rc<Peers>>,
     pub room: Room,
+    /// Calls that have come whole and are not answered yet.
+    pub calls: UnderWay,
 }
 
 /// Takes one call and answers it. Who says nothing, or half a call, goes when its time is up or its seat is wanted.
@@ -40,6 +42,7 @@
         read = timeout_at(come + DUE, call(&mut link)) => read.unwrap_or(Err(End::TimedOut)),
         () = office.room.wanted(0) => return,
     };
+    let call = office.calls.hold();
     let (status, text) = match read {
         Ok((method, path)) => answer(&office, &method, &path).await,
         Err(End::Malformed) => (400, String::new()),
@@ -49,6 +52,7 @@
     };
     let reply = head::reply(status, 0, true, text.len());
     let sent = timeout(DUE, link.send(reply.as_bytes(), text.as_bytes(), &Cell::new(false))).await;
+    drop(call);
     if matches!(sent, Ok(Ok(()))) {
         tokio::select! {
             _ = timeout(DUE / FAREWELL, link.finish()) => {}
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod peers;
 mod stances;
+mod under_way;
 mod worker;
 
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 pub use budgets::Budgets;
 pub use peers::Peers;
 pub use stances::Stances;
+pub use under_way::UnderWay;
 pub use worker::Reach;
 
 /// What is off in a build that is broken on purpose, for the checkers to be tried on; nothing in any other.
--- a/crates/rainlugd/tests/upgrades.rs
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -200,3 +200,19 @@
         all_answered(clients, &over);
     });
 }
+
+/// The process that was asked ended while it waited for the other one, and its caller was told nothing.
+#[test]
+fn given_a_word_that_waits_for_another_process_when_the_asked_one_is_stopped_then_its_caller_is_told() {
+    let dispatcher = Dispatcher::new("n0");
+    let mut old = dispatcher.first();
+    let new = dispatcher.next(old.at);
+    new.stop();
+    let mut operator = Client::at(old.management.unwrap());
+    operator.write("POST /workers/w1/maint HTTP/1.1\r\nHost: x\r\n\r\n");
+    old.logged("worker w1 is out by hand");
+    old.terminate();
+    assert_eq!(operator.hear().expect("an answer").0, 200);
+    drop(operator);
+    assert!(old.ended().success());
+}
