Gateway: the listener's queue is read by system calls before it is closed

What callers saw: a gateway that stops resets connections that came in the moment in which it closes its listener.

Cause: the queue was emptied by the runtime's accept, which knows only of connections that came before the runtime last looked at its sockets; what came since was reset with the socket.

Change: close_listener (transport) reads the queue by system calls; rainlugd's own copy of that loop goes.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use rainlug_registry::Limits;
-use rainlug_transport::{Body, End, Link, Piece, Pool, Room, Seat, Sizes, head};
+use rainlug_transport::{Body, End, Link, Piece, Pool, Room, Seat, Sizes, close_listener, head};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -50,16 +50,8 @@
             Err(_) => sleep(BREATH).await,
         }
     }
-    // Those that stand in the queue would be reset.
-    loop {
-        tokio::select! {
-            biased;
-            accepted = front.accept() => match accepted {
-                Ok((stream, _)) => welcome(&gateway, stream, &batch_api),
-                Err(_) => return,
-            },
-            () = std::future::ready(()) => return,
-        }
+    for stream in close_listener(front) {
+        welcome(&gateway, stream, &batch_api);
     }
 }
 
--- a/crates/gateway/tests/plane/stop.rs
+++ b/crates/gateway/tests/plane/stop.rs
@@ -314,3 +314,36 @@
         tokio::join!(stopped, asks);
     });
 }
+
+/// Connections that came since the runtime had last looked at its sockets were in the queue of the listener as it was closed, and
+/// were reset.
+#[test]
+fn given_connections_without_a_pause_when_the_listener_is_closed_then_none_that_was_made_is_reset() {
+    run(async {
+        let worker = stand(|_, _| vec![ok("done")]).await;
+        let grace = Duration::from_millis(900);
+        let bench = Rc::new(bench_with_grace(&worker, grace.as_secs_f64()).await);
+        let front = bench.front;
+        let stopped = {
+            let bench = bench.clone();
+            spawn_local(async move { bench.gateway.stop().await })
+        };
+        // Nobody asks for readiness, so the listener is closed after a third of the time to stop.
+        sleep(grace / 3 - Duration::from_millis(10)).await;
+        let mut answered = Vec::new();
+        while let Ok(stream) = std::net::TcpStream::connect(front) {
+            stream.set_nonblocking(true).unwrap();
+            let mut client = Client { stream: TcpStream::from_std(stream).unwrap(), buffer: Vec::new() };
+            answered.push(spawn_local(async move {
+                client.send("GET /x HTTP/1.1\r\nHost: x\r\n\r\n").await;
+                client.got().await.is_some_and(|got| got.whole)
+            }));
+            tokio::task::yield_now().await;
+        }
+        assert!(answered.len() > 10, "{}", answered.len());
+        for (number, answered) in answered.into_iter().enumerate() {
+            assert!(answered.await.unwrap(), "connection {number} has no answer");
+        }
+        stopped.await.unwrap();
+    });
+}
--- a/crates/rainlugd/src/program/clients.rs
+++ b/crates/rainlugd/src/program/clients.rs
@@ -1,13 +1,13 @@
 //! Where clients connect: the listener, alone or in common with other processes of this dispatcher, and who comes there.
 
 use std::io::{self, ErrorKind};
-use std::iter;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use rainlug_handover::{Listening, Stance};
+use rainlug_transport::close_listener;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::{spawn_local, yield_now};
@@ -128,15 +128,7 @@
 fn close(listener: Rc<TcpListener>) -> Vec<TcpStream> {
     let listener =
         Rc::into_inner(listener).expect("nothing else keeps the listener of a process that closes it");
-    let Ok(listener) = listener.into_std() else { return Vec::new() };
-    let next = || {
-        listener.accept().and_then(|(stream, _)| {
-            stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
-        })
-    };
-    let left: Vec<TcpStream> = iter::from_fn(|| next().ok()).collect();
-    drop(listener);
+    let left = close_listener(listener);
     log!("clients come to another process now; {} waited here", left.len());
     left
 }
