Signals of the tier are handled from the first moment of a process

What callers saw: a gateway or store that got SIGHUP or SIGTERM while it started was ended by the signal's default action, with calls in hand, or while it waited for its disk.

Cause: handlers were installed after disk, sockets and servers.

Change: signals.rs installs them first; a stop during the start ends it.

--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod process_memory;
 pub mod roles;
 pub mod settings;
+mod signals;
 mod step_times;
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -14,7 +14,6 @@
 use rainlug_placement::Mechanisms;
 use rand::TryRngCore;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -23,6 +22,7 @@
 use crate::disk::{Disk, ShardLog, WriterReport};
 use crate::node::{BatchCalls, Node};
 use crate::settings::{self, Settings};
+use crate::signals::Signals;
 use crate::{control, log, metrics};
 
 /// Between two attempts to open a disk that refuses calls.
@@ -153,23 +153,35 @@
 /// # Errors
 /// Where settings, sockets or disk cannot be used.
 pub async fn run(role: ProcessRole, settings: Settings, mechanisms: Mechanisms) -> Result<(), Error> {
+    // First of all: a signal without a handler would end a process that serves already.
+    let mut signals = Signals::install()?;
+    let node = tokio::select! {
+        biased;
+        started = start(role, &settings, mechanisms) => started?,
+        () = signals.stop() => return Ok(()),
+    };
+    signals.stop().await;
+    stop(&node, role, settings.bounds.grace()).await;
+    Ok(())
+}
+
+/// Opens the disk, founds or joins the tier, and starts the servers.
+async fn start(role: ProcessRole, settings: &Settings, mechanisms: Mechanisms) -> Result<Rc<Node>, Error> {
     let clock = Clock::start();
     let (reports, writer_reports) = mpsc::unbounded_channel();
-    let (disk, logs) = open_configured_disk(role, &settings, reports).await?;
-    let info = node_info(role, &settings, mechanisms, disk.as_ref());
+    let (disk, logs) = open_configured_disk(role, settings, reports).await?;
+    let info = node_info(role, settings, mechanisms, disk.as_ref());
     let peer = info.peer_address;
     let datagrams = UdpSocket::bind(peer).await.map_err(|e| Error::Listen(peer, e))?;
     let connections = listen(peer).await?;
-    let gateway = Gateway::new(gateway_settings(&settings, mechanisms));
+    let gateway = Gateway::new(gateway_settings(settings, mechanisms));
     let coordinator = Coordinator::new(info, logs, clock.now())?;
     let node = Node::new(clock, coordinator, peer, datagrams, disk, gateway);
     log::event("start", &format!("{role:?}, peers at {peer}"));
     node.spawn_tasks(connections, writer_reports, settings.fault_file.clone());
-    spawn_servers(&node, role, &settings).await?;
+    spawn_servers(&node, role, settings).await?;
     node.step("start", |_, _| ());
-    wait_for_stop().await?;
-    stop(&node, role, settings.bounds.grace()).await;
-    Ok(())
+    Ok(node)
 }
 
 /// Starts the servers of the addresses that the settings name.
@@ -192,22 +204,6 @@
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT. SIGHUP has the settings checked; the process goes on with those that it has.
-async fn wait_for_stop() -> Result<(), Error> {
-    let (mut terminate, mut hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => match Settings::from_environment() {
-                Ok(_) => log::event("settings", "read again"),
-                Err(error) => log::error("settings", &error.to_string()),
-            },
-        }
-    }
-}
-
 /// Hands over the shards that this process leads once the items that it runs have ended, and waits for that.
 async fn transfer_leaderships(node: &Rc<Node>, grace: Duration) {
     let drain_time = (grace / ITEM_DRAIN_PART).min(MAX_ITEM_DRAIN_TIME);
