Stop of the tier: calls that have been made are answered before a process ends

What callers saw: an order at a store that is stopped ended without an answer; the store was gone after 50 ms.

Cause: a stop waited for leaderships and for the data plane's requests; calls at the control address were in neither.

Change: then calls are refused (503, not made), and those that have been made are waited for, until the last sixth of grace_s.

--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -51,6 +51,8 @@
     /// Calls that wait for their answers, by ticket.
     pending_calls: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     last_ticket: Cell<u64>,
+    /// Whether calls are answered 503 without being made, as the process ends.
+    refuses_calls: Cell<bool>,
     /// The configuration in force.
     configuration: RefCell<Option<Rc<Configuration>>>,
     /// When the timer fires, on the steady clock.
@@ -81,6 +83,7 @@
             gateway,
             pending_calls: RefCell::default(),
             last_ticket: Cell::new(0),
+            refuses_calls: Cell::new(false),
             configuration: RefCell::default(),
             timer_at: Cell::new(0),
             timer_changed: Notify::new(),
@@ -214,8 +217,21 @@
         }
     }
 
+    /// From now on calls are answered 503 without being made; those that have been made go on.
+    pub(crate) fn refuse_calls(&self) {
+        self.refuses_calls.set(true);
+    }
+
+    /// Whether a call has been made and not been answered.
+    pub(crate) fn has_pending_calls(&self) -> bool {
+        !self.pending_calls.borrow().is_empty()
+    }
+
     /// A call of a client, worker or operator, and its answer.
     pub(crate) async fn call(self: Rc<Self>, call: Call) -> Answer {
+        if self.refuses_calls.get() {
+            return Answer::with_status(503);
+        }
         let ticket = self.last_ticket.get() + 1;
         self.last_ticket.set(ticket);
         let (caller, answer) = oneshot::channel();
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -35,6 +35,8 @@
 const TRANSFER_TIME: Duration = Duration::from_millis(400);
 /// Between two looks whether they do.
 const TRANSFER_POLL: Duration = Duration::from_millis(10);
+/// Calls of operators and workers are waited for until this part of the time to stop is left.
+const CALL_RESERVE_PART: u32 = 6;
 /// A process that ends has this long to tell its peers.
 const LEAVE_TIME: Duration = Duration::from_millis(50);
 
@@ -216,15 +218,25 @@
     }
 }
 
-/// Shuts down in order: leaderships and requests first, then the membership.
+/// Waits until every call that has been made is answered, or the time is over. Calls that come now are refused: others serve them.
+async fn drain_calls(node: &Rc<Node>, end: Instant) {
+    node.refuse_calls();
+    while node.has_pending_calls() && Instant::now() < end {
+        sleep(TRANSFER_POLL).await;
+    }
+}
+
+/// Shuts down in order: leaderships and requests first, then calls, then the membership.
 async fn stop(node: &Rc<Node>, role: ProcessRole, grace: Duration) {
     log::event("stop", "told to end");
+    let calls_end = Instant::now() + grace - grace / CALL_RESERVE_PART;
     if role == ProcessRole::Gateway {
         // Bounded by itself: it ends before the grace period does.
         tokio::join!(transfer_leaderships(node, grace), node.gateway().stop());
     } else {
         transfer_leaderships(node, grace).await;
     }
+    drain_calls(node, calls_end).await;
     node.step("leave", |coordinator, now| coordinator.leave(now));
     sleep(LEAVE_TIME).await;
     log::event("stop", "ended");
--- a/crates/tier/tests/stop.rs
+++ b/crates/tier/tests/stop.rs
@@ -60,6 +60,30 @@
     }
 }
 
+/// The store ended at once, and the operator's connection with it.
+#[test]
+fn given_an_order_that_nobody_can_settle_when_the_asked_store_is_stopped_then_its_operator_is_answered() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut store = Store::start(dir.path());
+    let mut operator = store.connect();
+    let text = rainlug_tier::local::CONFIGURATION;
+    let call = format!(
+        "PUT /v1/configuration HTTP/1.1\r\nHost: x\r\nIf-Match: \"0\"\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{text}",
+        text.len()
+    );
+    operator.write_all(call.as_bytes()).unwrap();
+    // One thread reads all calls, so the answer to a later one shows that the order is in hand.
+    let mut later = store.connect();
+    later.write_all(b"GET /v1/figures HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+    assert!(later.read_to_end(&mut Vec::new()).unwrap() > 0);
+    store.signal(Signal::SIGTERM);
+    let mut answer = String::new();
+    operator.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    drop(operator);
+    assert!(store.child.wait().unwrap().success());
+}
+
 /// Handlers were installed when all else had begun, so a signal before that ended the process.
 #[test]
 fn given_a_store_that_waits_for_its_disk_when_its_settings_are_read_again_then_it_waits_on_until_it_is_stopped()
