Stop: a process that nobody follows takes no clients after 1.5 s, and so ends

What callers saw: with clients that connect again at once, a stopped process went on for good, until its supervisor killed it with all that it held.

Cause: the listener stayed open until no client was left.

Change: where nobody follows, the listener is emptied and closed after 1.5 s; with it the last clients go.

--- a/crates/handover/src/phase.rs
+++ b/crates/handover/src/phase.rs
@@ -15,6 +15,7 @@
     emptied: Option<Time>,
     stopping: Option<Time>,
     follower: Follower,
+    refuses_newcomers: bool,
 }
 
 /// Whether a newer process of this dispatcher takes its clients, and from which listening socket.
@@ -75,8 +76,17 @@
         self.follower = by;
     }
 
+    pub fn is_followed(&self) -> bool {
+        self.follower != Follower::Absent
+    }
+
+    /// The process takes no new connections any more, if it is to end and nobody follows.
+    pub fn refuse_newcomers(&mut self) {
+        self.refuses_newcomers = true;
+    }
+
     pub fn stance(&self) -> Stance {
-        let followed = self.follower != Follower::Absent;
+        let followed = self.is_followed();
         let idle = match (self.stopping, followed, self.emptied) {
             // Nobody else takes them: they come again elsewhere, the sooner the better.
             (Some(at), false, _) => Some((0, at)),
@@ -89,9 +99,10 @@
 
     fn listening(&self) -> Listening {
         match (self.stopping, self.follower) {
-            (None, _) | (_, Follower::Absent) => Listening::Accepts,
+            (None, _) => Listening::Accepts,
+            (_, Follower::Absent) if !self.refuses_newcomers => Listening::Accepts,
             (_, Follower::SameSocket) => Listening::Paused,
-            (_, Follower::OwnSocket) => Listening::Closes,
+            (_, Follower::Absent | Follower::OwnSocket) => Listening::Closes,
         }
     }
 }
--- a/crates/handover/tests/phase.rs
+++ b/crates/handover/tests/phase.rs
@@ -67,6 +67,17 @@
     assert_eq!(phase.stance().listening, Listening::Accepts);
 }
 
+#[test]
+fn given_a_stop_without_a_follower_when_newcomers_are_refused_then_the_listener_is_closed() {
+    let mut phase = Phase::default();
+    phase.refuse_newcomers();
+    assert_eq!(phase.stance().listening, Listening::Accepts, "it does not stop");
+    phase.stop(SECOND);
+    assert_eq!(phase.stance().listening, Listening::Closes);
+    phase.followed(Follower::SameSocket);
+    assert_eq!(phase.stance().listening, Listening::Paused);
+}
+
 /// All orders of up to seven words, against a plain reading of them.
 #[test]
 fn every_order_of_words_ends_where_a_plain_reading_does() {
--- a/crates/rainlugd/src/program/clients.rs
+++ b/crates/rainlugd/src/program/clients.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use rainlug_handover::{Listening, Stance};
+use rainlug_handover::{Follower, Listening, Stance};
 use rainlug_transport::close_listener;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -118,21 +118,19 @@
         }
     }
     beside.iter().for_each(|others| others.closes_listener());
-    for stream in close(listener) {
+    let listener =
+        Rc::into_inner(listener).expect("nothing else has the listener of a process that closes it");
+    // A handshake that completes after the last look into the queue is lost.
+    let waiting = close_listener(listener);
+    let is_followed = beside.is_some_and(|others| others.follower() != Follower::Absent);
+    let who =
+        if is_followed { "clients come to another process now" } else { "no clients are taken any more" };
+    log!("{who}; {} waited here", waiting.len());
+    for stream in waiting {
         newcomers.take_in(stream).await;
     }
 }
 
-/// Closes a listener that the follower does not have; gives the connections that stood in its queue, which would be lost
-/// with it. A handshake that completes after the last look into the queue is lost.
-fn close(listener: Rc<TcpListener>) -> Vec<TcpStream> {
-    let listener =
-        Rc::into_inner(listener).expect("nothing else keeps the listener of a process that closes it");
-    let left = close_listener(listener);
-    log!("clients come to another process now; {} waited here", left.len());
-    left
-}
-
 impl Newcomers {
     /// Gives a client a seat, or has it turned away.
     async fn take_in(&self, stream: TcpStream) {
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -12,6 +12,8 @@
 
 /// New connections still come for so long after the word to stop.
 const LAST_CLIENTS: Duration = Duration::from_millis(500);
+/// Where nobody follows, none is taken after this time: clients that come again and again would keep the process for good.
+const NO_MORE_CLIENTS: Duration = Duration::from_millis(1500);
 /// How often it is looked whether the last client has gone.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -52,7 +54,19 @@
     stances.stop();
     beside.iter().for_each(|others| others.stops());
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
-    while stances.comes(begun.elapsed() < LAST_CLIENTS) || !in_hand.is_empty(stances) {
+    let mut unfollowed_since = begun;
+    loop {
+        if stances.is_followed() {
+            unfollowed_since = Instant::now();
+        }
+        let unfollowed = unfollowed_since.elapsed();
+        if unfollowed >= NO_MORE_CLIENTS {
+            stances.refuse_newcomers();
+        }
+        let is_awaiting = stances.takes_newcomers() && unfollowed < LAST_CLIENTS;
+        if !is_awaiting && in_hand.is_empty(stances) {
+            break;
+        }
         sleep(LOOK).await;
     }
     let by = begun + Duration::from_micros(within as u64);
--- a/crates/rainlugd/src/routing/stances.rs
+++ b/crates/rainlugd/src/routing/stances.rs
@@ -38,9 +38,19 @@
         self.serves.get()
     }
 
-    /// Whether clients still come, where they do for a while: not where another process takes them.
-    pub fn comes(&self, for_now: bool) -> bool {
-        for_now && self.to.borrow().listening == Listening::Accepts && self.serves()
+    /// Whether new clients are taken here.
+    pub fn takes_newcomers(&self) -> bool {
+        self.to.borrow().listening == Listening::Accepts && self.serves()
+    }
+
+    /// Whether another process takes the clients.
+    pub fn is_followed(&self) -> bool {
+        self.phase.borrow().is_followed()
+    }
+
+    /// No new clients are taken any more where the process is to end and nobody follows.
+    pub fn refuse_newcomers(&self) {
+        self.change(|phase, _| phase.refuse_newcomers());
     }
 
     /// Whether the listener is to be emptied and closed before the end.
--- a/crates/rainlugd/tests/upgrades.rs
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -3,7 +3,8 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -216,3 +217,37 @@
     drop(operator);
     assert!(old.ended().success());
 }
+
+/// Clients that came again and again kept a process without a follower for good, until it was killed with what it held.
+#[test]
+fn given_clients_that_come_again_and_again_when_the_only_process_is_stopped_then_it_ends() {
+    let dispatcher = Dispatcher::new("n0");
+    let mut only = dispatcher.first();
+    let at = only.at;
+    thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            scope.spawn(move || {
+                // Until the address is closed. What is read is answered, be it that there is no room.
+                for asked in 0.. {
+                    let Ok(stream) = TcpStream::connect(at) else { break };
+                    if !is_answered(stream, &format!("c{number}-{asked}")) {
+                        break;
+                    }
+                }
+            });
+        }
+        only.terminate();
+        assert!(only.ended().success());
+    });
+}
+
+/// Whether a task on that connection has an answer.
+fn is_answered(mut stream: TcpStream, id: &str) -> bool {
+    let task = format!(
+        "POST /search HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Budget: 4000m\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    );
+    let mut answer = String::new();
+    stream.write_all(task.as_bytes()).is_ok()
+        && stream.read_to_string(&mut answer).is_ok()
+        && !answer.is_empty()
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -521,11 +521,15 @@
             self.signal("-TERM");
         }
 
-        /// It stands still.
+        /// It stands still, until it is resumed.
         pub fn stop(&self) {
             self.signal("-STOP");
         }
 
+        pub fn resume(&self) {
+            self.signal("-CONT");
+        }
+
         /// Replaces its configuration, and tells it so.
         pub fn reload(&self, configuration: &str) {
             fs::write(&self.path, configuration).unwrap();
