Stop: an older process that goes on counts as a follower, and every queue is emptied

Cause: only newer processes counted as taking the clients of one that stops, and its listener was left to the exit; a next process that began while the old one stood still got a socket of its own after half a second; the log said listening before the status did. The soak itself started a fifth process, for which there is no place.

Change: Place::follower counts an older process that goes on; each stop empties and closes its listener; a passed listener is waited for two seconds; the line comes last; the soak keeps to four.

--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -164,15 +164,19 @@
         self.publish()
     }
 
-    /// Which newer process takes the clients, by the status of the others.
+    /// Who takes the clients, by the status of the others: a newer process that serves, and for one that is to end also an older
+    /// one that goes on.
     pub fn follower(&self, others: &[Status]) -> Follower {
         let status = self.status.borrow();
-        let mut newer = others.iter().filter(|o| o.serves && o.started > status.started).peekable();
-        if newer.peek().is_none() {
+        let follows = |other: &&Status| {
+            other.serves && (other.started > status.started || (status.stops && !other.stops))
+        };
+        let mut followers = others.iter().filter(follows).peekable();
+        if followers.peek().is_none() {
             return Follower::Absent;
         }
         let is_same = |other: &Status| other.listener.is_some() && other.listener == status.listener;
-        if newer.any(is_same) { Follower::SameSocket } else { Follower::OwnSocket }
+        if followers.any(is_same) { Follower::SameSocket } else { Follower::OwnSocket }
     }
 
     /// Where other processes pass a listener to this one.
@@ -345,6 +349,20 @@
         drop(next);
     }
 
+    #[test]
+    fn given_a_process_that_stops_when_an_older_one_serves_on_then_that_one_takes_its_clients() {
+        let dir = tempfile::tempdir().unwrap();
+        let (old, new) = (take(dir.path(), 1), take(dir.path(), 2));
+        old.serves(None).unwrap();
+        new.serves(None).unwrap();
+        assert_eq!(new.follower(&new.others()), Follower::Absent);
+        new.stops().unwrap();
+        assert_eq!(new.follower(&new.others()), Follower::OwnSocket);
+        old.stops().unwrap();
+        assert_eq!(new.follower(&new.others()), Follower::Absent, "both are to end");
+        assert_eq!(old.follower(&old.others()), Follower::OwnSocket, "the newer one takes what still comes");
+    }
+
     #[test]
     fn no_more_than_there_are_places() {
         let dir = tempfile::tempdir().unwrap();
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -181,10 +181,11 @@
         };
         let mut accepting = None;
         if let Some(listener) = opened {
-            log!("listening on {}", listener.local_addr()?);
             let listener = Rc::new(listener);
             stances.opened();
             beside.iter().for_each(|others| others.serves(&listener));
+            // Whoever reads this may end the process before at once: that one must find this one serving.
+            log!("listening on {}", listener.local_addr()?);
             let newcomers =
                 Newcomers { door: Rc::new(door), stance: stances.watch(), bounds: bounds.clone(), pool };
             accepting = Some(spawn_local(accept(listener, newcomers, beside.clone())));
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -46,13 +46,13 @@
 ) {
     let begun = Instant::now();
     log!("stopping: all answers within {within} us");
+    beside.iter().for_each(|others| others.stops());
     // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
     // must not be closed at once, as they are where nobody follows.
     if let Some(others) = beside {
         stances.followed(others.follower());
     }
     stances.stop();
-    beside.iter().for_each(|others| others.stops());
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
     let mut unfollowed_since = begun;
     loop {
@@ -60,11 +60,10 @@
             unfollowed_since = Instant::now();
         }
         let unfollowed = unfollowed_since.elapsed();
-        if unfollowed >= NO_MORE_CLIENTS {
+        if unfollowed >= NO_MORE_CLIENTS || (unfollowed >= LAST_CLIENTS && in_hand.is_empty(stances)) {
             stances.refuse_newcomers();
         }
-        let is_awaiting = stances.takes_newcomers() && unfollowed < LAST_CLIENTS;
-        if !is_awaiting && in_hand.is_empty(stances) {
+        if !stances.takes_newcomers() && in_hand.is_empty(stances) {
             break;
         }
         sleep(LOOK).await;
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -26,8 +26,8 @@
 const BUSY: Duration = Duration::from_millis(5);
 /// What the process before has learnt is waited for so long.
 const TAUGHT_BY: Duration = Duration::from_millis(500);
-/// The listener of a process that serves is waited for so long.
-const PASSED_BY: Duration = Duration::from_millis(500);
+/// The listener of a process that serves is waited for so long: that one may stand still for a while.
+const PASSED_BY: Duration = Duration::from_secs(2);
 
 pub struct Beside {
     /// Nothing where there is no directory that all processes have.
--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -364,6 +364,10 @@
 
     /// An upgrade: the next process serves, then the ones before are stopped, and waited for or not.
     fn upgrade(&mut self, random: &mut SmallRng) {
+        while self.processes.len() >= MAX_PROCESSES {
+            self.terminate(0);
+            self.wait(0);
+        }
         self.start();
         let old = self.processes.len() - 1;
         (0..old).for_each(|index| self.terminate(index));
--- a/crates/rainlugd/tests/upgrades.rs
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -182,6 +182,18 @@
     }));
 }
 
+/// The newer of two processes with listeners of their own closed its listener with all that waited there.
+#[test]
+fn given_an_older_process_that_serves_on_when_the_newer_one_is_stopped_then_it_empties_its_queue_first() {
+    let dispatcher = Dispatcher::new(&"n".repeat(100));
+    let old = dispatcher.first();
+    let mut new = dispatcher.next(old.at);
+    new.terminate();
+    assert!(new.logged("clients come to another process now; ").ends_with(" waited here"));
+    assert!(new.ended().success());
+    assert_eq!(Client::of(&old).ask("/search", "s1", "4000m").0, 200);
+}
+
 /// A process that stands still holds a listener of its own with connections in its queue; from a shared one others take them.
 #[test]
 fn given_an_older_process_that_is_killed_when_connections_wait_in_the_queue_then_the_newer_one_serves_them() {
--- a/crates/sim-worker/src/client.rs
+++ b/crates/sim-worker/src/client.rs
@@ -1,4 +1,4 @@
-//! One call over a connection of its own, with its answer whole.
+//! Calls with whole answers, over a connection of their own or one after the other.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -48,25 +48,83 @@
     pub body: Bytes,
 }
 
-/// Asks, and waits so long for the whole answer.
+/// Asks on a connection of its own, and waits so long for the whole answer.
 ///
 /// # Errors
 /// Where there is no answer.
 pub async fn call(at: SocketAddr, ask: Ask<'_>, within: Duration) -> Result<Response, Error> {
     let until = Instant::now() + within;
-    match timeout_at(until, answered(at, &ask, until)).await {
-        Ok(Ok(told)) => Ok(told),
-        Err(_) | Ok(Err(End::NeverUp)) => Err(Error::Silent(at, within)),
-        Ok(Err(End::Refused | End::NoRoom)) => Err(Error::Refused(at)),
-        Ok(Err(End::Malformed | End::TooLarge)) => Err(Error::Odd(at)),
-        Ok(Err(_)) => Err(Error::Broken(at)),
+    let answered = async {
+        let mut connection = Connection::connect(at, until).await?;
+        connection.exchange(&ask, true).await
+    };
+    timeout_at(until, answered).await.unwrap_or(Err(End::NeverUp)).map_err(|end| error(at, within, end))
+}
+
+fn error(at: SocketAddr, within: Duration, end: End) -> Error {
+    match end {
+        End::NeverUp => Error::Silent(at, within),
+        End::Refused | End::NoRoom => Error::Refused(at),
+        End::Malformed | End::TooLarge => Error::Odd(at),
+        _ => Error::Broken(at),
     }
 }
 
-async fn answered(at: SocketAddr, ask: &Ask<'_>, until: Instant) -> Result<Response, End> {
-    let (room, pool) = (Room::of(1), Pool::within(1 << 20, SIZES));
-    let seat = room.seat().ok_or(End::NoRoom)?;
-    let mut link = Link::connect(at, until, head::answer_body, &pool, seat).await?;
+/// A connection that takes one request after the other.
+pub struct Connection {
+    at: SocketAddr,
+    link: Link,
+    is_closing: bool,
+}
+
+impl Connection {
+    /// Connects, and waits so long for that.
+    ///
+    /// # Errors
+    /// Where there is no connection.
+    pub async fn open(at: SocketAddr, within: Duration) -> Result<Self, Error> {
+        Self::connect(at, Instant::now() + within).await.map_err(|end| error(at, within, end))
+    }
+
+    async fn connect(at: SocketAddr, until: Instant) -> Result<Self, End> {
+        let (room, pool) = (Room::of(1), Pool::within(1 << 20, SIZES));
+        let seat = room.seat().ok_or(End::NoRoom)?;
+        let link = Link::connect(at, until, head::answer_body, &pool, seat).await?;
+        Ok(Connection { at, link, is_closing: false })
+    }
+
+    /// Asks, and waits so long for the whole answer. The connection is of no use after an error.
+    ///
+    /// # Errors
+    /// Where there is no answer.
+    pub async fn ask(&mut self, ask: Ask<'_>, within: Duration) -> Result<Response, Error> {
+        let answered = timeout_at(Instant::now() + within, self.exchange(&ask, false)).await;
+        answered.unwrap_or(Err(End::NeverUp)).map_err(|end| error(self.at, within, end))
+    }
+
+    /// Whether the last answer said that the connection ends with it.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
+    async fn exchange(&mut self, ask: &Ask<'_>, is_last: bool) -> Result<Response, End> {
+        self.link.send(head_text(self.at, ask, is_last).as_bytes(), ask.body, &Cell::new(false)).await?;
+        loop {
+            let Piece::Head(head) = self.link.next().await? else { return Err(End::Malformed) };
+            let (status, location, is_closing) = head::answer(&head, |status, fields| {
+                (status, fields.get("Location").map(str::to_owned), fields.says("Connection", "close"))
+            })?;
+            let body = self.link.body().await?;
+            if status >= 200 {
+                self.is_closing = is_closing;
+                self.link.rest();
+                return Ok(Response { status, location, body });
+            }
+        }
+    }
+}
+
+fn head_text(at: SocketAddr, ask: &Ask<'_>, is_last: bool) -> String {
     let mut text = format!("{} {} HTTP/1.1\r\n", ask.method, ask.path);
     if !ask.fields.iter().any(|(name, _)| name.eq_ignore_ascii_case("Host")) {
         text.push_str(&format!("Host: {at}\r\n"));
@@ -74,18 +132,11 @@
     for (name, value) in ask.fields {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
-    text.push_str("Connection: close\r\n");
+    if is_last {
+        text.push_str("Connection: close\r\n");
+    }
     if ask.method != "GET" {
         text.push_str(&format!("Content-Length: {}\r\n", ask.body.len()));
     }
-    text.push_str("\r\n");
-    link.send(text.as_bytes(), ask.body, &Cell::new(false)).await?;
-    loop {
-        let Piece::Head(head) = link.next().await? else { return Err(End::Malformed) };
-        let (status, location) = head::answer(&head, |s, f| (s, f.get("Location").map(str::to_owned)))?;
-        let body = link.body().await?;
-        if status >= 200 {
-            return Ok(Response { status, location, body });
-        }
-    }
+    text + "\r\n"
 }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -6,7 +6,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use rainlug_sim_worker::client::{self, Ask};
+use rainlug_sim_worker::client::{self, Ask, Connection, Response};
 use rainlug_sim_worker::token_texts;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -16,13 +16,17 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::checker::{Item, Page};
+use crate::checker::{Item, Page, ReadBegun};
 use crate::soak::{Soak, Stage};
 
 /// The host of each route of batch jobs.
 pub const HOSTS: [&str; 2] = ["soak-a.example", "soak-b.example"];
 /// An answer must be there in this time, or it counts as lost.
 const ANSWER: Duration = Duration::from_secs(4);
+/// An answer on an open connection must be there in this time: a call without a deadline is answered within ten seconds.
+const OPEN_ANSWER: Duration = Duration::from_secs(15);
+/// A request that has not been read, as the end of its connection crossed it, is known to be lost in this time.
+const CROSSED: Duration = Duration::from_millis(200);
 /// Between two tries, and how many there are.
 const RETRY: Duration = Duration::from_millis(250);
 const TRIES: usize = 12;
@@ -167,17 +171,70 @@
         return None;
     };
     soak.count(format!("read {}", told.status));
+    judge_read(soak, id, since, &begun, &told);
+    Some(told.status)
+}
+
+/// Hands the answer to a read that began then to the checker.
+fn judge_read(soak: &Soak, id: &str, since: usize, begun: &ReadBegun, told: &Response) {
     let now = soak.now();
     let mut checker = soak.checker.borrow_mut();
     if told.status != 200 {
-        checker.read_refused(now, id, &begun, told.status);
-        return Some(told.status);
+        return checker.read_refused(now, id, begun, told.status);
     }
     match serde_json::from_slice::<Page>(&told.body) {
-        Ok(page) => checker.read(now, id, since, &begun, &page),
+        Ok(page) => checker.read(now, id, since, begun, &page),
         Err(error) => checker.violated(now, format!("lot {id}: a read's answer is none: {error}")),
     }
-    Some(told.status)
+}
+
+/// Reads lots on open connections, each used until its gateway ends it or is gone.
+pub async fn reads_on_open_connections(soak: Rc<Soak>, task: u64) {
+    let mut random = soak.random(task);
+    while soak.stage() != Stage::Over {
+        sleep(Duration::from_millis(random.random_range(1..30))).await;
+        let Some(gateway) = soak.any_gateway(&mut random) else { continue };
+        let at = soak.front_of(gateway);
+        if let Ok(connection) = Connection::open(at, ANSWER).await {
+            use_connection(&soak, &mut random, gateway, connection).await;
+        }
+    }
+}
+
+async fn use_connection(soak: &Soak, random: &mut SmallRng, gateway: usize, mut connection: Connection) {
+    while soak.stage() != Stage::Over && !connection.is_closing() {
+        sleep(Duration::from_millis(random.random_range(0..40))).await;
+        let Some(id) = draw_id(soak, random) else { continue };
+        let since = soak.checker.borrow().known(&id);
+        let Some(begun) = soak.checker.borrow().read_begins(&id) else { continue };
+        let fields = [("Host", host_of(&id)), ("X-Rainlug-Wait-Ms", WAIT_MS)];
+        let path = format!("/v1/lots/{id}?since_item={since}");
+        let sent = soak.now();
+        match connection
+            .ask(Ask { method: "GET", path: &path, fields: &fields, body: b"" }, OPEN_ANSWER)
+            .await
+        {
+            Ok(told) => {
+                soak.count(format!("open connection: {}", told.status));
+                judge_read(soak, &id, since, &begun, &told);
+            }
+            Err(error) => return judge_loss(soak, gateway, sent, error),
+        }
+    }
+}
+
+/// A request on an open connection has no whole answer. That is in order where its gateway was killed, paused or cut off
+/// meanwhile, and where a planned end of the connection crossed the request, which shows at once.
+fn judge_loss(soak: &Soak, gateway: usize, sent: Duration, error: client::Error) {
+    let took = soak.now().saturating_sub(sent);
+    let name = soak.tier.borrow().name(gateway);
+    if soak.tier.borrow().was_disturbed(gateway, soak.begun() + sent) {
+        soak.count("open connection: lost with its gateway");
+    } else if matches!(error, client::Error::Broken(_)) && took <= CROSSED {
+        soak.count("open connection: ended across a request");
+    } else {
+        soak.violated(format!("{name}: {error}, on an open connection, after {:.3} s", took.as_secs_f64()));
+    }
 }
 
 async fn body(soak: &Soak, random: &mut SmallRng, id: &str) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::checker::{Checker, Terms, Violation};
-use crate::client::{reads, submits};
+use crate::client::{reads, reads_on_open_connections, submits};
 use crate::monitor;
 use crate::operator::{change, configures, retires};
 use crate::options::{Options, WORKERS};
@@ -27,6 +27,7 @@
 /// First numbers of tasks of a kind: each draws from a generator of its own.
 const SUBMITTERS: u64 = 1000;
 const READERS: u64 = 2000;
+const OPEN_READERS: u64 = 2500;
 const OPERATORS: u64 = 3000;
 const TROUBLES: u64 = 4000;
 /// The tier must be up in this time.
@@ -132,6 +133,7 @@
     for client in 0..u64::from(soak.options.clients) {
         all.push(spawn_local(submits(soak.clone(), SUBMITTERS + client)));
         all.push(spawn_local(reads(soak.clone(), READERS + client)));
+        all.push(spawn_local(reads_on_open_connections(soak.clone(), OPEN_READERS + client)));
     }
     all.push(spawn_local(configures(soak.clone(), OPERATORS)));
     all.push(spawn_local(retires(soak.clone(), OPERATORS + 1)));
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -136,6 +136,23 @@
         self.versions.get()
     }
 
+    /// When the run began.
+    pub fn begun(&self) -> Instant {
+        self.begun
+    }
+
+    /// Some gateway, by its index.
+    pub fn any_gateway(&self, random: &mut SmallRng) -> Option<usize> {
+        let gateways = self.tier.borrow().of(&[MachineRole::Gateway]);
+        (!gateways.is_empty()).then(|| gateways[random.random_range(0..gateways.len())])
+    }
+
+    /// Where a gateway serves clients.
+    pub fn front_of(&self, gateway: usize) -> SocketAddr {
+        let tier = self.tier.borrow();
+        tier.plan.front_address(&tier.hosts[gateway].machine)
+    }
+
     fn any(&self, random: &mut SmallRng, at: impl Fn(&Tier, usize) -> SocketAddr) -> SocketAddr {
         let tier = self.tier.borrow();
         let gateways = tier.of(&[MachineRole::Gateway]);
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -10,6 +10,7 @@
 use nix::unistd::Pid;
 use quick_error::quick_error;
 use rainlug_tier::local::{self, Machine, MachineRole, Plan, spawn};
+use tokio::time::Instant;
 use toml::{Table, Value};
 
 use crate::network::Network;
@@ -37,6 +38,8 @@
 pub enum Running {
     Up,
     Paused,
+    /// Asked to end.
+    Stopping,
     /// Ended by the soak.
     Down,
     /// Ended by itself, and not started again.
@@ -51,6 +54,8 @@
     pub is_busy: bool,
     /// It has used its processor time of this period.
     is_throttled: bool,
+    /// When it was last killed, paused or resumed.
+    disturbed_at: Option<Instant>,
     child: Option<Child>,
 }
 
@@ -72,13 +77,18 @@
             return;
         }
         self.is_throttled = is_throttled;
-        if self.running == Running::Up {
+        if matches!(self.running, Running::Up | Running::Stopping) {
             self.signal(if is_throttled { Signal::SIGSTOP } else { Signal::SIGCONT });
         }
     }
 
+    fn is_disturbed(&mut self) {
+        self.disturbed_at = Some(Instant::now());
+    }
+
     /// Kills the process, also a paused one, and waits for its end.
     fn kill(&mut self) {
+        self.is_disturbed();
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -118,6 +128,7 @@
             running: Running::Down,
             is_busy: false,
             is_throttled: false,
+            disturbed_at: None,
             child: None,
         };
         let hosts = plan.machines().into_iter().map(host).collect();
@@ -222,17 +233,42 @@
         }
     }
 
+    /// Asks a machine's process to end in order; before that, maybe, to read its settings again.
+    pub fn terminate(&mut self, index: usize, is_hung_up: bool) {
+        if let Some(host) = self.hosts.get_mut(index).filter(|host| host.running == Running::Up) {
+            if is_hung_up {
+                host.signal(Signal::SIGHUP);
+            }
+            host.signal(Signal::SIGTERM);
+            host.running = Running::Stopping;
+        }
+    }
+
+    /// Whether a machine's process has been asked to end and has not ended.
+    pub fn is_stopping(&self, index: usize) -> bool {
+        self.hosts.get(index).is_some_and(|host| host.running == Running::Stopping)
+    }
+
+    /// Whether a machine's process was killed, paused or resumed since then, or is paused.
+    pub fn was_disturbed(&self, index: usize, since: Instant) -> bool {
+        self.hosts.get(index).is_some_and(|host| {
+            host.running == Running::Paused || host.disturbed_at.is_some_and(|disturbed| disturbed >= since)
+        })
+    }
+
     /// Stops a machine's process until it is resumed.
     pub fn pause(&mut self, index: usize) {
         if let Some(host) = self.hosts.get_mut(index).filter(|host| host.running == Running::Up) {
             host.signal(Signal::SIGSTOP);
             host.running = Running::Paused;
+            host.is_disturbed();
         }
     }
 
     pub fn resume(&mut self, index: usize) {
         if let Some(host) = self.hosts.get_mut(index).filter(|host| host.running == Running::Paused) {
             host.running = Running::Up;
+            host.is_disturbed();
             if !host.is_throttled {
                 host.signal(Signal::SIGCONT);
             }
@@ -294,8 +330,11 @@
             let status = host.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
             if let Some(status) = status {
                 host.child = None;
-                host.running = Running::Gone;
-                all.push((host.machine.name.clone(), status));
+                let was_asked = host.running == Running::Stopping && status.success();
+                host.running = if was_asked { Running::Down } else { Running::Gone };
+                if !was_asked {
+                    all.push((host.machine.name.clone(), status));
+                }
             }
         }
         all
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -18,6 +18,10 @@
 const BETWEEN: std::ops::Range<f64> = 0.5..5.0;
 /// All troubles end in this time once no new ones begin.
 const CLOSING: Duration = Duration::from_secs(5);
+/// Machines that are stopped and started in turn.
+const MOST_ROLLED: usize = 3;
+/// A process that is asked to end does so in this time: `grace_s` of its settings.
+const GRACE: Duration = Duration::from_secs(6);
 const LOOK: Duration = Duration::from_millis(100);
 const KEEPERS: [MachineRole; 2] = [MachineRole::Gateway, MachineRole::Store];
 
@@ -35,6 +39,11 @@
         wiped: Vec<usize>,
         down: Duration,
     },
+    /// Asked to end and started again, one after the other.
+    Roll {
+        machines: Vec<usize>,
+        is_hung_up: bool,
+    },
     Pause {
         machine: usize,
         paused: Duration,
@@ -99,7 +108,7 @@
             wiped.truncate(random.random_range(1..=losses.allowed()));
             Some(Trouble::Wipe { machines: keepers, wiped, down: millis(random, 50..2000) })
         }
-        70..94 => {
+        82..94 => {
             let mut machines = keepers;
             machines.shuffle(random);
             let side = if random.random_bool(0.6) { 1 } else { random.random_range(1..machines.len()) };
@@ -108,7 +117,13 @@
             let (from, to) = if random.random_bool(0.5) { (machines, to) } else { (to, machines) };
             Some(Trouble::Cut { from, to, is_one_way, lasts: millis(random, 500..8000) })
         }
-        94.. => Some(Trouble::Reset),
+        94..97 => Some(Trouble::Reset),
+        97.. | 70..82 => {
+            let mut machines = free(&KEEPERS);
+            machines.shuffle(random);
+            machines.truncate(random.random_range(1..=MOST_ROLLED));
+            Some(Trouble::Roll { machines, is_hung_up: random.random_bool(0.5) })
+        }
         _ => None,
     }
 }
@@ -190,6 +205,11 @@
             soak.count(if machines.len() > 3 { "trouble: all killed, wiped" } else { "trouble: wiped" });
             kill(soak, &machines, &wiped, down).await
         }
+        Trouble::Roll { machines, is_hung_up } => {
+            soak.note(&format!("stop and start {} in turn", names(soak, &machines)));
+            soak.count("trouble: rolled");
+            roll(soak, &machines, is_hung_up).await
+        }
         Trouble::Pause { machine, paused } => {
             soak.note(&format!("pause {} for {:.1} s", names(soak, &[machine]), paused.as_secs_f64()));
             soak.count("trouble: paused");
@@ -221,6 +241,25 @@
     }
 }
 
+async fn roll(soak: &Soak, machines: &[usize], is_hung_up: bool) -> Result<(), Error> {
+    busy(soak, machines, true);
+    for index in machines {
+        soak.tier.borrow_mut().terminate(*index, is_hung_up);
+        let until = soak.now() + GRACE;
+        while soak.now() < until && soak.tier.borrow().is_stopping(*index) {
+            sleep(LOOK).await;
+        }
+        if soak.tier.borrow().is_stopping(*index) {
+            let name = soak.tier.borrow().name(*index);
+            soak.violated(format!("{name}: has not ended {} s after SIGTERM", GRACE.as_secs()));
+            soak.tier.borrow_mut().kill(*index);
+        }
+        soak.tier.borrow_mut().start(*index)?;
+    }
+    busy(soak, machines, false);
+    Ok(())
+}
+
 async fn kill(soak: &Soak, machines: &[usize], wiped: &[usize], down: Duration) -> Result<(), Error> {
     busy(soak, machines, true);
     for index in machines {
