--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -292,12 +292,6 @@
     Ok(Some(connection))
 }
 
-/// A process, and what was done to it.
-struct Process {
-    program: Program,
-    is_paused: bool,
-}
-
 /// The processes of the dispatcher, the newest last.
 struct Driver<'a> {
     shared: &'a Shared,
@@ -305,7 +299,7 @@
     list: List,
     workers: Vec<(&'static str, SocketAddr)>,
     at: SocketAddr,
-    processes: Vec<Process>,
+    processes: Vec<Program>,
     /// Where calls at the second address go; those that are told to end are not among them.
     managed: &'a Mutex<Vec<SocketAddr>>,
 }
@@ -324,30 +318,35 @@
 
     /// Starts the next process, and waits until it serves.
     fn start(&mut self) {
-        let mut program = self.begin();
+        let program = self.begin();
+        self.serve(program);
+    }
+
+    /// Waits until a process that has begun serves.
+    fn serve(&mut self, mut program: Program) {
         program.opens();
         self.at = program.at;
         self.managed.lock().unwrap().extend(program.management);
-        self.processes.push(Process { program, is_paused: false });
+        self.processes.push(program);
         self.shared.note(format!("started: {} processes", self.processes.len()));
     }
 
     /// From now on no call at the second address of that process has to be answered.
     fn unmanage(&self, index: usize) {
-        let at = self.processes[index].program.management;
+        let at = self.processes[index].management;
         self.managed.lock().unwrap().retain(|managed| Some(*managed) != at);
     }
 
     fn terminate(&self, index: usize) {
         self.unmanage(index);
-        self.processes[index].program.terminate();
+        self.processes[index].terminate();
         self.shared.note(format!("SIGTERM at {index} of {}", self.processes.len()));
     }
 
     fn wait(&mut self, index: usize) {
         let mut process = self.processes.remove(index);
         let begun = Instant::now();
-        if !process.program.ended().success() {
+        if !process.ended().success() {
             self.shared.violated("a stopped process did not end in order");
         }
         if begun.elapsed() > END_TIMEOUT {
@@ -442,26 +441,26 @@
         self.shared.gap_ends();
     }
 
+    /// One stands still for a while, and a next process may begin meanwhile.
     fn pause(&mut self, random: &mut SmallRng) {
         let index = random.random_range(0..self.processes.len());
         self.shared.note(format!("SIGSTOP at {index}"));
-        self.processes[index].is_paused = true;
-        self.processes[index].program.stop();
+        self.processes[index].stop();
+        let is_joined = random.random_bool(0.5) && self.processes.len() < MAX_PROCESSES;
+        let next = is_joined.then(|| self.begin());
         thread::sleep(Duration::from_millis(random.random_range(10..MAX_PAUSE_MS)));
-        // Whatever happens meanwhile, it goes on.
-        if random.random_bool(0.5) {
-            self.add();
-        }
-        self.processes[index].program.resume();
-        self.processes[index].is_paused = false;
+        self.processes[index].resume();
         self.shared.note(format!("SIGCONT at {index}"));
+        if let Some(next) = next {
+            self.serve(next);
+        }
     }
 
     fn reload(&mut self, random: &mut SmallRng) {
         let index = random.random_range(0..self.processes.len());
         let text = if random.random_bool(0.3) { "{".to_owned() } else { self.text() };
         self.shared.note(format!("SIGHUP at {index}"));
-        self.processes[index].program.reload(&text);
+        self.processes[index].reload(&text);
     }
 
     /// Actions until the time is over; then all processes are stopped.
