--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -582,19 +582,31 @@
     }
 }
 
-/// Guards against connections and calls that are lost without a kill or a gap, answers of others, and effects that happen twice.
-#[test]
-fn given_signals_restarts_and_changes_that_overlap_when_clients_use_open_connections_then_none_is_lost() {
-    let options = Options::from_environment();
+/// Runs all seeds; what was violated.
+fn soak_all(options: &Options) -> Vec<String> {
     let mut violations = Vec::new();
     for seed in options.first_seed..options.first_seed + options.seeds {
         thread::scope(|scope| {
             let beside = |n: usize| seed.wrapping_add(n as u64 * 1_000_000);
-            let options = &options;
             let runs: Vec<_> =
                 (0..options.dispatchers).map(|n| scope.spawn(move || soak(beside(n), options))).collect();
             runs.into_iter().for_each(|run| violations.extend(run.join().unwrap()));
         });
     }
+    violations
+}
+
+/// Guards against connections and calls that are lost without a kill or a gap, answers of others, and effects that happen twice.
+#[test]
+fn given_signals_restarts_and_changes_that_overlap_when_clients_use_open_connections_then_none_is_lost() {
+    let violations = soak_all(&Options::from_environment());
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Guards against the same where the processes of forty dispatchers, up to 160, share one machine.
+#[test]
+fn given_as_many_processes_as_the_machine_bears_when_signals_overlap_then_no_connection_is_lost() {
+    let options = Options { first_seed: 900, seeds: 2, seconds: 20, dispatchers: 40, clients: 3 };
+    let violations = soak_all(&options);
     assert!(violations.is_empty(), "{violations:#?}");
 }
