Handover: comments say that an older process can follow, too

Cause: Place::follower counts an older process that goes on; two comments spoke of newer ones alone.

Change: comments only.

--- a/crates/handover/src/phase.rs
+++ b/crates/handover/src/phase.rs
@@ -18,7 +18,7 @@
     refuses_newcomers: bool,
 }
 
-/// Whether a newer process of this dispatcher takes its clients, and from which listening socket.
+/// Whether another process of this dispatcher takes its clients, and from which listening socket.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Follower {
     #[default]
@@ -71,7 +71,7 @@
         self.stopping.get_or_insert(now);
     }
 
-    /// Whether a newer process of this dispatcher takes its clients.
+    /// Which other process of this dispatcher takes its clients.
     pub fn followed(&mut self, by: Follower) {
         self.follower = by;
     }
