--- a/crates/tier/tests/outside.rs
+++ b/crates/tier/tests/outside.rs
@@ -222,3 +222,24 @@
     }
     fixture::assert_same("retire.txt", &tier.retire());
 }
+
+#[test]
+fn given_a_tier_when_an_application_makes_each_call_of_its_protocol_then_none_goes_unserved() {
+    let tier = tier::Tier::start();
+    let calls = [
+        ("POST", "/v1/locks/l1", r#"{"holder":"a3.7","hold_ms":3000}"#, 200),
+        ("POST", "/v1/locks/l1", r#"{"holder":"b","hold_ms":3000}"#, 409),
+        ("PUT", "/v1/locks/l1", r#"{"holder":"a3.7","fence":0,"hold_ms":3000}"#, 409),
+        ("DELETE", "/v1/locks/l1", r#"{"holder":"a3.7","fence":0}"#, 200),
+        ("POST", "/v1/numbers/n2", "{}", 200),
+        ("GET", "/v1/cells/g1.2d", "", 404),
+        ("PUT", "/v1/cells/g1.2d", r#"{"payload":"5c0e7a21d94b36f8","enabled":0}"#, 200),
+        ("PUT", "/v1/cells/g1.2d", r#"{"payload":"91bd3f06","enabled":0}"#, 412),
+        ("GET", "/v1/cells/g1.2d", "", 200),
+        ("GET", "/v1/watch/g1.?since_item=0&wait_ms=2000", "", 200),
+        ("GET", "/v1/watch/g1.?since_item=1&wait_ms=10", "", 200),
+    ];
+    for (method, path, body, status) in calls {
+        assert_eq!(tier.settled_status(method, path, body), status, "{method} {path} {body}");
+    }
+}
--- a/crates/tier/tests/outside/tier.rs
+++ b/crates/tier/tests/outside/tier.rs
@@ -151,6 +151,19 @@
         shape_of(&self.operator(&retire)) + "\n"
     }
 
+    /// The status of a call at a control address, asked again while it is answered 503.
+    pub fn settled_status(&self, method: &str, path: &str, body: &str) -> u16 {
+        let control = self.address(self.plan.control_addresses()[0]);
+        let until = Instant::now() + MOST;
+        loop {
+            let (status, _) = call(&control, method, path, "Content-Type: application/json", body);
+            if status != 503 || Instant::now() >= until {
+                return status;
+            }
+            std::thread::sleep(AGAIN);
+        }
+    }
+
     /// Answers to calls without the program's help.
     fn answers(&self) -> String {
         let (front, ready) =
