--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -1,5 +1,6 @@
 //! The control address: an HTTP server for workers' heartbeats and operators' calls ([`calls`]).
 
+mod answer_counts;
 mod calls;
 
 use std::cell::Cell;
@@ -13,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+pub(crate) use self::answer_counts::AnswerCounts;
 use self::calls::Request;
 use crate::http_response::write_response;
 use crate::log;
@@ -96,6 +98,7 @@
             Ok((action, name)) => calls::perform(action, &node, Request { name, if_match, body }).await,
             Err(status) => Answer::with_status(status),
         };
+        node.answer_counts().count(&path, answer.status);
         // With 412 nothing is wrong here: the caller built on an older version.
         if answer.status >= 400 && answer.status != 412 {
             log::debug("call", &format!("{method} {path}: {}", answer.status));
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -27,6 +27,7 @@
 
 pub(crate) use self::batch::BatchCalls;
 use crate::clock::Clock;
+use crate::control::AnswerCounts;
 use crate::disk::{Disk, WriterReport};
 use crate::log;
 use crate::peers::{Frame, Peers};
@@ -61,6 +62,7 @@
     timer_changed: Notify,
     is_applying_effects: Cell<bool>,
     step_times: StepTimes,
+    answer_counts: AnswerCounts,
 }
 
 impl Node {
@@ -89,6 +91,7 @@
             timer_changed: Notify::new(),
             is_applying_effects: Cell::new(false),
             step_times: StepTimes::default(),
+            answer_counts: AnswerCounts::default(),
         })
     }
 
@@ -127,6 +130,11 @@
         &self.gateway
     }
 
+    /// How calls at the control address were answered.
+    pub(crate) fn answer_counts(&self) -> &AnswerCounts {
+        &self.answer_counts
+    }
+
     /// Whether the process can serve.
     pub(crate) fn is_ready(&self) -> bool {
         self.coordinator.borrow().is_ready(self.clock.now())
@@ -320,6 +328,7 @@
         let mut all = self.coordinator.borrow().metrics();
         all.extend(self.gateway.metrics());
         all.extend(self.step_times.metrics());
+        all.extend(self.answer_counts.metrics());
         all.extend(self.peers.metrics());
         all.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
     }
