--- a/crates/coordinator/src/admission.rs
+++ b/crates/coordinator/src/admission.rs
@@ -10,6 +10,7 @@
 use crate::membership::member_payload;
 use crate::quota::Submission;
 use crate::shard::Shard;
+use crate::sharding::{ShardContent, content_of};
 use crate::{Answer, BATCH_SHARDS, CONTROL, Coordinator, Effect, Origin};
 
 /// Uncommitted entries of a shard above which no batch job is accepted: links or disks are too slow for more.
@@ -54,7 +55,9 @@
     /// What this process has in use.
     fn usage(&self) -> CapacityUsage {
         let submission = self.shards.values().flat_map(|shard| shard.submissions.values());
-        let kept = self.shards.values().filter(|shard| !shard.replica.is_tombstone());
+        // Shards of primitives have a part of memory and disk of their own, see `CapacityLimits::from_info`.
+        let has_jobs = |shard: &&Shard| content_of(shard.number) != ShardContent::Primitives;
+        let kept = self.shards.values().filter(|shard| !shard.replica.is_tombstone()).filter(has_jobs);
         CapacityUsage {
             shards: kept.map(shard_usage).collect(),
             proposed: submission.map(|submission| submission.bytes).sum(),
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -7,6 +7,8 @@
 use rainlug_consensus::{Member, MemberId, Records};
 use rainlug_registry::{Worker, WorkerReport};
 
+use crate::PrimitiveCall;
+
 /// A call of a client, worker or operator; answered by [`Effect::Answer`].
 #[derive(Clone, Debug)]
 pub enum Call {
@@ -58,6 +60,8 @@
         /// The item's id.
         item: String,
     },
+    /// A call on locks, numbers and keys.
+    Primitive(PrimitiveCall),
     /// End a batch job: what has not run will not run.
     End {
         /// The job's id.
--- a/crates/coordinator/src/batch_shard.rs
+++ b/crates/coordinator/src/batch_shard.rs
@@ -167,6 +167,7 @@
     /// Where this process leads: starts items that are ready, and finishes those that are overdue.
     pub(crate) fn run_items(&mut self) {
         self.expire_polls();
+        self.expire_watches();
         for number in self.shards.keys().copied().collect::<Vec<u16>>() {
             self.start_item(number);
             self.finish_overdue_items(number);
--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -20,6 +20,7 @@
 use rainlug::{SECOND, Time};
 
 use crate::frame::{Request, join};
+use crate::sharding::{ShardContent, content_of};
 use crate::{Answer, Coordinator, Effect, Origin};
 
 /// How long an attempt waits for an answer before the next member is tried, beside the time that the leader may wait itself.
@@ -33,7 +34,7 @@
 /// The answer where nothing is known to have taken effect.
 const UNAVAILABLE: u16 = 503;
 /// The answer to a call that must not be repeated and may still take effect.
-const MAY_TAKE_EFFECT: u16 = 504;
+pub(crate) const MAY_TAKE_EFFECT: u16 = 504;
 /// Statuses that promise that a call has no effect.
 const NO_EFFECT_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -227,7 +228,8 @@
         if let Some(leader) = target.filter(|_| answer.status != call.unclear_status) {
             self.calls.leader_hints.insert(call.shard, leader);
         }
-        if pending.is_unrepeatable() && !matches!(answer.status, 200..300 | 429) {
+        let is_job = content_of(call.shard) == ShardContent::BatchJobs;
+        if is_job && pending.is_unrepeatable() && !matches!(answer.status, 200..300 | 429) {
             let waited = (self.now.steady - pending.started_at) / 1_000;
             let text = format!(
                 "{} of shard {}, {} attempts, {waited} ms",
--- a/crates/coordinator/src/calls/client.rs
+++ b/crates/coordinator/src/calls/client.rs
@@ -54,6 +54,7 @@
                 let request = Request::Body { job: job.as_str().into(), item: item.as_str().into() };
                 self.call_batch_shard(ticket, &job, &request, 0);
             }
+            Call::Primitive(call) => self.call_primitive(ticket, &call),
             Call::End { job } => {
                 let request = Request::End { job: job.as_str().into() };
                 self.call_batch_shard(ticket, &job, &request, 0);
--- a/crates/coordinator/src/capacity.rs
+++ b/crates/coordinator/src/capacity.rs
@@ -46,6 +46,10 @@
 const RECOVERY_START: Time = 3 * SECOND / 2;
 /// Where the time for a recovery is so short that this leaves little of it, the copy is assumed to get the time divided by this.
 const MIN_COPY_TIME_DIVISOR: Time = 4;
+/// Bytes of memory and of the disk that are kept for all shards of primitives: their states, logs and rewrites
+/// ([`crate::primitive_shard::MAX_STATE_BYTES`]).
+const PRIMITIVES_BYTES: u64 = 16_000_000;
+
 /// Of a link, three quarters are for copies; the rest for new entries, runs of items, heartbeats and headers.
 const RECOVERY_LINK_QUARTERS: u64 = 3;
 
@@ -288,9 +292,10 @@
 impl CapacityLimits {
     /// The limits by a process's settings.
     pub fn from_info(info: &NodeInfo) -> Self {
+        let reserved = if info.serves_primitives { PRIMITIVES_BYTES } else { 0 };
         CapacityLimits {
-            memory_bytes: info.memory_bytes as u64,
-            disk_bytes: info.disk_bytes as u64,
+            memory_bytes: (info.memory_bytes as u64).saturating_sub(reserved),
+            disk_bytes: (info.disk_bytes as u64).saturating_sub(reserved),
             link_bytes_per_second: info.link_bytes_per_second,
             sync_time: info.sync_time,
             copies: info.tolerated_failures.max(1) as u64,
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -24,7 +24,7 @@
 use crate::replica_settings::replica_settings;
 use crate::shard::Shard;
 use crate::topology::{self, Topology};
-use crate::{Answer, BATCH_SHARDS, CONTROL, Effect, NodeInfo, Now, Origin, ShardStatus};
+use crate::{Answer, CONTROL, Effect, NodeInfo, Now, Origin, ShardStatus};
 use crate::{admission, diagnostics, invariants, reports};
 
 /// Between two runs of the periodic maintenance.
@@ -214,7 +214,7 @@
         records: &[Bytes],
     ) -> Result<(), rainlug_consensus::DecodeError> {
         let Some(me) = self.own_member() else { return Ok(()) };
-        let (settings, seed) = (replica_settings(&self.info), self.rng.random());
+        let (settings, seed) = (replica_settings(&self.info, number), self.rng.random());
         // The first member of a new replica set is to lead it, so that the shards' first leaders are at different stores.
         let is_first = founding.first().is_none_or(|first| first.id == me.id);
         let is_head_start_given = number != CONTROL && records.is_empty() && !is_first;
@@ -347,7 +347,8 @@
 
     /// A message between the replicas of a shard.
     fn receive_consensus(&mut self, number: u16, message: &Bytes) {
-        let is_kept_here = self.info.role.is_gateway() == (number == CONTROL) && number <= BATCH_SHARDS;
+        let is_kept_here =
+            self.info.role.is_gateway() == (number == CONTROL) && number <= self.info.last_shard();
         if self.info.disk.is_none() || !is_kept_here {
             return;
         }
--- a/crates/coordinator/src/disk_fencing.rs
+++ b/crates/coordinator/src/disk_fencing.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 
 use crate::control::{Change, Control};
-use crate::{BATCH_SHARDS, CONTROL, Coordinator, Effect};
+use crate::{CONTROL, Coordinator, Effect};
 
 /// A member that has been absent for longer is fenced where its replica set cannot decide without it, in microseconds.
 const FENCE_ABSENT_AFTER: Time = SECOND;
@@ -44,9 +44,9 @@
         })
     }
 
-    /// Tells all batch-job replicas here which disks are fenced.
+    /// Tells all replicas of a store here which disks are fenced.
     pub(crate) fn apply_fences(&mut self) {
-        for number in 1..=BATCH_SHARDS {
+        for number in 1..=self.info.last_shard() {
             if let Some(shard) = self.shards.get_mut(&number) {
                 shard.replica.fence(self.now.steady, self.topology.fenced.iter().copied());
                 self.process_output(number);
@@ -64,7 +64,7 @@
             let set = self.topology.replica_set(number);
             set.is_none_or(|set| set.has_member(disk))
         };
-        if !(1..=BATCH_SHARDS).any(may_be_member) {
+        if !(1..=self.info.last_shard()).any(may_be_member) {
             self.replace_disk_identity(disk);
         }
     }
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -3,44 +3,9 @@
 //!
 //! Processes of two versions talk to one another during an upgrade: ids and layouts stay as they are.
 
-use bytes::{Bytes, BytesMut};
 use deku::prelude::*;
-use quick_error::quick_error;
 
-quick_error! {
-    /// Why bytes could not be decoded.
-    #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum DecodeError {
-        /// They end too early, or are not a layout of this tier.
-        Malformed { display("not a frame of this tier") }
-    }
-}
-
-/// A text in a head: 64 KiB at most.
-#[derive(Clone, Debug, Default, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little", endian = "endian")]
-pub struct Text {
-    length: u16,
-    #[deku(count = "length")]
-    bytes: Vec<u8>,
-}
-
-impl From<&str> for Text {
-    fn from(text: &str) -> Self {
-        let bytes = text.as_bytes()[..text.len().min(usize::from(u16::MAX))].to_vec();
-        Text { length: bytes.len() as u16, bytes }
-    }
-}
-
-impl Text {
-    /// The text.
-    ///
-    /// # Errors
-    /// Where it is not UTF-8.
-    pub fn to_str(&self) -> Result<&str, DecodeError> {
-        str::from_utf8(&self.bytes).map_err(|_| DecodeError::Malformed)
-    }
-}
+pub use rainlug_codec::{DecodeError, Text, join, split};
 
 /// An address of a peer: IPv4 and port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -278,27 +243,70 @@
     /// To the shard with a route's quota ledger: which tokens wait. The tail is the command to propose, but for its time.
     #[deku(id = "21")]
     ReportUsage,
-}
-
-/// Encodes a head and appends its tail.
-pub fn join<H: DekuContainerWrite>(head: &H, tail: &[u8]) -> Bytes {
-    // Encoding to memory fails for no head that this program makes.
-    let head = head.to_bytes().unwrap_or_default();
-    let mut bytes = BytesMut::with_capacity(head.len() + tail.len());
-    bytes.extend_from_slice(&head);
-    bytes.extend_from_slice(tail);
-    bytes.freeze()
-}
-
-/// Decodes a head; its tail.
-///
-/// # Errors
-/// Where the bytes do not begin with a head.
-pub fn split<H: for<'a> DekuContainerRead<'a>>(bytes: &Bytes) -> Result<(H, Bytes), DecodeError> {
-    let ((rest, bit), head) = H::from_bytes((bytes, 0)).map_err(|_| DecodeError::Malformed)?;
-    if bit != 0 {
-        return Err(DecodeError::Malformed);
-    }
-    let at = bytes.len() - rest.len();
-    Ok((head, bytes.slice(at..)))
+    /// To a shard of primitives: grant a lock.
+    #[deku(id = "32")]
+    AcquireLock {
+        /// The lock's name.
+        lock: Text,
+        /// Who asks for it.
+        holder: Text,
+        /// How long the hold lasts, in milliseconds.
+        hold_ms: u32,
+    },
+    /// To a shard of primitives: make a hold last longer.
+    #[deku(id = "33")]
+    RenewLock {
+        /// The lock's name.
+        lock: Text,
+        /// Who holds it.
+        holder: Text,
+        /// The holder's fencing token.
+        fence: u64,
+        /// How long the hold lasts from now on, in milliseconds.
+        hold_ms: u32,
+    },
+    /// To a shard of primitives: free a lock.
+    #[deku(id = "34")]
+    ReleaseLock {
+        /// The lock's name.
+        lock: Text,
+        /// Who holds it.
+        holder: Text,
+        /// The holder's fencing token.
+        fence: u64,
+    },
+    /// To a shard of primitives: hand out the next number of a name.
+    #[deku(id = "35")]
+    NextNumber {
+        /// The name.
+        name: Text,
+    },
+    /// To a shard of primitives: put a value to a key.
+    #[deku(id = "36")]
+    PutKey {
+        /// The key.
+        key: Text,
+        /// The value.
+        value: Text,
+        /// Not 0 where the key must have the revision `expected_revision`.
+        is_conditional: u8,
+        /// The revision that the key must have; 0: there must be no such key.
+        expected_revision: u64,
+    },
+    /// To a shard of primitives: read a key.
+    #[deku(id = "37")]
+    ReadKey {
+        /// The key.
+        key: Text,
+    },
+    /// To a shard of primitives: read the puts to a group of keys after a revision.
+    #[deku(id = "38")]
+    Watch {
+        /// The group's name.
+        group: Text,
+        /// The last revision that the caller knows; 0 asks for the present one alone.
+        since: u64,
+        /// How long to wait where there are no such puts, in milliseconds.
+        wait_ms: u32,
+    },
 }
--- a/crates/coordinator/src/info.rs
+++ b/crates/coordinator/src/info.rs
@@ -8,6 +8,8 @@
 use rainlug::{SECOND, Time};
 use rainlug_consensus::MemberId;
 
+use crate::{BATCH_SHARDS, LAST_SHARD};
+
 /// How long batch jobs are kept beyond the time for which they can be asked for, in microseconds: it covers the clocks of two
 /// leaders that differ, a read that is under way, and a margin (`docs/control-bounds.md`, *How long outputs stay*).
 pub const RETENTION_SLACK: Time = 20 * SECOND;
@@ -63,11 +65,20 @@
     pub relays_enabled: bool,
     /// How long batch jobs are kept after they were submitted, in microseconds.
     pub job_retention: Time,
+    /// Whether locks, numbers and keys of applications are served: their shards are then founded.
+    pub serves_primitives: bool,
+    /// How long puts to keys are kept for watches, in microseconds.
+    pub watch_history: Time,
     /// Seeds the random number generator.
     pub seed: u64,
 }
 
 impl NodeInfo {
+    /// The last of the shards that the deployment's stores hold.
+    pub fn last_shard(&self) -> u16 {
+        if self.serves_primitives { LAST_SHARD } else { BATCH_SHARDS }
+    }
+
     /// The members of a replica set when nothing is lost: a majority is left after `tolerated_failures` losses at once.
     pub fn target_members(&self) -> usize {
         2 * self.tolerated_failures + 1
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -15,7 +15,7 @@
 use rainlug_consensus::{Member, MemberId};
 
 use crate::shard::Shard;
-use crate::{BATCH_SHARDS, CONTROL, Coordinator, Effect, Now};
+use crate::{CONTROL, Coordinator, Effect, Now};
 
 /// What leading a shard counts for beside the bytes of its state: link and processor time also go to small ones.
 const SHARD_BASE_BYTES: u64 = 1 << 20;
@@ -61,7 +61,7 @@
     begun: BTreeMap<u16, MemberId>,
     /// Members that did not take a shard over, and until when (steady clock) they are not asked again.
     failed_targets: BTreeMap<MemberId, Time>,
-    /// Who leads the shards of batch jobs, as far as this process's replicas know.
+    /// Who leads the shards that stores hold, as far as this process's replicas know.
     known_leaders: BTreeMap<u16, MemberId>,
     /// Since when (steady clock) that has not changed.
     unchanged_since: Time,
@@ -161,7 +161,7 @@
             return;
         }
         let own_load = self.known_load(self.info.disk.unwrap_or_default());
-        let moves = (1..=BATCH_SHARDS).filter_map(|number| self.possible_move(number, own_load));
+        let moves = (1..=self.info.last_shard()).filter_map(|number| self.possible_move(number, own_load));
         let best = moves.min_by_key(|(load_after, _, _)| *load_after);
         if let Some((_, shard, target)) = best {
             let deadline = now + ITEM_DRAIN_TIME;
@@ -169,10 +169,10 @@
         }
     }
 
-    /// Records who leads the shards of batch jobs, and when that last changed.
+    /// Records who leads the shards that stores hold, and when that last changed.
     fn record_leaders(&mut self) {
         let leaders =
-            self.batch_shards().filter_map(|(number, shard)| Some((*number, shard.replica.leader()?.id)));
+            self.store_shards().filter_map(|(number, shard)| Some((*number, shard.replica.leader()?.id)));
         let leaders: BTreeMap<u16, MemberId> = leaders.collect();
         if leaders != self.leadership_moves.known_leaders {
             self.leadership_moves.known_leaders = leaders;
@@ -212,14 +212,14 @@
         staying.min_by_key(|member| (self.known_load(member.id), member.id)).map(|member| member.id)
     }
 
-    /// What a store leads of the batch-job shards that this process has a replica of.
+    /// What a store leads of the shards that this process has a replica of.
     fn known_load(&self, disk: MemberId) -> u64 {
         let is_led = |shard: &&Shard| shard.replica.leader().is_some_and(|leader| leader.id == disk);
-        self.batch_shards().map(|(_, shard)| shard).filter(is_led).map(leader_load).sum()
+        self.store_shards().map(|(_, shard)| shard).filter(is_led).map(leader_load).sum()
     }
 
-    /// The shards of batch jobs that this process has a replica of.
-    fn batch_shards(&self) -> impl Iterator<Item = (&u16, &Shard)> {
+    /// The shards other than the configuration's that this process has a replica of.
+    fn store_shards(&self) -> impl Iterator<Item = (&u16, &Shard)> {
         self.shards.iter().filter(|(number, _)| **number != CONTROL)
     }
 
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -30,6 +30,9 @@
 mod lost_membership;
 mod maintenance;
 mod membership;
+mod primitive_answers;
+mod primitive_calls;
+mod primitive_shard;
 mod quota;
 mod replica_placement;
 mod replica_settings;
@@ -42,13 +45,17 @@
 mod state_machine;
 pub mod topology;
 mod waiting;
+mod watch_list;
 mod worker_calls;
 
 pub use api::{Answer, Call, Effect, Now, ShardStatus};
 pub use coordinator::Coordinator;
 pub use founding::founding_id;
 pub use info::{NodeInfo, ProcessRole, RETENTION_SLACK};
-pub use sharding::{BATCH_SHARDS, CONTROL, shard_of_job, shard_of_route};
+pub use primitive_calls::PrimitiveCall;
+pub use sharding::{
+    BATCH_SHARDS, CONTROL, LAST_SHARD, PRIMITIVE_SHARDS, shard_of_job, shard_of_primitive, shard_of_route,
+};
 
 pub(crate) use coordinator::MAX_SPREAD_WAIT;
 pub(crate) use replica_settings::LOGS_PER_DISK;
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -5,8 +5,9 @@
 use rainlug_fleet::Standing;
 use rainlug_registry::{Phase, Worker};
 
+use crate::sharding::{ShardContent, content_of};
 use crate::topology::StoreRecord;
-use crate::{BATCH_SHARDS, CONTROL, Coordinator};
+use crate::{CONTROL, Coordinator};
 
 /// A process of the tier.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -178,13 +179,17 @@
             let view = self.view_of_shard(number);
             ShardListing {
                 number,
-                content: if number == CONTROL { "configuration" } else { "lots" },
+                content: match content_of(number) {
+                    ShardContent::Configuration => "configuration",
+                    ShardContent::BatchJobs => "lots",
+                    ShardContent::Primitives => "locks",
+                },
                 leader: view.leader.map(name_at),
                 members: view.members.into_iter().map(name_at).collect(),
                 term: view.term,
             }
         };
-        (CONTROL..=BATCH_SHARDS).map(line).collect()
+        (CONTROL..=self.info.last_shard()).map(line).collect()
     }
 
     fn view_of_shard(&self, number: u16) -> ShardView {
--- a/crates/coordinator/src/lost_membership.rs
+++ b/crates/coordinator/src/lost_membership.rs
@@ -17,7 +17,7 @@
 use rainlug::{SECOND, Time};
 
 use crate::shard::StateMachine;
-use crate::{BATCH_SHARDS, Coordinator, Effect};
+use crate::{Coordinator, Effect};
 
 /// How long no leader must have been heard from, in microseconds: longer than the elections, starts and partitions after which a
 /// change of the replica set goes on.
@@ -26,7 +26,7 @@
 impl Coordinator {
     /// Drops the replicas that no replica set counts on any more.
     pub(crate) fn tombstone_lost_memberships(&mut self) {
-        for number in 1..=BATCH_SHARDS {
+        for number in 1..=self.info.last_shard() {
             let is_lost = self.has_lost_membership(number);
             let now = self.now.steady;
             let Some(shard) = self.shards.get_mut(&number) else { continue };
--- a/crates/coordinator/src/maintenance.rs
+++ b/crates/coordinator/src/maintenance.rs
@@ -8,7 +8,7 @@
 
 use crate::calls::CallRequest;
 use crate::frame::{MemberRecord, Request};
-use crate::{BATCH_SHARDS, CONTROL, Coordinator, Effect};
+use crate::{CONTROL, Coordinator, Effect};
 
 /// Between two announcements of a process's disk, in microseconds.
 pub(crate) const ANNOUNCE_INTERVAL: Time = SECOND;
@@ -32,11 +32,12 @@
             self.create_shards();
             self.fence_absent_disks();
         }
-        for number in 1..=BATCH_SHARDS {
+        for number in 1..=self.info.last_shard() {
             if self.shards.get(&number).is_some_and(|shard| shard.replica.is_leader()) {
                 self.place_store_members(number);
             }
         }
+        self.forget_ended_holds();
         self.move_leaderships();
         self.tombstone_lost_memberships();
         self.track_routes();
--- a/crates/coordinator/src/replica_placement.rs
+++ b/crates/coordinator/src/replica_placement.rs
@@ -14,7 +14,6 @@
 use crate::calls::CallRequest;
 use crate::frame::Request;
 use crate::maintenance::ANNOUNCE_INTERVAL;
-use crate::shard::StateMachine;
 use crate::topology::encode_members;
 use crate::{CONTROL, Coordinator, Effect};
 
@@ -129,7 +128,7 @@
         let Some(shard) = self.shards.get(&number) else { return };
         if !shard.replica.is_replica_set_committed()
             || self.gossip.document(gossip::TOPOLOGY).is_none()
-            || !matches!(shard.state_machine, StateMachine::BatchJobs(_))
+            || number == CONTROL
         {
             return;
         }
--- a/crates/coordinator/src/replica_settings.rs
+++ b/crates/coordinator/src/replica_settings.rs
@@ -3,14 +3,31 @@
 use rainlug::SECOND;
 use rainlug_consensus::Settings;
 
+use crate::sharding::{ShardContent, content_of};
 use crate::{BATCH_SHARDS, NodeInfo, capacity};
 
 /// A shard's log is rewritten once it takes one in so many of the disk's bytes, at the earliest: a store that is a member of every
 /// shard then has a quarter of its disk in logs before the first rewrite.
 pub(crate) const LOGS_PER_DISK: usize = 4 * BATCH_SHARDS as usize;
 
-/// The settings of each replica of this process.
-pub(crate) fn replica_settings(info: &NodeInfo) -> Settings {
+/// A shard of primitives takes so many bytes of log before it is rewritten, and its leader keeps so many for members that lag: its state
+/// is small.
+const PRIMITIVE_LOG_BYTES: usize = 1 << 20;
+
+/// The settings of this process's replica of a shard.
+pub(crate) fn replica_settings(info: &NodeInfo, shard: u16) -> Settings {
+    let settings = store_settings(info);
+    if content_of(shard) != ShardContent::Primitives {
+        return settings;
+    }
+    Settings {
+        compaction_threshold_bytes: PRIMITIVE_LOG_BYTES,
+        max_lag_bytes: PRIMITIVE_LOG_BYTES,
+        ..settings
+    }
+}
+
+fn store_settings(info: &NodeInfo) -> Settings {
     Settings {
         // A fraction of the election timeout, so that one lost message does not lead to an election (`docs/control.md`).
         heartbeat_interval: SECOND / 10,
--- a/crates/coordinator/src/replication.rs
+++ b/crates/coordinator/src/replication.rs
@@ -117,11 +117,12 @@
     }
 
     fn restore(&mut self, number: u16, step: RestoreStep) {
+        let now = self.now.steady;
         let Some(shard) = self.shards.get_mut(&number) else { return };
         if let RestoreStep::Finish(index) = step {
             self.effects.push(Effect::Log("restore", format!("shard {number}: as of entry {index}")));
         }
-        if let Err(error) = shard.restore(step) {
+        if let Err(error) = shard.restore(now, step) {
             self.violated(Invariant::StateRestored, &format_args!("shard {number}: {error}"));
             self.discard_disk(number);
         }
@@ -154,6 +155,7 @@
                 self.pending_acknowledgements.push(PendingAcknowledgement { origin, answer, until, update });
             }
             StateMachine::BatchJobs(_) => self.apply_batch_command(number, command, proposal),
+            StateMachine::Primitives(_) => self.apply_primitive_command(number, index, command, proposal),
         }
     }
 
@@ -180,6 +182,7 @@
         } else {
             (shard.schedule, shard.reports) = (None, None);
             let mut stranded = shard.waiting.take_stranded();
+            stranded.unproposed.extend(shard.watches.take_all().into_iter().map(|watch| watch.origin));
             for submission in std::mem::take(&mut shard.submissions).into_values() {
                 let is_proposed = submission.is_proposed();
                 if is_proposed { &mut stranded.proposed } else { &mut stranded.unproposed }
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -11,7 +11,9 @@
 use crate::control::{Change, Store};
 use crate::frame::{Head, MemberRecord, Request, Text, join};
 use crate::replica_placement::JoinCandidate;
+use crate::sharding::{ShardContent, content_of};
 use crate::waiting::{Poll, ReadQuery};
+use crate::watch_list::Watch;
 use crate::{Answer, CONTROL, Coordinator, Effect};
 
 /// Reads of batch jobs that wait for a read index round at once, over all shards led here: one round may answer all of them in one
@@ -39,7 +41,7 @@
 }
 
 /// A name as text; empty where it is not UTF-8.
-fn name(text: &Text) -> String {
+pub(crate) fn name(text: &Text) -> String {
     text.to_str().map(str::to_owned).unwrap_or_default()
 }
 
@@ -64,10 +66,13 @@
         if !self.shards.get(&number).is_some_and(|p| p.replica.is_serving_leader()) {
             return self.redirect(number, origin);
         }
-        match (number, request) {
-            (_, Request::Locate) => self.redirect(number, origin),
-            (CONTROL, request) => self.handle_control_request(origin, request, tail),
-            (number, request) => self.handle_batch_request(origin, number, request, tail),
+        if request == Request::Locate {
+            return self.redirect(number, origin);
+        }
+        match content_of(number) {
+            ShardContent::Configuration => self.handle_control_request(origin, request, tail),
+            ShardContent::BatchJobs => self.handle_batch_request(origin, number, request, tail),
+            ShardContent::Primitives => self.handle_primitive_request(origin, number, request),
         }
     }
 
@@ -240,6 +245,10 @@
             ReadQuery::BatchJob { job, since, until } => {
                 self.answer_job_read(number, Poll { origin, job, since, until })
             }
+            ReadQuery::Key(key) => self.answer_key_read(number, origin, &key),
+            ReadQuery::Watch { group, since, until } => {
+                self.answer_watch(number, Watch { origin, group, since, until });
+            }
             ReadQuery::Body { job, item } => {
                 let Some(job_table) = self.shards.get(&number).and_then(|p| p.job_table()) else { return };
                 let body = job_table.item_body(&job, &item);
--- a/crates/coordinator/src/shard.rs
+++ b/crates/coordinator/src/shard.rs
@@ -6,13 +6,16 @@
 use rainlug::Time;
 use rainlug_batch::{JobTable, QuotaLedger, Schedule};
 use rainlug_consensus::{Member, Replica, RestoreStep, Settings};
+use rainlug_primitives::Primitives;
 
 use crate::capacity::{LogUsage, ShardDisk};
 use crate::control::Control;
+use crate::primitive_answers::PrimitiveAnswers;
 use crate::quota::{Submission, UsageReports};
 pub(crate) use crate::state_machine::StateMachine;
 use crate::state_machine::{RestoreError, Restoring};
 use crate::waiting::WaitingRequests;
+use crate::watch_list::WatchList;
 
 /// A shard's replica and all that belongs to it at this process.
 pub(crate) struct Shard {
@@ -34,6 +37,10 @@
     pub is_leader: bool,
     /// As the leader: who waits for what.
     pub waiting: WaitingRequests,
+    /// As the leader: watches that wait for a put.
+    pub watches: WatchList,
+    /// As the leader of primitives: what it has answered.
+    pub primitive_answers: PrimitiveAnswers,
     /// As the leader: batch jobs that are reserving their tokens or are proposed, by id.
     pub submissions: BTreeMap<String, Submission>,
     /// As the leader of batch jobs: which items run and which are ready.
@@ -72,6 +79,8 @@
             lost_membership_since: None,
             is_leader: false,
             waiting: WaitingRequests::default(),
+            watches: WatchList::default(),
+            primitive_answers: PrimitiveAnswers::default(),
             submissions: BTreeMap::new(),
             schedule: None,
             reports: None,
@@ -80,11 +89,11 @@
         })
     }
 
-    /// A step of replacing the state machine's state by a snapshot's.
+    /// A step of replacing the state machine's state by a snapshot's; `now` is the steady clock.
     ///
     /// # Errors
     /// Where the steps are out of order or the snapshot cannot be read.
-    pub fn restore(&mut self, step: RestoreStep) -> Result<(), RestoreError> {
+    pub fn restore(&mut self, now: Time, step: RestoreStep) -> Result<(), RestoreError> {
         match step {
             RestoreStep::Begin => self.restoring = Some(self.state_machine.restore_begin()),
             RestoreStep::Abandon => self.restoring = None,
@@ -93,7 +102,7 @@
             }
             RestoreStep::Finish(_) => {
                 let restoring = self.restoring.take().ok_or(RestoreError::NotBegun)?;
-                let (machine, quota_ledger) = restoring.finish()?;
+                let (machine, quota_ledger) = restoring.finish(now)?;
                 self.state_machine = machine;
                 self.quota_ledger = quota_ledger;
             }
@@ -109,7 +118,7 @@
 
     /// When a waiting read has to be answered or the next item may start.
     fn next_job_timeout(&self) -> Time {
-        let polls = self.waiting.next_poll_timeout();
+        let polls = self.waiting.next_poll_timeout().min(self.watches.next_timeout());
         let waits = self.schedule.as_ref().is_some_and(|s| s.ready_count() > 0);
         if waits && self.next_item_at > 0 { polls.min(self.next_item_at) } else { polls }
     }
@@ -118,7 +127,7 @@
     pub fn control(&self) -> Option<&Control> {
         match &self.state_machine {
             StateMachine::Control(control) => Some(control),
-            StateMachine::BatchJobs(_) => None,
+            StateMachine::BatchJobs(_) | StateMachine::Primitives(_) => None,
         }
     }
 
@@ -126,7 +135,15 @@
     pub fn job_table(&self) -> Option<&JobTable> {
         match &self.state_machine {
             StateMachine::BatchJobs(job_table) => Some(job_table),
-            StateMachine::Control(_) => None,
+            StateMachine::Control(_) | StateMachine::Primitives(_) => None,
+        }
+    }
+
+    /// The state of a shard of primitives.
+    pub fn primitives(&self) -> Option<&Primitives> {
+        match &self.state_machine {
+            StateMachine::Primitives(primitives) => Some(primitives),
+            StateMachine::Control(_) | StateMachine::BatchJobs(_) => None,
         }
     }
 
@@ -140,6 +157,9 @@
             StateMachine::Control(control) => {
                 LogUsage { length, rewritten: control.size() as u64, ..LogUsage::default() }
             }
+            StateMachine::Primitives(primitives) => {
+                LogUsage { length, rewritten: primitives.memory_bytes() as u64, ..LogUsage::default() }
+            }
         }
     }
 
@@ -159,6 +179,14 @@
             metrics.push((name("file_bytes"), self.disk.length as f64));
             metrics.push((name("tokens_counted"), self.quota_ledger.total_tokens() as f64));
         }
+        if let Some(primitives) = self.primitives() {
+            metrics.push((name("bytes"), primitives.memory_bytes() as f64));
+            metrics.push((name("file_bytes"), self.disk.length as f64));
+            metrics.push((name("locks_held"), primitives.locks().len() as f64));
+            metrics.push((name("keys"), primitives.key_count() as f64));
+            metrics.push((name("watchers"), self.watches.len() as f64));
+            metrics.extend(self.primitive_answers.counts().map(|(what, count)| (name(what), count as f64)));
+        }
         if let Some(reports) = &self.reports {
             metrics.push((name("tokens_waiting"), reports.tokens() as f64));
         }
--- a/crates/coordinator/src/shard_founding.rs
+++ b/crates/coordinator/src/shard_founding.rs
@@ -1,4 +1,4 @@
-//! Founding of the batch-job shards: the leader of the configuration's shard gives each a first replica set as soon as there are
+//! Founding of the shards that stores hold: the leader of the configuration's shard gives each a first replica set as soon as there are
 //! enough stores, and the stores named in it open their replicas when the topology tells them.
 
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 use crate::control::Change;
 use crate::frame::join;
 use crate::topology::decode_members;
-use crate::{BATCH_SHARDS, CONTROL, Coordinator, Origin};
+use crate::{CONTROL, Coordinator, Origin};
 
 /// How long to wait for the target number of stores once the fewest that are needed are there, in microseconds.
 const GATHERING_TIMEOUT: Time = 3 * SECOND;
@@ -55,15 +55,16 @@
 }
 
 impl Coordinator {
-    /// Founds the batch-job shards that are missing, once there are enough stores.
+    /// Founds the shards that are missing, once there are enough stores.
     pub(crate) fn create_shards(&mut self) {
         let now = self.now.steady;
         let (min, target) = (self.info.min_members(), self.info.target_members());
         let Some(control) = self.shards.get(&CONTROL).and_then(|shard| shard.control()) else { return };
         let staying = control.stores.values().filter(|store| !store.is_retiring());
         let stores: Vec<Member> = staying.map(|store| store.member.clone()).collect();
-        let missing: Vec<u16> =
-            (1..=BATCH_SHARDS).filter(|number| !control.replica_sets.contains_key(number)).collect();
+        let missing: Vec<u16> = (1..=self.info.last_shard())
+            .filter(|number| !control.replica_sets.contains_key(number))
+            .collect();
         if missing.is_empty() || stores.len() < min {
             return;
         }
--- a/crates/coordinator/src/sharding.rs
+++ b/crates/coordinator/src/sharding.rs
@@ -13,6 +13,38 @@
 /// shards would only cost twice as much as three, and four cost little more than three.
 pub const BATCH_SHARDS: u16 = 4;
 
+/// How many shards of primitives (locks, numbers, keys) there are; they are numbered from [`BATCH_SHARDS`] + 1. A leader that is lost
+/// stops one of them; each costs heartbeats and disk syncs of its own.
+pub const PRIMITIVE_SHARDS: u16 = 2;
+
+/// The last of the shards that stores hold replicas of.
+pub const LAST_SHARD: u16 = BATCH_SHARDS + PRIMITIVE_SHARDS;
+
+/// What a shard holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ShardContent {
+    /// The configuration, the stores and the replica sets.
+    Configuration,
+    /// Batch jobs.
+    BatchJobs,
+    /// Locks, numbers and keys of applications.
+    Primitives,
+}
+
+/// What the shard of this number holds.
+pub(crate) fn content_of(shard: u16) -> ShardContent {
+    match shard {
+        CONTROL => ShardContent::Configuration,
+        1..=BATCH_SHARDS => ShardContent::BatchJobs,
+        _ => ShardContent::Primitives,
+    }
+}
+
+/// The shard that holds a lock or a number of this name, or a group of keys.
+pub fn shard_of_primitive(name: &str) -> u16 {
+    BATCH_SHARDS + 1 + (xxh3_64_with_seed(name.as_bytes(), 2) % u64::from(PRIMITIVE_SHARDS)) as u16
+}
+
 /// The shard with the quota ledger of a route, which counts the tokens of the route's batch jobs.
 pub fn shard_of_route(route: &str) -> u16 {
     1 + (xxh3_64_with_seed(route.as_bytes(), 0) % u64::from(BATCH_SHARDS)) as u16
--- a/crates/coordinator/src/state_machine.rs
+++ b/crates/coordinator/src/state_machine.rs
@@ -5,13 +5,15 @@
 
 use bytes::{Bytes, BytesMut};
 use quick_error::quick_error;
+use rainlug::Time;
 use rainlug_batch::{JobTable, JobTableRestore, JobTableSnapshot, QuotaLedger};
 use rainlug_consensus::{InMemoryState, SnapshotSource};
+use rainlug_primitives::Primitives;
 
-use crate::CONTROL;
 use crate::control::Control;
+use crate::sharding::{ShardContent, content_of};
 
-/// Bytes of a chunk of the configuration's snapshot: as much as a consensus message carries.
+/// Bytes of a chunk of a small state's snapshot: as much as a consensus message carries.
 const CHUNK_BYTES: usize = 128 << 10;
 
 quick_error! {
@@ -31,12 +33,16 @@
     Control(Control),
     /// Of a shard of batch jobs; its quota ledger stands beside it, in the shard.
     BatchJobs(JobTable),
+    /// Of a shard of primitives.
+    Primitives(Primitives),
 }
 
 /// A state that is restored beside the one in force, which it replaces once it is complete.
 pub(crate) enum Restoring {
     /// Small enough to be read at once, when all of it is there.
     Control(BytesMut),
+    /// As [`Restoring::Control`].
+    Primitives(BytesMut),
     /// The first chunk is the quota ledger, the others are the job table's.
     BatchJobs(Option<QuotaLedger>, Box<JobTableRestore>),
 }
@@ -67,10 +73,10 @@
 impl StateMachine {
     /// A shard's state machine that has applied nothing.
     pub fn empty(shard: u16) -> Self {
-        if shard == CONTROL {
-            StateMachine::Control(Control::default())
-        } else {
-            StateMachine::BatchJobs(JobTable::default())
+        match content_of(shard) {
+            ShardContent::Configuration => StateMachine::Control(Control::default()),
+            ShardContent::BatchJobs => StateMachine::BatchJobs(JobTable::default()),
+            ShardContent::Primitives => StateMachine::Primitives(Primitives::default()),
         }
     }
 
@@ -78,6 +84,9 @@
     pub fn snapshot_source(&self, quota_ledger: &QuotaLedger) -> Arc<dyn SnapshotSource> {
         match self {
             StateMachine::Control(control) => Arc::new(InMemoryState::new(control.snapshot(), CHUNK_BYTES)),
+            StateMachine::Primitives(primitives) => {
+                Arc::new(InMemoryState::new(primitives.snapshot(), CHUNK_BYTES))
+            }
             StateMachine::BatchJobs(job_table) => Arc::new(BatchShardSource {
                 quota_ledger: quota_ledger.snapshot(),
                 job_table: job_table.snapshot(),
@@ -89,6 +98,7 @@
     pub fn restore_begin(&self) -> Restoring {
         match self {
             StateMachine::Control(_) => Restoring::Control(BytesMut::new()),
+            StateMachine::Primitives(_) => Restoring::Primitives(BytesMut::new()),
             StateMachine::BatchJobs(_) => Restoring::BatchJobs(None, Box::default()),
         }
     }
@@ -101,7 +111,7 @@
     /// Where it is not a chunk of such a state.
     pub fn take(&mut self, chunk: &Bytes) -> Result<(), RestoreError> {
         match self {
-            Restoring::Control(bytes) => bytes.extend_from_slice(chunk),
+            Restoring::Control(bytes) | Restoring::Primitives(bytes) => bytes.extend_from_slice(chunk),
             Restoring::BatchJobs(quota_ledger @ None, _) => {
                 *quota_ledger = Some(QuotaLedger::restore(chunk).map_err(|_| RestoreError::Malformed)?);
             }
@@ -112,16 +122,21 @@
         Ok(())
     }
 
-    /// The state that was built, to be put in place of the one in force.
+    /// The state that was built, to be put in place of the one in force; `now` is the steady clock.
     ///
     /// # Errors
     /// Where the chunks are not a snapshot of this kind of state machine.
-    pub fn finish(self) -> Result<(StateMachine, QuotaLedger), RestoreError> {
+    pub fn finish(self, now: Time) -> Result<(StateMachine, QuotaLedger), RestoreError> {
         match self {
             Restoring::Control(bytes) => {
                 let control = Control::restore(&bytes.freeze()).map_err(|_| RestoreError::Malformed)?;
                 Ok((StateMachine::Control(control), QuotaLedger::default()))
             }
+            Restoring::Primitives(bytes) => {
+                let primitives =
+                    Primitives::restore(&bytes.freeze(), now).map_err(|_| RestoreError::Malformed)?;
+                Ok((StateMachine::Primitives(primitives), QuotaLedger::default()))
+            }
             Restoring::BatchJobs(quota_ledger, job_table) => {
                 let quota_ledger = quota_ledger.ok_or(RestoreError::Malformed)?;
                 let job_table = job_table.finish().map_err(|_| RestoreError::Malformed)?;
--- a/crates/coordinator/src/waiting.rs
+++ b/crates/coordinator/src/waiting.rs
@@ -20,6 +20,10 @@
     BatchJob { job: String, since: u64, until: Time },
     /// Read the body of an item's request.
     Body { job: String, item: String },
+    /// Read a key.
+    Key(String),
+    /// Read the puts to a group of keys after revision `since`; if there are none, wait for one until then (steady clock).
+    Watch { group: String, since: u64, until: Time },
 }
 
 /// A read that waits for its round.
@@ -90,6 +94,11 @@
         self.last_ticket
     }
 
+    /// How many reads wait for a round.
+    pub fn read_count(&self) -> usize {
+        self.reads.len()
+    }
+
     /// The round with this ticket has ended.
     pub fn take_read(&mut self, ticket: u64) -> Option<PendingRead> {
         self.reads.remove(&ticket)
--- a/crates/coordinator/tests/common/fleet.rs
+++ b/crates/coordinator/tests/common/fleet.rs
@@ -92,6 +92,10 @@
     pub bytes_from: BTreeMap<usize, u64>,
     /// The machines that are added are in so many zones in turn.
     pub zones: usize,
+    /// Locks, numbers and keys are served.
+    pub serves_primitives: bool,
+    /// How long puts are kept for watches.
+    pub watch_history: Time,
     /// Bytes of text in each event of an item's run, at least.
     pub event_bytes: usize,
     /// What steps cost; they take no time where there is none.
@@ -158,6 +162,8 @@
             bytes_to: BTreeMap::new(),
             bytes_from: BTreeMap::new(),
             zones: 4,
+            serves_primitives: false,
+            watch_history: 40 * SECOND,
             event_bytes: 0,
             cost: None,
             largest_step: 0,
@@ -240,6 +246,8 @@
             sync_time: self.sync_time,
             relays_enabled: true,
             job_retention: self.status_time + RETENTION_SLACK,
+            serves_primitives: self.serves_primitives,
+            watch_history: self.watch_history,
             seed,
         };
         machine.coordinator = Some(Coordinator::new(info, logs, now).expect("its own records"));
--- a/crates/coordinator/tests/format.rs
+++ b/crates/coordinator/tests/format.rs
@@ -54,6 +54,11 @@
     Request::ReportReplicaSet { shard: 2, term: 3, index: 70, retirements: 1, member_count: 3, members }
 }
 
+fn put_key() -> Request {
+    let (key, value) = ("g1.2d".into(), "5c0e7a21d94b36f8".into());
+    Request::PutKey { key, value, is_conditional: 1, expected_revision: 907 }
+}
+
 fn requests() -> Vec<(&'static str, Request)> {
     let reserve =
         Request::Reserve { job: "job-1".into(), route: "lots".into(), shard: 2, tokens: 300, most: 1 << 40 };
@@ -72,6 +77,16 @@
         ("End", Request::End { job: "job-1".into() }),
         ("Reserve", reserve),
         ("Settle", Request::ReportUsage),
+        ("AcquireLock", Request::AcquireLock { lock: "l1f".into(), holder: "a3.7".into(), hold_ms: 3_000 }),
+        (
+            "RenewLock",
+            Request::RenewLock { lock: "l1f".into(), holder: "a3.7".into(), fence: 41, hold_ms: 3_000 },
+        ),
+        ("ReleaseLock", Request::ReleaseLock { lock: "l1f".into(), holder: "a3.7".into(), fence: 41 }),
+        ("NextNumber", Request::NextNumber { name: "n2".into() }),
+        ("PutKey", put_key()),
+        ("ReadKey", Request::ReadKey { key: "g1.2d".into() }),
+        ("Watch", Request::Watch { group: "g1.".into(), since: 930, wait_ms: 2_000 }),
     ]
 }
 
--- a/crates/registry/src/json.rs
+++ b/crates/registry/src/json.rs
@@ -14,14 +14,19 @@
 /// A JSON value.
 #[derive(Debug)]
 pub enum Value {
+    /// Nothing.
     Null,
+    /// True or false.
     Bool(bool),
     /// A number written without sign, fraction and exponent.
     Integer(u64),
     /// Any other number.
     Number(f64),
+    /// A text.
     String(String),
+    /// Values in their order.
     List(Vec<Value>),
+    /// Fields in their order, with their names.
     Object(Vec<(String, Value)>),
 }
 
@@ -191,6 +196,7 @@
         object.field(field)
     }
 
+    /// A string.
     pub fn string(&mut self, field: &str) -> Option<String> {
         match self.object.field(field)? {
             Value::String(text) => Some(text.clone()),
@@ -204,6 +210,7 @@
         self.string(field)
     }
 
+    /// A finite number.
     pub fn number(&mut self, field: &str) -> Option<f64> {
         match self.object.field(field)? {
             Value::Integer(n) => Some(*n as f64),
@@ -227,6 +234,7 @@
         u32::try_from(n).ok().or_else(|| self.reject(field, "a number below 2^32 expected"))
     }
 
+    /// True or false.
     pub fn bool(&mut self, field: &str) -> Option<bool> {
         match self.object.field(field)? {
             Value::Bool(b) => Some(*b),
@@ -234,6 +242,7 @@
         }
     }
 
+    /// A list.
     pub fn list(&mut self, field: &str) -> Option<&'a [Value]> {
         let object = self.object;
         match object.field(field)? {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod configuration;
 mod findings;
 pub mod gossip;
-mod json;
+pub mod json;
 pub mod report;
 mod wire;
 pub mod worker;
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -2,6 +2,7 @@
 
 mod answer_counts;
 mod calls;
+mod primitives;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -95,12 +96,15 @@
         }
         let body = timeout_at(deadline, link.body()).await.unwrap_or(Err(End::TimedOut))?;
         let answer = match calls::find(&method, &path) {
-            Ok((action, name)) => calls::perform(action, &node, Request { name, if_match, body }).await,
+            Ok((action, name)) => {
+                let query = path.split_once('?').map_or("", |(_, query)| query).to_owned();
+                calls::perform(action, &node, Request { name, query, if_match, body }).await
+            }
             Err(status) => Answer::with_status(status),
         };
         node.answer_counts().count(&path, answer.status);
-        // With 412 nothing is wrong here: the caller built on an older version.
-        if answer.status >= 400 && answer.status != 412 {
+        // With these nothing is wrong here: the caller built on an older version, or another holds the lock.
+        if answer.status >= 400 && ![409, 412].contains(&answer.status) {
             log::debug("call", &format!("{method} {path}: {}", answer.status));
         }
         write_response(link, &answer, closes).await?;
--- a/crates/tier/src/control/calls.rs
+++ b/crates/tier/src/control/calls.rs
@@ -7,6 +7,7 @@
 use rainlug_coordinator::{Answer, Call};
 use rainlug_registry::Worker;
 
+use super::primitives;
 use crate::listings::{Listing, Members, Shards, Stores, Workers};
 use crate::node::Node;
 
@@ -14,6 +15,8 @@
 pub(super) struct Request {
     /// What follows the call's own path: a worker's id or a store's name.
     pub(super) name: String,
+    /// What follows `?` in the path; empty where nothing does.
+    pub(super) query: String,
     /// The value of `If-Match`.
     pub(super) if_match: Option<String>,
     pub(super) body: Bytes,
@@ -31,13 +34,20 @@
 use Action::{Coordinate, View};
 
 /// All calls: method, path and action. A path that ends in `/` is followed by a name.
-const CALLS: [(&str, &str, Action); 11] = [
+const CALLS: [(&str, &str, Action); 18] = [
     ("PUT", "/v1/workers/", Coordinate(read_heartbeat)),
     ("DELETE", "/v1/workers/", Coordinate(|request| Ok(Call::Deregister(request.name)))),
     ("PUT", "/v1/configuration", Coordinate(read_configure)),
     ("GET", "/v1/configuration", Coordinate(|_| Ok(Call::Configuration))),
     ("POST", "/v1/retire/", Coordinate(|request| Ok(Call::Retire { store: request.name }))),
     ("GET", "/v1/retire/", Coordinate(|request| Ok(Call::RetirementStatus { store: request.name }))),
+    ("POST", "/v1/locks/", Coordinate(primitives::read_acquire)),
+    ("PUT", "/v1/locks/", Coordinate(primitives::read_renew)),
+    ("DELETE", "/v1/locks/", Coordinate(primitives::read_release)),
+    ("POST", "/v1/numbers/", Coordinate(primitives::read_number)),
+    ("PUT", "/v1/cells/", Coordinate(primitives::read_put)),
+    ("GET", "/v1/cells/", Coordinate(primitives::read_key)),
+    ("GET", "/v1/watch/", Coordinate(primitives::read_watch)),
     ("GET", "/v1/figures", View(metrics)),
     ("GET", Members::PATH, View(list::<Members>)),
     ("GET", Workers::PATH, View(list::<Workers>)),
@@ -79,7 +89,7 @@
 }
 
 /// An answer that gives the reason for its status.
-fn refusal(status: u16, reason: &str) -> Answer {
+pub(super) fn refusal(status: u16, reason: &str) -> Answer {
     let reason = reason.replace('\\', "\\\\").replace('"', "\\\"");
     Answer::json(status, format!("{{\"error\":\"{reason}\"}}"))
 }
--- a/crates/tier/src/disk.rs
+++ b/crates/tier/src/disk.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use rainlug_consensus::Records;
-use rainlug_coordinator::{BATCH_SHARDS, CONTROL};
+use rainlug_coordinator::{CONTROL, LAST_SHARD};
 use rainlug_wal::{DiskSpace, Error, OsFileSystem, RecordSource, Wal, Writer, WriterEvent};
 use tokio::sync::mpsc;
 
@@ -131,7 +131,7 @@
         let space = Arc::new(DiskSpace::new(capacity));
         let mut disk = Disk { dir: dir.to_owned(), identity, space, writers: BTreeMap::new(), reports };
         let mut logs = Vec::new();
-        for shard in CONTROL..=BATCH_SHARDS {
+        for shard in CONTROL..=LAST_SHARD {
             disk.remove_earlier_logs(shard)?;
             let name = log_file_name(shard, disk.identity.renewals);
             if dir.join(&name).exists() {
@@ -161,7 +161,7 @@
         // The identity first: nobody counts on logs under an earlier one.
         std::mem::take(&mut self.writers).into_values().for_each(Writer::remove);
         self.identity.renew(id)?;
-        (CONTROL..=BATCH_SHARDS).try_for_each(|shard| self.remove_earlier_logs(shard))
+        (CONTROL..=LAST_SHARD).try_for_each(|shard| self.remove_earlier_logs(shard))
     }
 
     /// Removes the logs that a shard had under earlier identities.
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -118,6 +118,8 @@
         sync_time: settings.bounds.sync_time(),
         relays_enabled: mechanisms.contains(Mechanisms::RELAYS),
         job_retention: (settings.bounds.status_s * 1e6) as Time + RETENTION_SLACK,
+        serves_primitives: settings.serves_primitives(),
+        watch_history: settings.bounds.watch_history() + RETENTION_SLACK,
         seed: random_u64(),
     }
 }
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -95,6 +95,8 @@
     pub listen: Listen,
     /// What the process may use.
     pub limits: Limits,
+    /// What the deployment's users rely on; all of it where it is not given.
+    pub contracts: Option<Vec<String>>,
     /// Losses that the tier must outlive.
     pub tolerate: Tolerate,
     /// Bounds on time.
@@ -159,8 +161,14 @@
     /// How soon after its start a machine counts as complete again, with an empty disk too, in seconds (0: unknown).
     #[serde(default)]
     pub sync_s: f64,
+    /// For how long a watch can go on from a revision that it was given, in seconds.
+    #[serde(default = "default_history_s")]
+    pub history_s: f64,
 }
 
+/// The contract of locks, numbers, keys and watches.
+const PRIMITIVES_CONTRACT: &str = "coord";
+
 /// Capacity of the link where the settings do not give it.
 const DEFAULT_LINK_MBPS: f64 = 1000.0;
 /// Time until a machine is complete where the settings do not give it.
@@ -170,6 +178,10 @@
     "info".to_owned()
 }
 
+fn default_history_s() -> f64 {
+    20.0
+}
+
 fn default_pass_ms() -> f64 {
     120.0
 }
@@ -193,6 +205,11 @@
         (seconds * SECOND as f64) as Time
     }
 
+    /// For how long a watch can go on from a revision that it was given, in microseconds.
+    pub fn watch_history(&self) -> Time {
+        (self.history_s * SECOND as f64) as Time
+    }
+
     /// Time for a graceful shutdown.
     pub fn grace(&self) -> Duration {
         Duration::try_from_secs_f64(self.grace_s).unwrap_or_default()
@@ -247,6 +264,12 @@
         findings
     }
 
+    /// Whether applications rely on locks, numbers, keys and watches.
+    pub fn serves_primitives(&self) -> bool {
+        let contracts = self.contracts.as_ref();
+        contracts.is_none_or(|contracts| contracts.iter().any(|contract| contract == PRIMITIVES_CONTRACT))
+    }
+
     /// Where this process listens for its peers.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.port_range.0)
--- a/crates/tier/src/settings/fields.rs
+++ b/crates/tier/src/settings/fields.rs
@@ -34,12 +34,14 @@
     OneOf(&'static [&'static str]),
     /// A table of texts.
     Texts,
+    /// A list of texts.
+    Words,
 }
 
-use Kind::{Above, Address, Addresses, AtLeast, Flag, Integer, Ip, OneOf, Ports, Text, Texts};
+use Kind::{Above, Address, Addresses, AtLeast, Flag, Integer, Ip, OneOf, Ports, Text, Texts, Words};
 
 /// All known fields: the path, whether the field is required, the values that it may have.
-const FIELDS: [(&str, bool, Kind); 27] = [
+const FIELDS: [(&str, bool, Kind); 29] = [
     ("node", true, Text(1, 64)),
     ("zone", true, Text(1, 64)),
     ("region", false, Text(0, 256)),
@@ -51,6 +53,7 @@
     ("fault_file", false, Text(1, 4096)),
     ("beat_ms", true, Integer(1, 3_600_000)),
     ("zones", false, Texts),
+    ("contracts", false, Words),
     ("listen.front", false, Address),
     ("listen.ready", false, Address),
     ("listen.control", false, Address),
@@ -66,6 +69,7 @@
     ("bounds.pass_ms", false, AtLeast(0.0)),
     ("bounds.status_s", false, AtLeast(0.0)),
     ("bounds.sync_s", false, AtLeast(0.0)),
+    ("bounds.history_s", false, AtLeast(0.0)),
     ("log_level", false, OneOf(&["error", "warn", "info", "debug"])),
 ];
 
@@ -89,6 +93,7 @@
             Above(bound) => number().is_some_and(|n| n > bound),
             OneOf(words) => value.as_str().is_some_and(|t| words.contains(&t)),
             Texts => value.as_table().is_some_and(|t| t.values().all(Value::is_str)),
+            Words => value.as_array().is_some_and(|all| all.iter().all(Value::is_str)),
         }
     }
 
@@ -108,6 +113,7 @@
             AtLeast(least) => format!("a number, {least} at least"),
             OneOf(words) => format!("one of {}", words.join(", ")),
             Texts => "names with texts".to_owned(),
+            Words => "a list of texts".to_owned(),
         }
     }
 }
--- a/crates/tier/tests/outside.rs
+++ b/crates/tier/tests/outside.rs
@@ -19,9 +19,10 @@
 fault_file = "data/faults"
 log_level = "debug"
 zones = { north = "coast" }
+contracts = ["base", "coord"]
 limits = { link_mbps = 60.0 }
 tolerate = { zones = 1, regions = 2 }
-bounds = { pass_ms = 130, sync_s = 5.1 }
+bounds = { pass_ms = 130, sync_s = 5.1, history_s = 20 }
 "#;
 
 fn plan() -> Plan {
@@ -121,6 +122,8 @@
         ("bounds.pass_ms", s.bounds.pass_ms.to_string()),
         ("bounds.status_s", s.bounds.status_s.to_string()),
         ("bounds.sync_s", s.bounds.sync_s.to_string()),
+        ("bounds.history_s", s.bounds.history_s.to_string()),
+        ("contracts", format!("{:?}", s.contracts)),
     ];
     lines.iter().map(|(key, value)| format!("{key} = {value}\n")).collect()
 }
--- a/crates/tier/tests/outside/tier.rs
+++ b/crates/tier/tests/outside/tier.rs
@@ -5,6 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rainlug_tier::local::{CONFIGURATION, HOST, MachineRole, Plan, spawn};
@@ -16,6 +17,8 @@
 const LOT: &str = include_str!("../../../../deploy/local/lot.json");
 /// All must be up, and told, in this time.
 const MOST: Duration = Duration::from_secs(30);
+/// How many tiers this process has started: each has addresses of its own, for two at most.
+static STARTED: AtomicU32 = AtomicU32::new(0);
 const AGAIN: Duration = Duration::from_millis(200);
 /// Keys whose texts are words of the interface; other texts are names, addresses and the like.
 const WORDS: [&str; 5] = ["role", "standing", "phase", "holds", "state"];
@@ -45,8 +48,8 @@
         // and its listing would then have another shape.
         let plan = Plan { dir: dir.path().to_owned(), gateways: 3, stores: 3, workers: 1, base_port: 7400 };
         // Other loopback addresses than those of tiers beside this one: figures are told at one port.
-        let id = std::process::id();
-        let network = format!("127.{}.{}.", 100 + id % 100, id / 100 % 250);
+        let (id, started) = (std::process::id(), STARTED.fetch_add(1, Ordering::Relaxed));
+        let network = format!("127.{}.{}.", 100 + id % 50 + 50 * (started % 2), id / 50 % 250);
         let mut tier = Tier { plan, dir, network, processes: Vec::new() };
         tier.spawn_all();
         std::fs::write(tier.file("first.json"), CONFIGURATION).unwrap();
