Primitives: what is remembered and kept is bounded, and puts go on when it is full

Cause, found by reading: remembered puts of each group and a history that only shrank with the next put counted against the bound of a shard's state, so that after some ten thousand puts every further put would have been refused for good. On small disks the fixed reserve would have left nothing for batch jobs.

Change: one list of remembered puts for a shard, of a fixed number (all replicas forget the same ones), beside the bound; the history is forgotten by the periodic maintenance; reserve, log and bound scale with the disk.

--- a/crates/coordinator/src/capacity.rs
+++ b/crates/coordinator/src/capacity.rs
@@ -46,9 +46,10 @@
 const RECOVERY_START: Time = 3 * SECOND / 2;
 /// Where the time for a recovery is so short that this leaves little of it, the copy is assumed to get the time divided by this.
 const MIN_COPY_TIME_DIVISOR: Time = 4;
-/// Bytes of memory and of the disk that are kept for all shards of primitives: their states, logs and rewrites
-/// ([`crate::primitive_shard::MAX_STATE_BYTES`]).
+/// Bytes of memory and of the disk that are kept for all shards of primitives, for their states, logs and rewrites; one in so many
+/// where there are few.
 const PRIMITIVES_BYTES: u64 = 16_000_000;
+const PRIMITIVES_DIVISOR: u64 = 8;
 
 /// Of a link, three quarters are for copies; the rest for new entries, runs of items, heartbeats and headers.
 const RECOVERY_LINK_QUARTERS: u64 = 3;
@@ -292,10 +293,14 @@
 impl CapacityLimits {
     /// The limits by a process's settings.
     pub fn from_info(info: &NodeInfo) -> Self {
-        let reserved = if info.serves_primitives { PRIMITIVES_BYTES } else { 0 };
+        let for_jobs = |bytes: usize| {
+            let bytes = bytes as u64;
+            let reserved = PRIMITIVES_BYTES.min(bytes / PRIMITIVES_DIVISOR);
+            if info.serves_primitives { bytes - reserved } else { bytes }
+        };
         CapacityLimits {
-            memory_bytes: (info.memory_bytes as u64).saturating_sub(reserved),
-            disk_bytes: (info.disk_bytes as u64).saturating_sub(reserved),
+            memory_bytes: for_jobs(info.memory_bytes),
+            disk_bytes: for_jobs(info.disk_bytes),
             link_bytes_per_second: info.link_bytes_per_second,
             sync_time: info.sync_time,
             copies: info.tolerated_failures.max(1) as u64,
--- a/crates/coordinator/src/maintenance.rs
+++ b/crates/coordinator/src/maintenance.rs
@@ -37,7 +37,7 @@
                 self.place_store_members(number);
             }
         }
-        self.forget_ended_holds();
+        self.clean_up_primitives();
         self.move_leaderships();
         self.tombstone_lost_memberships();
         self.track_routes();
--- a/crates/coordinator/src/primitive_shard.rs
+++ b/crates/coordinator/src/primitive_shard.rs
@@ -19,9 +19,10 @@
 use crate::watch_list::Watch;
 use crate::{Answer, Coordinator, Origin, shard_of_primitive};
 
-/// Bytes of a shard's state above which no key is added, and above which no put is taken at all.
-const MAX_STATE_BYTES_FOR_NEW_KEYS: usize = 1 << 20;
-pub(crate) const MAX_STATE_BYTES: usize = 2 << 20;
+/// Bytes of a shard's keys and their history above which no key is added, and above which no put is taken until the history is
+/// shorter. One in so many of the disk's bytes, this many at most.
+const KEY_BYTES_DIVISOR: usize = 64;
+const MAX_KEY_BYTES: usize = 2 << 20;
 /// Locks of a shard that are held at once.
 const MAX_LOCKS: usize = 4096;
 /// Uncommitted entries of a shard above which no call is taken: disks or links are too slow for more.
@@ -58,10 +59,10 @@
     }
 }
 
-/// Whether the state has room for a put to this key.
-fn has_room(primitives: &Primitives, key: &str) -> bool {
-    let bytes = primitives.memory_bytes();
-    bytes < MAX_STATE_BYTES_FOR_NEW_KEYS || bytes < MAX_STATE_BYTES && primitives.key(key).is_some()
+/// Whether the state has room for a put to this key; a disk has so many bytes.
+fn has_room(primitives: &Primitives, key: &str, disk_bytes: usize) -> bool {
+    let (bytes, most) = (primitives.key_bytes(), (disk_bytes / KEY_BYTES_DIVISOR).min(MAX_KEY_BYTES));
+    bytes < most / 2 || bytes < most && primitives.key(key).is_some()
 }
 
 impl Coordinator {
@@ -86,7 +87,10 @@
             }
             Request::PutKey { key, value, is_conditional, expected_revision } => {
                 let text = name(&key);
-                if self.primitives(number).is_some_and(|primitives| !has_room(primitives, &text)) {
+                if self
+                    .primitives(number)
+                    .is_some_and(|primitives| !has_room(primitives, &text, self.info.disk_bytes))
+                {
                     return self.refuse_overloaded(number, origin);
                 }
                 let is_here = shard_of_primitive(group_of(&text)) == number;
@@ -216,11 +220,10 @@
         proposal: Option<ProposalFate>,
     ) {
         let at = EntryTime { index, now: self.now.steady };
-        let history = self.info.watch_history;
         let Some(shard) = self.shards.get_mut(&number) else { return };
         let StateMachine::Primitives(primitives) = &mut shard.state_machine else { return };
-        let applied = Command::decode(bytes)
-            .and_then(|command| Ok((primitives.apply(&command, at, history)?, command)));
+        let applied =
+            Command::decode(bytes).and_then(|command| Ok((primitives.apply(&command, at)?, command)));
         let Ok((outcome, command)) = applied else {
             return self.violated(Invariant::CommandRead, &format_args!("shard {number}"));
         };
@@ -238,8 +241,19 @@
         }
     }
 
-    /// Where this process leads a shard of primitives, proposes to forget holds that ended long ago. Part of the periodic maintenance.
-    pub(crate) fn forget_ended_holds(&mut self) {
+    /// Forgets what nobody needs any more. Part of the periodic maintenance.
+    pub(crate) fn clean_up_primitives(&mut self) {
+        let before = self.now.steady - self.info.watch_history;
+        for shard in self.shards.values_mut() {
+            if let StateMachine::Primitives(primitives) = &mut shard.state_machine {
+                primitives.forget_history(before);
+            }
+        }
+        self.forget_ended_holds();
+    }
+
+    /// Where this process leads a shard of primitives, proposes to forget holds that ended long ago.
+    fn forget_ended_holds(&mut self) {
         let now = self.now.steady;
         for number in self.shards.keys().copied().collect::<Vec<u16>>() {
             let Some(shard) = self.shards.get_mut(&number).filter(|shard| shard.is_leader) else { continue };
--- a/crates/coordinator/src/replica_settings.rs
+++ b/crates/coordinator/src/replica_settings.rs
@@ -10,9 +10,10 @@
 /// shard then has a quarter of its disk in logs before the first rewrite.
 pub(crate) const LOGS_PER_DISK: usize = 4 * BATCH_SHARDS as usize;
 
-/// A shard of primitives takes so many bytes of log before it is rewritten, and its leader keeps so many for members that lag: its state
-/// is small.
-const PRIMITIVE_LOG_BYTES: usize = 1 << 20;
+/// A shard of primitives takes so many bytes of log before it is rewritten, and its leader keeps so many for members that lag, as its
+/// state is small: one in so many of the disk's bytes, this many at most.
+const PRIMITIVE_LOGS_PER_DISK: usize = 64;
+const MAX_PRIMITIVE_LOG_BYTES: usize = 1 << 20;
 
 /// The settings of this process's replica of a shard.
 pub(crate) fn replica_settings(info: &NodeInfo, shard: u16) -> Settings {
@@ -20,11 +21,8 @@
     if content_of(shard) != ShardContent::Primitives {
         return settings;
     }
-    Settings {
-        compaction_threshold_bytes: PRIMITIVE_LOG_BYTES,
-        max_lag_bytes: PRIMITIVE_LOG_BYTES,
-        ..settings
-    }
+    let log_bytes = (info.disk_bytes / PRIMITIVE_LOGS_PER_DISK).min(MAX_PRIMITIVE_LOG_BYTES);
+    Settings { compaction_threshold_bytes: log_bytes, max_lag_bytes: log_bytes, ..settings }
 }
 
 fn store_settings(info: &NodeInfo) -> Settings {
--- a/crates/coordinator/tests/primitives/main.rs
+++ b/crates/coordinator/tests/primitives/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../../../soak/src/primitive_history.rs"]
 mod history;
 
 use std::collections::BTreeMap;
@@ -310,6 +311,7 @@
         for caller in callers.iter_mut() {
             caller.act(fleet, GATEWAYS, may_begin, rng, history);
         }
+        assert_eq!(history.violations, [""; 0]);
     }
 }
 
@@ -370,6 +372,7 @@
     play(&mut fleet, &mut callers, 6.0, false, &mut rng, &mut history);
     assert!(callers.iter().all(Caller::is_idle));
     read_back(&mut fleet, &mut history);
+    assert_eq!(history.violations, [""; 0]);
     for shard in BATCH_SHARDS + 1..=LAST_SHARD {
         let leader = fleet.leader(shard).expect("a leader");
         assert!(figure(&fleet, leader, &format!("part_{shard}_keys")).is_some());
--- a/crates/primitives/src/key_group.rs
+++ b/crates/primitives/src/key_group.rs
@@ -1,21 +1,15 @@
 //! The keys of one group: their values, the group's count of revisions, and its recent puts.
 //!
 //! - Revisions of a group count up from 1, one for each put that took effect.
-//! - A put that comes again is recognized by its value and gets the revision of the first time, so it never takes effect twice.
 //! - A condition on a key's revision that was not met is not met later either, since revisions only rise: what was refused stays
 //!   refused.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use rainlug::Time;
-use xxhash_rust::xxh3::xxh3_128;
-
-/// How many puts of a group are remembered to recognize one that comes again.
-pub const MAX_REMEMBERED_PUTS: usize = 16_384;
-/// Bytes of memory of a key, of a put in the history and of a remembered put besides their texts, about.
+/// Bytes of memory of a key and of a put in the history besides their texts, about.
 const KEY_BYTES: usize = 96;
 const EVENT_BYTES: usize = 96;
-const REMEMBERED_PUT_BYTES: usize = 48;
 
 /// The group of a key: the key up to its first dot, with the dot; the whole key where it has none.
 pub fn group_of(key: &str) -> &str {
@@ -88,38 +82,19 @@
     pub(crate) history: VecDeque<PastPut>,
     /// The newest revision that is not in the history any more.
     pub(crate) forgotten_revision: u64,
-    /// The revisions of remembered puts, by the hash of key and value.
-    pub(crate) first_revisions: HashMap<u128, u64>,
-    /// The hashes of remembered puts, oldest first.
-    pub(crate) remembered: VecDeque<u128>,
     /// Bytes of the texts in keys and history.
     pub(crate) text_bytes: usize,
 }
 
-/// What a put is recognized by. Key and value are kept apart by the key's length.
-fn put_hash(key: &str, value: &str) -> u128 {
-    let mut bytes = Vec::with_capacity(8 + key.len() + value.len());
-    bytes.extend((key.len() as u64).to_le_bytes());
-    bytes.extend(key.as_bytes());
-    bytes.extend(value.as_bytes());
-    xxh3_128(&bytes)
-}
-
 impl KeyGroup {
-    /// Applies a put; `expected_revision` is the condition, if it has one. Puts that are older than `history` on this replica's clock
-    /// are forgotten.
+    /// Applies a put; `expected_revision` is the condition, if it has one.
     pub(crate) fn put(
         &mut self,
         key: &str,
         value: &str,
         expected_revision: Option<u64>,
         now: Time,
-        history: Time,
     ) -> PutOutcome {
-        let hash = put_hash(key, value);
-        if let Some(revision) = self.first_revisions.get(&hash) {
-            return PutOutcome::Done { revision: *revision };
-        }
         let present = self.keys.get(key).map_or(0, |version| version.revision);
         if expected_revision.is_some_and(|expected| expected != present) {
             return PutOutcome::Conflict { revision: present };
@@ -127,10 +102,8 @@
         self.revision += 1;
         let revision = self.revision;
         self.insert_key(key, Version { value: value.to_owned(), revision });
-        self.remember(hash, revision);
         let put = Put { key: key.to_owned(), value: value.to_owned(), revision };
         self.push_history(PastPut { put, applied_at: now });
-        self.forget_history(now - history);
         PutOutcome::Done { revision }
     }
 
@@ -147,18 +120,8 @@
         self.history.push_back(past);
     }
 
-    pub(crate) fn remember(&mut self, hash: u128, revision: u64) {
-        self.first_revisions.insert(hash, revision);
-        self.remembered.push_back(hash);
-        if self.remembered.len() > MAX_REMEMBERED_PUTS
-            && let Some(oldest) = self.remembered.pop_front()
-        {
-            self.first_revisions.remove(&oldest);
-        }
-    }
-
     /// Forgets the puts that were applied here before this time.
-    fn forget_history(&mut self, before: Time) {
+    pub(crate) fn forget_history(&mut self, before: Time) {
         while let Some(oldest) = self.history.front().filter(|past| past.applied_at < before) {
             self.forgotten_revision = oldest.put.revision;
             self.text_bytes -= oldest.put.key.len() + oldest.put.value.len();
@@ -204,9 +167,6 @@
 
     /// Bytes of memory, about; a snapshot has no more.
     pub(crate) fn memory_bytes(&self) -> usize {
-        self.text_bytes
-            + KEY_BYTES * self.keys.len()
-            + EVENT_BYTES * self.history.len()
-            + REMEMBERED_PUT_BYTES * self.remembered.len()
+        self.text_bytes + KEY_BYTES * self.keys.len() + EVENT_BYTES * self.history.len()
     }
 }
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -18,11 +18,13 @@
 mod command;
 mod key_group;
 mod lock_table;
+mod remembered_puts;
 mod snapshot;
 mod state;
 
 pub use command::Command;
-pub use key_group::{KeyGroup, MAX_REMEMBERED_PUTS, Put, PutOutcome, Version, WatchRead, group_of};
+pub use key_group::{KeyGroup, Put, PutOutcome, Version, WatchRead, group_of};
 pub use lock_table::{Availability, LockTable};
+pub use remembered_puts::MAX_REMEMBERED_PUTS;
 pub use snapshot::RestoreError;
 pub use state::{EntryTime, Outcome, Primitives};
--- a/crates/primitives/src/snapshot.rs
+++ b/crates/primitives/src/snapshot.rs
@@ -27,7 +27,7 @@
 enum Record {
     #[deku(id = "0")]
     Hold { lock: Text, holder: Text, first_fence: u64, fence: u64, last_entry: u64, hold_ms: u32 },
-    /// A group, to which the records behind it belong up to the next group.
+    /// A group, to which the keys and past puts behind it belong up to the next group.
     #[deku(id = "1")]
     Group { name: Text, revision: u64, forgotten_revision: u64 },
     #[deku(id = "2")]
@@ -63,10 +63,6 @@
         value: past.put.value.as_str().into(),
         revision: past.put.revision,
     }));
-    records.extend(group.remembered.iter().filter_map(|hash| {
-        let revision = *group.first_revisions.get(hash)?;
-        Some(Record::RememberedPut { hash: *hash, revision })
-    }));
     records
 }
 
@@ -107,7 +103,7 @@
                 let past = PastPut { put: Put { key, value, revision: *revision }, applied_at: self.now };
                 self.group()?.push_history(past);
             }
-            Record::RememberedPut { hash, revision } => self.group()?.remember(*hash, *revision),
+            Record::RememberedPut { hash, revision } => self.state.remembered.add(*hash, *revision),
         }
         Ok(())
     }
@@ -130,7 +126,9 @@
         let holds = self.locks.holds.iter().map(|(lock, hold)| hold_record(lock, hold));
         let groups = self.groups.iter().flat_map(|(name, group)| group_records(name, group));
         let mut bytes = BytesMut::with_capacity(self.memory_bytes());
-        for record in holds.chain(groups) {
+        let remembered = self.remembered.iter();
+        let puts = remembered.map(|(hash, revision)| Record::RememberedPut { hash, revision });
+        for record in holds.chain(groups).chain(puts) {
             bytes.extend_from_slice(&join(&record, &[]));
         }
         bytes.freeze()
--- a/crates/primitives/src/state.rs
+++ b/crates/primitives/src/state.rs
@@ -8,9 +8,11 @@
 use crate::Command;
 use crate::key_group::{KeyGroup, PutOutcome, Version, WatchRead, group_of};
 use crate::lock_table::LockTable;
+use crate::remembered_puts::{RememberedPuts, put_hash};
 
-/// Bytes of memory of a lock's hold, about.
+/// Bytes of memory of a lock's hold and of a remembered put, about.
 const HOLD_BYTES: usize = 192;
+const REMEMBERED_PUT_BYTES: usize = 48;
 
 /// Which entry of the log is applied, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,14 +52,15 @@
     pub(crate) locks: LockTable,
     /// By the group's name.
     pub(crate) groups: BTreeMap<String, KeyGroup>,
+    pub(crate) remembered: RememberedPuts,
 }
 
 impl Primitives {
-    /// Applies a committed command. Puts that are older than `history` (microseconds) on this replica's clock may be forgotten.
+    /// Applies a committed command.
     ///
     /// # Errors
     /// Where a name or value is not UTF-8; the state is as before.
-    pub fn apply(&mut self, command: &Command, at: EntryTime, history: Time) -> Result<Outcome, DecodeError> {
+    pub fn apply(&mut self, command: &Command, at: EntryTime) -> Result<Outcome, DecodeError> {
         Ok(match command {
             Command::Acquire { lock, holder, hold_ms, expired_entry } => {
                 let granted =
@@ -80,13 +83,31 @@
             Command::NextNumber { .. } => Outcome::Number(at.index),
             Command::Put { key, value, is_conditional, expected_revision } => {
                 let (key, value) = (key.to_str()?, value.to_str()?);
-                let group = self.groups.entry(group_of(key).to_owned()).or_default();
                 let expected = (*is_conditional != 0).then_some(*expected_revision);
-                Outcome::Put(group.put(key, value, expected, at.now, history))
+                Outcome::Put(self.put(key, value, expected, at.now))
             }
         })
     }
 
+    /// Applies a put, unless it has taken effect before.
+    fn put(&mut self, key: &str, value: &str, expected_revision: Option<u64>, now: Time) -> PutOutcome {
+        let hash = put_hash(key, value);
+        if let Some(revision) = self.remembered.revision(hash) {
+            return PutOutcome::Done { revision };
+        }
+        let group = self.groups.entry(group_of(key).to_owned()).or_default();
+        let outcome = group.put(key, value, expected_revision, now);
+        if let PutOutcome::Done { revision } = outcome {
+            self.remembered.add(hash, revision);
+        }
+        outcome
+    }
+
+    /// Forgets the puts that this replica applied before this time: watches cannot go on from before them any more.
+    pub fn forget_history(&mut self, before: Time) {
+        self.groups.values_mut().for_each(|group| group.forget_history(before));
+    }
+
     /// The locks.
     pub fn locks(&self) -> &LockTable {
         &self.locks
@@ -113,9 +134,13 @@
         self.groups.values().map(KeyGroup::key_count).sum()
     }
 
+    /// Bytes of memory of keys and their history, about.
+    pub fn key_bytes(&self) -> usize {
+        self.groups.values().map(KeyGroup::memory_bytes).sum()
+    }
+
     /// Bytes of memory, about; a snapshot has no more.
     pub fn memory_bytes(&self) -> usize {
-        let groups: usize = self.groups.values().map(KeyGroup::memory_bytes).sum();
-        groups + HOLD_BYTES * self.locks.len()
+        self.key_bytes() + HOLD_BYTES * self.locks.len() + REMEMBERED_PUT_BYTES * self.remembered.len()
     }
 }
--- a/crates/primitives/tests/state.rs
+++ b/crates/primitives/tests/state.rs
@@ -22,7 +22,7 @@
     fn apply(&mut self, command: &Command) -> Outcome {
         self.index += 1;
         let at = EntryTime { index: self.index, now: self.now };
-        self.state.apply(command, at, HISTORY).expect("valid names")
+        self.state.apply(command, at).expect("valid names")
     }
 
     fn put(&mut self, key: &str, value: &str, expected: Option<u64>) -> PutOutcome {
@@ -121,6 +121,7 @@
     assert_eq!(puts.iter().map(|put| put.revision).collect::<Vec<u64>>(), [2, 3]);
     // The first put is forgotten, and nothing is asked for from before it but by who knows none.
     replica.now = 100 * SECOND;
+    replica.state.forget_history(replica.now - HISTORY);
     replica.put("g.k", "4", None);
     assert_eq!(replica.state.puts_since("g.", 2, 100), WatchRead::TooOld);
     // A page that would be too long ends earlier, and says so by its revision.
