--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod network;
 pub mod operator;
 pub mod options;
+pub mod primitive_history;
 pub mod run;
 pub mod settle;
 pub mod soak;
