Soak: applications hold locks, take numbers, put, read and watch keys

Cause: the soak of real processes had no callers of this part of the protocol.

Change: six applications on open control connections, each used until its gateway ends it or is gone; the checker of ONE, ORDER, STALE, MIXED, REFUSED and LOST that the in-memory stories use; all is read back after the closing fault.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! Soak test: a whole small tier of real processes on loopback addresses, under load, with random faults two or three at once, and
 //! a checker of the rules that hold for all machines. See `docs/soak.md`.
 
+pub mod applications;
 pub mod checker;
 pub mod client;
 pub mod losses;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use crate::applications::applications;
 use crate::checker::{Checker, Terms, Violation};
 use crate::client::{reads, reads_on_open_connections, submits};
 use crate::monitor;
@@ -28,8 +29,11 @@
 const SUBMITTERS: u64 = 1000;
 const READERS: u64 = 2000;
 const OPEN_READERS: u64 = 2500;
+const CALLERS: u64 = 2700;
 const OPERATORS: u64 = 3000;
 const TROUBLES: u64 = 4000;
+/// Applications that call for locks, numbers, keys and watches.
+const APPLICATIONS: u64 = 6;
 /// The tier must be up in this time.
 const UP: Duration = Duration::from_secs(30);
 const RETRY: Duration = Duration::from_millis(200);
@@ -135,6 +139,9 @@
         all.push(spawn_local(reads(soak.clone(), READERS + client)));
         all.push(spawn_local(reads_on_open_connections(soak.clone(), OPEN_READERS + client)));
     }
+    for application in 0..APPLICATIONS {
+        all.push(spawn_local(applications(soak.clone(), CALLERS + application, application as usize)));
+    }
     all.push(spawn_local(configures(soak.clone(), OPERATORS)));
     all.push(spawn_local(retires(soak.clone(), OPERATORS + 1)));
     for row in 0..u64::from(soak.options.overlap) {
--- a/crates/soak/src/settle.rs
+++ b/crates/soak/src/settle.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::applications::read_back;
 use crate::client::{HOSTS, host_of, read};
 use crate::run::status;
 use crate::soak::Soak;
@@ -53,6 +54,7 @@
     heal(soak);
     let mut random = soak.random(1);
     serves_again(soak, &mut random).await;
+    read_back(soak, &mut random).await;
     finishes(soak, &mut random, &ids, begun + retain + FINISHES).await;
     soak.note("all is read once more");
     read_all(soak, ids).await
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -15,6 +15,7 @@
 use crate::checker::Checker;
 use crate::losses::Losses;
 use crate::options::Options;
+use crate::primitive_history::History;
 use crate::tier::Tier;
 
 /// How far a run is.
@@ -35,6 +36,8 @@
     pub tier: RefCell<Tier>,
     pub checker: RefCell<Checker>,
     pub losses: RefCell<Losses>,
+    /// What applications were told of locks, numbers and keys.
+    pub primitives: RefCell<History>,
     stage: Cell<Stage>,
     is_flawed: Cell<bool>,
     begun: Instant,
@@ -52,6 +55,7 @@
             tier: RefCell::new(tier),
             checker: RefCell::new(checker),
             losses: RefCell::new(losses),
+            primitives: RefCell::default(),
             stage: Cell::new(Stage::Load),
             is_flawed: Cell::new(false),
             begun: Instant::now(),
@@ -153,6 +157,12 @@
         tier.plan.front_address(&tier.hosts[gateway].machine)
     }
 
+    /// Where a gateway serves applications and operators.
+    pub fn control_of(&self, gateway: usize) -> SocketAddr {
+        let tier = self.tier.borrow();
+        tier.plan.control_address(&tier.hosts[gateway].machine)
+    }
+
     fn any(&self, random: &mut SmallRng, at: impl Fn(&Tier, usize) -> SocketAddr) -> SocketAddr {
         let tier = self.tier.borrow();
         let gateways = tier.of(&[MachineRole::Gateway]);
