--- a/crates/coordinator/tests/primitives/main.rs
+++ b/crates/coordinator/tests/primitives/main.rs
@@ -142,6 +142,28 @@
     assert!(field(&ask(&mut fleet, number("n")), "payload") > later);
 }
 
+#[test]
+fn given_a_leader_that_stood_still_when_a_read_reaches_it_before_it_knows_then_it_answers_no_old_value() {
+    let mut fleet = fleet(10);
+    ask(&mut fleet, put("g1.a", "one", None));
+    // Given that a gateway knows the leader, which then stands still, and that only this gateway reaches it.
+    assert_eq!(field(&ask(&mut fleet, read("g1.a")), "revision"), 1);
+    let leader = fleet.leader(shard_of_primitive("g1.")).expect("a leader");
+    fleet.freeze(leader);
+    let others: Vec<usize> = fleet.others(leader).into_iter().filter(|at| *at != CORE).collect();
+    fleet.partition(&[leader], &others);
+    fleet.pass(2.0);
+    let acknowledged = fleet.ask(CORE + 1, Call::Primitive(put("g1.a", "two", Some(1))), 1.0);
+    assert_eq!(acknowledged.map(|answer| answer.status), Some(200));
+    // When it goes on with the read, and looks at its timers later.
+    let reads = fleet.call(CORE, Call::Primitive(read("g1.a")));
+    fleet.pass(0.005);
+    fleet.machines[leader].frozen = false;
+    fleet.until(2.0, |fleet| fleet.answers.contains_key(&reads));
+    let answer = fleet.answers[&reads].1.clone();
+    assert!(answer.status == 503 || field(&answer, "revision") == 2, "{answer:?}");
+}
+
 #[test]
 fn given_a_put_when_it_comes_again_then_it_has_its_first_revision_and_a_condition_holds_once() {
     let mut fleet = fleet(5);
