--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -138,7 +138,7 @@
         /// So many of the first records follow from what the log holds: to append the others is as good.
         implied: usize,
     },
-    /// Give the disk this identity, and drop what it held of shards of batch jobs.
+    /// Give the disk this identity, and drop what it held of shards of stores.
     ReplaceDiskIdentity {
         /// The new identity.
         disk: MemberId,
--- a/crates/coordinator/src/control.rs
+++ b/crates/coordinator/src/control.rs
@@ -110,7 +110,7 @@
     accepted: BTreeMap<u64, u64>,
     /// The stores by name.
     pub stores: BTreeMap<String, Store>,
-    /// The replica sets of the shards of batch jobs that are founded.
+    /// The replica sets of the other shards that are founded.
     pub replica_sets: BTreeMap<u16, ReplicaSet>,
     /// Retirements that were ever ordered.
     retirements: u32,
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -73,7 +73,7 @@
     pub next_at: Time,
     /// When this process next asks to be a member or to be registered.
     pub announce_at: Time,
-    /// Since when there have been enough stores to found the shards of batch jobs.
+    /// Since when there have been enough stores to found the shards that stores hold.
     pub enough_stores_since: Option<Time>,
 }
 
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -174,7 +174,7 @@
         /// The store's disk.
         member: MemberRecord,
     },
-    /// To the configuration's shard: the committed replica set of a shard of batch jobs, from that shard's leader.
+    /// To the configuration's shard: the committed replica set of a shard of stores, from that shard's leader.
     #[deku(id = "6")]
     ReportReplicaSet {
         /// The shard's number.
--- a/crates/coordinator/src/info.rs
+++ b/crates/coordinator/src/info.rs
@@ -19,7 +19,7 @@
 pub enum ProcessRole {
     /// It takes clients' requests; with a disk it may also hold a replica of the configuration's shard.
     Gateway,
-    /// It holds replicas of batch-job shards.
+    /// It holds replicas of the shards of batch jobs and of primitives.
     Store,
 }
 
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -60,7 +60,7 @@
     pub standing: &'static str,
     /// Whether it was ordered to give up its replicas.
     pub is_retiring: bool,
-    /// The batch-job shards that it holds a replica of, by number.
+    /// The shards that it holds a replica of, by number.
     pub shards: Vec<u16>,
 }
 
--- a/crates/coordinator/src/replica_placement.rs
+++ b/crates/coordinator/src/replica_placement.rs
@@ -1,6 +1,6 @@
 //! Which disks are members of which shard's replica set.
 //!
-//! The leader of the configuration's shard chooses the members of that shard; the leader of a batch-job shard chooses those of its
+//! The leader of the configuration's shard chooses the members of that shard; the leader of a shard that stores hold chooses those of its
 //! own and reports them, so that the topology names them. One member is exchanged, added or removed at a time, and only once the
 //! change before is committed (Raft 4.1: single-server changes). Members are spread over zones first, then over stores.
 
@@ -62,7 +62,7 @@
     }
 
     /// The candidate that would best join the other members of a shard: in a zone with the fewest of them; there, the one with
-    /// the fewest replicas of batch-job shards.
+    /// the fewest replicas.
     fn best_candidate<'a>(
         &self,
         number: u16,
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Chooses the members of a batch-job shard whose leader this is, or reports them where they stay.
+    /// Chooses the members of a shard of stores whose leader this is, or reports them where they stay.
     pub(crate) fn place_store_members(&mut self, number: u16) {
         let Some(shard) = self.shards.get(&number) else { return };
         if !shard.replica.is_replica_set_committed()
@@ -144,7 +144,7 @@
         self.topology.stores.iter().filter_map(|store| store.member.to_member().ok()).collect()
     }
 
-    /// The next members of a batch-job shard, where they are to change. The first to be replaced are those that hold nothing any
+    /// The next members of a shard of stores, where they are to change. The first to be replaced are those that hold nothing any
     /// more (fenced or unlisted), then those that retire, then those that are absent and may come back.
     fn next_store_members(&self, number: u16, members: &[Member]) -> Option<Vec<Member>> {
         let listed = self.listed_stores();
--- a/crates/coordinator/src/topology.rs
+++ b/crates/coordinator/src/topology.rs
@@ -23,7 +23,7 @@
     #[deku(count = "store_count")]
     pub stores: Vec<StoreRecord>,
     replica_set_count: u16,
-    /// The replica sets of the batch-job shards that are founded.
+    /// The replica sets of the other shards that are founded.
     #[deku(count = "replica_set_count")]
     pub replica_sets: Vec<ShardReplicaSet>,
     /// How many retirements of stores were ever ordered.
@@ -51,7 +51,7 @@
     }
 }
 
-/// The replica set of a batch-job shard, as the shard's leader has reported it.
+/// The replica set of a shard of stores, as the shard's leader has reported it.
 #[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(ctx = "endian: deku::ctx::Endian", endian = "endian")]
 pub struct ShardReplicaSet {
@@ -146,12 +146,12 @@
         self.replica_set(shard).is_some_and(|set| set.index >= index && !set.has_member(disk))
     }
 
-    /// How many batch-job shards a disk holds a replica of.
+    /// How many shards a store's disk holds a replica of.
     pub fn replica_count(&self, disk: MemberId) -> usize {
         self.replica_sets.iter().filter(|set| set.has_member(disk)).count()
     }
 
-    /// The replica set of a batch-job shard, where that is founded.
+    /// The replica set of a shard of stores, where that is founded.
     pub fn replica_set(&self, shard: u16) -> Option<&ShardReplicaSet> {
         self.replica_sets.iter().find(|set| set.shard == shard)
     }
