Handover: idle connections are passed on to the process that goes on

What callers saw: a connection that idled while its process was upgraded was closed by that process, half a second after its last answer and 1.5 s after SIGTERM at the latest.

Cause: HTTP/1.1 has no way to close an idle connection without that race, and the process that stops closed it although another one went on. It also closed by what the runtime last saw of the socket: a request that had come since the last look was destroyed with it.

Change: a process that stops beside one that goes on passes its idle connections to that one, by SCM_RIGHTS into an inbox of their own (crates/handover/src/connection.rs, with listener.rs on descriptor.rs). What is on its way is read by the other process. The status says whether a process takes connections: one that is older takes none, and idle connections end as before. Emptied dispatchers pass none. Where a connection is closed (silent, emptied, stopped, seat wanted) the socket is asked by a system call first, and a request that has come is answered; where nobody waits for the seat the end has two steps, and what crosses it is counted (relay.crossed) and logged.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -1,11 +1,14 @@
 //! What holds for a process of the dispatcher while it is emptied, stopped, or followed by the next one, and what the
 //! processes of one dispatcher tell one another. `phase` and `words` decide and read without files or clocks.
 
+mod connection;
+mod descriptor;
 mod listener;
 mod phase;
 mod place;
 mod words;
 
+pub use connection::{ConnectionInbox, pass_connection};
 pub use listener::{ListenerInbox, SocketId, pass_listener};
 pub use phase::{Follower, IDLE_CLOSED_WITHIN, IDLE_LINGER, Listening, Phase, Stance};
 pub use place::{Place, Status};
--- a/crates/handover/src/listener.rs
+++ b/crates/handover/src/listener.rs
@@ -1,25 +1,16 @@
-//! Passing a listening socket from one process of a dispatcher to the next, by `SCM_RIGHTS` over a Unix datagram socket in
-//! the directory that they share.
+//! Passing a listening socket from one process of a dispatcher to the next.
 //!
 //! Closing a listening socket resets the connections that wait in its queue, and handshakes that complete meanwhile. Two
 //! processes that have the same socket accept from one queue, so the end of either closes nothing.
 
-use std::fs::{self, File};
-use std::io::{self, IoSlice, IoSliceMut};
-use std::mem::MaybeUninit;
+use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::{AsFd, AsRawFd, OwnedFd};
-use std::os::unix::net::UnixDatagram;
-use std::path::{Path, PathBuf};
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::Path;
 
 use rustix::net::sockopt::socket_acceptconn;
-use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags, recvmsg, sendmsg,
-};
 
-/// What a datagram carries beside the socket: one without data would carry no descriptor.
-const PAYLOAD: [u8; 1] = [1];
+use crate::descriptor::{DescriptorInbox, pass_descriptor};
 
 /// Which socket a listener is: two descriptors of one socket have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -39,7 +30,7 @@
 /// Where a process receives the listening sockets that others of its dispatcher pass to it.
 #[derive(Debug)]
 pub struct ListenerInbox {
-    socket: UnixDatagram,
+    descriptors: DescriptorInbox,
 }
 
 impl ListenerInbox {
@@ -49,14 +40,7 @@
     ///
     /// Where the file cannot be made, or its name (without the directory) is longer than a socket's may be.
     pub fn bind(path: &Path) -> io::Result<Self> {
-        match fs::remove_file(path) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
-            _ => {}
-        }
-        let (_directory, short) = short_path(path)?;
-        let socket = UnixDatagram::bind(short)?;
-        socket.set_nonblocking(true)?;
-        Ok(ListenerInbox { socket })
+        Ok(ListenerInbox { descriptors: DescriptorInbox::bind(path)? })
     }
 
     /// The next listener at `address` that has been passed; nothing where none is waiting. Other sockets are closed.
@@ -66,7 +50,7 @@
     /// Where the inbox cannot be read.
     pub fn receive(&self, address: SocketAddr) -> io::Result<Option<TcpListener>> {
         loop {
-            match self.receive_descriptor() {
+            match self.descriptors.receive() {
                 Ok(descriptor) => {
                     let listener = descriptor.and_then(|descriptor| listener_at(descriptor, address));
                     if listener.is_some() {
@@ -78,20 +62,6 @@
             }
         }
     }
-
-    /// The descriptor in the next datagram, if it has one.
-    fn receive_descriptor(&self) -> io::Result<Option<OwnedFd>> {
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut control = RecvAncillaryBuffer::new(&mut space);
-        let mut payload = PAYLOAD;
-        let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
-        recvmsg(&self.socket, &mut [IoSliceMut::new(&mut payload)], &mut control, flags)?;
-        let descriptors = control.drain().filter_map(|message| match message {
-            RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
-            _ => None,
-        });
-        Ok(descriptors.flatten().next())
-    }
 }
 
 /// The socket, if it listens for TCP connections at that address.
@@ -107,24 +77,5 @@
 ///
 /// Where nobody has an inbox there, or it is full.
 pub fn pass_listener(listener: impl AsFd, inbox: &Path) -> io::Result<()> {
-    let socket = UnixDatagram::unbound()?;
-    let (_directory, short) = short_path(inbox)?;
-    socket.connect(short)?;
-    let descriptors = [listener.as_fd()];
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-    let mut control = SendAncillaryBuffer::new(&mut space);
-    control.push(SendAncillaryMessage::ScmRights(&descriptors));
-    sendmsg(&socket, &[IoSlice::new(&PAYLOAD)], &mut control, SendFlags::DONTWAIT)?;
-    Ok(())
-}
-
-/// A path to the same file through its open directory: a socket's path has 107 bytes at most. It holds while the
-/// directory is open.
-fn short_path(path: &Path) -> io::Result<(File, PathBuf)> {
-    let (Some(directory), Some(name)) = (path.parent(), path.file_name()) else {
-        return Err(io::ErrorKind::InvalidInput.into());
-    };
-    let directory = File::open(directory)?;
-    let short = Path::new("/proc/self/fd").join(directory.as_raw_fd().to_string()).join(name);
-    Ok((directory, short))
+    pass_descriptor(listener, inbox)
 }
--- a/crates/handover/src/phase.rs
+++ b/crates/handover/src/phase.rs
@@ -48,6 +48,8 @@
     pub keeps: bool,
     /// Idle connections are closed when they have idled for the first, and all of them at the second.
     pub idle: Option<(Time, Time)>,
+    /// Idle connections are passed on to the process that goes on, where it takes them.
+    pub passes_connections: bool,
     pub listening: Listening,
 }
 
@@ -94,7 +96,8 @@
             (None, _, None) => None,
         };
         let ready = self.stopping.is_none() && self.emptied.is_none();
-        Stance { ready, keeps: ready && !followed, idle, listening: self.listening() }
+        let passes_connections = followed && self.stopping.is_some() && !self.emptied();
+        Stance { ready, keeps: ready && !followed, idle, passes_connections, listening: self.listening() }
     }
 
     fn listening(&self) -> Listening {
--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::connection::{ConnectionInbox, pass_connection};
 use crate::listener::{ListenerInbox, SocketId, pass_listener};
 use crate::phase::Follower;
 use crate::words::Words;
@@ -34,11 +35,20 @@
     /// The listening socket that it accepts from. A process that is older than this field passes none on.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub listener: Option<SocketId>,
+    /// Takes idle connections of those that stop. A process that is older than this field takes none.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub takes_connections: bool,
 }
 
 impl Status {
     fn begun(started: Time) -> Self {
-        Status { started, serves: false, stops: false, applied: 0, listener: None }
+        Status { started, serves: false, stops: false, applied: 0, listener: None, takes_connections: false }
+    }
+
+    /// Whether the other process takes the clients of this one: a newer one that serves, and where this one is to end also an
+    /// older one that goes on.
+    fn is_followed_by(&self, other: &Status) -> bool {
+        other.serves && (other.started > self.started || (self.stops && !other.stops))
     }
 }
 
@@ -158,6 +168,12 @@
         self.publish()
     }
 
+    /// Takes connections that others pass to it, from now on.
+    pub fn takes_connections(&self) -> io::Result<()> {
+        self.status.borrow_mut().takes_connections = true;
+        self.publish()
+    }
+
     /// Has closed its listening socket.
     pub fn closed_listener(&self) -> io::Result<()> {
         self.status.borrow_mut().listener = None;
@@ -168,10 +184,7 @@
     /// one that goes on.
     pub fn follower(&self, others: &[Status]) -> Follower {
         let status = self.status.borrow();
-        let follows = |other: &&Status| {
-            other.serves && (other.started > status.started || (status.stops && !other.stops))
-        };
-        let mut followers = others.iter().filter(follows).peekable();
+        let mut followers = others.iter().filter(|other| status.is_followed_by(other)).peekable();
         if followers.peek().is_none() {
             return Follower::Absent;
         }
@@ -199,6 +212,29 @@
         }
     }
 
+    /// Where other processes pass connections to this one.
+    ///
+    /// # Errors
+    ///
+    /// Where it cannot be opened.
+    pub fn connection_inbox(&self) -> io::Result<ConnectionInbox> {
+        ConnectionInbox::bind(&connections_path(&self.base, self.number))
+    }
+
+    /// Passes a connection to the newest process that takes the clients of this one and connections with them. The status of
+    /// the others is read now: one that is about to end must not be passed any.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` where no such process lives, `WouldBlock` where it has to read others first.
+    pub fn pass_connection(&self, connection: impl AsFd) -> io::Result<()> {
+        let status = self.status.borrow();
+        let takes = |other: &Status| other.takes_connections && !other.stops && status.is_followed_by(other);
+        let others = self.numbered_others().filter(|(_, other)| takes(other));
+        let (number, _) = others.max_by_key(|(_, other)| other.started).ok_or(io::ErrorKind::NotFound)?;
+        pass_connection(connection, &connections_path(&self.base, number))
+    }
+
     pub fn stops(&self) -> io::Result<()> {
         self.status.borrow_mut().stops = true;
         self.publish()
@@ -308,6 +344,10 @@
     base.with_added_extension(format!("{number}.sock"))
 }
 
+fn connections_path(base: &Path, number: usize) -> PathBuf {
+    base.with_added_extension(format!("{number}.connections.sock"))
+}
+
 fn learnt_path(base: &Path) -> PathBuf {
     base.with_added_extension("learnt")
 }
@@ -363,6 +403,35 @@
         assert_eq!(old.follower(&old.others()), Follower::OwnSocket, "the newer one takes what still comes");
     }
 
+    #[test]
+    fn given_processes_that_take_connections_when_one_stops_then_the_newest_that_goes_on_is_passed_its_own() {
+        let dir = tempfile::tempdir().unwrap();
+        let (old, middle, new) = (take(dir.path(), 1), take(dir.path(), 2), take(dir.path(), 3));
+        let inboxes = [&middle, &new].map(|place| place.connection_inbox().unwrap());
+        let arrived = || inboxes.iter().map(|inbox| !inbox.is_empty()).collect::<Vec<_>>();
+        let connection = File::open(dir.path()).unwrap();
+        old.stops().unwrap();
+        for place in [&middle, &new] {
+            let passed = old.pass_connection(&connection);
+            assert_eq!(passed.unwrap_err().kind(), io::ErrorKind::NotFound);
+            place.takes_connections().unwrap();
+        }
+        assert!(old.pass_connection(&connection).is_err(), "neither serves yet");
+        middle.serves(None).unwrap();
+        new.serves(None).unwrap();
+        new.stops().unwrap();
+        old.pass_connection(&connection).unwrap();
+        assert_eq!(arrived(), [true, false], "the newer one is to end");
+        let newest = take(dir.path(), 4);
+        let inbox = newest.connection_inbox().unwrap();
+        newest.takes_connections().unwrap();
+        newest.serves(None).unwrap();
+        old.pass_connection(&connection).unwrap();
+        assert!(!inbox.is_empty() && arrived() == [true, false]);
+        assert!(middle.pass_connection(&connection).is_ok(), "a newer one serves");
+        assert!(newest.pass_connection(&connection).is_err(), "it does not end itself, and is the newest");
+    }
+
     #[test]
     fn no_more_than_there_are_places() {
         let dir = tempfile::tempdir().unwrap();
--- a/crates/handover/tests/phase.rs
+++ b/crates/handover/tests/phase.rs
@@ -46,6 +46,22 @@
     }
 }
 
+/// What a client sends on a connection while it is closed is lost: it is passed on where another process goes on with it.
+#[test]
+fn given_a_process_that_stops_when_another_goes_on_then_idle_connections_are_passed_to_it_unless_clients_are_sent_away()
+ {
+    for (emptied, followed) in [(false, false), (false, true), (true, false), (true, true)] {
+        let mut phase = Phase::default();
+        if emptied {
+            phase.empty(0);
+        }
+        phase.followed(if followed { Follower::SameSocket } else { Follower::Absent });
+        assert!(!phase.stance().passes_connections, "it goes on itself");
+        phase.stop(SECOND);
+        assert_eq!(phase.stance().passes_connections, followed && !emptied);
+    }
+}
+
 #[test]
 fn who_follows_takes_the_clients_over_and_gives_them_back_where_it_dies() {
     for by in [Follower::SameSocket, Follower::OwnSocket] {
--- a/crates/rainlugd/src/program/clients.rs
+++ b/crates/rainlugd/src/program/clients.rs
@@ -15,7 +15,7 @@
 
 use crate::protocol::head;
 use crate::routing::Beside;
-use crate::routing::client::{self, Door};
+use crate::routing::client::{self, Arrival, Door};
 use crate::transport::{Bounds, Link, Pool};
 
 /// The pause after a failure to accept that would come again at once.
@@ -80,6 +80,7 @@
 }
 
 /// What those who connect are given.
+#[derive(Clone)]
 pub struct Newcomers {
     pub door: Rc<Door>,
     pub stance: watch::Receiver<Stance>,
@@ -112,7 +113,7 @@
                     stream = accepted(&listener) => stream,
                 };
                 if let Some(stream) = stream {
-                    newcomers.take_in(stream).await;
+                    newcomers.take_in(stream, Arrival::Accepted).await;
                 }
             }
         }
@@ -127,13 +128,20 @@
         if is_followed { "clients come to another process now" } else { "no clients are taken any more" };
     log!("{who}; {} waited here", waiting.len());
     for stream in waiting {
-        newcomers.take_in(stream).await;
+        newcomers.take_in(stream, Arrival::Accepted).await;
+    }
+}
+
+/// Takes in connections that other processes of this dispatcher pass on, as long as this one lives.
+pub async fn take_passed(address: SocketAddr, newcomers: Newcomers, beside: Rc<Beside>) {
+    while let Some(stream) = beside.passed_connection(address).await {
+        newcomers.take_in(stream, Arrival::PassedOn).await;
     }
 }
 
 impl Newcomers {
     /// Gives a client a seat, or has it turned away.
-    async fn take_in(&self, stream: TcpStream) {
+    async fn take_in(&self, stream: TcpStream, arrival: Arrival) {
         let (seat, turned_away) = match self.bounds.clients.seat() {
             Some(seat) => (seat, false),
             // What has been accepted is owed an answer, be it that there is no room, from the reserve. An idle client
@@ -146,7 +154,7 @@
             },
         };
         let link = Link::over(stream, head::request_body, &self.pool, seat);
-        spawn_local(client::serve(link, self.door.clone(), self.stance.clone(), turned_away));
+        spawn_local(client::serve(link, arrival, self.door.clone(), self.stance.clone(), turned_away));
         // The newcomer is known to be silent before the next one asks for a seat: else a kept client would go for it.
         yield_now().await;
     }
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -22,7 +22,7 @@
 use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::sleep;
 
-use self::clients::{Newcomers, accept, accepted, open};
+use self::clients::{Newcomers, accept, accepted, open, take_passed};
 use self::stop::{InHand, wind_up};
 
 use crate::base::Clock;
@@ -111,7 +111,7 @@
     let (mailbox, letters) = mpsc::channel(MAILBOX);
     let (words, staff) = mpsc::channel(MAILBOX);
     let made = parts(all, clock, &mailbox)?;
-    let Parts { bounds, pool, door, source, rev, known, asked, closing, mut desk, mut logic, .. } = made;
+    let Parts { bounds, pool, mut door, source, rev, known, asked, closing, mut desk, mut logic, .. } = made;
     let stances = Rc::new(Stances::new(clock));
     let mut beside = None;
     let calls = UnderWay::default();
@@ -184,10 +184,15 @@
             let listener = Rc::new(listener);
             stances.opened();
             beside.iter().for_each(|others| others.serves(&listener));
-            // Whoever reads this may end the process before at once: that one must find this one serving.
-            log!("listening on {}", listener.local_addr()?);
+            let address = listener.local_addr()?;
+            door.beside = beside.clone();
             let newcomers =
                 Newcomers { door: Rc::new(door), stance: stances.watch(), bounds: bounds.clone(), pool };
+            if let Some(others) = beside.clone() {
+                spawn_local(take_passed(address, newcomers.clone(), others));
+            }
+            // Whoever reads this may end the process before at once: that one must find this one serving.
+            log!("listening on {address}");
             accepting = Some(spawn_local(accept(listener, newcomers, beside.clone())));
             stop.recv().await;
         }
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -68,6 +68,9 @@
         }
         sleep(LOOK).await;
     }
+    let another_may_pass = || beside.is_some_and(|others| others.another_stops());
+    let has_taken_all =
+        || in_hand.is_empty(stances) && beside.is_none_or(|others| others.has_taken_connections());
     let by = begun + Duration::from_micros(within as u64);
     // A word that binds and whose caller is not told so would be doubted.
     while !in_hand.calls.is_empty() && Instant::now() < by {
@@ -79,7 +82,12 @@
     if !outlived() {
         log!("waiting for an older process that still answers");
     }
-    while !outlived() && Instant::now() < by {
+    // One that stops beside this one may have taken it for the one that goes on, before it was told.
+    let awaits_passed = || begun.elapsed() < LAST_CLIENTS && another_may_pass();
+    while (!outlived() || awaits_passed() || !has_taken_all()) && Instant::now() < by {
         sleep(LOOK).await;
     }
+    if let Some(others) = beside {
+        log!("{} idle connections passed on", others.passed_connections());
+    }
 }
--- a/crates/rainlugd/src/program/told.rs
+++ b/crates/rainlugd/src/program/told.rs
@@ -138,6 +138,7 @@
         patience: lasting(longest(settings)?),
         haste: lasting(OWED).mul_f64(HASTE),
         figures: figures.clone(),
+        beside: None,
     })
 }
 
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -1,15 +1,18 @@
 //! The other processes of this dispatcher, in an upgrade: who lives, who follows, and the words that all hold.
 
 use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::os::fd::BorrowedFd;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rainlug::Lessons;
-use rainlug_handover::{Follower, ListenerInbox, Place, SocketId, Status, Words};
-use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use rainlug_handover::{ConnectionInbox, Follower, ListenerInbox, Place, SocketId, Status, Words};
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream, UnixDatagram};
+use tokio::sync::{Mutex, oneshot};
 use tokio::time::{Instant, sleep};
 
 use super::{Mail, Peers, Stances, ToModule};
@@ -28,12 +31,19 @@
 const TAUGHT_BY: Duration = Duration::from_millis(500);
 /// The listener of a process that serves is waited for so long: that one may stand still for a while.
 const PASSED_BY: Duration = Duration::from_secs(2);
+/// Between two tries to pass a connection to a process whose inbox is full.
+const INBOX_FULL: Duration = Duration::from_millis(2);
 
 pub struct Beside {
     /// Nothing where there is no directory that all processes have.
     place: Option<Place>,
     /// Nothing where it cannot be opened: this process then has a listener of its own.
     inbox: Option<ListenerInbox>,
+    /// Nothing where it cannot be opened: idle connections of others are then not taken here.
+    connections: Option<PassedConnections>,
+    /// Who passes a connection, one at a time: all of them look for room in one inbox.
+    passing: Mutex<()>,
+    passed: Cell<usize>,
     /// What this process accepts clients from, until it closes it.
     listener: RefCell<Option<Rc<TcpListener>>>,
     module: ToModule,
@@ -43,6 +53,26 @@
     others: Cell<usize>,
 }
 
+/// Idle connections that other processes of this dispatcher pass to this one.
+struct PassedConnections {
+    inbox: ConnectionInbox,
+    /// The inbox's socket, as the runtime waits for it.
+    socket: UnixDatagram,
+}
+
+impl PassedConnections {
+    fn open(place: &Place) -> io::Result<Self> {
+        let inbox = place.connection_inbox()?;
+        let socket = UnixDatagram::from_std(inbox.try_clone_socket()?)?;
+        Ok(PassedConnections { inbox, socket })
+    }
+
+    async fn next(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let receive = || self.inbox.receive(address)?.ok_or(ErrorKind::WouldBlock.into());
+        TcpStream::from_std(self.socket.async_io(Interest::READABLE, receive).await?)
+    }
+}
+
 impl Beside {
     /// Takes a place among the processes of the dispatcher of that name, which tell one another in `dir`. Where there is
     /// none, this one serves as if it were alone.
@@ -74,8 +104,25 @@
             let opened = place.listener_inbox();
             opened.inspect_err(|error| log!("no listener can be passed to this process: {error}")).ok()
         });
+        let connections = place.as_ref().and_then(|place| {
+            let opened = PassedConnections::open(place);
+            opened.inspect_err(|error| log!("no connection can be passed to this process: {error}")).ok()
+        });
         let (listener, others) = (RefCell::default(), Cell::new(0));
-        Beside { place, inbox, listener, module, stances, bounds, peers, others }
+        let (passing, passed) = (Mutex::default(), Cell::new(0));
+        Beside {
+            place,
+            inbox,
+            connections,
+            passing,
+            passed,
+            listener,
+            module,
+            stances,
+            bounds,
+            peers,
+            others,
+        }
     }
 
     /// Workers that are out by words said before. That clients are sent away holds on only where a process lives that
@@ -102,8 +149,9 @@
         self.count() == 0
     }
 
-    /// This process takes clients now, from that listener.
+    /// This process takes clients now, from that listener, and those that others pass on.
     pub fn serves(&self, listener: &Rc<TcpListener>) {
+        self.takes_connections();
         *self.listener.borrow_mut() = Some(listener.clone());
         let id = SocketId::of(&**listener).ok();
         let told = self.place.as_ref().map_or(Ok(()), |place| place.serves(id));
@@ -174,6 +222,63 @@
         }
     }
 
+    /// Others may pass idle connections to this process from now on, where it has an inbox for them.
+    fn takes_connections(&self) {
+        let (Some(place), Some(_)) = (&self.place, &self.connections) else { return };
+        let told = place.takes_connections();
+        told.unwrap_or_else(|error| log!("others cannot be told that connections are taken: {error}"));
+    }
+
+    /// The next connection to `address` that another process passes to this one; nothing where none will ever be.
+    pub async fn passed_connection(&self, address: SocketAddr) -> Option<TcpStream> {
+        let passed = self.connections.as_ref()?;
+        loop {
+            match passed.next(address).await {
+                Ok(connection) => return Some(connection),
+                Err(error) => {
+                    log!("a passed connection is not used: {error}");
+                    sleep(LOOK_BESIDE).await;
+                }
+            }
+        }
+    }
+
+    /// Whether every connection that has been passed to this process has been taken.
+    pub fn has_taken_connections(&self) -> bool {
+        self.connections.as_ref().is_none_or(|passed| passed.inbox.is_empty())
+    }
+
+    /// Whether another process is to end, too: it may not have seen yet that this one is.
+    pub fn another_stops(&self) -> bool {
+        self.place.as_ref().is_some_and(|place| place.others().iter().any(|other| other.stops))
+    }
+
+    /// How many idle connections this process has passed on.
+    pub fn passed_connections(&self) -> usize {
+        self.passed.get()
+    }
+
+    /// Passes an idle connection to the process that goes on; false where none takes it.
+    pub async fn pass_connection(&self, connection: BorrowedFd<'_>) -> bool {
+        let Some(place) = &self.place else { return false };
+        let _turn = self.passing.lock().await;
+        loop {
+            match place.pass_connection(connection) {
+                Ok(()) => {
+                    self.passed.update(|n| n + 1);
+                    return true;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => sleep(INBOX_FULL).await,
+                Err(error) => {
+                    if error.kind() != ErrorKind::NotFound {
+                        log!("a connection cannot be passed on: {error}");
+                    }
+                    return false;
+                }
+            }
+        }
+    }
+
     /// Looks at the others for good.
     pub async fn look(&self) {
         let Some(place) = &self.place else { return };
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -1,6 +1,7 @@
 //! A client connection's actor: it reads one request at a time, hands a task to the module and writes its answer.
 
 use std::cell::Cell;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::figures::Figures;
-use super::{Answer, Mail, Parcel, ToModule};
+use super::{Answer, Beside, Mail, Parcel, ToModule};
 use crate::base::Clock;
 use crate::protocol::head;
 use crate::transport::{End, Link, Piece, Room};
@@ -39,6 +40,29 @@
     /// The longest that a request may take to come whole; the first counts from connecting.
     pub haste: Duration,
     pub figures: Rc<Figures>,
+    /// The other processes of this dispatcher; nothing where there can be none.
+    pub beside: Option<Rc<Beside>>,
+}
+
+/// How a connection came to this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    Accepted,
+    /// Another process of this dispatcher passed it on between two requests.
+    PassedOn,
+}
+
+/// Why an idle connection is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// Another process of this dispatcher has it now.
+    PassedOn,
+    /// The process is emptied or is to end.
+    Dismissed,
+    /// It has said nothing at all for too long.
+    Silent,
+    /// Somebody wants its seat.
+    SeatWanted,
 }
 
 impl Door {
@@ -62,16 +86,30 @@
 
 /// Serves a connection until it ends; `stance` tells what holds when the process is emptied or is to end. Where there is
 /// no seat for the connection, it is turned away once it has told what it wants, unless there is one by then.
-pub async fn serve(mut link: Link, door: Rc<Door>, mut stance: watch::Receiver<Stance>, mut spare: bool) {
+pub async fn serve(
+    mut link: Link,
+    arrival: Arrival,
+    door: Rc<Door>,
+    mut stance: watch::Receiver<Stance>,
+    mut spare: bool,
+) {
     let come = Instant::now();
-    let (mut newcomer, mut rank) = (true, UNPROVEN);
+    let (mut newcomer, mut rank) = match arrival {
+        Arrival::Accepted => (true, UNPROVEN),
+        Arrival::PassedOn => (false, KEPT),
+    };
     loop {
-        let room = door.room_of(spare);
-        tokio::select! {
+        let departure = tokio::select! {
             biased;
-            () = link.idle() => {}
-            () = unwanted(&door, room, &mut stance, newcomer, rank) => return,
+            () = link.spoken() => None,
+            departure = departure(&link, &door, &mut stance, spare, newcomer, rank) => Some(departure),
+        };
+        if let Some(departure) = departure
+            && !ends_with_request(&link, departure)
+        {
+            return end_idle(link, &door, spare, departure).await;
         }
+        link.take_buffer();
         // A client that connects and never says what it wants holds a seat that others need.
         let from = if newcomer { come } else { Instant::now() };
         newcomer = false;
@@ -95,7 +133,7 @@
                 spare = false;
             }
         }
-        close |= spare;
+        close |= spare || departure.is_some();
         let (status, pause, body) = match asked {
             Asked::Nothing(status) => (status, 0, Bytes::new()),
             Asked::Ready => (if stance.borrow().ready { 200 } else { 503 }, 0, Bytes::new()),
@@ -147,25 +185,76 @@
     }
 }
 
-/// Ends when an idle connection is to be closed: when the process is emptied or is to end, when somebody wants its seat,
-/// or when it has said nothing at all for too long.
-async fn unwanted(door: &Door, room: &Room, stance: &mut watch::Receiver<Stance>, newcomer: bool, rank: u8) {
+/// Ends when an idle connection is not to be kept.
+async fn departure(
+    link: &Link,
+    door: &Door,
+    stance: &mut watch::Receiver<Stance>,
+    spare: bool,
+    newcomer: bool,
+    rank: u8,
+) -> Departure {
     tokio::select! {
-        () = dismissed(door, stance), if !newcomer => {}
-        () = sleep(door.haste), if newcomer => {}
-        () = room.wanted(rank) => {}
+        departure = dismissed(link, door, stance), if !newcomer => departure,
+        () = sleep(door.haste), if newcomer => Departure::Silent,
+        () = door.room_of(spare).wanted(rank) => Departure::SeatWanted,
     }
 }
 
-/// Ends when idle connections are to be closed, this one having idled from now on.
-async fn dismissed(door: &Door, stance: &mut watch::Receiver<Stance>) {
+/// Ends when idle connections are passed on or closed, this one having idled from now on.
+async fn dismissed(link: &Link, door: &Door, stance: &mut watch::Receiver<Stance>) -> Departure {
     let since = door.clock.now();
+    let mut finds_nobody = false;
     loop {
-        let idle = stance.borrow_and_update().idle;
+        let Stance { idle, passes_connections, .. } = *stance.borrow_and_update();
         let until = idle.map_or(Time::MAX, |(after, by)| by.min(since + after));
         tokio::select! {
-            () = sleep_until(door.clock.instant(until)) => return,
-            changed = stance.changed() => if changed.is_err() { return },
+            biased;
+            passed = passed_on(link, door), if passes_connections && !finds_nobody => {
+                if passed {
+                    return Departure::PassedOn;
+                }
+                finds_nobody = true;
+            }
+            () = sleep_until(door.clock.instant(until)) => return Departure::Dismissed,
+            changed = stance.changed() => {
+                if changed.is_err() {
+                    return Departure::Dismissed;
+                }
+                finds_nobody = false;
+            }
+        }
+    }
+}
+
+/// Passes an idle connection to the process that goes on; false where none takes it.
+async fn passed_on(link: &Link, door: &Door) -> bool {
+    match &door.beside {
+        Some(beside) => beside.pass_connection(link.socket()).await,
+        None => pending().await,
+    }
+}
+
+/// Whether a connection that is to be ended has brought a request, which is answered first.
+fn ends_with_request(link: &Link, departure: Departure) -> bool {
+    departure != Departure::PassedOn && link.has_spoken()
+}
+
+/// Ends an idle connection, in two steps where nobody waits for its seat: what a client sends meanwhile is counted, and does
+/// not reset the connection before the client has seen its end.
+async fn end_idle(mut link: Link, door: &Door, spare: bool, departure: Departure) {
+    match departure {
+        Departure::PassedOn | Departure::SeatWanted => {}
+        Departure::Dismissed | Departure::Silent => {
+            let crossed = Cell::new(0);
+            tokio::select! {
+                _ = timeout(door.haste / FAREWELL, link.finish_counting(&crossed)) => {}
+                () = door.room_of(spare).wanted(LEAVING) => {}
+            }
+            if crossed.get() > 0 {
+                log!("a request crossed the end of its idle connection");
+                door.figures.crossed();
+            }
         }
     }
 }
--- a/crates/rainlugd/src/routing/figures.rs
+++ b/crates/rainlugd/src/routing/figures.rs
@@ -12,6 +12,7 @@
     dispatches: Cell<u64>,
     concurrent: Cell<u64>,
     targets: Cell<(usize, usize)>,
+    crossed: Cell<u64>,
 }
 
 /// A task that has been taken and not ended, until this is dropped.
@@ -30,6 +31,7 @@
             dispatches: Cell::default(),
             concurrent: Cell::default(),
             targets: Cell::default(),
+            crossed: Cell::default(),
         }
     }
 
@@ -54,6 +56,11 @@
         self.dispatches.update(|n| n + 1);
     }
 
+    /// A request was on its way when its idle connection was ended: it has not been read.
+    pub fn crossed(&self) {
+        self.crossed.update(|n| n + 1);
+    }
+
     /// So many workers are in the list, and so many of these are avoided.
     pub fn listed(&self, targets: (usize, usize)) {
         self.targets.set(targets);
@@ -71,6 +78,7 @@
         let _ = writeln!(text, "relay.dispatches:{}|c", self.dispatches.get());
         let _ = writeln!(text, "relay.concurrent:{}|g", self.concurrent.get());
         let _ = writeln!(text, "relay.targets:{targets}|g\nrelay.targets_disabled:{disabled}|g");
+        let _ = writeln!(text, "relay.crossed:{}|c", self.crossed.get());
         text
     }
 }
@@ -83,15 +91,21 @@
     fn all_workloads_are_told_from_the_start_and_what_is_taken_ends_on_every_path() {
         let figures = Figures::of(vec!["a".into(), "b".into()]);
         let first = figures.text();
-        assert_eq!(first.lines().count(), 10);
+        assert_eq!(first.lines().count(), 11);
         assert!(first.lines().all(|l| l.contains(":0|")), "{first}");
         let (one, two) = (figures.taken(), figures.taken());
         assert!(figures.text().contains("relay.concurrent:2|g"));
         figures.answered(1, 503);
         figures.dispatched();
+        figures.crossed();
         drop((one, two));
         let text = figures.text();
-        for line in ["relay.replies.b.overload:1|c", "relay.dispatches:1|c", "relay.concurrent:0|g"] {
+        for line in [
+            "relay.replies.b.overload:1|c",
+            "relay.dispatches:1|c",
+            "relay.concurrent:0|g",
+            "relay.crossed:1|c",
+        ] {
             assert!(text.lines().any(|l| l == line), "{line} in {text}");
         }
     }
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -3,9 +3,12 @@
 use std::cell::Cell;
 use std::future::pending;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
@@ -51,15 +54,38 @@
 
     /// Ends when there is something to read, be it the connection's end. It takes a buffer only then.
     pub async fn idle(&mut self) {
+        self.spoken().await;
+        self.take_buffer();
+    }
+
+    /// Ends when there is something to read, be it the connection's end.
+    pub async fn spoken(&self) {
         if self.framed.read_buffer().is_empty() {
             // Not `readable`, which may say so of a new connection that has carried nothing yet.
             let _ = self.framed.get_ref().peek(&mut [0]).await;
         }
+    }
+
+    /// Whether there is something to read, by a system call: the runtime knows only of what came before it last looked at its
+    /// sockets.
+    pub fn has_spoken(&self) -> bool {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let looked = recv(self.framed.get_ref(), &mut [0_u8; 1][..], flags);
+        !self.framed.read_buffer().is_empty() || looked.map(|_| ()) != Err(Errno::WOULDBLOCK)
+    }
+
+    /// Takes the buffer that messages are read into.
+    pub fn take_buffer(&mut self) {
         if self.framed.read_buffer().capacity() == 0 {
             *self.framed.read_buffer_mut() = self.pool.take();
         }
     }
 
+    /// The connection's socket.
+    pub fn socket(&self) -> BorrowedFd<'_> {
+        self.framed.get_ref().as_fd()
+    }
+
     /// The next piece of a message; `Closed` where the peer ended the connection between two messages.
     pub async fn next(&mut self) -> Result<Piece, End> {
         if self.framed.read_buffer().capacity() == 0 {
@@ -101,6 +127,11 @@
 
     /// Ends this side's sending and waits for the peer's end: what it still sends must not destroy the last answer.
     pub async fn finish(&mut self) {
+        self.finish_counting(&Cell::new(0)).await;
+    }
+
+    /// The same; counts in `crossed` the bytes that the peer still sends.
+    pub async fn finish_counting(&mut self, crossed: &Cell<usize>) {
         let _ = self.framed.close().await;
         let mut rest = std::mem::take(self.framed.read_buffer_mut());
         loop {
@@ -108,8 +139,9 @@
             if rest.capacity() < MOST_BODY {
                 rest = self.pool.take();
             }
-            if !matches!(self.framed.get_mut().read_buf(&mut rest).await, Ok(1..)) {
-                break;
+            match self.framed.get_mut().read_buf(&mut rest).await {
+                Ok(count @ 1..) => crossed.update(|sum| sum + count),
+                _ => break,
             }
         }
         self.pool.put(rest);
@@ -207,6 +239,32 @@
         assert!(link.spoiled());
     }
 
+    /// A request that had come since the runtime last looked was destroyed by the end of its connection.
+    #[tokio::test]
+    async fn given_a_request_that_the_runtime_has_not_seen_when_the_socket_is_asked_then_it_is_found() {
+        let (mut peer, link) = ends().await;
+        assert!(!link.has_spoken());
+        // No turn of the runtime lies between: `send` ends at once.
+        peer.send(b"head", b"", &Cell::new(false)).await.unwrap();
+        assert!(link.has_spoken());
+    }
+
+    #[tokio::test]
+    async fn given_a_peer_that_sends_after_the_end_when_a_link_is_finished_then_it_is_told() {
+        for sends in [false, true] {
+            let (mut link, mut peer) = ends().await;
+            let crossed = Cell::new(0);
+            let leaves = async {
+                if sends {
+                    peer.send(b"head", b"", &Cell::new(false)).await.unwrap();
+                }
+                drop(peer);
+            };
+            tokio::join!(link.finish_counting(&crossed), leaves);
+            assert_eq!(crossed.get() > 0, sends);
+        }
+    }
+
     #[tokio::test]
     async fn idle_is_who_has_been_sent_nothing_and_holds_no_buffer() {
         let (mut peer, mut link) = ends().await;
--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -152,10 +152,12 @@
     }
 
     fn gap_begins(&self) {
+        self.note("gap begins");
         self.excuses.lock().unwrap().gaps.push((Instant::now(), None));
     }
 
     fn gap_ends(&self) {
+        self.note("gap ends");
         let mut excuses = self.excuses.lock().unwrap();
         excuses.gaps.last_mut().expect("a gap that has begun").1 = Some(Instant::now());
     }
--- a/crates/rainlugd/tests/upgrades.rs
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -149,6 +149,44 @@
     }
 }
 
+/// More than wait in an inbox at once.
+const IDLE_CONNECTIONS: usize = 40;
+
+/// A connection that had idled was closed by the process that stopped, and what its client sent meanwhile was lost.
+#[test]
+fn given_idle_connections_when_upgrades_follow_one_another_then_each_next_process_answers_on_them() {
+    let dispatcher = Dispatcher::new("n0");
+    let mut process = dispatcher.first();
+    let mut clients: Vec<Client> = (0..IDLE_CONNECTIONS).map(|_| Client::of(&process)).collect();
+    for round in 0..3 {
+        for (number, client) in clients.iter_mut().enumerate() {
+            assert_eq!(client.ask("/search", &format!("c{number}-{round}"), "4000m").0, 200);
+        }
+        let next = dispatcher.next(process.at);
+        process.terminate();
+        process.logged(&format!("{IDLE_CONNECTIONS} idle connections passed on"));
+        assert!(process.ended().success());
+        process = next;
+    }
+    for (number, client) in clients.iter_mut().enumerate() {
+        let (status, head, _) = client.ask("/search", &format!("c{number}-last"), "4000m");
+        assert_eq!((status, field(&head, "Connection")), (200, None));
+    }
+}
+
+/// The next process has no inbox, as one of an older version: idle connections are ended in time.
+#[test]
+fn given_a_next_process_that_takes_no_connections_when_the_old_one_stops_then_idle_ones_end_in_order() {
+    let dispatcher = Dispatcher::new(&"n".repeat(100));
+    let mut old = dispatcher.first();
+    let mut client = Client::of(&old);
+    assert_eq!(client.ask("/search", "s1", "4000m").0, 200);
+    let _new = dispatcher.next(old.at);
+    old.terminate();
+    assert!(client.hear().is_none());
+    assert!(old.ended().success());
+}
+
 /// A planned restart whose next process has begun when the old one ends: its listener lives on in the next one.
 #[test]
 fn given_a_process_that_has_begun_when_the_one_before_ends_first_then_no_connection_is_refused() {
