Soak: the gap after a killed follower begins with the kill, not when it has been waited for

There the older process has been told to stop and the newer one is killed, so nobody is left to serve, which the soak allows until the next one is started. But it wrote down the beginning of that gap only after it had waited for the killed process, longer under load. The check is the same otherwise: nothing before the kill is excused.

--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -414,10 +414,13 @@
         self.start();
         let old = self.processes.len() - 2;
         self.terminate(old);
-        self.kill(old + 1);
         if old == 0 {
-            // Nobody follows any more: the old one ends, and the address with it.
+            // Nobody follows any more once the signal has gone out, which is before the killed process has been waited for: the
+            // old one may have ended already.
             self.shared.gap_begins();
+        }
+        self.kill(old + 1);
+        if old == 0 {
             self.wait(0);
             self.start();
             self.shared.gap_ends();
