Handover: a connection that has idled for long is not closed while others are passed on

What callers saw: with one to 24 of forty connections were closed at a stop, where they had idled for over half a second before it.

Cause: connections are passed on one at a time, and while one waited for its turn the bound of half a second on idling, which was over already, closed it.

--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -207,10 +207,12 @@
     let mut finds_nobody = false;
     loop {
         let Stance { idle, passes_connections, .. } = *stance.borrow_and_update();
-        let until = idle.map_or(Time::MAX, |(after, by)| by.min(since + after));
+        let passes = passes_connections && !finds_nobody;
+        // Others may be passed on before this one, which may have idled for long.
+        let until = idle.map_or(Time::MAX, |(after, by)| if passes { by } else { by.min(since + after) });
         tokio::select! {
             biased;
-            passed = passed_on(link, door), if passes_connections && !finds_nobody => {
+            passed = passed_on(link, door), if passes => {
                 if passed {
                     return Departure::PassedOn;
                 }
