Load: clients find a connection's end by a system call before they send

Cause: the client wrote a task to a connection that its dispatcher had ended, because its runtime had not looked at its sockets since. The protocol lets a dispatcher end a connection between two requests; a client that finds the end sends the task on another one.

Change: the generator's connections ask the system for their end where the runtime knows of none, so that the client finds it before it writes. The words of a broken rule now say when the last try was sent and whether the task came to a worker.

--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -9,13 +9,14 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
 use hyper::{Request, StatusCode};
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::connector::EndAwareConnector;
 use crate::plan::{Plan, Workload};
 use crate::record::{End, Ended, Recorder};
 use crate::schedule::Due;
@@ -23,7 +24,7 @@
 /// Where a try goes, by a number of chance: the number of the place and its address.
 pub type Front = dyn Fn(u64) -> Option<(usize, SocketAddr)>;
 
-type Sender = Client<HttpConnector, Full<Bytes>>;
+type Sender = Client<EndAwareConnector, Full<Bytes>>;
 
 /// Waits longer than a task's budget by this for its answer.
 const GRACE: Duration = Duration::from_millis(500);
@@ -41,12 +42,10 @@
 }
 
 async fn send(plan: &Plan, schedule: Vec<Due>, front: Rc<Front>, all: Option<Vec<Ended>>) -> Recorder {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
     let client: Sender = Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_max_idle_per_host(plan.connections)
-        .build(connector);
+        .build(EndAwareConnector::new());
     let mut recorder = Recorder::of(plan.workloads.len());
     recorder.all = all;
     let seen = Rc::new(RefCell::new(recorder));
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,6 +2,7 @@
 //! of sending, tables and charts; and a stand-in for workers and their list. `rainlug-load` is the program over it, and
 //! `rainlug-rig` plays it beside faults.
 
+pub mod connector;
 pub mod driver;
 pub mod experiment;
 pub mod plan;
--- a/crates/rig/src/rules.rs
+++ b/crates/rig/src/rules.rs
@@ -146,15 +146,22 @@
     let place = |e: &Ended| e.by.map(|by| by.0);
     let excused = |e: &&Ended| done.excused(place(e), seconds(e.sent), seconds(e.done));
     let owed = ends.iter().filter(lost).filter(|e| !excused(e) && !crossed(e));
+    let came = |e: &Ended| {
+        let is_read = e.by.is_some_and(|(_, id, _)| read.contains(&id));
+        if is_read { "came to a worker" } else { "came to no worker" }
+    };
     let broken = owed.map(|e| Broken {
         rule: Rule::Answers,
         at: seconds(e.done),
         words: format!(
-            "a {} sent at {:.2} s to d{}: {:?}",
+            "a {} sent at {:.2} s to d{}: {:?} at {:.3} s, last tried at {:.3} s, {}",
             WORKLOADS[e.workload].0,
             seconds(e.sent),
             place(e).unwrap_or_default(),
-            e.end
+            e.end,
+            seconds(e.done),
+            seconds(e.by.map_or(e.sent, |(.., tried)| tried)),
+            came(e),
         ),
     });
     broken.collect()
