Connections: the system is asked before an idle one is used again or ended

What callers could see: a task that may not be repeated is answered 500 where its worker had closed the connection before it was written; a request is lost that had come before its gateway closed an idle connection.

Cause: `spoiled` of rainlugd's links, the ends of idle connections at the gateway and the idle timeout of the control address went by what the runtime last saw of the socket. (The gateway's connections to workers asked the system already.)

Change: all three ask the system. A request that has come at the gateway is answered, with the word that the connection ends; at the control address it is served as ever.

Result: the new test of `spoiled` failed before. The order of events at the gateway and the control address cannot be brought about by a test that does not depend on the scheduler: no test.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -131,12 +131,16 @@
                 tokio::time::sleep_until(come + NEWCOMER).await;
             }
         };
-        tokio::select! {
+        let leaves = tokio::select! {
             biased;
-            () = link.idle() => {}
-            () = closing => return leave(link).await,
-            () = gateway.bounds.clients.wanted(rank) => return leave(link).await,
-            () = sleep(idle) => return leave(link).await,
+            () = link.idle() => false,
+            () = closing => true,
+            () = gateway.bounds.clients.wanted(rank) => true,
+            () = sleep(idle) => true,
+        };
+        // A request that has come since the runtime last looked at the socket is answered before the connection ends.
+        if leaves && link.sound() {
+            return leave(link).await;
         }
         rank = KEPT;
         let in_hand = gateway.stopping.request();
@@ -154,7 +158,7 @@
             }
         };
         gateway.metrics.requests.up();
-        let keeps = request.keeps && gateway.stopping.stage() == Stage::Serving;
+        let keeps = request.keeps && !leaves && gateway.stopping.stage() == Stage::Serving;
         let then = if keeps { Then::Keep(idle) } else { Then::Close };
         let outcome = match gateway.stopping.stage() {
             Stage::Refusing => Outcome::Own(Reply::refused(PAUSE)),
--- a/crates/rainlugd/src/routing/worker.rs
+++ b/crates/rainlugd/src/routing/worker.rs
@@ -80,7 +80,7 @@
             order = orders.recv() => {
                 let Some(order) = order else { return };
                 let (trusted, mut last) = (reach.trust.time(), std::iter::from_fn(|| idle.pop()));
-                let link = last.find_map(|(mut link, since)| {
+                let link = last.find_map(|(link, since)| {
                     (since.elapsed() < trusted && !link.spoiled()).then_some((link, since))
                 });
                 let (at, ..) = *standing.borrow();
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -180,12 +180,10 @@
         }
     }
 
-    /// True where the peer has ended an idle connection, or has sent what nobody asked for.
-    pub fn spoiled(&mut self) -> bool {
-        let mut byte = [0];
-        let quiet = self.framed.read_buffer().is_empty() && self.framed.codec().between();
-        let read = self.framed.get_ref().try_read(&mut byte);
-        !quiet || !matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    /// True where the peer has ended an idle connection, or has sent what nobody asked for: asked of the system, not only of
+    /// what the runtime saw last.
+    pub fn spoiled(&self) -> bool {
+        !self.framed.codec().between() || self.has_spoken()
     }
 }
 
@@ -249,6 +247,16 @@
         assert!(link.has_spoken());
     }
 
+    /// An assignment was written to a connection that its worker had ended, and ended as a reset.
+    #[tokio::test]
+    async fn given_a_peer_that_left_since_the_runtime_last_looked_when_a_link_is_used_again_then_it_is_spoiled()
+     {
+        let (link, peer) = ends().await;
+        assert!(!link.spoiled());
+        drop(peer);
+        assert!(link.spoiled());
+    }
+
     #[tokio::test]
     async fn given_a_peer_that_sends_after_the_end_when_a_link_is_finished_then_it_is_told() {
         for sends in [false, true] {
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -83,7 +83,7 @@
 /// Serves one connection, request by request.
 async fn serve_connection(node: Rc<Node>, link: &mut Link) -> Result<(), End> {
     loop {
-        if timeout(IDLE_TIMEOUT, link.idle()).await.is_err() {
+        if timeout(IDLE_TIMEOUT, link.idle()).await.is_err() && link.sound() {
             return Ok(());
         }
         let deadline = Instant::now() + REQUEST_TIMEOUT;
