Soak: says what was logged of a lost task or connection, and keeps a port to its dispatcher

Change: a loss names the client's address, when it was opened and when it last wrote; the lines of the processes' logs on such a task or address are printed, also of processes that have ended or were killed; with RAINLUG_TRACE set, rainlugd's trace names a connection when it comes and when and why it ends. Each dispatcher of a run has a loopback address of its own: the 404 came in a gap, from another socket of the run that had been given its port.

--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -93,6 +93,7 @@
     mut stance: watch::Receiver<Stance>,
     mut spare: bool,
 ) {
+    trace!(door.clock.now(), "client {} {arrival:?}", link.peer());
     let come = Instant::now();
     let (mut newcomer, mut rank) = match arrival {
         Arrival::Accepted => (true, UNPROVEN),
@@ -119,7 +120,10 @@
             Err(End::Malformed) => (Asked::Nothing(400), 0, true),
             Err(End::TooLarge) => (Asked::Nothing(413), 0, true),
             Err(End::TimedOut) => (Asked::Nothing(408), 0, true),
-            Err(_) => return,
+            Err(end) => {
+                trace!(door.clock.now(), "client {} {end:?}", link.peer());
+                return;
+            }
         };
         let workload = match &asked {
             Asked::Task { of, .. } => Some(of.0),
@@ -159,6 +163,7 @@
                         Err(_) => (409, 0, Bytes::new()),
                     },
                     () = link.departed() => {
+                        trace!(door.clock.now(), "client {} has gone", link.peer());
                         let _ = door.module.send(Mail::Left(parcel)).await;
                         return;
                     }
@@ -245,6 +250,7 @@
 /// Ends an idle connection, in two steps where nobody waits for its seat: what a client sends meanwhile is counted, and does
 /// not reset the connection before the client has seen its end.
 async fn end_idle(mut link: Link, door: &Door, spare: bool, departure: Departure) {
+    trace!(door.clock.now(), "client {} {departure:?}", link.peer());
     match departure {
         Departure::PassedOn | Departure::SeatWanted => {}
         Departure::Dismissed | Departure::Silent => {
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// The peer's address, as the trace names the connection.
+    pub fn peer(&self) -> String {
+        self.framed.get_ref().peer_addr().map_or_else(|_| "gone".to_owned(), |address| address.to_string())
+    }
+
     /// The connection's socket.
     pub fn socket(&self) -> BorrowedFd<'_> {
         self.framed.get_ref().as_fd()
--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -4,7 +4,7 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt::{self, Debug, Display, Formatter};
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -37,7 +37,7 @@
     seeds: u64,
     seconds: u64,
     /// Dispatchers of one run, each with up to four processes.
-    dispatchers: usize,
+    dispatchers: u8,
     clients: usize,
 }
 
@@ -71,13 +71,22 @@
     kind: ErrorKind,
     /// Answers that the connection had brought before.
     answers: usize,
+    /// The client's address, where it had one.
+    from: Option<SocketAddr>,
     opened: Instant,
+    /// When the last tasks were written, where any were.
+    written: Option<Instant>,
     at: Instant,
 }
 
 impl Display for Loss {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?}: {:?} after {} answers", self.step, self.kind, self.answers)
+        write!(f, "{:?}: {:?} after {} answers", self.step, self.kind, self.answers)?;
+        write!(f, ", opened {:?} before", self.at - self.opened)?;
+        if let Some(written) = self.written {
+            write!(f, ", last written {:?} before", self.at - written)?;
+        }
+        self.from.map_or(Ok(()), |from| write!(f, " of {from}"))
     }
 }
 
@@ -100,6 +109,41 @@
     }
 }
 
+/// Logs that are kept whole: a client may tell of a task after the process that answered it has ended.
+const KEPT_LOGS: usize = 3;
+
+/// What ended processes have logged.
+#[derive(Default)]
+struct EndedLogs {
+    recent: VecDeque<Vec<String>>,
+    /// Of earlier ones, the lines on what was violated.
+    earlier: Vec<String>,
+}
+
+impl EndedLogs {
+    fn add(&mut self, log: Vec<String>, violations: &[String]) {
+        self.recent.push_back(log);
+        if self.recent.len() > KEPT_LOGS {
+            let oldest = self.recent.pop_front().unwrap_or_default();
+            self.earlier.extend(oldest.into_iter().filter(|line| is_named(line, violations)));
+        }
+    }
+
+    fn lines_on(&self, violations: &[String]) -> Vec<&str> {
+        let recent = self.recent.iter().flatten().filter(|line| is_named(line, violations));
+        self.earlier.iter().chain(recent).map(String::as_str).collect()
+    }
+}
+
+/// Whether a line of a log has the id of a task or the address of a client that a violation names.
+fn is_named(line: &str, violations: &[String]) -> bool {
+    let words = violations.iter().flat_map(|violation| violation.split([' ', ',']));
+    let mut names = words.map(|word| word.trim_end_matches(':')).filter(|word| {
+        word.parse::<SocketAddr>().is_ok() || word.strip_prefix('c').is_some_and(|rest| rest.contains('-'))
+    });
+    names.any(|name| line.split(' ').any(|word| word == name))
+}
+
 /// What all threads of a dispatcher's run share.
 struct Shared {
     seed: u64,
@@ -109,6 +153,7 @@
     losses: Mutex<Vec<Loss>>,
     violations: Mutex<Vec<String>>,
     journal: Mutex<Vec<String>>,
+    logs: Mutex<EndedLogs>,
     answered: AtomicUsize,
     rejected: AtomicUsize,
     calls: AtomicUsize,
@@ -124,6 +169,7 @@
             losses: Mutex::default(),
             violations: Mutex::default(),
             journal: Mutex::default(),
+            logs: Mutex::default(),
             answered: AtomicUsize::new(0),
             rejected: AtomicUsize::new(0),
             calls: AtomicUsize::new(0),
@@ -147,6 +193,12 @@
         self.violations.lock().unwrap().push(format!("seed {}: {what}", self.seed));
     }
 
+    /// Keeps what a process has logged that has ended, or is about to be killed.
+    fn ended(&self, log: impl Iterator<Item = String>) {
+        let log = log.collect();
+        self.logs.lock().unwrap().add(log, &self.violations.lock().unwrap());
+    }
+
     fn killed(&self) {
         self.excuses.lock().unwrap().kills.push(Instant::now());
     }
@@ -190,30 +242,53 @@
 struct Connection {
     stream: TcpStream,
     from: BufReader<TcpStream>,
+    address: Option<SocketAddr>,
     opened: Instant,
+    written: Option<Instant>,
     answers: usize,
 }
 
-fn lost(step: Step, opened: Instant, answers: usize) -> impl FnOnce(std::io::Error) -> Loss {
-    move |error| Loss { step, kind: error.kind(), answers, opened, at: Instant::now() }
+fn lost(
+    step: Step,
+    from: Option<SocketAddr>,
+    opened: Instant,
+    written: Option<Instant>,
+    answers: usize,
+) -> impl FnOnce(std::io::Error) -> Loss {
+    move |error| Loss { step, kind: error.kind(), answers, from, opened, written, at: Instant::now() }
 }
 
 impl Connection {
     fn open(at: SocketAddr) -> Result<Self, Loss> {
         let opened = Instant::now();
-        let stream = TcpStream::connect(at).map_err(lost(Step::Connect, opened, 0))?;
+        let stream = TcpStream::connect(at).map_err(lost(Step::Connect, None, opened, None, 0))?;
         let timed = stream.set_read_timeout(Some(LONG)).and_then(|()| stream.set_nodelay(true));
-        let from = timed.and_then(|()| stream.try_clone()).map_err(lost(Step::Connect, opened, 0))?;
-        Ok(Connection { stream, from: BufReader::new(from), opened, answers: 0 })
+        let from =
+            timed.and_then(|()| stream.try_clone()).map_err(lost(Step::Connect, None, opened, None, 0))?;
+        let address = stream.local_addr().ok();
+        Ok(Connection { stream, from: BufReader::new(from), address, opened, written: None, answers: 0 })
     }
 
     fn write(&mut self, text: &str) -> Result<(), Loss> {
-        self.stream.write_all(text.as_bytes()).map_err(lost(Step::Write, self.opened, self.answers))
+        self.written = Some(Instant::now());
+        self.stream.write_all(text.as_bytes()).map_err(lost(
+            Step::Write,
+            self.address,
+            self.opened,
+            self.written,
+            self.answers,
+        ))
     }
 
     /// The next answer: status, head and body.
     fn read(&mut self) -> Result<(u16, String, String), Loss> {
-        let answer = read_answer(&mut self.from).map_err(lost(Step::Read, self.opened, self.answers))?;
+        let answer = read_answer(&mut self.from).map_err(lost(
+            Step::Read,
+            self.address,
+            self.opened,
+            self.written,
+            self.answers,
+        ))?;
         self.answers += 1;
         Ok(answer)
     }
@@ -351,6 +426,7 @@
         if !process.ended().success() {
             self.shared.violated("a stopped process did not end in order");
         }
+        self.shared.ended(process.log.iter());
         if begun.elapsed() > END_TIMEOUT {
             self.shared.violated(format!("a stopped process took {:?}", begun.elapsed()));
         }
@@ -360,7 +436,9 @@
         self.unmanage(index);
         self.shared.note(format!("SIGKILL at {index} of {}", self.processes.len()));
         self.shared.killed();
-        drop(self.processes.remove(index));
+        let process = self.processes.remove(index);
+        self.shared.ended(process.log.try_iter());
+        drop(process);
     }
 
     /// An upgrade: the next process serves, then the ones before are stopped, and waited for or not.
@@ -523,8 +601,9 @@
     status.ok_or_else(|| ErrorKind::UnexpectedEof.into())
 }
 
-/// One dispatcher under all of it; what was violated, each with its journal.
-fn soak(seed: u64, options: &Options) -> Vec<String> {
+/// One dispatcher under all of it; what was violated, each with its journal. It has a loopback address of its own: while it has no
+/// process, no other socket of this run may be given its port.
+fn soak(seed: u64, number: u8, options: &Options) -> Vec<String> {
     let shared = Shared::new(seed);
     let workers = [Worker::start(|_| Act::Finish), Worker::start(|_| Act::Finish)];
     let managed = Mutex::default();
@@ -533,7 +612,7 @@
         directory: tempfile::tempdir().unwrap(),
         list: List::start(),
         workers: ["w1", "w2"].into_iter().zip(workers.iter().map(|worker| worker.at)).collect(),
-        at: "127.0.0.1:0".parse().unwrap(),
+        at: SocketAddr::from(([127, 77, number, 1], 0)),
         processes: Vec::new(),
         managed: &managed,
     };
@@ -553,6 +632,7 @@
     let violations = shared.violations.into_inner().unwrap();
     if !violations.is_empty() {
         println!("{}", shared.journal.into_inner().unwrap().join("\n"));
+        println!("{}", shared.logs.into_inner().unwrap().lines_on(&violations).join("\n"));
     }
     violations
 }
@@ -592,9 +672,10 @@
     let mut violations = Vec::new();
     for seed in options.first_seed..options.first_seed + options.seeds {
         thread::scope(|scope| {
-            let beside = |n: usize| seed.wrapping_add(n as u64 * 1_000_000);
-            let runs: Vec<_> =
-                (0..options.dispatchers).map(|n| scope.spawn(move || soak(beside(n), options))).collect();
+            let beside = |number: u8| seed.wrapping_add(u64::from(number) * 1_000_000);
+            let runs: Vec<_> = (0..options.dispatchers)
+                .map(|number| scope.spawn(move || soak(beside(number), number, options)))
+                .collect();
             runs.into_iter().for_each(|run| violations.extend(run.join().unwrap()));
         });
     }
