rainlugd: work on files in TMPDIR no longer stalls the thread that serves

Cause: status, words by hand, what is learnt and the look at the others are files, read and written on the one thread that serves.

Change: files are worked on by another thread, one call at a time (routing/place_files.rs); what depends on them waits half a second at most, and goes by the last look then. Only a process that does not serve yet waits for them. A connection's receiver is found there, too, and the connection is passed by the thread that has it: who stops waiting has not passed it. A process ends although work on a file has not come back.

Result: the new test holds up the reader of a file: before, no task was answered for 30 s.

--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::connection::{ConnectionInbox, pass_connection};
+use crate::connection::ConnectionInbox;
 use crate::listener::{ListenerInbox, SocketId, pass_listener};
 use crate::phase::Follower;
 use crate::words::Words;
@@ -221,18 +221,14 @@
         ConnectionInbox::bind(&connections_path(&self.base, self.number))
     }
 
-    /// Passes a connection to the newest process that takes the clients of this one and connections with them. The status of
-    /// the others is read now: one that is about to end must not be passed any.
-    ///
-    /// # Errors
-    ///
-    /// `NotFound` where no such process lives, `WouldBlock` where it has to read others first.
-    pub fn pass_connection(&self, connection: impl AsFd) -> io::Result<()> {
+    /// The inbox of the newest process that takes the clients of this one and connections with them. The status of the
+    /// others is read now: one that is about to end must not be passed any.
+    pub fn connection_receiver(&self) -> Option<PathBuf> {
         let status = self.status.borrow();
         let takes = |other: &Status| other.takes_connections && !other.stops && status.is_followed_by(other);
         let others = self.numbered_others().filter(|(_, other)| takes(other));
-        let (number, _) = others.max_by_key(|(_, other)| other.started).ok_or(io::ErrorKind::NotFound)?;
-        pass_connection(connection, &connections_path(&self.base, number))
+        let (number, _) = others.max_by_key(|(_, other)| other.started)?;
+        Some(connections_path(&self.base, number))
     }
 
     pub fn stops(&self) -> io::Result<()> {
@@ -362,6 +358,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::connection::pass_connection;
 
     fn take(dir: &Path, started: Time) -> Place {
         let (place, odd) = Place::take(dir, "n/0", started).unwrap();
@@ -409,27 +406,29 @@
         let (old, middle, new) = (take(dir.path(), 1), take(dir.path(), 2), take(dir.path(), 3));
         let inboxes = [&middle, &new].map(|place| place.connection_inbox().unwrap());
         let arrived = || inboxes.iter().map(|inbox| !inbox.is_empty()).collect::<Vec<_>>();
-        let connection = File::open(dir.path()).unwrap();
         old.stops().unwrap();
         for place in [&middle, &new] {
-            let passed = old.pass_connection(&connection);
-            assert_eq!(passed.unwrap_err().kind(), io::ErrorKind::NotFound);
+            assert_eq!(old.connection_receiver(), None);
             place.takes_connections().unwrap();
         }
-        assert!(old.pass_connection(&connection).is_err(), "neither serves yet");
+        assert_eq!(old.connection_receiver(), None, "neither serves yet");
         middle.serves(None).unwrap();
         new.serves(None).unwrap();
         new.stops().unwrap();
-        old.pass_connection(&connection).unwrap();
+        let passes = |place: &Place| {
+            let inbox = place.connection_receiver()?;
+            pass_connection(File::open(dir.path()).unwrap(), &inbox).ok()
+        };
+        assert!(passes(&old).is_some());
         assert_eq!(arrived(), [true, false], "the newer one is to end");
         let newest = take(dir.path(), 4);
         let inbox = newest.connection_inbox().unwrap();
         newest.takes_connections().unwrap();
         newest.serves(None).unwrap();
-        old.pass_connection(&connection).unwrap();
+        assert!(passes(&old).is_some());
         assert!(!inbox.is_empty() && arrived() == [true, false]);
-        assert!(middle.pass_connection(&connection).is_ok(), "a newer one serves");
-        assert!(newest.pass_connection(&connection).is_err(), "it does not end itself, and is the newest");
+        assert!(passes(&middle).is_some(), "a newer one serves");
+        assert!(passes(&newest).is_none(), "it does not end itself, and is the newest");
     }
 
     #[test]
--- a/crates/rainlugd/src/program/clients.rs
+++ b/crates/rainlugd/src/program/clients.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use rainlug_handover::{Follower, Listening, Stance};
+use rainlug_handover::{Listening, Stance};
 use rainlug_transport::close_listener;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -14,8 +14,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::protocol::head;
-use crate::routing::Beside;
 use crate::routing::client::{self, Arrival, Door};
+use crate::routing::{Beside, FILES_TIMEOUT};
 use crate::transport::{Bounds, Link, Pool};
 
 /// The pause after a failure to accept that would come again at once.
@@ -118,12 +118,15 @@
             }
         }
     }
-    beside.iter().for_each(|others| others.closes_listener());
+    if let Some(others) = &beside {
+        // Nobody waits for a disk that stalls.
+        let _ = timeout(FILES_TIMEOUT, others.closes_listener()).await;
+    }
     let listener =
         Rc::into_inner(listener).expect("nothing else has the listener of a process that closes it");
     // A handshake that completes after the last look into the queue is lost.
     let waiting = close_listener(listener);
-    let is_followed = beside.is_some_and(|others| others.follower() != Follower::Absent);
+    let is_followed = beside.is_some_and(|others| others.is_followed());
     let who =
         if is_followed { "clients come to another process now" } else { "no clients are taken any more" };
     log!("{who}; {} waited here", waiting.len());
--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -14,7 +14,6 @@
 use anyhow::{Context, Result};
 use rainlug::logic::Dispatcher;
 use rainlug::{Moment, Time};
-use rainlug_handover::Follower;
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -42,7 +41,10 @@
 pub fn main() -> ExitCode {
     let done = told::read().and_then(|(path, all)| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, run(&path, &all)).context(path)
+        let done = LocalSet::new().block_on(&runtime, run(&path, &all)).context(path);
+        // Work on files that does not come back keeps no process.
+        runtime.shutdown_background();
+        done
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -162,7 +164,7 @@
         if others.placed() {
             spawn_local(async move {
                 // An older process has this dispatcher's own part, and its voice, until it has ended.
-                while !others.sole() {
+                while !others.sole().await {
                     sleep(SOLE).await;
                 }
                 budgets.alone();
@@ -196,7 +198,7 @@
             accepting = Some(spawn_local(accept(listener, newcomers, beside.clone())));
             stop.recv().await;
         }
-        let follows = || beside.as_deref().is_some_and(|others| others.follower() != Follower::Absent);
+        let follows = || stances.is_followed();
         let leaves = async {
             if let Some(peers) = &peers {
                 peers.leave(follows, Duration::from_micros(closing as u64)).await;
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -4,10 +4,10 @@
 
 use rainlug::Time;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::base::Clock;
-use crate::routing::{Beside, Mail, Stances, ToModule, UnderWay};
+use crate::routing::{Beside, FILES_TIMEOUT, Mail, Stances, ToModule, UnderWay};
 use crate::transport::Room;
 
 /// New connections still come for so long after the word to stop.
@@ -46,11 +46,15 @@
 ) {
     let begun = Instant::now();
     log!("stopping: all answers within {within} us");
-    beside.iter().for_each(|others| others.stops());
     // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
     // must not be closed at once, as they are where nobody follows.
     if let Some(others) = beside {
-        stances.followed(others.follower());
+        let told = async {
+            others.stops().await;
+            stances.followed(others.follower().await);
+        };
+        // As of the last look, where the disk stalls.
+        let _ = timeout(FILES_TIMEOUT, told).await;
     }
     stances.stop();
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
@@ -68,26 +72,32 @@
         }
         sleep(LOOK).await;
     }
-    let another_may_pass = || beside.is_some_and(|others| others.another_stops());
-    let has_taken_all =
-        || in_hand.is_empty(stances) && beside.is_none_or(|others| others.has_taken_connections());
     let by = begun + Duration::from_micros(within as u64);
     // A word that binds and whose caller is not told so would be doubted.
     while !in_hand.calls.is_empty() && Instant::now() < by {
         sleep(LOOK).await;
     }
+    if let Some(others) = beside {
+        let _ = timeout_at(by, outlive(others, begun, || in_hand.is_empty(stances))).await;
+        log!("{} idle connections passed on", others.passed_connections());
+    }
+}
+
+/// Waits for the other processes that are to end: for older ones until they have ended, and for what others pass on.
+async fn outlive(others: &Beside, begun: Instant, is_empty: impl Fn() -> bool) {
     // An upgrade that is stopped in the middle: for whoever started both this one is the dispatcher, and with its end
     // the older one would be ended too, before it has answered what it holds.
-    let outlived = || beside.is_none_or(|others| others.outlived());
-    if !outlived() {
+    if !others.outlived().await {
         log!("waiting for an older process that still answers");
     }
-    // One that stops beside this one may have taken it for the one that goes on, before it was told.
-    let awaits_passed = || begun.elapsed() < LAST_CLIENTS && another_may_pass();
-    while (!outlived() || awaits_passed() || !has_taken_all()) && Instant::now() < by {
+    loop {
+        // One that stops beside this one may have taken it for the one that goes on, before it was told.
+        let awaits_passed = begun.elapsed() < LAST_CLIENTS && others.another_stops().await;
+        let is_outlived = others.outlived().await;
+        // Last of all: nobody passes anything after that.
+        if !awaits_passed && is_outlived && others.has_taken_connections() && is_empty() {
+            break;
+        }
         sleep(LOOK).await;
     }
-    if let Some(others) = beside {
-        log!("{} idle connections passed on", others.passed_connections());
-    }
 }
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -3,18 +3,23 @@
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::os::fd::BorrowedFd;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Error;
 use rainlug::Lessons;
-use rainlug_handover::{ConnectionInbox, Follower, ListenerInbox, Place, SocketId, Status, Words};
+use rainlug_handover::{
+    ConnectionInbox, Follower, ListenerInbox, Place, SocketId, Status, Words, pass_connection,
+};
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream, UnixDatagram};
 use tokio::sync::{Mutex, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use super::place_files::PlaceFiles;
 use super::{Mail, Peers, Stances, ToModule};
 use crate::base::Clock;
 use crate::protocol::words::Entry;
@@ -31,12 +36,14 @@
 const TAUGHT_BY: Duration = Duration::from_millis(500);
 /// The listener of a process that serves is waited for so long: that one may stand still for a while.
 const PASSED_BY: Duration = Duration::from_secs(2);
+/// Work on the files is waited for so long where something else depends on it: the disk may stall.
+pub const FILES_TIMEOUT: Duration = Duration::from_millis(500);
 /// Between two tries to pass a connection to a process whose inbox is full.
 const INBOX_FULL: Duration = Duration::from_millis(2);
 
 pub struct Beside {
     /// Nothing where there is no directory that all processes have.
-    place: Option<Place>,
+    place: Option<PlaceFiles>,
     /// Nothing where it cannot be opened: this process then has a listener of its own.
     inbox: Option<ListenerInbox>,
     /// Nothing where it cannot be opened: idle connections of others are then not taken here.
@@ -109,6 +116,7 @@
             opened.inspect_err(|error| log!("no connection can be passed to this process: {error}")).ok()
         });
         let (listener, others) = (RefCell::default(), Cell::new(0));
+        let place = place.map(PlaceFiles::new);
         let (passing, passed) = (Mutex::default(), Cell::new(0));
         Beside {
             place,
@@ -129,15 +137,16 @@
     /// sends them.
     pub async fn begin(&self) -> Vec<String> {
         let Some(place) = &self.place else { return Vec::new() };
-        let alone = place.others().is_empty();
-        if alone && place.words().emptied {
+        let (others, words) = place.run(|place| (place.others().len(), place.words())).await;
+        if others == 0 && words.emptied {
             self.say(|words| words.emptied = false).await;
         }
-        if place.words().emptied {
+        let words = place.run(Place::words).await;
+        if words.emptied {
             self.stances.emptied(true);
         }
-        self.counted(place.others().len());
-        place.words().out.into_iter().collect()
+        self.counted(others);
+        words.out.into_iter().collect()
     }
 
     /// How many other processes live.
@@ -154,13 +163,14 @@
         self.takes_connections();
         *self.listener.borrow_mut() = Some(listener.clone());
         let id = SocketId::of(&**listener).ok();
-        let told = self.place.as_ref().map_or(Ok(()), |place| place.serves(id));
+        let told = self.place.as_ref().map_or(Ok(()), |place| place.run_here(|place| place.serves(id)));
         told.unwrap_or_else(|error| log!("others cannot be told that this process serves: {error}"));
     }
 
     /// This process is to end.
-    pub fn stops(&self) {
-        let told = self.place.as_ref().map_or(Ok(()), Place::stops);
+    pub async fn stops(&self) {
+        let Some(place) = &self.place else { return };
+        let told = place.run(Place::stops).await;
         told.unwrap_or_else(|error| log!("others cannot be told that this process ends: {error}"));
     }
 
@@ -171,24 +181,39 @@
 
     /// Whether no other process lives that may act for this dispatcher alone; once yes, for good. Never where processes cannot
     /// tell one another.
-    pub fn sole(&self) -> bool {
-        self.place.as_ref().is_some_and(Place::sole)
+    pub async fn sole(&self) -> bool {
+        match &self.place {
+            Some(place) => place.run(Place::sole).await,
+            None => false,
+        }
     }
 
     /// Whether no older process is left that answers what it holds before it ends.
-    pub fn outlived(&self) -> bool {
-        self.place.as_ref().is_none_or(Place::outlived)
+    pub async fn outlived(&self) -> bool {
+        match &self.place {
+            Some(place) => place.run(Place::outlived).await,
+            None => true,
+        }
     }
 
     /// The newer process that serves already, as of now.
-    pub fn follower(&self) -> Follower {
-        self.place.as_ref().map_or(Follower::Absent, |place| place.follower(&place.others()))
+    pub async fn follower(&self) -> Follower {
+        match &self.place {
+            Some(place) => place.run(|place| place.follower(&place.others())).await,
+            None => Follower::Absent,
+        }
+    }
+
+    /// Whether another process takes the clients, as of the last look.
+    pub fn is_followed(&self) -> bool {
+        self.stances.is_followed()
     }
 
     /// This process closes its listener and passes it to nobody any more.
-    pub fn closes_listener(&self) {
+    pub async fn closes_listener(&self) {
         self.listener.take();
-        let told = self.place.as_ref().map_or(Ok(()), Place::closed_listener);
+        let Some(place) = &self.place else { return };
+        let told = place.run(Place::closed_listener).await;
         told.unwrap_or_else(|error| log!("others cannot be told that the listener is closed: {error}"));
     }
 
@@ -205,7 +230,8 @@
                 Ok(None) => {}
                 Err(error) => log!("no listener is received: {error}"),
             }
-            let passes = place.others().iter().any(|other| other.serves && other.listener.is_some());
+            let passes = |other: &Status| other.serves && other.listener.is_some();
+            let passes = place.run(move |place| place.others().iter().any(passes)).await;
             if !passes || begun.elapsed() >= PASSED_BY {
                 return None;
             }
@@ -214,18 +240,23 @@
     }
 
     /// Passes the listener to processes that begin, where this one is the newest that serves.
-    fn pass_listener(&self, place: &Place, others: &[Status]) {
-        if let Some(listener) = &*self.listener.borrow()
-            && place.follower(others) == Follower::Absent
-        {
-            place.pass_listener(listener.as_ref());
+    async fn pass_listener(&self, place: &PlaceFiles, others: &[Status]) {
+        // Closed again when it has been passed: before `closes_listener` ends.
+        let listener = self.listener.borrow().as_ref().map(|listener| listener.as_fd().try_clone_to_owned());
+        if others.iter().all(|other| other.serves) {
+            return;
+        }
+        match listener {
+            Some(Ok(listener)) => place.run(move |place| place.pass_listener(&listener)).await,
+            Some(Err(error)) => log!("the listener cannot be passed on: {error}"),
+            None => {}
         }
     }
 
     /// Others may pass idle connections to this process from now on, where it has an inbox for them.
     fn takes_connections(&self) {
         let (Some(place), Some(_)) = (&self.place, &self.connections) else { return };
-        let told = place.takes_connections();
+        let told = place.run_here(Place::takes_connections);
         told.unwrap_or_else(|error| log!("others cannot be told that connections are taken: {error}"));
     }
 
@@ -249,8 +280,11 @@
     }
 
     /// Whether another process is to end, too: it may not have seen yet that this one is.
-    pub fn another_stops(&self) -> bool {
-        self.place.as_ref().is_some_and(|place| place.others().iter().any(|other| other.stops))
+    pub async fn another_stops(&self) -> bool {
+        match &self.place {
+            Some(place) => place.run(|place| place.others().iter().any(|other| other.stops)).await,
+            None => false,
+        }
     }
 
     /// How many idle connections this process has passed on.
@@ -263,16 +297,16 @@
         let Some(place) = &self.place else { return false };
         let _turn = self.passing.lock().await;
         loop {
-            match place.pass_connection(connection) {
+            let Some(inbox) = place.run(Place::connection_receiver).await else { return false };
+            // On this thread: who does not wait any more has not passed it.
+            match pass_connection(connection, &inbox) {
                 Ok(()) => {
                     self.passed.update(|n| n + 1);
                     return true;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => sleep(INBOX_FULL).await,
                 Err(error) => {
-                    if error.kind() != ErrorKind::NotFound {
-                        log!("a connection cannot be passed on: {error}");
-                    }
+                    log!("a connection cannot be passed on: {error}");
                     return false;
                 }
             }
@@ -284,9 +318,15 @@
         let Some(place) = &self.place else { return };
         loop {
             sleep(if self.alone() { LOOK_ALONE } else { LOOK_BESIDE }).await;
-            let others = place.others();
-            self.stances.followed(place.follower(&others));
-            self.pass_listener(place, &others);
+            let looks = |place: &Place| {
+                let others = place.others();
+                (place.follower(&others), others)
+            };
+            let (follower, others) = place.run(looks).await;
+            self.stances.followed(follower);
+            if follower == Follower::Absent {
+                self.pass_listener(place, &others).await;
+            }
             if others.len() > self.others.get() && self.stances.serves() {
                 self.teach(place).await;
             }
@@ -295,8 +335,10 @@
                 let _ = self.module.send(Mail::Beside(others.len())).await;
             }
             self.counted(others.len());
-            match place.news() {
-                Ok(Some(before)) => self.apply(&before, &place.words()).await,
+            let news =
+                place.run(|place| Ok::<_, Error>(place.news()?.map(|before| (before, place.words())))).await;
+            match news {
+                Ok(Some((before, now))) => self.apply(&before, &now).await,
                 Ok(None) => {}
                 Err(error) => log!("words of another process cannot be read: {error:#}"),
             }
@@ -304,12 +346,12 @@
     }
 
     /// Leaves what this process knows to the one that begins.
-    async fn teach(&self, place: &Place) {
+    async fn teach(&self, place: &PlaceFiles) {
         let (to, known) = oneshot::channel();
         let _ = self.module.send(Mail::Teach(to)).await;
         if let Ok(known) = known.await {
             let fleet = self.peers.as_ref().map(|peers| peers.places()).unwrap_or_default();
-            let left = place.teach(known, fleet);
+            let left = place.run(move |place| place.teach(known, fleet)).await;
             left.unwrap_or_else(|error| log!("the next process learns nothing from this one: {error:#}"));
         }
     }
@@ -319,7 +361,7 @@
         let Some(place) = &self.place else { return };
         let begun = Instant::now();
         while begun.elapsed() < TAUGHT_BY {
-            match place.taught::<(Vec<Entry>, Box<Lessons>)>() {
+            match place.run(Place::taught::<(Vec<Entry>, Box<Lessons>)>).await {
                 Ok(Some(((entries, lessons), fleet))) => {
                     self.peers.iter().for_each(|peers| peers.told(&fleet));
                     log!("{} workers as the process before knows them", entries.len());
@@ -343,21 +385,33 @@
     }
 
     /// Adds to the words of all; ends when all hold it, or soon after.
-    pub async fn say(&self, change: impl Fn(&mut Words)) {
+    pub async fn say(&self, change: impl Fn(&mut Words) + Send + Sync + 'static) {
         let Some(place) = &self.place else { return };
         let begun = Instant::now();
-        let before = loop {
-            match place.say(&change) {
-                Ok(Some(before)) => break before,
+        let change = Arc::new(change);
+        let (before, now) = loop {
+            let change = change.clone();
+            let says = move |place: &Place| {
+                let before = place.say(|words| change(words))?;
+                Ok::<_, Error>(before.map(|before| (before, place.words())))
+            };
+            let Ok(said) = timeout(FILES_TIMEOUT, place.run(says)).await else {
+                return log!("a word is not kept in time: the disk stalls");
+            };
+            match said {
+                Ok(Some(said)) => break said,
                 Ok(None) if begun.elapsed() < AGREED_BY => sleep(BUSY).await,
                 Ok(None) => return log!("a word is not kept: another process holds the file"),
                 Err(error) => return log!("a word is not kept: {error:#}"),
             }
         };
-        self.apply(&before, &place.words()).await;
-        while !place.agreed() && begun.elapsed() < AGREED_BY {
-            sleep(BUSY).await;
-        }
+        self.apply(&before, &now).await;
+        let agreed = async {
+            while !place.run(Place::agreed).await {
+                sleep(BUSY).await;
+            }
+        };
+        let _ = timeout_at(begun + AGREED_BY, agreed).await;
     }
 
     /// Takes over what was said at another process.
--- a/crates/rainlugd/src/routing/management.rs
+++ b/crates/rainlugd/src/routing/management.rs
@@ -91,7 +91,8 @@
         ["workers", id, word] => return (hand(office, id, word == "maint").await, String::new()),
         ["healthcheck", word] => {
             office.stances.emptied(word == "fail");
-            office.beside.say(|words| words.emptied = word == "fail").await;
+            let emptied = word == "fail";
+            office.beside.say(move |words| words.emptied = emptied).await;
         }
         _ if !office.stances.serves() => return (503, String::new()),
         _ => {}
@@ -110,7 +111,8 @@
     match named.await {
         Ok(true) => {
             log!("worker {worker} is {} by hand", if out { "out" } else { "given back" });
-            office.beside.say(|words| words.hand(&worker, out)).await;
+            let worker = worker.into_owned();
+            office.beside.say(move |words| words.hand(&worker, out)).await;
             200
         }
         Ok(false) => 404,
--- a/crates/rainlugd/src/routing/mod.rs
+++ b/crates/rainlugd/src/routing/mod.rs
@@ -11,6 +11,7 @@
 pub mod module;
 mod outcome;
 mod peers;
+mod place_files;
 mod stances;
 mod under_way;
 mod worker;
@@ -23,7 +24,7 @@
 
 use crate::protocol::words::Entry;
 use crate::transport::End;
-pub use beside::Beside;
+pub use beside::{Beside, FILES_TIMEOUT};
 pub use budgets::Budgets;
 pub use peers::Peers;
 pub use stances::Stances;
--- a/crates/rainlugd/tests/upgrades.rs
+++ b/crates/rainlugd/tests/upgrades.rs
@@ -3,8 +3,10 @@
 #[path = "../../../tests/common/mod.rs"]
 mod common;
 
+use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,6 +16,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_rainlugd");
 const CLIENTS: usize = 4;
+/// Of Linux: an open that does not wait for the other end.
+const O_NONBLOCK: i32 = 0o4000;
 /// Upgrades in series.
 const UPGRADES: usize = 10;
 
@@ -187,6 +191,31 @@
     assert!(old.ended().success());
 }
 
+/// A disk that stalled stalled the tasks of every client: the thread that serves read and wrote the files of `TMPDIR`.
+#[test]
+fn given_a_file_whose_reader_is_held_up_when_tasks_come_then_they_are_answered_and_the_process_ends() {
+    let dispatcher = Dispatcher::new("n0");
+    let mut process = dispatcher.first();
+    let words = dispatcher.directory().join("rainlug-n0.words");
+    assert!(Command::new("mkfifo").arg(&words).status().unwrap().success());
+    // There is a writer only once it is being read, and the reader waits until this one ends.
+    let open = || File::options().write(true).custom_flags(O_NONBLOCK).open(&words).ok();
+    let mut writer = None;
+    until("the file is read", |_| {
+        writer = open();
+        writer.is_some()
+    });
+    let mut client = Client::of(&process);
+    for number in 0..CLIENTS {
+        assert_eq!(client.ask("/search", &format!("s{number}"), "4000m").0, 200);
+    }
+    assert_eq!(process.call("GET", "/healthcheck").0, 200);
+    assert_eq!(process.call("POST", "/workers/w1/maint").0, 200);
+    process.terminate();
+    assert!(process.ended().success());
+    drop(writer);
+}
+
 /// A planned restart whose next process has begun when the old one ends: its listener lives on in the next one.
 #[test]
 fn given_a_process_that_has_begun_when_the_one_before_ends_first_then_no_connection_is_refused() {
