rainlugd: a stop looks who follows before the fleet hears of it

Found by reading, not seen in a run.

Cause: `follows` of Peers::leave read the state of the last look; it had read the files each time.

Change: a stop tells the others and looks at them first, for half a second at most; leaving the fleet and winding up go by that. The listener's descriptor is copied only where it is passed.

Result: the tests of upgrades, service, fleet, budgets and sockets pass.

--- a/crates/rainlugd/src/program/mod.rs
+++ b/crates/rainlugd/src/program/mod.rs
@@ -22,7 +22,7 @@
 use tokio::time::sleep;
 
 use self::clients::{Newcomers, accept, accepted, open, take_passed};
-use self::stop::{InHand, wind_up};
+use self::stop::{InHand, tell_others, wind_up};
 
 use crate::base::Clock;
 use crate::protocol::head;
@@ -198,6 +198,9 @@
             accepting = Some(spawn_local(accept(listener, newcomers, beside.clone())));
             stop.recv().await;
         }
+        if let Some(others) = &beside {
+            tell_others(&stances, others).await;
+        }
         let follows = || stances.is_followed();
         let leaves = async {
             if let Some(peers) = &peers {
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -34,6 +34,19 @@
     }
 }
 
+/// Tells the other processes that this one is to end, and looks who takes its clients.
+///
+/// A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections must not
+/// be closed at once, as they are where nobody follows, nor may the fleet hear of an end before it hears of the new process.
+pub async fn tell_others(stances: &Stances, others: &Beside) {
+    let told = async {
+        others.stops().await;
+        stances.followed(others.follower().await);
+    };
+    // As of the last look, where the disk stalls.
+    let _ = timeout(FILES_TIMEOUT, told).await;
+}
+
 /// After the word to stop: ends when every task has its answer and no client is left. Where another process takes the
 /// clients, none comes here any more.
 pub async fn wind_up(
@@ -46,16 +59,6 @@
 ) {
     let begun = Instant::now();
     log!("stopping: all answers within {within} us");
-    // A supervisor ends the old process as soon as the new one serves, between two looks at the others: idle connections
-    // must not be closed at once, as they are where nobody follows.
-    if let Some(others) = beside {
-        let told = async {
-            others.stops().await;
-            stances.followed(others.follower().await);
-        };
-        // As of the last look, where the disk stalls.
-        let _ = timeout(FILES_TIMEOUT, told).await;
-    }
     stances.stop();
     let _ = module.send(Mail::Closing(clock.now() + within)).await;
     let mut unfollowed_since = begun;
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -241,11 +241,11 @@
 
     /// Passes the listener to processes that begin, where this one is the newest that serves.
     async fn pass_listener(&self, place: &PlaceFiles, others: &[Status]) {
-        // Closed again when it has been passed: before `closes_listener` ends.
-        let listener = self.listener.borrow().as_ref().map(|listener| listener.as_fd().try_clone_to_owned());
         if others.iter().all(|other| other.serves) {
             return;
         }
+        // Closed again when it has been passed: before `closes_listener` ends.
+        let listener = self.listener.borrow().as_ref().map(|listener| listener.as_fd().try_clone_to_owned());
         match listener {
             Some(Ok(listener)) => place.run(move |place| place.pass_listener(&listener)).await,
             Some(Err(error)) => log!("the listener cannot be passed on: {error}"),
