Handover, rainlugd: one inbox loop, one look at the others, one look into a socket

Read again: what the passed connections brought twice.

- The loop over an inbox stood in ListenerInbox and ConnectionInbox: DescriptorInbox::receive has it. pass_listener and pass_connection were one function under two names: pass_descriptor.
- A start published its status twice: that it takes connections is told with the word that it serves.
- Four methods of Beside matched on the place alike: on_files.
Each look of the process at the others took two turns on the files' thread, and each look while it ends read the others twice: one each.
- rainlugd and the transport asked a socket for input by two libraries: has_input of the transport. rainlugd needs rustix no more.
- The soak's losses were built from five arguments: Connection::lost.

The tests keep their assertions; the one of receivers has one more (a process that serves and has no inbox takes none).

--- a/crates/handover/src/connection.rs
+++ b/crates/handover/src/connection.rs
@@ -5,13 +5,13 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixDatagram;
 use std::path::Path;
 
 use rustix::net::sockopt::socket_acceptconn;
 
-use crate::descriptor::{DescriptorInbox, pass_descriptor};
+use crate::descriptor::DescriptorInbox;
 
 /// Where a process receives the connections that others of its dispatcher pass to it.
 #[derive(Debug)]
@@ -35,18 +35,7 @@
     ///
     /// Where the inbox cannot be read.
     pub fn receive(&self, address: SocketAddr) -> io::Result<Option<TcpStream>> {
-        loop {
-            match self.descriptors.receive() {
-                Ok(descriptor) => {
-                    let connection = descriptor.and_then(|descriptor| connection_to(descriptor, address));
-                    if connection.is_some() {
-                        return Ok(connection);
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-                Err(error) => return Err(error),
-            }
-        }
+        self.descriptors.receive(|descriptor| connection_to(descriptor, address))
     }
 
     /// Another descriptor of its socket, to wait for connections by; it does not block.
@@ -73,12 +62,3 @@
     };
     (!listens && connection.local_addr().is_ok_and(is_here)).then_some(connection)
 }
-
-/// Passes a connection to the process whose inbox is at that path.
-///
-/// # Errors
-///
-/// `WouldBlock` where it is full; others where nobody has an inbox there.
-pub fn pass_connection(connection: impl AsFd, inbox: &Path) -> io::Result<()> {
-    pass_descriptor(connection, inbox)
-}
--- a/crates/handover/src/descriptor.rs
+++ b/crates/handover/src/descriptor.rs
@@ -39,12 +39,28 @@
         Ok(DescriptorInbox { socket })
     }
 
-    /// The descriptor in the next datagram, if it has one.
+    /// The next descriptor that `wanted` takes; nothing where none is waiting. Others are closed.
     ///
     /// # Errors
     ///
-    /// `WouldBlock` where there is no datagram; others where the inbox cannot be read.
-    pub fn receive(&self) -> io::Result<Option<OwnedFd>> {
+    /// Where the inbox cannot be read.
+    pub fn receive<T>(&self, wanted: impl Fn(OwnedFd) -> Option<T>) -> io::Result<Option<T>> {
+        loop {
+            match self.receive_any() {
+                Ok(descriptor) => {
+                    let found = descriptor.and_then(&wanted);
+                    if found.is_some() {
+                        return Ok(found);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// The descriptor in the next datagram, if it has one.
+    fn receive_any(&self) -> io::Result<Option<OwnedFd>> {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
         let mut payload = PAYLOAD;
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -8,8 +8,9 @@
 mod place;
 mod words;
 
-pub use connection::{ConnectionInbox, pass_connection};
-pub use listener::{ListenerInbox, SocketId, pass_listener};
+pub use connection::ConnectionInbox;
+pub use descriptor::pass_descriptor;
+pub use listener::{ListenerInbox, SocketId};
 pub use phase::{Follower, IDLE_CLOSED_WITHIN, IDLE_LINGER, Listening, Phase, Stance};
 pub use place::{Place, Status};
 pub use words::Words;
--- a/crates/handover/src/listener.rs
+++ b/crates/handover/src/listener.rs
@@ -10,7 +10,7 @@
 
 use rustix::net::sockopt::socket_acceptconn;
 
-use crate::descriptor::{DescriptorInbox, pass_descriptor};
+use crate::descriptor::DescriptorInbox;
 
 /// Which socket a listener is: two descriptors of one socket have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -49,18 +49,7 @@
     ///
     /// Where the inbox cannot be read.
     pub fn receive(&self, address: SocketAddr) -> io::Result<Option<TcpListener>> {
-        loop {
-            match self.descriptors.receive() {
-                Ok(descriptor) => {
-                    let listener = descriptor.and_then(|descriptor| listener_at(descriptor, address));
-                    if listener.is_some() {
-                        return Ok(listener);
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-                Err(error) => return Err(error),
-            }
-        }
+        self.descriptors.receive(|descriptor| listener_at(descriptor, address))
     }
 }
 
@@ -70,12 +59,3 @@
     let listener = TcpListener::from(descriptor);
     (listens && listener.local_addr().is_ok_and(|local| local == address)).then_some(listener)
 }
-
-/// Passes a listener to the process whose inbox is at that path.
-///
-/// # Errors
-///
-/// Where nobody has an inbox there, or it is full.
-pub fn pass_listener(listener: impl AsFd, inbox: &Path) -> io::Result<()> {
-    pass_descriptor(listener, inbox)
-}
--- a/crates/handover/src/place.rs
+++ b/crates/handover/src/place.rs
@@ -15,7 +15,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::connection::ConnectionInbox;
-use crate::listener::{ListenerInbox, SocketId, pass_listener};
+use crate::descriptor::pass_descriptor;
+use crate::listener::{ListenerInbox, SocketId};
 use crate::phase::Follower;
 use crate::words::Words;
 
@@ -168,12 +169,6 @@
         self.publish()
     }
 
-    /// Takes connections that others pass to it, from now on.
-    pub fn takes_connections(&self) -> io::Result<()> {
-        self.status.borrow_mut().takes_connections = true;
-        self.publish()
-    }
-
     /// Has closed its listening socket.
     pub fn closed_listener(&self) -> io::Result<()> {
         self.status.borrow_mut().listener = None;
@@ -206,19 +201,21 @@
     pub fn pass_listener(&self, listener: &impl AsFd) {
         for (number, status) in self.numbered_others().filter(|(_, status)| !status.serves) {
             let is_passed = self.passed.borrow().contains(&(number, status.started));
-            if !is_passed && pass_listener(listener, &inbox_path(&self.base, number)).is_ok() {
+            if !is_passed && pass_descriptor(listener, &inbox_path(&self.base, number)).is_ok() {
                 self.passed.borrow_mut().insert((number, status.started));
             }
         }
     }
 
-    /// Where other processes pass connections to this one.
+    /// Where other processes pass connections to this one, once it serves: they are told with that.
     ///
     /// # Errors
     ///
     /// Where it cannot be opened.
     pub fn connection_inbox(&self) -> io::Result<ConnectionInbox> {
-        ConnectionInbox::bind(&connections_path(&self.base, self.number))
+        let inbox = ConnectionInbox::bind(&connections_path(&self.base, self.number))?;
+        self.status.borrow_mut().takes_connections = true;
+        Ok(inbox)
     }
 
     /// The inbox of the newest process that takes the clients of this one and connections with them. The status of the
@@ -241,6 +238,11 @@
         !self.others().iter().any(|o| o.stops && o.started < self.started())
     }
 
+    /// Whether another process that is to end still lives.
+    pub fn another_stops(&self) -> bool {
+        self.others().iter().any(|other| other.stops)
+    }
+
     /// Whether this is the one process that may act for the dispatcher alone. The first one is, and the next when that has
     /// ended, however it did.
     pub fn sole(&self) -> bool {
@@ -358,7 +360,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::connection::pass_connection;
 
     fn take(dir: &Path, started: Time) -> Place {
         let (place, odd) = Place::take(dir, "n/0", started).unwrap();
@@ -404,26 +405,23 @@
     fn given_processes_that_take_connections_when_one_stops_then_the_newest_that_goes_on_is_passed_its_own() {
         let dir = tempfile::tempdir().unwrap();
         let (old, middle, new) = (take(dir.path(), 1), take(dir.path(), 2), take(dir.path(), 3));
+        old.stops().unwrap();
+        middle.serves(None).unwrap();
+        assert_eq!(old.connection_receiver(), None, "it takes none");
         let inboxes = [&middle, &new].map(|place| place.connection_inbox().unwrap());
         let arrived = || inboxes.iter().map(|inbox| !inbox.is_empty()).collect::<Vec<_>>();
-        old.stops().unwrap();
-        for place in [&middle, &new] {
-            assert_eq!(old.connection_receiver(), None);
-            place.takes_connections().unwrap();
-        }
-        assert_eq!(old.connection_receiver(), None, "neither serves yet");
+        assert_eq!(old.connection_receiver(), None, "nobody has been told yet");
         middle.serves(None).unwrap();
         new.serves(None).unwrap();
         new.stops().unwrap();
         let passes = |place: &Place| {
             let inbox = place.connection_receiver()?;
-            pass_connection(File::open(dir.path()).unwrap(), &inbox).ok()
+            pass_descriptor(File::open(dir.path()).unwrap(), &inbox).ok()
         };
         assert!(passes(&old).is_some());
         assert_eq!(arrived(), [true, false], "the newer one is to end");
         let newest = take(dir.path(), 4);
         let inbox = newest.connection_inbox().unwrap();
-        newest.takes_connections().unwrap();
         newest.serves(None).unwrap();
         assert!(passes(&old).is_some());
         assert!(!inbox.is_empty() && arrived() == [true, false]);
--- a/crates/handover/tests/connection.rs
+++ b/crates/handover/tests/connection.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 
-use rainlug_handover::{ConnectionInbox, pass_connection};
+use rainlug_handover::{ConnectionInbox, pass_descriptor as pass_connection};
 
 /// A directory, the path of an inbox in it, and the two ends of a connection to an address.
 struct Given {
--- a/crates/handover/tests/listener.rs
+++ b/crates/handover/tests/listener.rs
@@ -6,7 +6,7 @@
 use std::os::unix::net::UnixDatagram;
 use std::path::PathBuf;
 
-use rainlug_handover::{ListenerInbox, SocketId, pass_listener};
+use rainlug_handover::{ListenerInbox, SocketId, pass_descriptor as pass_listener};
 
 /// A directory, the path of an inbox in it, a listener and its address.
 fn given() -> (tempfile::TempDir, PathBuf, TcpListener, SocketAddr) {
--- a/crates/rainlugd/src/program/stop.rs
+++ b/crates/rainlugd/src/program/stop.rs
@@ -94,11 +94,14 @@
         log!("waiting for an older process that still answers");
     }
     loop {
-        // One that stops beside this one may have taken it for the one that goes on, before it was told.
-        let awaits_passed = begun.elapsed() < LAST_CLIENTS && others.another_stops().await;
-        let is_outlived = others.outlived().await;
+        // One that stops beside this one may have taken it for the one that goes on, before it was told: a newer one, too.
+        let is_alone = if begun.elapsed() < LAST_CLIENTS {
+            !others.another_stops().await
+        } else {
+            others.outlived().await
+        };
         // Last of all: nobody passes anything after that.
-        if !awaits_passed && is_outlived && others.has_taken_connections() && is_empty() {
+        if is_alone && others.has_taken_connections() && is_empty() {
             break;
         }
         sleep(LOOK).await;
--- a/crates/rainlugd/src/routing/beside.rs
+++ b/crates/rainlugd/src/routing/beside.rs
@@ -12,7 +12,7 @@
 use anyhow::Error;
 use rainlug::Lessons;
 use rainlug_handover::{
-    ConnectionInbox, Follower, ListenerInbox, Place, SocketId, Status, Words, pass_connection,
+    ConnectionInbox, Follower, ListenerInbox, Place, SocketId, Status, Words, pass_descriptor,
 };
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream, UnixDatagram};
@@ -149,6 +149,18 @@
         words.out.into_iter().collect()
     }
 
+    /// Works on the files; `alone` where there are none.
+    async fn on_files<R: Send + 'static>(
+        &self,
+        alone: R,
+        work: impl FnOnce(&Place) -> R + Send + 'static,
+    ) -> R {
+        match &self.place {
+            Some(place) => place.run(work).await,
+            None => alone,
+        }
+    }
+
     /// How many other processes live.
     pub fn count(&self) -> usize {
         self.others.get()
@@ -160,7 +172,6 @@
 
     /// This process takes clients now, from that listener, and those that others pass on.
     pub fn serves(&self, listener: &Rc<TcpListener>) {
-        self.takes_connections();
         *self.listener.borrow_mut() = Some(listener.clone());
         let id = SocketId::of(&**listener).ok();
         let told = self.place.as_ref().map_or(Ok(()), |place| place.run_here(|place| place.serves(id)));
@@ -169,8 +180,7 @@
 
     /// This process is to end.
     pub async fn stops(&self) {
-        let Some(place) = &self.place else { return };
-        let told = place.run(Place::stops).await;
+        let told = self.on_files(Ok(()), Place::stops).await;
         told.unwrap_or_else(|error| log!("others cannot be told that this process ends: {error}"));
     }
 
@@ -182,26 +192,17 @@
     /// Whether no other process lives that may act for this dispatcher alone; once yes, for good. Never where processes cannot
     /// tell one another.
     pub async fn sole(&self) -> bool {
-        match &self.place {
-            Some(place) => place.run(Place::sole).await,
-            None => false,
-        }
+        self.on_files(false, Place::sole).await
     }
 
     /// Whether no older process is left that answers what it holds before it ends.
     pub async fn outlived(&self) -> bool {
-        match &self.place {
-            Some(place) => place.run(Place::outlived).await,
-            None => true,
-        }
+        self.on_files(true, Place::outlived).await
     }
 
     /// The newer process that serves already, as of now.
     pub async fn follower(&self) -> Follower {
-        match &self.place {
-            Some(place) => place.run(|place| place.follower(&place.others())).await,
-            None => Follower::Absent,
-        }
+        self.on_files(Follower::Absent, |place| place.follower(&place.others())).await
     }
 
     /// Whether another process takes the clients, as of the last look.
@@ -212,8 +213,7 @@
     /// This process closes its listener and passes it to nobody any more.
     pub async fn closes_listener(&self) {
         self.listener.take();
-        let Some(place) = &self.place else { return };
-        let told = place.run(Place::closed_listener).await;
+        let told = self.on_files(Ok(()), Place::closed_listener).await;
         told.unwrap_or_else(|error| log!("others cannot be told that the listener is closed: {error}"));
     }
 
@@ -253,13 +253,6 @@
         }
     }
 
-    /// Others may pass idle connections to this process from now on, where it has an inbox for them.
-    fn takes_connections(&self) {
-        let (Some(place), Some(_)) = (&self.place, &self.connections) else { return };
-        let told = place.run_here(Place::takes_connections);
-        told.unwrap_or_else(|error| log!("others cannot be told that connections are taken: {error}"));
-    }
-
     /// The next connection to `address` that another process passes to this one; nothing where none will ever be.
     pub async fn passed_connection(&self, address: SocketAddr) -> Option<TcpStream> {
         let passed = self.connections.as_ref()?;
@@ -281,10 +274,7 @@
 
     /// Whether another process is to end, too: it may not have seen yet that this one is.
     pub async fn another_stops(&self) -> bool {
-        match &self.place {
-            Some(place) => place.run(|place| place.others().iter().any(|other| other.stops)).await,
-            None => false,
-        }
+        self.on_files(false, Place::another_stops).await
     }
 
     /// How many idle connections this process has passed on.
@@ -299,7 +289,7 @@
         loop {
             let Some(inbox) = place.run(Place::connection_receiver).await else { return false };
             // On this thread: who does not wait any more has not passed it.
-            match pass_connection(connection, &inbox) {
+            match pass_descriptor(connection, &inbox) {
                 Ok(()) => {
                     self.passed.update(|n| n + 1);
                     return true;
@@ -320,9 +310,10 @@
             sleep(if self.alone() { LOOK_ALONE } else { LOOK_BESIDE }).await;
             let looks = |place: &Place| {
                 let others = place.others();
-                (place.follower(&others), others)
+                let news = place.news().map(|before| Some((before?, place.words())));
+                (place.follower(&others), others, news)
             };
-            let (follower, others) = place.run(looks).await;
+            let (follower, others, news) = place.run(looks).await;
             self.stances.followed(follower);
             if follower == Follower::Absent {
                 self.pass_listener(place, &others).await;
@@ -335,8 +326,6 @@
                 let _ = self.module.send(Mail::Beside(others.len())).await;
             }
             self.counted(others.len());
-            let news =
-                place.run(|place| Ok::<_, Error>(place.news()?.map(|before| (before, place.words())))).await;
             match news {
                 Ok(Some((before, now))) => self.apply(&before, &now).await,
                 Ok(None) => {}
--- a/crates/rainlugd/src/routing/client.rs
+++ b/crates/rainlugd/src/routing/client.rs
@@ -1,7 +1,6 @@
 //! A client connection's actor: it reads one request at a time, hands a task to the module and writes its answer.
 
 use std::cell::Cell;
-use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -238,7 +237,7 @@
 async fn passed_on(link: &Link, door: &Door) -> bool {
     match &door.beside {
         Some(beside) => beside.pass_connection(link.socket()).await,
-        None => pending().await,
+        None => false,
     }
 }
 
--- a/crates/rainlugd/src/transport/link.rs
+++ b/crates/rainlugd/src/transport/link.rs
@@ -7,8 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
-use rustix::io::Errno;
-use rustix::net::{RecvFlags, recv};
+use rainlug_transport::has_input;
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
@@ -66,12 +65,9 @@
         }
     }
 
-    /// Whether there is something to read, by a system call: the runtime knows only of what came before it last looked at its
-    /// sockets.
+    /// Whether there is something to read, be it the connection's end, as the system knows it.
     pub fn has_spoken(&self) -> bool {
-        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-        let looked = recv(self.framed.get_ref(), &mut [0_u8; 1][..], flags);
-        !self.framed.read_buffer().is_empty() || looked.map(|_| ()) != Err(Errno::WOULDBLOCK)
+        !self.framed.read_buffer().is_empty() || has_input(self.framed.get_ref())
     }
 
     /// Takes the buffer that messages are read into.
--- a/crates/rainlugd/tests/soak.rs
+++ b/crates/rainlugd/tests/soak.rs
@@ -248,47 +248,38 @@
     answers: usize,
 }
 
-fn lost(
-    step: Step,
-    from: Option<SocketAddr>,
-    opened: Instant,
-    written: Option<Instant>,
-    answers: usize,
-) -> impl FnOnce(std::io::Error) -> Loss {
-    move |error| Loss { step, kind: error.kind(), answers, from, opened, written, at: Instant::now() }
-}
-
 impl Connection {
     fn open(at: SocketAddr) -> Result<Self, Loss> {
         let opened = Instant::now();
-        let stream = TcpStream::connect(at).map_err(lost(Step::Connect, None, opened, None, 0))?;
+        let refused = |error: std::io::Error| Loss {
+            step: Step::Connect,
+            kind: error.kind(),
+            answers: 0,
+            from: None,
+            opened,
+            written: None,
+            at: Instant::now(),
+        };
+        let stream = TcpStream::connect(at).map_err(refused)?;
         let timed = stream.set_read_timeout(Some(LONG)).and_then(|()| stream.set_nodelay(true));
-        let from =
-            timed.and_then(|()| stream.try_clone()).map_err(lost(Step::Connect, None, opened, None, 0))?;
+        let from = timed.and_then(|()| stream.try_clone()).map_err(refused)?;
         let address = stream.local_addr().ok();
         Ok(Connection { stream, from: BufReader::new(from), address, opened, written: None, answers: 0 })
     }
 
     fn write(&mut self, text: &str) -> Result<(), Loss> {
         self.written = Some(Instant::now());
-        self.stream.write_all(text.as_bytes()).map_err(lost(
-            Step::Write,
-            self.address,
-            self.opened,
-            self.written,
-            self.answers,
-        ))
+        self.stream.write_all(text.as_bytes()).map_err(|error| self.lost(Step::Write, &error))
+    }
+
+    fn lost(&self, step: Step, error: &std::io::Error) -> Loss {
+        let Connection { answers, address: from, opened, written, .. } = *self;
+        Loss { step, kind: error.kind(), answers, from, opened, written, at: Instant::now() }
     }
 
     /// The next answer: status, head and body.
     fn read(&mut self) -> Result<(u16, String, String), Loss> {
-        let answer = read_answer(&mut self.from).map_err(lost(
-            Step::Read,
-            self.address,
-            self.opened,
-            self.written,
-            self.answers,
-        ))?;
+        let answer = read_answer(&mut self.from).map_err(|error| self.lost(Step::Read, &error))?;
         self.answers += 1;
         Ok(answer)
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod end;
 pub mod head;
+mod input;
 mod limits;
 mod link;
 mod listener;
@@ -12,6 +13,7 @@
 
 pub use codec::{Body, Messages, Piece};
 pub use end::End;
+pub use input::has_input;
 pub use limits::{Bounds, Room, Seat};
 pub use link::Link;
 pub use listener::close_listener;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -3,14 +3,12 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{ErrorKind, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
-use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -18,6 +16,7 @@
 
 use super::codec::{Body, Messages, Piece};
 use super::end::End;
+use super::input::has_input;
 use super::limits::Seat;
 use super::outgoing::Outgoing;
 use super::pool::{Pool, Sizes};
@@ -218,8 +217,7 @@
     /// the process was told last.
     pub fn sound(&mut self) -> bool {
         let quiet = self.framed.read_buffer().is_empty() && self.framed.codec().between();
-        let peeked = SockRef::from(self.framed.get_ref()).peek(&mut [MaybeUninit::uninit()]);
-        quiet && matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+        quiet && !has_input(self.framed.get_ref())
     }
 
     /// Whether nothing has been read of a next message, nor is anything of this side's left to be written.
