Coordinator: watches are looked through when one is due, not after each event

Read again: after each event of a process the next timeout was found by a pass over all watches of all shards, and the numbers of all shards were copied. WatchList keeps the earliest time, which may be that of a watch that had a put since: the look it causes finds it anew. Shards are visited where it is due.

Whether a command is at its shard was computed by each of five callers of propose_primitive: it gets the key and does so once.

Behaviour is the same.

--- a/crates/coordinator/src/primitive_shard.rs
+++ b/crates/coordinator/src/primitive_shard.rs
@@ -73,17 +73,17 @@
                 self.acquire_lock(number, origin, &name(&lock), &name(&holder), hold_ms);
             }
             Request::RenewLock { lock, holder, fence, hold_ms } => {
-                let is_here = shard_of_primitive(&name(&lock)) == number;
+                let key = name(&lock);
                 let command = Command::Renew { lock, holder, fence, hold_ms };
-                self.propose_primitive(number, origin, is_here, &command);
+                self.propose_primitive(number, origin, &key, &command);
             }
             Request::ReleaseLock { lock, holder, fence } => {
-                let is_here = shard_of_primitive(&name(&lock)) == number;
-                self.propose_primitive(number, origin, is_here, &Command::Release { lock, holder, fence });
+                let key = name(&lock);
+                self.propose_primitive(number, origin, &key, &Command::Release { lock, holder, fence });
             }
             Request::NextNumber { name: of } => {
-                let is_here = shard_of_primitive(&name(&of)) == number;
-                self.propose_primitive(number, origin, is_here, &Command::NextNumber { name: of });
+                let key = name(&of);
+                self.propose_primitive(number, origin, &key, &Command::NextNumber { name: of });
             }
             Request::PutKey { key, value, is_conditional, expected_revision } => {
                 let text = name(&key);
@@ -93,9 +93,8 @@
                 {
                     return self.refuse_overloaded(number, origin);
                 }
-                let is_here = shard_of_primitive(group_of(&text)) == number;
                 let command = Command::Put { key, value, is_conditional, expected_revision };
-                self.propose_primitive(number, origin, is_here, &command);
+                self.propose_primitive(number, origin, group_of(&text), &command);
             }
             Request::ReadKey { key } => self.read_primitive(number, origin, ReadQuery::Key(name(&key))),
             Request::Watch { group, since, wait_ms } => {
@@ -135,14 +134,13 @@
             Availability::Free => 0,
             Availability::Expired { last_entry } => last_entry,
         };
-        let is_here = shard_of_primitive(lock) == number;
         let command = Command::Acquire { lock: lock.into(), holder: holder.into(), hold_ms, expired_entry };
-        self.propose_primitive(number, origin, is_here, &command);
+        self.propose_primitive(number, origin, lock, &command);
     }
 
-    /// Proposes a command; `is_here`: it belongs to this shard.
-    fn propose_primitive(&mut self, number: u16, origin: Origin, is_here: bool, command: &Command) {
-        if !is_here {
+    /// Proposes a command on what `key` names: a lock, a number or a group of keys. It is refused where that is another shard's.
+    fn propose_primitive(&mut self, number: u16, origin: Origin, key: &str, command: &Command) {
+        if shard_of_primitive(key) != number {
             return self.reply(origin, Answer::with_status(400));
         }
         let Some(shard) = self.shards.get(&number) else { return };
@@ -192,11 +190,10 @@
     /// Reads once more for watches that have waited long enough without a put.
     pub(crate) fn expire_watches(&mut self) {
         let now = self.now.steady;
-        for number in self.shards.keys().copied().collect::<Vec<u16>>() {
+        let is_due = |shard: &Shard| shard.watches.next_timeout() <= now;
+        let due = self.shards.iter().filter(|(_, shard)| is_due(shard)).map(|(number, _)| *number);
+        for number in due.collect::<Vec<u16>>() {
             let Some(shard) = self.shards.get_mut(&number) else { continue };
-            if shard.watches.next_timeout() > now {
-                continue;
-            }
             for Watch { origin, group, since, .. } in shard.watches.take_due(now) {
                 self.begin_read(number, origin, ReadQuery::Watch { group, since, until: now });
             }
--- a/crates/coordinator/src/watch_list.rs
+++ b/crates/coordinator/src/watch_list.rs
@@ -21,11 +21,14 @@
 pub(crate) struct WatchList {
     by_group: BTreeMap<String, Vec<Watch>>,
     count: usize,
+    /// No watch that waits is to be answered without a put before this time.
+    earliest: Option<Time>,
 }
 
 impl WatchList {
     /// A watch waits.
     pub fn add(&mut self, watch: Watch) {
+        self.earliest = Some(self.next_timeout().min(watch.until));
         self.by_group.entry(watch.group.clone()).or_default().push(watch);
         self.count += 1;
     }
@@ -45,13 +48,13 @@
         }
         self.by_group.retain(|_, watches| !watches.is_empty());
         self.count -= due.len();
+        self.earliest = self.by_group.values().flatten().map(|watch| watch.until).min();
         due
     }
 
     /// None waits any longer.
     pub fn take_all(&mut self) -> Vec<Watch> {
-        self.count = 0;
-        std::mem::take(&mut self.by_group).into_values().flatten().collect()
+        std::mem::take(self).by_group.into_values().flatten().collect()
     }
 
     /// How many wait.
@@ -59,8 +62,8 @@
         self.count
     }
 
-    /// When the first one is to be answered without a put.
+    /// When to look for those that are to be answered without a put. The watch that it was for may have had a put since.
     pub fn next_timeout(&self) -> Time {
-        self.by_group.values().flatten().map(|watch| watch.until).min().unwrap_or(Time::MAX)
+        self.earliest.unwrap_or(Time::MAX)
     }
 }
