--- a/crates/gateway/tests/plane/worker_side/recording.rs
+++ b/crates/gateway/tests/plane/worker_side/recording.rs
@@ -162,13 +162,16 @@
         self.received.iter().try_for_each(|received| self.check_received(received))
     }
 
-    /// What was sent and received, without bodies.
+    /// What was sent and received, without bodies, and what is wrong by itself.
     pub fn brief(&self) -> String {
+        let odd = [("misplaced", &self.misplaced), ("unasked", &self.unasked)];
+        let odd = odd.into_iter().filter(|(_, bytes)| !bytes.is_empty());
+        let odd = odd.map(|(what, bytes)| format!("{what}: {}\n", bytes.escape_ascii()));
         let runs =
             self.runs.iter().enumerate().map(|(n, run)| format!("run {n} at {}: {}", run.worker, run.head));
         let received =
             self.received.iter().map(|got| format!("{} got, whole {}: {}", got.id, got.whole, got.head));
-        runs.chain(received).collect()
+        odd.chain(runs).chain(received).collect()
     }
 
     fn check_run(&self, run: &Run) -> Result<(), Violation> {
