Fence by sets that are being changed to; a retirement waits for a loss

Cause: the leader dropped the retiring member while a third one was dead and not noticed. {A, B, C} to {A, C} needs a quorum of both, {A, C} is tied, and the dead disk was fenced only by sets reported as committed. Evidence: the stores' logs and the test, whose sets are {A, C} under way at every shard.

Change: members report sets that must agree and have lost half; fences count these. A retiring member leaves only where all that stay are live and up to date; one that cannot have been taken away yet is a spare. Why it works: with the absent half fenced both sets have a quorum of the members that are left, at whatever moment of the change the loss comes.

The wire has one more request (ReportTie), pinned in tests/format.

--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -109,8 +109,9 @@
         }
     }
 
-    /// The replica sets of which each must agree.
-    pub(super) fn replica_sets(&self) -> impl Iterator<Item = &[Member]> {
+    /// The replica sets of which each must agree: the newest one, and the one that it replaces while the change is not known to be
+    /// committed.
+    pub fn replica_sets(&self) -> impl Iterator<Item = &[Member]> {
         let replica_set = self.log.replica_set();
         let is_changing = !self.is_replica_set_committed() && !replica_set.previous.is_empty();
         std::iter::once(&*replica_set.members).chain(is_changing.then_some(&*replica_set.previous))
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -23,6 +23,7 @@
 use crate::replica_placement::JoinCandidate;
 use crate::replica_settings::replica_settings;
 use crate::shard::Shard;
+use crate::tied_sets::TieReports;
 use crate::topology::{self, Topology};
 use crate::{Answer, CONTROL, Effect, NodeInfo, Now, Origin, ShardStatus};
 use crate::{admission, diagnostics, invariants, reports};
@@ -103,6 +104,8 @@
     pub(crate) heartbeats: BTreeMap<String, Time>,
     /// Disks of gateways that want to be members of the configuration's shard, and when each asked last.
     pub(crate) join_candidates: BTreeMap<MemberId, JoinCandidate>,
+    /// As the leader of the configuration's shard: replica sets that have lost half of their members.
+    pub(crate) ties: TieReports,
     pub(crate) admission: admission::Admission,
     pub(crate) leadership_moves: LeadershipMoves,
     pub(crate) reports: reports::ReportExchange,
@@ -168,6 +171,7 @@
             pending_acknowledgements: Vec::new(),
             heartbeats: BTreeMap::new(),
             join_candidates: BTreeMap::new(),
+            ties: TieReports::default(),
             admission: admission::Admission::default(),
             leadership_moves: LeadershipMoves::default(),
             reports: reports::ReportExchange::default(),
--- a/crates/coordinator/src/disk_fencing.rs
+++ b/crates/coordinator/src/disk_fencing.rs
@@ -3,6 +3,9 @@
 //! A replica set that has lost exactly half of its members cannot elect a leader. Where other stores could take the lost places,
 //! the configuration's shard fences the absent disks: their votes do not count any more, so the half that is left decides. A
 //! disk that was only isolated comes back under a new identity, as an empty one (VR revisited, recovery).
+//!
+//! While a replica set changes, the old and the new one must agree. The configuration's shard knows only what was reported as committed,
+//! so members report a set that is tied ([`crate::tied_sets`]).
 
 use rainlug::{SECOND, Time};
 use rainlug_consensus::{Member, MemberId};
@@ -15,29 +18,40 @@
 const FENCE_ABSENT_AFTER: Time = SECOND;
 
 impl Coordinator {
-    /// Fences disks whose absence leaves half of a replica set of batch jobs, where another store could take their place.
+    /// Fences disks whose absence leaves half of a replica set of a shard of stores, where another store could take their place: of the
+    /// sets that were reported as committed, and of those that members report as tied.
     pub(crate) fn fence_absent_disks(&mut self) {
+        let now = self.now.steady;
+        self.ties.drop_old(now);
         let Some(control) = self.shards.get(&CONTROL).and_then(|shard| shard.control()) else { return };
+        let reported = control.replica_sets.values().map(|set| &*set.members);
         let mut fences: Vec<MemberId> = Vec::new();
-        for set in control.replica_sets.values() {
-            let is_absent = |member: &&Member| self.absence(&member.address) > FENCE_ABSENT_AFTER;
-            let absent: Vec<&Member> = set.members.iter().filter(is_absent).collect();
-            let is_tied = 2 * absent.len() == set.members.len();
-            if is_tied && self.has_spare_store(control, &set.members) {
-                let disks = absent.iter().map(|member| member.id);
-                fences.extend(disks.filter(|disk| !control.is_fenced(*disk)));
+        for members in reported.chain(self.ties.sets()) {
+            let disks = self.absent_half(members).into_iter();
+            let mut unfenced = disks.filter(|disk| !control.is_fenced(*disk)).peekable();
+            if unfenced.peek().is_some() && self.has_spare_store(control, members) {
+                fences.extend(unfenced);
             }
         }
+        fences.sort_unstable();
+        fences.dedup();
         for disk in fences {
             self.effects.push(Effect::Log("fence", format!("disk {disk:x}")));
             self.propose_maintenance(Change::Fence { disk });
         }
     }
 
-    /// Whether a live store could join these members.
+    /// The members that are absent, where they are exactly half of the replica set; nobody otherwise.
+    pub(crate) fn absent_half(&self, members: &[Member]) -> Vec<MemberId> {
+        let is_absent = |member: &&Member| self.absence(&member.address) > FENCE_ABSENT_AFTER;
+        let absent: Vec<MemberId> = members.iter().filter(is_absent).map(|member| member.id).collect();
+        if 2 * absent.len() == members.len() { absent } else { Vec::new() }
+    }
+
+    /// Whether a live store could join these members: one that stays, or one that retires and cannot have been taken away yet.
     fn has_spare_store(&self, control: &Control, members: &[Member]) -> bool {
         control.stores.values().any(|store| {
-            !store.is_retiring()
+            !control.may_go(store)
                 && !control.is_fenced(store.member.id)
                 && self.peers.live.contains_key(&store.member.address)
                 && members.iter().all(|member| member.id != store.member.id)
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -194,6 +194,19 @@
     /// To any shard: who leads it. Asked before a long tail is sent.
     #[deku(id = "7")]
     Locate,
+    /// To the configuration's shard: half the members of a replica set that must agree are absent, from a member that is not.
+    #[deku(id = "8")]
+    ReportTie {
+        /// The shard's number.
+        shard: u16,
+        /// The newest replica set there is as of this entry of the shard's log, or a later one.
+        index: u64,
+        /// The length of `members`.
+        member_count: u16,
+        /// The replica set that is tied: the newest one, or the one that it replaces.
+        #[deku(count = "member_count")]
+        members: Vec<MemberRecord>,
+    },
     /// To a shard of batch jobs: take a job. The tail is the body as the client sent it.
     #[deku(id = "16")]
     Submit {
--- a/crates/coordinator/src/maintenance.rs
+++ b/crates/coordinator/src/maintenance.rs
@@ -32,6 +32,7 @@
             self.create_shards();
             self.fence_absent_disks();
         }
+        self.report_ties();
         for number in 1..=self.info.last_shard() {
             if self.shards.get(&number).is_some_and(|shard| shard.replica.is_leader()) {
                 self.place_store_members(number);
--- /dev/null
+++ b/crates/coordinator/src/member_changes.rs
@@ -0,0 +1,138 @@
+//! The next change of a shard's replica set, decided from what its leader knows of each member.
+//!
+//! The rules keep two promises (`docs/control.md`, *Replica sets that change beside a loss*):
+//!
+//! - A change is begun only where a quorum of the new set has been heard and is up to date, so that it can be committed by members that
+//!   are there.
+//! - A member that still has everything leaves only where all members that stay are there and up to date. While one of them is absent,
+//!   the loss comes first and a retirement waits: until then the retiring member votes.
+//!
+//! Only one member is exchanged, added or removed at a time (Raft 4.1).
+
+use std::collections::BTreeSet;
+
+use rainlug_consensus::{Member, MemberId, Quorums};
+
+/// What the leader of a shard knows of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberCondition {
+    /// It is live and lacks few entries.
+    UpToDate,
+    /// It is live and lacks entries.
+    Lagging,
+    /// It has not been heard for a short time, and may be back soon.
+    Silent,
+    /// It has been absent for so long that another disk is to take its place. It may come back.
+    Absent,
+    /// Its disk holds nothing any more: it is fenced, or another disk has taken its place.
+    Lost,
+}
+
+/// A member of a replica set as its leader sees it.
+#[derive(Clone, Debug)]
+pub struct ObservedMember {
+    /// The member.
+    pub member: Member,
+    /// What is known of it.
+    pub condition: MemberCondition,
+    /// It was ordered to give up its replicas.
+    pub is_retiring: bool,
+}
+
+/// The sizes of a replica set.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaSetSizes {
+    /// The fewest members that it may have.
+    pub min: usize,
+    /// Its members when nothing is lost.
+    pub target: usize,
+}
+
+/// The disks that could join the other members of a replica set.
+pub trait Candidates {
+    /// The best of the stores that stay.
+    fn best_staying(&self, others: &[Member]) -> Option<Member>;
+
+    /// The best of the stores that retire, but may not be taken away yet.
+    fn best_retiring(&self, others: &[Member]) -> Option<Member>;
+}
+
+/// Why a member is to be replaced.
+enum Departure {
+    /// It holds nothing any more.
+    Lost,
+    /// It does not answer.
+    Absent,
+    /// It was ordered to.
+    Retires,
+}
+
+/// The next members of a shard of stores, where they are to change. The first to be replaced are those that hold nothing any more, then
+/// those that are absent, then those that retire.
+pub fn next_members(
+    observed: &[ObservedMember],
+    sizes: ReplicaSetSizes,
+    candidates: &impl Candidates,
+) -> Option<Vec<Member>> {
+    let Some((position, departure)) = next_departure(observed) else {
+        return add_member(observed, sizes, candidates);
+    };
+    let rest: Vec<&ObservedMember> =
+        observed.iter().enumerate().filter(|(at, _)| *at != position).map(|(_, other)| other).collect();
+    let others: Vec<Member> = rest.iter().map(|other| other.member.clone()).collect();
+    let is_rest_up_to_date = rest.iter().all(|other| other.condition == MemberCondition::UpToDate);
+    let staying = || candidates.best_staying(&others);
+    let successor = match departure {
+        // A retiring store that has everything is better than none: the set could not decide without the lost one.
+        Departure::Lost | Departure::Absent => staying().or_else(|| candidates.best_retiring(&others)),
+        Departure::Retires if is_rest_up_to_date => staying(),
+        Departure::Retires => return None,
+    };
+    if let Some(successor) = successor {
+        let next: Vec<Member> = others.into_iter().chain([successor]).collect();
+        return has_live_quorum(observed, &next).then_some(next);
+    }
+    // No store can take its place. It leaves nevertheless; a fenced one comes back as a new disk.
+    let may_leave = match departure {
+        Departure::Lost | Departure::Retires => true,
+        Departure::Absent => false,
+    };
+    (may_leave && is_rest_up_to_date && others.len() >= sizes.min).then_some(others)
+}
+
+/// Whether a quorum of the next members is there. One that is added is: only live stores are candidates.
+fn has_live_quorum(observed: &[ObservedMember], next: &[Member]) -> bool {
+    let condition_of =
+        |id: MemberId| observed.iter().find(|other| other.member.id == id).map(|other| other.condition);
+    let lost = observed.iter().filter(|other| other.condition == MemberCondition::Lost);
+    let fenced: BTreeSet<MemberId> = lost.map(|other| other.member.id).collect();
+    let is_live = |id| match condition_of(id) {
+        None | Some(MemberCondition::UpToDate | MemberCondition::Lagging) => true,
+        Some(MemberCondition::Silent | MemberCondition::Absent | MemberCondition::Lost) => false,
+    };
+    Quorums::new(next, &fenced).is_met(is_live)
+}
+
+/// Which member is to be replaced next, by its position.
+fn next_departure(observed: &[ObservedMember]) -> Option<(usize, Departure)> {
+    let in_condition = |condition| observed.iter().position(|other| other.condition == condition);
+    let lost = in_condition(MemberCondition::Lost).map(|at| (at, Departure::Lost));
+    let absent = || in_condition(MemberCondition::Absent).map(|at| (at, Departure::Absent));
+    let retiring = || Some((observed.iter().position(|other| other.is_retiring)?, Departure::Retires));
+    lost.or_else(absent).or_else(retiring)
+}
+
+/// These members and one more, where there are too few.
+fn add_member(
+    observed: &[ObservedMember],
+    sizes: ReplicaSetSizes,
+    candidates: &impl Candidates,
+) -> Option<Vec<Member>> {
+    if observed.len() >= sizes.target {
+        return None;
+    }
+    let members: Vec<Member> = observed.iter().map(|other| other.member.clone()).collect();
+    let added = candidates.best_staying(&members)?;
+    let next: Vec<Member> = members.into_iter().chain([added]).collect();
+    has_live_quorum(observed, &next).then_some(next)
+}
--- a/crates/coordinator/src/replica_placement.rs
+++ b/crates/coordinator/src/replica_placement.rs
@@ -7,13 +7,14 @@
 use std::net::SocketAddr;
 
 use rainlug::{SECOND, Time};
-use rainlug_consensus::Member;
+use rainlug_consensus::{Member, ReplicationLag};
 use rainlug_registry::gossip;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::calls::CallRequest;
 use crate::frame::Request;
 use crate::maintenance::ANNOUNCE_INTERVAL;
+use crate::member_changes::{self, Candidates, MemberCondition, ObservedMember, ReplicaSetSizes};
 use crate::topology::encode_members;
 use crate::{CONTROL, Coordinator, Effect};
 
@@ -48,6 +49,43 @@
     members.iter().any(|member| member.id == disk.id)
 }
 
+/// Whether a follower lacks few entries, as its leader knows.
+fn is_up_to_date(member: &Member, lags: &[ReplicationLag]) -> bool {
+    lags.iter().any(|lag| lag.member == member.id && lag.entries < UP_TO_DATE_ENTRIES)
+}
+
+/// The stores that could join a shard's replica set.
+struct StoreCandidates<'a> {
+    coordinator: &'a Coordinator,
+    number: u16,
+    listed: Vec<Member>,
+}
+
+impl StoreCandidates<'_> {
+    /// The best live store that holds no replica yet and for which `may_join` holds.
+    fn best(&self, others: &[Member], may_join: impl Fn(&Member) -> bool) -> Option<Member> {
+        let coordinator = self.coordinator;
+        let could_join = |store: &&Member| {
+            may_join(store)
+                && !coordinator.topology.is_fenced(store.id)
+                && !contains(others, store)
+                && coordinator.peers.live.contains_key(&store.address)
+        };
+        coordinator.best_candidate(self.number, others, self.listed.iter().filter(could_join))
+    }
+}
+
+impl Candidates for StoreCandidates<'_> {
+    fn best_staying(&self, others: &[Member]) -> Option<Member> {
+        self.best(others, |store| !self.coordinator.topology.is_retiring(store.id))
+    }
+
+    fn best_retiring(&self, others: &[Member]) -> Option<Member> {
+        let topology = &self.coordinator.topology;
+        self.best(others, |store| topology.is_retiring(store.id) && !topology.is_emptied(store.id))
+    }
+}
+
 impl Coordinator {
     fn is_absent(&self, address: &SocketAddr) -> bool {
         self.absence(address) > REPLACE_ABSENT_AFTER
@@ -144,37 +182,40 @@
         self.topology.stores.iter().filter_map(|store| store.member.to_member().ok()).collect()
     }
 
-    /// The next members of a shard of stores, where they are to change. The first to be replaced are those that hold nothing any
-    /// more (fenced or unlisted), then those that retire, then those that are absent and may come back.
+    /// The next members of a shard of stores, where they are to change.
     fn next_store_members(&self, number: u16, members: &[Member]) -> Option<Vec<Member>> {
         let listed = self.listed_stores();
-        let is_retiring = |m: &Member| self.topology.is_retiring(m.id);
-        let is_fenced = |m: &Member| self.topology.is_fenced(m.id);
-        let could_join = |store: &&Member| {
-            !is_retiring(store)
-                && !is_fenced(store)
-                && !contains(members, store)
-                && self.peers.live.contains_key(&store.address)
+        let lags = self.shards.get(&number)?.replica.replication_lag();
+        let observe = |member: &Member| ObservedMember {
+            member: member.clone(),
+            condition: self.member_condition(member, &listed, &lags),
+            is_retiring: self.topology.is_retiring(member.id),
         };
-        let candidates = listed.iter().filter(could_join);
-        let lost = members.iter().find(|m| is_fenced(m) || !contains(&listed, m));
-        let retiring = members.iter().find(|m| is_retiring(m));
-        let absent = members.iter().find(|m| self.is_absent(&m.address));
-        if let Some(replaced) = lost.or(retiring).or(absent) {
-            let rest = without(members, replaced);
-            return match self.best_candidate(number, &rest, candidates) {
-                Some(new) => Some(with(&rest, new)),
-                // No store can take its place. A retiring or fenced one leaves nevertheless; a fenced one comes back as a new disk.
-                None => {
-                    let may_leave = is_retiring(replaced) || is_fenced(replaced);
-                    (may_leave && rest.len() >= self.info.min_members()).then_some(rest)
-                }
-            };
+        let observed: Vec<ObservedMember> = members.iter().map(observe).collect();
+        let sizes = ReplicaSetSizes { min: self.info.min_members(), target: self.info.target_members() };
+        member_changes::next_members(&observed, sizes, &StoreCandidates { coordinator: self, number, listed })
+    }
+
+    /// What the leader of a shard of stores knows of a member.
+    fn member_condition(
+        &self,
+        member: &Member,
+        listed: &[Member],
+        lags: &[ReplicationLag],
+    ) -> MemberCondition {
+        if self.topology.is_fenced(member.id) || !contains(listed, member) {
+            return MemberCondition::Lost;
         }
-        if members.len() < self.info.target_members() {
-            return Some(with(members, self.best_candidate(number, members, candidates)?));
+        if member.address == self.info.peer_address {
+            return MemberCondition::UpToDate;
         }
-        None
+        if self.is_absent(&member.address) {
+            return MemberCondition::Absent;
+        }
+        if self.absence(&member.address) > 0 {
+            return MemberCondition::Silent;
+        }
+        if is_up_to_date(member, lags) { MemberCondition::UpToDate } else { MemberCondition::Lagging }
     }
 
     /// Reports a committed replica set to the configuration's shard, unless the topology shows it already: once the old members
@@ -186,9 +227,9 @@
         }
         let (term, index) = (shard.replica.term(), shard.replica.replica_set_index());
         let lags = shard.replica.replication_lag();
-        let is_up_to_date = |member: &Member| {
+        let needs_nothing = |member: &Member| {
             member.address == self.info.peer_address
-                || lags.iter().any(|lag| lag.member == member.id && lag.entries < UP_TO_DATE_ENTRIES)
+                || is_up_to_date(member, &lags)
                 || self.is_absent(&member.address)
         };
         let retirements = self.topology.retirements;
@@ -196,7 +237,7 @@
             let same = known.members.iter().map(|record| record.id).eq(members.iter().map(|m| m.id));
             same && known.retirements == retirements && known.index >= index
         });
-        if is_known || !members.iter().all(is_up_to_date) {
+        if is_known || !members.iter().all(needs_nothing) {
             return;
         }
         let members = encode_members(members);
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -91,6 +91,10 @@
                 let change = Change::SetReplicaSet { shard, term, index, retirements, member_count, members };
                 self.propose(CONTROL, origin, join(&change, &[]));
             }
+            Request::ReportTie { shard, index, members, .. } => {
+                self.receive_tie(shard, index, &members);
+                self.reply(origin, Answer::with_status(200));
+            }
             _ => self.reply(origin, Answer::with_status(400)),
         }
     }
--- a/crates/coordinator/src/shard.rs
+++ b/crates/coordinator/src/shard.rs
@@ -32,6 +32,8 @@
     pub is_snapshot_wanted: bool,
     /// Since when (steady clock) this disk is known not to be a member any more.
     pub lost_membership_since: Option<Time>,
+    /// When a tie of its replica set was last reported (steady clock).
+    pub tie_reported_at: Time,
 
     /// This process leads the shard and may serve.
     pub is_leader: bool,
@@ -77,6 +79,7 @@
             disk: ShardDisk::with_records(records),
             is_snapshot_wanted: false,
             lost_membership_since: None,
+            tie_reported_at: 0,
             is_leader: false,
             waiting: WaitingRequests::default(),
             watches: WatchList::default(),
--- a/crates/coordinator/src/topology.rs
+++ b/crates/coordinator/src/topology.rs
@@ -146,6 +146,18 @@
         self.replica_set(shard).is_some_and(|set| set.index >= index && !set.has_member(disk))
     }
 
+    /// Whether the store with this disk was ordered to give up its replicas, and has: it may have been taken away.
+    pub fn is_emptied(&self, disk: MemberId) -> bool {
+        let retiring = self.stores.iter().find(|store| store.member.id == disk && store.is_retiring());
+        let is_without = |store: &StoreRecord| {
+            let is_it = |member: &MemberRecord| member.id == disk || member.name == store.member.name;
+            self.replica_sets
+                .iter()
+                .all(|set| set.retirements >= store.retirement && !set.members.iter().any(is_it))
+        };
+        retiring.is_some_and(is_without)
+    }
+
     /// How many shards a store's disk holds a replica of.
     pub fn replica_count(&self, disk: MemberId) -> usize {
         self.replica_sets.iter().filter(|set| set.has_member(disk)).count()
--- a/crates/coordinator/tests/format.rs
+++ b/crates/coordinator/tests/format.rs
@@ -54,6 +54,11 @@
     Request::ReportReplicaSet { shard: 2, term: 3, index: 70, retirements: 1, member_count: 3, members }
 }
 
+fn tied() -> Request {
+    let members = encode_members(&group(&[4, 6]));
+    Request::ReportTie { shard: 2, index: 71, member_count: 2, members }
+}
+
 fn put_key() -> Request {
     let (key, value) = ("g1.2d".into(), "5c0e7a21d94b36f8".into());
     Request::PutKey { key, value, is_conditional: 1, expected_revision: 907 }
@@ -87,6 +92,7 @@
         ("PutKey", put_key()),
         ("ReadKey", Request::ReadKey { key: "g1.2d".into() }),
         ("Watch", Request::Watch { group: "g1.".into(), since: 930, wait_ms: 2_000 }),
+        ("ReportTie", tied()),
     ]
 }
 
--- /dev/null
+++ b/crates/coordinator/tests/replica_set_changes.rs
@@ -0,0 +1,226 @@
+//! Replica sets of stores that change beside a loss: one store is ordered to be emptied or replaced as planned, and another one is lost
+//! at any moment of that. The shards of batch jobs serve again, and what was accepted is read.
+
+mod common;
+
+use common::{Fleet, jobs_of, read, settled, stores, submit};
+use rainlug::{SECOND, Time};
+use rainlug_coordinator::{Answer, BATCH_SHARDS, Call};
+
+/// After a loss everything serves again within this time, in seconds (`recover_s` of the smallest deployment).
+const RECOVERY_TIME: f64 = 12.0;
+/// A machine that is new or back counts as lost for so long, in seconds (`sync_s`).
+const SYNC_TIME: f64 = 5.0;
+/// How long an answer may take, in seconds.
+const ANSWER_TIME: f64 = 2.0;
+
+fn status(answer: Option<Answer>) -> Option<u16> {
+    answer.map(|answer| answer.status)
+}
+
+/// A batch job for each shard.
+fn jobs() -> Vec<String> {
+    (1..=BATCH_SHARDS).map(|shard| jobs_of(shard, 1).remove(0)).collect()
+}
+
+/// A gateway that runs.
+fn gateway(fleet: &Fleet) -> usize {
+    let runs = |at: &usize| fleet.machines[*at].gateway && fleet.machines[*at].coordinator.is_some();
+    (0..fleet.machines.len()).find(runs).expect("a gateway")
+}
+
+/// Asks until the answer has this status; panics where it does not come in time.
+#[track_caller]
+fn until_status(fleet: &mut Fleet, expected: u16, within: f64, what: &str, call: impl Fn() -> Call) {
+    let end = fleet.now + (within * SECOND as f64) as Time;
+    let mut last = None;
+    while fleet.now < end {
+        let at = gateway(fleet);
+        last = status(fleet.ask(at, call(), ANSWER_TIME));
+        if last == Some(expected) {
+            return;
+        }
+        fleet.pass(0.1);
+    }
+    panic!("{what}: {last:?} after {within} s");
+}
+
+/// Every shard takes a job and has it read.
+#[track_caller]
+fn accept_jobs(fleet: &mut Fleet, within: f64, what: &str) {
+    for job in jobs() {
+        until_status(fleet, 202, within, what, || submit(&job, 3));
+    }
+}
+
+/// The job of every shard is read, and a new one is taken.
+#[track_caller]
+fn all_shards_serve(fleet: &mut Fleet, within: f64, what: &str) {
+    let end = fleet.now + (within * SECOND as f64) as Time;
+    for job in jobs() {
+        let left = |fleet: &Fleet| (end - fleet.now).max(SECOND) as f64 / SECOND as f64;
+        let time = left(fleet);
+        until_status(fleet, 200, time, what, || read(&job));
+        let time = left(fleet);
+        until_status(fleet, 202, time, what, || submit(&job, 3));
+    }
+    // What is new is committed, too.
+    for shard in 1..=BATCH_SHARDS {
+        let job = jobs_of(shard, 2).remove(1);
+        until_status(fleet, 202, within, what, || submit(&job, 1));
+    }
+}
+
+fn retire(fleet: &mut Fleet, store: usize) {
+    let name = fleet.machines[store].name.clone();
+    until_status(fleet, 200, ANSWER_TIME, "the order to empty a store", || Call::Retire {
+        store: name.clone(),
+    });
+}
+
+fn is_retired(fleet: &mut Fleet, store: usize) -> bool {
+    let name = fleet.machines[store].name.clone();
+    let at = gateway(fleet);
+    let answer = fleet.ask(at, Call::RetirementStatus { store: name }, ANSWER_TIME);
+    answer.is_some_and(|answer| answer.body == "{\"state\":\"complete\"}")
+}
+
+/// The replica set of each shard as every store knows it.
+fn replica_sets(fleet: &Fleet) -> String {
+    let mut lines = Vec::new();
+    for at in stores(fleet) {
+        let Some(store) = &fleet.machines[at].coordinator else { continue };
+        for shard in 1..=BATCH_SHARDS {
+            let known = store.shard_status(shard);
+            let names: Vec<&str> = known.members.iter().map(|member| member.name.as_str()).collect();
+            lines.push(format!("{at}, shard {shard}: leads {}, {names:?}", known.is_leader));
+        }
+    }
+    lines.join("\n")
+}
+
+/// Waits until a store may be taken away, and takes it away.
+#[track_caller]
+fn take_away_when_retired(fleet: &mut Fleet, store: usize, within: f64, what: &str) {
+    let end = fleet.now + (within * SECOND as f64) as Time;
+    while !is_retired(fleet, store) {
+        assert!(
+            fleet.now < end,
+            "{what}: the store is not emptied within {within} s: {}",
+            replica_sets(fleet)
+        );
+        fleet.pass(0.1);
+    }
+    fleet.kill(store, true);
+}
+
+/// A new store with an empty disk, in the zone of another one.
+fn add_store(fleet: &mut Fleet, zone_of: usize) -> usize {
+    let new = fleet.add(false, true, zone_of % 3);
+    fleet.start(new, false);
+    new
+}
+
+/// A fleet of three stores with a job in every shard; the stores, turned by the seed.
+fn three_stores(seed: u64) -> (Fleet, [usize; 3]) {
+    let mut fleet = settled(3, 2, 3, 1_300 + seed);
+    accept_jobs(&mut fleet, 5.0, "before");
+    fleet.pass(1.0);
+    let mut turned = stores(&fleet);
+    turned.rotate_left(seed as usize % 3);
+    (fleet, [turned[0], turned[1], turned[2]])
+}
+
+/// What becomes of a store that is lost.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// It is gone for good, and a new one with an empty disk comes.
+    Replaced,
+    /// It is back after a while, with its disk.
+    Away,
+    /// It is back with an empty disk.
+    Wiped,
+    /// It stands still for a while.
+    Frozen,
+}
+
+/// A store is lost beside the order to empty another one: so long after the order, or before it, in seconds.
+fn loss_beside_retirement(seed: u64, loss: Loss, after_order: f64) {
+    let what = format!("seed {seed}, {loss:?}, {after_order} s after the order");
+    let (mut fleet, [retiring, lost, _]) = three_stores(seed);
+    let lose = |fleet: &mut Fleet| match loss {
+        Loss::Replaced | Loss::Away => fleet.kill(lost, true),
+        Loss::Wiped => fleet.wipe(lost),
+        Loss::Frozen => fleet.freeze(lost),
+    };
+    if after_order < 0.0 {
+        lose(&mut fleet);
+        fleet.pass(-after_order);
+        retire(&mut fleet, retiring);
+    } else {
+        retire(&mut fleet, retiring);
+        fleet.pass(after_order);
+        lose(&mut fleet);
+    }
+    match loss {
+        Loss::Replaced => {
+            fleet.pass(1.0);
+            add_store(&mut fleet, lost);
+        }
+        Loss::Wiped => {
+            fleet.pass(1.0);
+            fleet.start(lost, false);
+        }
+        Loss::Away => {
+            // Two of three are left, and serve, unless one of them was emptied already, as reports under way may say.
+            fleet.pass(1.0);
+            if !is_retired(&mut fleet, retiring) {
+                all_shards_serve(&mut fleet, RECOVERY_TIME, &what);
+            }
+            fleet.start(lost, false);
+        }
+        Loss::Frozen => {
+            fleet.pass(3.0);
+            fleet.thaw(lost);
+        }
+    }
+    all_shards_serve(&mut fleet, RECOVERY_TIME, &what);
+    // The order was answered with 200: it goes on by itself.
+    take_away_when_retired(&mut fleet, retiring, 2.0 * RECOVERY_TIME, &what);
+    fleet.pass(SYNC_TIME);
+    all_shards_serve(&mut fleet, RECOVERY_TIME, &format!("{what}, then it was taken away"));
+}
+
+/// When a store is lost beside the order, in seconds after it: before it is noticed, before the change is proposed, before it is
+/// committed, before it is reported, and after all that.
+const MOMENTS: [f64; 12] = [-1.2, -0.8, -0.3, -0.02, 0.0, 0.01, 0.03, 0.1, 0.2, 0.3, 0.45, 0.7];
+
+/// Each moment with each store as the one that is to be emptied.
+fn moments() -> impl Iterator<Item = (u64, f64)> {
+    (0..3 * MOMENTS.len() as u64).map(|seed| (seed, MOMENTS[seed as usize / 3]))
+}
+
+/// Guards against review/1: two of three members lived and had everything, and no shard could decide anything any more.
+#[test]
+fn given_a_store_gone_for_good_when_another_one_is_ordered_to_be_emptied_then_all_shards_serve_again() {
+    for (seed, moment) in moments() {
+        loss_beside_retirement(seed, Loss::Replaced, moment);
+    }
+}
+
+/// The same for a store that comes back: meanwhile the one that is to be emptied still has everything and votes.
+#[test]
+fn given_a_store_that_is_away_when_another_one_is_ordered_to_be_emptied_then_all_shards_serve_without_it() {
+    for (seed, moment) in moments() {
+        loss_beside_retirement(seed, Loss::Away, moment);
+    }
+}
+
+/// The same for a disk that is lost, and a store that stands still.
+#[test]
+fn given_a_store_wiped_or_frozen_when_another_one_is_ordered_to_be_emptied_then_all_shards_serve_again() {
+    for (seed, moment) in moments() {
+        loss_beside_retirement(seed, Loss::Wiped, moment);
+        loss_beside_retirement(seed, Loss::Frozen, moment);
+    }
+}
