Members that are gone leave their replica sets, and a planned end leaves first

Cause: the replaced store had ended and stayed a member of each set of three: an absent one left only where another store could take its place. With it gone and one lost the third is no majority, and two of three are no tie.

Change: an absent member without a successor leaves where all others are up to date and enough. For losses before that, a process that is told to end asks to be left out first (Request::Depart) and waits up to 2 s; a restarted one is added again, no other store is filled meanwhile. Why it works: an even set bears a loss by a fence, and no set counts on who has ended.

--- a/crates/coordinator/src/calls.rs
+++ b/crates/coordinator/src/calls.rs
@@ -47,6 +47,8 @@
     Reservation { shard: u16, job: String },
     /// It acknowledges this shard's usage report on a route.
     UsageReport { shard: u16, route: String },
+    /// It says whether this shard's replica set goes on without this process, which is about to end.
+    Departure { shard: u16 },
     /// It goes back to another process, which cannot reach the leader itself.
     Relayed { to: SocketAddr, nonce: u64 },
     /// It is dropped: the call belongs to this process's maintenance, which repeats it until its effect is seen.
@@ -251,6 +253,7 @@
                 let answer = if is_late { Answer::retry_after(503, RETRY_AFTER) } else { answer };
                 self.queue_reservation_answer(shard, job, answer);
             }
+            CallCompletion::Departure { shard } => self.finish_departure_request(shard, &answer),
             CallCompletion::UsageReport { shard, route } => {
                 self.finish_usage_report(shard, &route, answer.status == 200);
             }
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::calls::Calls;
+use crate::departure::{Departure, Departures};
 use crate::dissemination::{Outbox, PendingAcknowledgement};
 use crate::founding::{founding_id, founding_members};
 use crate::frame::{DecodeError, Head, Request, split};
@@ -104,6 +105,9 @@
     pub(crate) heartbeats: BTreeMap<String, Time>,
     /// Disks of gateways that want to be members of the configuration's shard, and when each asked last.
     pub(crate) join_candidates: BTreeMap<MemberId, JoinCandidate>,
+    /// This process's own giving up of memberships, and that of members of shards that are led here.
+    pub(crate) departure: Departure,
+    pub(crate) departures: Departures,
     /// As the leader of the configuration's shard: replica sets that have lost half of their members.
     pub(crate) ties: TieReports,
     pub(crate) admission: admission::Admission,
@@ -171,6 +175,8 @@
             pending_acknowledgements: Vec::new(),
             heartbeats: BTreeMap::new(),
             join_candidates: BTreeMap::new(),
+            departure: Departure::default(),
+            departures: Departures::default(),
             ties: TieReports::default(),
             admission: admission::Admission::default(),
             leadership_moves: LeadershipMoves::default(),
--- /dev/null
+++ b/crates/coordinator/src/departure.rs
@@ -0,0 +1,156 @@
+//! A process that is about to end gives up its places in replica sets first, where the others bear it.
+//!
+//! A member that is gone for good and has no successor makes a replica set that bears no further loss: of three members with one gone and one
+//! lost, the one that is left is no majority, and no tie that a fence breaks. So a process that is told to end asks the leader of each
+//! shard that it is a member of to be left out, and waits for that, for a bounded time. A set of stores goes on with one member less
+//! where it may; a member of the configuration's shard leaves where another gateway can take its place. A process that is only
+//! restarted is added again as soon as it is back: its disk lacks little.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rainlug::{SECOND, Time};
+use rainlug_consensus::{Member, MemberId};
+
+use crate::calls::{CallCompletion, CallRequest};
+use crate::frame::Request;
+use crate::maintenance::ANNOUNCE_INTERVAL;
+use crate::{Answer, CONTROL, Coordinator, Now, Origin};
+
+/// How long a leader has to answer one request to be left out, in microseconds.
+const REQUEST_TIMEOUT: Time = SECOND / 2;
+/// A member that has asked to be left out is about to end for so long after it asked last, in microseconds.
+const ABOUT_TO_END: Time = SECOND;
+/// A store that has ended is expected back for so long, in microseconds: no other one is filled in its place meanwhile.
+const EXPECTED_BACK: Time = 4 * SECOND;
+
+/// Gateways that could join the configuration's shard have asked its leader to once it has led for so long, in microseconds.
+const CANDIDATES_KNOWN_AFTER: Time = ANNOUNCE_INTERVAL + ANNOUNCE_INTERVAL / 4;
+
+/// The status where the replica set is committed without the member, and its members know.
+const LEFT_OUT: u16 = 200;
+/// The status where the member stays: the others would be too few.
+const STAYS: u16 = 409;
+
+/// This process's own departure.
+#[derive(Default)]
+pub(crate) struct Departure {
+    is_leaving: bool,
+    /// Shards whose leader has not answered finally.
+    undecided: BTreeSet<u16>,
+    /// Shards whose leader has been asked and has not answered.
+    asked: BTreeSet<u16>,
+}
+
+/// Members that have asked to be left out, and when they did last (steady clock).
+#[derive(Default)]
+pub(crate) struct Departures(BTreeMap<MemberId, Time>);
+
+impl Departures {
+    /// Whether a member is about to end.
+    pub(crate) fn is_departing(&self, member: MemberId, now: Time) -> bool {
+        self.0.get(&member).is_some_and(|asked_at| now - asked_at < ABOUT_TO_END)
+    }
+
+    /// Whether a member has ended of late, or is about to.
+    pub(crate) fn is_expected_back(&self, member: MemberId) -> bool {
+        self.0.contains_key(&member)
+    }
+
+    fn record(&mut self, member: MemberId, now: Time) {
+        self.0.retain(|_, asked_at| now - *asked_at < EXPECTED_BACK);
+        self.0.insert(member, now);
+    }
+
+    /// Forgets those that are not expected back any more.
+    pub(crate) fn drop_old(&mut self, now: Time) {
+        self.0.retain(|_, asked_at| now - *asked_at < EXPECTED_BACK);
+    }
+}
+
+impl Coordinator {
+    /// The process is about to end: asks to be left out of the replica sets that it is a member of, until
+    /// [`Coordinator::is_departing`] does not hold any more.
+    pub fn depart(&mut self, now: Now) {
+        self.now = now;
+        self.departure.is_leaving = true;
+        self.departure.undecided =
+            self.shards.keys().copied().filter(|number| self.is_seated(*number)).collect();
+        self.request_departure();
+        self.run_deferred_work();
+    }
+
+    /// Whether a leader has still to say whether a replica set goes on without this process.
+    pub fn is_departing(&self) -> bool {
+        !self.departure.undecided.is_empty()
+    }
+
+    /// Whether this disk is a member of a shard's replica set, as far as its replica knows.
+    fn is_seated(&self, number: u16) -> bool {
+        let own = self.info.disk;
+        self.shards
+            .get(&number)
+            .is_some_and(|shard| shard.replica.replica_sets().flatten().any(|member| Some(member.id) == own))
+    }
+
+    /// Asks the leaders that have not answered finally. Part of the periodic maintenance.
+    pub(crate) fn request_departure(&mut self) {
+        let Some(member) = self.info.disk.filter(|_| self.departure.is_leaving) else { return };
+        let undecided = self.departure.undecided.iter().copied();
+        let due: Vec<u16> = undecided.filter(|number| !self.departure.asked.contains(number)).collect();
+        for number in due {
+            self.departure.asked.insert(number);
+            let completion = CallCompletion::Departure { shard: number };
+            let request = Request::Depart { member };
+            self.call_shard(CallRequest::new(number, &request, completion, REQUEST_TIMEOUT));
+        }
+    }
+
+    /// A leader has answered, or has not in time.
+    pub(crate) fn finish_departure_request(&mut self, number: u16, answer: &Answer) {
+        self.departure.asked.remove(&number);
+        if matches!(answer.status, LEFT_OUT | STAYS) {
+            self.departure.undecided.remove(&number);
+        }
+    }
+
+    /// As the leader of a shard: a member asks to be left out. Its shard is handed over first where it leads it itself.
+    pub(crate) fn receive_departure(&mut self, number: u16, origin: Origin, member: MemberId) {
+        self.departures.record(member, self.now.steady);
+        if number == CONTROL {
+            self.place_configuration_members();
+        } else {
+            self.place_store_members(number);
+        }
+        let answer = match self.departure_status(number, member) {
+            Some(status) => Answer::with_status(status),
+            None => Answer::retry_after(503, SECOND / 10),
+        };
+        self.reply(origin, answer);
+    }
+
+    /// Whether a shard that is led here goes on without a member; none where that is not decided yet.
+    fn departure_status(&self, number: u16, member: MemberId) -> Option<u16> {
+        let shard = self.shards.get(&number)?;
+        let (replica, members) = (&shard.replica, shard.replica.members());
+        if members.iter().all(|other| other.id != member) {
+            return replica.is_replica_set_durable().then_some(LEFT_OUT);
+        }
+        let may_leave = match number {
+            CONTROL => {
+                let are_candidates_known = self.now.steady - shard.led_since >= CANDIDATES_KNOWN_AFTER;
+                !are_candidates_known || self.has_join_candidate(members)
+            }
+            _ => members.len() > self.info.min_members(),
+        };
+        (!may_leave).then_some(STAYS)
+    }
+
+    /// Whether a live gateway could join these members of the configuration's shard.
+    fn has_join_candidate(&self, members: &[Member]) -> bool {
+        let mut candidates = self.join_candidates.values().map(|candidate| &candidate.member);
+        candidates.any(|candidate| {
+            members.iter().all(|member| member.id != candidate.id && member.address != candidate.address)
+                && self.peers.live.contains_key(&candidate.address)
+        })
+    }
+}
--- a/crates/coordinator/src/frame.rs
+++ b/crates/coordinator/src/frame.rs
@@ -207,6 +207,12 @@
         #[deku(count = "member_count")]
         members: Vec<MemberRecord>,
     },
+    /// To any shard: leave this member out of the replica set; its process is about to end.
+    #[deku(id = "9")]
+    Depart {
+        /// The member's disk.
+        member: u64,
+    },
     /// To a shard of batch jobs: take a job. The tail is the body as the client sent it.
     #[deku(id = "16")]
     Submit {
--- a/crates/coordinator/src/leadership.rs
+++ b/crates/coordinator/src/leadership.rs
@@ -204,6 +204,7 @@
         let stays = |member: &&Member| {
             self.peers.live.contains_key(&member.address)
                 && !self.leadership_moves.failed_targets.contains_key(&member.id)
+                && !self.departures.is_departing(member.id, self.now.steady)
                 && !self.topology.is_fenced(member.id)
                 && !self.topology.is_retiring(member.id)
                 && is_disk_sound(member)
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod capacity;
 pub mod control;
 mod coordinator;
+mod departure;
 mod diagnostics;
 mod disk_fencing;
 mod dissemination;
--- a/crates/coordinator/src/maintenance.rs
+++ b/crates/coordinator/src/maintenance.rs
@@ -33,6 +33,8 @@
             self.fence_absent_disks();
         }
         self.report_ties();
+        self.departures.drop_old(self.now.steady);
+        self.request_departure();
         for number in 1..=self.info.last_shard() {
             if self.shards.get(&number).is_some_and(|shard| shard.replica.is_leader()) {
                 self.place_store_members(number);
--- a/crates/coordinator/src/member_changes.rs
+++ b/crates/coordinator/src/member_changes.rs
@@ -22,6 +22,8 @@
     Lagging,
     /// It has not been heard for a short time, and may be back soon.
     Silent,
+    /// It is live and about to end, so that it is to leave.
+    Departing,
     /// It has been absent for so long that another disk is to take its place. It may come back.
     Absent,
     /// Its disk holds nothing any more: it is fenced, or another disk has taken its place.
@@ -48,8 +50,19 @@
     pub target: usize,
 }
 
+/// A store that has left a replica set because its process ended.
+pub enum ReturningStore {
+    /// It is back.
+    Back(Member),
+    /// It is not back yet, and may be soon.
+    Awaited,
+}
+
 /// The disks that could join the other members of a replica set.
 pub trait Candidates {
+    /// A store that has left of late because its process ended: its disk lacks least.
+    fn returning(&self, others: &[Member]) -> Option<ReturningStore>;
+
     /// The best of the stores that stay.
     fn best_staying(&self, others: &[Member]) -> Option<Member>;
 
@@ -63,12 +76,14 @@
     Lost,
     /// It does not answer.
     Absent,
+    /// Its process is about to end.
+    Ends,
     /// It was ordered to.
     Retires,
 }
 
 /// The next members of a shard of stores, where they are to change. The first to be replaced are those that hold nothing any more, then
-/// those that are absent, then those that retire.
+/// those that are about to end, those that are absent, and those that retire.
 pub fn next_members(
     observed: &[ObservedMember],
     sizes: ReplicaSetSizes,
@@ -85,6 +100,8 @@
     let successor = match departure {
         // A retiring store that has everything is better than none: the set could not decide without the lost one.
         Departure::Lost | Departure::Absent => staying().or_else(|| candidates.best_retiring(&others)),
+        // It may be back soon.
+        Departure::Ends => None,
         Departure::Retires if is_rest_up_to_date => staying(),
         Departure::Retires => return None,
     };
@@ -92,12 +109,9 @@
         let next: Vec<Member> = others.into_iter().chain([successor]).collect();
         return has_live_quorum(observed, &next).then_some(next);
     }
-    // No store can take its place. It leaves nevertheless; a fenced one comes back as a new disk.
-    let may_leave = match departure {
-        Departure::Lost | Departure::Retires => true,
-        Departure::Absent => false,
-    };
-    (may_leave && is_rest_up_to_date && others.len() >= sizes.min).then_some(others)
+    // No store can take its place. It leaves nevertheless: an even set of the others bears a further loss where a store comes that makes a
+    // fence possible, while an odd one with a member that is gone does not. What was lost or absent comes back as a new member.
+    (is_rest_up_to_date && others.len() >= sizes.min).then_some(others)
 }
 
 /// Whether a quorum of the next members is there. One that is added is: only live stores are candidates.
@@ -108,7 +122,7 @@
     let fenced: BTreeSet<MemberId> = lost.map(|other| other.member.id).collect();
     let is_live = |id| match condition_of(id) {
         None | Some(MemberCondition::UpToDate | MemberCondition::Lagging) => true,
-        Some(MemberCondition::Silent | MemberCondition::Absent | MemberCondition::Lost) => false,
+        Some(_) => false,
     };
     Quorums::new(next, &fenced).is_met(is_live)
 }
@@ -117,9 +131,10 @@
 fn next_departure(observed: &[ObservedMember]) -> Option<(usize, Departure)> {
     let in_condition = |condition| observed.iter().position(|other| other.condition == condition);
     let lost = in_condition(MemberCondition::Lost).map(|at| (at, Departure::Lost));
+    let ending = || in_condition(MemberCondition::Departing).map(|at| (at, Departure::Ends));
     let absent = || in_condition(MemberCondition::Absent).map(|at| (at, Departure::Absent));
     let retiring = || Some((observed.iter().position(|other| other.is_retiring)?, Departure::Retires));
-    lost.or_else(absent).or_else(retiring)
+    lost.or_else(ending).or_else(absent).or_else(retiring)
 }
 
 /// These members and one more, where there are too few.
@@ -132,7 +147,11 @@
         return None;
     }
     let members: Vec<Member> = observed.iter().map(|other| other.member.clone()).collect();
-    let added = candidates.best_staying(&members)?;
+    let added = match candidates.returning(&members) {
+        Some(ReturningStore::Back(store)) => store,
+        Some(ReturningStore::Awaited) => return None,
+        None => candidates.best_staying(&members)?,
+    };
     let next: Vec<Member> = members.into_iter().chain([added]).collect();
     has_live_quorum(observed, &next).then_some(next)
 }
--- a/crates/coordinator/src/replica_placement.rs
+++ b/crates/coordinator/src/replica_placement.rs
@@ -14,7 +14,9 @@
 use crate::calls::CallRequest;
 use crate::frame::Request;
 use crate::maintenance::ANNOUNCE_INTERVAL;
-use crate::member_changes::{self, Candidates, MemberCondition, ObservedMember, ReplicaSetSizes};
+use crate::member_changes::{
+    self, Candidates, MemberCondition, ObservedMember, ReplicaSetSizes, ReturningStore,
+};
 use crate::topology::encode_members;
 use crate::{CONTROL, Coordinator, Effect};
 
@@ -70,12 +72,28 @@
                 && !coordinator.topology.is_fenced(store.id)
                 && !contains(others, store)
                 && coordinator.peers.live.contains_key(&store.address)
+                && !coordinator.departures.is_departing(store.id, coordinator.now.steady)
         };
         coordinator.best_candidate(self.number, others, self.listed.iter().filter(could_join))
     }
 }
 
 impl Candidates for StoreCandidates<'_> {
+    fn returning(&self, others: &[Member]) -> Option<ReturningStore> {
+        let Coordinator { departures, topology, .. } = self.coordinator;
+        let is_expected = |store: &Member| {
+            departures.is_expected_back(store.id)
+                && !topology.is_retiring(store.id)
+                && !topology.is_fenced(store.id)
+                && !contains(others, store)
+        };
+        if !self.listed.iter().any(is_expected) {
+            return None;
+        }
+        let back = self.best(others, is_expected);
+        Some(back.map_or(ReturningStore::Awaited, ReturningStore::Back))
+    }
+
     fn best_staying(&self, others: &[Member]) -> Option<Member> {
         self.best(others, |store| !self.coordinator.topology.is_retiring(store.id))
     }
@@ -141,13 +159,18 @@
         if let Some((old, new)) = same_machine {
             return Some(with(&without(members, old), new));
         }
-        if let Some(absent) = members.iter().find(|member| self.is_absent(&member.address)) {
-            let rest = without(members, absent);
-            let live = new.into_iter().filter(|candidate| !self.is_absent(&candidate.address));
+        let is_departing = |member: &Member| self.departures.is_departing(member.id, self.now.steady);
+        let is_ending = |member: &&Member| member.address != self.info.peer_address && is_departing(member);
+        let live = new
+            .into_iter()
+            .filter(|candidate| self.peers.live.contains_key(&candidate.address) && !is_departing(candidate));
+        let absent = || members.iter().find(|member| self.is_absent(&member.address));
+        if let Some(gone) = members.iter().find(is_ending).or_else(absent) {
+            let rest = without(members, gone);
             return Some(with(&rest, self.best_candidate(CONTROL, &rest, live)?));
         }
         if members.len() < self.info.target_members() {
-            return Some(with(members, self.best_candidate(CONTROL, members, new.into_iter())?));
+            return Some(with(members, self.best_candidate(CONTROL, members, live)?));
         }
         None
     }
@@ -215,6 +238,9 @@
         if self.absence(&member.address) > 0 {
             return MemberCondition::Silent;
         }
+        if self.departures.is_departing(member.id, self.now.steady) {
+            return MemberCondition::Departing;
+        }
         if is_up_to_date(member, lags) { MemberCondition::UpToDate } else { MemberCondition::Lagging }
     }
 
--- a/crates/coordinator/src/replication.rs
+++ b/crates/coordinator/src/replication.rs
@@ -167,6 +167,7 @@
             return;
         }
         shard.is_leader = leads;
+        shard.led_since = self.now.steady;
         let is_whole = !leads || shard.restoring.is_none();
         let term = shard.replica.term();
         if leads {
--- a/crates/coordinator/src/serving.rs
+++ b/crates/coordinator/src/serving.rs
@@ -69,6 +69,9 @@
         if request == Request::Locate {
             return self.redirect(number, origin);
         }
+        if let Request::Depart { member } = request {
+            return self.receive_departure(number, origin, member);
+        }
         match content_of(number) {
             ShardContent::Configuration => self.handle_control_request(origin, request, tail),
             ShardContent::BatchJobs => self.handle_batch_request(origin, number, request, tail),
--- a/crates/coordinator/src/shard.rs
+++ b/crates/coordinator/src/shard.rs
@@ -37,6 +37,8 @@
 
     /// This process leads the shard and may serve.
     pub is_leader: bool,
+    /// When it last came to lead the shard (steady clock).
+    pub led_since: Time,
     /// As the leader: who waits for what.
     pub waiting: WaitingRequests,
     /// As the leader: watches that wait for a put.
@@ -81,6 +83,7 @@
             lost_membership_since: None,
             tie_reported_at: 0,
             is_leader: false,
+            led_since: 0,
             waiting: WaitingRequests::default(),
             watches: WatchList::default(),
             primitive_answers: PrimitiveAnswers::default(),
--- a/crates/coordinator/tests/common/fleet.rs
+++ b/crates/coordinator/tests/common/fleet.rs
@@ -299,6 +299,30 @@
         self.after(at);
     }
 
+    /// A process is told to end, and ends in order: it hands over what it leads, gives up its memberships where the others bear it, and
+    /// tells its peers.
+    pub fn end_in_order(&mut self, at: usize) {
+        const STEP: f64 = 0.01;
+        self.transfer_leaderships(at);
+        let now = self.time(at);
+        if let Some(coordinator) = &mut self.machines[at].coordinator {
+            coordinator.depart(now);
+        }
+        self.after(at);
+        let has = |fleet: &Fleet, what: fn(&Coordinator) -> bool| {
+            fleet.machines[at].coordinator.as_ref().is_some_and(what)
+        };
+        self.until(2.4, |fleet| !has(fleet, Coordinator::leads_any_shard));
+        self.until(2.0, |fleet| !has(fleet, Coordinator::is_departing));
+        let now = self.time(at);
+        if let Some(coordinator) = &mut self.machines[at].coordinator {
+            coordinator.leave(now);
+        }
+        self.after(at);
+        self.pass(STEP);
+        self.kill(at, false);
+    }
+
     /// Nothing passes between the two sides.
     pub fn partition(&mut self, one: &[usize], other: &[usize]) {
         for a in one {
--- a/crates/coordinator/tests/format.rs
+++ b/crates/coordinator/tests/format.rs
@@ -93,6 +93,7 @@
         ("ReadKey", Request::ReadKey { key: "g1.2d".into() }),
         ("Watch", Request::Watch { group: "g1.".into(), since: 930, wait_ms: 2_000 }),
         ("ReportTie", tied()),
+        ("Depart", Request::Depart { member: member(5).id }),
     ]
 }
 
--- a/crates/coordinator/tests/replica_set_changes.rs
+++ b/crates/coordinator/tests/replica_set_changes.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Fleet, jobs_of, read, settled, stores, submit};
+use common::{Fleet, configuration, jobs_of, read, settled, stores, submit};
 use rainlug::{SECOND, Time};
 use rainlug_coordinator::{Answer, BATCH_SHARDS, Call};
 
@@ -224,3 +224,130 @@
         loss_beside_retirement(seed, Loss::Frozen, moment);
     }
 }
+
+/// Kills all that run but these, and starts them again after a second.
+fn lose_power(fleet: &mut Fleet, but: &[usize]) {
+    let runs = |at: &usize| fleet.machines[*at].coordinator.is_some() && !but.contains(at);
+    let up: Vec<usize> = (0..fleet.machines.len()).filter(runs).collect();
+    up.iter().for_each(|at| fleet.kill(*at, true));
+    fleet.pass(1.0);
+    up.iter().for_each(|at| fleet.start(*at, false));
+}
+
+/// A store is emptied and taken away, another one is replaced as planned (the new one first), and so long after that, in seconds, the
+/// one that is left of the first three loses its disk; all others lose power then, or not.
+fn loss_after_planned_changes(seed: u64, after: f64, with_power_loss: bool) {
+    let what = format!("seed {seed}, {after} s after the replacement, power lost: {with_power_loss}");
+    let (mut fleet, [retiring, replaced, last]) = three_stores(seed);
+    retire(&mut fleet, retiring);
+    take_away_when_retired(&mut fleet, retiring, RECOVERY_TIME, &what);
+    fleet.pass(1.0);
+    let successor = add_store(&mut fleet, replaced);
+    fleet.pass(SYNC_TIME);
+    fleet.end_in_order(replaced);
+    fleet.pass(after);
+    fleet.wipe(last);
+    if with_power_loss {
+        lose_power(&mut fleet, &[last]);
+    } else {
+        fleet.pass(1.0);
+    }
+    fleet.start(last, false);
+    all_shards_serve(&mut fleet, RECOVERY_TIME, &what);
+    // And the next one, once the lost one is whole again.
+    fleet.pass(SYNC_TIME);
+    fleet.wipe(successor);
+    fleet.pass(1.0);
+    fleet.start(successor, false);
+    all_shards_serve(&mut fleet, RECOVERY_TIME, &format!("{what}, then the successor"));
+}
+
+/// Guards against review/2: a member that was gone for good stayed in each set of three, and the loss of one more disk left no majority.
+#[test]
+fn given_a_store_emptied_and_another_replaced_when_the_last_one_is_lost_then_all_shards_serve_again() {
+    for (seed, after) in [0.0, 0.05, 0.3, 1.0, 2.0, 3.9, 4.1, 6.0].into_iter().enumerate() {
+        loss_after_planned_changes(seed as u64, after, false);
+        loss_after_planned_changes(seed as u64 + 1, after, true);
+    }
+}
+
+/// The same without a planned end: a member that is gone for good and has no successor leaves after a while.
+#[test]
+fn given_two_stores_and_a_dead_one_when_another_disk_is_lost_later_then_all_shards_serve_again() {
+    for seed in 0..6 {
+        let (mut fleet, [dead, lost, _]) = three_stores(seed);
+        fleet.kill(dead, true);
+        fleet.pass(8.0);
+        fleet.wipe(lost);
+        fleet.pass(1.0);
+        fleet.start(lost, false);
+        all_shards_serve(&mut fleet, RECOVERY_TIME, &format!("seed {seed}"));
+        // The dead one wakes with its log and its votes, and is a member again.
+        fleet.start(dead, false);
+        fleet.pass(SYNC_TIME);
+        all_shards_serve(&mut fleet, RECOVERY_TIME, &format!("seed {seed}, all are back"));
+    }
+}
+
+/// Stores that are restarted in turn leave and come back, each with what its disk has.
+#[test]
+fn given_stores_restarted_in_turn_when_each_is_back_at_once_then_no_other_one_is_filled_and_all_shards_serve()
+{
+    for (seed, count) in [(0, 3), (1, 3), (2, 4), (3, 5)] {
+        let mut fleet = settled(3, 2, count, 1_400 + seed);
+        accept_jobs(&mut fleet, 5.0, "before");
+        fleet.pass(1.0);
+        let members = |fleet: &Fleet| {
+            let sorted = |shard| {
+                fleet.members_of(shard).map(|mut members| {
+                    members.sort_unstable();
+                    members
+                })
+            };
+            (1..=BATCH_SHARDS).map(sorted).collect::<Vec<_>>()
+        };
+        let before = members(&fleet);
+        for store in stores(&fleet) {
+            fleet.end_in_order(store);
+            fleet.pass(0.5);
+            fleet.start(store, false);
+            all_shards_serve(&mut fleet, RECOVERY_TIME, &format!("seed {seed}, {count} stores"));
+            fleet.pass(SYNC_TIME);
+        }
+        assert_eq!(members(&fleet), before, "seed {seed}, {count} stores");
+    }
+}
+
+/// A gateway of the core is replaced as planned, and so long after that, in seconds, another one loses its disk.
+fn core_loss_after_replacement(seed: u64, after: f64, with_power_loss: bool) {
+    let what = format!("seed {seed}, {after} s after the replacement, power lost: {with_power_loss}");
+    let mut fleet = settled(3, 2, 3, 1_500 + seed);
+    accept_jobs(&mut fleet, 5.0, "before");
+    let (replaced, lost) = (seed as usize % 3, (seed as usize + 1 + seed as usize / 3 % 2) % 3);
+    let successor = fleet.add(true, true, replaced);
+    fleet.start(successor, false);
+    fleet.pass(SYNC_TIME);
+    fleet.end_in_order(replaced);
+    fleet.pass(after);
+    fleet.wipe(lost);
+    if with_power_loss {
+        lose_power(&mut fleet, &[lost]);
+    } else {
+        fleet.pass(1.0);
+    }
+    fleet.start(lost, false);
+    until_status(&mut fleet, 200, RECOVERY_TIME, &what, || Call::Configure {
+        base: 5,
+        text: configuration(6, "notary"),
+    });
+    all_shards_serve(&mut fleet, RECOVERY_TIME, &what);
+}
+
+/// The same cause at the configuration's shard: a member that had ended as planned was replaced only after it had been absent for a while.
+#[test]
+fn given_a_core_gateway_replaced_when_another_one_is_lost_at_once_then_the_configuration_is_still_decided() {
+    for (seed, after) in [0.0, 0.05, 0.3, 1.0, 2.0, 3.9, 4.1, 6.0].into_iter().enumerate() {
+        core_loss_after_replacement(seed as u64, after, false);
+        core_loss_after_replacement(seed as u64 + 1, after, true);
+    }
+}
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -145,6 +145,11 @@
         self.coordinator.borrow().leads_any_shard()
     }
 
+    /// Whether a leader has still to say whether a replica set goes on without this process.
+    pub(crate) fn is_departing(&self) -> bool {
+        self.coordinator.borrow().is_departing()
+    }
+
     /// Hands something to the coordinator, and carries out the effects. `kind` names the step in the log, should it take long.
     pub(crate) fn step<R>(
         self: &Rc<Self>,
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -33,6 +33,8 @@
 const MAX_ITEM_DRAIN_TIME: Duration = Duration::from_millis(2500);
 /// A process that ends waits no longer than this for others to lead its shards: the time of an election, which they then need anyway.
 const TRANSFER_TIME: Duration = Duration::from_millis(400);
+/// A process that ends waits no longer than this for replica sets that are to go on without it.
+const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 /// Between two looks whether they do.
 const TRANSFER_POLL: Duration = Duration::from_millis(10);
 /// Calls of operators and workers are waited for until this part of the time to stop is left.
@@ -220,6 +222,14 @@
     }
 }
 
+/// Waits until the replica sets that can go on without this process do, for a bounded time.
+async fn leave_replica_sets(node: &Rc<Node>, end: Instant) {
+    let end = end.min(Instant::now() + DEPARTURE_TIME);
+    while node.is_departing() && Instant::now() < end {
+        sleep(TRANSFER_POLL).await;
+    }
+}
+
 /// Waits until every call that has been made is answered, or the time is over. Calls that come now are refused: others serve them.
 async fn drain_calls(node: &Rc<Node>, end: Instant) {
     node.refuse_calls();
@@ -228,16 +238,18 @@
     }
 }
 
-/// Shuts down in order: leaderships and requests first, then calls, then the membership.
+/// Shuts down in order: leaderships and requests first, then memberships in replica sets, calls, and the membership of the tier.
 async fn stop(node: &Rc<Node>, role: ProcessRole, grace: Duration) {
     log::event("stop", "told to end");
     let calls_end = Instant::now() + grace - grace / CALL_RESERVE_PART;
+    node.step("depart", |coordinator, now| coordinator.depart(now));
     if role == ProcessRole::Gateway {
         // Bounded by itself: it ends before the grace period does.
         tokio::join!(transfer_leaderships(node, grace), node.gateway().stop());
     } else {
         transfer_leaderships(node, grace).await;
     }
+    leave_replica_sets(node, calls_end).await;
     drain_calls(node, calls_end).await;
     node.step("leave", |coordinator, now| coordinator.leave(now));
     sleep(LEAVE_TIME).await;
