Match the end of an item's run by the run, not by the item

Cause: a leader that lost its post and got it back makes a new schedule while runs of the one before go on; their ends were taken for the present runs' by job and item, and events from n + 1 on were added to a text that had none.

Change: each run has an id that no other run of the process has; an end that belongs to no run of the present schedule changes nothing. A text takes only the next event; on a hole the item runs again. The gateway stops there too. Why it works: only runs that the present schedule asked for reach its texts.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -15,12 +15,14 @@
 
 mod command;
 mod item;
+mod item_progress;
 mod job;
 mod job_table;
 mod json;
 mod layout;
 mod quota_ledger;
 mod restore;
+mod run;
 mod schedule;
 mod snapshot;
 mod stored_text;
@@ -28,11 +30,13 @@
 mod wire;
 
 pub use command::{Command, DecodeError, Item, ItemOutcome};
+pub use item_progress::MAX_OUTPUT_BYTES;
 pub use job::ItemTotals;
 pub use job_table::{Applied, JobTable, OpenJob, OutputPage};
 pub use quota_ledger::{JobUsage, MAX_JOBS, QuotaLedger, QuotaOutcome, RESERVATION_GRACE, UsageReportNumber};
 pub use restore::{JobTableRestore, RestoreError};
-pub use schedule::{ItemRun, MAX_OUTPUT_BYTES, MAX_PROPOSALS, RunOutcome, Schedule};
+pub use run::{ItemRun, RunEnd, RunId, RunIds, RunOutcome, RunResult};
+pub use schedule::{MAX_PROPOSALS, Schedule};
 pub use snapshot::{CHUNK_BYTES, JobTableSnapshot};
 pub use stored_text::{MAX_INFLATED_BYTES, StoredText, StoredTextError};
 pub use submission::{SubmissionError, parse_submission};
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -7,15 +7,15 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use bytes::Bytes;
 use rainlug::Time;
 
+use crate::item_progress::ItemProgress;
 use crate::job::{BatchJob, BatchJobHeader};
-use crate::{Applied, Command, Item, ItemOutcome, JobTable, StoredText};
+use crate::{
+    Applied, Command, Item, ItemOutcome, ItemRun, JobTable, RunEnd, RunId, RunIds, RunOutcome, RunResult,
+    StoredText,
+};
 
-/// Bytes of an item's output above which the item is abandoned. A command must pass between processes as one message of 16 MiB at most: one
-/// that does not would hold up all that follows it in its shard's log.
-pub const MAX_OUTPUT_BYTES: usize = 8 << 20;
 /// Commands that one call of [`Schedule::take_proposals`] gives, at most: its caller proposes them all in one step.
 pub const MAX_PROPOSALS: usize = 256;
 /// Expired items that one call of [`Schedule::start_next`] skips, at most.
@@ -25,40 +25,6 @@
 /// Weight of the newest run in the moving average of run times.
 const RUN_TIME_WEIGHT: f64 = 1.0 / 16.0;
 
-/// A run of an item, to be handed to a worker now. Times are Unix time in microseconds.
-#[derive(Clone, Debug)]
-pub struct ItemRun {
-    /// The batch job's id.
-    pub job: String,
-    /// The name of the batch job's route.
-    pub route: String,
-    /// The `Host` of the request to the worker.
-    pub host: String,
-    /// The request, and the item's id.
-    pub item: Item,
-    /// Id of the last event that earlier runs gave (0: none); the run is to go on after it.
-    pub last_event: u64,
-    /// When all outputs of the batch job are to be there.
-    pub deadline: Time,
-    /// When the item is abandoned.
-    pub retain_until: Time,
-}
-
-/// How a run ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RunOutcome {
-    /// The worker's answer is complete.
-    Complete,
-    /// The worker answered 500. It counts as one of the item's attempts.
-    Failed,
-    /// The worker answered 422: the item can never succeed.
-    Unprocessable,
-    /// The answer broke off; the next run goes on after its last event.
-    Interrupted,
-    /// No worker took it.
-    NoCapacity,
-}
-
 /// The plan of a shard's leader. Times are Unix time in microseconds.
 ///
 /// Each command is given once: what a leader has in its log stays there until another leader replaces it, and that one has a plan of
@@ -69,8 +35,8 @@
     plans: BTreeMap<Arc<str>, JobPlan>,
     /// Items that neither run nor have a command that finishes them.
     ready: BTreeSet<QueueKey>,
-    /// Runs by batch job and item, and when they began; also those whose item was dropped since.
-    running: BTreeMap<(String, String), Time>,
+    /// Runs that this schedule has begun; also those whose item was dropped since.
+    running: BTreeMap<RunId, RunningItem>,
     /// Moving average of how long complete runs take.
     mean_run_time: Option<Time>,
     /// Commands to be proposed again, one for an item at most.
@@ -79,6 +45,17 @@
     expiries: BTreeSet<(Time, Arc<str>)>,
 }
 
+/// An item that runs.
+struct RunningItem {
+    job: Arc<str>,
+    /// The batch job's number: another one may have come under the same id since.
+    job_number: u64,
+    item_index: usize,
+    /// The item's id.
+    item: String,
+    started_at: Time,
+}
+
 /// The order in which items run. The batch job's id comes last: it only finds the plan.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueKey {
@@ -99,18 +76,6 @@
     items: BTreeMap<usize, ItemProgress>,
 }
 
-/// What runs of an item gave so far.
-#[derive(Default)]
-struct ItemProgress {
-    /// Data of the events.
-    events: Vec<Bytes>,
-    /// Id of the last event (0: none).
-    last_event: u64,
-    failed_attempts: u32,
-    /// A command that finishes the item was given; it does not run again.
-    is_proposed: bool,
-}
-
 impl JobPlan {
     fn queue_key(&self, job: &Arc<str>, item_index: usize) -> QueueKey {
         QueueKey { deadline: self.deadline, job_number: self.number, item_index, job: job.clone() }
@@ -122,49 +87,6 @@
     }
 }
 
-impl ItemProgress {
-    /// Takes the events (id, data) whose ids are over the last one: others were had before.
-    fn add_events(&mut self, events: Vec<(u64, Bytes)>) {
-        for (id, data) in events {
-            if id > self.last_event {
-                self.last_event = id;
-                self.events.push(data);
-            }
-        }
-    }
-
-    /// Bytes of the output so far, with what joins the events.
-    fn output_bytes(&self) -> usize {
-        self.events.iter().map(|data| data.len() + 1).sum()
-    }
-
-    /// How the item finishes now that a run ended; nothing where it is to run again.
-    fn outcome_after(&mut self, run: &RunOutcome, max_attempts: u32) -> Option<ItemOutcome> {
-        if self.output_bytes() > MAX_OUTPUT_BYTES {
-            return Some(ItemOutcome::Abandoned);
-        }
-        match run {
-            RunOutcome::Complete => Some(ItemOutcome::Complete),
-            RunOutcome::Unprocessable => Some(ItemOutcome::Abandoned),
-            RunOutcome::Failed => {
-                self.failed_attempts = self.failed_attempts.saturating_add(1);
-                (self.failed_attempts >= max_attempts).then_some(ItemOutcome::Abandoned)
-            }
-            RunOutcome::Interrupted | RunOutcome::NoCapacity => None,
-        }
-    }
-
-    fn take_text(&mut self, outcome: ItemOutcome) -> StoredText {
-        match outcome {
-            ItemOutcome::Complete => StoredText::new(&std::mem::take(&mut self.events).join(&b'\n')),
-            ItemOutcome::Abandoned => {
-                self.events.clear();
-                StoredText::default()
-            }
-        }
-    }
-}
-
 impl Schedule {
     /// A schedule of all open items of a table. A large one is planned over the next calls, in the order in which items run.
     pub fn new(table: &JobTable) -> Self {
@@ -259,20 +181,26 @@
         }
     }
 
-    /// The next item to run. It counts as running until [`Schedule::finish_run`].
+    /// The next item to run, under an identity of `run_ids`. It counts as running until [`Schedule::finish_run`].
     ///
     /// Items run by deadline, but those that can meet it, as long as runs take of late, go before the others: where there is too much
     /// to do, what is late already makes nothing else late. Expired items do not run. Nothing also where many expired items have to be
     /// skipped; the next call goes on behind them.
-    pub fn start_next(&mut self, table: &JobTable, now: Time) -> Option<ItemRun> {
+    pub fn start_next(&mut self, table: &JobTable, now: Time, run_ids: &mut RunIds) -> Option<ItemRun> {
         self.plan_more(table);
-        let QueueKey { deadline, item_index, job: id, .. } = self.pop_ready(now)?;
+        let QueueKey { deadline, job_number, item_index, job: id } = self.pop_ready(now)?;
         let job = table.jobs.get(&*id)?;
         let item = Item::clone(job.request(item_index)?);
         let last_event = self.plans.get(&id)?.items.get(&item_index)?.last_event;
-        self.running.insert((id.to_string(), item.id.clone()), now);
+        let run = run_ids.next_id();
+        let (running_job, running_item) = (id.clone(), item.id.clone());
+        self.running.insert(
+            run,
+            RunningItem { job: running_job, job_number, item_index, item: running_item, started_at: now },
+        );
         let header = job.header();
         Some(ItemRun {
+            id: run,
             job: id.to_string(),
             route: header.route.clone(),
             host: header.host.clone(),
@@ -303,36 +231,34 @@
         None
     }
 
-    /// Takes the events (id, data) and the outcome of a run. Gives the command that finishes the item, to be proposed; nothing where the
-    /// item is to run again, is finished already, or its batch job ended. Events with ids up to the last one are skipped.
-    pub fn finish_run(
-        &mut self,
-        table: &JobTable,
-        now: Time,
-        job: &str,
-        item: &str,
-        events: Vec<(u64, Bytes)>,
-        run_outcome: RunOutcome,
-    ) -> Option<Command> {
-        let started_at = self.running.remove(&(job.to_owned(), item.to_owned()))?;
-        if run_outcome == RunOutcome::Complete {
-            self.observe_run_time((now - started_at).max(0));
+    /// Takes what a run gave. A run that this schedule has not begun changes nothing: its item may be run by another one now. Events with
+    /// ids up to the last one are passed over; where one is missing, what follows is not taken and the item runs again.
+    pub fn finish_run(&mut self, now: Time, result: RunResult) -> RunEnd {
+        let Some(running) = self.running.remove(&result.run) else { return RunEnd::Unknown };
+        if result.outcome == RunOutcome::Complete {
+            self.observe_run_time((now - running.started_at).max(0));
         }
-        let index = table.jobs.get(job)?.item_index(item)?;
-        let id = self.plans.get_key_value(job)?.0.clone();
-        let plan = self.plans.get_mut(job)?;
-        let key = plan.queue_key(&id, index);
-        let progress = plan.items.get_mut(&index)?;
-        progress.add_events(events);
-        let Some(outcome) = progress.outcome_after(&run_outcome, plan.max_attempts) else {
-            if !progress.is_proposed {
-                self.ready.insert(key);
-            }
-            return None;
+        let RunningItem { job, job_number, item_index, item, .. } = running;
+        let Some(plan) = self.plans.get_mut(&job).filter(|plan| plan.number == job_number) else {
+            return RunEnd::Open;
         };
-        let text = progress.take_text(outcome);
-        self.mark_proposed(&id, index);
-        Some(Command::FinishItem { job: job.to_owned(), item: item.to_owned(), outcome, text })
+        let key = plan.queue_key(&job, item_index);
+        let Some(progress) = plan.items.get_mut(&item_index) else { return RunEnd::Open };
+        let added = progress.add_events(result.events);
+        let run_outcome = if added.is_ok() { result.outcome } else { RunOutcome::Interrupted };
+        if let Some(outcome) = progress.outcome_after(&run_outcome, plan.max_attempts) {
+            let text = progress.take_text(outcome);
+            self.mark_proposed(&job, item_index);
+            return RunEnd::Finishes(Command::FinishItem { job: job.to_string(), item, outcome, text });
+        }
+        let last_event = progress.last_event;
+        if !progress.is_proposed {
+            self.ready.insert(key);
+        }
+        match added {
+            Ok(()) => RunEnd::Open,
+            Err(came) => RunEnd::EventMissing { last_event, came },
+        }
     }
 
     fn observe_run_time(&mut self, run_time: Time) {
--- a/crates/batch/tests/schedule.rs
+++ b/crates/batch/tests/schedule.rs
@@ -10,13 +10,17 @@
 use proptest::test_runner::RngSeed;
 use rainlug::{SECOND, Time};
 use rainlug_batch::{
-    Applied, Command, ItemRun, JobTable, MAX_OUTPUT_BYTES, MAX_PROPOSALS, RunOutcome, Schedule,
+    Applied, Command, ItemRun, JobTable, MAX_OUTPUT_BYTES, MAX_PROPOSALS, RunEnd, RunId, RunIds, RunOutcome,
+    RunResult, Schedule,
 };
 
 /// A shard's leader: each command is applied, and the schedule follows.
 struct Leader {
     table: JobTable,
     schedule: Schedule,
+    run_ids: RunIds,
+    /// The newest run of each item, by batch job and item.
+    runs: BTreeMap<(String, String), RunId>,
     now: Time,
 }
 
@@ -24,7 +28,8 @@
     fn new(commands: &[Command]) -> Self {
         let table = JobTable::default();
         let schedule = Schedule::new(&table);
-        let mut leader = Leader { table, schedule, now: 2 * SECOND };
+        let (run_ids, runs) = (RunIds::default(), BTreeMap::new());
+        let mut leader = Leader { table, schedule, run_ids, runs, now: 2 * SECOND };
         for command in commands {
             leader.apply(command);
         }
@@ -38,7 +43,9 @@
     }
 
     fn start_next(&mut self) -> Option<ItemRun> {
-        self.schedule.start_next(&self.table, self.now)
+        let next = self.schedule.start_next(&self.table, self.now, &mut self.run_ids)?;
+        self.runs.insert((next.job.clone(), next.item.id.clone()), next.id);
+        Some(next)
     }
 
     /// The next ones as `job/item`.
@@ -56,8 +63,17 @@
         events: &[(u64, &str)],
         end: RunOutcome,
     ) -> Option<Command> {
+        let newest = self.runs.get(&(job.to_owned(), item.to_owned())).copied();
+        let run = newest.unwrap_or_else(|| self.run_ids.next_id());
+        self.end_run(run, events, end)
+    }
+
+    fn end_run(&mut self, run: RunId, events: &[(u64, &str)], outcome: RunOutcome) -> Option<Command> {
         let events = events.iter().map(|(id, data)| (*id, Bytes::copy_from_slice(data.as_bytes()))).collect();
-        self.schedule.finish_run(&self.table, self.now, job, item, events, end)
+        match self.schedule.finish_run(self.now, RunResult { run, events, outcome }) {
+            RunEnd::Finishes(command) => Some(command),
+            RunEnd::Open | RunEnd::EventMissing { .. } | RunEnd::Unknown => None,
+        }
     }
 
     fn requeue_refused(&mut self, command: &Command) {
@@ -471,7 +487,10 @@
                         _ => (EVENTS.min(run.last_event + count), RunOutcome::Interrupted),
                     };
                     let events: Vec<_> = (run.last_event + 1..=to).map(|id| (id, Bytes::from(format!("event {id}")))).collect();
-                    proposed.extend(leader.schedule.finish_run(&leader.table, leader.now, &run.job, &run.item.id, events, end));
+                    let result = RunResult { run: run.id, events, outcome: end };
+                    if let RunEnd::Finishes(command) = leader.schedule.finish_run(leader.now, result) {
+                        proposed.push(command);
+                    }
                 }
                 _ => {}
             }
@@ -526,3 +545,59 @@
     leader.now = DUE - SECOND;
     assert_eq!(leader.take(9), ["second/3", "first/2"], "a run takes two seconds");
 }
+
+/// Guards against review/3: the end of a run of the schedule before was taken for that of the present schedule's run.
+#[test]
+fn given_a_run_of_the_schedule_before_when_it_ends_then_nothing_of_the_present_run_changes() {
+    let mut leader = Leader::new(&[submit("l", &["a"])]);
+    leader.start_next().unwrap();
+    assert_eq!(leader.finish_run("l", "a", &[(1, "one"), (2, "two")], RunOutcome::Interrupted), None);
+    let old = leader.start_next().unwrap();
+    leader.schedule = Schedule::new(&leader.table);
+    let present = leader.start_next().unwrap();
+    assert_eq!((old.last_event, present.last_event), (2, 0));
+    for outcome in [
+        RunOutcome::NoCapacity,
+        RunOutcome::Interrupted,
+        RunOutcome::Failed,
+        RunOutcome::Unprocessable,
+        RunOutcome::Complete,
+    ] {
+        assert_eq!(leader.end_run(old.id, &[(3, "three")], outcome), None);
+        assert_eq!(leader.counts(), (1, 0), "the present one runs");
+    }
+    let command = leader.end_run(present.id, &[(1, "one"), (2, "two"), (3, "three")], RunOutcome::Complete);
+    assert_eq!(command, Some(finish("l", "a", "one\ntwo\nthree")));
+    assert_eq!(leader.end_run(present.id, &[], RunOutcome::Complete), None, "a run ends once");
+}
+
+/// Another batch job may have come under the id of one that ended and was forgotten while its item ran.
+#[test]
+fn given_a_run_of_a_forgotten_job_when_another_one_has_its_id_then_its_end_is_not_the_new_ones() {
+    let mut leader = Leader::new(&[submit("l", &["a"])]);
+    let old = leader.start_next().unwrap();
+    leader.apply(&end("l"));
+    leader.apply(&Command::Forget { before: RETAIN });
+    assert_eq!(leader.apply(&submit("l", &["a"])), Applied::Accepted);
+    assert_eq!(leader.end_run(old.id, &[(1, "old")], RunOutcome::Complete), None);
+    let new = leader.start_next().unwrap();
+    let command = leader.end_run(new.id, &[(1, "new")], RunOutcome::Complete);
+    assert_eq!(command, Some(finish("l", "a", "new")));
+}
+
+/// A text has each event from the first on: a worker that goes on later than it was asked to leaves a hole.
+#[test]
+fn given_a_run_that_leaves_an_event_out_when_it_completes_then_the_item_runs_again_from_what_is_had() {
+    let mut leader = Leader::new(&[submit("l", &["a"])]);
+    let run = leader.start_next().unwrap();
+    assert_eq!(leader.end_run(run.id, &[(1, "one")], RunOutcome::Interrupted), None);
+    for late in [&[(3, "three")][..], &[(2, "two"), (4, "four")]] {
+        let run = leader.start_next().unwrap();
+        assert_eq!(leader.end_run(run.id, late, RunOutcome::Complete), None);
+        assert_eq!(leader.counts(), (0, 1));
+    }
+    let run = leader.start_next().unwrap();
+    assert_eq!(run.last_event, 2);
+    let command = leader.end_run(run.id, &[(3, "three")], RunOutcome::Complete);
+    assert_eq!(command, Some(finish("l", "a", "one\ntwo\nthree")));
+}
--- a/crates/coordinator/src/batch_shard.rs
+++ b/crates/coordinator/src/batch_shard.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_batch::{Applied, Command, RunOutcome, parse_submission};
+use rainlug_batch::{Applied, Command, RunEnd, RunOutcome, RunResult, parse_submission};
 use rainlug_registry::RouteKind;
 
 use crate::invariants::Invariant;
@@ -194,7 +194,7 @@
             return;
         };
         if schedule.running_count() < MAX_RUNNING_ITEMS
-            && let Some(next) = schedule.start_next(job_table, wall)
+            && let Some(next) = schedule.start_next(job_table, wall, &mut self.run_ids)
         {
             self.effects.push(Effect::RunItem { shard: number, next });
             // One at a time: the next one is started once this one has found its worker.
@@ -242,26 +242,22 @@
     }
 
     /// Proposes the outcome of an item's run, or lets the item be run again.
-    pub(crate) fn finish_item(
-        &mut self,
-        number: u16,
-        job: &str,
-        item: &str,
-        events: Vec<(u64, Bytes)>,
-        end: RunOutcome,
-    ) {
+    pub(crate) fn finish_item(&mut self, number: u16, result: RunResult) {
         let (now, wall) = (self.now.steady, self.now.wall);
         let Some(shard) = self.shards.get_mut(&number) else { return };
-        let (StateMachine::BatchJobs(job_table), Some(schedule)) =
-            (&shard.state_machine, shard.schedule.as_mut())
-        else {
-            return;
-        };
-        if end == RunOutcome::NoCapacity {
+        let Some(schedule) = shard.schedule.as_mut() else { return };
+        let has_capacity = result.outcome != RunOutcome::NoCapacity;
+        let end = schedule.finish_run(wall, result);
+        if !has_capacity && end != RunEnd::Unknown {
             shard.next_item_at = now + NO_CAPACITY_PAUSE;
         }
-        if let Some(command) = schedule.finish_run(job_table, wall, job, item, events, end) {
-            self.propose_unattended(number, vec![command]);
+        match end {
+            RunEnd::Finishes(command) => self.propose_unattended(number, vec![command]),
+            RunEnd::EventMissing { last_event, came } => {
+                let text = format!("shard {number}: event {came} came after event {last_event} of an item");
+                self.effects.push(Effect::Log("event missing", text));
+            }
+            RunEnd::Open | RunEnd::Unknown => {}
         }
     }
 }
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_batch::RunOutcome;
+use rainlug_batch::{RunIds, RunResult};
 use rainlug_consensus::{Member, MemberId};
 use rainlug_fleet::{Card, View, Ways};
 use rainlug_registry::{Configuration, Gossip, report};
@@ -97,6 +97,8 @@
     /// The shards that this process has a replica of.
     pub(crate) shards: BTreeMap<u16, Shard>,
     pub(crate) calls: Calls,
+    /// Identities of the items' runs, for all schedules that this process makes.
+    pub(crate) run_ids: RunIds,
     /// Answers of quota ledgers that are not acted on yet.
     pub(crate) reservation_answers: VecDeque<ReservationAnswer>,
     /// Acknowledgements that wait until their update has spread.
@@ -171,6 +173,7 @@
             configuration: None,
             shards: BTreeMap::new(),
             calls,
+            run_ids: RunIds::default(),
             reservation_answers: VecDeque::new(),
             pending_acknowledgements: Vec::new(),
             heartbeats: BTreeMap::new(),
@@ -401,18 +404,10 @@
         self.run_deferred_work();
     }
 
-    /// The run of an item has ended, with the events (id, data) that came.
-    pub fn item_finished(
-        &mut self,
-        now: Now,
-        shard: u16,
-        job: &str,
-        item: &str,
-        events: Vec<(u64, Bytes)>,
-        end: RunOutcome,
-    ) {
+    /// The run of an item of a shard's batch jobs has ended.
+    pub fn item_finished(&mut self, now: Now, shard: u16, result: RunResult) {
         self.now = now;
-        self.finish_item(shard, job, item, events, end);
+        self.finish_item(shard, result);
         self.run_deferred_work();
     }
 
--- a/crates/coordinator/tests/common/fleet.rs
+++ b/crates/coordinator/tests/common/fleet.rs
@@ -8,7 +8,7 @@
 use super::inputs::configuration;
 use bytes::Bytes;
 use rainlug::{SECOND, Time};
-use rainlug_batch::RunOutcome;
+use rainlug_batch::{RunId, RunOutcome, RunResult};
 use rainlug_coordinator::{
     Answer, BATCH_SHARDS, Call, Coordinator, Effect, NodeInfo, Now, ProcessRole, RETENTION_SLACK, founding_id,
 };
@@ -17,13 +17,23 @@
 use rand_chacha::ChaCha8Rng;
 
 pub const MS: Time = SECOND / 1000;
+/// How long a run takes that breaks off.
+const INTERRUPTED_RUN_TIME: Time = 20 * MS;
 
 enum Event {
     Datagram { to: usize, incarnation: u32, from: SocketAddr, bytes: Bytes },
     Frame { to: usize, incarnation: u32, from: SocketAddr, bytes: Bytes },
     Saved { at: usize, incarnation: u32, shard: u16, ticket: u64 },
     Wake { at: usize, incarnation: u32 },
-    Ran { at: usize, incarnation: u32, shard: u16, job: String, item: String, events: Vec<(u64, Bytes)> },
+    Ran { at: usize, incarnation: u32, ran: Ran },
+}
+
+/// An item's run that has ended.
+struct Ran {
+    shard: u16,
+    run: RunId,
+    events: Vec<(u64, Bytes)>,
+    outcome: RunOutcome,
 }
 
 pub struct Machine {
@@ -83,6 +93,8 @@
     /// So many of the first machines are told to each process as seeds.
     pub seeds: usize,
     pub run_time: Time,
+    /// Runs from the first event on soon break off behind it: their items go on elsewhere.
+    pub interrupts_first_runs: bool,
     /// Bytes of noise in each item's output.
     pub output_padding: usize,
     pub bytes: u64,
@@ -157,6 +169,7 @@
             rewrites_put_off: 0.5,
             seeds: 3,
             run_time: 300 * MS,
+            interrupts_first_runs: false,
             output_padding: 0,
             bytes: 0,
             bytes_to: BTreeMap::new(),
@@ -455,8 +468,8 @@
                 machine.wakes_at = Time::MAX;
                 coordinator.handle_timeout(now);
             }
-            Event::Ran { shard, job, item, events, .. } => {
-                coordinator.item_finished(now, shard, &job, &item, events, RunOutcome::Complete);
+            Event::Ran { ran: Ran { shard, run, events, outcome }, .. } => {
+                coordinator.item_finished(now, shard, RunResult { run, events, outcome });
             }
         }
         if let (Some(cost), Some(before)) = (self.cost, allocated_before) {
@@ -548,11 +561,13 @@
                     if self.output_padding > 0 {
                         events.push((4, self.noise(self.output_padding)));
                     }
-                    let (job, item) = (next.job.clone(), next.item.id.clone());
-                    self.push(
-                        self.now + self.run_time,
-                        Event::Ran { at, incarnation, shard, job, item, events },
-                    );
+                    let (mut took, mut outcome) = (self.run_time, RunOutcome::Complete);
+                    if self.interrupts_first_runs && next.last_event == 0 {
+                        events.truncate(1);
+                        (took, outcome) = (INTERRUPTED_RUN_TIME, RunOutcome::Interrupted);
+                    }
+                    let ran = Ran { shard, run: next.id, events, outcome };
+                    self.push(self.now + took, Event::Ran { at, incarnation, ran });
                 }
                 Effect::PeerCount(_) => {}
                 Effect::Reports(reports) => self.machines[at].reports.extend(reports),
--- a/crates/gateway/src/items.rs
+++ b/crates/gateway/src/items.rs
@@ -95,6 +95,9 @@
                         }
                         continue;
                     }
+                    if id != last + 1 {
+                        return picked.ticket.end(Ended::Failed);
+                    }
                     last = id;
                     // The piece that it came in is larger than it, and is not to be kept.
                     ran.events.push((id, Bytes::copy_from_slice(&event.data())));
--- a/crates/gateway/tests/plane/streams.rs
+++ b/crates/gateway/tests/plane/streams.rs
@@ -183,6 +183,41 @@
     });
 }
 
+/// An item of which these events are had.
+fn item_after(last_event: u64) -> Item {
+    let configuration = configuration(1, ROUTES, LIMITS);
+    Item {
+        id: "e5".into(),
+        route: configuration.routes.iter().find(|route| route.name == "jobs").unwrap().clone(),
+        path: "/b/3/91c4".into(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"decoded"),
+        last_event,
+        deadline_ms: 5000,
+        tried: Vec::new(),
+    }
+}
+
+/// A worker that goes on later than it was asked to: its events would leave a hole in the item's text.
+#[test]
+fn given_an_item_when_its_worker_leaves_an_event_out_then_only_what_came_before_is_had() {
+    run(async {
+        let worker = stand(|n, _| match n {
+            0 => vec![stream_head(), event(4), last()],
+            _ => vec![stream_head(), event(3), event(5), last()],
+        })
+        .await;
+        let bench = Bench::with(&[&worker]).await;
+        let ran = bench.gateway.item(item_after(2)).await;
+        assert_eq!((ran.end, ran.events), (RanEnd::Again, vec![]));
+        let ran = bench.gateway.item(item_after(2)).await;
+        // A worker that failed may be spared for a while.
+        if ran.end != RanEnd::NoRoom {
+            assert_eq!((ran.end, ran.events), (RanEnd::Again, vec![(3, Bytes::from("piece 3"))]));
+        }
+    });
+}
+
 #[test]
 fn an_item_is_run_once_and_its_events_are_told() {
     run(async {
@@ -196,18 +231,8 @@
         })
         .await;
         let bench = Bench::with(&[&worker]).await;
-        let route =
-            configuration(1, ROUTES, LIMITS).routes.iter().find(|r| r.name == "jobs").unwrap().clone();
-        let item = Item {
-            id: "e5".into(),
-            route,
-            path: "/b/3/91c4".into(),
-            headers: vec![("X-Rainlug-Model".into(), "m".into()), ("X-Bad".into(), "a\r\nb: c".into())],
-            body: Bytes::from_static(b"decoded"),
-            last_event: 2,
-            deadline_ms: 5000,
-            tried: Vec::new(),
-        };
+        let headers = vec![("X-Rainlug-Model".into(), "m".into()), ("X-Bad".into(), "a\r\nb: c".into())];
+        let item = Item { headers, ..item_after(2) };
         let ran = bench.gateway.item(item.clone()).await;
         assert_eq!(ran.end, RanEnd::Complete);
         assert_eq!(ran.worker.as_deref(), Some("i-0"));
--- a/crates/tier/src/node/batch.rs
+++ b/crates/tier/src/node/batch.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use rainlug::Time;
-use rainlug_batch::{ItemRun, RunOutcome};
+use rainlug_batch::{ItemRun, RunOutcome, RunResult};
 use rainlug_coordinator::{Answer, Call};
 use rainlug_gateway::{BatchApi, Item, RanEnd, Reply, Replying};
 use rainlug_registry::Route;
@@ -29,7 +29,7 @@
             let configuration = self.configuration.borrow();
             configuration.as_ref().and_then(|c| c.routes.iter().find(|r| r.name == run.route).cloned())
         };
-        let (job, id) = (run.job.clone(), run.item.id.clone());
+        let id = run.id;
         let (events, outcome) = match route {
             None => (Vec::new(), RunOutcome::NoCapacity),
             Some(route) => {
@@ -38,7 +38,7 @@
             }
         };
         self.step("ran", |coordinator, now| {
-            coordinator.item_finished(now, shard, &job, &id, events, outcome)
+            coordinator.item_finished(now, shard, RunResult { run: id, events, outcome })
         });
     }
 
