--- a/crates/coordinator/src/departure.rs
+++ b/crates/coordinator/src/departure.rs
@@ -18,27 +18,36 @@
 
 /// How long a leader has to answer one request to be left out, in microseconds.
 const REQUEST_TIMEOUT: Time = SECOND / 2;
-/// A member that has asked to be left out is about to end for so long after it asked last, in microseconds.
-const ABOUT_TO_END: Time = SECOND;
+/// A member that has asked to be left out is about to end for so long after it asked last, in microseconds: it asks until it ends, and others
+/// then need some time to see that it has.
+const ABOUT_TO_END: Time = 2 * SECOND;
 /// A store that has ended is expected back for so long, in microseconds: no other one is filled in its place meanwhile.
 const EXPECTED_BACK: Time = 4 * SECOND;
 
 /// Gateways that could join the configuration's shard have asked its leader to once it has led for so long, in microseconds.
 const CANDIDATES_KNOWN_AFTER: Time = ANNOUNCE_INTERVAL + ANNOUNCE_INTERVAL / 4;
 
+/// A process that is to end waits no longer than this for a leader that does not answer, in microseconds.
+const LEADER_TIMEOUT: Time = 2 * SECOND;
+
 /// The status where the replica set is committed without the member, and its members know.
 const LEFT_OUT: u16 = 200;
+/// The status where the member is to be left out, and is not yet.
+const UNDER_WAY: u16 = 202;
 /// The status where the member stays: the others would be too few.
 const STAYS: u16 = 409;
 
 /// This process's own departure.
 #[derive(Default)]
 pub(crate) struct Departure {
-    is_leaving: bool,
-    /// Shards whose leader has not answered finally.
+    /// The shards that this process was a member of when it was told to end.
+    shards: BTreeSet<u16>,
+    /// Those of them whose leader has not answered finally.
     undecided: BTreeSet<u16>,
-    /// Shards whose leader has been asked and has not answered.
+    /// Those of them whose leader has been asked and has not answered.
     asked: BTreeSet<u16>,
+    /// When a leader last answered, or the process was told to end (steady clock).
+    last_answer: Time,
 }
 
 /// Members that have asked to be left out, and when they did last (steady clock).
@@ -72,16 +81,19 @@
     /// [`Coordinator::is_departing`] does not hold any more.
     pub fn depart(&mut self, now: Now) {
         self.now = now;
-        self.departure.is_leaving = true;
-        self.departure.undecided =
-            self.shards.keys().copied().filter(|number| self.is_seated(*number)).collect();
+        let seated = self.shards.keys().copied().filter(|number| self.is_seated(*number));
+        let shards: BTreeSet<u16> = seated.collect();
+        let undecided = shards.clone();
+        self.departure = Departure { shards, undecided, asked: BTreeSet::new(), last_answer: now.steady };
         self.request_departure();
         self.run_deferred_work();
     }
 
-    /// Whether a leader has still to say whether a replica set goes on without this process.
-    pub fn is_departing(&self) -> bool {
-        !self.departure.undecided.is_empty()
+    /// Whether a leader has still to say whether a replica set goes on without this process, and answers. While it is needed it had better
+    /// not end: its successor may be the only other one that has everything.
+    pub fn is_departing(&self, now: Now) -> bool {
+        let Departure { undecided, last_answer, .. } = &self.departure;
+        !undecided.is_empty() && now.steady - last_answer < LEADER_TIMEOUT
     }
 
     /// Whether this disk is a member of a shard's replica set, as far as its replica knows.
@@ -92,11 +104,10 @@
             .is_some_and(|shard| shard.replica.replica_sets().flatten().any(|member| Some(member.id) == own))
     }
 
-    /// Asks the leaders that have not answered finally. Part of the periodic maintenance.
+    /// Asks the leaders, also those that have left it out: they would add it again. Part of the periodic maintenance.
     pub(crate) fn request_departure(&mut self) {
-        let Some(member) = self.info.disk.filter(|_| self.departure.is_leaving) else { return };
-        let undecided = self.departure.undecided.iter().copied();
-        let due: Vec<u16> = undecided.filter(|number| !self.departure.asked.contains(number)).collect();
+        let Some(member) = self.info.disk else { return };
+        let due: Vec<u16> = self.departure.shards.difference(&self.departure.asked).copied().collect();
         for number in due {
             self.departure.asked.insert(number);
             let completion = CallCompletion::Departure { shard: number };
@@ -111,6 +122,9 @@
         if matches!(answer.status, LEFT_OUT | STAYS) {
             self.departure.undecided.remove(&number);
         }
+        if matches!(answer.status, LEFT_OUT | STAYS | UNDER_WAY) {
+            self.departure.last_answer = self.now.steady;
+        }
     }
 
     /// As the leader of a shard: a member asks to be left out. Its shard is handed over first where it leads it itself.
@@ -121,19 +135,16 @@
         } else {
             self.place_store_members(number);
         }
-        let answer = match self.departure_status(number, member) {
-            Some(status) => Answer::with_status(status),
-            None => Answer::retry_after(503, SECOND / 10),
-        };
-        self.reply(origin, answer);
+        let status = self.departure_status(number, member);
+        self.reply(origin, Answer::with_status(status));
     }
 
-    /// Whether a shard that is led here goes on without a member; none where that is not decided yet.
-    fn departure_status(&self, number: u16, member: MemberId) -> Option<u16> {
-        let shard = self.shards.get(&number)?;
+    /// Whether a shard that is led here goes on without a member.
+    fn departure_status(&self, number: u16, member: MemberId) -> u16 {
+        let Some(shard) = self.shards.get(&number) else { return UNDER_WAY };
         let (replica, members) = (&shard.replica, shard.replica.members());
         if members.iter().all(|other| other.id != member) {
-            return replica.is_replica_set_durable().then_some(LEFT_OUT);
+            return if replica.is_replica_set_durable() { LEFT_OUT } else { UNDER_WAY };
         }
         let may_leave = match number {
             CONTROL => {
@@ -142,7 +153,7 @@
             }
             _ => members.len() > self.info.min_members(),
         };
-        (!may_leave).then_some(STAYS)
+        if may_leave { UNDER_WAY } else { STAYS }
     }
 
     /// Whether a live gateway could join these members of the configuration's shard.
--- a/crates/coordinator/tests/replica_set_changes.rs
+++ b/crates/coordinator/tests/replica_set_changes.rs
@@ -351,3 +351,36 @@
         core_loss_after_replacement(seed as u64 + 1, after, true);
     }
 }
+
+/// A store is replaced as planned and told to end, and another one loses its disk so long after that, in seconds: it ends once it is not needed.
+#[test]
+fn given_a_store_told_to_end_when_another_disk_is_lost_before_it_ends_then_all_shards_serve_again() {
+    for (seed, after) in [0.0, 0.02, 0.1, 0.3, 0.6].into_iter().enumerate() {
+        let what = format!("seed {seed}, {after} s after it was told to end");
+        let (mut fleet, [retiring, replaced, last]) = three_stores(seed as u64);
+        retire(&mut fleet, retiring);
+        take_away_when_retired(&mut fleet, retiring, RECOVERY_TIME, &what);
+        let _successor = add_store(&mut fleet, replaced);
+        fleet.pass(SYNC_TIME);
+        fleet.tell_to_end(replaced);
+        fleet.pass(after);
+        fleet.wipe(last);
+        fleet.pass(1.0);
+        fleet.start(last, false);
+        fleet.end_when_released(replaced);
+        all_shards_serve(&mut fleet, RECOVERY_TIME, &what);
+    }
+}
+
+/// A process that has been left out and still has calls to answer was added again, and then ended as a member.
+#[test]
+fn given_a_store_that_takes_long_to_end_when_it_was_left_out_then_no_set_has_it_when_it_ends() {
+    let (mut fleet, [ending, _, _]) = three_stores(1);
+    fleet.tell_to_end(ending);
+    fleet.pass(6.0);
+    fleet.end_when_released(ending);
+    for shard in 1..=BATCH_SHARDS {
+        let members = fleet.members_of(shard).expect("it has a leader");
+        assert!(!members.contains(&ending), "shard {shard}: {members:?}");
+    }
+}
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -147,7 +147,7 @@
 
     /// Whether a leader has still to say whether a replica set goes on without this process.
     pub(crate) fn is_departing(&self) -> bool {
-        self.coordinator.borrow().is_departing()
+        self.coordinator.borrow().is_departing(self.clock.now())
     }
 
     /// Hands something to the coordinator, and carries out the effects. `kind` names the step in the log, should it take long.
--- a/crates/tier/src/process.rs
+++ b/crates/tier/src/process.rs
@@ -33,8 +33,6 @@
 const MAX_ITEM_DRAIN_TIME: Duration = Duration::from_millis(2500);
 /// A process that ends waits no longer than this for others to lead its shards: the time of an election, which they then need anyway.
 const TRANSFER_TIME: Duration = Duration::from_millis(400);
-/// A process that ends waits no longer than this for replica sets that are to go on without it.
-const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 /// Between two looks whether they do.
 const TRANSFER_POLL: Duration = Duration::from_millis(10);
 /// Calls of operators and workers are waited for until this part of the time to stop is left.
@@ -222,9 +220,8 @@
     }
 }
 
-/// Waits until the replica sets that can go on without this process do, for a bounded time.
+/// Waits until the replica sets that can go on without this process do, or the time is over.
 async fn leave_replica_sets(node: &Rc<Node>, end: Instant) {
-    let end = end.min(Instant::now() + DEPARTURE_TIME);
     while node.is_departing() && Instant::now() < end {
         sleep(TRANSFER_POLL).await;
     }
