A member that is absent leaves after a second, so that the set bears a loss

Cause: a gone member was exchanged after 4 s of absence; a set of three with one gone bears no loss, and the successor held nothing yet.

Change: after 1 s it leaves where the others are up to date and enough, and is expected back for 4 s, in which no other store is filled. Why it works: the set of those that are left has everything and bears a loss by a fence.

The model holds, absent members leaving at any time.

--- a/crates/coordinator/src/departure.rs
+++ b/crates/coordinator/src/departure.rs
@@ -50,29 +50,41 @@
     last_answer: Time,
 }
 
-/// Members that have asked to be left out, and when they did last (steady clock).
+/// Members that have asked to be left out or have left replica sets that are led here, and when (steady clock).
 #[derive(Default)]
-pub(crate) struct Departures(BTreeMap<MemberId, Time>);
+pub(crate) struct Departures {
+    /// When each asked last.
+    asked: BTreeMap<MemberId, Time>,
+    /// When each was last there: those that left because they were away or about to end.
+    left: BTreeMap<MemberId, Time>,
+}
 
 impl Departures {
     /// Whether a member is about to end.
     pub(crate) fn is_departing(&self, member: MemberId, now: Time) -> bool {
-        self.0.get(&member).is_some_and(|asked_at| now - asked_at < ABOUT_TO_END)
+        self.asked.get(&member).is_some_and(|asked_at| now - asked_at < ABOUT_TO_END)
     }
 
-    /// Whether a member has ended of late, or is about to.
+    /// Whether a store has left of late and is expected back.
     pub(crate) fn is_expected_back(&self, member: MemberId) -> bool {
-        self.0.contains_key(&member)
+        self.left.contains_key(&member)
+    }
+
+    /// A member asks to be left out.
+    fn record_asked(&mut self, member: MemberId, now: Time) {
+        self.asked.insert(member, now);
+        self.left.insert(member, now);
     }
 
-    fn record(&mut self, member: MemberId, now: Time) {
-        self.0.retain(|_, asked_at| now - *asked_at < EXPECTED_BACK);
-        self.0.insert(member, now);
+    /// A member leaves, which was last there at this time.
+    pub(crate) fn record_left(&mut self, member: MemberId, last_there: Time) {
+        self.left.insert(member, last_there);
     }
 
     /// Forgets those that are not expected back any more.
     pub(crate) fn drop_old(&mut self, now: Time) {
-        self.0.retain(|_, asked_at| now - *asked_at < EXPECTED_BACK);
+        self.asked.retain(|_, asked_at| now - *asked_at < ABOUT_TO_END);
+        self.left.retain(|_, last_there| now - *last_there < EXPECTED_BACK);
     }
 }
 
@@ -129,7 +141,7 @@
 
     /// As the leader of a shard: a member asks to be left out. Its shard is handed over first where it leads it itself.
     pub(crate) fn receive_departure(&mut self, number: u16, origin: Origin, member: MemberId) {
-        self.departures.record(member, self.now.steady);
+        self.departures.record_asked(member, self.now.steady);
         if number == CONTROL {
             self.place_configuration_members();
         } else {
--- a/crates/coordinator/src/member_changes.rs
+++ b/crates/coordinator/src/member_changes.rs
@@ -20,8 +20,10 @@
     UpToDate,
     /// It is live and lacks entries.
     Lagging,
-    /// It has not been heard for a short time, and may be back soon.
+    /// It has not been heard for a short time.
     Silent,
+    /// It has been absent for some time, and may be back soon.
+    Away,
     /// It is live and about to end, so that it is to leave.
     Departing,
     /// It has been absent for so long that another disk is to take its place. It may come back.
@@ -50,7 +52,7 @@
     pub target: usize,
 }
 
-/// A store that has left a replica set because its process ended.
+/// A store that has left a replica set of late because its process ended or was away.
 pub enum ReturningStore {
     /// It is back.
     Back(Member),
@@ -60,7 +62,7 @@
 
 /// The disks that could join the other members of a replica set.
 pub trait Candidates {
-    /// A store that has left of late because its process ended: its disk lacks least.
+    /// A store that has left of late because its process ended or was away: its disk lacks least.
     fn returning(&self, others: &[Member]) -> Option<ReturningStore>;
 
     /// The best of the stores that stay.
@@ -74,8 +76,10 @@
 enum Departure {
     /// It holds nothing any more.
     Lost,
-    /// It does not answer.
+    /// It does not answer, and another disk is to take its place.
     Absent,
+    /// It does not answer.
+    Away,
     /// Its process is about to end.
     Ends,
     /// It was ordered to.
@@ -96,12 +100,13 @@
         observed.iter().enumerate().filter(|(at, _)| *at != position).map(|(_, other)| other).collect();
     let others: Vec<Member> = rest.iter().map(|other| other.member.clone()).collect();
     let is_rest_up_to_date = rest.iter().all(|other| other.condition == MemberCondition::UpToDate);
+    let may_leave = is_rest_up_to_date && others.len() >= sizes.min;
     let staying = || candidates.best_staying(&others);
     let successor = match departure {
         // A retiring store that has everything is better than none: the set could not decide without the lost one.
         Departure::Lost | Departure::Absent => staying().or_else(|| candidates.best_retiring(&others)),
-        // It may be back soon.
-        Departure::Ends => None,
+        // It may be back soon. Meanwhile the others are better off without it: their set then bears a further loss.
+        Departure::Ends | Departure::Away => None,
         Departure::Retires if is_rest_up_to_date => staying(),
         Departure::Retires => return None,
     };
@@ -109,9 +114,9 @@
         let next: Vec<Member> = others.into_iter().chain([successor]).collect();
         return has_live_quorum(observed, &next).then_some(next);
     }
-    // No store can take its place. It leaves nevertheless: an even set of the others bears a further loss where a store comes that makes a
+    // No store takes its place. It leaves nevertheless: an even set of the others bears a further loss where a store comes that makes a
     // fence possible, while an odd one with a member that is gone does not. What was lost or absent comes back as a new member.
-    (is_rest_up_to_date && others.len() >= sizes.min).then_some(others)
+    may_leave.then_some(others)
 }
 
 /// Whether a quorum of the next members is there. One that is added is: only live stores are candidates.
@@ -133,8 +138,9 @@
     let lost = in_condition(MemberCondition::Lost).map(|at| (at, Departure::Lost));
     let ending = || in_condition(MemberCondition::Departing).map(|at| (at, Departure::Ends));
     let absent = || in_condition(MemberCondition::Absent).map(|at| (at, Departure::Absent));
+    let away = || in_condition(MemberCondition::Away).map(|at| (at, Departure::Away));
     let retiring = || Some((observed.iter().position(|other| other.is_retiring)?, Departure::Retires));
-    lost.or_else(ending).or_else(absent).or_else(retiring)
+    lost.or_else(ending).or_else(absent).or_else(away).or_else(retiring)
 }
 
 /// These members and one more, where there are too few.
--- a/crates/coordinator/src/replica_placement.rs
+++ b/crates/coordinator/src/replica_placement.rs
@@ -22,6 +22,8 @@
 
 /// A member that has been absent for longer is replaced, if another disk can take its place, in microseconds.
 const REPLACE_ABSENT_AFTER: Time = 4 * SECOND;
+/// A member that has been absent for longer leaves, where the others are up to date and enough, in microseconds.
+const LEAVE_ABSENT_AFTER: Time = SECOND;
 /// A disk that asked to be a member of the configuration's shard is a candidate for so long, in microseconds.
 const CANDIDATE_TIMEOUT: Time = 3 * ANNOUNCE_INTERVAL;
 /// A member that lacks fewer entries than this counts as up to date: the leader appends more meanwhile.
@@ -195,11 +197,22 @@
         }
         let members = shard.replica.members().to_vec();
         match self.next_store_members(number, &members) {
-            Some(next) => self.change_replica_set(number, next),
+            Some(next) => {
+                self.expect_back(&members, &next);
+                self.change_replica_set(number, next);
+            }
             None => self.report_replica_set(number, &members),
         }
     }
 
+    /// Those that leave because they are away are expected back for some time: no other store is filled meanwhile.
+    fn expect_back(&mut self, members: &[Member], next: &[Member]) {
+        for member in members.iter().filter(|member| !contains(next, member)) {
+            let absence = self.absence(&member.address);
+            self.departures.record_left(member.id, self.now.steady - absence);
+        }
+    }
+
     /// The stores in the topology.
     fn listed_stores(&self) -> Vec<Member> {
         self.topology.stores.iter().filter_map(|store| store.member.to_member().ok()).collect()
@@ -235,7 +248,11 @@
         if self.is_absent(&member.address) {
             return MemberCondition::Absent;
         }
-        if self.absence(&member.address) > 0 {
+        let absence = self.absence(&member.address);
+        if absence > LEAVE_ABSENT_AFTER {
+            return MemberCondition::Away;
+        }
+        if absence > 0 {
             return MemberCondition::Silent;
         }
         if self.departures.is_departing(member.id, self.now.steady) {
--- a/crates/coordinator/tests/replica_set_model.rs
+++ b/crates/coordinator/tests/replica_set_model.rs
@@ -245,7 +245,7 @@
         };
         match store.seen {
             Seen::Absent => MemberCondition::Absent,
-            Seen::Silent => MemberCondition::Silent,
+            Seen::Silent => MemberCondition::Away,
             Seen::Live if store.is_departing => MemberCondition::Departing,
             // One that has just died still counts as what it was.
             Seen::Live if store.log.end() == leader.end() => MemberCondition::UpToDate,
