A restarted store is a member again at once; nobody waits where all end

Cause: a member that asked to be left out counted as about to end for 2 s after it asked last, also once its next process was there, so stores that are restarted in turn would have left sets of two for that long. And where all stores end at once each waited for the others to take over.

Change: a process that comes back is not about to end any more; members that end as well do not count as staying.

--- a/crates/coordinator/src/departure.rs
+++ b/crates/coordinator/src/departure.rs
@@ -76,6 +76,11 @@
         self.left.insert(member, now);
     }
 
+    /// A member's process has ended and another one has begun: it is not about to end any more.
+    pub(crate) fn record_back(&mut self, member: MemberId) {
+        self.asked.remove(&member);
+    }
+
     /// A member leaves, which was last there at this time.
     pub(crate) fn record_left(&mut self, member: MemberId, last_there: Time) {
         self.left.insert(member, last_there);
@@ -163,7 +168,14 @@
                 let are_candidates_known = self.now.steady - shard.led_since >= CANDIDATES_KNOWN_AFTER;
                 !are_candidates_known || self.has_join_candidate(members)
             }
-            _ => members.len() > self.info.min_members(),
+            _ => {
+                let now = self.now.steady;
+                // Others that are to end as well, as where the whole tier is, do not stay.
+                let is_other_ending =
+                    |other: &&Member| other.id != member && self.departures.is_departing(other.id, now);
+                let ending = members.iter().filter(is_other_ending).count();
+                members.len() - ending > self.info.min_members()
+            }
         };
         if may_leave { UNDER_WAY } else { STAYS }
     }
--- a/crates/coordinator/src/membership.rs
+++ b/crates/coordinator/src/membership.rs
@@ -8,10 +8,12 @@
 use std::net::SocketAddr;
 
 use rainlug::{SECOND, Time};
+use rainlug_consensus::MemberId;
 use rainlug_fleet::Standing;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::dissemination::Outbox;
+use crate::topology::StoreRecord;
 use crate::{CONTROL, Coordinator, Effect, NodeInfo, Now};
 
 /// A process that knows peers and has received nothing from any of them for so long is isolated, in microseconds.
@@ -74,6 +76,9 @@
         self.peers
             .absent_since
             .retain(|address, since| !live.contains_key(address) && now - *since < ABSENCE_RETENTION);
+        let is_back = |store: &&StoreRecord| newcomers.contains(&store.member.at.into());
+        let back: Vec<MemberId> = self.topology.stores.iter().filter(is_back).map(|s| s.member.id).collect();
+        back.into_iter().for_each(|member| self.departures.record_back(member));
         let gateways = live.values().filter(|peer| peer.is_gateway).count();
         let gateways_before = self.peers.live.values().filter(|peer| peer.is_gateway).count();
         self.peers.live = live;
--- a/crates/coordinator/tests/replica_set_changes.rs
+++ b/crates/coordinator/tests/replica_set_changes.rs
@@ -408,6 +408,34 @@
     }
 }
 
+/// Stores that are restarted in turn are members again before the next one is told to end.
+#[test]
+fn given_a_store_that_is_restarted_at_once_then_every_shard_has_it_again_within_a_second() {
+    for seed in 0..6 {
+        let (mut fleet, [restarted, _, _]) = three_stores(seed);
+        fleet.end_in_order(restarted);
+        fleet.pass(0.3);
+        fleet.start(restarted, false);
+        let is_member = |fleet: &Fleet, shard| {
+            fleet.members_of(shard).is_some_and(|members| members.len() == 3 && members.contains(&restarted))
+        };
+        let is_back = |fleet: &Fleet| (1..=BATCH_SHARDS).all(|shard| is_member(fleet, shard));
+        assert!(fleet.until(1.0, is_back), "seed {seed}: {}", replica_sets(&fleet));
+    }
+}
+
+/// Where all end at once there is nobody to wait for.
+#[test]
+fn given_all_stores_told_to_end_at_once_then_none_waits_for_the_others() {
+    let (mut fleet, all) = three_stores(0);
+    all.into_iter().for_each(|at| fleet.tell_to_end(at));
+    let is_waiting = |fleet: &Fleet, at: usize| {
+        let process = fleet.machines[at].coordinator.as_ref();
+        process.is_some_and(|process| process.is_departing(fleet.time(at)))
+    };
+    assert!(fleet.until(1.0, |fleet| all.iter().all(|at| !is_waiting(fleet, *at))));
+}
+
 /// What happens next on a drawn course.
 #[derive(Clone, Copy, Debug)]
 enum Step {
