Review cases 4 to 6: an interrupted script ends its processes too

A script that was ended by SIGTERM left eight processes behind (seen once, with case 6), and exited with a signal's status.

--- a/review/stand-2/common.rs
+++ b/review/stand-2/common.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,6 +16,17 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// A process that is about to start is killed when the case ends, also where the case is killed itself.
+fn ends_with_case() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
 }
 
 pub fn ms(n: u64) -> Duration {
@@ -307,7 +319,9 @@
         let settings = dir.join("node.toml");
         fs::write(&settings, text).expect("settings");
         let log = File::options().create(true).append(true).open(dir.join("log")).expect("log");
-        let child = Command::new("target/system/rainlug")
+        let mut command = Command::new("target/system/rainlug");
+        unsafe { command.pre_exec(ends_with_case) };
+        let child = command
             .arg(role)
             .env("RAINLUG_SETTINGS", &settings)
             .stdin(Stdio::null())
